--- /dev/null
+++ b/src/buf.h
@@ -0,0 +1,44 @@
+/*
+ * NAME
+ *     buf - growable byte buffer
+ */
+#ifndef COLTSFOOT_BUF_H
+#define COLTSFOOT_BUF_H
+
+#include <stddef.h>
+
+typedef struct Buf {
+    char *data;
+    size_t len;
+    size_t capacity;
+} Buf;
+
+#define BUF_INIT                                                              \
+    {                                                                         \
+        NULL, 0, 0                                                            \
+    }
+
+/* Appends len bytes. Aborts the process when memory is exhausted, since no
+ * promise can be kept with a part of a message. */
+void Buf_Append(Buf *buf, const void *data, size_t len);
+
+/* Appends a printf-style text without its terminator. */
+#if defined(__GNUC__)
+__attribute__((format(printf, 2, 3)))
+#endif
+void
+Buf_Printf(Buf *buf, const char *format, ...);
+
+/* Removes len bytes at the front. */
+void Buf_Consume(Buf *buf, size_t len);
+
+/* Returns the content as a string; valid until the next change. */
+const char *Buf_Text(Buf *buf);
+
+void Buf_Clear(Buf *buf);
+void Buf_Free(Buf *buf);
+
+/* For msgpack_packer_init: data is a Buf. Returns 0. */
+int Buf_MsgpackWrite(void *data, const char *bytes, size_t len);
+
+#endif
--- /dev/null
+++ b/src/table.h
@@ -0,0 +1,53 @@
+/*
+ * NAME
+ *     table - rows addressed by small handles
+ *
+ * DESCRIPTION
+ *     A handle is a 32-bit index and a 32-bit generation. Freeing a row
+ *     raises its generation, so a handle to a freed row is detected and never
+ *     followed. Row addresses change when the table grows; keep handles, not
+ *     pointers. The zero handle is never valid.
+ */
+#ifndef COLTSFOOT_TABLE_H
+#define COLTSFOOT_TABLE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+typedef struct Handle {
+    uint32_t index;
+    uint32_t generation;
+} Handle;
+
+#define HANDLE_NONE ((Handle){0, 0})
+
+typedef struct Table Table;
+
+/* Returns an empty table of rows of row_bytes, at most max_rows. */
+Table *Table_New(size_t row_bytes, uint32_t max_rows);
+void Table_Free(Table *table);
+
+/* Returns a handle to a zeroed row, or HANDLE_NONE when the table is full. */
+Handle Table_Add(Table *table);
+
+/* Returns the row, or NULL for a stale handle. */
+void *Table_Get(const Table *table, Handle handle);
+
+/* Frees the row. Returns false for a stale handle. */
+bool Table_Remove(Table *table, Handle handle);
+
+/* Returns the count of rows in use. */
+uint32_t Table_Count(const Table *table);
+
+/* Iterates: *cursor starts at 0; returns HANDLE_NONE at the end. */
+Handle Table_Next(const Table *table, uint32_t *cursor);
+
+bool Handle_Equal(Handle a, Handle b);
+bool Handle_IsNone(Handle handle);
+
+/* Packs a handle into 64 bits and back, for callbacks and messages. */
+uint64_t Handle_Pack(Handle handle);
+Handle Handle_Unpack(uint64_t packed);
+
+#endif
--- /dev/null
+++ b/tests/test_table.c
@@ -0,0 +1,52 @@
+#include "support.h"
+#include "table.h"
+
+/* Guards against following a handle whose row was freed and reused. */
+START_TEST(stale_handle_is_detected)
+{
+    Table *table = Table_New(sizeof(int), 4);
+    Handle first = Table_Add(table);
+    Handle second;
+
+    ck_assert(Table_Get(table, first) != NULL);
+    ck_assert(Table_Remove(table, first));
+    ck_assert(Table_Get(table, first) == NULL);
+    second = Table_Add(table);
+    ck_assert_uint_eq(second.index, first.index);
+    ck_assert(Table_Get(table, first) == NULL);
+    ck_assert(!Table_Remove(table, first));
+    ck_assert(Table_Get(table, second) != NULL);
+    Table_Free(table);
+}
+END_TEST
+
+/* Guards against a table that grows past its bound. */
+START_TEST(full_table_refuses)
+{
+    Table *table = Table_New(sizeof(int), 3);
+    uint32_t cursor = 0;
+    int i;
+
+    for (i = 0; i < 3; i++) {
+        ck_assert(!Handle_IsNone(Table_Add(table)));
+    }
+    ck_assert(Handle_IsNone(Table_Add(table)));
+    ck_assert_uint_eq(Table_Count(table), 3);
+    for (i = 0; !Handle_IsNone(Table_Next(table, &cursor)); i++) {
+    }
+    ck_assert_int_eq(i, 3);
+    Table_Free(table);
+}
+END_TEST
+
+Suite *
+Test_Suite(void)
+{
+    Suite *suite = suite_create("table");
+    TCase *tcase = tcase_create("handles");
+
+    tcase_add_test(tcase, stale_handle_is_detected);
+    tcase_add_test(tcase, full_table_refuses);
+    suite_add_tcase(suite, tcase);
+    return suite;
+}
