--- /dev/null
+++ b/src/frame.h
@@ -0,0 +1,39 @@
+/*
+ * NAME
+ *     frame - length-prefixed frames between coltsfootd processes
+ *
+ * DESCRIPTION
+ *     A frame is a 4-byte big-endian body length and a body of 1 to
+ *     FRAME_MAX_BYTES bytes. The decoder takes bytes as they arrive.
+ */
+#ifndef COLTSFOOT_FRAME_H
+#define COLTSFOOT_FRAME_H
+
+#include <stddef.h>
+
+#include "buf.h"
+#include "status.h"
+
+#define FRAME_HEADER_BYTES 4
+#define FRAME_MAX_BYTES (4 * 1024 * 1024)
+
+typedef struct FrameDecoder {
+    Buf pending;
+    size_t consumed; /* bytes of pending that were already returned */
+} FrameDecoder;
+
+/* Appends one frame to out. Returns ST_INVALID for a body out of bounds. */
+Status Frame_Encode(Buf *out, const void *body, size_t len);
+
+void Frame_DecoderInit(FrameDecoder *decoder);
+void Frame_DecoderFree(FrameDecoder *decoder);
+
+/* Adds received bytes. Bodies returned before become invalid. */
+void Frame_Feed(FrameDecoder *decoder, const void *data, size_t len);
+
+/* Returns ST_OK with the next body, valid until the next Frame_Feed; ST_AGAIN
+ * when no whole frame is there; ST_CORRUPT for a length out of bounds, after
+ * which the connection has to be closed. */
+Status Frame_Next(FrameDecoder *decoder, const char **body, size_t *len);
+
+#endif
