--- /dev/null
+++ b/src/httpclient.c
@@ -0,0 +1,333 @@
+#include "httpclient.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <curl/curl.h>
+
+#define HTTP_CONNECT_TIMEOUT_MS 1000
+#define HTTP_URL_BYTES 512
+
+/* One socket that libcurl asked to watch. */
+typedef struct SocketWatch {
+    HttpClient *client;
+    curl_socket_t socket;
+    LoopWatch *watch;
+} SocketWatch;
+
+struct HttpClient {
+    Loop *loop;
+    CURLM *multi;
+    LoopTimer *timer;
+    HttpCall *calls; /* all in progress */
+};
+
+struct HttpCall {
+    HttpClient *client;
+    HttpCall *next;
+    HttpCall *previous;
+    CURL *easy;
+    struct curl_slist *headers;
+    Buf body;
+    size_t max_answer_bytes;
+    bool too_large;
+    HttpCallFn fn;
+    void *arg;
+};
+
+static void
+free_call(HttpCall *call)
+{
+    HttpClient *client = call->client;
+
+    if (call->previous != NULL) {
+        call->previous->next = call->next;
+    }
+    else {
+        client->calls = call->next;
+    }
+    if (call->next != NULL) {
+        call->next->previous = call->previous;
+    }
+    curl_multi_remove_handle(client->multi, call->easy);
+    curl_easy_cleanup(call->easy);
+    curl_slist_free_all(call->headers);
+    Buf_Free(&call->body);
+    free(call);
+}
+
+static HttpCallStatus
+call_status(const HttpCall *call, CURLcode code)
+{
+    curl_off_t sent = 0;
+
+    if (code == CURLE_OK) {
+        return HTTP_CALL_ANSWERED;
+    }
+    if (call->too_large) {
+        return HTTP_CALL_TOO_LARGE;
+    }
+    if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST) {
+        return HTTP_CALL_NOT_SENT;
+    }
+    if (code == CURLE_OPERATION_TIMEDOUT) {
+        long request_bytes = 0;
+        curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+        curl_easy_getinfo(call->easy, CURLINFO_SIZE_UPLOAD_T, &sent);
+        if (request_bytes == 0 && sent == 0) {
+            return HTTP_CALL_NOT_SENT;
+        }
+        return HTTP_CALL_TIMED_OUT;
+    }
+    return HTTP_CALL_LOST;
+}
+
+static void
+finish_calls(HttpClient *client)
+{
+    CURLMsg *message;
+    int left;
+
+    while ((message = curl_multi_info_read(client->multi, &left)) != NULL) {
+        HttpCall *call = NULL;
+        HttpCallResult result = {0};
+        long http_status = 0;
+        if (message->msg != CURLMSG_DONE) {
+            continue;
+        }
+        curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &call);
+        curl_easy_getinfo(message->easy_handle, CURLINFO_RESPONSE_CODE,
+                          &http_status);
+        result.status = call_status(call, message->data.result);
+        result.http_status = (int)http_status;
+        result.body = call->body.data != NULL ? call->body.data : "";
+        result.body_len = call->body.len;
+        result.call = call;
+        call->fn(call->arg, &result);
+        free_call(call);
+    }
+}
+
+static void
+on_socket_event(void *arg, int events)
+{
+    const SocketWatch *watch = arg;
+    HttpClient *client = watch->client;
+    int mask = 0;
+    int running;
+
+    mask |= events & LOOP_READ ? CURL_CSELECT_IN : 0;
+    mask |= events & LOOP_WRITE ? CURL_CSELECT_OUT : 0;
+    curl_multi_socket_action(client->multi, watch->socket, mask, &running);
+    finish_calls(client);
+}
+
+static void
+unwatch_socket(HttpClient *client, curl_socket_t socket, SocketWatch *watch)
+{
+    if (watch != NULL) {
+        Loop_Unwatch(watch->watch);
+        free(watch);
+        curl_multi_assign(client->multi, socket, NULL);
+    }
+}
+
+static int
+on_curl_socket(CURL *easy, curl_socket_t socket, int what, void *arg,
+               void *socket_arg)
+{
+    HttpClient *client = arg;
+    SocketWatch *watch = socket_arg;
+    int events = 0;
+
+    (void)easy;
+    if (what == CURL_POLL_REMOVE) {
+        unwatch_socket(client, socket, watch);
+        return 0;
+    }
+    events |= what & CURL_POLL_IN ? LOOP_READ : 0;
+    events |= what & CURL_POLL_OUT ? LOOP_WRITE : 0;
+    if (watch != NULL) {
+        Loop_SetEvents(watch->watch, events);
+        return 0;
+    }
+    watch = calloc(1, sizeof(*watch));
+    if (watch == NULL) {
+        return -1;
+    }
+    watch->client = client;
+    watch->socket = socket;
+    watch->watch =
+        Loop_Watch(client->loop, (int)socket, events, on_socket_event, watch);
+    curl_multi_assign(client->multi, socket, watch);
+    return 0;
+}
+
+static int
+on_curl_timer(CURLM *multi, long timeout_ms, void *arg)
+{
+    HttpClient *client = arg;
+
+    (void)multi;
+    if (timeout_ms < 0) {
+        Loop_Disarm(client->timer);
+    }
+    else {
+        Loop_Arm(client->timer, timeout_ms, 0);
+    }
+    return 0;
+}
+
+static void
+on_timer(void *arg)
+{
+    HttpClient *client = arg;
+    int running;
+
+    curl_multi_socket_action(client->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+    finish_calls(client);
+}
+
+HttpClient *
+HttpClient_New(Loop *loop, long max_per_host)
+{
+    HttpClient *client = calloc(1, sizeof(*client));
+
+    if (client == NULL) {
+        return NULL;
+    }
+    client->loop = loop;
+    client->multi = curl_multi_init();
+    client->timer = Loop_NewTimer(loop, on_timer, client);
+    curl_multi_setopt(client->multi, CURLMOPT_SOCKETFUNCTION, on_curl_socket);
+    curl_multi_setopt(client->multi, CURLMOPT_SOCKETDATA, client);
+    curl_multi_setopt(client->multi, CURLMOPT_TIMERFUNCTION, on_curl_timer);
+    curl_multi_setopt(client->multi, CURLMOPT_TIMERDATA, client);
+    curl_multi_setopt(client->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                      max_per_host);
+    curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS, 512L);
+    return client;
+}
+
+void
+HttpClient_Free(HttpClient *client)
+{
+    if (client == NULL) {
+        return;
+    }
+    while (client->calls != NULL) {
+        free_call(client->calls);
+    }
+    curl_multi_cleanup(client->multi);
+    Loop_FreeTimer(client->timer);
+    free(client);
+}
+
+static size_t
+on_body(char *data, size_t size, size_t count, void *arg)
+{
+    HttpCall *call = arg;
+    size_t len = size * count;
+
+    if (call->body.len + len > call->max_answer_bytes) {
+        call->too_large = true;
+        return 0;
+    }
+    Buf_Append(&call->body, data, len);
+    return len;
+}
+
+static void
+add_headers(HttpCall *call, const HttpCallOptions *options)
+{
+    char line[HTTP_URL_BYTES];
+    size_t i;
+
+    for (i = 0; i < options->header_count; i++) {
+        snprintf(line, sizeof(line), "%s: %s", options->headers[i].name,
+                 options->headers[i].value);
+        call->headers = curl_slist_append(call->headers, line);
+    }
+    /* Without this libcurl waits up to 1 s before it sends a large body. */
+    call->headers = curl_slist_append(call->headers, "Expect:");
+    call->headers = curl_slist_append(call->headers, "Content-Type:");
+}
+
+static void
+set_options(HttpCall *call, const HttpCallOptions *options)
+{
+    char url[HTTP_URL_BYTES];
+    CURL *easy = call->easy;
+
+    snprintf(url, sizeof(url), "http://%s:%d%s", options->address.host,
+             options->address.port, options->path);
+    curl_easy_setopt(easy, CURLOPT_URL, url);
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+    if (options->body != NULL) {
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                         (curl_off_t)options->body_len);
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, options->body);
+    }
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, options->method);
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->headers);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+                     options->timeout_ms > 0 ? (long)options->timeout_ms : 1L);
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                     (long)HTTP_CONNECT_TIMEOUT_MS);
+    if (options->fresh_connection) {
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+    }
+}
+
+HttpCall *
+HttpClient_Start(HttpClient *client, const HttpCallOptions *options,
+                 HttpCallFn fn, void *arg)
+{
+    HttpCall *call = calloc(1, sizeof(*call));
+
+    if (call == NULL) {
+        return NULL;
+    }
+    call->easy = curl_easy_init();
+    if (call->easy == NULL) {
+        free(call);
+        return NULL;
+    }
+    call->client = client;
+    call->fn = fn;
+    call->arg = arg;
+    call->max_answer_bytes = options->max_answer_bytes;
+    add_headers(call, options);
+    set_options(call, options);
+    call->next = client->calls;
+    if (client->calls != NULL) {
+        client->calls->previous = call;
+    }
+    client->calls = call;
+    curl_multi_add_handle(client->multi, call->easy);
+    return call;
+}
+
+void
+HttpCall_Cancel(HttpCall *call)
+{
+    free_call(call);
+}
+
+const char *
+HttpCall_Header(const HttpCall *call, const char *name)
+{
+    struct curl_header *header = NULL;
+
+    if (curl_easy_header(call->easy, name, 0, CURLH_HEADER, -1, &header) !=
+        CURLHE_OK) {
+        return NULL;
+    }
+    return header->value;
+}
--- /dev/null
+++ b/src/httpserver.c
@@ -0,0 +1,303 @@
+#include "httpserver.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <microhttpd.h>
+
+#include "buf.h"
+#include "diag.h"
+
+/* Bounds the work of one round of the loop. */
+#define HTTP_MAX_RUNS 16
+
+struct HttpServer {
+    struct MHD_Daemon *daemon;
+    Loop *loop;
+    LoopWatch *watch;
+    HttpServerOptions options;
+    size_t active;
+};
+
+struct HttpRequest {
+    HttpServer *server;
+    struct MHD_Connection *connection;
+    char *method;
+    char *path;
+    Buf body;
+    bool too_large;
+    bool in_handler;
+    bool started;
+    bool suspended;
+    struct MHD_Response *response;
+    unsigned int status;
+};
+
+static HttpRequest *
+new_request(HttpServer *server, struct MHD_Connection *connection,
+            const char *method, const char *path)
+{
+    HttpRequest *request = calloc(1, sizeof(*request));
+
+    if (request != NULL) {
+        request->server = server;
+        request->connection = connection;
+        request->method = strdup(method);
+        request->path = strdup(path);
+    }
+    return request;
+}
+
+static enum MHD_Result
+send_response(HttpRequest *request)
+{
+    enum MHD_Result result = MHD_queue_response(
+        request->connection, request->status, request->response);
+
+    MHD_destroy_response(request->response);
+    request->response = NULL;
+    return result;
+}
+
+static void
+take_body(HttpRequest *request, const char *data, size_t len)
+{
+    if (request->body.len + len > request->server->options.max_body_bytes) {
+        request->too_large = true;
+        return;
+    }
+    Buf_Append(&request->body, data, len);
+}
+
+static enum MHD_Result
+run_handler(HttpRequest *request)
+{
+    HttpServer *server = request->server;
+
+    request->started = true;
+    server->active++;
+    request->in_handler = true;
+    if (request->too_large) {
+        HttpRequest_ReplyText(request, 413, "text/plain",
+                              "the body is larger than the limit\n");
+    }
+    else {
+        server->options.handler(server->options.arg, request);
+    }
+    request->in_handler = false;
+    if (request->response != NULL) {
+        return send_response(request);
+    }
+    request->suspended = true;
+    MHD_suspend_connection(request->connection);
+    return MHD_YES;
+}
+
+static enum MHD_Result
+on_request(void *arg, struct MHD_Connection *connection, const char *path,
+           const char *method, const char *version, const char *data,
+           size_t *len, void **state)
+{
+    HttpRequest *request = *state;
+
+    (void)version;
+    if (request == NULL) {
+        request = new_request(arg, connection, method, path);
+        *state = request;
+        return request != NULL ? MHD_YES : MHD_NO;
+    }
+    if (*len > 0) {
+        take_body(request, data, *len);
+        *len = 0;
+        return MHD_YES;
+    }
+    if (!request->started) {
+        return run_handler(request);
+    }
+    return request->response != NULL ? send_response(request) : MHD_YES;
+}
+
+static void
+on_completed(void *arg, struct MHD_Connection *connection, void **state,
+             enum MHD_RequestTerminationCode code)
+{
+    HttpRequest *request = *state;
+
+    (void)arg;
+    (void)connection;
+    (void)code;
+    if (request == NULL) {
+        return;
+    }
+    if (request->response != NULL) {
+        MHD_destroy_response(request->response);
+    }
+    Buf_Free(&request->body);
+    free(request->method);
+    free(request->path);
+    free(request);
+    *state = NULL;
+}
+
+static void
+on_readable(void *arg, int events)
+{
+    HttpServer *server = arg;
+
+    (void)events;
+    MHD_run(server->daemon);
+}
+
+static bool
+run_pending(void *arg)
+{
+    HttpServer *server = arg;
+    MHD_UNSIGNED_LONG_LONG timeout = 0;
+    int i;
+
+    for (i = 0; i < HTTP_MAX_RUNS; i++) {
+        if (MHD_get_timeout(server->daemon, &timeout) != MHD_YES ||
+            timeout != 0) {
+            return false;
+        }
+        MHD_run(server->daemon);
+    }
+    return true;
+}
+
+HttpServer *
+HttpServer_New(Loop *loop, const HttpServerOptions *options, ErrCtx *err)
+{
+    HttpServer *server = calloc(1, sizeof(*server));
+    struct sockaddr_in address;
+    const union MHD_DaemonInfo *info;
+
+    if (server == NULL) {
+        Err_Set(err, ST_NO_MEMORY, "no memory for a server");
+        return NULL;
+    }
+    server->loop = loop;
+    server->options = *options;
+    memset(&address, 0, sizeof(address));
+    address.sin_family = AF_INET;
+    address.sin_port = htons((uint16_t)options->address.port);
+    inet_pton(AF_INET, options->address.host, &address.sin_addr);
+    server->daemon = MHD_start_daemon(
+        MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_request,
+        server, MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&address,
+        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_CONNECTION_TIMEOUT,
+        options->idle_timeout_s, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
+        server, MHD_OPTION_END);
+    if (server->daemon == NULL) {
+        Err_Set(err, ST_IO, "cannot listen on %s:%d", options->address.host,
+                options->address.port);
+        free(server);
+        return NULL;
+    }
+    info = MHD_get_daemon_info(server->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+    server->watch =
+        Loop_Watch(loop, info->epoll_fd, LOOP_READ, on_readable, server);
+    Loop_AddPoll(loop, run_pending, server);
+    return server;
+}
+
+void
+HttpServer_StopListening(HttpServer *server)
+{
+    MHD_socket listener = MHD_quiesce_daemon(server->daemon);
+
+    if (listener != MHD_INVALID_SOCKET) {
+        close(listener);
+    }
+}
+
+size_t
+HttpServer_Active(const HttpServer *server)
+{
+    return server->active;
+}
+
+void
+HttpServer_Free(HttpServer *server)
+{
+    if (server != NULL) {
+        Loop_Unwatch(server->watch);
+        MHD_stop_daemon(server->daemon);
+        free(server);
+    }
+}
+
+const char *
+HttpRequest_Method(const HttpRequest *request)
+{
+    return request->method;
+}
+
+const char *
+HttpRequest_Path(const HttpRequest *request)
+{
+    return request->path;
+}
+
+const char *
+HttpRequest_Header(const HttpRequest *request, const char *name)
+{
+    return MHD_lookup_connection_value(request->connection, MHD_HEADER_KIND,
+                                       name);
+}
+
+const char *
+HttpRequest_Query(const HttpRequest *request, const char *name)
+{
+    return MHD_lookup_connection_value(request->connection,
+                                       MHD_GET_ARGUMENT_KIND, name);
+}
+
+const char *
+HttpRequest_Body(const HttpRequest *request, size_t *len)
+{
+    *len = request->body.len;
+    return request->body.data != NULL ? request->body.data : "";
+}
+
+void
+HttpRequest_Reply(HttpRequest *request, const HttpReply *reply)
+{
+    struct MHD_Response *response = MHD_create_response_from_buffer(
+        reply->body_len, (void *)(uintptr_t)reply->body,
+        MHD_RESPMEM_MUST_COPY);
+    size_t i;
+
+    request->server->active--;
+    for (i = 0; i < reply->header_count; i++) {
+        MHD_add_response_header(response, reply->headers[i].name,
+                                reply->headers[i].value);
+    }
+    if (reply->content_type != NULL) {
+        MHD_add_response_header(response, "Content-Type", reply->content_type);
+    }
+    request->response = response;
+    request->status = (unsigned int)reply->status;
+    if (request->suspended) {
+        request->suspended = false;
+        MHD_resume_connection(request->connection);
+    }
+}
+
+void
+HttpRequest_ReplyText(HttpRequest *request, int status,
+                      const char *content_type, const char *text)
+{
+    HttpReply reply = {.status = status,
+                       .content_type = content_type,
+                       .body = text,
+                       .body_len = strlen(text)};
+
+    HttpRequest_Reply(request, &reply);
+}
--- /dev/null
+++ b/src/loop.c
@@ -0,0 +1,396 @@
+#include "loop.h"
+
+#include <stdlib.h>
+#include <time.h>
+
+#include <apr_poll.h>
+#include <apr_pools.h>
+#include <apr_portable.h>
+#include <apr_thread_mutex.h>
+
+#define LOOP_MAX_DESCRIPTORS 8192
+#define LOOP_MAX_POLL_FNS 8
+#define LOOP_MAX_WAIT_MS 1000
+
+struct LoopWatch {
+    Loop *loop;
+    apr_pool_t *pool;
+    apr_pollfd_t pollfd;
+    int events;
+    LoopFdFn fn;
+    void *arg;
+    bool dead;
+    LoopWatch *next_dead;
+};
+
+struct LoopTimer {
+    Loop *loop;
+    LoopFn fn;
+    void *arg;
+    int64_t due; /* 0 while stopped */
+    int64_t every;
+    LoopTimer *next;
+    bool dead;
+};
+
+typedef struct Post {
+    LoopFn fn;
+    void *arg;
+    struct Post *next;
+} Post;
+
+struct Loop {
+    apr_pool_t *pool;
+    apr_pollset_t *pollset;
+    apr_thread_mutex_t *mutex; /* guards the mailbox and stopping */
+    Post *posts_head;
+    Post *posts_tail;
+    bool stopping;
+    LoopTimer *timers;
+    LoopWatch *dead_watches;
+    LoopPollFn poll_fns[LOOP_MAX_POLL_FNS];
+    void *poll_args[LOOP_MAX_POLL_FNS];
+    int poll_count;
+};
+
+int64_t
+Loop_NowUs(void)
+{
+    struct timespec now;
+
+    clock_gettime(CLOCK_MONOTONIC, &now);
+    return (int64_t)now.tv_sec * 1000000 + now.tv_nsec / 1000;
+}
+
+int64_t
+Loop_NowMs(void)
+{
+    return Loop_NowUs() / 1000;
+}
+
+Loop *
+Loop_New(ErrCtx *err)
+{
+    Loop *loop = calloc(1, sizeof(*loop));
+
+    if (loop == NULL || apr_pool_create(&loop->pool, NULL) != APR_SUCCESS) {
+        free(loop);
+        Err_Set(err, ST_NO_MEMORY, "no memory for an event loop");
+        return NULL;
+    }
+    if (apr_pollset_create(&loop->pollset, LOOP_MAX_DESCRIPTORS, loop->pool,
+                           APR_POLLSET_WAKEABLE | APR_POLLSET_NOCOPY) !=
+            APR_SUCCESS ||
+        apr_thread_mutex_create(&loop->mutex, APR_THREAD_MUTEX_DEFAULT,
+                                loop->pool) != APR_SUCCESS) {
+        Err_Set(err, ST_IO, "the pollset cannot be created");
+        apr_pool_destroy(loop->pool);
+        free(loop);
+        return NULL;
+    }
+    return loop;
+}
+
+static void
+free_dead(Loop *loop)
+{
+    LoopTimer **at = &loop->timers;
+
+    while (loop->dead_watches != NULL) {
+        LoopWatch *watch = loop->dead_watches;
+        loop->dead_watches = watch->next_dead;
+        apr_pool_destroy(watch->pool);
+        free(watch);
+    }
+    while (*at != NULL) {
+        LoopTimer *timer = *at;
+        if (timer->dead) {
+            *at = timer->next;
+            free(timer);
+        }
+        else {
+            at = &timer->next;
+        }
+    }
+}
+
+void
+Loop_Free(Loop *loop)
+{
+    LoopTimer *timer;
+
+    if (loop == NULL) {
+        return;
+    }
+    for (timer = loop->timers; timer != NULL; timer = timer->next) {
+        timer->dead = true;
+    }
+    while (loop->posts_head != NULL) {
+        Post *post = loop->posts_head;
+        loop->posts_head = post->next;
+        free(post);
+    }
+    free_dead(loop);
+    apr_pool_destroy(loop->pool);
+    free(loop);
+}
+
+LoopWatch *
+Loop_Watch(Loop *loop, int fd, int events, LoopFdFn fn, void *arg)
+{
+    LoopWatch *watch = calloc(1, sizeof(*watch));
+    apr_socket_t *socket = NULL;
+    apr_os_sock_t os_socket = fd;
+
+    if (watch == NULL) {
+        return NULL;
+    }
+    if (apr_pool_create(&watch->pool, NULL) != APR_SUCCESS) {
+        free(watch);
+        return NULL;
+    }
+    watch->loop = loop;
+    watch->fn = fn;
+    watch->arg = arg;
+    if (apr_os_sock_put(&socket, &os_socket, watch->pool) != APR_SUCCESS) {
+        apr_pool_destroy(watch->pool);
+        free(watch);
+        return NULL;
+    }
+    watch->pollfd.p = watch->pool;
+    watch->pollfd.desc_type = APR_POLL_SOCKET;
+    watch->pollfd.desc.s = socket;
+    watch->pollfd.client_data = watch;
+    Loop_SetEvents(watch, events);
+    return watch;
+}
+
+void
+Loop_SetEvents(LoopWatch *watch, int events)
+{
+    if (watch->events == events) {
+        return;
+    }
+    if (watch->events != 0) {
+        apr_pollset_remove(watch->loop->pollset, &watch->pollfd);
+    }
+    watch->events = events;
+    watch->pollfd.reqevents = 0;
+    if (events & LOOP_READ) {
+        watch->pollfd.reqevents |= APR_POLLIN;
+    }
+    if (events & LOOP_WRITE) {
+        watch->pollfd.reqevents |= APR_POLLOUT;
+    }
+    if (events != 0) {
+        apr_pollset_add(watch->loop->pollset, &watch->pollfd);
+    }
+}
+
+void
+Loop_Unwatch(LoopWatch *watch)
+{
+    if (watch == NULL || watch->dead) {
+        return;
+    }
+    Loop_SetEvents(watch, 0);
+    /* Events of the current round may still point here. */
+    watch->dead = true;
+    watch->next_dead = watch->loop->dead_watches;
+    watch->loop->dead_watches = watch;
+}
+
+LoopTimer *
+Loop_NewTimer(Loop *loop, LoopFn fn, void *arg)
+{
+    LoopTimer *timer = calloc(1, sizeof(*timer));
+
+    if (timer != NULL) {
+        timer->loop = loop;
+        timer->fn = fn;
+        timer->arg = arg;
+        timer->next = loop->timers;
+        loop->timers = timer;
+    }
+    return timer;
+}
+
+void
+Loop_Arm(LoopTimer *timer, int64_t ms, int64_t every)
+{
+    timer->due = Loop_NowMs() + (ms > 0 ? ms : 0);
+    timer->every = every;
+}
+
+void
+Loop_Disarm(LoopTimer *timer)
+{
+    timer->due = 0;
+}
+
+void
+Loop_FreeTimer(LoopTimer *timer)
+{
+    if (timer != NULL) {
+        timer->due = 0;
+        timer->dead = true;
+    }
+}
+
+void
+Loop_Post(Loop *loop, LoopFn fn, void *arg)
+{
+    Post *post = malloc(sizeof(*post));
+    bool first;
+
+    if (post == NULL) {
+        abort();
+    }
+    *post = (Post){fn, arg, NULL};
+    apr_thread_mutex_lock(loop->mutex);
+    first = loop->posts_head == NULL;
+    if (first) {
+        loop->posts_head = post;
+    }
+    else {
+        loop->posts_tail->next = post;
+    }
+    loop->posts_tail = post;
+    apr_thread_mutex_unlock(loop->mutex);
+    if (first) {
+        apr_pollset_wakeup(loop->pollset);
+    }
+}
+
+void
+Loop_Stop(Loop *loop)
+{
+    apr_thread_mutex_lock(loop->mutex);
+    loop->stopping = true;
+    apr_thread_mutex_unlock(loop->mutex);
+    apr_pollset_wakeup(loop->pollset);
+}
+
+void
+Loop_AddPoll(Loop *loop, LoopPollFn fn, void *arg)
+{
+    if (loop->poll_count == LOOP_MAX_POLL_FNS) {
+        abort();
+    }
+    loop->poll_fns[loop->poll_count] = fn;
+    loop->poll_args[loop->poll_count] = arg;
+    loop->poll_count++;
+}
+
+static void
+run_posts(Loop *loop)
+{
+    Post *post;
+
+    apr_thread_mutex_lock(loop->mutex);
+    post = loop->posts_head;
+    loop->posts_head = NULL;
+    loop->posts_tail = NULL;
+    apr_thread_mutex_unlock(loop->mutex);
+    while (post != NULL) {
+        Post *next = post->next;
+        post->fn(post->arg);
+        free(post);
+        post = next;
+    }
+}
+
+static void
+run_timers(Loop *loop)
+{
+    int64_t now = Loop_NowMs();
+    LoopTimer *timer;
+
+    for (timer = loop->timers; timer != NULL; timer = timer->next) {
+        if (timer->due == 0 || timer->due > now) {
+            continue;
+        }
+        timer->due = timer->every > 0 ? now + timer->every : 0;
+        timer->fn(timer->arg);
+    }
+}
+
+static int64_t
+wait_ms(const Loop *loop)
+{
+    int64_t wait = LOOP_MAX_WAIT_MS;
+    int64_t now = Loop_NowMs();
+    const LoopTimer *timer;
+
+    for (timer = loop->timers; timer != NULL; timer = timer->next) {
+        if (timer->due != 0 && timer->due - now < wait) {
+            wait = timer->due > now ? timer->due - now : 0;
+        }
+    }
+    return wait;
+}
+
+static bool
+run_poll_fns(Loop *loop)
+{
+    bool more = false;
+    int i;
+
+    for (i = 0; i < loop->poll_count; i++) {
+        more = loop->poll_fns[i](loop->poll_args[i]) || more;
+    }
+    return more;
+}
+
+static void
+dispatch(const apr_pollfd_t *ready, apr_int32_t count)
+{
+    apr_int32_t i;
+
+    for (i = 0; i < count; i++) {
+        LoopWatch *watch = ready[i].client_data;
+        int events = 0;
+        if (watch == NULL || watch->dead) {
+            continue;
+        }
+        if (ready[i].rtnevents & (APR_POLLIN | APR_POLLPRI)) {
+            events |= LOOP_READ;
+        }
+        if (ready[i].rtnevents & APR_POLLOUT) {
+            events |= LOOP_WRITE;
+        }
+        if (ready[i].rtnevents & (APR_POLLERR | APR_POLLHUP | APR_POLLNVAL)) {
+            events |= LOOP_READ | LOOP_WRITE;
+        }
+        watch->fn(watch->arg, events);
+    }
+}
+
+static bool
+is_stopping(Loop *loop)
+{
+    bool stopping;
+
+    apr_thread_mutex_lock(loop->mutex);
+    stopping = loop->stopping;
+    apr_thread_mutex_unlock(loop->mutex);
+    return stopping;
+}
+
+void
+Loop_Run(Loop *loop)
+{
+    while (!is_stopping(loop)) {
+        const apr_pollfd_t *ready = NULL;
+        apr_int32_t count = 0;
+        int64_t wait = run_poll_fns(loop) ? 0 : wait_ms(loop);
+
+        if (apr_pollset_poll(loop->pollset, wait * 1000, &count, &ready) ==
+            APR_SUCCESS) {
+            dispatch(ready, count);
+        }
+        run_posts(loop);
+        run_timers(loop);
+        free_dead(loop);
+    }
+}
