--- /dev/null
+++ b/src/peer.c
@@ -0,0 +1,621 @@
+#include "peer.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <apr_network_io.h>
+#include <apr_portable.h>
+#include <msgpack.h>
+
+#include "diag.h"
+#include "frame.h"
+
+#define PEER_PART "peer"
+#define PEER_TICK_MS 200
+#define PEER_DIAL_MIN_MS 100
+#define PEER_DIAL_MAX_MS 2000
+#define PEER_MAX_INCOMING 512
+#define PEER_READ_BYTES 65536
+#define PEER_BACKLOG 64
+#define PEER_NONE ((size_t)-1)
+
+typedef struct Link {
+    Peers *peers;
+    size_t peer; /* PEER_NONE until the hello of an accepted link */
+    bool outgoing;
+    bool connecting;
+    apr_pool_t *pool;
+    apr_socket_t *socket;
+    LoopWatch *watch;
+    FrameDecoder decoder;
+    Buf out;
+    int64_t last_progress_ms;
+    struct Link *next; /* accepted links */
+} Link;
+
+typedef struct PeerSlot {
+    Link *outgoing;
+    int64_t next_dial_ms;
+    int64_t dial_wait_ms;
+    int64_t heard_ms;
+    bool up;
+    PeerHello hello;
+} PeerSlot;
+
+struct Peers {
+    Loop *loop;
+    PeersOptions options;
+    apr_pool_t *pool;
+    apr_socket_t *listener;
+    LoopWatch *listen_watch;
+    LoopTimer *timer;
+    PeerSlot *slots;
+    size_t count;
+    Link *incoming;
+    size_t incoming_count;
+    uint64_t bytes_sent;
+    uint64_t bytes_received;
+};
+
+static const SettingsPeer *
+peer_settings(const Peers *peers, size_t peer)
+{
+    return &peers->options.settings->peers[peer];
+}
+
+static void
+close_link(Link *link)
+{
+    Peers *peers = link->peers;
+    Link **at;
+
+    if (link->outgoing) {
+        peers->slots[link->peer].outgoing = NULL;
+    }
+    else {
+        for (at = &peers->incoming; *at != NULL; at = &(*at)->next) {
+            if (*at == link) {
+                *at = link->next;
+                peers->incoming_count--;
+                break;
+            }
+        }
+    }
+    Loop_Unwatch(link->watch);
+    apr_socket_close(link->socket);
+    apr_pool_destroy(link->pool);
+    Frame_DecoderFree(&link->decoder);
+    Buf_Free(&link->out);
+    free(link);
+}
+
+static bool
+flush_link(Link *link)
+{
+    while (link->out.len > 0) {
+        apr_size_t len = link->out.len;
+        apr_status_t status =
+            apr_socket_send(link->socket, link->out.data, &len);
+        if (len > 0) {
+            link->last_progress_ms = Loop_NowMs();
+            link->peers->bytes_sent += len;
+            Buf_Consume(&link->out, len);
+        }
+        if (APR_STATUS_IS_EAGAIN(status)) {
+            break;
+        }
+        if (status != APR_SUCCESS) {
+            return false;
+        }
+    }
+    Loop_SetEvents(link->watch,
+                   link->out.len > 0 ? LOOP_READ | LOOP_WRITE : LOOP_READ);
+    return true;
+}
+
+static void
+pack_text(msgpack_packer *packer, const char *text)
+{
+    size_t len = strlen(text);
+
+    msgpack_pack_str(packer, len);
+    msgpack_pack_str_body(packer, text, len);
+}
+
+static void
+queue_hello(Link *link)
+{
+    const PeersOptions *options = &link->peers->options;
+    Buf body = BUF_INIT;
+    msgpack_packer packer;
+
+    msgpack_packer_init(&packer, &body, Buf_MsgpackWrite);
+    msgpack_pack_array(&packer, 7);
+    msgpack_pack_int(&packer, PEER_HELLO);
+    msgpack_pack_int(&packer, PEER_PROTOCOL);
+    pack_text(&packer, options->settings->cluster);
+    pack_text(&packer, options->settings->name);
+    pack_text(&packer, options->settings->data_centre);
+    msgpack_pack_uint64(&packer, options->identity);
+    msgpack_pack_uint64(&packer, options->incarnation);
+    Frame_Encode(&link->out, body.data, body.len);
+    Buf_Free(&body);
+}
+
+static void
+refuse(Link *link, const char *reason)
+{
+    Buf body = BUF_INIT;
+    msgpack_packer packer;
+
+    Diag_Log(DIAG_WARNING, PEER_PART, "Refused a link: %s.", reason);
+    msgpack_packer_init(&packer, &body, Buf_MsgpackWrite);
+    msgpack_pack_array(&packer, 2);
+    msgpack_pack_int(&packer, PEER_REFUSED);
+    pack_text(&packer, reason);
+    Frame_Encode(&link->out, body.data, body.len);
+    Buf_Free(&body);
+    flush_link(link);
+}
+
+static bool
+copy_text(const msgpack_object *object, char *text, size_t size)
+{
+    if (object->type != MSGPACK_OBJECT_STR || object->via.str.size >= size) {
+        return false;
+    }
+    memcpy(text, object->via.str.ptr, object->via.str.size);
+    text[object->via.str.size] = '\0';
+    return true;
+}
+
+static const char *
+parse_hello(const Peers *peers, const msgpack_object_array *array,
+            PeerHello *hello)
+{
+    char cluster[SETTINGS_NAME_BYTES];
+    const msgpack_object *items = array->ptr;
+
+    if (array->size != 7 || items[1].type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
+        return "malformed hello";
+    }
+    if (items[1].via.u64 != PEER_PROTOCOL) {
+        return "unsupported protocol version";
+    }
+    if (!copy_text(&items[2], cluster, sizeof(cluster)) ||
+        !copy_text(&items[3], hello->name, sizeof(hello->name)) ||
+        !copy_text(&items[4], hello->data_centre,
+                   sizeof(hello->data_centre)) ||
+        items[5].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+        items[6].type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
+        return "malformed hello";
+    }
+    if (strcmp(cluster, peers->options.settings->cluster) != 0) {
+        return "another cluster";
+    }
+    hello->identity = items[5].via.u64;
+    hello->incarnation = items[6].via.u64;
+    return NULL;
+}
+
+static size_t
+find_peer(const Peers *peers, const PeerHello *hello)
+{
+    size_t i;
+
+    for (i = 0; i < peers->count; i++) {
+        if (strcmp(peer_settings(peers, i)->name, hello->name) == 0) {
+            return i;
+        }
+    }
+    return PEER_NONE;
+}
+
+/* Returns false when the link has to be closed. */
+static bool
+accept_hello(Link *link, const msgpack_object_array *array)
+{
+    Peers *peers = link->peers;
+    PeerHello hello;
+    const char *reason = parse_hello(peers, array, &hello);
+    size_t peer;
+    PeerSlot *slot;
+
+    if (reason != NULL) {
+        refuse(link, reason);
+        return false;
+    }
+    peer = find_peer(peers, &hello);
+    if (peer == PEER_NONE) {
+        refuse(link, "the node is not in the settings of this one");
+        return false;
+    }
+    link->peer = peer;
+    slot = &peers->slots[peer];
+    slot->hello = hello;
+    slot->heard_ms = Loop_NowMs();
+    slot->up = true;
+    /* The peer is surely reachable now. */
+    slot->next_dial_ms = 0;
+    Diag_Log(DIAG_INFO, PEER_PART, "%s in %s is connected.", hello.name,
+             hello.data_centre);
+    peers->options.on_up(peers->options.arg, peer, &hello);
+    return true;
+}
+
+/* Returns false when the link has to be closed. */
+static bool
+handle_frame(Link *link, const char *body, size_t len)
+{
+    Peers *peers = link->peers;
+    msgpack_unpacked unpacked;
+    const msgpack_object *object;
+    size_t offset = 0;
+    uint64_t type;
+    bool keep = true;
+
+    msgpack_unpacked_init(&unpacked);
+    if (msgpack_unpack_next(&unpacked, body, len, &offset) !=
+            MSGPACK_UNPACK_SUCCESS ||
+        offset != len) {
+        refuse(link, "malformed message");
+        msgpack_unpacked_destroy(&unpacked);
+        return false;
+    }
+    object = &unpacked.data;
+    if (object->type != MSGPACK_OBJECT_ARRAY || object->via.array.size == 0 ||
+        object->via.array.ptr[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
+        refuse(link, "malformed message");
+        msgpack_unpacked_destroy(&unpacked);
+        return false;
+    }
+    type = object->via.array.ptr[0].via.u64;
+    if (type == PEER_REFUSED) {
+        Diag_Log(DIAG_WARNING, PEER_PART, "A peer refused this node.");
+        keep = false;
+    }
+    else if (link->outgoing) {
+        keep = false;
+    }
+    else if (link->peer == PEER_NONE) {
+        keep = type == PEER_HELLO && accept_hello(link, &object->via.array);
+    }
+    else if (type <= PEER_HELLO || type > PEER_TYPE_MAX) {
+        refuse(link, "unknown message type");
+        keep = false;
+    }
+    else {
+        peers->slots[link->peer].heard_ms = Loop_NowMs();
+        peers->options.on_message(peers->options.arg, link->peer,
+                                  (PeerMessageType)type, body, len);
+    }
+    msgpack_unpacked_destroy(&unpacked);
+    return keep;
+}
+
+/* Returns false when the link has to be closed. */
+static bool
+read_link(Link *link)
+{
+    static _Thread_local char bytes[PEER_READ_BYTES];
+
+    for (;;) {
+        apr_size_t len = sizeof(bytes);
+        apr_status_t status = apr_socket_recv(link->socket, bytes, &len);
+        const char *body;
+        size_t body_len;
+        Status next;
+        if (APR_STATUS_IS_EAGAIN(status)) {
+            return true;
+        }
+        if (status != APR_SUCCESS || len == 0) {
+            return false;
+        }
+        link->peers->bytes_received += len;
+        Frame_Feed(&link->decoder, bytes, len);
+        while ((next = Frame_Next(&link->decoder, &body, &body_len)) ==
+               ST_OK) {
+            if (!handle_frame(link, body, body_len)) {
+                return false;
+            }
+        }
+        if (next == ST_CORRUPT) {
+            refuse(link, "frame length out of bounds");
+            return false;
+        }
+    }
+}
+
+static void
+on_link_event(void *arg, int events)
+{
+    Link *link = arg;
+    bool keep = true;
+
+    if (link->connecting && (events & LOOP_WRITE)) {
+        link->connecting = false;
+        link->last_progress_ms = Loop_NowMs();
+        link->peers->slots[link->peer].dial_wait_ms = PEER_DIAL_MIN_MS;
+    }
+    if (events & LOOP_WRITE) {
+        keep = flush_link(link);
+    }
+    if (keep && (events & LOOP_READ)) {
+        keep = read_link(link);
+    }
+    if (!keep) {
+        close_link(link);
+    }
+}
+
+static Link *
+new_link(Peers *peers, apr_pool_t *pool, apr_socket_t *socket, int events)
+{
+    Link *link = calloc(1, sizeof(*link));
+    apr_os_sock_t fd;
+
+    if (link == NULL) {
+        return NULL;
+    }
+    apr_socket_opt_set(socket, APR_SO_NONBLOCK, 1);
+    apr_socket_timeout_set(socket, 0);
+    apr_socket_opt_set(socket, APR_TCP_NODELAY, 1);
+    apr_os_sock_get(&fd, socket);
+    link->peers = peers;
+    link->peer = PEER_NONE;
+    link->pool = pool;
+    link->socket = socket;
+    link->last_progress_ms = Loop_NowMs();
+    Frame_DecoderInit(&link->decoder);
+    link->watch = Loop_Watch(peers->loop, fd, events, on_link_event, link);
+    if (link->watch == NULL) {
+        free(link);
+        return NULL;
+    }
+    return link;
+}
+
+static void
+on_accept(void *arg, int events)
+{
+    Peers *peers = arg;
+
+    (void)events;
+    for (;;) {
+        apr_pool_t *pool;
+        apr_socket_t *socket;
+        Link *link;
+        if (apr_pool_create(&pool, NULL) != APR_SUCCESS) {
+            return;
+        }
+        if (apr_socket_accept(&socket, peers->listener, pool) != APR_SUCCESS) {
+            apr_pool_destroy(pool);
+            return;
+        }
+        link = peers->incoming_count < PEER_MAX_INCOMING
+                   ? new_link(peers, pool, socket, LOOP_READ)
+                   : NULL;
+        if (link == NULL) {
+            apr_socket_close(socket);
+            apr_pool_destroy(pool);
+            continue;
+        }
+        link->next = peers->incoming;
+        peers->incoming = link;
+        peers->incoming_count++;
+    }
+}
+
+static void
+dial(Peers *peers, size_t peer, int64_t now)
+{
+    PeerSlot *slot = &peers->slots[peer];
+    const SettingsAddress *to = &peer_settings(peers, peer)->peer;
+    apr_pool_t *pool;
+    apr_sockaddr_t *address;
+    apr_socket_t *socket;
+    apr_status_t status;
+
+    slot->dial_wait_ms = slot->dial_wait_ms * 2 < PEER_DIAL_MAX_MS
+                             ? slot->dial_wait_ms * 2
+                             : PEER_DIAL_MAX_MS;
+    slot->next_dial_ms = now + slot->dial_wait_ms;
+    if (apr_pool_create(&pool, NULL) != APR_SUCCESS) {
+        return;
+    }
+    if (apr_sockaddr_info_get(&address, to->host, APR_INET,
+                              (apr_port_t)to->port, 0, pool) != APR_SUCCESS ||
+        apr_socket_create(&socket, APR_INET, SOCK_STREAM, APR_PROTO_TCP,
+                          pool) != APR_SUCCESS) {
+        apr_pool_destroy(pool);
+        return;
+    }
+    apr_socket_opt_set(socket, APR_SO_NONBLOCK, 1);
+    apr_socket_timeout_set(socket, 0);
+    status = apr_socket_connect(socket, address);
+    if (status != APR_SUCCESS && !APR_STATUS_IS_EINPROGRESS(status)) {
+        apr_socket_close(socket);
+        apr_pool_destroy(pool);
+        return;
+    }
+    slot->outgoing = new_link(peers, pool, socket, LOOP_READ | LOOP_WRITE);
+    if (slot->outgoing == NULL) {
+        apr_socket_close(socket);
+        apr_pool_destroy(pool);
+        return;
+    }
+    slot->outgoing->peer = peer;
+    slot->outgoing->outgoing = true;
+    slot->outgoing->connecting = true;
+    queue_hello(slot->outgoing);
+}
+
+static void
+check_silence(Peers *peers, size_t peer, int64_t now)
+{
+    PeerSlot *slot = &peers->slots[peer];
+    Link *link;
+
+    if (!slot->up || now - slot->heard_ms < PEER_SILENCE_MS) {
+        return;
+    }
+    slot->up = false;
+    Diag_Log(DIAG_WARNING, PEER_PART, "%s has been silent for %d ms.",
+             slot->hello.name, PEER_SILENCE_MS);
+    for (link = peers->incoming; link != NULL;) {
+        Link *next = link->next;
+        if (link->peer == peer) {
+            close_link(link);
+        }
+        link = next;
+    }
+    peers->options.on_down(peers->options.arg, peer);
+}
+
+static void
+on_tick(void *arg)
+{
+    Peers *peers = arg;
+    int64_t now = Loop_NowMs();
+    size_t i;
+
+    for (i = 0; i < peers->count; i++) {
+        PeerSlot *slot = &peers->slots[i];
+        Link *link = slot->outgoing;
+        check_silence(peers, i, now);
+        if (link != NULL && (link->connecting || link->out.len > 0) &&
+            now - link->last_progress_ms > PEER_SILENCE_MS) {
+            close_link(link);
+        }
+        if (slot->outgoing == NULL && now >= slot->next_dial_ms) {
+            dial(peers, i, now);
+        }
+    }
+}
+
+static Status
+listen_on(Peers *peers, ErrCtx *err)
+{
+    const SettingsAddress *at = &peers->options.settings->peer;
+    apr_sockaddr_t *address;
+    apr_os_sock_t fd;
+
+    if (apr_sockaddr_info_get(&address, at->host, APR_INET,
+                              (apr_port_t)at->port, 0,
+                              peers->pool) != APR_SUCCESS ||
+        apr_socket_create(&peers->listener, APR_INET, SOCK_STREAM,
+                          APR_PROTO_TCP, peers->pool) != APR_SUCCESS) {
+        return Err_Set(err, ST_IO, "no socket for %s:%d", at->host, at->port);
+    }
+    apr_socket_opt_set(peers->listener, APR_SO_REUSEADDR, 1);
+    apr_socket_opt_set(peers->listener, APR_SO_NONBLOCK, 1);
+    apr_socket_timeout_set(peers->listener, 0);
+    if (apr_socket_bind(peers->listener, address) != APR_SUCCESS ||
+        apr_socket_listen(peers->listener, PEER_BACKLOG) != APR_SUCCESS) {
+        return Err_Set(err, ST_IO, "cannot listen on %s:%d", at->host,
+                       at->port);
+    }
+    apr_os_sock_get(&fd, peers->listener);
+    peers->listen_watch =
+        Loop_Watch(peers->loop, fd, LOOP_READ, on_accept, peers);
+    return ST_OK;
+}
+
+Peers *
+Peers_New(Loop *loop, const PeersOptions *options, ErrCtx *err)
+{
+    Peers *peers = calloc(1, sizeof(*peers));
+    size_t i;
+
+    if (peers == NULL || apr_pool_create(&peers->pool, NULL) != APR_SUCCESS) {
+        free(peers);
+        Err_Set(err, ST_NO_MEMORY, "no memory for peers");
+        return NULL;
+    }
+    peers->loop = loop;
+    peers->options = *options;
+    peers->count = options->settings->peer_count;
+    peers->slots = calloc(peers->count + 1, sizeof(*peers->slots));
+    if (peers->slots == NULL || listen_on(peers, err) != ST_OK) {
+        Peers_Free(peers);
+        return NULL;
+    }
+    for (i = 0; i < peers->count; i++) {
+        peers->slots[i].dial_wait_ms = PEER_DIAL_MIN_MS;
+    }
+    peers->timer = Loop_NewTimer(loop, on_tick, peers);
+    Loop_Arm(peers->timer, 0, PEER_TICK_MS);
+    return peers;
+}
+
+void
+Peers_Free(Peers *peers)
+{
+    size_t i;
+
+    if (peers == NULL) {
+        return;
+    }
+    while (peers->incoming != NULL) {
+        close_link(peers->incoming);
+    }
+    for (i = 0; peers->slots != NULL && i < peers->count; i++) {
+        if (peers->slots[i].outgoing != NULL) {
+            close_link(peers->slots[i].outgoing);
+        }
+    }
+    Loop_Unwatch(peers->listen_watch);
+    if (peers->listener != NULL) {
+        apr_socket_close(peers->listener);
+    }
+    Loop_FreeTimer(peers->timer);
+    apr_pool_destroy(peers->pool);
+    free(peers->slots);
+    free(peers);
+}
+
+void
+Peers_Send(Peers *peers, size_t peer, const char *body, size_t len)
+{
+    Link *link = peers->slots[peer].outgoing;
+
+    if (link == NULL) {
+        return;
+    }
+    if (link->out.len + len > PEER_MAX_QUEUED_BYTES) {
+        Diag_Log(DIAG_WARNING, PEER_PART,
+                 "Closed the link to %s: %zu bytes "
+                 "are queued.",
+                 peer_settings(peers, peer)->name, link->out.len);
+        close_link(link);
+        return;
+    }
+    Frame_Encode(&link->out, body, len);
+    if (!link->connecting) {
+        Loop_SetEvents(link->watch, LOOP_READ | LOOP_WRITE);
+    }
+}
+
+bool
+Peers_IsUp(const Peers *peers, size_t peer)
+{
+    return peers->slots[peer].up;
+}
+
+const PeerHello *
+Peers_Hello(const Peers *peers, size_t peer)
+{
+    return &peers->slots[peer].hello;
+}
+
+uint64_t
+Peers_BytesSent(const Peers *peers)
+{
+    return peers->bytes_sent;
+}
+
+uint64_t
+Peers_BytesReceived(const Peers *peers)
+{
+    return peers->bytes_received;
+}
--- /dev/null
+++ b/src/peer.h
@@ -0,0 +1,83 @@
+/*
+ * NAME
+ *     peer - framed TCP links between coltsfootd processes
+ *
+ * DESCRIPTION
+ *     Each process dials every peer of its settings and sends on that link;
+ *     it receives on the links that it accepts. The first frame of a link is
+ *     a hello with protocol version, cluster, node, data centre, identity
+ *     and incarnation; anything else is refused with a reason and closed.
+ *     A message is a msgpack array whose first item is its type. Messages to
+ *     a peer that is not connected are dropped: every sender repeats what it
+ *     needs.
+ */
+#ifndef COLTSFOOT_PEER_H
+#define COLTSFOOT_PEER_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "buf.h"
+#include "loop.h"
+#include "settings.h"
+#include "status.h"
+
+#define PEER_PROTOCOL 1
+/* Queued bytes to one peer; a link that falls this far behind is closed. */
+#define PEER_MAX_QUEUED_BYTES (16 * 1024 * 1024)
+/* A peer that sent nothing for this long counts as down. */
+#define PEER_SILENCE_MS 3000
+
+typedef enum PeerMessageType {
+    PEER_HELLO = 1,
+    PEER_REFUSED = 2,
+    PEER_STATUS = 3,
+    PEER_RAFT = 4,
+    PEER_PROPOSE = 5,
+    PEER_PROPOSED = 6,
+    PEER_TARGET = 7,
+    PEER_FEED = 8,
+    PEER_ONCE_INTENT = 9,
+    PEER_ONCE_ACK = 10,
+    PEER_ONCE_OUTCOME = 11,
+    PEER_TYPE_MAX = 11
+} PeerMessageType;
+
+typedef struct PeerHello {
+    char name[SETTINGS_NAME_BYTES];
+    char data_centre[SETTINGS_NAME_BYTES];
+    uint64_t identity; /* 0 without a disk */
+    uint64_t incarnation;
+} PeerHello;
+
+typedef struct PeersOptions {
+    const Settings *settings;
+    uint64_t identity;
+    uint64_t incarnation;
+    void *arg;
+    void (*on_up)(void *arg, size_t peer, const PeerHello *hello);
+    void (*on_down)(void *arg, size_t peer);
+    /* body is the msgpack array, its type already checked. */
+    void (*on_message)(void *arg, size_t peer, PeerMessageType type,
+                       const char *body, size_t len);
+} PeersOptions;
+
+typedef struct Peers Peers;
+
+Peers *Peers_New(Loop *loop, const PeersOptions *options, ErrCtx *err);
+void Peers_Free(Peers *peers);
+
+/* Queues one message; peer is an index into the settings' peers. */
+void Peers_Send(Peers *peers, size_t peer, const char *body, size_t len);
+
+/* Returns whether the peer was heard within PEER_SILENCE_MS. */
+bool Peers_IsUp(const Peers *peers, size_t peer);
+
+/* Returns the last hello of a peer; name is empty before the first. */
+const PeerHello *Peers_Hello(const Peers *peers, size_t peer);
+
+uint64_t Peers_BytesSent(const Peers *peers);
+uint64_t Peers_BytesReceived(const Peers *peers);
+
+#endif
