Add the gateway: traffic threads between callers and targets

Requests belong to the thread that received them; the decisions are shared under one mutex. An unrepeatable request gets a connection of its own, because libcurl repeats a request on a reused connection that closes early.

--- /dev/null
+++ b/src/gateway_call.c
@@ -0,0 +1,372 @@
+#include "gateway_internal.h"
+
+#include <arpa/inet.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "diag.h"
+
+/* Slack beyond a request's deadline, so that the core's deadline, which
+ * decides on the answer, comes first. */
+#define GATEWAY_CALL_SLACK_MS 200
+/* An attempt whose request ended is followed this long for its outcome. */
+#define GATEWAY_CALL_EXTRA_MS 30000
+#define GATEWAY_NUMBER_BYTES 24
+
+/* One attempt of a request on one target. */
+typedef struct GwCall {
+    GwRequest *request;
+    Handle attempt;
+    uint32_t once_attempt;
+    int64_t started_us;
+    char attempt_text[GATEWAY_NUMBER_BYTES];
+} GwCall;
+
+static GwRequest *
+find_request(Gateway *gateway, uint64_t cookie)
+{
+    GwRequest **row;
+    GwRequest *request;
+
+    Gw_Lock(gateway);
+    row = Table_Get(gateway->requests, Handle_Unpack(cookie));
+    request = row != NULL ? *row : NULL;
+    Gw_Unlock(gateway);
+    return request;
+}
+
+void
+Gw_FreeRequest(GwRequest *request)
+{
+    Buf_Free(&request->body);
+    free(request);
+}
+
+static void
+release_request(GwRequest *request)
+{
+    Gateway *gateway = request->thread->gateway;
+
+    if (!request->replied || request->calls > 0) {
+        return;
+    }
+    Gw_Lock(gateway);
+    Table_Remove(gateway->requests, request->self);
+    Gw_Unlock(gateway);
+    Gw_FreeRequest(request);
+}
+
+static bool
+echoes_match(const GwCall *call, const HttpCallResult *result)
+{
+    const char *id = HttpCall_Header(result->call, "Coltsfoot-Request-Id");
+    const char *attempt = HttpCall_Header(result->call, "Coltsfoot-Attempt");
+
+    return id != NULL && attempt != NULL &&
+           strcmp(id, call->request->id) == 0 &&
+           strcmp(attempt, call->attempt_text) == 0;
+}
+
+static TrafficResultKind
+classify(const GwCall *call, const HttpCallResult *result)
+{
+    const char *outcome;
+
+    switch (result->status) {
+    case HTTP_CALL_NOT_SENT:
+        return TRAFFIC_REFUSED;
+    case HTTP_CALL_TIMED_OUT:
+        return TRAFFIC_TIMED_OUT;
+    case HTTP_CALL_LOST:
+    case HTTP_CALL_TOO_LARGE:
+        return TRAFFIC_LOST;
+    case HTTP_CALL_ANSWERED:
+        break;
+    }
+    outcome = HttpCall_Header(result->call, "Coltsfoot-Outcome");
+    if (result->http_status == 503 && outcome != NULL &&
+        strcmp(outcome, "not-run") == 0) {
+        return TRAFFIC_REFUSED;
+    }
+    if (!echoes_match(call, result)) {
+        return TRAFFIC_LOST;
+    }
+    return result->http_status == 200 ? TRAFFIC_OK : TRAFFIC_FAILED;
+}
+
+/* Tells the record of an unrepeatable request about its attempt. */
+static void
+note_once(Gateway *gateway, const GwCall *call, TrafficResultKind kind,
+          const HttpCallResult *result)
+{
+    const char *token = call->request->token;
+    int64_t now = Loop_NowMs();
+
+    if (token[0] == '\0') {
+        return;
+    }
+    if (kind == TRAFFIC_REFUSED) {
+        Once_NotRun(gateway->once, now, token, call->once_attempt);
+    }
+    else if (kind == TRAFFIC_OK) {
+        Once_Finish(gateway->once, now, token, call->once_attempt,
+                    ONCE_OUTCOME_DONE, result->http_status, result->body,
+                    result->body_len);
+    }
+}
+
+static void
+on_answer(void *arg, const HttpCallResult *result)
+{
+    GwCall *call = arg;
+    GwRequest *request = call->request;
+    GwThread *self = request->thread;
+    Gateway *gateway = self->gateway;
+    TrafficResultKind kind = classify(call, result);
+    TrafficResult traffic = {kind, Loop_NowUs() - call->started_us};
+    GwBatch batch = {0};
+
+    request->answer = result;
+    Gw_Lock(gateway);
+    note_once(gateway, call, kind, result);
+    Traffic_Answer(gateway->traffic, Loop_NowMs(), call->attempt, traffic);
+    Gw_Drain(self, &batch);
+    Gw_Unlock(gateway);
+    Gw_Perform(self, &batch);
+    request->answer = NULL;
+    request->calls--;
+    free(call);
+    release_request(request);
+}
+
+static void
+add_header(HttpCallOptions *options, const char *name, const char *value)
+{
+    options->headers[options->header_count++] = (HttpHeader){name, value};
+}
+
+static bool
+start_call(GwThread *self, GwCall *call, uint64_t address)
+{
+    GwRequest *request = call->request;
+    HttpCallOptions options = {.method = "POST", .path = "/run"};
+    struct in_addr binary = {htonl((uint32_t)(address >> 16))};
+    char deadline[GATEWAY_NUMBER_BYTES];
+    int64_t left = request->deadline_ms - Loop_NowMs();
+
+    inet_ntop(AF_INET, &binary, options.address.host,
+              sizeof(options.address.host));
+    options.address.port = (int)(address & 0xffff);
+    snprintf(deadline, sizeof(deadline), "%" PRId64, left > 0 ? left : 1);
+    add_header(&options, "Coltsfoot-Service", request->service);
+    add_header(&options, "Coltsfoot-Caller", request->caller);
+    add_header(&options, "Coltsfoot-Request-Id", request->id);
+    add_header(&options, "Coltsfoot-Attempt", call->attempt_text);
+    add_header(&options, "Coltsfoot-Deadline-Ms", deadline);
+    if (request->token[0] != '\0') {
+        add_header(&options, "Coltsfoot-Unrepeatable", "1");
+    }
+    options.body = request->body.data != NULL ? request->body.data : "";
+    options.body_len = request->body.len;
+    /* An unrepeatable request is followed beyond its deadline, since a late
+     * answer still settles its outcome. */
+    options.timeout_ms = left + GATEWAY_CALL_SLACK_MS +
+                         (request->token[0] ? GATEWAY_CALL_EXTRA_MS : 0);
+    options.max_answer_bytes =
+        (size_t)self->gateway->options.settings->max_body_bytes;
+    options.fresh_connection = request->token[0] != '\0';
+    return HttpClient_Start(self->client, &options, on_answer, call) != NULL;
+}
+
+/* Reports an attempt of which nothing was sent. */
+static void
+report_unsent(GwThread *self, Handle attempt, const GwRequest *request,
+              uint32_t once_attempt, GwBatch *batch)
+{
+    Gateway *gateway = self->gateway;
+    TrafficResult result = {TRAFFIC_REFUSED, 0};
+
+    Gw_Lock(gateway);
+    if (once_attempt != 0) {
+        Once_NotRun(gateway->once, Loop_NowMs(), request->token, once_attempt);
+    }
+    Traffic_Answer(gateway->traffic, Loop_NowMs(), attempt, result);
+    Gw_Drain(self, batch);
+    Gw_Unlock(gateway);
+}
+
+static bool
+permit_once(Gateway *gateway, GwRequest *request, uint32_t *attempt)
+{
+    Status status;
+
+    *attempt = 0;
+    if (request->token[0] == '\0') {
+        return true;
+    }
+    Gw_Lock(gateway);
+    status =
+        Once_Dispatch(gateway->once, Loop_NowMs(), request->token, attempt);
+    Gw_Unlock(gateway);
+    request->once_attempt = *attempt;
+    return status == ST_OK;
+}
+
+static void
+dispatch(GwThread *self, GwRequest *request, const TrafficAction *action,
+         GwBatch *batch)
+{
+    GwCall *call;
+    uint32_t once_attempt;
+
+    if (!permit_once(self->gateway, request, &once_attempt)) {
+        report_unsent(self, action->attempt, request, 0, batch);
+        return;
+    }
+    call = calloc(1, sizeof(*call));
+    if (call == NULL) {
+        abort();
+    }
+    call->request = request;
+    call->attempt = action->attempt;
+    call->once_attempt = once_attempt;
+    call->started_us = Loop_NowUs();
+    snprintf(call->attempt_text, sizeof(call->attempt_text), "%" PRIu32,
+             action->attempt_number);
+    if (request->waited_us < 0) {
+        request->waited_us = call->started_us - request->received_us;
+    }
+    request->calls++;
+    if (!start_call(self, call, action->target_cookie)) {
+        request->calls--;
+        free(call);
+        report_unsent(self, action->attempt, request, once_attempt, batch);
+    }
+}
+
+static void
+record_intent(GwThread *self, GwRequest *request)
+{
+    Gateway *gateway = self->gateway;
+    const GatewayHooks *hooks = &gateway->options.hooks;
+    Buf record = BUF_INIT;
+    Status status;
+
+    Gw_Lock(gateway);
+    status = Once_EncodeRecord(gateway->once, request->token, &record);
+    Gw_Unlock(gateway);
+    if (status == ST_OK) {
+        hooks->record_intent(hooks->arg, Handle_Pack(request->self),
+                             record.data, record.len);
+    }
+    else {
+        Gateway_IntentRecorded(gateway, Handle_Pack(request->self), false);
+    }
+    Buf_Free(&record);
+}
+
+static OnceOutcome
+once_outcome(TrafficOutcome outcome)
+{
+    switch (outcome) {
+    case TRAFFIC_DONE:
+        return ONCE_OUTCOME_DONE;
+    case TRAFFIC_NOT_RUN:
+        return ONCE_OUTCOME_NOT_RUN;
+    case TRAFFIC_CANCELLED:
+        return ONCE_OUTCOME_CANCELLED;
+    case TRAFFIC_UNKNOWN:
+    case TRAFFIC_UNABLE:
+        break;
+    }
+    return ONCE_OUTCOME_UNKNOWN;
+}
+
+/* Ends the record of an unrepeatable request and copies it elsewhere.
+ * Returns the outcome that may be told to the caller. */
+static TrafficOutcome
+end_once(Gateway *gateway, const GwRequest *request, TrafficOutcome outcome)
+{
+    const GatewayHooks *hooks = &gateway->options.hooks;
+    Buf record = BUF_INIT;
+    Status status = ST_OK;
+
+    if (request->token[0] == '\0') {
+        return outcome;
+    }
+    Gw_Lock(gateway);
+    if (outcome != TRAFFIC_DONE) {
+        status = Once_Finish(gateway->once, Loop_NowMs(), request->token, 0,
+                             once_outcome(outcome), 0, NULL, 0);
+    }
+    if (status == ST_CONFLICT) {
+        /* An attempt is still out, so the request may have run. */
+        outcome = TRAFFIC_UNKNOWN;
+        Once_Finish(gateway->once, Loop_NowMs(), request->token, 0,
+                    ONCE_OUTCOME_UNKNOWN, 0, NULL, 0);
+    }
+    status = Once_EncodeRecord(gateway->once, request->token, &record);
+    Gw_Unlock(gateway);
+    if (status == ST_OK) {
+        hooks->record_outcome(hooks->arg, record.data, record.len);
+    }
+    Buf_Free(&record);
+    return outcome;
+}
+
+static void
+reply(GwThread *self, GwRequest *request, const TrafficAction *action)
+{
+    Gateway *gateway = self->gateway;
+    TrafficOutcome outcome = end_once(gateway, request, action->outcome);
+    const char *reason = Traffic_ReasonText(action->reason);
+
+    Gw_Lock(gateway);
+    Registry_End(gateway->registry, request->caller, request->id,
+                 Traffic_OutcomeName(outcome));
+    gateway->active--;
+    Gw_Unlock(gateway);
+    Gw_ReplyOutcome(request, outcome, reason, action->retry_ms);
+    request->replied = true;
+    release_request(request);
+}
+
+static void
+perform(GwThread *self, const TrafficAction *action, GwBatch *batch)
+{
+    GwRequest *request = find_request(self->gateway, action->request_cookie);
+
+    if (request == NULL) {
+        return;
+    }
+    switch (action->kind) {
+    case TRAFFIC_DISPATCH:
+        dispatch(self, request, action, batch);
+        break;
+    case TRAFFIC_RECORD_INTENT:
+        record_intent(self, request);
+        break;
+    case TRAFFIC_REPLY:
+        reply(self, request, action);
+        break;
+    case TRAFFIC_STOP:
+    case TRAFFIC_THROTTLE:
+        /* The platform interface of a target is called by name of task;
+         * the attempt goes on when it cannot be reached. */
+        break;
+    }
+}
+
+void
+Gw_Perform(GwThread *self, GwBatch *batch)
+{
+    size_t i;
+
+    for (i = 0; i < batch->count; i++) {
+        TrafficAction action = batch->items[i];
+        perform(self, &action, batch);
+    }
+    free(batch->items);
+}
--- /dev/null
+++ b/src/gateway_http.c
@@ -0,0 +1,650 @@
+#include "gateway_internal.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#define GATEWAY_PATH_BYTES 512
+#define GATEWAY_RETRY_RUNNING_MS 200
+#define GATEWAY_RETRY_HOME_MS 1000
+#define GATEWAY_FORWARD_HEADER "Coltsfoot-Forwarded"
+
+/* A request that is passed on to the home of its token. */
+typedef struct GwForward {
+    GwThread *thread;
+    HttpRequest *http;
+    char id[GATEWAY_ID_BYTES];
+    char token[ONCE_TOKEN_BYTES];
+    char caller[GATEWAY_ID_BYTES];
+    Buf body;
+    char path[GATEWAY_PATH_BYTES];
+} GwForward;
+
+void
+Gw_ReplyRefusal(HttpRequest *http, int status, const char *id,
+                const char *outcome, const char *reason, int64_t retry_ms)
+{
+    char retry_after[24];
+    char *body;
+    HttpReply reply = {.status = status, .content_type = "application/json"};
+    json_t *json = json_pack("{s:s, s:s, s:I}", "outcome", outcome, "reason",
+                             reason, "retry_ms", (json_int_t)retry_ms);
+
+    body = json_dumps(json, JSON_COMPACT);
+    json_decref(json);
+    snprintf(retry_after, sizeof(retry_after), "%" PRId64,
+             (retry_ms + 999) / 1000);
+    reply.headers[0] = (HttpHeader){"Coltsfoot-Outcome", outcome};
+    reply.headers[1] = (HttpHeader){"Coltsfoot-Request-Id", id};
+    reply.headers[2] = (HttpHeader){"Retry-After", retry_after};
+    reply.header_count = retry_ms > 0 ? 3 : 2;
+    reply.body = body != NULL ? body : "";
+    reply.body_len = strlen(reply.body);
+    HttpRequest_Reply(http, &reply);
+    free(body);
+}
+
+void
+Gw_ReplyAnswer(HttpRequest *http, const char *id, const char *body, size_t len)
+{
+    HttpReply reply = {.status = 200,
+                       .content_type = "application/octet-stream",
+                       .header_count = 2,
+                       .body = body,
+                       .body_len = len};
+
+    reply.headers[0] = (HttpHeader){"Coltsfoot-Outcome", "done"};
+    reply.headers[1] = (HttpHeader){"Coltsfoot-Request-Id", id};
+    HttpRequest_Reply(http, &reply);
+}
+
+void
+Gw_ReplyOutcome(GwRequest *request, TrafficOutcome outcome, const char *reason,
+                int64_t retry_ms)
+{
+    static const int statuses[] = {[TRAFFIC_DONE] = 200,
+                                   [TRAFFIC_NOT_RUN] = 503,
+                                   [TRAFFIC_UNKNOWN] = 504,
+                                   [TRAFFIC_UNABLE] = 422,
+                                   [TRAFFIC_CANCELLED] = 409};
+
+    if (outcome == TRAFFIC_DONE && request->answer != NULL) {
+        Gw_ReplyAnswer(request->http, request->id, request->answer->body,
+                       request->answer->body_len);
+        return;
+    }
+    Gw_ReplyRefusal(request->http, statuses[outcome], request->id,
+                    Traffic_OutcomeName(outcome), reason, retry_ms);
+}
+
+static const char *
+header_or(HttpRequest *http, const char *name, const char *fallback)
+{
+    const char *value = HttpRequest_Header(http, name);
+
+    return value != NULL ? value : fallback;
+}
+
+/* Parses a non-negative number; returns -1 for anything else. */
+static int64_t
+parse_number(const char *text)
+{
+    char *end;
+    long long value = strtoll(text, &end, 10);
+
+    return *text != '\0' && *end == '\0' && value >= 0 ? value : -1;
+}
+
+static bool
+parse_class(const char *text, TrafficClass *class)
+{
+    static const char *const names[] = {[TRAFFIC_URGENT] = "urgent",
+                                        [TRAFFIC_SHORT] = "short",
+                                        [TRAFFIC_LONG] = "long",
+                                        [TRAFFIC_UNDECLARED] = ""};
+    size_t i;
+
+    for (i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
+        if (strcmp(text, names[i]) == 0) {
+            *class = (TrafficClass)i;
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Returns NULL, or what is wrong with the headers. */
+static const char *
+check_headers(HttpRequest *http, TrafficClass *class, int64_t *deadline_ms)
+{
+    const char *id = HttpRequest_Header(http, "Coltsfoot-Request-Id");
+    const char *caller = HttpRequest_Header(http, "Coltsfoot-Caller");
+    const char *deadline = HttpRequest_Header(http, "Coltsfoot-Deadline-Ms");
+    const char *mark = header_or(http, "Coltsfoot-Unrepeatable", "0");
+
+    if (caller == NULL || *caller == '\0' ||
+        strlen(caller) >= GATEWAY_ID_BYTES) {
+        return "Coltsfoot-Caller must have 1 to 127 bytes";
+    }
+    if (id == NULL || *id == '\0' || strlen(id) >= GATEWAY_ID_BYTES) {
+        return "Coltsfoot-Request-Id must have 1 to 127 bytes";
+    }
+    if (deadline != NULL && (*deadline_ms = parse_number(deadline)) <= 0) {
+        return "Coltsfoot-Deadline-Ms must be a number of ms above 0";
+    }
+    if (!parse_class(header_or(http, "Coltsfoot-Class", ""), class)) {
+        return "Coltsfoot-Class must be urgent, short or long";
+    }
+    if (strcmp(mark, "0") != 0 && strcmp(mark, "1") != 0) {
+        return "Coltsfoot-Unrepeatable must be 0 or 1";
+    }
+    return NULL;
+}
+
+static GwRequest *
+new_request(GwThread *self, HttpRequest *http, const char *service,
+            int64_t deadline_ms)
+{
+    GwRequest *request = calloc(1, sizeof(*request));
+
+    if (request == NULL) {
+        abort();
+    }
+    request->thread = self;
+    request->http = http;
+    request->received_us = Loop_NowUs();
+    request->waited_us = -1;
+    request->deadline_ms = Loop_NowMs() + deadline_ms;
+    snprintf(request->service, sizeof(request->service), "%s", service);
+    snprintf(request->caller, sizeof(request->caller), "%s",
+             HttpRequest_Header(http, "Coltsfoot-Caller"));
+    snprintf(request->id, sizeof(request->id), "%s",
+             HttpRequest_Header(http, "Coltsfoot-Request-Id"));
+    return request;
+}
+
+static void
+refuse_request(GwRequest *request, int status, const char *reason,
+               int64_t retry_ms)
+{
+    Gw_ReplyRefusal(request->http, status, request->id, "not-run", reason,
+                    retry_ms);
+    Gw_FreeRequest(request);
+}
+
+/* Adds the request to the tables. Call with the lock held. */
+static Status
+admit_locked(Gateway *gateway, GwRequest *request, TrafficClass class,
+             const char *team, const char *kind)
+{
+    TrafficRequest submit = {.service = request->service,
+                             .caller = request->caller,
+                             .team = team,
+                             .kind = kind,
+                             .class = class,
+                             .deadline_ms = request->deadline_ms,
+                             .unrepeatable = request->token[0] != '\0'};
+    GwRequest **row;
+    Status status;
+
+    if (!Registry_Add(gateway->registry, request->caller, request->id, 0)) {
+        return ST_EXISTS;
+    }
+    request->self = Table_Add(gateway->requests);
+    row = Table_Get(gateway->requests, request->self);
+    if (row == NULL) {
+        Registry_Drop(gateway->registry, request->caller, request->id);
+        return ST_FULL;
+    }
+    *row = request;
+    submit.cookie = Handle_Pack(request->self);
+    status = Traffic_Submit(gateway->traffic, Loop_NowMs(), &submit,
+                            &request->traffic);
+    if (status != ST_OK) {
+        Table_Remove(gateway->requests, request->self);
+        Registry_Drop(gateway->registry, request->caller, request->id);
+        return status;
+    }
+    Registry_SetHandle(gateway->registry, request->caller, request->id,
+                       request->traffic);
+    gateway->active++;
+    return ST_OK;
+}
+
+/* Undoes Once_Begin for a request that was not admitted. */
+static void
+forget_once(Gateway *gateway, const GwRequest *request)
+{
+    if (request->token[0] != '\0') {
+        Gw_Lock(gateway);
+        Once_Finish(gateway->once, Loop_NowMs(), request->token, 0,
+                    ONCE_OUTCOME_NOT_RUN, 0, NULL, 0);
+        Gw_Unlock(gateway);
+    }
+}
+
+static void
+submit(GwThread *self, GwRequest *request, TrafficClass class)
+{
+    Gateway *gateway = self->gateway;
+    HttpRequest *http = request->http;
+    const char *team = header_or(http, "Coltsfoot-Team", "");
+    const char *kind = header_or(http, "Coltsfoot-Kind", "");
+    GwBatch batch = {0};
+    Status status;
+
+    HttpRequest_TakeBody(http, &request->body);
+    Gw_Lock(gateway);
+    status = admit_locked(gateway, request, class, team, kind);
+    Gw_Drain(self, &batch);
+    Gw_Unlock(gateway);
+    if (status != ST_OK) {
+        forget_once(gateway, request);
+    }
+    if (status == ST_NOT_FOUND) {
+        refuse_request(request, 404, "unknown service", 0);
+    }
+    else if (status == ST_EXISTS) {
+        /* The id is that of work under way, so "not run" would mislead. */
+        Gw_ReplyRefusal(http, 504, request->id, "unknown",
+                        "a request of this caller with this id is running",
+                        GATEWAY_RETRY_RUNNING_MS);
+        Gw_FreeRequest(request);
+    }
+    else if (status != ST_OK) {
+        refuse_request(request, 503, "too many requests", 1000);
+    }
+    Gw_Perform(self, &batch);
+}
+
+/* --- unrepeatable requests --- */
+
+static void
+free_forward(GwForward *forward)
+{
+    Buf_Free(&forward->body);
+    free(forward);
+}
+
+/* The home did not answer: what is known of the outcome here? */
+static void
+reply_held(GwForward *forward)
+{
+    Gateway *gateway = forward->thread->gateway;
+    OnceView view = {0};
+    Buf answer = BUF_INIT;
+    Status status;
+    bool done;
+
+    Gw_Lock(gateway);
+    status = Once_Held(gateway->once, Loop_NowMs(), forward->token,
+                       forward->caller, forward->id, &view);
+    done = status == ST_OK && view.outcome == ONCE_OUTCOME_DONE &&
+           view.answer != NULL;
+    if (done) {
+        Buf_Append(&answer, view.answer, view.len);
+    }
+    Gw_Unlock(gateway);
+    if (done) {
+        Gw_ReplyAnswer(forward->http, forward->id,
+                       answer.data != NULL ? answer.data : "", answer.len);
+    }
+    else {
+        Gw_ReplyRefusal(forward->http, 504, forward->id, "unknown",
+                        "the entry VM that issued the token did not answer",
+                        GATEWAY_RETRY_HOME_MS);
+    }
+    Buf_Free(&answer);
+}
+
+static void
+on_forwarded(void *arg, const HttpCallResult *result)
+{
+    GwForward *forward = arg;
+    HttpReply reply = {.status = result->http_status,
+                       .content_type = "application/json",
+                       .header_count = 2,
+                       .body = result->body,
+                       .body_len = result->body_len};
+    const char *outcome =
+        result->status == HTTP_CALL_ANSWERED
+            ? HttpCall_Header(result->call, "Coltsfoot-Outcome")
+            : NULL;
+
+    if (outcome == NULL) {
+        reply_held(forward);
+        free_forward(forward);
+        return;
+    }
+    if (result->http_status == 200) {
+        reply.content_type = "application/octet-stream";
+    }
+    reply.headers[0] = (HttpHeader){"Coltsfoot-Outcome", outcome};
+    reply.headers[1] = (HttpHeader){"Coltsfoot-Request-Id", forward->id};
+    HttpRequest_Reply(forward->http, &reply);
+    free_forward(forward);
+}
+
+static const SettingsPeer *
+find_home(const Gateway *gateway, const char *home)
+{
+    const Settings *settings = gateway->options.settings;
+    size_t i;
+
+    for (i = 0; i < settings->peer_count; i++) {
+        if (strcmp(settings->peers[i].name, home) == 0) {
+            return &settings->peers[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+copy_header(HttpCallOptions *options, HttpRequest *http, const char *name)
+{
+    const char *value = HttpRequest_Header(http, name);
+
+    if (value != NULL) {
+        options->headers[options->header_count++] = (HttpHeader){name, value};
+    }
+}
+
+static void
+forward_home(GwThread *self, GwRequest *request, const SettingsPeer *home)
+{
+    static const char *const names[] = {
+        "Coltsfoot-Caller",       "Coltsfoot-Request-Id", "Coltsfoot-Team",
+        "Coltsfoot-Deadline-Ms",  "Coltsfoot-Class",      "Coltsfoot-Kind",
+        "Coltsfoot-Unrepeatable", "Coltsfoot-Token"};
+    GwForward *forward = calloc(1, sizeof(*forward));
+    HttpCallOptions options = {.method = "POST", .address = home->traffic};
+    size_t i;
+
+    if (forward == NULL) {
+        abort();
+    }
+    forward->thread = self;
+    forward->http = request->http;
+    snprintf(forward->id, sizeof(forward->id), "%s", request->id);
+    snprintf(forward->caller, sizeof(forward->caller), "%s", request->caller);
+    snprintf(forward->token, sizeof(forward->token), "%s", request->token);
+    snprintf(forward->path, sizeof(forward->path), "%s",
+             HttpRequest_Path(request->http));
+    for (i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
+        copy_header(&options, request->http, names[i]);
+    }
+    options.headers[options.header_count++] = (HttpHeader){
+        GATEWAY_FORWARD_HEADER, self->gateway->options.settings->name};
+    HttpRequest_TakeBody(request->http, &forward->body);
+    options.path = forward->path;
+    options.body = forward->body.data != NULL ? forward->body.data : "";
+    options.body_len = forward->body.len;
+    options.timeout_ms = request->deadline_ms - Loop_NowMs();
+    options.max_answer_bytes =
+        (size_t)self->gateway->options.settings->max_body_bytes;
+    Gw_FreeRequest(request);
+    if (HttpClient_Start(self->client, &options, on_forwarded, forward) ==
+        NULL) {
+        reply_held(forward);
+        free_forward(forward);
+    }
+}
+
+static void
+reply_done(GwRequest *request, const OnceView *view)
+{
+    if (view->outcome == ONCE_OUTCOME_DONE && view->answer != NULL) {
+        Gw_ReplyAnswer(request->http, request->id, view->answer, view->len);
+    }
+    else if (view->outcome == ONCE_OUTCOME_DONE) {
+        Gw_ReplyRefusal(request->http, 410, request->id, "done",
+                        "the answer is no longer kept", 0);
+    }
+    else if (view->outcome == ONCE_OUTCOME_NOT_RUN) {
+        Gw_ReplyRefusal(request->http, 503, request->id, "not-run",
+                        "an earlier send was refused; take a new token", 0);
+    }
+    else if (view->outcome == ONCE_OUTCOME_CANCELLED) {
+        Gw_ReplyRefusal(request->http, 409, request->id, "cancelled",
+                        "cancelled", 0);
+    }
+    else {
+        Gw_ReplyRefusal(request->http, 504, request->id, "unknown",
+                        "the request may have run", 0);
+    }
+}
+
+static void
+reply_verdict(GwRequest *request, OnceVerdict verdict, const OnceView *view)
+{
+    switch (verdict) {
+    case ONCE_RUNNING:
+        Gw_ReplyRefusal(request->http, 504, request->id, "unknown",
+                        "the request is running", GATEWAY_RETRY_RUNNING_MS);
+        break;
+    case ONCE_DONE:
+        reply_done(request, view);
+        break;
+    case ONCE_EXPIRED:
+        Gw_ReplyRefusal(request->http, 410, request->id, "unknown",
+                        "the token has expired", 0);
+        break;
+    case ONCE_BAD:
+        Gw_ReplyRefusal(request->http, 400, request->id, "not-run",
+                        "the token is not valid for this request", 0);
+        break;
+    case ONCE_UNKNOWN:
+    case ONCE_FORWARD:
+    case ONCE_FRESH:
+        Gw_ReplyRefusal(request->http, 504, request->id, "unknown",
+                        "the request may have run", 0);
+        break;
+    }
+    Gw_FreeRequest(request);
+}
+
+/* Returns true when the request is fresh and has to be submitted here. */
+static bool
+begin_once(GwThread *self, GwRequest *request)
+{
+    Gateway *gateway = self->gateway;
+    const char *token = HttpRequest_Header(request->http, "Coltsfoot-Token");
+    bool forwarded =
+        HttpRequest_Header(request->http, GATEWAY_FORWARD_HEADER) != NULL;
+    const SettingsPeer *home = NULL;
+    OnceView view = {0};
+    OnceVerdict verdict;
+
+    if (token == NULL || strlen(token) >= sizeof(request->token)) {
+        refuse_request(request, 428, "an unrepeatable request needs a token",
+                       0);
+        return false;
+    }
+    snprintf(request->token, sizeof(request->token), "%s", token);
+    Gw_Lock(gateway);
+    verdict = Once_Begin(gateway->once, Loop_NowMs(), token, request->caller,
+                         request->id, &view);
+    if (verdict == ONCE_FORWARD) {
+        home = find_home(gateway, view.home);
+    }
+    else if (verdict != ONCE_FRESH) {
+        /* The view points into the table, so it is read under the lock. */
+        reply_verdict(request, verdict, &view);
+    }
+    Gw_Unlock(gateway);
+    if (verdict == ONCE_FORWARD && home != NULL && !forwarded) {
+        forward_home(self, request, home);
+    }
+    else if (verdict == ONCE_FORWARD) {
+        reply_verdict(request, ONCE_UNKNOWN, &view);
+    }
+    return verdict == ONCE_FRESH;
+}
+
+/* --- the HTTP interface of callers --- */
+
+static bool
+is_open(Gateway *gateway, const char **reason)
+{
+    bool open;
+
+    Gw_Lock(gateway);
+    open = gateway->ready && !gateway->stopping;
+    *reason = gateway->stopping ? "this entry VM is stopping"
+                                : "this entry VM is starting";
+    Gw_Unlock(gateway);
+    return open;
+}
+
+static void
+handle_submit(GwThread *self, HttpRequest *http, const char *service)
+{
+    TrafficClass class = TRAFFIC_UNDECLARED;
+    int64_t deadline_ms = self->gateway->options.settings->default_deadline_ms;
+    const char *problem = check_headers(http, &class, &deadline_ms);
+    const char *id = header_or(http, "Coltsfoot-Request-Id", "");
+    GwRequest *request;
+
+    if (problem != NULL) {
+        Gw_ReplyRefusal(http, 400, id, "not-run", problem, 0);
+        return;
+    }
+    request = new_request(self, http, service, deadline_ms);
+    if (strcmp(header_or(http, "Coltsfoot-Unrepeatable", "0"), "1") == 0 &&
+        !begin_once(self, request)) {
+        return;
+    }
+    submit(self, request, class);
+}
+
+static void
+handle_tokens(GwThread *self, HttpRequest *http)
+{
+    const char *text = HttpRequest_Query(http, "count");
+    int64_t count = text != NULL ? parse_number(text) : 1;
+    char(*tokens)[ONCE_TOKEN_BYTES];
+    json_t *json;
+    char *body;
+    Status status;
+    int64_t i;
+
+    if (count < 1 || count > ONCE_MAX_ISSUE) {
+        Gw_ReplyRefusal(http, 400, "", "not-run",
+                        "count must be from 1 to 1024", 0);
+        return;
+    }
+    tokens = calloc((size_t)count, sizeof(*tokens));
+    if (tokens == NULL) {
+        abort();
+    }
+    Gw_Lock(self->gateway);
+    status =
+        Once_Issue(self->gateway->once, Loop_NowMs(), (size_t)count, tokens);
+    Gw_Unlock(self->gateway);
+    if (status != ST_OK) {
+        Gw_ReplyRefusal(http, 503, "", "not-run", "too many tokens are in use",
+                        1000);
+        free(tokens);
+        return;
+    }
+    json = json_array();
+    for (i = 0; i < count; i++) {
+        json_array_append_new(json, json_string(tokens[i]));
+    }
+    body = json_dumps(json, JSON_COMPACT);
+    HttpRequest_ReplyText(http, 200, "application/json", body);
+    free(body);
+    json_decref(json);
+    free(tokens);
+}
+
+static void
+handle_outcome(GwThread *self, HttpRequest *http, const char *caller,
+               const char *id, bool cancel)
+{
+    Gateway *gateway = self->gateway;
+    const RegistryEntry *found;
+    RegistryEntry entry = {0};
+    GwBatch batch = {0};
+
+    Gw_Lock(gateway);
+    found = Registry_Find(gateway->registry, caller, id);
+    if (found != NULL) {
+        entry = *found;
+    }
+    if (found != NULL && cancel && entry.running) {
+        Traffic_Cancel(gateway->traffic, Loop_NowMs(), entry.request);
+        Gw_Drain(self, &batch);
+    }
+    Gw_Unlock(gateway);
+    Gw_Perform(self, &batch);
+    if (found == NULL) {
+        Gw_ReplyRefusal(http, 404, id, "unknown",
+                        "this entry VM does not know the request", 0);
+    }
+    else if (entry.running) {
+        Gw_ReplyRefusal(http, 202, id, cancel ? "cancelled" : "running",
+                        cancel ? "cancelled" : "running", 0);
+    }
+    else {
+        Gw_ReplyRefusal(http, 200, id, entry.outcome, "ended", 0);
+    }
+}
+
+/* Splits a path at '/' in place; returns the count of parts, at most max. */
+static size_t
+split_path(char *path, char **parts, size_t max)
+{
+    size_t count = 0;
+    char *save = NULL;
+    char *part = strtok_r(path, "/", &save);
+
+    while (part != NULL && count < max) {
+        parts[count++] = part;
+        part = strtok_r(NULL, "/", &save);
+    }
+    return part == NULL ? count : 0;
+}
+
+void
+Gw_HandleHttp(void *arg, HttpRequest *http)
+{
+    GwThread *self = arg;
+    const char *method = HttpRequest_Method(http);
+    const char *id = header_or(http, "Coltsfoot-Request-Id", "");
+    const char *reason;
+    char path[GATEWAY_PATH_BYTES];
+    char *parts[4];
+    size_t count;
+    bool open = is_open(self->gateway, &reason);
+
+    snprintf(path, sizeof(path), "%s", HttpRequest_Path(http));
+    count = split_path(path, parts, 4);
+    if (count == 1 && strcmp(parts[0], "readyz") == 0) {
+        HttpRequest_ReplyText(http, open ? 200 : 503, "text/plain",
+                              open ? "ready\n" : "not ready\n");
+    }
+    else if (count == 4 && strcmp(parts[1], "requests") == 0 &&
+             (strcmp(method, "DELETE") == 0 || strcmp(method, "GET") == 0)) {
+        handle_outcome(self, http, parts[2], parts[3],
+                       strcmp(method, "DELETE") == 0);
+    }
+    else if (!open) {
+        Gw_ReplyRefusal(http, 503, id, "not-run", reason, 1000);
+    }
+    else if (count == 4 && strcmp(parts[1], "services") == 0 &&
+             strcmp(parts[3], "requests") == 0 &&
+             strcmp(method, "POST") == 0) {
+        handle_submit(self, http, parts[2]);
+    }
+    else if (count == 2 && strcmp(parts[1], "tokens") == 0 &&
+             strcmp(method, "POST") == 0) {
+        handle_tokens(self, http);
+    }
+    else {
+        Gw_ReplyRefusal(http, 404, id, "not-run", "no such path", 0);
+    }
+}
--- a/src/httpserver.c
+++ b/src/httpserver.c
@@ -266,6 +266,13 @@
     return request->body.data != NULL ? request->body.data : "";
 }
 
+void
+HttpRequest_TakeBody(HttpRequest *request, Buf *body)
+{
+    *body = request->body;
+    request->body = (Buf)BUF_INIT;
+}
+
 void
 HttpRequest_Reply(HttpRequest *request, const HttpReply *reply)
 {
--- a/src/httpserver.h
+++ b/src/httpserver.h
@@ -13,6 +13,7 @@
 
 #include <stddef.h>
 
+#include "buf.h"
 #include "loop.h"
 #include "settings.h"
 #include "status.h"
@@ -63,6 +64,9 @@
 const char *HttpRequest_Query(const HttpRequest *request, const char *name);
 const char *HttpRequest_Body(const HttpRequest *request, size_t *len);
 
+/* Moves the body out; the request has none afterwards. */
+void HttpRequest_TakeBody(HttpRequest *request, Buf *body);
+
 /* Answers the request and ends its life for the handler. Copies all. */
 void HttpRequest_Reply(HttpRequest *request, const HttpReply *reply);
 
