--- a/src/once.h
+++ b/src/once.h
@@ -63,7 +63,7 @@
     size_t max_answers_bytes; /* all kept answers; the oldest go first */
 } OnceOptions;
 
-/* At most about 45 MB: 110 bytes a row, 8 a bucket, and the answers. */
+/* At most about 50 MB: 112 bytes a row, 8 a bucket, and the answers. */
 #define ONCE_OPTIONS_DEFAULT                                                  \
     ((OnceOptions){.max_tokens = 131072,                                      \
                    .max_held = 131072,                                        \
