--- /dev/null
+++ b/src/traffic.h
@@ -0,0 +1,246 @@
+/*
+ * NAME
+ *     traffic - decisions on requests: admit, place, retry, reply
+ *
+ * DESCRIPTION
+ *     Combines admit, route, class and retry for one entry VM. The module
+ *     does no I/O and reads no clock: every call takes the time in ms, which
+ *     must not go backwards. Decisions are taken with Traffic_NextAction
+ *     after each call until it returns false. Not thread-safe.
+ *
+ *     Life of a request: Traffic_Submit queues it. When a target has a free
+ *     slot, TRAFFIC_DISPATCH names attempt and target (for an unrepeatable
+ *     request TRAFFIC_RECORD_INTENT comes first, and the dispatch follows
+ *     Traffic_IntentRecorded). The I/O layer answers every dispatch with
+ *     exactly one Traffic_Answer. Each accepted request gets exactly one
+ *     TRAFFIC_REPLY, after which its handle is stale.
+ *
+ *     When a request ends (cancel, deadline) while an attempt runs,
+ *     TRAFFIC_STOP names the attempt and the reply follows at once. The slot
+ *     stays taken until Traffic_Answer is called for the attempt, which then
+ *     returns ST_STALE, or for TRAFFIC_STOPPED_HOLD_MS. The answer has to be
+ *     dropped.
+ *
+ *     Honesty: TRAFFIC_NOT_RUN is only used if no attempt was dispatched or
+ *     every attempt was refused by its target as not run. An unrepeatable
+ *     request has at most one attempt that may have run.
+ */
+#ifndef COLTSFOOT_TRAFFIC_H
+#define COLTSFOOT_TRAFFIC_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "status.h"
+#include "table.h"
+
+#define TRAFFIC_NAME_BYTES 64
+
+/* A stopped attempt whose answer never comes frees its slot after this time;
+ * a target that is still busy then refuses with "not run". */
+#define TRAFFIC_STOPPED_HOLD_MS 30000
+
+typedef enum TrafficClass {
+    TRAFFIC_URGENT,
+    TRAFFIC_SHORT,
+    TRAFFIC_LONG,
+    TRAFFIC_UNDECLARED /* learned from run times; short until known */
+} TrafficClass;
+
+#define TRAFFIC_CLASSES 3
+
+/* Strings are copied; NULL stands for "". All but service are cut to
+ * TRAFFIC_NAME_BYTES - 1 bytes. */
+typedef struct TrafficRequest {
+    const char *service;
+    const char *caller;
+    const char *team;
+    const char *kind;
+    TrafficClass class;
+    int64_t deadline_ms; /* absolute */
+    bool unrepeatable;
+    uint64_t cookie; /* of the I/O layer; returned in every action */
+} TrafficRequest;
+
+typedef enum TrafficTargetState {
+    TRAFFIC_TARGET_OPEN,
+    TRAFFIC_TARGET_SUSPECT, /* silent: used only when no other is left */
+    TRAFFIC_TARGET_DRAINING,
+    TRAFFIC_TARGET_LEAVING,
+    TRAFFIC_TARGET_CLOSED /* in a move between pools */
+} TrafficTargetState;
+
+typedef struct TrafficTarget {
+    const char *name; /* unique; matches the target in later calls */
+    const char *pool;
+    const char *data_centre;
+    const char *rack;
+    uint64_t epoch; /* of the assignment; returned in TRAFFIC_DISPATCH */
+    TrafficTargetState state;
+    uint32_t slots;       /* credited to this entry VM */
+    uint32_t connections; /* credited to this entry VM */
+    uint64_t cookie;
+} TrafficTarget;
+
+typedef struct TrafficService {
+    const char *name;
+    const char *pool;
+    int64_t short_ms;   /* longest run time of short work; 0: default */
+    uint32_t max_queue; /* requests waiting in one class; 0: default */
+} TrafficService;
+
+typedef struct TrafficTeam {
+    const char *name;
+    uint32_t quota; /* attempts in flight at this entry VM; 0: none */
+} TrafficTeam;
+
+typedef enum TrafficResultKind {
+    TRAFFIC_OK,
+    TRAFFIC_FAILED,   /* the target answered with a failure */
+    TRAFFIC_REFUSED,  /* the target states that it did not run the work */
+    TRAFFIC_LOST,     /* unknown whether it ran */
+    TRAFFIC_TIMED_OUT /* no answer in time; unknown whether it ran */
+} TrafficResultKind;
+
+typedef struct TrafficResult {
+    TrafficResultKind kind;
+    int64_t run_us; /* from dispatch to answer */
+} TrafficResult;
+
+typedef enum TrafficActionKind {
+    TRAFFIC_DISPATCH,
+    TRAFFIC_RECORD_INTENT,
+    TRAFFIC_REPLY,
+    TRAFFIC_STOP,
+    TRAFFIC_THROTTLE
+} TrafficActionKind;
+
+typedef enum TrafficOutcome {
+    TRAFFIC_DONE, /* the answer of the attempt named in the action */
+    TRAFFIC_NOT_RUN,
+    TRAFFIC_UNKNOWN,
+    TRAFFIC_UNABLE,
+    TRAFFIC_CANCELLED
+} TrafficOutcome;
+
+typedef enum TrafficReason {
+    TRAFFIC_REASON_NONE,
+    TRAFFIC_REASON_QUEUE_FULL,
+    TRAFFIC_REASON_DEADLINE, /* cannot start, or did not end, in time */
+    TRAFFIC_REASON_QUOTA,
+    TRAFFIC_REASON_NO_TARGET,    /* the pool has no usable target */
+    TRAFFIC_REASON_REFUSED,      /* too many refusals by targets */
+    TRAFFIC_REASON_FAILED,       /* failed and not retried */
+    TRAFFIC_REASON_LOST,         /* answer lost and not retried */
+    TRAFFIC_REASON_RETRY_BUDGET, /* retry budget spent */
+    TRAFFIC_REASON_NO_INTENT,    /* the intent could not be recorded */
+    TRAFFIC_REASON_SERVICE_REMOVED,
+    TRAFFIC_REASON_UNABLE, /* failed on several different targets */
+    TRAFFIC_REASON_CANCELLED
+} TrafficReason;
+
+typedef struct TrafficAction {
+    TrafficActionKind kind;
+    Handle request;
+    uint64_t request_cookie;
+    Handle attempt;          /* HANDLE_NONE if no attempt is concerned */
+    uint32_t attempt_number; /* from 1 in each request */
+    uint64_t target_cookie;
+    uint64_t epoch;
+    const char *target; /* valid until the next Traffic_SetTargets */
+    int64_t deadline_ms;
+    TrafficOutcome outcome; /* of TRAFFIC_REPLY */
+    TrafficReason reason;
+    bool may_have_run; /* of TRAFFIC_REPLY */
+    int64_t retry_ms;  /* of a refusal: wait before a resend; else 0 */
+} TrafficAction;
+
+typedef struct TrafficOptions {
+    const char *data_centre; /* of this entry VM; preferred in routing */
+    uint64_t seed;
+    uint32_t max_requests; /* waiting and running */
+    uint32_t queue_limit;  /* default of TrafficService.max_queue */
+    int64_t short_ms;      /* default of TrafficService.short_ms */
+    uint32_t long_share_percent;
+    uint32_t retry_percent;
+    uint32_t unable_targets;
+} TrafficOptions;
+
+#define TRAFFIC_OPTIONS_DEFAULT                                               \
+    {                                                                         \
+        "", 1, 262144, 4096, 1000, 50, 10, 3                                  \
+    }
+
+/* Counters since the start, and the present load. */
+typedef struct TrafficStats {
+    uint64_t submitted;
+    uint64_t dispatched;
+    uint64_t retried;
+    uint64_t replies[TRAFFIC_CANCELLED + 1]; /* by TrafficOutcome */
+    uint64_t dropped_answers;
+    uint64_t evictions;
+    uint32_t waiting;
+    uint32_t running;
+} TrafficStats;
+
+typedef struct Traffic Traffic;
+
+/* Copies the options. Returns NULL without memory. */
+Traffic *Traffic_New(const TrafficOptions *options);
+void Traffic_Free(Traffic *t);
+
+/* Replaces the services; the pool of a known service may change. Requests
+ * waiting for a removed service get a reply. Returns ST_INVALID for an empty
+ * or overlong name, and then changes nothing. */
+Status Traffic_SetServices(Traffic *t, int64_t now_ms,
+                           const TrafficService *services, size_t count);
+
+/* Replaces the quotas of teams; a team that is not listed has none. */
+Status Traffic_SetTeams(Traffic *t, int64_t now_ms, const TrafficTeam *teams,
+                        size_t count);
+
+/* Replaces the targets of all pools; a target keeps its load and its history
+ * by name. A target that is no longer listed gets no new work. Returns
+ * ST_INVALID for an empty, overlong or repeated name, and then changes
+ * nothing. */
+Status Traffic_SetTargets(Traffic *t, int64_t now_ms,
+                          const TrafficTarget *targets, size_t count);
+
+/* Accepts a request, which will get exactly one TRAFFIC_REPLY (refusals by
+ * queue length, quota or deadline included), and stores its handle.
+ * Otherwise no action follows and nothing has run: ST_NOT_FOUND for an
+ * unknown service, ST_FULL when max_requests are held. */
+Status Traffic_Submit(Traffic *t, int64_t now_ms,
+                      const TrafficRequest *request, Handle *out);
+
+/* Reports the result of an attempt. Returns ST_OK when it was used: a
+ * TRAFFIC_OK then gives TRAFFIC_REPLY with TRAFFIC_DONE for this attempt.
+ * ST_STALE when the request has ended, and the answer has to be dropped. */
+Status Traffic_Answer(Traffic *t, int64_t now_ms, Handle attempt,
+                      TrafficResult result);
+
+/* Reports whether the intent of an unrepeatable request was recorded.
+ * ST_STALE when the request has ended. */
+Status Traffic_IntentRecorded(Traffic *t, int64_t now_ms, Handle request,
+                              bool ok);
+
+/* Cancels a request: O(1) but for the actions. ST_STALE when it has ended. */
+Status Traffic_Cancel(Traffic *t, int64_t now_ms, Handle request);
+
+/* Ends requests past their deadline, reclassifies running work and starts
+ * what has become possible. Call it at least every 100 ms. */
+void Traffic_Tick(Traffic *t, int64_t now_ms);
+
+/* Takes the next action; false when there is none. */
+bool Traffic_NextAction(Traffic *t, TrafficAction *action);
+
+void Traffic_GetStats(const Traffic *t, TrafficStats *stats);
+
+/* Returns a fixed lower-case word such as "not-run". */
+const char *Traffic_OutcomeName(TrafficOutcome outcome);
+
+/* Returns a short English text for people. */
+const char *Traffic_ReasonText(TrafficReason reason);
+
+#endif
