Add the traffic decision core

Submit, choice of a target, dispatch, answer, retry, cancel and deadlines work end to end over the modules admit, route, class and retry. Requests, attempts and targets are rows named by handles, so that a late answer to a stopped attempt is recognised and dropped. A stopped attempt keeps its slot and its place in the team's quota until its target is done; freeing both at once would let a wave of cancellations overload targets.

--- /dev/null
+++ b/src/admit.c
@@ -0,0 +1,414 @@
+#include "admit.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "admit_internal.h"
+
+#define RETRY_MIN_MS 10
+#define RETRY_MAX_MS 60000
+
+Admit *
+Admit_New(void)
+{
+    Admit *a = calloc(1, sizeof(*a));
+
+    if (a == NULL) {
+        return NULL;
+    }
+    a->free_node = ADMIT_NONE;
+    a->free_team = ADMIT_NONE;
+    a->paths = Keymap_New();
+    a->team_keys = Keymap_New();
+    if (a->paths == NULL || a->team_keys == NULL) {
+        Admit_Free(a);
+        return NULL;
+    }
+    return a;
+}
+
+void
+Admit_Free(Admit *a)
+{
+    if (a != NULL) {
+        Keymap_Free(a->paths);
+        Keymap_Free(a->team_keys);
+        free(a->nodes);
+        free(a->teams);
+        free(a->entries);
+        free(a->roots);
+        free(a);
+    }
+}
+
+void
+Admit_SetQuota(Admit *a, uint64_t team, uint32_t quota)
+{
+    uint32_t row = AdmitTeam_Get(a, team);
+
+    a->teams[row].quota = quota;
+    AdmitTree_UnparkAll(a, row);
+    AdmitTeam_Prune(a, row);
+}
+
+void
+Admit_ClearQuotas(Admit *a)
+{
+    uint32_t i;
+
+    for (i = 0; i < a->team_count; i++) {
+        if (a->teams[i].key != 0 && a->teams[i].quota != 0) {
+            Admit_SetQuota(a, a->teams[i].key, 0);
+        }
+    }
+}
+
+static AdmitEntry *
+entry_of(Admit *a, uint32_t id)
+{
+    uint32_t capacity = a->entry_capacity ? a->entry_capacity : 64;
+
+    if (id >= a->entry_capacity) {
+        while (capacity <= id) {
+            capacity *= 2;
+        }
+        a->entries = realloc(a->entries, capacity * sizeof(AdmitEntry));
+        if (a->entries == NULL) {
+            abort();
+        }
+        memset(a->entries + a->entry_capacity, 0,
+               (capacity - a->entry_capacity) * sizeof(AdmitEntry));
+        a->entry_capacity = capacity;
+    }
+    return &a->entries[id];
+}
+
+static void
+count_entry(Admit *a, uint32_t node, int64_t run_us, bool add)
+{
+    while (node != ADMIT_NONE) {
+        AdmitNode *row = &a->nodes[node];
+        row->waiting += add ? 1 : UINT32_MAX;
+        row->backlog_us += add ? run_us : -run_us;
+        node = row->parent;
+    }
+}
+
+/* Queues the work under its caller's node, which is created when it is new.
+ * Returns false when the path key is taken by another flow. */
+static bool
+enqueue(Admit *a, const AdmitWork *work, bool front)
+{
+    uint32_t node = AdmitTree_Root(a, work->pool, work->class);
+    uint64_t keys[] = {work->service + 1, work->team, work->caller};
+    AdmitEntry *entry = entry_of(a, work->id);
+    AdmitNode *caller;
+    size_t i;
+
+    for (i = 0; i < 3; i++) {
+        uint32_t child = AdmitTree_Get(a, node, keys[i]);
+        if (child == ADMIT_NONE) {
+            AdmitTree_Prune(a, node);
+            return false;
+        }
+        node = child;
+    }
+    caller = &a->nodes[node];
+    entry->node = node;
+    entry->team = a->nodes[caller->parent].team;
+    entry->run_us = work->run_us;
+    entry->cost = (uint8_t)work->cost;
+    entry->state = ADMIT_WAITING;
+    entry->prev = front ? ADMIT_NONE : caller->tail;
+    entry->next = front ? caller->head : ADMIT_NONE;
+    if (entry->prev != ADMIT_NONE) {
+        a->entries[entry->prev].next = work->id;
+    }
+    else {
+        caller->head = work->id;
+    }
+    if (entry->next != ADMIT_NONE) {
+        a->entries[entry->next].prev = work->id;
+    }
+    else {
+        caller->tail = work->id;
+    }
+    count_entry(a, node, work->run_us, true);
+    AdmitTree_Link(a, node);
+    return true;
+}
+
+static void
+dequeue(Admit *a, uint32_t id)
+{
+    AdmitEntry *entry = &a->entries[id];
+    AdmitNode *caller = &a->nodes[entry->node];
+
+    if (entry->prev != ADMIT_NONE) {
+        a->entries[entry->prev].next = entry->next;
+    }
+    else {
+        caller->head = entry->next;
+    }
+    if (entry->next != ADMIT_NONE) {
+        a->entries[entry->next].prev = entry->prev;
+    }
+    else {
+        caller->tail = entry->prev;
+    }
+    count_entry(a, entry->node, entry->run_us, false);
+    entry->state = ADMIT_IDLE;
+}
+
+static int64_t
+backlog_before(const Admit *a, uint32_t pool, TrafficClass class)
+{
+    int64_t us = 0;
+    uint32_t i;
+
+    for (i = 0; i < (uint32_t) class; i++) {
+        uint32_t index = pool * TRAFFIC_CLASSES + i;
+        us += index < a->root_count ? a->nodes[a->roots[index]].backlog_us : 0;
+    }
+    return us;
+}
+
+/* What is served before new work of this flow: all that waits, or, if that
+ * is less, as much for every other flow as waits in this one. */
+static int64_t
+backlog_of_flow(const Admit *a, const AdmitWork *work, uint32_t root)
+{
+    int64_t total = a->nodes[root].backlog_us;
+    uint32_t service = AdmitTree_Find(a, root, work->service + 1);
+    uint32_t team = ADMIT_NONE;
+    uint32_t caller = ADMIT_NONE;
+    int64_t turns = a->nodes[root].children + (service == ADMIT_NONE);
+    int64_t own = work->run_us;
+
+    if (service != ADMIT_NONE) {
+        team = AdmitTree_Find(a, service, work->team);
+        turns *= a->nodes[service].children + (team == ADMIT_NONE);
+    }
+    if (team != ADMIT_NONE) {
+        caller = AdmitTree_Find(a, team, work->caller);
+        turns *= a->nodes[team].children + (caller == ADMIT_NONE);
+    }
+    if (caller != ADMIT_NONE) {
+        own += a->nodes[caller].backlog_us;
+    }
+    return turns * own < total ? turns * own : total;
+}
+
+static int64_t
+clamp_retry(int64_t ms)
+{
+    return ms < RETRY_MIN_MS   ? RETRY_MIN_MS
+           : ms > RETRY_MAX_MS ? RETRY_MAX_MS
+                               : ms;
+}
+
+static int64_t
+quota_wait_us(const Admit *a, const AdmitWork *work, uint32_t root)
+{
+    uint32_t service = AdmitTree_Find(a, root, work->service + 1);
+    uint32_t node = service == ADMIT_NONE
+                        ? ADMIT_NONE
+                        : AdmitTree_Find(a, service, work->team);
+    int64_t backlog = node == ADMIT_NONE ? 0 : a->nodes[node].backlog_us;
+    uint32_t row;
+
+    if (!Keymap_Get(a->team_keys, work->team, &row) ||
+        a->teams[row].quota == 0 ||
+        a->teams[row].started < a->teams[row].quota) {
+        return 0;
+    }
+    return (backlog + work->run_us) / a->teams[row].quota;
+}
+
+static bool
+has_room(const Admit *a, const AdmitWork *work, uint32_t root, uint32_t max)
+{
+    uint32_t service = AdmitTree_Find(a, root, work->service + 1);
+    uint32_t node = service;
+    uint32_t room;
+
+    if (service == ADMIT_NONE) {
+        return max > 0;
+    }
+    if (a->nodes[service].waiting >= max) {
+        return false;
+    }
+    room = max - a->nodes[service].waiting;
+    node = AdmitTree_Find(a, service, work->team);
+    if (node != ADMIT_NONE) {
+        node = AdmitTree_Find(a, node, work->caller);
+    }
+    return node == ADMIT_NONE ||
+           a->nodes[node].waiting < (uint64_t)room * ADMIT_FLOW_FACTOR;
+}
+
+AdmitVerdict
+Admit_Offer(Admit *a, const AdmitWork *work, const AdmitLimits *limits,
+            int64_t *retry_ms)
+{
+    uint32_t root = AdmitTree_Root(a, work->pool, work->class);
+    int64_t servers = limits->servers > 0 ? limits->servers : 1;
+    int64_t left_us = limits->left_ms * 1000;
+    int64_t wait_us = 0;
+    int64_t quota_us = quota_wait_us(a, work, root);
+
+    if (limits->free == 0) {
+        wait_us = (backlog_before(a, work->pool, work->class) +
+                   backlog_of_flow(a, work, root)) /
+                  servers;
+    }
+    if (!has_room(a, work, root, limits->max_queue)) {
+        *retry_ms = clamp_retry(wait_us / 1000 / 4);
+        return ADMIT_FULL;
+    }
+    if (quota_us > left_us) {
+        *retry_ms = clamp_retry((quota_us - left_us) / 1000);
+        return ADMIT_QUOTA;
+    }
+    if (wait_us > left_us || left_us <= 0) {
+        *retry_ms = clamp_retry((wait_us - left_us) / 1000);
+        return ADMIT_LATE;
+    }
+    *retry_ms = 0;
+    if (!enqueue(a, work, false)) {
+        *retry_ms = RETRY_MIN_MS;
+        return ADMIT_FULL;
+    }
+    return ADMIT_QUEUED;
+}
+
+void
+Admit_Return(Admit *a, const AdmitWork *work)
+{
+    AdmitWork other = *work;
+
+    while (!enqueue(a, &other, true)) {
+        other.caller++;
+    }
+}
+
+/* Returns the caller whose turn it is, or ADMIT_NONE. */
+static uint32_t
+choose(Admit *a, uint32_t root)
+{
+    uint32_t node = root;
+
+    while (a->nodes[node].level != ADMIT_CALLER) {
+        uint32_t child = a->nodes[node].current;
+        AdmitNode *row;
+        if (child == ADMIT_NONE) {
+            return ADMIT_NONE; /* only at the root: empty rings are unlinked */
+        }
+        row = &a->nodes[child];
+        if (row->deficit <= 0) {
+            row->deficit++;
+            a->nodes[node].current = row->next;
+            continue;
+        }
+        if (row->level == ADMIT_TEAM) {
+            const AdmitTeam *team = &a->teams[row->team];
+            if (team->quota != 0 && team->started >= team->quota) {
+                AdmitTree_Park(a, child);
+                node = root;
+                continue;
+            }
+        }
+        node = child;
+    }
+    return node;
+}
+
+bool
+Admit_Next(Admit *a, uint32_t pool, TrafficClass class, uint32_t *id)
+{
+    uint32_t caller = choose(a, AdmitTree_Root(a, pool, class));
+    uint32_t node = caller;
+    uint32_t team;
+
+    if (caller == ADMIT_NONE) {
+        return false;
+    }
+    *id = a->nodes[caller].head;
+    team = a->entries[*id].team;
+    while (a->nodes[node].level != ADMIT_ROOT) {
+        AdmitNode *row = &a->nodes[node];
+        row->deficit -= a->entries[*id].cost;
+        if (row->deficit <= 0) {
+            row->deficit++;
+            a->nodes[row->parent].current = row->next;
+        }
+        node = row->parent;
+    }
+    dequeue(a, *id);
+    a->entries[*id].state = ADMIT_STARTED;
+    a->teams[team].started++;
+    AdmitTree_Prune(a, caller);
+    return true;
+}
+
+void
+Admit_Remove(Admit *a, uint32_t id)
+{
+    if (id < a->entry_capacity && a->entries[id].state == ADMIT_WAITING) {
+        uint32_t caller = a->entries[id].node;
+        dequeue(a, id);
+        AdmitTree_Prune(a, caller);
+    }
+}
+
+static bool
+team_done(Admit *a, uint32_t team)
+{
+    bool freed;
+
+    a->teams[team].started--;
+    freed = AdmitTree_UnparkAll(a, team);
+    AdmitTeam_Prune(a, team);
+    return freed;
+}
+
+bool
+Admit_Done(Admit *a, uint32_t id)
+{
+    if (id >= a->entry_capacity || a->entries[id].state != ADMIT_STARTED) {
+        return false;
+    }
+    a->entries[id].state = ADMIT_IDLE;
+    return team_done(a, a->entries[id].team);
+}
+
+uint32_t
+Admit_Detach(Admit *a, uint32_t id)
+{
+    a->entries[id].state = ADMIT_IDLE;
+    return a->entries[id].team;
+}
+
+void
+Admit_DoneDetached(Admit *a, uint32_t team)
+{
+    team_done(a, team);
+}
+
+uint32_t
+Admit_Waiting(const Admit *a, uint32_t pool, TrafficClass class)
+{
+    uint32_t index = pool * TRAFFIC_CLASSES + (uint32_t) class;
+
+    return index < a->root_count ? a->nodes[a->roots[index]].waiting : 0;
+}
+
+int64_t
+Admit_Wait(const Admit *a, uint32_t pool, TrafficClass class, uint32_t servers)
+{
+    int64_t us = backlog_before(a, pool, class);
+    uint32_t index = pool * TRAFFIC_CLASSES + (uint32_t) class;
+
+    us += index < a->root_count ? a->nodes[a->roots[index]].backlog_us : 0;
+    return us / (servers > 0 ? servers : 1) / 1000;
+}
--- /dev/null
+++ b/src/admit_tree.c
@@ -0,0 +1,254 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "admit_internal.h"
+
+static uint32_t
+node_new(Admit *a)
+{
+    uint32_t node = a->free_node;
+
+    if (node != ADMIT_NONE) {
+        a->free_node = a->nodes[node].next;
+    }
+    else {
+        if (a->node_count == a->node_capacity) {
+            a->node_capacity = a->node_capacity ? a->node_capacity * 2 : 64;
+            a->nodes = realloc(a->nodes, a->node_capacity * sizeof(AdmitNode));
+            if (a->nodes == NULL) {
+                abort();
+            }
+        }
+        node = a->node_count++;
+    }
+    memset(&a->nodes[node], 0, sizeof(AdmitNode));
+    a->nodes[node].parent = ADMIT_NONE;
+    a->nodes[node].current = ADMIT_NONE;
+    a->nodes[node].head = ADMIT_NONE;
+    a->nodes[node].tail = ADMIT_NONE;
+    a->nodes[node].team = ADMIT_NONE;
+    return node;
+}
+
+uint32_t
+AdmitTree_Root(Admit *a, uint32_t pool, TrafficClass class)
+{
+    uint32_t index = pool * TRAFFIC_CLASSES + (uint32_t) class;
+
+    if (index >= a->root_count) {
+        uint32_t count = (pool + 1) * TRAFFIC_CLASSES;
+        uint32_t i;
+        a->roots = realloc(a->roots, count * sizeof(*a->roots));
+        if (a->roots == NULL) {
+            abort();
+        }
+        for (i = a->root_count; i < count; i++) {
+            uint32_t root = node_new(a);
+            a->nodes[root].path = Keymap_Pair(i + 1, 0);
+            a->roots[i] = root;
+        }
+        a->root_count = count;
+    }
+    return a->roots[index];
+}
+
+uint32_t
+AdmitTree_Find(const Admit *a, uint32_t parent, uint64_t key)
+{
+    uint64_t path = Keymap_Pair(a->nodes[parent].path, key);
+    uint32_t node;
+
+    if (!Keymap_Get(a->paths, path, &node) ||
+        a->nodes[node].parent != parent || a->nodes[node].key != key) {
+        return ADMIT_NONE;
+    }
+    return node;
+}
+
+uint32_t
+AdmitTree_Get(Admit *a, uint32_t parent, uint64_t key)
+{
+    uint64_t path = Keymap_Pair(a->nodes[parent].path, key);
+    uint32_t node = AdmitTree_Find(a, parent, key);
+
+    if (node != ADMIT_NONE) {
+        return node;
+    }
+    if (Keymap_Get(a->paths, path, &node)) {
+        return ADMIT_NONE;
+    }
+    node = node_new(a);
+    a->nodes[node].path = path;
+    a->nodes[node].key = key;
+    a->nodes[node].parent = parent;
+    a->nodes[node].level = (uint8_t)(a->nodes[parent].level + 1);
+    a->nodes[parent].children++;
+    Keymap_Put(a->paths, path, node);
+    if (a->nodes[node].level == ADMIT_TEAM) {
+        uint32_t team = AdmitTeam_Get(a, key);
+        a->nodes[node].team = team;
+        a->teams[team].nodes++;
+    }
+    return node;
+}
+
+static void
+unpark(Admit *a, uint32_t node)
+{
+    AdmitNode *row = &a->nodes[node];
+
+    if (row->park_prev != ADMIT_NONE) {
+        a->nodes[row->park_prev].park_next = row->park_next;
+    }
+    else {
+        a->teams[row->team].parked = row->park_next;
+    }
+    if (row->park_next != ADMIT_NONE) {
+        a->nodes[row->park_next].park_prev = row->park_prev;
+    }
+    row->parked = false;
+}
+
+void
+AdmitTree_Prune(Admit *a, uint32_t node)
+{
+    while (node != ADMIT_NONE) {
+        AdmitNode *row = &a->nodes[node];
+        uint32_t parent = row->parent;
+        if (row->waiting > 0 || row->level == ADMIT_ROOT) {
+            return;
+        }
+        AdmitTree_Unlink(a, node);
+        if (row->parked) {
+            unpark(a, node);
+        }
+        if (row->team != ADMIT_NONE) {
+            a->teams[row->team].nodes--;
+            AdmitTeam_Prune(a, row->team);
+        }
+        a->nodes[parent].children--;
+        Keymap_Remove(a->paths, row->path);
+        row->next = a->free_node;
+        a->free_node = node;
+        node = parent;
+    }
+}
+
+void
+AdmitTree_Link(Admit *a, uint32_t node)
+{
+    AdmitNode *row = &a->nodes[node];
+
+    while (row->level != ADMIT_ROOT && !row->linked && !row->parked) {
+        AdmitNode *parent = &a->nodes[row->parent];
+        row->linked = true;
+        row->deficit = 1;
+        if (parent->current == ADMIT_NONE) {
+            row->prev = node;
+            row->next = node;
+            parent->current = node;
+        }
+        else {
+            /* Before the current one: last in this round. */
+            row->next = parent->current;
+            row->prev = a->nodes[parent->current].prev;
+            a->nodes[row->prev].next = node;
+            a->nodes[row->next].prev = node;
+        }
+        node = row->parent;
+        row = parent;
+    }
+}
+
+void
+AdmitTree_Unlink(Admit *a, uint32_t node)
+{
+    AdmitNode *row = &a->nodes[node];
+
+    while (row->level != ADMIT_ROOT && row->linked) {
+        AdmitNode *parent = &a->nodes[row->parent];
+        row->linked = false;
+        if (row->next != node) {
+            a->nodes[row->prev].next = row->next;
+            a->nodes[row->next].prev = row->prev;
+            if (parent->current == node) {
+                parent->current = row->next;
+            }
+            return;
+        }
+        parent->current = ADMIT_NONE;
+        node = row->parent;
+        row = parent;
+    }
+}
+
+void
+AdmitTree_Park(Admit *a, uint32_t node)
+{
+    AdmitNode *row = &a->nodes[node];
+    AdmitTeam *team = &a->teams[row->team];
+
+    AdmitTree_Unlink(a, node);
+    row->parked = true;
+    row->park_prev = ADMIT_NONE;
+    row->park_next = team->parked;
+    if (team->parked != ADMIT_NONE) {
+        a->nodes[team->parked].park_prev = node;
+    }
+    team->parked = node;
+}
+
+bool
+AdmitTree_UnparkAll(Admit *a, uint32_t team)
+{
+    bool any = a->teams[team].parked != ADMIT_NONE;
+
+    while (a->teams[team].parked != ADMIT_NONE) {
+        uint32_t node = a->teams[team].parked;
+        unpark(a, node);
+        AdmitTree_Link(a, node);
+    }
+    return any;
+}
+
+uint32_t
+AdmitTeam_Get(Admit *a, uint64_t key)
+{
+    uint32_t team;
+
+    if (Keymap_Get(a->team_keys, key, &team)) {
+        return team;
+    }
+    team = a->free_team;
+    if (team != ADMIT_NONE) {
+        a->free_team = a->teams[team].next_free;
+    }
+    else {
+        if (a->team_count == a->team_capacity) {
+            a->team_capacity = a->team_capacity ? a->team_capacity * 2 : 64;
+            a->teams = realloc(a->teams, a->team_capacity * sizeof(AdmitTeam));
+            if (a->teams == NULL) {
+                abort();
+            }
+        }
+        team = a->team_count++;
+    }
+    memset(&a->teams[team], 0, sizeof(AdmitTeam));
+    a->teams[team].key = key;
+    a->teams[team].parked = ADMIT_NONE;
+    Keymap_Put(a->team_keys, key, team);
+    return team;
+}
+
+void
+AdmitTeam_Prune(Admit *a, uint32_t team)
+{
+    AdmitTeam *row = &a->teams[team];
+
+    if (row->quota == 0 && row->started == 0 && row->nodes == 0) {
+        Keymap_Remove(a->team_keys, row->key);
+        row->key = 0;
+        row->next_free = a->free_team;
+        a->free_team = team;
+    }
+}
--- /dev/null
+++ b/src/class.c
@@ -0,0 +1,111 @@
+#include "class.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+typedef struct Row {
+    uint64_t key; /* 0: empty */
+    int64_t used_ms;
+    float mean_us;
+    float long_share;
+    uint8_t runs; /* up to CLASS_MEMORY */
+    bool is_long;
+} Row;
+
+struct Class {
+    Row rows[CLASS_SETS][CLASS_WAYS];
+};
+
+Class *
+Class_New(void)
+{
+    return calloc(1, sizeof(Class));
+}
+
+void
+Class_Free(Class *c)
+{
+    free(c);
+}
+
+static Row *
+find(Class *c, uint64_t key)
+{
+    Row *set = c->rows[(key >> 20) % CLASS_SETS];
+    int i;
+
+    for (i = 0; i < CLASS_WAYS; i++) {
+        if (set[i].key == key) {
+            return &set[i];
+        }
+    }
+    return NULL;
+}
+
+static Row *
+find_or_replace(Class *c, int64_t now_ms, uint64_t key)
+{
+    Row *set = c->rows[(key >> 20) % CLASS_SETS];
+    Row *row = find(c, key);
+    int i;
+
+    if (row == NULL) {
+        row = &set[0];
+        for (i = 1; i < CLASS_WAYS && row->key != 0; i++) {
+            if (set[i].key == 0 || set[i].used_ms < row->used_ms) {
+                row = &set[i];
+            }
+        }
+        memset(row, 0, sizeof(*row));
+        row->key = key;
+    }
+    row->used_ms = now_ms;
+    return row;
+}
+
+ClassEstimate
+Class_Get(Class *c, int64_t now_ms, uint64_t key)
+{
+    ClassEstimate estimate = {false, false, 0};
+    Row *row = find(c, key);
+
+    if (row != NULL) {
+        row->used_ms = now_ms;
+        estimate.known = true;
+        estimate.is_long = row->is_long;
+        estimate.run_us = (int64_t)row->mean_us;
+    }
+    return estimate;
+}
+
+static void
+learn(Row *row, int64_t run_us, bool was_long)
+{
+    float weight;
+
+    if (row->runs < CLASS_MEMORY) {
+        row->runs++;
+    }
+    weight = 1.0F / (float)row->runs;
+    row->mean_us += weight * ((float)run_us - row->mean_us);
+    row->long_share += weight * ((was_long ? 1.0F : 0.0F) - row->long_share);
+    if (row->long_share > 0.5F) {
+        row->is_long = true;
+    }
+    else if (row->long_share < 0.25F) {
+        row->is_long = false;
+    }
+}
+
+void
+Class_Learn(Class *c, int64_t now_ms, uint64_t key, int64_t run_us,
+            int64_t short_us)
+{
+    learn(find_or_replace(c, now_ms, key), run_us, run_us > short_us);
+}
+
+void
+Class_Outlived(Class *c, int64_t now_ms, uint64_t key, int64_t short_us)
+{
+    learn(find_or_replace(c, now_ms, key), short_us * 2, true);
+}
--- /dev/null
+++ b/src/traffic.c
@@ -0,0 +1,401 @@
+#include "traffic.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "traffic_internal.h"
+
+/* A pool without a usable target may get one with the next announcement. */
+#define NO_TARGET_RETRY_MS 1000
+
+Traffic *
+Traffic_New(const TrafficOptions *options)
+{
+    Traffic *t = calloc(1, sizeof(*t));
+    RouteOptions route = {options->data_centre, options->seed,
+                          options->long_share_percent};
+
+    if (t == NULL) {
+        return NULL;
+    }
+    t->options = *options;
+    t->options.data_centre = NULL; /* not kept beyond this call */
+    if (t->options.unable_targets < 1) {
+        t->options.unable_targets = 1;
+    }
+    if (t->options.unable_targets > RETRY_MAX_FAILED) {
+        t->options.unable_targets = RETRY_MAX_FAILED;
+    }
+    t->route = Route_New(&route);
+    t->admit = Admit_New();
+    t->class = Class_New();
+    t->requests = Table_New(sizeof(RequestRow), options->max_requests);
+    t->attempts = Table_New(sizeof(AttemptRow), options->max_requests);
+    t->deadlines = Wheel_New();
+    t->holds = Wheel_New();
+    t->service_names = Keymap_New();
+    if (t->route == NULL || t->admit == NULL || t->class == NULL ||
+        t->requests == NULL || t->attempts == NULL || t->deadlines == NULL ||
+        t->holds == NULL || t->service_names == NULL) {
+        Traffic_Free(t);
+        return NULL;
+    }
+    return t;
+}
+
+void
+Traffic_Free(Traffic *t)
+{
+    uint32_t i;
+
+    if (t == NULL) {
+        return;
+    }
+    for (i = 0; i < t->pool_count; i++) {
+        free(t->pools[i].deferred.items);
+        free(t->pools[i].outlived.items);
+    }
+    free(t->pools);
+    free(t->services);
+    free(t->by_id);
+    free(t->attempt_by_id);
+    free(t->actions);
+    Route_Free(t->route);
+    Admit_Free(t->admit);
+    Class_Free(t->class);
+    Table_Free(t->requests);
+    Table_Free(t->attempts);
+    Wheel_Free(t->deadlines);
+    Wheel_Free(t->holds);
+    Keymap_Free(t->service_names);
+    free(t);
+}
+
+static uint32_t
+service_get(Traffic *t, const char *name)
+{
+    uint64_t key = Keymap_Key(name);
+    uint32_t service;
+
+    if (Keymap_Get(t->service_names, key, &service)) {
+        return service;
+    }
+    service = t->service_count++;
+    t->services = realloc(t->services, t->service_count * sizeof(ServiceRow));
+    if (t->services == NULL) {
+        abort();
+    }
+    memset(&t->services[service], 0, sizeof(ServiceRow));
+    strcpy(t->services[service].name, name);
+    Keymap_Put(t->service_names, key, service);
+    return service;
+}
+
+static bool
+name_fits(const char *name)
+{
+    return name != NULL && name[0] != '\0' &&
+           strlen(name) < TRAFFIC_NAME_BYTES;
+}
+
+/* Ends the requests that wait for a removed service, and moves those of a
+ * service whose pool changed. */
+static void
+follow_services(Traffic *t, int64_t now_ms)
+{
+    uint32_t cursor = 0;
+    Handle handle = Table_Next(t->requests, &cursor);
+
+    while (!Handle_IsNone(handle)) {
+        RequestRow *request = Table_Get(t->requests, handle);
+        const ServiceRow *service = &t->services[request->service];
+        handle = Table_Next(t->requests, &cursor);
+        if (request->state == REQUEST_RUNNING ||
+            request->state == REQUEST_INTENT) {
+            continue;
+        }
+        if (!service->listed) {
+            TrafficRun_End(t, now_ms, request, TRAFFIC_REASON_SERVICE_REMOVED);
+        }
+        else if (request->pool != service->pool) {
+            AdmitWork work;
+            Admit_Remove(t->admit, request->self.index);
+            request->pool = service->pool;
+            request->state = REQUEST_WAITING;
+            TrafficRun_Work(t, request, &work);
+            Admit_Return(t->admit, &work);
+        }
+    }
+}
+
+static void
+pump_all(Traffic *t, int64_t now_ms)
+{
+    uint32_t i;
+
+    for (i = 0; i < Route_PoolCount(t->route); i++) {
+        TrafficRun_Resume(t, i);
+        TrafficRun_Pump(t, now_ms, i);
+    }
+}
+
+Status
+Traffic_SetServices(Traffic *t, int64_t now_ms, const TrafficService *services,
+                    size_t count)
+{
+    size_t i;
+
+    for (i = 0; i < count; i++) {
+        if (!name_fits(services[i].name) || !name_fits(services[i].pool)) {
+            return ST_INVALID;
+        }
+    }
+    for (i = 0; i < t->service_count; i++) {
+        t->services[i].listed = false;
+    }
+    for (i = 0; i < count; i++) {
+        const TrafficService *from = &services[i];
+        uint32_t service = service_get(t, from->name);
+        ServiceRow *row = &t->services[service];
+        row->listed = true;
+        row->pool = Route_Pool(t->route, from->pool);
+        row->short_us =
+            (from->short_ms > 0 ? from->short_ms : t->options.short_ms) * 1000;
+        row->max_queue =
+            from->max_queue > 0 ? from->max_queue : t->options.queue_limit;
+    }
+    follow_services(t, now_ms);
+    pump_all(t, now_ms);
+    return ST_OK;
+}
+
+Status
+Traffic_SetTeams(Traffic *t, int64_t now_ms, const TrafficTeam *teams,
+                 size_t count)
+{
+    size_t i;
+
+    for (i = 0; i < count; i++) {
+        if (!name_fits(teams[i].name)) {
+            return ST_INVALID;
+        }
+    }
+    Admit_ClearQuotas(t->admit);
+    for (i = 0; i < count; i++) {
+        Admit_SetQuota(t->admit, Keymap_Key(teams[i].name), teams[i].quota);
+    }
+    pump_all(t, now_ms);
+    return ST_OK;
+}
+
+Status
+Traffic_SetTargets(Traffic *t, int64_t now_ms, const TrafficTarget *targets,
+                   size_t count)
+{
+    Status status = Route_SetTargets(t->route, targets, count);
+
+    if (status == ST_OK) {
+        pump_all(t, now_ms);
+    }
+    return status;
+}
+
+static uint64_t
+key_of(const char *text)
+{
+    char name[TRAFFIC_NAME_BYTES];
+
+    if (text == NULL) {
+        return Keymap_Key("");
+    }
+    strncpy(name, text, sizeof(name) - 1);
+    name[sizeof(name) - 1] = '\0';
+    return Keymap_Key(name);
+}
+
+static void
+remember(Traffic *t, Handle handle)
+{
+    if (handle.index >= t->by_id_capacity) {
+        uint32_t capacity = handle.index < 64 ? 128 : handle.index * 2;
+        t->by_id = realloc(t->by_id, capacity * sizeof(Handle));
+        if (t->by_id == NULL) {
+            abort();
+        }
+        t->by_id_capacity = capacity;
+    }
+    t->by_id[handle.index] = handle;
+}
+
+static void
+fill(Traffic *t, RequestRow *row, const TrafficRequest *request,
+     uint32_t service)
+{
+    row->cookie = request->cookie;
+    row->caller = key_of(request->caller);
+    row->team = key_of(request->team);
+    row->kind = Keymap_Pair(service + 1, key_of(request->kind));
+    row->deadline_ms = request->deadline_ms;
+    row->service = service;
+    row->pool = t->services[service].pool;
+    row->target = ROUTE_NONE;
+    row->declared = (uint8_t)request->class;
+    row->unrepeatable = request->unrepeatable;
+    row->state = REQUEST_WAITING;
+}
+
+static void
+offer(Traffic *t, int64_t now_ms, RequestRow *row, const RoutePoolInfo *info)
+{
+    static const TrafficReason reasons[] = {
+        TRAFFIC_REASON_NONE, TRAFFIC_REASON_QUEUE_FULL,
+        TRAFFIC_REASON_DEADLINE, TRAFFIC_REASON_QUOTA};
+    bool is_long = row->class == TRAFFIC_LONG;
+    AdmitLimits limits;
+    AdmitWork work;
+    AdmitVerdict verdict;
+    int64_t retry_ms;
+
+    limits.max_queue = t->services[row->service].max_queue;
+    limits.servers = is_long ? info->long_slots
+                     : info->slots > info->long_in_flight
+                         ? info->slots - info->long_in_flight
+                         : 1;
+    limits.free = Route_HasRoom(t->route, row->pool, is_long);
+    limits.left_ms = row->deadline_ms - now_ms;
+    TrafficRun_Work(t, row, &work);
+    verdict = Admit_Offer(t->admit, &work, &limits, &retry_ms);
+    if (verdict != ADMIT_QUEUED) {
+        TrafficRun_Reply(t, row, TRAFFIC_NOT_RUN, reasons[verdict], retry_ms);
+    }
+}
+
+Status
+Traffic_Submit(Traffic *t, int64_t now_ms, const TrafficRequest *request,
+               Handle *out)
+{
+    RoutePoolInfo info;
+    uint32_t service;
+    uint32_t pool;
+    RequestRow *row;
+
+    if (request->service == NULL ||
+        !Keymap_Get(t->service_names, Keymap_Key(request->service),
+                    &service) ||
+        !t->services[service].listed ||
+        strcmp(t->services[service].name, request->service) != 0) {
+        return ST_NOT_FOUND;
+    }
+    *out = Table_Add(t->requests);
+    row = Table_Get(t->requests, *out);
+    if (row == NULL) {
+        return ST_FULL;
+    }
+    remember(t, *out);
+    row->self = *out;
+    fill(t, row, request, service);
+    t->stats.submitted++;
+    Retry_Fresh(&t->services[service].budget, now_ms,
+                t->options.retry_percent);
+    TrafficRun_Estimate(t, now_ms, row);
+    Wheel_Add(t->deadlines, row->self.index, row->deadline_ms);
+    pool = row->pool;
+    Route_GetPoolInfo(t->route, pool, &info);
+    if (info.targets == 0) {
+        TrafficRun_Reply(t, row, TRAFFIC_NOT_RUN, TRAFFIC_REASON_NO_TARGET,
+                         NO_TARGET_RETRY_MS);
+        return ST_OK;
+    }
+    offer(t, now_ms, row, &info);
+    TrafficRun_Pump(t, now_ms, pool);
+    return ST_OK;
+}
+
+Status
+Traffic_IntentRecorded(Traffic *t, int64_t now_ms, Handle handle, bool ok)
+{
+    RequestRow *request = Table_Get(t->requests, handle);
+    uint32_t pool;
+
+    if (request == NULL || request->state != REQUEST_INTENT) {
+        return ST_STALE;
+    }
+    pool = request->pool;
+    if (ok) {
+        request->intent_recorded = true;
+        TrafficRun_SendHeld(t, now_ms, request);
+    }
+    else {
+        TrafficRun_End(t, now_ms, request, TRAFFIC_REASON_NO_INTENT);
+    }
+    TrafficRun_Pump(t, now_ms, pool);
+    return ST_OK;
+}
+
+Status
+Traffic_Cancel(Traffic *t, int64_t now_ms, Handle handle)
+{
+    RequestRow *request = Table_Get(t->requests, handle);
+    uint32_t pool;
+    bool freed;
+
+    if (request == NULL) {
+        return ST_STALE;
+    }
+    pool = request->pool;
+    freed = request->state == REQUEST_INTENT;
+    TrafficRun_End(t, now_ms, request, TRAFFIC_REASON_CANCELLED);
+    if (freed) {
+        TrafficRun_Pump(t, now_ms, pool);
+    }
+    return ST_OK;
+}
+
+bool
+Traffic_NextAction(Traffic *t, TrafficAction *action)
+{
+    if (t->action_count == 0) {
+        return false;
+    }
+    *action = t->actions[t->action_first];
+    t->action_first = (t->action_first + 1) % t->action_capacity;
+    t->action_count--;
+    return true;
+}
+
+void
+Traffic_GetStats(const Traffic *t, TrafficStats *stats)
+{
+    *stats = t->stats;
+    stats->waiting = Table_Count(t->requests) - t->stats.running;
+}
+
+const char *
+Traffic_OutcomeName(TrafficOutcome outcome)
+{
+    static const char *const names[] = {"done", "not-run", "unknown", "unable",
+                                        "cancelled"};
+
+    return names[outcome];
+}
+
+const char *
+Traffic_ReasonText(TrafficReason reason)
+{
+    static const char *const texts[] = {
+        "answered",
+        "the queue is full",
+        "the deadline cannot be met",
+        "the team's quota is used up",
+        "the pool has no usable target",
+        "targets refused the work",
+        "the work failed",
+        "the answer was lost",
+        "the retry budget is spent",
+        "the intent could not be recorded",
+        "the service was removed",
+        "the work failed on several different targets",
+        "cancelled by the caller"};
+
+    return texts[reason];
+}
