--- /dev/null
+++ b/standin/common_targets.c
@@ -0,0 +1,234 @@
+#include "common_targets.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common.h"
+#include "rng.h"
+
+/* Time that a checkpoint takes away from a task. */
+#define CHECKPOINT_US 500000
+
+void
+Targets_Lock(Targets *targets)
+{
+    pthread_mutex_lock(&targets->mutex);
+}
+
+void
+Targets_Unlock(Targets *targets)
+{
+    pthread_mutex_unlock(&targets->mutex);
+}
+
+void
+Targets_Init(Targets *targets, const TargetOptions *options)
+{
+    int64_t now_ms = Common_WallMs();
+    Rng rng;
+    int i;
+
+    memset(targets, 0, sizeof(*targets));
+    targets->options = *options;
+    pthread_mutex_init(&targets->mutex, NULL);
+    pthread_cond_init(&targets->changed, NULL);
+    targets->list = calloc((size_t)options->count, sizeof(Target));
+    targets->by_id = json_object();
+    targets->by_caller = json_object();
+    Rng_Seed(&rng, Rng_SystemSeed());
+    snprintf(targets->process, sizeof(targets->process), "%016" PRIx64,
+             Rng_Next(&rng));
+    targets->random = options->seed;
+    for (i = 0; i < options->count; i++) {
+        Target *target = &targets->list[i];
+        if (options->count == 1) {
+            snprintf(target->name, sizeof(target->name), "%s", options->name);
+            snprintf(target->rack, sizeof(target->rack), "%s", options->rack);
+        }
+        else {
+            snprintf(target->name, sizeof(target->name), "%s-%d",
+                     options->name, i + 1);
+            snprintf(target->rack, sizeof(target->rack), "%s-%d",
+                     options->rack, i / options->per_rack + 1);
+        }
+        target->port = options->port + i;
+        target->incarnation = now_ms;
+        target->fail_all = options->fail_all;
+        target->slow_factor = options->slow_factor;
+    }
+}
+
+static void
+count_up(json_t *counts, const char *key)
+{
+    json_t *value = json_object_get(counts, key);
+
+    if (value != NULL) {
+        json_integer_set(value, json_integer_value(value) + 1);
+    }
+    else {
+        json_object_set_new(counts, key, json_integer(1));
+    }
+}
+
+static int64_t
+run_time_us(Targets *targets, const Target *target, Run *run)
+{
+    const TargetOptions *options = &targets->options;
+    int64_t time_us = (int64_t)options->run_ms * 1000;
+    Rng rng;
+
+    if (options->run_from_body) {
+        long long asked;
+        if (sscanf(Buf_Text(&run->body), "run_us=%lld;", &asked) == 1 &&
+            asked >= 0) {
+            time_us = asked;
+        }
+    }
+    time_us = (int64_t)((double)time_us * target->slow_factor);
+    if (target->fail_all) {
+        time_us = 0;
+    }
+    if (options->late_percent > 0) {
+        rng.state = targets->random;
+        if (Rng_Below(&rng, 100) < (uint32_t)options->late_percent) {
+            time_us = ((int64_t)run->deadline_ms + 200) * 1000;
+        }
+        targets->random = rng.state;
+    }
+    return time_us;
+}
+
+bool
+Targets_Start(Targets *targets, Target *target, Run *run)
+{
+    char key[2 * TARGET_TEXT_BYTES + 2];
+    int64_t now = Common_NowUs();
+
+    if (targets->leaving_us != 0 &&
+        now - targets->leaving_us > DEPARTURE_BOUND_US) {
+        target->after_departure++;
+    }
+    if (target->draining || target->reboot_wanted ||
+        target->in_flight >= targets->options.slots) {
+        target->refused++;
+        return false;
+    }
+    run->due_us = now + run_time_us(targets, target, run);
+    run->next = target->runs;
+    target->runs = run;
+    target->in_flight++;
+    target->executions++;
+    if (target->in_flight > target->highest) {
+        target->highest = target->in_flight;
+    }
+    count_up(targets->by_id, run->id);
+    snprintf(key, sizeof(key), "%s/%s", run->caller, run->id);
+    count_up(targets->by_caller, key);
+    return true;
+}
+
+void
+Targets_End(Target *target, Run *run)
+{
+    Run **at = &target->runs;
+
+    while (*at != NULL && *at != run) {
+        at = &(*at)->next;
+    }
+    if (*at == run) {
+        *at = run->next;
+        target->in_flight--;
+    }
+    run->ended = true;
+}
+
+int
+Targets_InFlight(const Targets *targets)
+{
+    int total = 0;
+    int i;
+
+    for (i = 0; i < targets->options.count; i++) {
+        total += targets->list[i].in_flight;
+    }
+    return total;
+}
+
+json_t *
+Targets_Counts(const Targets *targets)
+{
+    json_t *list = json_array();
+    int i;
+
+    for (i = 0; i < targets->options.count; i++) {
+        const Target *target = &targets->list[i];
+        json_array_append_new(
+            list, json_pack("{s:s,s:i,s:I,s:I,s:I,s:i,s:i,s:I}", "name",
+                            target->name, "port", target->port, "executions",
+                            (json_int_t)target->executions, "refused",
+                            (json_int_t)target->refused, "after_departure",
+                            (json_int_t)target->after_departure, "in_flight",
+                            target->in_flight, "highest", target->highest,
+                            "incarnation", (json_int_t)target->incarnation));
+    }
+    return json_pack("{s:s,s:o,s:O,s:O}", "process", targets->process,
+                     "targets", list, "by_id", targets->by_id, "by_caller",
+                     targets->by_caller);
+}
+
+char *
+Targets_Announcement(const Targets *targets, const Target *target)
+{
+    const TargetOptions *options = &targets->options;
+    char address[TARGET_TEXT_BYTES];
+    json_t *json;
+    char *text;
+
+    snprintf(address, sizeof(address), "%s:%d", options->host, target->port);
+    json = json_pack(
+        "{s:s,s:s,s:s,s:s,s:s,s:I,s:i,s:i,s:i,s:i,s:i,s:s}", "name",
+        target->name, "data_centre", options->data_centre, "rack",
+        target->rack, "address", address, "platform", address, "incarnation",
+        (json_int_t)target->incarnation, "slots", options->slots,
+        "connections", options->connections, "cores", options->cores,
+        "memory_mb", options->memory_mb, "accelerators", options->accelerators,
+        "state", targets->leaving_us != 0 ? "leaving" : "up");
+    if (options->pool != NULL) {
+        json_object_set_new(json, "pool", json_string(options->pool));
+    }
+    text = json_dumps(json, JSON_COMPACT);
+    json_decref(json);
+    return text;
+}
+
+bool
+Targets_Task(Target *target, const char *id, const char *operation)
+{
+    int64_t now = Common_NowUs();
+    bool found = false;
+    Run *run;
+
+    for (run = target->runs; run != NULL; run = run->next) {
+        if (strcmp(run->id, id) != 0 && strcmp(run->attempt, id) != 0) {
+            continue;
+        }
+        if (strcmp(operation, "stop") == 0) {
+            run->stopped = true;
+            run->due_us = now;
+        }
+        else if (strcmp(operation, "throttle") == 0) {
+            run->due_us += run->due_us > now ? run->due_us - now : 0;
+        }
+        else if (strcmp(operation, "checkpoint") == 0) {
+            run->due_us += CHECKPOINT_US;
+        }
+        else {
+            return false;
+        }
+        found = true;
+    }
+    return found;
+}
--- /dev/null
+++ b/standin/standin_target.c
@@ -0,0 +1,629 @@
+#include <argtable2.h>
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "common.h"
+#include "common_targets.h"
+#include "diag.h"
+#include "rng.h"
+#include "settings.h"
+
+#define MAX_CONTROLS 64
+#define ANNOUNCE_DEFAULT_MS 500
+#define ANNOUNCE_TIMEOUT_MS 2000
+/* Connections beyond those of callers, for the platform and the counts. */
+#define EXTRA_CONNECTIONS 16
+
+static Targets targets;
+static volatile sig_atomic_t stop_wanted;
+
+typedef struct Exchange {
+    Target *target;
+    Run run;
+    bool received;
+} Exchange;
+
+typedef struct Announcer {
+    pthread_t thread;
+    SettingsAddress control;
+    long interval_ms;
+} Announcer;
+
+static void
+handle_signal(int number)
+{
+    (void)number;
+    stop_wanted = 1;
+}
+
+static enum MHD_Result
+reply(struct MHD_Connection *connection, unsigned int status, const Run *run,
+      const char *outcome, const char *body, size_t len)
+{
+    struct MHD_Response *response = MHD_create_response_from_buffer(
+        len, (void *)(uintptr_t)body, MHD_RESPMEM_MUST_COPY);
+    enum MHD_Result result;
+
+    if (run != NULL) {
+        MHD_add_response_header(response, "Coltsfoot-Request-Id", run->id);
+        MHD_add_response_header(response, "Coltsfoot-Attempt", run->attempt);
+    }
+    if (outcome != NULL) {
+        MHD_add_response_header(response, "Coltsfoot-Outcome", outcome);
+    }
+    result = MHD_queue_response(connection, status, response);
+    MHD_destroy_response(response);
+    return result;
+}
+
+static enum MHD_Result
+reply_text(struct MHD_Connection *connection, unsigned int status,
+           const char *text)
+{
+    return reply(connection, status, NULL, NULL, text, strlen(text));
+}
+
+static enum MHD_Result
+reply_json(struct MHD_Connection *connection, json_t *json)
+{
+    char *text = json_dumps(json, JSON_COMPACT);
+    enum MHD_Result result = reply_text(connection, MHD_HTTP_OK, text);
+
+    free(text);
+    json_decref(json);
+    return result;
+}
+
+static void
+copy_header(struct MHD_Connection *connection, const char *name, char *out)
+{
+    const char *value =
+        MHD_lookup_connection_value(connection, MHD_HEADER_KIND, name);
+
+    snprintf(out, TARGET_TEXT_BYTES, "%s", value != NULL ? value : "");
+}
+
+static enum MHD_Result
+answer_run(struct MHD_Connection *connection, Exchange *exchange)
+{
+    Run *run = &exchange->run;
+    Buf out = BUF_INIT;
+    enum MHD_Result result;
+
+    if (run->stopped) {
+        return reply(connection, MHD_HTTP_INTERNAL_SERVER_ERROR, run,
+                     "stopped", "", 0);
+    }
+    if (exchange->target->fail_all) {
+        return reply(connection, MHD_HTTP_INTERNAL_SERVER_ERROR, run, "failed",
+                     "", 0);
+    }
+    Common_Answer(&out, run->service, run->caller, run->id, run->body.data,
+                  run->body.len);
+    result = reply(connection, MHD_HTTP_OK, run, "done", out.data, out.len);
+    Buf_Free(&out);
+    return result;
+}
+
+static enum MHD_Result
+start_run(struct MHD_Connection *connection, Exchange *exchange)
+{
+    Run *run = &exchange->run;
+    char deadline[TARGET_TEXT_BYTES];
+    bool started;
+
+    copy_header(connection, "Coltsfoot-Service", run->service);
+    copy_header(connection, "Coltsfoot-Caller", run->caller);
+    copy_header(connection, "Coltsfoot-Request-Id", run->id);
+    copy_header(connection, "Coltsfoot-Attempt", run->attempt);
+    copy_header(connection, "Coltsfoot-Deadline-Ms", deadline);
+    run->deadline_ms = strtol(deadline, NULL, 10);
+    run->connection = connection;
+    Targets_Lock(&targets);
+    started = Targets_Start(&targets, exchange->target, run);
+    if (started) {
+        MHD_suspend_connection(connection);
+    }
+    Targets_Unlock(&targets);
+    if (!started) {
+        return reply(connection, MHD_HTTP_SERVICE_UNAVAILABLE, run, "not-run",
+                     "", 0);
+    }
+    return MHD_YES;
+}
+
+static enum MHD_Result
+serve_task(struct MHD_Connection *connection, Target *target, const char *rest)
+{
+    char id[TARGET_TEXT_BYTES];
+    const char *slash = strrchr(rest, '/');
+    bool found;
+
+    if (slash == NULL || (size_t)(slash - rest) >= sizeof(id)) {
+        return reply_text(connection, MHD_HTTP_NOT_FOUND, "{}");
+    }
+    memcpy(id, rest, (size_t)(slash - rest));
+    id[slash - rest] = '\0';
+    Targets_Lock(&targets);
+    found = Targets_Task(target, id, slash + 1);
+    Targets_Unlock(&targets);
+    return reply_text(connection, found ? MHD_HTTP_OK : MHD_HTTP_NOT_FOUND,
+                      "{}");
+}
+
+static enum MHD_Result
+serve_platform(struct MHD_Connection *connection, Target *target,
+               const char *method, const char *operation)
+{
+    json_t *json;
+    const char *state = "up";
+
+    if (strncmp(operation, "tasks/", 6) == 0) {
+        return serve_task(connection, target, operation + 6);
+    }
+    Targets_Lock(&targets);
+    if (strcmp(operation, "drain") == 0 && strcmp(method, "POST") == 0) {
+        target->draining = true;
+    }
+    else if (strcmp(operation, "undrain") == 0 &&
+             strcmp(method, "POST") == 0) {
+        target->draining = false;
+    }
+    else if (strcmp(operation, "reboot") == 0 && strcmp(method, "POST") == 0) {
+        target->reboot_wanted = true;
+    }
+    else if (strcmp(operation, "state") != 0) {
+        Targets_Unlock(&targets);
+        return reply_text(connection, MHD_HTTP_NOT_FOUND, "{}");
+    }
+    if (target->reboot_wanted) {
+        state = "rebooting";
+    }
+    else if (target->draining) {
+        state = "draining";
+    }
+    else if (targets.leaving_us != 0) {
+        state = "leaving";
+    }
+    json = json_pack("{s:s,s:i,s:I}", "state", state, "in_flight",
+                     target->in_flight, "incarnation",
+                     (json_int_t)target->incarnation);
+    Targets_Unlock(&targets);
+    return reply_json(connection, json);
+}
+
+/* Changes the faults of one target while it runs. */
+static enum MHD_Result
+serve_set(struct MHD_Connection *connection, Target *target)
+{
+    const char *fail = MHD_lookup_connection_value(
+        connection, MHD_GET_ARGUMENT_KIND, "fail_all");
+    const char *slow = MHD_lookup_connection_value(
+        connection, MHD_GET_ARGUMENT_KIND, "slow_factor");
+
+    Targets_Lock(&targets);
+    if (fail != NULL) {
+        target->fail_all = strcmp(fail, "1") == 0;
+    }
+    if (slow != NULL) {
+        target->slow_factor = strtod(slow, NULL);
+    }
+    Targets_Unlock(&targets);
+    return reply_text(connection, MHD_HTTP_OK, "{}");
+}
+
+static enum MHD_Result
+serve(void *arg, struct MHD_Connection *connection, const char *url,
+      const char *method, const char *version, const char *upload,
+      size_t *upload_len, void **state)
+{
+    Exchange *exchange = *state;
+
+    (void)version;
+    if (exchange == NULL) {
+        exchange = calloc(1, sizeof(*exchange));
+        if (exchange == NULL) {
+            return MHD_NO;
+        }
+        exchange->target = arg;
+        *state = exchange;
+        return MHD_YES;
+    }
+    if (*upload_len > 0) {
+        Buf_Append(&exchange->run.body, upload, *upload_len);
+        *upload_len = 0;
+        return MHD_YES;
+    }
+    if (strcmp(url, "/run") == 0 && strcmp(method, "POST") == 0) {
+        if (exchange->received) {
+            return answer_run(connection, exchange);
+        }
+        exchange->received = true;
+        return start_run(connection, exchange);
+    }
+    if (strncmp(url, "/platform/", 10) == 0) {
+        return serve_platform(connection, arg, method, url + 10);
+    }
+    if (strcmp(url, "/standin/counts") == 0) {
+        json_t *json;
+        enum MHD_Result result;
+        Targets_Lock(&targets);
+        json = Targets_Counts(&targets);
+        result = reply_json(connection, json);
+        Targets_Unlock(&targets);
+        return result;
+    }
+    if (strcmp(url, "/standin/set") == 0 && strcmp(method, "POST") == 0) {
+        return serve_set(connection, arg);
+    }
+    return reply_text(connection, MHD_HTTP_NOT_FOUND, "{}");
+}
+
+static void
+request_done(void *arg, struct MHD_Connection *connection, void **state,
+             enum MHD_RequestTerminationCode code)
+{
+    Exchange *exchange = *state;
+
+    (void)connection;
+    (void)code;
+    if (exchange == NULL) {
+        return;
+    }
+    Targets_Lock(&targets);
+    if (!exchange->run.ended) {
+        Targets_End(arg, &exchange->run);
+    }
+    Targets_Unlock(&targets);
+    Buf_Free(&exchange->run.body);
+    free(exchange);
+    *state = NULL;
+}
+
+static bool
+start_target(Target *target)
+{
+    struct sockaddr_in address;
+    const TargetOptions *options = &targets.options;
+
+    memset(&address, 0, sizeof(address));
+    address.sin_family = AF_INET;
+    address.sin_port = htons((uint16_t)target->port);
+    inet_pton(AF_INET, options->host, &address.sin_addr);
+    target->daemon = MHD_start_daemon(
+        MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME,
+        (uint16_t)target->port, NULL, NULL, serve, target,
+        MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&address,
+        MHD_OPTION_CONNECTION_LIMIT,
+        (unsigned int)(options->connections + EXTRA_CONNECTIONS),
+        MHD_OPTION_NOTIFY_COMPLETED, request_done, target, MHD_OPTION_END);
+    if (target->daemon == NULL) {
+        Diag_Log(DIAG_ERROR, "target", "Cannot listen on %s:%d.",
+                 options->host, target->port);
+        return false;
+    }
+    return true;
+}
+
+/* Answers the runs that are due, or all of them before a reboot. */
+static void
+end_due_runs(Target *target, int64_t now, bool all)
+{
+    Run *run = target->runs;
+
+    while (run != NULL) {
+        Run *next = run->next;
+        if (all || run->due_us <= now) {
+            run->stopped = run->stopped || (all && run->due_us > now);
+            Targets_End(target, run);
+            MHD_resume_connection(run->connection);
+        }
+        run = next;
+    }
+}
+
+/* Moves a reboot forward. The lock is released while the server stops, since
+ * its thread may wait for the lock. */
+static void
+step_reboot(Target *target, int64_t now)
+{
+    struct MHD_Daemon *daemon = target->daemon;
+
+    if (!target->reboot_wanted) {
+        return;
+    }
+    if (daemon != NULL) {
+        struct timespec pause = {0, 20000000};
+        target->up_at_us = now + (int64_t)targets.options.reboot_ms * 1000;
+        end_due_runs(target, now, true);
+        target->daemon = NULL;
+        Targets_Unlock(&targets);
+        /* Lets the answer to the reboot request leave. */
+        nanosleep(&pause, NULL);
+        MHD_stop_daemon(daemon);
+        Targets_Lock(&targets);
+    }
+    else if (now >= target->up_at_us && start_target(target)) {
+        int64_t wall = Common_WallMs();
+        target->incarnation =
+            wall > target->incarnation ? wall : target->incarnation + 1;
+        target->reboot_wanted = false;
+        target->draining = false;
+        pthread_cond_broadcast(&targets.changed);
+    }
+}
+
+static void
+announce(CURL *curl, Announcer *announcer, const char *body, const char *name)
+{
+    char url[2 * SETTINGS_HOST_BYTES + TARGET_TEXT_BYTES];
+    Buf answer = BUF_INIT;
+    json_t *json;
+    json_t *interval;
+
+    (void)name;
+    snprintf(url, sizeof(url), "http://%s:%d/v1/targets",
+             announcer->control.host, announcer->control.port);
+    if (Common_Http(curl, "POST", url, body, ANNOUNCE_TIMEOUT_MS, &answer) ==
+        200) {
+        json = json_loadb(answer.data, answer.len, 0, NULL);
+        interval = json_object_get(json, "interval_ms");
+        if (json_is_integer(interval) && json_integer_value(interval) > 0) {
+            announcer->interval_ms = (long)json_integer_value(interval);
+        }
+        json_decref(json);
+    }
+    Buf_Free(&answer);
+}
+
+static void
+withdraw(CURL *curl, const Announcer *announcer, const char *name)
+{
+    char url[2 * SETTINGS_HOST_BYTES + TARGET_TEXT_BYTES];
+    Buf answer = BUF_INIT;
+
+    snprintf(url, sizeof(url), "http://%s:%d/v1/targets/%s",
+             announcer->control.host, announcer->control.port, name);
+    Common_Http(curl, "DELETE", url, NULL, ANNOUNCE_TIMEOUT_MS, &answer);
+    Buf_Free(&answer);
+}
+
+/* Announces all targets to one control port; one thread for each port, so
+ * that a frozen entry VM does not delay the others. */
+static void *
+run_announcer(void *arg)
+{
+    Announcer *announcer = arg;
+    CURL *curl = curl_easy_init();
+    bool ended = false;
+    int i;
+
+    while (!ended) {
+        struct timespec until;
+        long interval;
+        for (i = 0; i < targets.options.count; i++) {
+            Target *target = &targets.list[i];
+            char *body = NULL;
+            Targets_Lock(&targets);
+            if (target->daemon != NULL) {
+                body = Targets_Announcement(&targets, target);
+            }
+            ended = targets.ended;
+            Targets_Unlock(&targets);
+            if (ended) {
+                free(body);
+                break;
+            }
+            if (body != NULL) {
+                announce(curl, announcer, body, target->name);
+            }
+            free(body);
+        }
+        Targets_Lock(&targets);
+        interval = announcer->interval_ms;
+        clock_gettime(CLOCK_REALTIME, &until);
+        until.tv_nsec += (interval % 1000) * 1000000;
+        until.tv_sec += interval / 1000 + until.tv_nsec / 1000000000;
+        until.tv_nsec %= 1000000000;
+        if (!targets.ended) {
+            pthread_cond_timedwait(&targets.changed, &targets.mutex, &until);
+        }
+        ended = targets.ended;
+        Targets_Unlock(&targets);
+    }
+    for (i = 0; i < targets.options.count; i++) {
+        withdraw(curl, announcer, targets.list[i].name);
+    }
+    curl_easy_cleanup(curl);
+    return NULL;
+}
+
+static void
+run_targets(void)
+{
+    struct timespec pause = {0, 500000};
+    bool ended = false;
+
+    while (!ended) {
+        int64_t now = Common_NowUs();
+        int i;
+        Targets_Lock(&targets);
+        for (i = 0; i < targets.options.count; i++) {
+            end_due_runs(&targets.list[i], now, false);
+            step_reboot(&targets.list[i], now);
+        }
+        if (stop_wanted && targets.leaving_us == 0) {
+            targets.leaving_us = now;
+            pthread_cond_broadcast(&targets.changed);
+        }
+        ended = targets.leaving_us != 0 &&
+                now - targets.leaving_us >=
+                    (int64_t)targets.options.leave_ms * 1000 &&
+                Targets_InFlight(&targets) == 0;
+        for (i = 0; ended && i < targets.options.count; i++) {
+            targets.list[i].draining = true;
+        }
+        Targets_Unlock(&targets);
+        nanosleep(&pause, NULL);
+    }
+}
+
+static void
+print_counts(void)
+{
+    json_t *json = Targets_Counts(&targets);
+    char *text;
+
+    json_object_del(json, "by_id");
+    json_object_del(json, "by_caller");
+    text = json_dumps(json, JSON_COMPACT);
+    printf("%s\n", text);
+    free(text);
+    json_decref(json);
+}
+
+static int
+serve_until_stopped(Announcer *announcers, int count)
+{
+    int i;
+
+    for (i = 0; i < targets.options.count; i++) {
+        if (!start_target(&targets.list[i])) {
+            return EXIT_FAILURE;
+        }
+    }
+    for (i = 0; i < count; i++) {
+        announcers[i].interval_ms = ANNOUNCE_DEFAULT_MS;
+        pthread_create(&announcers[i].thread, NULL, run_announcer,
+                       &announcers[i]);
+    }
+    Diag_Log(DIAG_INFO, "target", "Serving %d targets from port %d.",
+             targets.options.count, targets.options.port);
+    run_targets();
+    Targets_Lock(&targets);
+    targets.ended = true;
+    pthread_cond_broadcast(&targets.changed);
+    Targets_Unlock(&targets);
+    for (i = 0; i < count; i++) {
+        pthread_join(announcers[i].thread, NULL);
+    }
+    for (i = 0; i < targets.options.count; i++) {
+        if (targets.list[i].daemon != NULL) {
+            MHD_stop_daemon(targets.list[i].daemon);
+        }
+    }
+    print_counts();
+    return EXIT_SUCCESS;
+}
+
+static int
+int_or(const struct arg_int *arg, int fallback)
+{
+    return arg->count > 0 ? arg->ival[0] : fallback;
+}
+
+static const char *
+text_or(const struct arg_str *arg, const char *fallback)
+{
+    return arg->count > 0 ? arg->sval[0] : fallback;
+}
+
+int
+main(int argc, char **argv)
+{
+    struct arg_str *control =
+        arg_strn(NULL, "control", "IP:PORT", 0, MAX_CONTROLS,
+                 "control port of an entry VM; repeatable");
+    struct arg_str *listen_at =
+        arg_str1(NULL, "listen", "IP:PORT", "address of the first target");
+    struct arg_int *count =
+        arg_int0(NULL, "count", "N", "targets on consecutive ports (1)");
+    struct arg_str *name = arg_str0(NULL, "name", "NAME", "name or prefix");
+    struct arg_str *centre = arg_str0(NULL, "data-centre", "NAME", NULL);
+    struct arg_str *rack = arg_str0(NULL, "rack", "NAME", "name or prefix");
+    struct arg_str *pool =
+        arg_str0(NULL, "pool", "NAME", "pool named in announcements");
+    struct arg_int *per_rack =
+        arg_int0(NULL, "per-rack", "N", "targets in one rack (4)");
+    struct arg_int *slots = arg_int0(NULL, "slots", "N", "(8)");
+    struct arg_int *connections = arg_int0(NULL, "connections", "N", "(64)");
+    struct arg_int *run_ms =
+        arg_int0(NULL, "run-ms", "MS", "run time of a request (10)");
+    struct arg_lit *from_body = arg_lit0(
+        NULL, "run-from-body", "take the run time from \"run_us=NNN;\"");
+    struct arg_lit *fail_all =
+        arg_lit0(NULL, "fail-all", "answer 500 to every request at once");
+    struct arg_dbl *slow =
+        arg_dbl0(NULL, "slow-factor", "X", "factor on run times (1)");
+    struct arg_int *late = arg_int0(NULL, "late-percent", "P",
+                                    "answers later than the deadline (0)");
+    struct arg_int *reboot_ms =
+        arg_int0(NULL, "reboot-ms", "MS", "time of a reboot (300)");
+    struct arg_int *leave_ms =
+        arg_int0(NULL, "leave-ms", "MS", "shortest stay after SIGTERM (2500)");
+    struct arg_int *seed = arg_int0(NULL, "seed", "N", "(1)");
+    struct arg_lit *help = arg_lit0(NULL, "help", "print this text");
+    struct arg_end *end = arg_end(20);
+    void *table[] = {control,   listen_at, count,    name,  centre,
+                     rack,      pool,      per_rack, slots, connections,
+                     run_ms,    from_body, fail_all, slow,  late,
+                     reboot_ms, leave_ms,  seed,     help,  end};
+    Announcer announcers[MAX_CONTROLS];
+    SettingsAddress address;
+    TargetOptions options;
+    struct sigaction action;
+    int errors = arg_parse(argc, argv, table);
+    int i;
+
+    if (help->count > 0) {
+        arg_print_syntax(stdout, table, "\n");
+        arg_print_glossary(stdout, table, "  %-26s %s\n");
+        return EXIT_SUCCESS;
+    }
+    if (errors > 0 || !Settings_ParseAddress(listen_at->sval[0], &address)) {
+        arg_print_errors(stderr, end, "standin-target");
+        return 2;
+    }
+    memset(announcers, 0, sizeof(announcers));
+    for (i = 0; i < control->count; i++) {
+        if (!Settings_ParseAddress(control->sval[i], &announcers[i].control)) {
+            fprintf(stderr, "standin-target: bad address %s\n",
+                    control->sval[i]);
+            return 2;
+        }
+    }
+    memset(&options, 0, sizeof(options));
+    options.host = address.host;
+    options.port = address.port;
+    options.name = text_or(name, "target");
+    options.data_centre = text_or(centre, "north");
+    options.rack = text_or(rack, "rack");
+    options.pool = text_or(pool, NULL);
+    options.count = int_or(count, 1);
+    options.per_rack = int_or(per_rack, 4);
+    options.slots = int_or(slots, 8);
+    options.connections = int_or(connections, 64);
+    options.cores = 16;
+    options.memory_mb = 32768;
+    options.run_ms = int_or(run_ms, 10);
+    options.reboot_ms = int_or(reboot_ms, 300);
+    options.leave_ms = int_or(leave_ms, 2500);
+    options.late_percent = int_or(late, 0);
+    options.run_from_body = from_body->count > 0;
+    options.fail_all = fail_all->count > 0;
+    options.slow_factor = slow->count > 0 ? slow->dval[0] : 1.0;
+    options.seed = (uint64_t)int_or(seed, 1);
+    Diag_Init("standin-target", DIAG_INFO);
+    curl_global_init(CURL_GLOBAL_ALL);
+    Targets_Init(&targets, &options);
+    memset(&action, 0, sizeof(action));
+    action.sa_handler = handle_signal;
+    sigaction(SIGTERM, &action, NULL);
+    sigaction(SIGINT, &action, NULL);
+    return serve_until_stopped(announcers, control->count);
+}
