--- a/src/httpclient.c
+++ b/src/httpclient.c
@@ -217,6 +217,7 @@
         return;
     }
     while (client->calls != NULL) {
+        client->calls->previous = NULL;
         free_call(client->calls);
     }
     curl_multi_cleanup(client->multi);
