--- a/src/httpclient.c
+++ b/src/httpclient.c
@@ -213,12 +213,17 @@
 void
 HttpClient_Free(HttpClient *client)
 {
+    HttpCall *call;
+    HttpCall *next;
+
     if (client == NULL) {
         return;
     }
-    while (client->calls != NULL) {
-        client->calls->previous = NULL;
-        free_call(client->calls);
+    for (call = client->calls; call != NULL; call = next) {
+        next = call->next;
+        call->next = NULL;
+        call->previous = NULL;
+        free_call(call);
     }
     curl_multi_cleanup(client->multi);
     Loop_FreeTimer(client->timer);
--- /dev/null
+++ b/src/oncelog.c
@@ -0,0 +1,331 @@
+#include "oncelog.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <apr_pools.h>
+#include <apr_thread_mutex.h>
+#include <apr_thread_proc.h>
+
+#include "buf.h"
+#include "diag.h"
+#include "loop.h"
+#include "once.h"
+
+#define ONCELOG_PART "once"
+#define ONCELOG_PREFIX "once-"
+#define ONCELOG_NAME_BYTES 64
+#define ONCELOG_MAX_FILES 64
+#define ONCELOG_TICK_MS 1000
+
+typedef struct LogFile {
+    uint64_t number;
+    int64_t last_append_ms;
+} LogFile;
+
+struct OnceLog {
+    OnceLogOptions options;
+    apr_pool_t *pool;
+    apr_thread_mutex_t *mutex; /* guards pending, cookies and failed */
+    apr_thread_t *thread;
+    Loop *loop;
+    LoopTimer *timer;
+    Buf pending;
+    uint64_t *cookies;
+    size_t cookie_count;
+    size_t cookie_capacity;
+    bool failed;
+    LogFile files[ONCELOG_MAX_FILES]; /* the last one is written to */
+    size_t file_count;
+    int64_t opened_ms; /* of the last file */
+};
+
+static void
+file_name(uint64_t number, char *name)
+{
+    snprintf(name, ONCELOG_NAME_BYTES, ONCELOG_PREFIX "%010" PRIu64 ".log",
+             number);
+}
+
+static void
+visit_file(void *arg, const char *name)
+{
+    OnceLog *log = arg;
+    char expected[ONCELOG_NAME_BYTES];
+    uint64_t number;
+
+    if (strncmp(name, ONCELOG_PREFIX, sizeof(ONCELOG_PREFIX) - 1) != 0) {
+        return;
+    }
+    number = strtoull(name + sizeof(ONCELOG_PREFIX) - 1, NULL, 10);
+    file_name(number, expected);
+    if (strcmp(name, expected) == 0 && log->file_count < ONCELOG_MAX_FILES) {
+        log->files[log->file_count++] = (LogFile){number, Loop_NowMs()};
+    }
+}
+
+static int
+compare_files(const void *a, const void *b)
+{
+    const LogFile *left = a;
+    const LogFile *right = b;
+
+    return (left->number > right->number) - (left->number < right->number);
+}
+
+static Status
+recover_file(OnceLog *log, const LogFile *file, ErrCtx *err)
+{
+    const OnceLogOptions *options = &log->options;
+    char name[ONCELOG_NAME_BYTES];
+    Buf bytes = BUF_INIT;
+    size_t valid = 0;
+    Status status;
+
+    file_name(file->number, name);
+    status = Storage_Read(options->storage, name, &bytes, err);
+    if (status == ST_OK) {
+        status = options->recover(options->arg, name,
+                                  bytes.data != NULL ? bytes.data : "",
+                                  bytes.len, &valid, err);
+    }
+    if (status == ST_OK && valid < bytes.len) {
+        Diag_Log(DIAG_WARNING, ONCELOG_PART,
+                 "Cut a torn record at offset %zu of %s.", valid, name);
+        status = Storage_Truncate(options->storage, name, valid, err);
+    }
+    Buf_Free(&bytes);
+    return status;
+}
+
+static Status
+recover_files(OnceLog *log, ErrCtx *err)
+{
+    uint64_t next = 1;
+    size_t i;
+    Status status = Storage_List(log->options.storage, visit_file, log, err);
+
+    qsort(log->files, log->file_count, sizeof(log->files[0]), compare_files);
+    for (i = 0; status == ST_OK && i < log->file_count; i++) {
+        status = recover_file(log, &log->files[i], err);
+        next = log->files[i].number + 1;
+    }
+    if (status == ST_OK && log->file_count == ONCELOG_MAX_FILES) {
+        status = Err_Set(err, ST_FULL, "more than %d files of records",
+                         ONCELOG_MAX_FILES - 1);
+    }
+    if (status == ST_OK) {
+        log->files[log->file_count++] = (LogFile){next, Loop_NowMs()};
+        log->opened_ms = Loop_NowMs();
+    }
+    return status;
+}
+
+/* Takes what is queued. Returns the count of records with a cookie. */
+static size_t
+take_pending(OnceLog *log, Buf *bytes, uint64_t **cookies)
+{
+    size_t count;
+
+    apr_thread_mutex_lock(log->mutex);
+    *bytes = log->pending;
+    *cookies = log->cookies;
+    count = log->cookie_count;
+    log->pending = (Buf)BUF_INIT;
+    log->cookies = NULL;
+    log->cookie_count = 0;
+    log->cookie_capacity = 0;
+    apr_thread_mutex_unlock(log->mutex);
+    return count;
+}
+
+static bool
+write_bytes(OnceLog *log, const Buf *bytes)
+{
+    LogFile *file = &log->files[log->file_count - 1];
+    char name[ONCELOG_NAME_BYTES];
+    ErrCtx err = {0};
+
+    if (log->failed) {
+        return false;
+    }
+    file_name(file->number, name);
+    if (Storage_Append(log->options.storage, name, bytes->data, bytes->len,
+                       &err) != ST_OK ||
+        Storage_Sync(log->options.storage, name, &err) != ST_OK) {
+        Diag_Log(DIAG_ERROR, ONCELOG_PART, "Records are no longer kept: %s.",
+                 err.message);
+        apr_thread_mutex_lock(log->mutex);
+        log->failed = true;
+        apr_thread_mutex_unlock(log->mutex);
+        return false;
+    }
+    file->last_append_ms = Loop_NowMs();
+    return true;
+}
+
+static bool
+write_pending(void *arg)
+{
+    OnceLog *log = arg;
+    Buf bytes = BUF_INIT;
+    uint64_t *cookies;
+    size_t count = take_pending(log, &bytes, &cookies);
+    size_t i;
+    bool more = bytes.len > 0;
+
+    if (more) {
+        bool ok = write_bytes(log, &bytes);
+        for (i = 0; i < count; i++) {
+            log->options.done(log->options.arg, cookies[i], ok);
+        }
+    }
+    Buf_Free(&bytes);
+    free(cookies);
+    return more;
+}
+
+static void
+drop_oldest(OnceLog *log)
+{
+    char name[ONCELOG_NAME_BYTES];
+    ErrCtx err = {0};
+
+    file_name(log->files[0].number, name);
+    if (Storage_Remove(log->options.storage, name, &err) != ST_OK &&
+        err.status != ST_NOT_FOUND) {
+        Diag_Log(DIAG_WARNING, ONCELOG_PART, "%s stays: %s.", name,
+                 err.message);
+    }
+    log->file_count--;
+    memmove(log->files, log->files + 1,
+            log->file_count * sizeof(log->files[0]));
+}
+
+static void
+on_tick(void *arg)
+{
+    OnceLog *log = arg;
+    int64_t now = Loop_NowMs();
+
+    while (log->file_count > 1 &&
+           now - log->files[0].last_append_ms > ONCE_RETENTION_MS) {
+        drop_oldest(log);
+    }
+    if (now - log->opened_ms > ONCE_RETENTION_MS &&
+        log->file_count < ONCELOG_MAX_FILES) {
+        uint64_t next = log->files[log->file_count - 1].number + 1;
+        log->files[log->file_count++] = (LogFile){next, now};
+        log->opened_ms = now;
+    }
+}
+
+static void *APR_THREAD_FUNC
+run_thread(apr_thread_t *thread, void *arg)
+{
+    OnceLog *log = arg;
+
+    (void)thread;
+    Loop_Run(log->loop);
+    write_pending(log);
+    return NULL;
+}
+
+Status
+OnceLog_New(const OnceLogOptions *options, OnceLog **out, ErrCtx *err)
+{
+    OnceLog *log = calloc(1, sizeof(*log));
+    Status status;
+
+    if (log == NULL || apr_pool_create(&log->pool, NULL) != APR_SUCCESS) {
+        free(log);
+        return Err_Set(err, ST_NO_MEMORY, "no memory for records");
+    }
+    log->options = *options;
+    apr_thread_mutex_create(&log->mutex, APR_THREAD_MUTEX_DEFAULT, log->pool);
+    log->loop = Loop_New(err);
+    status = log->loop != NULL ? recover_files(log, err) : ST_IO;
+    if (status == ST_OK) {
+        log->timer = Loop_NewTimer(log->loop, on_tick, log);
+        Loop_Arm(log->timer, ONCELOG_TICK_MS, ONCELOG_TICK_MS);
+        Loop_AddPoll(log->loop, write_pending, log);
+        if (apr_thread_create(&log->thread, NULL, run_thread, log,
+                              log->pool) != APR_SUCCESS) {
+            status = Err_Set(err, ST_IO,
+                             "the thread of the records cannot "
+                             "be started");
+        }
+    }
+    if (status != ST_OK) {
+        OnceLog_Free(log);
+        return status;
+    }
+    *out = log;
+    return ST_OK;
+}
+
+static void
+add_cookie(OnceLog *log, uint64_t cookie)
+{
+    if (cookie == 0) {
+        return;
+    }
+    if (log->cookie_count == log->cookie_capacity) {
+        size_t capacity = log->cookie_capacity ? log->cookie_capacity * 2 : 64;
+        uint64_t *cookies = realloc(log->cookies, capacity * sizeof(*cookies));
+        if (cookies == NULL) {
+            abort();
+        }
+        log->cookies = cookies;
+        log->cookie_capacity = capacity;
+    }
+    log->cookies[log->cookie_count++] = cookie;
+}
+
+static void
+wake(void *arg)
+{
+    (void)arg;
+}
+
+Status
+OnceLog_Append(OnceLog *log, uint64_t cookie, const char *record, size_t len)
+{
+    bool first;
+
+    apr_thread_mutex_lock(log->mutex);
+    if (log->failed) {
+        apr_thread_mutex_unlock(log->mutex);
+        return ST_IO;
+    }
+    first = log->pending.len == 0;
+    Buf_Append(&log->pending, record, len);
+    add_cookie(log, cookie);
+    apr_thread_mutex_unlock(log->mutex);
+    if (first) {
+        Loop_Post(log->loop, wake, NULL);
+    }
+    return ST_OK;
+}
+
+void
+OnceLog_Free(OnceLog *log)
+{
+    apr_status_t result;
+
+    if (log == NULL) {
+        return;
+    }
+    if (log->thread != NULL) {
+        Loop_Stop(log->loop);
+        apr_thread_join(&result, log->thread);
+    }
+    Storage_Close(log->options.storage);
+    Loop_Free(log->loop);
+    Buf_Free(&log->pending);
+    free(log->cookies);
+    apr_pool_destroy(log->pool);
+    free(log);
+}
