--- /dev/null
+++ b/src/statepath.h
@@ -0,0 +1,83 @@
+/*
+ * NAME
+ *     statepath - configuration paths and the values they accept
+ *
+ * DESCRIPTION
+ *     The paths that a patch may set or delete:
+ *     pools/NAME/max_unavailable|min_size|spare|service,
+ *     services/NAME/pool|short_ms|slo_ms|slo_percent|max_queue,
+ *     teams/NAME/quota and limits/NAME. pools/NAME/vms/VM with the value
+ *     "move" asks for a move of VM to the pool NAME. A delete may also name
+ *     a whole pool, service or team. Names are 1 to 63 of the characters
+ *     A-Z a-z 0-9 . _ - and do not begin with a dot.
+ */
+#ifndef COLTSFOOT_STATEPATH_H
+#define COLTSFOOT_STATEPATH_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#define STATE_NAME_BYTES 64
+/* Holds the longest path, pools/NAME/vms/NAME. */
+#define STATE_PATH_BYTES 160
+#define STATE_VALUE_BYTES 64
+#define STATE_REASON_BYTES 160
+
+typedef enum StateSection {
+    STATE_POOLS,
+    STATE_SERVICES,
+    STATE_TEAMS,
+    STATE_LIMITS
+} StateSection;
+
+typedef enum StateValueKind {
+    STATE_VALUE_INTEGER,
+    STATE_VALUE_BOOL,
+    STATE_VALUE_NAME,    /* may be empty */
+    STATE_VALUE_PERCENT, /* up to three decimals, held in thousandths */
+    STATE_VALUE_MOVE
+} StateValueKind;
+
+/* One field of a section; offset is that of its member in the row. */
+typedef struct StateField {
+    StateSection section;
+    const char *name;
+    StateValueKind kind;
+    int64_t fallback;
+    int64_t min;
+    int64_t max;
+    size_t offset;
+} StateField;
+
+typedef struct StatePath {
+    StateSection section;
+    char name[STATE_NAME_BYTES];
+    const StateField *field;   /* NULL for a whole row or a limit */
+    char vm[STATE_NAME_BYTES]; /* of pools/NAME/vms/VM, otherwise empty */
+} StatePath;
+
+typedef struct StateValue {
+    int64_t number;
+    char name[STATE_NAME_BYTES];
+} StateValue;
+
+/* Returns whether text of len bytes is a valid name. */
+bool StatePath_IsName(const char *text, size_t len);
+
+/* Returns the table of fields, ordered by section, and its length. */
+const StateField *StatePath_Fields(size_t *count);
+
+/* Returns the section's name in a path. */
+const char *StatePath_SectionName(StateSection section);
+
+/* Parses a path for a set, or for a delete. Returns false and a reason of
+ * at most STATE_REASON_BYTES when the path may not be used so. */
+bool StatePath_Parse(const char *text, bool is_delete, StatePath *path,
+                     char *reason);
+
+/* Parses the value for a path. Returns false and a reason when refused. */
+bool StatePath_ParseValue(const StatePath *path, const char *text,
+                          StateValue *value, char *reason);
+
+#endif
