Add the replicated state machine, its commands and patches

The daemon needs one deterministic owner of configuration, VM assignment, members, budget shares and waves. APR's hash was ruled out for the indexes, since the memory of removed entries stays in its pool; strmap reuses it. The unpacker of msgpack-c was ruled out for decoding, since it allocates what an array header claims before it sees the items; mpread allocates nothing.

A share is held as two totals that only rise, granted and released, so that a repeated release changes nothing.

--- /dev/null
+++ b/src/patch.c
@@ -0,0 +1,239 @@
+#include "patch.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "state.h"
+#include "strmap.h"
+#include "yaml_tree.h"
+
+static void
+read_base(const YamlNode *root, PatchText *patch, Findings *findings)
+{
+    const YamlNode *node = YamlNode_Find(root, "base");
+    long long base = -1;
+
+    if (node == NULL) {
+        Findings_Add(findings, 0, "base",
+                     "is missing; it is the version the "
+                     "patch was written against");
+        return;
+    }
+    if (!YamlNode_Integer(node, &base) || base < 0) {
+        Findings_Add(findings, YamlNode_Line(node), "base",
+                     "must be a whole number of at least 0");
+        return;
+    }
+    patch->base = (uint64_t)base;
+}
+
+static void
+read_name(const YamlNode *root, const char *key, char *out, Findings *findings)
+{
+    const YamlNode *node = YamlNode_Find(root, key);
+    const char *text;
+
+    if (node == NULL) {
+        Findings_Add(findings, 0, key, "is missing");
+        return;
+    }
+    text = YamlNode_Text(node);
+    if (!StatePath_IsName(text, strlen(text))) {
+        Findings_Add(findings, YamlNode_Line(node), key,
+                     "must be a name of 1 to 63 of A-Z a-z 0-9 . _ -");
+        return;
+    }
+    snprintf(out, STATE_NAME_BYTES, "%s", text);
+}
+
+/* Adds an edit whose path is valid; value is NULL for a delete. */
+static void
+add_edit(PatchText *patch, StrMap *seen, size_t line, const char *path,
+         const char *value, Findings *findings)
+{
+    char reason[STATE_REASON_BYTES] = "";
+    StatePath parsed;
+    StateValue number;
+    PatchEdit *edit = &patch->edits[patch->edit_count];
+
+    if (!StatePath_Parse(path, value == NULL, &parsed, reason) ||
+        (value != NULL &&
+         !StatePath_ParseValue(&parsed, value, &number, reason))) {
+        Findings_Add(findings, line, path, "%s", reason);
+        return;
+    }
+    if (StrMap_Get(seen, path) != NULL) {
+        Findings_Add(findings, line, path, "stands twice in the patch");
+        return;
+    }
+    edit->is_delete = value == NULL;
+    snprintf(edit->path, sizeof(edit->path), "%s", path);
+    snprintf(edit->value, sizeof(edit->value), "%s",
+             value != NULL ? value : "");
+    StrMap_Put(seen, edit->path, edit);
+    patch->edit_count++;
+}
+
+static void
+read_set(const YamlNode *set, PatchText *patch, StrMap *seen,
+         Findings *findings)
+{
+    size_t i;
+
+    if (set == NULL) {
+        return;
+    }
+    if (YamlNode_Kind(set) != YAML_MAP) {
+        Findings_Add(findings, YamlNode_Line(set), "set",
+                     "must be a map of path to value");
+        return;
+    }
+    for (i = 0; i < YamlNode_Count(set); i++) {
+        const YamlNode *value = YamlNode_Item(set, i);
+        if (YamlNode_Kind(value) != YAML_SCALAR) {
+            Findings_Add(findings, YamlNode_Line(value), YamlNode_Key(set, i),
+                         "the value must be a scalar");
+            continue;
+        }
+        add_edit(patch, seen, YamlNode_KeyLine(set, i), YamlNode_Key(set, i),
+                 YamlNode_Text(value), findings);
+    }
+}
+
+static void
+read_delete(const YamlNode *list, PatchText *patch, StrMap *seen,
+            Findings *findings)
+{
+    size_t i;
+
+    if (list == NULL) {
+        return;
+    }
+    if (YamlNode_Kind(list) != YAML_LIST) {
+        Findings_Add(findings, YamlNode_Line(list), "delete",
+                     "must be a list of paths");
+        return;
+    }
+    for (i = 0; i < YamlNode_Count(list); i++) {
+        const YamlNode *item = YamlNode_Item(list, i);
+        add_edit(patch, seen, YamlNode_Line(item), YamlNode_Text(item), NULL,
+                 findings);
+    }
+}
+
+/* Reports edits below a row that the same patch deletes as a whole. */
+static void
+check_overlap(const PatchText *patch, const StrMap *seen, Findings *findings)
+{
+    size_t i;
+
+    for (i = 0; i < patch->edit_count; i++) {
+        char row[STATE_PATH_BYTES];
+        char *slash;
+        snprintf(row, sizeof(row), "%s", patch->edits[i].path);
+        slash = strchr(row, '/');
+        slash = slash != NULL ? strchr(slash + 1, '/') : NULL;
+        if (slash == NULL) {
+            continue;
+        }
+        *slash = '\0';
+        if (StrMap_Get(seen, row) != NULL) {
+            Findings_Add(findings, 0, patch->edits[i].path,
+                         "the patch deletes %s as a whole", row);
+        }
+    }
+}
+
+static void
+check_keys(const YamlNode *root, Findings *findings)
+{
+    static const char *const known[] = {"base", "operator", "request_id",
+                                        "set", "delete"};
+    size_t i;
+    size_t k;
+
+    for (i = 0; i < YamlNode_Count(root); i++) {
+        for (k = 0; k < sizeof(known) / sizeof(known[0]); k++) {
+            if (strcmp(YamlNode_Key(root, i), known[k]) == 0) {
+                break;
+            }
+        }
+        if (k == sizeof(known) / sizeof(known[0])) {
+            Findings_Add(findings, YamlNode_KeyLine(root, i),
+                         YamlNode_Key(root, i), "unknown key");
+        }
+    }
+}
+
+static size_t
+count_of(const YamlNode *node)
+{
+    return node != NULL ? YamlNode_Count(node) : 0;
+}
+
+static void
+read_patch(const YamlNode *root, PatchText *patch, Findings *findings)
+{
+    const YamlNode *set = YamlNode_Find(root, "set");
+    const YamlNode *list = YamlNode_Find(root, "delete");
+    size_t count = count_of(set) + count_of(list);
+    StrMap *seen;
+
+    check_keys(root, findings);
+    read_base(root, patch, findings);
+    read_name(root, "operator", patch->operator_name, findings);
+    read_name(root, "request_id", patch->request_id, findings);
+    if (count == 0 || count > STATE_MAX_EDITS) {
+        Findings_Add(findings, 0, "set",
+                     "a patch needs 1 to %d edits in set and delete, not %zu",
+                     STATE_MAX_EDITS, count);
+        return;
+    }
+    patch->edits = calloc(count, sizeof(*patch->edits));
+    if (patch->edits == NULL) {
+        abort();
+    }
+    seen = StrMap_New();
+    read_set(set, patch, seen, findings);
+    read_delete(list, patch, seen, findings);
+    check_overlap(patch, seen, findings);
+    StrMap_Free(seen);
+}
+
+PatchText *
+Patch_Parse(const char *text, size_t len, Findings *findings)
+{
+    size_t before = Findings_Count(findings);
+    YamlTree *tree = YamlTree_Parse(text, len, findings);
+    const YamlNode *root = tree != NULL ? YamlTree_Root(tree) : NULL;
+    PatchText *patch;
+
+    if (root == NULL || YamlNode_Kind(root) != YAML_MAP) {
+        if (Findings_Count(findings) == before) {
+            Findings_Add(findings, 0, "", "a patch must be a map");
+        }
+        YamlTree_Free(tree);
+        return NULL;
+    }
+    patch = calloc(1, sizeof(*patch));
+    if (patch == NULL) {
+        abort();
+    }
+    read_patch(root, patch, findings);
+    YamlTree_Free(tree);
+    if (Findings_Count(findings) > before) {
+        Patch_Free(patch);
+        return NULL;
+    }
+    return patch;
+}
+
+void
+Patch_Free(PatchText *patch)
+{
+    if (patch != NULL) {
+        free(patch->edits);
+        free(patch);
+    }
+}
--- a/src/state.h
+++ b/src/state.h
@@ -58,6 +58,7 @@
 
 typedef struct StatePool {
     char name[STATE_NAME_BYTES];
+    uint64_t number; /* log index of its creation */
     int64_t max_unavailable;
     int64_t min_size;
     int64_t spare;                  /* 0 or 1 */
--- /dev/null
+++ b/src/state_history.c
@@ -0,0 +1,119 @@
+#include "state_impl.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static StatePathRow *
+add_path(State *state, const char *path)
+{
+    StatePathRow *row = StrMap_Get(state->paths, path);
+
+    if (row == NULL) {
+        row = StateImpl_Allocate(1, sizeof(*row));
+        snprintf(row->path, sizeof(row->path), "%s", path);
+        StrMap_Put(state->paths, row->path, row);
+    }
+    return row;
+}
+
+/* Takes a row out of the list of deletions. */
+static void
+unlink_deletion(State *state, StatePathRow *row)
+{
+    if (row->older != NULL) {
+        row->older->newer = row->newer;
+    }
+    else {
+        state->oldest_deletion = row->newer;
+    }
+    if (row->newer != NULL) {
+        row->newer->older = row->older;
+    }
+    else {
+        state->newest_deletion = row->older;
+    }
+    row->older = NULL;
+    row->newer = NULL;
+    row->deleted = false;
+    state->deletion_count--;
+}
+
+void
+StateImpl_MarkSet(State *state, const char *path, uint64_t version)
+{
+    StatePathRow *row = add_path(state, path);
+
+    if (row->deleted) {
+        unlink_deletion(state, row);
+    }
+    row->version = version;
+}
+
+void
+StateImpl_MarkDeleted(State *state, const char *path, uint64_t version)
+{
+    StatePathRow *row = add_path(state, path);
+
+    if (row->deleted) {
+        unlink_deletion(state, row);
+    }
+    row->version = version;
+    row->deleted = true;
+    row->older = state->newest_deletion;
+    if (row->older != NULL) {
+        row->older->newer = row;
+    }
+    else {
+        state->oldest_deletion = row;
+    }
+    state->newest_deletion = row;
+    state->deletion_count++;
+    if (state->deletion_count > STATE_DELETIONS) {
+        StatePathRow *oldest = state->oldest_deletion;
+        state->deletion_floor = oldest->version;
+        unlink_deletion(state, oldest);
+        StrMap_Remove(state->paths, oldest->path);
+        free(oldest);
+    }
+}
+
+uint64_t
+State_PathVersion(const State *state, const char *path)
+{
+    const StatePathRow *row = StrMap_Get(state->paths, path);
+
+    return row != NULL ? row->version : 0;
+}
+
+const StateAnswer *
+StateImpl_FindAnswer(const State *state, const char *key)
+{
+    return StrMap_Get(state->answers, key);
+}
+
+void
+StateImpl_AddAnswer(State *state, const char *key, uint64_t digest,
+                    const char *bytes, size_t len)
+{
+    StateAnswer *answer;
+
+    if (state->ring_count == STATE_ANSWERS) {
+        StateAnswer *oldest = state->ring[state->ring_start];
+        StrMap_Remove(state->answers, oldest->key);
+        free(oldest->bytes);
+        free(oldest);
+        state->ring_start = (state->ring_start + 1) % STATE_ANSWERS;
+        state->ring_count--;
+    }
+    answer = StateImpl_Allocate(1, sizeof(*answer));
+    snprintf(answer->key, sizeof(answer->key), "%s", key);
+    answer->digest = digest;
+    answer->len = len;
+    answer->bytes = StateImpl_Allocate(len, 1);
+    memcpy(answer->bytes, bytes, len);
+    state->ring[(state->ring_start + state->ring_count) % STATE_ANSWERS] =
+        answer;
+    state->ring_count++;
+    StrMap_Put(state->answers, answer->key, answer);
+}
--- /dev/null
+++ b/src/state_member.c
@@ -0,0 +1,154 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "state_impl.h"
+
+/* Settles every pool that has a share in a data centre whose keeper changed.
+ * The new keeper asks for shares anew. */
+static void
+keeper_changed(State *state, StateDataCentre *centre)
+{
+    size_t i;
+
+    centre->keeper_epoch++;
+    for (i = 0; i < StrMap_Count(state->pools); i++) {
+        StatePool *pool = StrMap_At(state->pools, i);
+        StateShare *share = StateImpl_FindShare(pool, centre->name);
+        if (share != NULL) {
+            share->asked = 0;
+            StateImpl_Settle(state, pool);
+        }
+    }
+}
+
+static bool
+may_keep(const StateMember *member)
+{
+    return member->disk && !member->destroyed;
+}
+
+/* Names the first member by name that may keep the shares, if any. */
+static void
+name_keeper(State *state, StateDataCentre *centre)
+{
+    size_t i;
+
+    centre->keeper[0] = '\0';
+    centre->keeper_identity = 0;
+    for (i = 0; i < centre->member_count; i++) {
+        const StateMember *member = centre->members[i];
+        if (may_keep(member)) {
+            snprintf(centre->keeper, sizeof(centre->keeper), "%s",
+                     member->name);
+            centre->keeper_identity = member->identity;
+            break;
+        }
+    }
+    keeper_changed(state, centre);
+}
+
+/* Checks the keeper after a member joined, restarted or was destroyed. A
+ * keeper with a new identity has lost its record and counts as a new one. */
+static void
+check_keeper(State *state, StateDataCentre *centre, const StateMember *member)
+{
+    bool is_keeper = strcmp(centre->keeper, member->name) == 0;
+
+    if (is_keeper && may_keep(member)) {
+        if (centre->keeper_identity != member->identity) {
+            centre->keeper_identity = member->identity;
+            keeper_changed(state, centre);
+        }
+    }
+    else if (is_keeper || (centre->keeper[0] == '\0' && may_keep(member))) {
+        name_keeper(state, centre);
+    }
+}
+
+static Status
+add_member(State *state, const StateCmd *command, StateResult *result)
+{
+    StateDataCentre *centre;
+    StateMember *member;
+
+    if (StrMap_Count(state->members) >= STATE_MAX_ROWS) {
+        return StateImpl_Refuse(result, ST_FULL, "too many members");
+    }
+    centre = StateImpl_AddDataCentre(state, command->data_centre);
+    if (centre == NULL) {
+        return StateImpl_Refuse(result, ST_FULL, "too many data centres");
+    }
+    member = StateImpl_Allocate(1, sizeof(*member));
+    snprintf(member->name, sizeof(member->name), "%s", command->name);
+    member->identity = command->identity;
+    member->incarnation = command->incarnation;
+    member->disk = command->disk;
+    StateImpl_AttachMember(state, member, centre);
+    state->version++;
+    check_keeper(state, centre, member);
+    return ST_OK;
+}
+
+Status
+StateImpl_RegisterMember(State *state, const StateCmd *command,
+                         StateResult *result)
+{
+    StateMember *member = StrMap_Get(state->members, command->name);
+
+    if (member == NULL) {
+        return add_member(state, command, result);
+    }
+    if (strcmp(member->data_centre, command->data_centre) != 0) {
+        return StateImpl_Refuse(result, ST_INVALID,
+                                "member %s belongs to data centre %s",
+                                member->name, member->data_centre);
+    }
+    if (command->incarnation < member->incarnation ||
+        (command->incarnation == member->incarnation && member->destroyed)) {
+        return StateImpl_Refuse(
+            result, ST_STALE, "member %s is known with incarnation %llu%s",
+            member->name, (unsigned long long)member->incarnation,
+            member->destroyed ? ", declared destroyed" : "");
+    }
+    if (command->incarnation == member->incarnation) {
+        if (command->identity != member->identity ||
+            command->disk != member->disk) {
+            return StateImpl_Refuse(result, ST_EXISTS,
+                                    "member %s runs with another identity",
+                                    member->name);
+        }
+        return StateImpl_Accept(result, "registered before");
+    }
+    if (member->destroyed) {
+        state->version++;
+    }
+    member->identity = command->identity;
+    member->incarnation = command->incarnation;
+    member->disk = command->disk;
+    member->destroyed = false;
+    StateImpl_MemberGone(state, member, member->incarnation);
+    check_keeper(state, StrMap_Get(state->data_centres, member->data_centre),
+                 member);
+    return ST_OK;
+}
+
+Status
+StateImpl_DeclareDestroyed(State *state, const StateCmd *command,
+                           StateResult *result)
+{
+    StateMember *member = StrMap_Get(state->members, command->name);
+
+    if (member == NULL) {
+        return StateImpl_Refuse(result, ST_NOT_FOUND, "no member %s",
+                                command->name);
+    }
+    if (member->destroyed) {
+        return StateImpl_Accept(result, "declared destroyed before");
+    }
+    member->destroyed = true;
+    state->version++;
+    StateImpl_MemberGone(state, member, UINT64_MAX);
+    check_keeper(state, StrMap_Get(state->data_centres, member->data_centre),
+                 member);
+    return ST_OK;
+}
--- /dev/null
+++ b/src/statecmd.c
@@ -0,0 +1,536 @@
+#include "statecmd.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <msgpack.h>
+
+#include "mpread.h"
+
+typedef enum ItemType {
+    ITEM_NAME,
+    ITEM_OPTIONAL_NAME, /* may be empty */
+    ITEM_REASON,
+    ITEM_U64,
+    ITEM_I64,
+    ITEM_BOOL,
+    ITEM_EDITS,
+    ITEM_VMS
+} ItemType;
+
+typedef struct Item {
+    ItemType type;
+    size_t offset;
+} Item;
+
+#define MAX_ITEMS 6
+
+typedef struct Shape {
+    size_t count;
+    Item items[MAX_ITEMS];
+} Shape;
+
+#define AT(field) offsetof(StateCmd, field)
+
+/* The items of each kind, after the kind itself. */
+static const Shape shapes[] = {
+    [STATE_CMD_PATCH] = {4,
+                         {{ITEM_U64, AT(base)},
+                          {ITEM_NAME, AT(operator_name)},
+                          {ITEM_NAME, AT(request_id)},
+                          {ITEM_EDITS, 0}}},
+    [STATE_CMD_REGISTER_VM] = {4,
+                               {{ITEM_NAME, AT(name)},
+                                {ITEM_NAME, AT(data_centre)},
+                                {ITEM_NAME, AT(rack)},
+                                {ITEM_NAME, AT(pool)}}},
+    [STATE_CMD_REMOVE_VM] = {3,
+                             {{ITEM_NAME, AT(name)},
+                              {ITEM_NAME, AT(operator_name)},
+                              {ITEM_NAME, AT(request_id)}}},
+    [STATE_CMD_REGISTER_MEMBER] = {5,
+                                   {{ITEM_NAME, AT(name)},
+                                    {ITEM_NAME, AT(data_centre)},
+                                    {ITEM_U64, AT(identity)},
+                                    {ITEM_U64, AT(incarnation)},
+                                    {ITEM_BOOL, AT(disk)}}},
+    [STATE_CMD_DECLARE_DESTROYED] = {3,
+                                     {{ITEM_NAME, AT(name)},
+                                      {ITEM_NAME, AT(operator_name)},
+                                      {ITEM_NAME, AT(request_id)}}},
+    [STATE_CMD_BEGIN_MOVE] = {3,
+                              {{ITEM_NAME, AT(name)},
+                               {ITEM_U64, AT(epoch)},
+                               {ITEM_NAME, AT(pool)}}},
+    [STATE_CMD_CLOSE_VM] = {3,
+                            {{ITEM_NAME, AT(name)},
+                             {ITEM_U64, AT(epoch)},
+                             {ITEM_U64, AT(keeper_epoch)}}},
+    [STATE_CMD_ACK_CLOSE] = {4,
+                             {{ITEM_NAME, AT(name)},
+                              {ITEM_U64, AT(epoch)},
+                              {ITEM_NAME, AT(member)},
+                              {ITEM_U64, AT(incarnation)}}},
+    [STATE_CMD_VM_DRAINED] = {2,
+                              {{ITEM_NAME, AT(name)}, {ITEM_U64, AT(epoch)}}},
+    [STATE_CMD_CANCEL_MOVE] = {2,
+                               {{ITEM_NAME, AT(name)}, {ITEM_U64, AT(epoch)}}},
+    [STATE_CMD_RELEASE_SHARE] = {5,
+                                 {{ITEM_NAME, AT(pool)},
+                                  {ITEM_U64, AT(pool_number)},
+                                  {ITEM_NAME, AT(data_centre)},
+                                  {ITEM_U64, AT(keeper_epoch)},
+                                  {ITEM_U64, AT(units)}}},
+    [STATE_CMD_ASK_SHARE] = {5,
+                             {{ITEM_NAME, AT(pool)},
+                              {ITEM_U64, AT(pool_number)},
+                              {ITEM_NAME, AT(data_centre)},
+                              {ITEM_U64, AT(keeper_epoch)},
+                              {ITEM_U64, AT(units)}}},
+    [STATE_CMD_START_WAVE] = {5,
+                              {{ITEM_NAME, AT(name)},
+                               {ITEM_NAME, AT(operator_name)},
+                               {ITEM_NAME, AT(request_id)},
+                               {ITEM_I64, AT(deadline_ms)},
+                               {ITEM_VMS, 0}}},
+    [STATE_CMD_WAVE_STEP] = {3,
+                             {{ITEM_NAME, AT(name)},
+                              {ITEM_NAME, AT(member)},
+                              {ITEM_U64, AT(code)}}},
+    [STATE_CMD_WAVE_CONTROL] = {5,
+                                {{ITEM_NAME, AT(name)},
+                                 {ITEM_U64, AT(code)},
+                                 {ITEM_OPTIONAL_NAME, AT(operator_name)},
+                                 {ITEM_OPTIONAL_NAME, AT(request_id)},
+                                 {ITEM_REASON, AT(reason)}}},
+    [STATE_CMD_NOTHING] = {0, {{ITEM_U64, 0}}},
+};
+
+#define KIND_END (sizeof(shapes) / sizeof(shapes[0]))
+
+static void
+pack_text(msgpack_packer *packer, const char *text)
+{
+    size_t len = strlen(text);
+
+    msgpack_pack_str(packer, len);
+    msgpack_pack_str_body(packer, text, len);
+}
+
+static void
+pack_edits(msgpack_packer *packer, const StateCmd *command)
+{
+    size_t i;
+
+    msgpack_pack_array(packer, command->edit_count);
+    for (i = 0; i < command->edit_count; i++) {
+        const PatchEdit *edit = &command->edits[i];
+        msgpack_pack_array(packer, edit->is_delete ? 1 : 2);
+        pack_text(packer, edit->path);
+        if (!edit->is_delete) {
+            pack_text(packer, edit->value);
+        }
+    }
+}
+
+static void
+pack_item(msgpack_packer *packer, const StateCmd *command, const Item *item)
+{
+    const char *at = (const char *)command + item->offset;
+    size_t i;
+
+    switch (item->type) {
+    case ITEM_NAME:
+    case ITEM_OPTIONAL_NAME:
+    case ITEM_REASON:
+        pack_text(packer, at);
+        break;
+    case ITEM_U64:
+        msgpack_pack_uint64(packer, *(const uint64_t *)(const void *)at);
+        break;
+    case ITEM_I64:
+        msgpack_pack_int64(packer, *(const int64_t *)(const void *)at);
+        break;
+    case ITEM_BOOL:
+        *(const bool *)(const void *)at ? msgpack_pack_true(packer)
+                                        : msgpack_pack_false(packer);
+        break;
+    case ITEM_EDITS:
+        pack_edits(packer, command);
+        break;
+    case ITEM_VMS:
+        msgpack_pack_array(packer, command->vm_count);
+        for (i = 0; i < command->vm_count; i++) {
+            pack_text(packer, command->vms[i]);
+        }
+        break;
+    }
+}
+
+static void
+encode(Buf *out, const StateCmd *command)
+{
+    const Shape *shape = &shapes[command->kind];
+    msgpack_packer packer;
+    size_t i;
+
+    msgpack_packer_init(&packer, out, Buf_MsgpackWrite);
+    msgpack_pack_array(&packer, shape->count + 1);
+    msgpack_pack_uint64(&packer, command->kind);
+    for (i = 0; i < shape->count; i++) {
+        pack_item(&packer, command, &shape->items[i]);
+    }
+}
+
+/* Copies a name. One that is too long becomes empty, which the decoder
+ * refuses; a shortened one could be the name of something else. */
+static void
+set_name(char *to, const char *name)
+{
+    if (strlen(name) >= STATE_NAME_BYTES) {
+        name = "";
+    }
+    snprintf(to, STATE_NAME_BYTES, "%s", name);
+}
+
+void
+StateCmd_Patch(Buf *out, const PatchText *patch)
+{
+    StateCmd command = {.kind = STATE_CMD_PATCH, .base = patch->base};
+
+    set_name(command.operator_name, patch->operator_name);
+    set_name(command.request_id, patch->request_id);
+    command.edits = patch->edits;
+    command.edit_count = patch->edit_count;
+    encode(out, &command);
+}
+
+void
+StateCmd_RegisterVm(Buf *out, const char *vm, const char *data_centre,
+                    const char *rack, const char *pool)
+{
+    StateCmd command = {.kind = STATE_CMD_REGISTER_VM};
+
+    set_name(command.name, vm);
+    set_name(command.data_centre, data_centre);
+    set_name(command.rack, rack);
+    set_name(command.pool, pool);
+    encode(out, &command);
+}
+
+void
+StateCmd_RemoveVm(Buf *out, const char *vm, const char *operator_name,
+                  const char *request_id)
+{
+    StateCmd command = {.kind = STATE_CMD_REMOVE_VM};
+
+    set_name(command.name, vm);
+    set_name(command.operator_name, operator_name);
+    set_name(command.request_id, request_id);
+    encode(out, &command);
+}
+
+void
+StateCmd_RegisterMember(Buf *out, const char *member, const char *data_centre,
+                        uint64_t identity, uint64_t incarnation, bool disk)
+{
+    StateCmd command = {.kind = STATE_CMD_REGISTER_MEMBER,
+                        .identity = identity,
+                        .incarnation = incarnation,
+                        .disk = disk};
+
+    set_name(command.name, member);
+    set_name(command.data_centre, data_centre);
+    encode(out, &command);
+}
+
+void
+StateCmd_DeclareDestroyed(Buf *out, const char *member,
+                          const char *operator_name, const char *request_id)
+{
+    StateCmd command = {.kind = STATE_CMD_DECLARE_DESTROYED};
+
+    set_name(command.name, member);
+    set_name(command.operator_name, operator_name);
+    set_name(command.request_id, request_id);
+    encode(out, &command);
+}
+
+void
+StateCmd_BeginMove(Buf *out, const char *vm, uint64_t epoch,
+                   const char *to_pool)
+{
+    StateCmd command = {.kind = STATE_CMD_BEGIN_MOVE, .epoch = epoch};
+
+    set_name(command.name, vm);
+    set_name(command.pool, to_pool);
+    encode(out, &command);
+}
+
+/* Encodes the kinds that carry a VM and its epoch only. */
+static void
+encode_vm_epoch(Buf *out, StateCmdKind kind, const char *vm, uint64_t epoch,
+                uint64_t keeper_epoch)
+{
+    StateCmd command = {
+        .kind = kind, .epoch = epoch, .keeper_epoch = keeper_epoch};
+
+    set_name(command.name, vm);
+    encode(out, &command);
+}
+
+void
+StateCmd_CloseVm(Buf *out, const char *vm, uint64_t epoch,
+                 uint64_t keeper_epoch)
+{
+    encode_vm_epoch(out, STATE_CMD_CLOSE_VM, vm, epoch, keeper_epoch);
+}
+
+void
+StateCmd_AckClose(Buf *out, const char *vm, uint64_t epoch, const char *member,
+                  uint64_t incarnation)
+{
+    StateCmd command = {.kind = STATE_CMD_ACK_CLOSE,
+                        .epoch = epoch,
+                        .incarnation = incarnation};
+
+    set_name(command.name, vm);
+    set_name(command.member, member);
+    encode(out, &command);
+}
+
+void
+StateCmd_VmDrained(Buf *out, const char *vm, uint64_t epoch)
+{
+    encode_vm_epoch(out, STATE_CMD_VM_DRAINED, vm, epoch, 0);
+}
+
+void
+StateCmd_CancelMove(Buf *out, const char *vm, uint64_t epoch)
+{
+    encode_vm_epoch(out, STATE_CMD_CANCEL_MOVE, vm, epoch, 0);
+}
+
+static void
+encode_share(Buf *out, StateCmd *command, const char *pool,
+             const char *data_centre)
+{
+    set_name(command->pool, pool);
+    set_name(command->data_centre, data_centre);
+    encode(out, command);
+}
+
+void
+StateCmd_ReleaseShare(Buf *out, const char *pool, uint64_t pool_number,
+                      const char *data_centre, uint64_t keeper_epoch,
+                      uint64_t released)
+{
+    StateCmd command = {.kind = STATE_CMD_RELEASE_SHARE,
+                        .pool_number = pool_number,
+                        .keeper_epoch = keeper_epoch,
+                        .units = released};
+
+    encode_share(out, &command, pool, data_centre);
+}
+
+void
+StateCmd_AskShare(Buf *out, const char *pool, uint64_t pool_number,
+                  const char *data_centre, uint64_t keeper_epoch,
+                  uint64_t units)
+{
+    StateCmd command = {.kind = STATE_CMD_ASK_SHARE,
+                        .pool_number = pool_number,
+                        .keeper_epoch = keeper_epoch,
+                        .units = units};
+
+    encode_share(out, &command, pool, data_centre);
+}
+
+void
+StateCmd_StartWave(Buf *out, const char *wave, const char *operator_name,
+                   const char *request_id, int64_t deadline_ms,
+                   const char *const *vms, size_t vm_count)
+{
+    StateCmd command = {.kind = STATE_CMD_START_WAVE,
+                        .deadline_ms = deadline_ms,
+                        .vm_count = vm_count};
+    size_t i;
+
+    command.vms = calloc(vm_count + 1, sizeof(*command.vms));
+    if (command.vms == NULL) {
+        abort();
+    }
+    for (i = 0; i < vm_count; i++) {
+        set_name(command.vms[i], vms[i]);
+    }
+    set_name(command.name, wave);
+    set_name(command.operator_name, operator_name);
+    set_name(command.request_id, request_id);
+    encode(out, &command);
+    StateCmd_Free(&command);
+}
+
+void
+StateCmd_WaveStep(Buf *out, const char *wave, const char *vm, StateStep step)
+{
+    StateCmd command = {.kind = STATE_CMD_WAVE_STEP, .code = step};
+
+    set_name(command.name, wave);
+    set_name(command.member, vm);
+    encode(out, &command);
+}
+
+void
+StateCmd_WaveControl(Buf *out, const char *wave, StateWaveAction action,
+                     const char *operator_name, const char *request_id,
+                     const char *reason)
+{
+    StateCmd command = {.kind = STATE_CMD_WAVE_CONTROL, .code = action};
+
+    set_name(command.name, wave);
+    set_name(command.operator_name, operator_name);
+    set_name(command.request_id, request_id);
+    snprintf(command.reason, sizeof(command.reason), "%s", reason);
+    encode(out, &command);
+}
+
+void
+StateCmd_Nothing(Buf *out)
+{
+    StateCmd command = {.kind = STATE_CMD_NOTHING};
+
+    encode(out, &command);
+}
+
+static bool
+read_edits(MpRead *reader, StateCmd *command)
+{
+    uint32_t count;
+    uint32_t parts;
+    size_t i;
+
+    if (!MpRead_Array(reader, &count) || count == 0 ||
+        count > STATE_MAX_EDITS) {
+        return false;
+    }
+    command->edits = calloc(count, sizeof(*command->edits));
+    if (command->edits == NULL) {
+        abort();
+    }
+    command->edit_count = count;
+    for (i = 0; i < count; i++) {
+        PatchEdit *edit = &command->edits[i];
+        if (!MpRead_Array(reader, &parts) || parts < 1 || parts > 2 ||
+            !MpRead_Text(reader, edit->path, sizeof(edit->path))) {
+            return false;
+        }
+        edit->is_delete = parts == 1;
+        if (parts == 2 &&
+            !MpRead_Text(reader, edit->value, sizeof(edit->value))) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+read_name(MpRead *reader, char *out, bool optional)
+{
+    return MpRead_Text(reader, out, STATE_NAME_BYTES) &&
+           ((optional && out[0] == '\0') ||
+            StatePath_IsName(out, strlen(out)));
+}
+
+static bool
+read_vms(MpRead *reader, StateCmd *command)
+{
+    uint32_t count;
+    size_t i;
+
+    if (!MpRead_Array(reader, &count) || count == 0 ||
+        count > STATE_MAX_WAVE_VMS) {
+        return false;
+    }
+    command->vms = calloc(count, sizeof(*command->vms));
+    if (command->vms == NULL) {
+        abort();
+    }
+    command->vm_count = count;
+    for (i = 0; i < count; i++) {
+        if (!read_name(reader, command->vms[i], false)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+read_item(MpRead *reader, StateCmd *command, const Item *item)
+{
+    char *at = (char *)command + item->offset;
+
+    switch (item->type) {
+    case ITEM_NAME:
+        return read_name(reader, at, false);
+    case ITEM_OPTIONAL_NAME:
+        return read_name(reader, at, true);
+    case ITEM_REASON:
+        return MpRead_Text(reader, at, STATE_REASON_BYTES);
+    case ITEM_U64:
+        return MpRead_U64(reader, (uint64_t *)(void *)at);
+    case ITEM_I64:
+        return MpRead_I64(reader, (int64_t *)(void *)at);
+    case ITEM_BOOL:
+        return MpRead_Bool(reader, (bool *)(void *)at);
+    case ITEM_EDITS:
+        return read_edits(reader, command);
+    default:
+        return read_vms(reader, command);
+    }
+}
+
+Status
+StateCmd_Decode(const char *bytes, size_t len, StateCmd *command, ErrCtx *err)
+{
+    MpRead reader;
+    uint32_t count;
+    uint64_t kind;
+    size_t i;
+
+    memset(command, 0, sizeof(*command));
+    MpRead_Init(&reader, bytes, len);
+    if (!MpRead_Array(&reader, &count) || !MpRead_U64(&reader, &kind)) {
+        return Err_Set(err, ST_CORRUPT, "a command must be [kind, ...]");
+    }
+    if (kind < 1 || kind >= KIND_END) {
+        return Err_Set(err, ST_UNSUPPORTED, "unknown command kind %llu",
+                       (unsigned long long)kind);
+    }
+    command->kind = (StateCmdKind)kind;
+    if (count != shapes[kind].count + 1) {
+        return Err_Set(err, ST_CORRUPT, "kind %u needs %zu items, not %u",
+                       (unsigned)kind, shapes[kind].count + 1, count);
+    }
+    for (i = 0; i < shapes[kind].count; i++) {
+        if (!read_item(&reader, command, &shapes[kind].items[i])) {
+            return Err_Set(err, ST_CORRUPT,
+                           "item %zu of kind %u is not valid at byte %zu",
+                           i + 1, (unsigned)kind, MpRead_Offset(&reader));
+        }
+    }
+    if (!MpRead_Done(&reader)) {
+        return Err_Set(err, ST_CORRUPT, "bytes follow the command at %zu",
+                       MpRead_Offset(&reader));
+    }
+    return ST_OK;
+}
+
+void
+StateCmd_Free(StateCmd *command)
+{
+    free(command->edits);
+    free(command->vms);
+    command->edits = NULL;
+    command->vms = NULL;
+}
--- a/src/statecmd.h
+++ b/src/statecmd.h
@@ -41,8 +41,7 @@
 typedef enum StateWaveAction {
     STATE_WAVE_PAUSE,
     STATE_WAVE_RESUME,
-    STATE_WAVE_CANCEL,
-    STATE_WAVE_FINISH /* the planner found no VM left */
+    STATE_WAVE_CANCEL
 } StateWaveAction;
 
 /* A decoded command; fields that a kind does not use are zero. */
@@ -61,6 +60,7 @@
     uint64_t incarnation;
     uint64_t epoch;
     uint64_t keeper_epoch;
+    uint64_t pool_number;
     uint64_t units;
     int64_t deadline_ms;
     uint64_t code; /* StateStep or StateWaveAction */
@@ -113,13 +113,16 @@
 /* Ends a move and leaves the VM open in its old pool. */
 void StateCmd_CancelMove(Buf *out, const char *vm, uint64_t epoch);
 
-/* The keeper has lowered its share; released is the new total. */
-void StateCmd_ReleaseShare(Buf *out, const char *pool, const char *data_centre,
-                           uint64_t keeper_epoch, uint64_t released);
+/* The keeper has lowered its share of the pool with this name and number;
+ * released is the new total, so that a repetition changes nothing. */
+void StateCmd_ReleaseShare(Buf *out, const char *pool, uint64_t pool_number,
+                           const char *data_centre, uint64_t keeper_epoch,
+                           uint64_t released);
 
 /* The keeper has work for this many units at once; 0: none. */
-void StateCmd_AskShare(Buf *out, const char *pool, const char *data_centre,
-                       uint64_t keeper_epoch, uint64_t units);
+void StateCmd_AskShare(Buf *out, const char *pool, uint64_t pool_number,
+                       const char *data_centre, uint64_t keeper_epoch,
+                       uint64_t units);
 
 /* A wave over VMs; deadline_ms is wall time in ms, 0 for none. */
 void StateCmd_StartWave(Buf *out, const char *wave, const char *operator_name,
@@ -130,7 +133,7 @@
 void StateCmd_WaveStep(Buf *out, const char *wave, const char *vm,
                        StateStep step);
 
-/* Pause, resume, cancel or finish. The planner itself sends empty operator
+/* Pause, resume or cancel. The planner itself sends empty operator
  * and request id. */
 void StateCmd_WaveControl(Buf *out, const char *wave, StateWaveAction action,
                           const char *operator_name, const char *request_id,
