--- /dev/null
+++ b/src/coltsfootd.c
@@ -0,0 +1,120 @@
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <apr_general.h>
+#include <argtable2.h>
+#include <curl/curl.h>
+
+#include "control.h"
+#include "diag.h"
+#include "findings.h"
+#include "settings.h"
+
+#define EXIT_FINDINGS 2
+
+static Control *running;
+
+static void
+on_signal(int number)
+{
+    (void)number;
+    Control_RequestStop(running);
+}
+
+static int
+run(const Settings *settings)
+{
+    struct sigaction action;
+    ErrCtx err = {0};
+
+    if (Control_New(settings, &running, &err) != ST_OK) {
+        Diag_Log(DIAG_ERROR, "main", "Cannot start: %s.", err.message);
+        return EXIT_FAILURE;
+    }
+    memset(&action, 0, sizeof(action));
+    action.sa_handler = on_signal;
+    sigaction(SIGTERM, &action, NULL);
+    sigaction(SIGINT, &action, NULL);
+    action.sa_handler = SIG_IGN;
+    sigaction(SIGPIPE, &action, NULL);
+    Control_Run(running);
+    Control_Free(running);
+    return EXIT_SUCCESS;
+}
+
+static int
+init_folder(const Settings *settings)
+{
+    ErrCtx err = {0};
+
+    if (Control_InitFolder(settings, &err) != ST_OK) {
+        Diag_Log(DIAG_ERROR, "main", "Cannot initialise: %s.", err.message);
+        return EXIT_FAILURE;
+    }
+    Diag_Log(DIAG_NOTICE, "main", "Initialised %s.", settings->data_folder);
+    return EXIT_SUCCESS;
+}
+
+static int
+load(const char *file, Settings *settings)
+{
+    Findings *findings = Findings_New(file);
+    Status status = Settings_Load(file, settings, findings);
+
+    Findings_Print(findings, stderr);
+    Findings_Free(findings);
+    return status == ST_OK ? EXIT_SUCCESS : EXIT_FINDINGS;
+}
+
+int
+main(int argc, char **argv)
+{
+    struct arg_lit *help = arg_lit0("h", "help", "print this help");
+    struct arg_lit *version = arg_lit0(NULL, "version", "print the version");
+    struct arg_file *file =
+        arg_file0("s", "settings", "FILE", "run with these settings");
+    struct arg_file *check =
+        arg_file0(NULL, "check", "FILE", "only check settings");
+    struct arg_lit *init =
+        arg_lit0(NULL, "init", "create the data folder of a new cluster");
+    struct arg_end *end = arg_end(8);
+    void *table[] = {help, version, file, check, init, end};
+    static Settings settings;
+    int errors = arg_parse(argc, argv, table);
+    int status;
+
+    apr_initialize();
+    curl_global_init(CURL_GLOBAL_ALL);
+    if (help->count > 0) {
+        printf("Usage: coltsfootd");
+        arg_print_syntax(stdout, table, "\n");
+        arg_print_glossary(stdout, table, "  %-22s %s\n");
+        status = EXIT_SUCCESS;
+    }
+    else if (version->count > 0) {
+        printf("coltsfootd %s\n", COLTSFOOT_VERSION);
+        status = EXIT_SUCCESS;
+    }
+    else if (errors > 0 || file->count + check->count != 1) {
+        arg_print_errors(stderr, end, "coltsfootd");
+        fprintf(stderr, "coltsfootd: one of --settings and --check is "
+                        "needed; see --help\n");
+        status = EXIT_FINDINGS;
+    }
+    else if (check->count > 0) {
+        status = load(check->filename[0], &settings);
+    }
+    else {
+        status = load(file->filename[0], &settings);
+        if (status == EXIT_SUCCESS) {
+            Diag_Init("coltsfootd", (DiagLevel)settings.log_level);
+            status = init->count > 0 ? init_folder(&settings) : run(&settings);
+        }
+    }
+    arg_freetable(table, sizeof(table) / sizeof(table[0]));
+    curl_global_cleanup();
+    apr_terminate();
+    return status;
+}
--- /dev/null
+++ b/src/control.c
@@ -0,0 +1,637 @@
+#include "control_internal.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "diag.h"
+#include "rng.h"
+
+#define CONTROL_TICK_MS 50
+#define CONTROL_STATUS_MS 500
+#define CONTROL_HTTP_IDLE_S 60
+#define CONTROL_MAX_BODY_BYTES (1024 * 1024)
+
+void
+Control_PackText(msgpack_packer *packer, const char *text)
+{
+    size_t len = strlen(text);
+
+    msgpack_pack_str(packer, len);
+    msgpack_pack_str_body(packer, text, len);
+}
+
+static void
+on_up(void *arg, size_t peer, const PeerHello *hello)
+{
+    Control *control = arg;
+    RaftMember member = {.identity = hello->identity};
+
+    (void)peer;
+    control->view_dirty = true;
+    if (hello->identity != 0 && control->replica != NULL) {
+        snprintf(member.name, sizeof(member.name), "%s", hello->name);
+        snprintf(member.data_centre, sizeof(member.data_centre), "%s",
+                 hello->data_centre);
+        Replica_OfferMember(control->replica, Loop_NowMs(), &member);
+    }
+}
+
+static void
+on_down(void *arg, size_t peer)
+{
+    Control *control = arg;
+
+    (void)peer;
+    /* The slot credits of the silent peer are taken over. */
+    control->view_dirty = true;
+}
+
+static void
+on_status(Control *control, size_t peer, const msgpack_object_array *message)
+{
+    ControlPeer *state = &control->peer_states[peer];
+    const msgpack_object *items = message->ptr;
+    size_t i;
+
+    for (i = 1; i <= 4; i++) {
+        if (message->size != 5 ||
+            items[i].type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
+            return;
+        }
+    }
+    state->applied = items[1].via.u64;
+    if (items[2].via.u64 != state->version) {
+        state->version = items[2].via.u64;
+        state->version_ms = Loop_NowMs();
+    }
+    state->leader = items[3].via.u64;
+    state->ready = items[4].via.u64 != 0;
+}
+
+static void
+on_once(Control *control, size_t peer, PeerMessageType type,
+        const msgpack_object_array *message)
+{
+    const msgpack_object *items = message->ptr;
+    Buf body = BUF_INIT;
+    msgpack_packer packer;
+    bool ok;
+
+    if (type == PEER_ONCE_OUTCOME && message->size == 2 &&
+        items[1].type == MSGPACK_OBJECT_BIN) {
+        Gateway_HoldOutcome(control->gateway, items[1].via.bin.ptr,
+                            items[1].via.bin.size);
+    }
+    else if (type == PEER_ONCE_ACK && message->size == 3 &&
+             items[1].type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
+             items[2].type == MSGPACK_OBJECT_BOOLEAN) {
+        Gateway_IntentRecorded(control->gateway, items[1].via.u64,
+                               items[2].via.boolean);
+    }
+    else if (type == PEER_ONCE_INTENT && message->size == 3 &&
+             items[1].type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
+             items[2].type == MSGPACK_OBJECT_BIN) {
+        ok = Gateway_HoldIntent(control->gateway, items[2].via.bin.ptr,
+                                items[2].via.bin.size) == ST_OK;
+        msgpack_packer_init(&packer, &body, Buf_MsgpackWrite);
+        msgpack_pack_array(&packer, 3);
+        msgpack_pack_int(&packer, PEER_ONCE_ACK);
+        msgpack_pack_uint64(&packer, items[1].via.u64);
+        ok ? msgpack_pack_true(&packer) : msgpack_pack_false(&packer);
+        Peers_Send(control->peers, peer, body.data, body.len);
+        Buf_Free(&body);
+    }
+}
+
+static void
+on_raft(Control *control, size_t peer, const msgpack_object_array *message)
+{
+    if (control->replica != NULL && message->size == 2 &&
+        message->ptr[1].type == MSGPACK_OBJECT_BIN) {
+        Replica_Receive(control->replica, Loop_NowMs(),
+                        Peers_Hello(control->peers, peer)->identity,
+                        message->ptr[1].via.bin.ptr,
+                        message->ptr[1].via.bin.size);
+    }
+}
+
+static void
+on_target(Control *control, const msgpack_object_array *message)
+{
+    ErrCtx err;
+
+    if (message->size == 2 && message->ptr[1].type == MSGPACK_OBJECT_STR) {
+        Control_Announce(control, message->ptr[1].via.str.ptr,
+                         message->ptr[1].via.str.size, false, &err);
+    }
+}
+
+static void
+on_message(void *arg, size_t peer, PeerMessageType type, const char *body,
+           size_t len)
+{
+    Control *control = arg;
+    msgpack_unpacked unpacked;
+    const msgpack_object_array *message;
+    size_t offset = 0;
+
+    msgpack_unpacked_init(&unpacked);
+    if (msgpack_unpack_next(&unpacked, body, len, &offset) !=
+        MSGPACK_UNPACK_SUCCESS) {
+        return;
+    }
+    message = &unpacked.data.via.array;
+    switch (type) {
+    case PEER_STATUS:
+        on_status(control, peer, message);
+        break;
+    case PEER_RAFT:
+        on_raft(control, peer, message);
+        break;
+    case PEER_PROPOSE:
+        Control_OnPropose(control, peer, message);
+        break;
+    case PEER_PROPOSED:
+        Control_OnProposed(control, message);
+        break;
+    case PEER_TARGET:
+        on_target(control, message);
+        break;
+    case PEER_ONCE_INTENT:
+    case PEER_ONCE_ACK:
+    case PEER_ONCE_OUTCOME:
+        on_once(control, peer, type, message);
+        break;
+    case PEER_HELLO:
+    case PEER_REFUSED:
+    case PEER_FEED:
+        break;
+    }
+    msgpack_unpacked_destroy(&unpacked);
+}
+
+/* --- calls of the traffic threads --- */
+
+typedef struct OncePost {
+    Control *control;
+    uint64_t cookie;
+    bool is_intent;
+    Buf record;
+} OncePost;
+
+/* Returns the best peer to hold records, or -1: one of the own data centre
+ * first. */
+static long
+choose_holder(const Control *control)
+{
+    const Settings *settings = control->settings;
+    long other = -1;
+    size_t i;
+
+    for (i = 0; i < settings->peer_count; i++) {
+        if (!Peers_IsUp(control->peers, i)) {
+            continue;
+        }
+        if (strcmp(settings->peers[i].data_centre, settings->data_centre) ==
+            0) {
+            return (long)i;
+        }
+        other = (long)i;
+    }
+    return other;
+}
+
+static void
+send_record(void *arg)
+{
+    OncePost *post = arg;
+    Control *control = post->control;
+    long holder = choose_holder(control);
+    Buf body = BUF_INIT;
+    msgpack_packer packer;
+
+    if (holder < 0 && post->is_intent) {
+        Gateway_IntentRecorded(control->gateway, post->cookie, false);
+    }
+    if (holder >= 0) {
+        msgpack_packer_init(&packer, &body, Buf_MsgpackWrite);
+        msgpack_pack_array(&packer, post->is_intent ? 3 : 2);
+        msgpack_pack_int(&packer, post->is_intent ? PEER_ONCE_INTENT
+                                                  : PEER_ONCE_OUTCOME);
+        if (post->is_intent) {
+            msgpack_pack_uint64(&packer, post->cookie);
+        }
+        msgpack_pack_bin(&packer, post->record.len);
+        msgpack_pack_bin_body(&packer, post->record.data, post->record.len);
+        Peers_Send(control->peers, (size_t)holder, body.data, body.len);
+        Buf_Free(&body);
+    }
+    Buf_Free(&post->record);
+    free(post);
+}
+
+static void
+post_record(Control *control, uint64_t cookie, bool is_intent,
+            const char *record, size_t len)
+{
+    OncePost *post = calloc(1, sizeof(*post));
+
+    if (post == NULL) {
+        abort();
+    }
+    post->control = control;
+    post->cookie = cookie;
+    post->is_intent = is_intent;
+    Buf_Append(&post->record, record, len);
+    Loop_Post(control->loop, send_record, post);
+}
+
+static void
+record_intent(void *arg, uint64_t cookie, const char *record, size_t len)
+{
+    Control *control = arg;
+
+    if (control->once_log == NULL ||
+        OnceLog_Append(control->once_log, cookie, record, len) != ST_OK) {
+        post_record(control, cookie, true, record, len);
+    }
+}
+
+/* A copy at a peer answers resends while this node is down. */
+static void
+record_outcome(void *arg, const char *record, size_t len)
+{
+    Control *control = arg;
+
+    if (control->once_log != NULL) {
+        OnceLog_Append(control->once_log, 0, record, len);
+    }
+    post_record(control, 0, false, record, len);
+}
+
+static void
+on_logged(void *arg, uint64_t cookie, bool ok)
+{
+    Control *control = arg;
+
+    Gateway_IntentRecorded(control->gateway, cookie, ok);
+}
+
+static Status
+recover_once(void *arg, const char *file, const char *bytes, size_t len,
+             size_t *valid, ErrCtx *err)
+{
+    Control *control = arg;
+    OnceRecovery recovery = {0};
+    ErrCtx inner = {0};
+    Status status =
+        Gateway_RecoverOnce(control->gateway, bytes, len, &recovery, &inner);
+
+    if (status != ST_OK) {
+        return Err_Set(err, status, "%s: %s", file, inner.message);
+    }
+    *valid = recovery.valid;
+    Diag_Log(DIAG_INFO, "once",
+             "Recovered %zu intents and %zu outcomes of %s.", recovery.intents,
+             recovery.outcomes, file);
+    return ST_OK;
+}
+
+static Status
+open_once_log(Control *control, ErrCtx *err)
+{
+    OnceLogOptions options = {
+        .arg = control, .done = on_logged, .recover = recover_once};
+    char folder[SETTINGS_FOLDER_BYTES + 8];
+    Status status;
+
+    if (control->settings->data_folder[0] == '\0') {
+        return ST_OK;
+    }
+    snprintf(folder, sizeof(folder), "%s/once",
+             control->settings->data_folder);
+    status = Storage_OpenFolder(folder, true, &options.storage, err);
+    if (status != ST_OK) {
+        return status;
+    }
+    return OnceLog_New(&options, &control->once_log, err);
+}
+
+typedef struct ViewPost {
+    Control *control;
+    uint64_t sequence;
+} ViewPost;
+
+static void
+note_view(void *arg)
+{
+    ViewPost *post = arg;
+
+    post->control->view_applied = post->sequence;
+    free(post);
+}
+
+static void
+view_applied(void *arg, uint64_t sequence)
+{
+    Control *control = arg;
+    ViewPost *post = malloc(sizeof(*post));
+
+    if (post == NULL) {
+        abort();
+    }
+    *post = (ViewPost){control, sequence};
+    Loop_Post(control->loop, note_view, post);
+}
+
+/* --- timers --- */
+
+static void
+send_status(void *arg)
+{
+    Control *control = arg;
+    Buf body = BUF_INIT;
+    msgpack_packer packer;
+    size_t i;
+
+    msgpack_packer_init(&packer, &body, Buf_MsgpackWrite);
+    msgpack_pack_array(&packer, 5);
+    msgpack_pack_int(&packer, PEER_STATUS);
+    msgpack_pack_uint64(&packer, control->applied);
+    msgpack_pack_uint64(&packer, State_Version(control->state));
+    msgpack_pack_uint64(&packer, control->replica != NULL
+                                     ? Replica_Leader(control->replica)
+                                     : 0);
+    msgpack_pack_uint64(&packer, control->ready);
+    for (i = 0; i < control->settings->peer_count; i++) {
+        Peers_Send(control->peers, i, body.data, body.len);
+    }
+    Buf_Free(&body);
+}
+
+static void
+on_registered(void *arg, Status status, uint64_t index, const char *result,
+              size_t len)
+{
+    (void)arg;
+    (void)status;
+    (void)index;
+    (void)result;
+    (void)len;
+}
+
+/* Registers this start of the process, so that closes of VMs wait for its
+ * acknowledgement. */
+static void
+register_self(Control *control, int64_t now)
+{
+    const Settings *settings = control->settings;
+    const StateMember *self = State_Member(control->state, settings->name);
+    Buf command = BUF_INIT;
+
+    control->registered =
+        self != NULL && self->incarnation == control->incarnation;
+    if (control->registered || now < control->register_ms ||
+        (control->replica != NULL && !Replica_CaughtUp(control->replica))) {
+        return;
+    }
+    control->register_ms = now + CONTROL_REPEAT_MS;
+    StateCmd_RegisterMember(
+        &command, settings->name, settings->data_centre,
+        control->replica != NULL ? Replica_Identity(control->replica) : 0,
+        control->incarnation, control->replica != NULL);
+    Control_Propose(control, &command, on_registered, NULL);
+    Buf_Free(&command);
+}
+
+static void
+update_ready(Control *control)
+{
+    bool ready = control->registered && control->stop_ms == 0 &&
+                 control->view_applied > 0;
+
+    if (ready != control->ready) {
+        control->ready = ready;
+        Gateway_SetReady(control->gateway, ready);
+        Diag_Log(DIAG_NOTICE, CONTROL_PART, "%s at version %llu.",
+                 ready ? "Ready" : "Not ready",
+                 (unsigned long long)State_Version(control->state));
+    }
+}
+
+static void
+check_stop(Control *control, int64_t now)
+{
+    size_t active;
+
+    if (control->stop_ms == 0) {
+        return;
+    }
+    active = Gateway_Active(control->gateway);
+    if (active == 0) {
+        Diag_Log(DIAG_NOTICE, CONTROL_PART, "Stopped; nothing is in flight.");
+        Loop_Stop(control->loop);
+    }
+    else if (now - control->stop_ms > control->settings->shutdown_grace_ms) {
+        Diag_Log(DIAG_ERROR, CONTROL_PART,
+                 "Stopped with %zu requests in flight after %lld ms.", active,
+                 control->settings->shutdown_grace_ms);
+        Loop_Stop(control->loop);
+    }
+}
+
+static void
+on_tick(void *arg)
+{
+    Control *control = arg;
+    int64_t now = Loop_NowMs();
+
+    if (control->replica != NULL) {
+        Replica_Tick(control->replica, now);
+    }
+    Control_ExpireProposals(control, now);
+    register_self(control, now);
+    Control_TargetTick(control, now);
+    Control_PublishView(control, now);
+    Control_AckCloses(control, now);
+    update_ready(control);
+    check_stop(control, now);
+}
+
+static bool
+flush_log(void *arg)
+{
+    Control *control = arg;
+
+    if (control->replica != NULL) {
+        Replica_Flush(control->replica, Loop_NowMs());
+    }
+    return false;
+}
+
+/* --- life --- */
+
+static void
+on_stop(void *arg, int events)
+{
+    Control *control = arg;
+    char byte;
+
+    (void)events;
+    if (read(control->stop_pipe[0], &byte, 1) != 1 || control->stop_ms != 0) {
+        return;
+    }
+    control->stop_ms = Loop_NowMs();
+    Diag_Log(DIAG_NOTICE, CONTROL_PART, "A planned stop begins.");
+    update_ready(control);
+    Gateway_BeginShutdown(control->gateway);
+}
+
+void
+Control_RequestStop(Control *control)
+{
+    ssize_t written = write(control->stop_pipe[1], "x", 1);
+
+    (void)written; /* a full pipe already asks for the stop */
+}
+
+static Status
+open_gateway(Control *control, uint64_t seed, ErrCtx *err)
+{
+    GatewayOptions options = {.settings = control->settings,
+                              .incarnation = control->incarnation,
+                              .seed = seed,
+                              .hooks = {.arg = control,
+                                        .record_intent = record_intent,
+                                        .record_outcome = record_outcome,
+                                        .view_applied = view_applied}};
+
+    Status status;
+
+    control->gateway = Gateway_New(&options, err);
+    if (control->gateway == NULL) {
+        return ST_IO;
+    }
+    status = open_once_log(control, err);
+    return status == ST_OK ? Gateway_Start(control->gateway, err) : status;
+}
+
+static Status
+open_network(Control *control, ErrCtx *err)
+{
+    PeersOptions peers = {.settings = control->settings,
+                          .identity = control->replica != NULL
+                                          ? Replica_Identity(control->replica)
+                                          : 0,
+                          .incarnation = control->incarnation,
+                          .arg = control,
+                          .on_up = on_up,
+                          .on_down = on_down,
+                          .on_message = on_message};
+    HttpServerOptions server = {.address = control->settings->control,
+                                .max_body_bytes = CONTROL_MAX_BODY_BYTES,
+                                .idle_timeout_s = CONTROL_HTTP_IDLE_S,
+                                .handler = Control_HandleHttp,
+                                .arg = control};
+
+    control->peers = Peers_New(control->loop, &peers, err);
+    if (control->peers == NULL) {
+        return ST_IO;
+    }
+    control->client = HttpClient_New(control->loop, 0);
+    control->server = HttpServer_New(control->loop, &server, err);
+    return control->server != NULL ? ST_OK : ST_IO;
+}
+
+static Status
+open_all(Control *control, ErrCtx *err)
+{
+    Status status;
+
+    if (pipe(control->stop_pipe) != 0) {
+        return Err_Set(err, ST_IO, "no pipe: %s", strerror(errno));
+    }
+    control->loop = Loop_New(err);
+    if (control->loop == NULL) {
+        return ST_IO;
+    }
+    control->stop_watch = Loop_Watch(control->loop, control->stop_pipe[0],
+                                     LOOP_READ, on_stop, control);
+    control->state = State_New();
+    control->targets = Table_New(sizeof(ControlTarget), CONTROL_MAX_TARGETS);
+    control->proposals =
+        Table_New(sizeof(ControlProposal), CONTROL_MAX_PROPOSALS);
+    control->peer_states =
+        calloc(control->settings->peer_count + 1, sizeof(ControlPeer));
+    status = Control_OpenLog(control, err);
+    if (status == ST_OK) {
+        status = open_network(control, err);
+    }
+    if (status == ST_OK) {
+        status = open_gateway(control, Rng_SystemSeed(), err);
+    }
+    return status;
+}
+
+Status
+Control_New(const Settings *settings, Control **out, ErrCtx *err)
+{
+    Control *control = calloc(1, sizeof(*control));
+    Status status;
+
+    if (control == NULL) {
+        return Err_Set(err, ST_NO_MEMORY, "no memory for the control");
+    }
+    control->settings = settings;
+    control->stop_pipe[0] = -1;
+    control->stop_pipe[1] = -1;
+    /* Wall time keeps incarnations rising over restarts without a disk. */
+    control->incarnation = (uint64_t)apr_time_now();
+    control->view_dirty = true;
+    status = open_all(control, err);
+    if (status != ST_OK) {
+        Control_Free(control);
+        return status;
+    }
+    control->tick = Loop_NewTimer(control->loop, on_tick, control);
+    Loop_Arm(control->tick, CONTROL_TICK_MS, CONTROL_TICK_MS);
+    control->status_timer = Loop_NewTimer(control->loop, send_status, control);
+    Loop_Arm(control->status_timer, CONTROL_STATUS_MS, CONTROL_STATUS_MS);
+    Loop_AddPoll(control->loop, flush_log, control);
+    *out = control;
+    return ST_OK;
+}
+
+void
+Control_Run(Control *control)
+{
+    Loop_Run(control->loop);
+}
+
+void
+Control_Free(Control *control)
+{
+    if (control == NULL) {
+        return;
+    }
+    Gateway_StopThreads(control->gateway);
+    OnceLog_Free(control->once_log);
+    Gateway_Free(control->gateway);
+    HttpServer_Free(control->server);
+    HttpClient_Free(control->client);
+    Control_CloseLog(control);
+    Peers_Free(control->peers);
+    State_Free(control->state);
+    Table_Free(control->targets);
+    Table_Free(control->proposals);
+    free(control->peer_states);
+    Loop_Unwatch(control->stop_watch);
+    Loop_Free(control->loop);
+    if (control->stop_pipe[0] >= 0) {
+        close(control->stop_pipe[0]);
+        close(control->stop_pipe[1]);
+    }
+    free(control);
+}
--- /dev/null
+++ b/src/control.h
@@ -0,0 +1,33 @@
+/*
+ * NAME
+ *     control - the control thread of a coltsfootd process
+ *
+ * DESCRIPTION
+ *     Owns the peers, the replica with the replicated state, the known
+ *     targets and the operators' HTTP interface, and publishes views to the
+ *     gateway. Runs on the thread that calls Control_Run.
+ */
+#ifndef COLTSFOOT_CONTROL_H
+#define COLTSFOOT_CONTROL_H
+
+#include "settings.h"
+#include "status.h"
+
+typedef struct Control Control;
+
+/* Opens the data folder, the ports and the traffic threads. The settings must
+ * outlive the control. */
+Status Control_New(const Settings *settings, Control **control, ErrCtx *err);
+
+/* Runs until a planned stop is complete. */
+void Control_Run(Control *control);
+
+/* Begins a planned stop; callable from a signal handler. */
+void Control_RequestStop(Control *control);
+
+void Control_Free(Control *control);
+
+/* Creates the data folder of the first voter of a new cluster. */
+Status Control_InitFolder(const Settings *settings, ErrCtx *err);
+
+#endif
--- /dev/null
+++ b/src/control_internal.h
@@ -0,0 +1,137 @@
+/*
+ * NAME
+ *     control_internal - shared by the files of the control module
+ */
+#ifndef COLTSFOOT_CONTROL_INTERNAL_H
+#define COLTSFOOT_CONTROL_INTERNAL_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <jansson.h>
+#include <msgpack.h>
+
+#include "buf.h"
+#include "control.h"
+#include "gateway.h"
+#include "httpclient.h"
+#include "httpserver.h"
+#include "loop.h"
+#include "oncelog.h"
+#include "peer.h"
+#include "replica.h"
+#include "state.h"
+#include "statecmd.h"
+#include "storage.h"
+#include "table.h"
+
+#define CONTROL_PART "control"
+#define CONTROL_MAX_TARGETS 65536
+#define CONTROL_MAX_PROPOSALS 4096
+#define CONTROL_PROPOSAL_MS 3000
+/* Limits how often a proposal without a known answer is repeated. */
+#define CONTROL_REPEAT_MS 1000
+
+/* The last word of a target, from its announcements. */
+typedef struct ControlTarget {
+    char name[SETTINGS_NAME_BYTES];
+    char data_centre[SETTINGS_NAME_BYTES];
+    char rack[SETTINGS_NAME_BYTES];
+    char pool[SETTINGS_NAME_BYTES]; /* wish at the first announcement */
+    SettingsAddress address;
+    SettingsAddress platform;
+    uint64_t incarnation;
+    uint32_t slots;
+    uint32_t connections;
+    bool leaving;
+    bool suspect;
+    int64_t heard_ms;
+    int64_t registered_ms; /* of the last proposal to register */
+} ControlTarget;
+
+/* What a peer reported about itself. */
+typedef struct ControlPeer {
+    uint64_t applied;
+    uint64_t version;
+    uint64_t leader;
+    bool ready;
+    int64_t version_ms; /* when this version was first reported */
+} ControlPeer;
+
+/* Called once: ST_OK with index and result, ST_NOT_LEADER when the command
+ * was surely not accepted, ST_AGAIN when that is unknown. */
+typedef void (*ProposeFn)(void *arg, Status status, uint64_t index,
+                          const char *result, size_t len);
+
+typedef struct ControlProposal {
+    ProposeFn fn;
+    void *arg;
+    int64_t due_ms; /* 0 for one given to the replica of this node */
+} ControlProposal;
+
+struct Control {
+    const Settings *settings;
+    Loop *loop;
+    Peers *peers;
+    ControlPeer *peer_states; /* by index of the settings' peers */
+    Storage *storage;
+    Replica *replica;
+    State *state;
+    HttpServer *server;
+    HttpClient *client;
+    Gateway *gateway;
+    OnceLog *once_log; /* NULL without a disk */
+    Table *targets;    /* ControlTarget */
+    Table *proposals;
+    LoopTimer *tick;
+    LoopTimer *status_timer;
+    uint64_t incarnation;
+    uint64_t applied;
+    uint64_t view_sequence;
+    uint64_t view_applied;
+    uint64_t view_version; /* state version of the last view */
+    int64_t view_ms;
+    int64_t version_ms; /* when the present version was applied */
+    int64_t register_ms;
+    int64_t ack_ms;
+    int64_t stop_ms; /* 0, or when the planned stop began */
+    bool view_dirty;
+    bool registered;
+    bool ready;
+    int stop_pipe[2];
+    LoopWatch *stop_watch;
+};
+
+/* control_log.c */
+Status Control_OpenLog(Control *control, ErrCtx *err);
+void Control_CloseLog(Control *control);
+void Control_Propose(Control *control, const Buf *command, ProposeFn fn,
+                     void *arg);
+void Control_ExpireProposals(Control *control, int64_t now);
+void Control_OnPropose(Control *control, size_t peer,
+                       const msgpack_object_array *message);
+void Control_OnProposed(Control *control, const msgpack_object_array *message);
+bool Control_IsLeader(const Control *control);
+/* Returns the name of the leader as far as known, or "". */
+const char *Control_LeaderName(const Control *control);
+
+/* control_targets.c */
+Status Control_Announce(Control *control, const char *json, size_t len,
+                        bool relay, ErrCtx *err);
+bool Control_Leave(Control *control, const char *name, bool relay);
+void Control_TargetTick(Control *control, int64_t now);
+void Control_PublishView(Control *control, int64_t now);
+ControlTarget *Control_FindTarget(Control *control, const char *name);
+
+/* control_admin.c */
+void Control_HandleHttp(void *arg, HttpRequest *http);
+json_t *Control_StatusJson(Control *control);
+
+/* control_maint.c */
+void Control_AckCloses(Control *control, int64_t now);
+
+/* Appends a msgpack text. */
+void Control_PackText(msgpack_packer *packer, const char *text);
+
+#endif
--- /dev/null
+++ b/src/control_log.c
@@ -0,0 +1,402 @@
+#include "control_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "diag.h"
+#include "rng.h"
+
+static void
+apply_command(void *machine, uint64_t index, const char *command, size_t len,
+              Buf *result)
+{
+    State_Apply(machine, index, command, len, result);
+}
+
+static void
+take_snapshot(const void *machine, Buf *out)
+{
+    State_Snapshot(machine, out);
+}
+
+static Status
+restore_snapshot(void *machine, const char *bytes, size_t len)
+{
+    ErrCtx err = {0};
+    Status status = State_Restore(machine, bytes, len, &err);
+
+    if (status != ST_OK) {
+        Diag_Log(DIAG_ERROR, "state", "A snapshot is refused: %s.",
+                 err.message);
+    }
+    return status;
+}
+
+static const ReplicaMachineOps machine_ops = {apply_command, take_snapshot,
+                                              restore_snapshot};
+
+static void
+send_raft(void *arg, uint64_t to, const char *bytes, size_t len)
+{
+    Control *control = arg;
+    Buf body = BUF_INIT;
+    msgpack_packer packer;
+    size_t i;
+
+    for (i = 0; i < control->settings->peer_count; i++) {
+        if (Peers_Hello(control->peers, i)->identity == to) {
+            break;
+        }
+    }
+    if (i == control->settings->peer_count) {
+        return;
+    }
+    msgpack_packer_init(&packer, &body, Buf_MsgpackWrite);
+    msgpack_pack_array(&packer, 2);
+    msgpack_pack_int(&packer, PEER_RAFT);
+    msgpack_pack_bin(&packer, len);
+    msgpack_pack_bin_body(&packer, bytes, len);
+    Peers_Send(control->peers, i, body.data, body.len);
+    Buf_Free(&body);
+}
+
+static void
+note_applied(Control *control, uint64_t index)
+{
+    control->applied = index;
+    control->view_dirty = true;
+    control->version_ms = Loop_NowMs();
+}
+
+static void
+on_applied(void *arg, uint64_t index, const char *command, size_t len,
+           const Buf *result)
+{
+    (void)command;
+    (void)len;
+    (void)result;
+    note_applied(arg, index);
+}
+
+static void
+on_restored(void *arg, uint64_t index)
+{
+    note_applied(arg, index);
+}
+
+static void
+end_proposal(Control *control, uint64_t cookie, Status status, uint64_t index,
+             const char *result, size_t len)
+{
+    Handle handle = Handle_Unpack(cookie);
+    ControlProposal *row = Table_Get(control->proposals, handle);
+    ControlProposal proposal;
+
+    if (row == NULL) {
+        return;
+    }
+    proposal = *row;
+    Table_Remove(control->proposals, handle);
+    proposal.fn(proposal.arg, status, index, result, len);
+}
+
+static void
+on_proposed(void *arg, uint64_t cookie, Status status, uint64_t index,
+            const Buf *result)
+{
+    end_proposal(arg, cookie, status, index,
+                 result != NULL ? result->data : NULL,
+                 result != NULL ? result->len : 0);
+}
+
+static void
+on_read(void *arg, uint64_t cookie, Status status, uint64_t index)
+{
+    end_proposal(arg, cookie, status, index, NULL, 0);
+}
+
+static void
+on_role(void *arg, RaftRole role, uint64_t term, uint64_t leader)
+{
+    (void)arg;
+    Diag_Log(DIAG_NOTICE, "raft", "%s in term %llu; the leader is %016llx.",
+             role == RAFT_LEADER ? "Leader" : "Not leader",
+             (unsigned long long)term, (unsigned long long)leader);
+}
+
+static void
+fill_options(ReplicaOptions *options, const Settings *settings)
+{
+    options->name = settings->name;
+    options->data_centre = settings->data_centre;
+    options->seed = Rng_SystemSeed();
+    options->now_ms = Loop_NowMs();
+    options->election_ms = settings->election_ms;
+    options->heartbeat_ms = settings->heartbeat_ms;
+    options->snapshot_entries = (uint64_t)settings->snapshot_entries;
+    options->voters = (size_t)settings->voters;
+    options->machine_ops = &machine_ops;
+    options->send = send_raft;
+    options->applied = on_applied;
+    options->proposed = on_proposed;
+    options->read_ready = on_read;
+    options->restored = on_restored;
+    options->role_changed = on_role;
+}
+
+Status
+Control_OpenLog(Control *control, ErrCtx *err)
+{
+    const Settings *settings = control->settings;
+    ReplicaOptions options = REPLICA_OPTIONS_DEFAULT;
+    Status status;
+
+    if (settings->data_folder[0] == '\0') {
+        return ST_OK;
+    }
+    status = Storage_OpenFolder(settings->data_folder, true, &control->storage,
+                                err);
+    if (status != ST_OK) {
+        return status;
+    }
+    fill_options(&options, settings);
+    options.machine = control->state;
+    options.arg = control;
+    status = Replica_Open(&options, control->storage, &control->replica, err);
+    if (status == ST_OK) {
+        control->applied = Replica_AppliedIndex(control->replica);
+        Diag_Log(DIAG_NOTICE, "raft",
+                 "Opened the log of identity %016llx at index %llu.",
+                 (unsigned long long)Replica_Identity(control->replica),
+                 (unsigned long long)Replica_LastIndex(control->replica));
+    }
+    return status;
+}
+
+void
+Control_CloseLog(Control *control)
+{
+    if (control->replica != NULL) {
+        Replica_Close(control->replica);
+        control->replica = NULL;
+    }
+    if (control->storage != NULL) {
+        Storage_Close(control->storage);
+        control->storage = NULL;
+    }
+}
+
+Status
+Control_InitFolder(const Settings *settings, ErrCtx *err)
+{
+    ReplicaOptions options = REPLICA_OPTIONS_DEFAULT;
+    Storage *storage = NULL;
+    Replica *replica = NULL;
+    State *state;
+    Status status;
+
+    if (settings->data_folder[0] == '\0') {
+        return Err_Set(err, ST_INVALID, "the settings have no data_folder");
+    }
+    status = Storage_OpenFolder(settings->data_folder, true, &storage, err);
+    if (status != ST_OK) {
+        return status;
+    }
+    state = State_New();
+    fill_options(&options, settings);
+    options.machine = state;
+    options.init = true;
+    status = Replica_Open(&options, storage, &replica, err);
+    if (status == ST_OK) {
+        Replica_Close(replica);
+    }
+    Storage_Close(storage);
+    State_Free(state);
+    return status;
+}
+
+bool
+Control_IsLeader(const Control *control)
+{
+    return control->replica != NULL &&
+           Replica_Role(control->replica) == RAFT_LEADER;
+}
+
+/* Returns the identity of the leader, 0 when unknown. */
+static uint64_t
+leader_identity(const Control *control)
+{
+    size_t i;
+
+    if (control->replica != NULL && Replica_Leader(control->replica) != 0) {
+        return Replica_Leader(control->replica);
+    }
+    for (i = 0; i < control->settings->peer_count; i++) {
+        if (Peers_IsUp(control->peers, i) &&
+            control->peer_states[i].leader != 0) {
+            return control->peer_states[i].leader;
+        }
+    }
+    return 0;
+}
+
+/* Returns the index of the peer that leads, or -1. */
+static long
+leader_peer(const Control *control)
+{
+    uint64_t identity = leader_identity(control);
+    size_t i;
+
+    for (i = 0; identity != 0 && i < control->settings->peer_count; i++) {
+        if (Peers_IsUp(control->peers, i) &&
+            Peers_Hello(control->peers, i)->identity == identity) {
+            return (long)i;
+        }
+    }
+    return -1;
+}
+
+const char *
+Control_LeaderName(const Control *control)
+{
+    long peer;
+
+    if (Control_IsLeader(control)) {
+        return control->settings->name;
+    }
+    peer = leader_peer(control);
+    return peer >= 0 ? control->settings->peers[peer].name : "";
+}
+
+static void
+send_proposal(Control *control, size_t peer, uint64_t cookie,
+              const Buf *command)
+{
+    Buf body = BUF_INIT;
+    msgpack_packer packer;
+
+    msgpack_packer_init(&packer, &body, Buf_MsgpackWrite);
+    msgpack_pack_array(&packer, 3);
+    msgpack_pack_int(&packer, PEER_PROPOSE);
+    msgpack_pack_uint64(&packer, cookie);
+    msgpack_pack_bin(&packer, command->len);
+    msgpack_pack_bin_body(&packer, command->data, command->len);
+    Peers_Send(control->peers, peer, body.data, body.len);
+    Buf_Free(&body);
+}
+
+void
+Control_Propose(Control *control, const Buf *command, ProposeFn fn, void *arg)
+{
+    Handle handle = Table_Add(control->proposals);
+    ControlProposal *row = Table_Get(control->proposals, handle);
+    long leader = leader_peer(control);
+    Status status = ST_NOT_LEADER;
+
+    if (row == NULL) {
+        fn(arg, ST_NOT_LEADER, 0, NULL, 0);
+        return;
+    }
+    *row = (ControlProposal){fn, arg, 0};
+    if (Control_IsLeader(control)) {
+        status = Replica_Propose(control->replica, Loop_NowMs(), command->data,
+                                 command->len, Handle_Pack(handle));
+    }
+    else if (leader >= 0) {
+        row->due_ms = Loop_NowMs() + CONTROL_PROPOSAL_MS;
+        send_proposal(control, (size_t)leader, Handle_Pack(handle), command);
+        status = ST_OK;
+    }
+    if (status != ST_OK) {
+        end_proposal(control, Handle_Pack(handle), ST_NOT_LEADER, 0, NULL, 0);
+    }
+}
+
+void
+Control_ExpireProposals(Control *control, int64_t now)
+{
+    uint32_t cursor = 0;
+    Handle handle;
+
+    while (!Handle_IsNone(handle = Table_Next(control->proposals, &cursor))) {
+        const ControlProposal *row = Table_Get(control->proposals, handle);
+        if (row->due_ms != 0 && now >= row->due_ms) {
+            end_proposal(control, Handle_Pack(handle), ST_AGAIN, 0, NULL, 0);
+        }
+    }
+}
+
+/* A proposal of a peer that this node, the leader, passes to its replica. */
+typedef struct PeerProposal {
+    Control *control;
+    size_t peer;
+    uint64_t cookie;
+} PeerProposal;
+
+static void
+answer_peer(void *arg, Status status, uint64_t index, const char *result,
+            size_t len)
+{
+    PeerProposal *proposal = arg;
+    Buf body = BUF_INIT;
+    msgpack_packer packer;
+
+    msgpack_packer_init(&packer, &body, Buf_MsgpackWrite);
+    msgpack_pack_array(&packer, 5);
+    msgpack_pack_int(&packer, PEER_PROPOSED);
+    msgpack_pack_uint64(&packer, proposal->cookie);
+    msgpack_pack_int(&packer, (int)status);
+    msgpack_pack_uint64(&packer, index);
+    msgpack_pack_bin(&packer, len);
+    msgpack_pack_bin_body(&packer, result, len);
+    Peers_Send(proposal->control->peers, proposal->peer, body.data, body.len);
+    Buf_Free(&body);
+    free(proposal);
+}
+
+void
+Control_OnPropose(Control *control, size_t peer,
+                  const msgpack_object_array *message)
+{
+    PeerProposal *proposal;
+    Buf command = BUF_INIT;
+
+    if (message->size != 3 ||
+        message->ptr[1].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+        message->ptr[2].type != MSGPACK_OBJECT_BIN) {
+        return;
+    }
+    proposal = malloc(sizeof(*proposal));
+    if (proposal == NULL) {
+        abort();
+    }
+    *proposal = (PeerProposal){control, peer, message->ptr[1].via.u64};
+    if (!Control_IsLeader(control)) {
+        /* Not passed on, so that two nodes cannot send it in circles. */
+        answer_peer(proposal, ST_NOT_LEADER, 0, NULL, 0);
+        return;
+    }
+    Buf_Append(&command, message->ptr[2].via.bin.ptr,
+               message->ptr[2].via.bin.size);
+    Control_Propose(control, &command, answer_peer, proposal);
+    Buf_Free(&command);
+}
+
+void
+Control_OnProposed(Control *control, const msgpack_object_array *message)
+{
+    const msgpack_object *items = message->ptr;
+    Status status;
+
+    if (message->size != 5 ||
+        items[1].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+        items[2].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+        items[3].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+        items[4].type != MSGPACK_OBJECT_BIN) {
+        return;
+    }
+    status =
+        items[2].via.u64 <= ST_NO_MEMORY ? (Status)items[2].via.u64 : ST_AGAIN;
+    end_proposal(control, items[1].via.u64, status, items[3].via.u64,
+                 items[4].via.bin.ptr, items[4].via.bin.size);
+}
--- /dev/null
+++ b/src/control_targets.c
@@ -0,0 +1,454 @@
+#include "control_internal.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <apr_strings.h>
+
+#include "diag.h"
+#include "route.h"
+
+#define CONTROL_VIEW_MS 50
+/* A target without a word for this long is forgotten; its VM stays in the
+ * replicated state. */
+#define CONTROL_FORGET_MS 600000
+
+ControlTarget *
+Control_FindTarget(Control *control, const char *name)
+{
+    uint32_t cursor = 0;
+    Handle handle;
+
+    while (!Handle_IsNone(handle = Table_Next(control->targets, &cursor))) {
+        ControlTarget *target = Table_Get(control->targets, handle);
+        if (strcmp(target->name, name) == 0) {
+            return target;
+        }
+    }
+    return NULL;
+}
+
+static bool
+copy_name(const json_t *json, const char *key, char *out)
+{
+    const char *text = json_string_value(json_object_get(json, key));
+
+    if (text == NULL || *text == '\0' || strlen(text) >= SETTINGS_NAME_BYTES) {
+        return false;
+    }
+    snprintf(out, SETTINGS_NAME_BYTES, "%s", text);
+    return true;
+}
+
+static bool
+copy_address(const json_t *json, const char *key, SettingsAddress *out)
+{
+    const char *text = json_string_value(json_object_get(json, key));
+
+    return text != NULL && Settings_ParseAddress(text, out);
+}
+
+static bool
+copy_count(const json_t *json, const char *key, uint32_t max, uint32_t *out)
+{
+    json_int_t value = json_integer_value(json_object_get(json, key));
+
+    if (value < 1 || value > max) {
+        return false;
+    }
+    *out = (uint32_t)value;
+    return true;
+}
+
+/* Parses an announcement; all that is wrong goes into one message. */
+static Status
+parse_target(const json_t *json, ControlTarget *target, ErrCtx *err)
+{
+    Buf wrong = BUF_INIT;
+    const char *state = json_string_value(json_object_get(json, "state"));
+    const char *pool = json_string_value(json_object_get(json, "pool"));
+
+    if (!copy_name(json, "name", target->name)) {
+        Buf_Printf(&wrong, " name");
+    }
+    if (!copy_name(json, "data_centre", target->data_centre)) {
+        Buf_Printf(&wrong, " data_centre");
+    }
+    if (!copy_name(json, "rack", target->rack)) {
+        Buf_Printf(&wrong, " rack");
+    }
+    if (!copy_address(json, "address", &target->address)) {
+        Buf_Printf(&wrong, " address");
+    }
+    if (!copy_address(json, "platform", &target->platform)) {
+        target->platform = target->address;
+    }
+    if (!copy_count(json, "slots", 100000, &target->slots)) {
+        Buf_Printf(&wrong, " slots");
+    }
+    if (!copy_count(json, "connections", 100000, &target->connections)) {
+        Buf_Printf(&wrong, " connections");
+    }
+    if (!json_is_integer(json_object_get(json, "incarnation"))) {
+        Buf_Printf(&wrong, " incarnation");
+    }
+    target->incarnation =
+        (uint64_t)json_integer_value(json_object_get(json, "incarnation"));
+    target->leaving = state != NULL && strcmp(state, "leaving") == 0;
+    if (pool != NULL) {
+        snprintf(target->pool, sizeof(target->pool), "%s", pool);
+    }
+    if (wrong.len > 0) {
+        Err_Set(err, ST_INVALID, "missing or out of bounds:%s",
+                Buf_Text(&wrong));
+        Buf_Free(&wrong);
+        return ST_INVALID;
+    }
+    return ST_OK;
+}
+
+static void
+relay_target(Control *control, const char *json, size_t len)
+{
+    const Settings *settings = control->settings;
+    Buf body = BUF_INIT;
+    msgpack_packer packer;
+    size_t i;
+
+    msgpack_packer_init(&packer, &body, Buf_MsgpackWrite);
+    msgpack_pack_array(&packer, 2);
+    msgpack_pack_int(&packer, PEER_TARGET);
+    msgpack_pack_str(&packer, len);
+    msgpack_pack_str_body(&packer, json, len);
+    for (i = 0; i < settings->peer_count; i++) {
+        if (strcmp(settings->peers[i].data_centre, settings->data_centre) ==
+            0) {
+            Peers_Send(control->peers, i, body.data, body.len);
+        }
+    }
+    Buf_Free(&body);
+}
+
+static void
+on_registered(void *arg, Status status, uint64_t index, const char *result,
+              size_t len)
+{
+    StateResult answer;
+
+    (void)arg;
+    (void)index;
+    if (status == ST_OK && State_ParseResult(result, len, &answer) == ST_OK &&
+        answer.status != ST_OK) {
+        Diag_Log(DIAG_WARNING, CONTROL_PART, "A VM is not registered: %s.",
+                 answer.message);
+    }
+}
+
+/* Returns the pool that a new VM joins: the one that it names, otherwise a
+ * spare pool. */
+static const char *
+first_pool(const Control *control, const ControlTarget *target)
+{
+    size_t i;
+
+    if (State_Pool(control->state, target->pool) != NULL) {
+        return target->pool;
+    }
+    for (i = 0; i < State_PoolCount(control->state); i++) {
+        const StatePool *pool = State_PoolAt(control->state, i);
+        if (pool->spare != 0) {
+            return pool->name;
+        }
+    }
+    return NULL;
+}
+
+static void
+register_vm(Control *control, ControlTarget *target, int64_t now)
+{
+    const char *pool;
+    Buf command = BUF_INIT;
+
+    if (!control->registered || now < target->registered_ms ||
+        State_Vm(control->state, target->name) != NULL) {
+        return;
+    }
+    pool = first_pool(control, target);
+    if (pool == NULL) {
+        return;
+    }
+    target->registered_ms = now + CONTROL_REPEAT_MS;
+    StateCmd_RegisterVm(&command, target->name, target->data_centre,
+                        target->rack, pool);
+    Control_Propose(control, &command, on_registered, NULL);
+    Buf_Free(&command);
+}
+
+static bool
+same_view(const ControlTarget *a, const ControlTarget *b)
+{
+    return a->leaving == b->leaving && !b->suspect && a->slots == b->slots &&
+           a->connections == b->connections &&
+           a->incarnation == b->incarnation &&
+           a->address.port == b->address.port &&
+           strcmp(a->address.host, b->address.host) == 0;
+}
+
+static Status
+note_target(Control *control, const ControlTarget *news, int64_t now,
+            ErrCtx *err)
+{
+    ControlTarget *target = Control_FindTarget(control, news->name);
+    Handle handle;
+
+    if (target == NULL) {
+        handle = Table_Add(control->targets);
+        target = Table_Get(control->targets, handle);
+        if (target == NULL) {
+            return Err_Set(err, ST_FULL, "too many targets");
+        }
+        *target = *news;
+        control->view_dirty = true;
+        Diag_Log(DIAG_INFO, CONTROL_PART, "Target %s in %s announced itself.",
+                 target->name, target->data_centre);
+    }
+    else if (news->incarnation < target->incarnation) {
+        return Err_Set(err, ST_STALE, "an older incarnation");
+    }
+    else if (target->leaving && !news->leaving &&
+             news->incarnation == target->incarnation) {
+        /* An announcement that a leave overtook. */
+        return ST_OK;
+    }
+    else {
+        int64_t registered_ms = target->registered_ms;
+        control->view_dirty |= !same_view(news, target);
+        *target = *news;
+        target->registered_ms = registered_ms;
+    }
+    target->heard_ms = now;
+    register_vm(control, target, now);
+    return ST_OK;
+}
+
+Status
+Control_Announce(Control *control, const char *json, size_t len, bool relay,
+                 ErrCtx *err)
+{
+    json_error_t where;
+    json_t *root = json_loadb(json, len, 0, &where);
+    ControlTarget target;
+    Status status;
+
+    if (root == NULL) {
+        return Err_Set(err, ST_INVALID, "not JSON: %s", where.text);
+    }
+    memset(&target, 0, sizeof(target));
+    status = parse_target(root, &target, err);
+    json_decref(root);
+    if (status == ST_OK) {
+        status = note_target(control, &target, Loop_NowMs(), err);
+    }
+    if (status == ST_OK && relay) {
+        relay_target(control, json, len);
+    }
+    return status;
+}
+
+bool
+Control_Leave(Control *control, const char *name, bool relay)
+{
+    ControlTarget *target = Control_FindTarget(control, name);
+    json_t *json;
+    char *text;
+    char address[SETTINGS_HOST_BYTES + 8];
+
+    if (target == NULL) {
+        return false;
+    }
+    target->leaving = true;
+    control->view_dirty = true;
+    if (!relay) {
+        return true;
+    }
+    snprintf(address, sizeof(address), "%s:%d", target->address.host,
+             target->address.port);
+    json = json_pack("{s:s, s:s, s:s, s:s, s:i, s:i, s:I, s:s}", "name",
+                     target->name, "data_centre", target->data_centre, "rack",
+                     target->rack, "address", address, "slots",
+                     (int)target->slots, "connections",
+                     (int)target->connections, "incarnation",
+                     (json_int_t)target->incarnation, "state", "leaving");
+    text = json_dumps(json, JSON_COMPACT);
+    if (text != NULL) {
+        relay_target(control, text, strlen(text));
+    }
+    free(text);
+    json_decref(json);
+    return true;
+}
+
+void
+Control_TargetTick(Control *control, int64_t now)
+{
+    uint32_t cursor = 0;
+    Handle handle;
+
+    while (!Handle_IsNone(handle = Table_Next(control->targets, &cursor))) {
+        ControlTarget *target = Table_Get(control->targets, handle);
+        int64_t silent = now - target->heard_ms;
+        if (!target->suspect &&
+            silent > control->settings->target_suspect_ms) {
+            target->suspect = true;
+            control->view_dirty = true;
+            Diag_Log(DIAG_WARNING, CONTROL_PART,
+                     "Target %s is suspected after %lld ms of silence.",
+                     target->name, (long long)silent);
+        }
+        if (silent > CONTROL_FORGET_MS) {
+            Table_Remove(control->targets, handle);
+            control->view_dirty = true;
+        }
+    }
+}
+
+/* --- views --- */
+
+/* The rank of this node among the entry VMs of its data centre, which are
+ * those of the settings: a member that is silent keeps its rank. */
+typedef struct Ranks {
+    uint32_t rank;
+    uint32_t count;
+    bool silent[SETTINGS_MAX_PEERS + 1];
+} Ranks;
+
+static void
+find_ranks(const Control *control, Ranks *ranks)
+{
+    const Settings *settings = control->settings;
+    const char *names[SETTINGS_MAX_PEERS + 1];
+    bool silent[SETTINGS_MAX_PEERS + 1];
+    uint32_t count = 0;
+    uint32_t i;
+    uint32_t j;
+
+    names[count] = settings->name;
+    silent[count++] = false;
+    for (i = 0; i < settings->peer_count; i++) {
+        if (strcmp(settings->peers[i].data_centre, settings->data_centre) ==
+            0) {
+            names[count] = settings->peers[i].name;
+            silent[count++] = !Peers_IsUp(control->peers, i);
+        }
+    }
+    ranks->count = count;
+    for (i = 0; i < count; i++) {
+        uint32_t rank = 0;
+        for (j = 0; j < count; j++) {
+            rank += strcmp(names[j], names[i]) < 0 ? 1 : 0;
+        }
+        ranks->silent[rank] = silent[i];
+        if (i == 0) {
+            ranks->rank = rank;
+        }
+    }
+}
+
+static TrafficTargetState
+target_state(const ControlTarget *target, const StateVm *vm)
+{
+    if (target->leaving) {
+        return TRAFFIC_TARGET_LEAVING;
+    }
+    if (vm->assignment != STATE_OPEN) {
+        return TRAFFIC_TARGET_CLOSED;
+    }
+    return target->suspect ? TRAFFIC_TARGET_SUSPECT : TRAFFIC_TARGET_OPEN;
+}
+
+static void
+add_targets(const Control *control, GatewayView *view)
+{
+    uint32_t cursor = 0;
+    Handle handle;
+    Ranks ranks;
+
+    memset(&ranks, 0, sizeof(ranks));
+    find_ranks(control, &ranks);
+    view->targets =
+        apr_pcalloc(view->pool, (Table_Count(control->targets) + 1) *
+                                    sizeof(*view->targets));
+    while (!Handle_IsNone(handle = Table_Next(control->targets, &cursor))) {
+        const ControlTarget *target = Table_Get(control->targets, handle);
+        const StateVm *vm = State_Vm(control->state, target->name);
+        TrafficTarget *out = &view->targets[view->target_count];
+        if (vm == NULL ||
+            strcmp(target->data_centre, control->settings->data_centre) != 0) {
+            continue;
+        }
+        out->name = apr_pstrdup(view->pool, target->name);
+        out->pool = apr_pstrdup(view->pool, vm->pool);
+        out->data_centre = apr_pstrdup(view->pool, target->data_centre);
+        out->rack = apr_pstrdup(view->pool, target->rack);
+        out->epoch = vm->epoch;
+        out->state = target_state(target, vm);
+        out->slots =
+            Route_DivideCredits(target->name, target->slots, ranks.rank,
+                                ranks.count, ranks.silent);
+        out->connections =
+            Route_DivideCredits(target->name, target->connections, ranks.rank,
+                                ranks.count, ranks.silent);
+        out->cookie = Gateway_PackAddress(&target->address);
+        view->target_count++;
+    }
+}
+
+static void
+add_services(const Control *control, GatewayView *view)
+{
+    size_t i;
+
+    view->service_count = State_ServiceCount(control->state);
+    view->services = apr_pcalloc(view->pool, (view->service_count + 1) *
+                                                 sizeof(*view->services));
+    for (i = 0; i < view->service_count; i++) {
+        const StateService *service = State_ServiceAt(control->state, i);
+        view->services[i].name = apr_pstrdup(view->pool, service->name);
+        view->services[i].pool = apr_pstrdup(view->pool, service->pool);
+        view->services[i].short_ms = service->short_ms;
+        view->services[i].max_queue = (uint32_t)service->max_queue;
+    }
+    view->team_count = State_TeamCount(control->state);
+    view->teams =
+        apr_pcalloc(view->pool, (view->team_count + 1) * sizeof(*view->teams));
+    for (i = 0; i < view->team_count; i++) {
+        const StateTeam *team = State_TeamAt(control->state, i);
+        view->teams[i].name = apr_pstrdup(view->pool, team->name);
+        view->teams[i].quota = (uint32_t)team->quota;
+    }
+}
+
+void
+Control_PublishView(Control *control, int64_t now)
+{
+    apr_pool_t *pool;
+    GatewayView *view;
+
+    if (!control->view_dirty || now - control->view_ms < CONTROL_VIEW_MS ||
+        !control->registered) {
+        return;
+    }
+    if (apr_pool_create(&pool, NULL) != APR_SUCCESS) {
+        return;
+    }
+    view = apr_pcalloc(pool, sizeof(*view));
+    view->pool = pool;
+    add_services(control, view);
+    add_targets(control, view);
+    view->sequence = ++control->view_sequence;
+    control->view_dirty = false;
+    control->view_ms = now;
+    control->view_version = State_Version(control->state);
+    Gateway_Publish(control->gateway, view);
+}
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -319,6 +319,22 @@
     Gw_Unlock(gateway);
 }
 
+void
+Gateway_StopThreads(Gateway *gateway)
+{
+    size_t i;
+
+    for (i = 0; gateway != NULL && i < gateway->thread_count; i++) {
+        GwThread *thread = &gateway->threads[i];
+        apr_status_t result;
+        if (thread->thread != NULL) {
+            Loop_Stop(thread->loop);
+            apr_thread_join(&result, thread->thread);
+            thread->thread = NULL;
+        }
+    }
+}
+
 void
 Gateway_Free(Gateway *gateway)
 {
@@ -329,16 +345,11 @@
     if (gateway == NULL) {
         return;
     }
+    Gateway_StopThreads(gateway);
     for (i = 0; gateway->threads != NULL && i < gateway->thread_count; i++) {
-        GwThread *thread = &gateway->threads[i];
-        apr_status_t result;
-        if (thread->thread != NULL) {
-            Loop_Stop(thread->loop);
-            apr_thread_join(&result, thread->thread);
-        }
-        HttpClient_Free(thread->client);
-        HttpServer_Free(thread->server);
-        Loop_Free(thread->loop);
+        HttpClient_Free(gateway->threads[i].client);
+        HttpServer_Free(gateway->threads[i].server);
+        Loop_Free(gateway->threads[i].loop);
     }
     while (gateway->requests != NULL &&
            !Handle_IsNone(handle = Table_Next(gateway->requests, &cursor))) {
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -89,6 +89,7 @@
 void Gateway_GetStats(Gateway *gateway, TrafficStats *stats);
 
 /* Stops the threads; what is still in flight is cut off. */
+void Gateway_StopThreads(Gateway *gateway);
 void Gateway_Free(Gateway *gateway);
 
 uint64_t Gateway_PackAddress(const SettingsAddress *address);
--- a/src/httpserver.c
+++ b/src/httpserver.c
@@ -23,6 +23,7 @@
     LoopWatch *watch;
     HttpServerOptions options;
     size_t active;
+    bool resumed; /* libmicrohttpd has to run before the next wait */
 };
 
 struct HttpRequest {
@@ -161,6 +162,10 @@
     MHD_UNSIGNED_LONG_LONG timeout = 0;
     int i;
 
+    if (server->resumed) {
+        server->resumed = false;
+        MHD_run(server->daemon);
+    }
     for (i = 0; i < HTTP_MAX_RUNS; i++) {
         if (MHD_get_timeout(server->daemon, &timeout) != MHD_YES ||
             timeout != 0) {
@@ -293,6 +298,7 @@
     request->status = (unsigned int)reply->status;
     if (request->suspended) {
         request->suspended = false;
+        request->server->resumed = true;
         MHD_resume_connection(request->connection);
     }
 }
