Add storage, log recovery and the message codec

Cause: a voter may acknowledge only what survives a crash, and must tell a write that a crash cut short from damage to synced bytes.

Ruled out: a checksum over header and data together, since a flipped length then looks like a torn tail; treating any bad last record as torn, since a flipped bit in it would drop a synced entry silently.

Change: headers and data of log records have a checksum each; the vote file notes the last synced index at its last write, so a log cut below it is refused. Decoding reads msgpack without allocating.

--- a/src/raft_msg.h
+++ b/src/raft_msg.h
@@ -16,6 +16,7 @@
 #include <stdint.h>
 
 #include "buf.h"
+#include "reader.h"
 #include "status.h"
 
 #define RAFT_NAME_BYTES 64
@@ -108,4 +109,16 @@
                                    uint64_t identity);
 size_t RaftMembers_Voters(const RaftMembers *members);
 
+/* Adds or replaces a member; lists stay sorted by identity. Returns false when
+ * the list is full. */
+bool RaftMembers_Put(RaftMembers *members, const RaftMember *member);
+
+/* Returns false when there is no such member. */
+bool RaftMembers_Remove(RaftMembers *members, uint64_t identity);
+
+/* One entry as msgpack [index, term, kind, data]. Reading borrows the bytes
+ * and marks the reader as failed for a bad entry. */
+void RaftEntry_Encode(const RaftEntry *entry, Buf *out);
+void RaftEntry_Read(Reader *reader, RaftEntry *entry);
+
 #endif
--- /dev/null
+++ b/src/wal.c
@@ -0,0 +1,681 @@
+#include "wal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "wal_format.h"
+
+typedef struct Position {
+    uint64_t offset;
+    uint64_t term;
+} Position;
+
+struct Wal {
+    Storage *storage;
+    uint64_t identity;
+    WalVote vote;
+    uint64_t snapshot_index;
+    uint64_t base_index;
+    uint64_t base_term;
+    Position *positions; /* of the entries base_index + 1 and on */
+    size_t count;
+    size_t capacity;
+    uint64_t log_bytes;
+    uint64_t synced_index;
+    Buf scratch;
+    ErrCtx failure; /* sticky */
+};
+
+void
+WalRecovery_Free(WalRecovery *recovery)
+{
+    Buf_Free(&recovery->snapshot);
+    Buf_Free(&recovery->log);
+    free(recovery->entries);
+    recovery->entries = NULL;
+    recovery->entry_count = 0;
+}
+
+/* Keeps the first failure. */
+static Status
+stick(Wal *wal, Status status, const ErrCtx *cause, ErrCtx *err)
+{
+    if (status != ST_OK && wal->failure.status == ST_OK) {
+        wal->failure = *cause;
+        wal->failure.status = status;
+    }
+    if (status != ST_OK && err != NULL) {
+        *err = wal->failure;
+    }
+    return status;
+}
+
+static Status
+refuse_failed(const Wal *wal, ErrCtx *err)
+{
+    if (wal->failure.status != ST_OK && err != NULL) {
+        *err = wal->failure;
+    }
+    return wal->failure.status;
+}
+
+static Status
+write_vote(Wal *wal, const WalVote *vote, ErrCtx *err)
+{
+    ErrCtx cause = {ST_OK, ""};
+    Status status;
+
+    Buf_Clear(&wal->scratch);
+    WalFormat_Vote(&wal->scratch, wal->identity, vote);
+    status = Storage_Replace(wal->storage, WAL_VOTE, wal->scratch.data,
+                             wal->scratch.len, &cause);
+    if (status == ST_OK) {
+        wal->vote = *vote;
+    }
+    return stick(wal, status, &cause, err);
+}
+
+/* Must precede every intended removal of synced entries. */
+static Status
+lower_floor(Wal *wal, uint64_t index, ErrCtx *err)
+{
+    WalVote vote = wal->vote;
+
+    if (vote.floor <= index) {
+        return ST_OK;
+    }
+    vote.floor = index;
+    return write_vote(wal, &vote, err);
+}
+
+Status
+Wal_Create(Storage *storage, uint64_t identity, uint64_t cluster,
+           const RaftMembers *members, ErrCtx *err)
+{
+    Buf bytes = BUF_INIT;
+    Buf list = BUF_INIT;
+    WalVote vote = {0, 0, 0};
+    Status status;
+
+    status = Storage_Read(storage, WAL_IDENTITY, &bytes, err);
+    Buf_Clear(&bytes);
+    if (status != ST_NOT_FOUND) {
+        Buf_Free(&bytes);
+        return status != ST_OK ? status
+                               : Err_Set(err, ST_EXISTS,
+                                         "the folder already has an identity");
+    }
+    WalFormat_LogHeader(&bytes, identity, 0, 0);
+    if (members != NULL) {
+        RaftEntry entry = {1, 1, RAFT_MEMBERS, NULL, 0};
+
+        RaftMembers_Encode(members, &list);
+        entry.data = list.data;
+        entry.len = list.len;
+        WalFormat_Record(&bytes, identity, &entry);
+        vote.term = 1;
+        vote.floor = 1;
+    }
+    status = Storage_Replace(storage, WAL_LOG, bytes.data, bytes.len, err);
+    if (status == ST_OK) {
+        Buf_Clear(&bytes);
+        WalFormat_Vote(&bytes, identity, &vote);
+        status =
+            Storage_Replace(storage, WAL_VOTE, bytes.data, bytes.len, err);
+    }
+    /* The identity comes last: without it the creation never happened. */
+    if (status == ST_OK) {
+        Buf_Clear(&bytes);
+        WalFormat_Identity(&bytes, identity, cluster);
+        status =
+            Storage_Replace(storage, WAL_IDENTITY, bytes.data, bytes.len, err);
+    }
+    Buf_Free(&bytes);
+    Buf_Free(&list);
+    return status;
+}
+
+static void
+push_position(Wal *wal, uint64_t offset, uint64_t term)
+{
+    if (wal->count == wal->capacity) {
+        size_t capacity = wal->capacity ? wal->capacity * 2 : 256;
+        Position *more = realloc(wal->positions, capacity * sizeof(*more));
+
+        if (more == NULL) {
+            abort();
+        }
+        wal->positions = more;
+        wal->capacity = capacity;
+    }
+    wal->positions[wal->count].offset = offset;
+    wal->positions[wal->count].term = term;
+    wal->count++;
+}
+
+static uint64_t
+term_at(const Wal *wal, uint64_t index)
+{
+    if (index == wal->base_index) {
+        return wal->base_term;
+    }
+    if (index < wal->base_index || index > Wal_LastIndex(wal)) {
+        return 0;
+    }
+    return wal->positions[index - wal->base_index - 1].term;
+}
+
+/* A folder without an identity is new, unless it holds more than an
+ * interrupted creation can leave behind. */
+static Status
+check_new(Storage *storage, ErrCtx *err)
+{
+    Buf file = BUF_INIT;
+    size_t creation =
+        WAL_LOG_HEADER_BYTES + WAL_RECORD_HEADER_BYTES + WAL_SUM_BYTES + 1024;
+    Status status = Storage_Read(storage, WAL_SNAPSHOT, &file, err);
+
+    if (status == ST_OK) {
+        status = Err_Set(err, ST_CORRUPT,
+                         "identity: offset 0: the file is missing, but there "
+                         "is a snapshot");
+    }
+    else if (status == ST_NOT_FOUND) {
+        status = Storage_Read(storage, WAL_LOG, &file, err);
+        if (status == ST_OK) {
+            status = ST_NOT_FOUND;
+            if (file.len > creation) {
+                status = Err_Set(err, ST_CORRUPT,
+                                 "identity: offset 0: the file is missing, "
+                                 "but there is a log");
+            }
+        }
+    }
+    Buf_Free(&file);
+    return status;
+}
+
+/* Reads a file that a created folder must have. */
+static Status
+read_required(Storage *storage, const char *name, Buf *out, ErrCtx *err)
+{
+    Status status = Storage_Read(storage, name, out, err);
+
+    if (status == ST_NOT_FOUND) {
+        return Err_Set(err, ST_CORRUPT, "%s: offset 0: the file is missing",
+                       name);
+    }
+    return status;
+}
+
+static Status
+recover_small_files(Wal *wal, WalRecovery *recovery, ErrCtx *err)
+{
+    Buf file = BUF_INIT;
+    size_t offset;
+    size_t len;
+    Status status = Storage_Read(wal->storage, WAL_IDENTITY, &file, err);
+
+    if (status == ST_NOT_FOUND) {
+        status = check_new(wal->storage, err);
+    }
+    else if (status == ST_OK) {
+        status = WalFormat_ReadIdentity(&file, &recovery->identity,
+                                        &recovery->cluster, err);
+    }
+    wal->identity = recovery->identity;
+    if (status == ST_OK) {
+        Buf_Clear(&file);
+        status = read_required(wal->storage, WAL_VOTE, &file, err);
+    }
+    if (status == ST_OK) {
+        status = WalFormat_ReadVote(&file, wal->identity, &wal->vote, err);
+    }
+    if (status == ST_OK) {
+        Buf_Clear(&file);
+        status = Storage_Read(wal->storage, WAL_SNAPSHOT, &file, err);
+        if (status == ST_OK) {
+            status = WalFormat_ReadSnapshot(
+                &file, wal->identity, &recovery->snapshot_index,
+                &recovery->snapshot_term, &recovery->snapshot_members, &offset,
+                &len, err);
+            if (status == ST_OK) {
+                Buf_Append(&recovery->snapshot, file.data + offset, len);
+            }
+        }
+        else if (status == ST_NOT_FOUND) {
+            status = ST_OK;
+        }
+    }
+    Buf_Free(&file);
+    recovery->term = wal->vote.term;
+    recovery->vote = wal->vote.vote;
+    wal->snapshot_index = recovery->snapshot_index;
+    return status;
+}
+
+static void
+add_recovered(Wal *wal, WalRecovery *recovery, const RaftEntry *entry,
+              size_t offset)
+{
+    if (wal->count == wal->capacity) {
+        size_t capacity = wal->capacity ? wal->capacity * 2 : 256;
+        RaftEntry *more = realloc(recovery->entries, capacity * sizeof(*more));
+
+        if (more == NULL) {
+            abort();
+        }
+        recovery->entries = more;
+    }
+    push_position(wal, offset, entry->term);
+    recovery->entries[recovery->entry_count++] = *entry;
+}
+
+static Status
+recover_records(Wal *wal, WalRecovery *recovery, ErrCtx *err)
+{
+    Buf *log = &recovery->log;
+    size_t offset = WAL_LOG_HEADER_BYTES;
+    uint64_t index = wal->base_index;
+    uint64_t term = wal->base_term;
+    Status status = ST_OK;
+
+    while (offset < log->len) {
+        RaftEntry entry;
+        size_t next = 0;
+
+        status = WalFormat_ReadRecord(log, wal->identity, offset, &entry,
+                                      &next, err);
+        if (status == ST_AGAIN) {
+            recovery->torn_bytes = log->len - offset;
+            snprintf(recovery->note, sizeof(recovery->note),
+                     "log: offset %zu: cut a torn tail of %llu bytes after "
+                     "entry %llu",
+                     offset, (unsigned long long)recovery->torn_bytes,
+                     (unsigned long long)index);
+            break;
+        }
+        if (status != ST_OK) {
+            return status;
+        }
+        if (entry.index != index + 1 || entry.term < term ||
+            entry.term > wal->vote.term) {
+            return Err_Set(err, ST_CORRUPT,
+                           "log: offset %zu: entry %llu of term %llu does not "
+                           "follow entry %llu of term %llu",
+                           offset, (unsigned long long)entry.index,
+                           (unsigned long long)entry.term,
+                           (unsigned long long)index,
+                           (unsigned long long)term);
+        }
+        add_recovered(wal, recovery, &entry, offset);
+        index = entry.index;
+        term = entry.term;
+        offset = next;
+    }
+    wal->log_bytes = offset;
+    if (index < wal->vote.floor) {
+        return Err_Set(err, ST_CORRUPT,
+                       "log: offset %zu: the log ends at entry %llu, but "
+                       "entries up to %llu were synced",
+                       offset, (unsigned long long)index,
+                       (unsigned long long)wal->vote.floor);
+    }
+    return ST_OK;
+}
+
+static Status
+reset_log(Wal *wal, uint64_t index, uint64_t term, ErrCtx *err)
+{
+    ErrCtx cause = {ST_OK, ""};
+    Status status;
+
+    Buf_Clear(&wal->scratch);
+    WalFormat_LogHeader(&wal->scratch, wal->identity, index, term);
+    status = Storage_Replace(wal->storage, WAL_LOG, wal->scratch.data,
+                             wal->scratch.len, &cause);
+    if (status == ST_OK) {
+        wal->base_index = index;
+        wal->base_term = term;
+        wal->count = 0;
+        wal->log_bytes = wal->scratch.len;
+        wal->synced_index = index;
+    }
+    return stick(wal, status, &cause, err);
+}
+
+/* Checks log against snapshot, and finishes an interrupted Wal_Install. */
+static Status
+join_snapshot(Wal *wal, WalRecovery *recovery, ErrCtx *err)
+{
+    uint64_t index = recovery->snapshot_index;
+    Status status;
+
+    if (wal->base_index > index) {
+        return Err_Set(err, ST_CORRUPT,
+                       "log: offset 16: the log starts after entry %llu, but "
+                       "the snapshot ends at entry %llu",
+                       (unsigned long long)wal->base_index,
+                       (unsigned long long)index);
+    }
+    if (index == 0 || term_at(wal, index) == recovery->snapshot_term) {
+        return ST_OK;
+    }
+    snprintf(recovery->note, sizeof(recovery->note),
+             "log: offset %d: replaced entries %llu to %llu by the snapshot "
+             "received up to entry %llu",
+             WAL_LOG_HEADER_BYTES, (unsigned long long)wal->base_index + 1,
+             (unsigned long long)Wal_LastIndex(wal),
+             (unsigned long long)index);
+    status = lower_floor(wal, index, err);
+    if (status == ST_OK) {
+        status = reset_log(wal, index, recovery->snapshot_term, err);
+    }
+    recovery->entry_count = 0;
+    return status;
+}
+
+static Status
+recover_log(Wal *wal, WalRecovery *recovery, ErrCtx *err)
+{
+    Status status = read_required(wal->storage, WAL_LOG, &recovery->log, err);
+
+    if (status == ST_OK) {
+        status =
+            WalFormat_ReadLogHeader(&recovery->log, wal->identity,
+                                    &wal->base_index, &wal->base_term, err);
+    }
+    if (status == ST_OK) {
+        status = recover_records(wal, recovery, err);
+    }
+    if (status == ST_OK && recovery->torn_bytes > 0) {
+        status = Storage_Truncate(wal->storage, WAL_LOG, wal->log_bytes, err);
+    }
+    if (status == ST_OK) {
+        status = join_snapshot(wal, recovery, err);
+    }
+    /* A record may be whole and yet never have been synced. */
+    if (status == ST_OK) {
+        status = Storage_Sync(wal->storage, WAL_LOG, err);
+    }
+    wal->synced_index = Wal_LastIndex(wal);
+    recovery->base_index = wal->base_index;
+    recovery->base_term = wal->base_term;
+    return status;
+}
+
+static void
+free_wal(Wal *wal)
+{
+    Buf_Free(&wal->scratch);
+    free(wal->positions);
+    free(wal);
+}
+
+Status
+Wal_Open(Storage *storage, WalRecovery *recovery, Wal **result, ErrCtx *err)
+{
+    Wal *wal = calloc(1, sizeof(*wal));
+    Status status;
+
+    memset(recovery, 0, sizeof(*recovery));
+    if (wal == NULL) {
+        return Err_Set(err, ST_NO_MEMORY, "out of memory");
+    }
+    wal->storage = storage;
+    status = recover_small_files(wal, recovery, err);
+    if (status == ST_OK) {
+        status = recover_log(wal, recovery, err);
+    }
+    if (status != ST_OK) {
+        free_wal(wal);
+        WalRecovery_Free(recovery);
+        return status;
+    }
+    *result = wal;
+    return ST_OK;
+}
+
+void
+Wal_Close(Wal *wal)
+{
+    if (wal == NULL) {
+        return;
+    }
+    if (wal->failure.status == ST_OK && wal->vote.floor < wal->synced_index) {
+        WalVote vote = wal->vote;
+
+        vote.floor = wal->synced_index;
+        write_vote(wal, &vote, NULL);
+    }
+    free_wal(wal);
+}
+
+Status
+Wal_SetVote(Wal *wal, uint64_t term, uint64_t vote, ErrCtx *err)
+{
+    WalVote next = {term, vote, wal->synced_index};
+
+    if (refuse_failed(wal, err) != ST_OK) {
+        return wal->failure.status;
+    }
+    return write_vote(wal, &next, err);
+}
+
+Status
+Wal_SetCluster(Wal *wal, uint64_t cluster, ErrCtx *err)
+{
+    ErrCtx cause = {ST_OK, ""};
+    Status status;
+
+    if (refuse_failed(wal, err) != ST_OK) {
+        return wal->failure.status;
+    }
+    Buf_Clear(&wal->scratch);
+    WalFormat_Identity(&wal->scratch, wal->identity, cluster);
+    status = Storage_Replace(wal->storage, WAL_IDENTITY, wal->scratch.data,
+                             wal->scratch.len, &cause);
+    return stick(wal, status, &cause, err);
+}
+
+Status
+Wal_Append(Wal *wal, const RaftEntry *entries, size_t count, ErrCtx *err)
+{
+    ErrCtx cause = {ST_OK, ""};
+    Status status;
+    size_t i;
+
+    if (refuse_failed(wal, err) != ST_OK) {
+        return wal->failure.status;
+    }
+    Buf_Clear(&wal->scratch);
+    for (i = 0; i < count; i++) {
+        if (entries[i].index != Wal_LastIndex(wal) + 1) {
+            return Err_Set(err, ST_INVALID, "entry %llu does not follow %llu",
+                           (unsigned long long)entries[i].index,
+                           (unsigned long long)Wal_LastIndex(wal));
+        }
+        push_position(wal, wal->log_bytes + wal->scratch.len, entries[i].term);
+        WalFormat_Record(&wal->scratch, wal->identity, &entries[i]);
+    }
+    status = Storage_Append(wal->storage, WAL_LOG, wal->scratch.data,
+                            wal->scratch.len, &cause);
+    wal->log_bytes += wal->scratch.len;
+    return stick(wal, status, &cause, err);
+}
+
+Status
+Wal_Sync(Wal *wal, ErrCtx *err)
+{
+    ErrCtx cause = {ST_OK, ""};
+    Status status;
+
+    if (refuse_failed(wal, err) != ST_OK) {
+        return wal->failure.status;
+    }
+    status = Storage_Sync(wal->storage, WAL_LOG, &cause);
+    if (status == ST_OK) {
+        wal->synced_index = Wal_LastIndex(wal);
+    }
+    return stick(wal, status, &cause, err);
+}
+
+Status
+Wal_Truncate(Wal *wal, uint64_t index, ErrCtx *err)
+{
+    ErrCtx cause = {ST_OK, ""};
+    Status status;
+    size_t keep;
+
+    if (refuse_failed(wal, err) != ST_OK) {
+        return wal->failure.status;
+    }
+    if (index > Wal_LastIndex(wal)) {
+        return ST_OK;
+    }
+    if (index <= wal->base_index || index <= wal->snapshot_index) {
+        return Err_Set(err, ST_INVALID, "entry %llu is part of a snapshot",
+                       (unsigned long long)index);
+    }
+    status = lower_floor(wal, index - 1, err);
+    if (status != ST_OK) {
+        return status;
+    }
+    keep = (size_t)(index - wal->base_index - 1);
+    status = Storage_Truncate(wal->storage, WAL_LOG,
+                              wal->positions[keep].offset, &cause);
+    if (status == ST_OK) {
+        wal->log_bytes = wal->positions[keep].offset;
+        wal->count = keep;
+        wal->synced_index = Wal_LastIndex(wal);
+    }
+    return stick(wal, status, &cause, err);
+}
+
+/* Rewrites the log without the entries up to base. */
+static Status
+drop_front(Wal *wal, uint64_t base, ErrCtx *err)
+{
+    ErrCtx cause = {ST_OK, ""};
+    Buf file = BUF_INIT;
+    uint64_t base_term = term_at(wal, base);
+    size_t dropped = (size_t)(base - wal->base_index);
+    uint64_t from =
+        dropped < wal->count ? wal->positions[dropped].offset : wal->log_bytes;
+    Status status = Storage_Read(wal->storage, WAL_LOG, &file, &cause);
+    size_t i;
+
+    if (status == ST_OK && file.len != wal->log_bytes) {
+        status = Err_Set(&cause, ST_CORRUPT,
+                         "log: offset %zu: the length changed from outside",
+                         file.len);
+    }
+    if (status == ST_OK) {
+        Buf_Clear(&wal->scratch);
+        WalFormat_LogHeader(&wal->scratch, wal->identity, base, base_term);
+        Buf_Append(&wal->scratch, file.data + from, file.len - (size_t)from);
+        status = Storage_Replace(wal->storage, WAL_LOG, wal->scratch.data,
+                                 wal->scratch.len, &cause);
+    }
+    Buf_Free(&file);
+    if (status != ST_OK) {
+        return stick(wal, status, &cause, err);
+    }
+    for (i = dropped; i < wal->count; i++) {
+        wal->positions[i - dropped] = wal->positions[i];
+        wal->positions[i - dropped].offset -= from - WAL_LOG_HEADER_BYTES;
+    }
+    wal->count -= dropped;
+    wal->base_index = base;
+    wal->base_term = base_term;
+    wal->log_bytes = wal->scratch.len;
+    wal->synced_index = Wal_LastIndex(wal);
+    return ST_OK;
+}
+
+static Status
+write_snapshot(Wal *wal, uint64_t index, uint64_t term,
+               const RaftMembers *members, const char *data, size_t len,
+               ErrCtx *err)
+{
+    ErrCtx cause = {ST_OK, ""};
+    Status status;
+
+    Buf_Clear(&wal->scratch);
+    WalFormat_Snapshot(&wal->scratch, wal->identity, index, term, members,
+                       data, len);
+    status = Storage_Replace(wal->storage, WAL_SNAPSHOT, wal->scratch.data,
+                             wal->scratch.len, &cause);
+    if (status == ST_OK) {
+        wal->snapshot_index = index;
+    }
+    return stick(wal, status, &cause, err);
+}
+
+Status
+Wal_Compact(Wal *wal, uint64_t index, uint64_t term,
+            const RaftMembers *members, const char *data, size_t len,
+            uint64_t keep_from, ErrCtx *err)
+{
+    Status status;
+
+    if (refuse_failed(wal, err) != ST_OK) {
+        return wal->failure.status;
+    }
+    if (index <= wal->snapshot_index || index > Wal_LastIndex(wal) ||
+        term_at(wal, index) != term || keep_from > index + 1) {
+        return Err_Set(err, ST_INVALID, "no snapshot possible at entry %llu",
+                       (unsigned long long)index);
+    }
+    status = write_snapshot(wal, index, term, members, data, len, err);
+    if (status == ST_OK && keep_from > wal->base_index + 1) {
+        status = drop_front(wal, keep_from - 1, err);
+    }
+    return status;
+}
+
+Status
+Wal_Install(Wal *wal, uint64_t index, uint64_t term,
+            const RaftMembers *members, const char *data, size_t len,
+            ErrCtx *err)
+{
+    Status status;
+    bool keep = term_at(wal, index) == term;
+
+    if (refuse_failed(wal, err) != ST_OK) {
+        return wal->failure.status;
+    }
+    if (index <= wal->snapshot_index) {
+        return Err_Set(err, ST_INVALID, "snapshot %llu is older than %llu",
+                       (unsigned long long)index,
+                       (unsigned long long)wal->snapshot_index);
+    }
+    status = keep ? ST_OK : lower_floor(wal, index, err);
+    if (status == ST_OK) {
+        status = write_snapshot(wal, index, term, members, data, len, err);
+    }
+    if (status != ST_OK) {
+        return status;
+    }
+    return keep ? drop_front(wal, index, err)
+                : reset_log(wal, index, term, err);
+}
+
+uint64_t
+Wal_LastIndex(const Wal *wal)
+{
+    return wal->base_index + wal->count;
+}
+
+uint64_t
+Wal_LogBytes(const Wal *wal)
+{
+    return wal->log_bytes;
+}
+
+Status
+Wal_Failed(const Wal *wal)
+{
+    return wal->failure.status;
+}
--- /dev/null
+++ b/src/wal_format.h
@@ -0,0 +1,70 @@
+/*
+ * NAME
+ *     wal_format - the bytes of the files of a data folder
+ *
+ * DESCRIPTION
+ *     All numbers are little-endian, all checksums XXH64. The identity of the
+ *     folder is in every file and seeds the record checksums, so files or
+ *     records copied from another folder are recognised as foreign.
+ *
+ *     identity  magic, identity, cluster, checksum
+ *     vote      magic, identity, term, vote, floor, checksum
+ *     snapshot  magic, identity, index, term, members length, data length,
+ *               checksum; members, data, checksum of both
+ *     log       magic, identity, base index, base term, checksum; records
+ *     record    data length (4), kind (4), index, term, checksum; data,
+ *               checksum
+ */
+#ifndef COLTSFOOT_WAL_FORMAT_H
+#define COLTSFOOT_WAL_FORMAT_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "buf.h"
+#include "raft_msg.h"
+#include "status.h"
+
+#define WAL_IDENTITY_BYTES 32
+#define WAL_VOTE_BYTES 48
+#define WAL_SNAPSHOT_HEADER_BYTES 56
+#define WAL_LOG_HEADER_BYTES 40
+#define WAL_RECORD_HEADER_BYTES 32
+#define WAL_SUM_BYTES 8
+
+typedef struct WalVote {
+    uint64_t term;
+    uint64_t vote;
+    uint64_t floor; /* entries up to here were synced */
+} WalVote;
+
+void WalFormat_Identity(Buf *out, uint64_t identity, uint64_t cluster);
+void WalFormat_Vote(Buf *out, uint64_t identity, const WalVote *vote);
+void WalFormat_Snapshot(Buf *out, uint64_t identity, uint64_t index,
+                        uint64_t term, const RaftMembers *members,
+                        const char *data, size_t len);
+void WalFormat_LogHeader(Buf *out, uint64_t identity, uint64_t base_index,
+                         uint64_t base_term);
+void WalFormat_Record(Buf *out, uint64_t identity, const RaftEntry *entry);
+
+Status WalFormat_ReadIdentity(const Buf *file, uint64_t *identity,
+                              uint64_t *cluster, ErrCtx *err);
+Status WalFormat_ReadVote(const Buf *file, uint64_t identity, WalVote *vote,
+                          ErrCtx *err);
+
+/* Stores where the data lies in the file. */
+Status WalFormat_ReadSnapshot(const Buf *file, uint64_t identity,
+                              uint64_t *index, uint64_t *term,
+                              RaftMembers *members, size_t *data_offset,
+                              size_t *data_len, ErrCtx *err);
+Status WalFormat_ReadLogHeader(const Buf *file, uint64_t identity,
+                               uint64_t *base_index, uint64_t *base_term,
+                               ErrCtx *err);
+
+/* Reads the record at offset. ST_OK stores the entry and the offset after it;
+ * ST_AGAIN when the file ends inside it, zero bytes up to the end of the file
+ * counting as missing; ST_CORRUPT otherwise. */
+Status WalFormat_ReadRecord(const Buf *file, uint64_t identity, size_t offset,
+                            RaftEntry *entry, size_t *next, ErrCtx *err);
+
+#endif
