Add the replicated log and the replica

Cause: configuration, budgets and ownership need one order of changes that survives crashes, lost disks and partitions.

Ruled out: replacing a lost voter in one step, since the majorities of the old and the new list then need not meet; sending messages before the sync; a vote by node name, which a wiped disk would still hold.

The leader adds, promotes and replaces members by itself. A node that restarts reports itself caught up only after it applied everything that it can have applied before.

Found by the test and fixed: a torn record whose last sector holds less than a checksum of zero bytes stopped recovery; old learner identities of the leader's own name were never removed.

--- a/src/raft.h
+++ b/src/raft.h
@@ -103,6 +103,9 @@
 Status Raft_New(const RaftOptions *options, Raft **raft, ErrCtx *err);
 void Raft_Free(Raft *raft);
 
+/* Gives up leadership and answers waiting reads, before the end. */
+void Raft_Stop(Raft *raft);
+
 /* Elections, heartbeats, check quorum. */
 void Raft_Tick(Raft *raft, int64_t now_ms);
 
--- /dev/null
+++ b/src/raft_log.c
@@ -0,0 +1,123 @@
+#include "raft_log.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Data is stored as owned bytes behind the const pointer of RaftEntry. */
+static void
+free_data(const RaftEntry *entry)
+{
+    union {
+        const char *shared;
+        char *owned;
+    } data;
+
+    data.shared = entry->data;
+    free(data.owned);
+}
+
+void
+RaftLog_Free(RaftLog *log)
+{
+    RaftLog_Reset(log, 0, 0);
+    free(log->entries);
+    log->entries = NULL;
+    log->capacity = 0;
+}
+
+void
+RaftLog_Reset(RaftLog *log, uint64_t base_index, uint64_t base_term)
+{
+    size_t i;
+
+    for (i = 0; i < log->count; i++) {
+        free_data(&log->entries[i]);
+    }
+    log->count = 0;
+    log->bytes = 0;
+    log->base_index = base_index;
+    log->base_term = base_term;
+}
+
+void
+RaftLog_Append(RaftLog *log, const RaftEntry *entry)
+{
+    RaftEntry copy = *entry;
+
+    if (log->count == log->capacity) {
+        size_t capacity = log->capacity ? log->capacity * 2 : 64;
+        RaftEntry *more = realloc(log->entries, capacity * sizeof(*more));
+
+        if (more == NULL) {
+            abort();
+        }
+        log->entries = more;
+        log->capacity = capacity;
+    }
+    copy.data = NULL;
+    if (entry->len > 0) {
+        char *data = malloc(entry->len);
+
+        if (data == NULL) {
+            abort();
+        }
+        memcpy(data, entry->data, entry->len);
+        copy.data = data;
+    }
+    log->entries[log->count++] = copy;
+    log->bytes += copy.len;
+}
+
+void
+RaftLog_Truncate(RaftLog *log, uint64_t index)
+{
+    while (RaftLog_Last(log) >= index && log->count > 0) {
+        log->count--;
+        log->bytes -= log->entries[log->count].len;
+        free_data(&log->entries[log->count]);
+    }
+}
+
+void
+RaftLog_DropFront(RaftLog *log, uint64_t base)
+{
+    size_t dropped = (size_t)(base - log->base_index);
+    uint64_t term = RaftLog_Term(log, base);
+    size_t i;
+
+    for (i = 0; i < dropped; i++) {
+        log->bytes -= log->entries[i].len;
+        free_data(&log->entries[i]);
+    }
+    log->count -= dropped;
+    memmove(log->entries, log->entries + dropped,
+            log->count * sizeof(log->entries[0]));
+    log->base_index = base;
+    log->base_term = term;
+}
+
+uint64_t
+RaftLog_Last(const RaftLog *log)
+{
+    return log->base_index + log->count;
+}
+
+uint64_t
+RaftLog_Term(const RaftLog *log, uint64_t index)
+{
+    const RaftEntry *entry = RaftLog_Entry(log, index);
+
+    if (entry != NULL) {
+        return entry->term;
+    }
+    return index == log->base_index ? log->base_term : 0;
+}
+
+const RaftEntry *
+RaftLog_Entry(const RaftLog *log, uint64_t index)
+{
+    if (index <= log->base_index || index > RaftLog_Last(log)) {
+        return NULL;
+    }
+    return &log->entries[index - log->base_index - 1];
+}
--- /dev/null
+++ b/src/replica.c
@@ -0,0 +1,550 @@
+#include "replica_core.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "diag.h"
+#include "rng.h"
+
+static Status
+check_options(const ReplicaOptions *options, ErrCtx *err)
+{
+    if (options->name == NULL || options->data_centre == NULL ||
+        options->name[0] == '\0' || options->data_centre[0] == '\0' ||
+        strlen(options->name) >= RAFT_NAME_BYTES ||
+        strlen(options->data_centre) >= RAFT_NAME_BYTES ||
+        options->machine_ops == NULL || options->send == NULL ||
+        options->applied == NULL || options->proposed == NULL ||
+        options->read_ready == NULL || options->snapshot_entries == 0 ||
+        options->max_pending == 0 || options->voters == 0 ||
+        options->voters > RAFT_MAX_MEMBERS) {
+        return Err_Set(err, ST_INVALID, "replica options out of bounds");
+    }
+    return ST_OK;
+}
+
+static uint64_t
+random_id(Rng *rng)
+{
+    uint64_t id;
+
+    do {
+        id = Rng_Next(rng);
+    } while (id == 0);
+    return id;
+}
+
+static Status
+create_folder(const ReplicaOptions *options, Storage *storage, ErrCtx *err)
+{
+    Rng rng;
+    RaftMembers members = {.count = 1};
+    RaftMember *self = &members.list[0];
+    uint64_t identity;
+    uint64_t cluster;
+
+    Rng_Seed(&rng, options->seed);
+    identity = random_id(&rng);
+    cluster = random_id(&rng);
+    self->identity = identity;
+    snprintf(self->name, sizeof(self->name), "%s", options->name);
+    snprintf(self->data_centre, sizeof(self->data_centre), "%s",
+             options->data_centre);
+    self->voter = true;
+    return Wal_Create(storage, identity, options->init ? cluster : 0,
+                      options->init ? &members : NULL, err);
+}
+
+static Status
+start_raft(Replica *replica, const WalRecovery *found, ErrCtx *err)
+{
+    RaftOptions options = RAFT_OPTIONS_DEFAULT;
+
+    options.identity = found->identity;
+    options.cluster = found->cluster;
+    /* Nodes given one seed by mistake must still not vote in step. */
+    options.seed = replica->options.seed ^ found->identity;
+    options.now_ms = replica->options.now_ms;
+    options.election_ms = replica->options.election_ms;
+    options.heartbeat_ms = replica->options.heartbeat_ms;
+    options.term = found->term;
+    options.vote = found->vote;
+    options.base_index = found->base_index;
+    options.base_term = found->base_term;
+    options.entries = found->entries;
+    options.entry_count = found->entry_count;
+    options.snapshot_index = found->snapshot_index;
+    options.snapshot_term = found->snapshot_term;
+    options.snapshot_members = &found->snapshot_members;
+    options.snapshot = found->snapshot.data;
+    options.snapshot_len = found->snapshot.len;
+    replica->identity = found->identity;
+    replica->applied = found->snapshot_index;
+    if (found->note[0] != '\0') {
+        Diag_Log(DIAG_WARNING, REPLICA_PART, "Recovery: %s.", found->note);
+    }
+    if (found->snapshot_index > 0 &&
+        replica->options.machine_ops->restore(replica->options.machine,
+                                              found->snapshot.data,
+                                              found->snapshot.len) != ST_OK) {
+        return Err_Set(err, ST_CORRUPT,
+                       "snapshot: offset 0: the state machine refused the "
+                       "snapshot at entry %" PRIu64,
+                       found->snapshot_index);
+    }
+    return Raft_New(&options, &replica->raft, err);
+}
+
+static Status
+recover(Replica *replica, Storage *storage, ErrCtx *err)
+{
+    WalRecovery *found = calloc(1, sizeof(*found));
+    Status status;
+
+    if (found == NULL) {
+        return Err_Set(err, ST_NO_MEMORY, "out of memory");
+    }
+    status = Wal_Open(storage, found, &replica->wal, err);
+    if (status == ST_NOT_FOUND) {
+        status = create_folder(&replica->options, storage, err);
+        if (status == ST_OK) {
+            status = Wal_Open(storage, found, &replica->wal, err);
+        }
+    }
+    else if (status == ST_OK && replica->options.init) {
+        WalRecovery_Free(found);
+        status = Err_Set(err, ST_EXISTS,
+                         "the data folder already belongs to a cluster or "
+                         "waits to join one");
+    }
+    if (status == ST_OK) {
+        status = start_raft(replica, found, err);
+        WalRecovery_Free(found);
+    }
+    free(found);
+    return status;
+}
+
+static void
+free_replica(Replica *replica)
+{
+    Raft_Free(replica->raft);
+    Wal_Close(replica->wal);
+    Buf_Free(&replica->result);
+    free(replica->pending);
+    free(replica);
+}
+
+/* As a leader, this node also removes old identities of its own name. */
+static void
+offer_self(Replica *replica)
+{
+    ReplicaOffer *offer = &replica->offers[replica->offer_count++];
+
+    offer->member.identity = replica->identity;
+    snprintf(offer->member.name, sizeof(offer->member.name), "%s",
+             replica->name);
+    snprintf(offer->member.data_centre, sizeof(offer->member.data_centre),
+             "%s", replica->options.data_centre);
+    offer->offered_ms = INT64_MAX;
+}
+
+Status
+Replica_Open(const ReplicaOptions *options, Storage *storage, Replica **result,
+             ErrCtx *err)
+{
+    Replica *replica;
+    Status status = check_options(options, err);
+
+    if (status != ST_OK) {
+        return status;
+    }
+    replica = calloc(1, sizeof(*replica));
+    if (replica == NULL) {
+        return Err_Set(err, ST_NO_MEMORY, "out of memory");
+    }
+    replica->options = *options;
+    snprintf(replica->name, sizeof(replica->name), "%s", options->name);
+    replica->pending = calloc(options->max_pending, sizeof(Pending));
+    if (replica->pending == NULL) {
+        status = Err_Set(err, ST_NO_MEMORY, "out of memory");
+    }
+    else {
+        status = recover(replica, storage, err);
+    }
+    if (status != ST_OK) {
+        free_replica(replica);
+        return status;
+    }
+    replica->role = RAFT_FOLLOWER;
+    replica->term = Raft_Term(replica->raft);
+    offer_self(replica);
+    *result = replica;
+    return ST_OK;
+}
+
+static Pending *
+first_pending(Replica *replica)
+{
+    return &replica->pending[replica->pending_first];
+}
+
+static void
+answer_first(Replica *replica, Status status, const Buf *result)
+{
+    Pending pending = *first_pending(replica);
+
+    replica->pending_first =
+        (replica->pending_first + 1) % replica->options.max_pending;
+    replica->pending_count--;
+    replica->options.proposed(replica->options.arg, pending.cookie, status,
+                              pending.index, result);
+}
+
+/* Answers those that are pending now; callbacks may propose again. */
+static void
+abandon_pending(Replica *replica)
+{
+    size_t count = replica->pending_count;
+
+    while (count-- > 0) {
+        answer_first(replica, ST_AGAIN, NULL);
+    }
+}
+
+/* Gives up leadership and answers everything that waits. */
+static void
+abandon_all(Replica *replica)
+{
+    RaftReady ready;
+    size_t i;
+
+    abandon_pending(replica);
+    Raft_Stop(replica->raft);
+    Raft_Ready(replica->raft, &ready);
+    for (i = 0; i < ready.read_count; i++) {
+        replica->options.read_ready(replica->options.arg,
+                                    ready.reads[i].cookie, ST_AGAIN, 0);
+    }
+    Raft_Sent(replica->raft);
+}
+
+void
+Replica_Close(Replica *replica)
+{
+    if (replica == NULL) {
+        return;
+    }
+    if (replica->failure.status == ST_OK) {
+        /* Callbacks can no longer add work. */
+        Err_Set(&replica->failure, ST_AGAIN, "closing");
+        abandon_all(replica);
+    }
+    free_replica(replica);
+}
+
+/* Stops the replica for good. */
+static Status
+stop(Replica *replica, Status status, const ErrCtx *err)
+{
+    if (replica->failure.status == ST_OK) {
+        replica->failure = *err;
+        replica->failure.status = status;
+        Diag_Log(DIAG_ERROR, REPLICA_PART,
+                 "Stopped: %s. Nothing more is acknowledged.", err->message);
+    }
+    return status;
+}
+
+static Status
+restore_machine(Replica *replica, ErrCtx *err)
+{
+    uint64_t index;
+    uint64_t term;
+    size_t len;
+    const char *bytes = Raft_Snapshot(replica->raft, &len, &index, &term);
+    Status status =
+        Wal_Install(replica->wal, index, term,
+                    Raft_SnapshotMembers(replica->raft), bytes, len, err);
+
+    if (status != ST_OK) {
+        return status;
+    }
+    status = replica->options.machine_ops->restore(replica->options.machine,
+                                                   bytes, len);
+    if (status != ST_OK) {
+        return Err_Set(err, ST_CORRUPT,
+                       "the state machine refused the snapshot received up "
+                       "to entry %" PRIu64,
+                       index);
+    }
+    replica->applied = index;
+    Raft_Applied(replica->raft, index);
+    Diag_Log(DIAG_NOTICE, REPLICA_PART,
+             "Installed a snapshot up to entry %" PRIu64 ".", index);
+    if (replica->options.restored != NULL) {
+        replica->options.restored(replica->options.arg, index);
+    }
+    return ST_OK;
+}
+
+static Status
+persist_entries(Replica *replica, const RaftReady *ready, ErrCtx *err)
+{
+    /* Entries lie in one array. */
+    Status status =
+        Wal_Append(replica->wal, Raft_Entry(replica->raft, ready->append_from),
+                   (size_t)(ready->last_index - ready->append_from + 1), err);
+
+    return status != ST_OK ? status : Wal_Sync(replica->wal, err);
+}
+
+static Status
+persist(Replica *replica, const RaftReady *ready, ErrCtx *err)
+{
+    Status status = ST_OK;
+
+    if (ready->vote_changed) {
+        status = Wal_SetVote(replica->wal, ready->term, ready->vote, err);
+    }
+    if (status == ST_OK && ready->cluster_changed) {
+        status = Wal_SetCluster(replica->wal, ready->cluster, err);
+    }
+    if (status == ST_OK && ready->truncate_from > 0) {
+        status = Wal_Truncate(replica->wal, ready->truncate_from, err);
+    }
+    if (status == ST_OK && ready->install) {
+        status = restore_machine(replica, err);
+    }
+    if (status == ST_OK && ready->append_from <= ready->last_index) {
+        status = persist_entries(replica, ready, err);
+    }
+    return status;
+}
+
+static void
+apply_entry(Replica *replica, const RaftEntry *entry)
+{
+    const ReplicaOptions *options = &replica->options;
+
+    Buf_Clear(&replica->result);
+    if (entry->kind == RAFT_COMMAND) {
+        options->machine_ops->apply(options->machine, entry->index,
+                                    entry->data, entry->len, &replica->result);
+    }
+    replica->applied = entry->index;
+    Raft_Applied(replica->raft, entry->index);
+    if (entry->kind == RAFT_COMMAND) {
+        options->applied(options->arg, entry->index, entry->data, entry->len,
+                         &replica->result);
+    }
+    while (replica->pending_count > 0 &&
+           first_pending(replica)->index <= entry->index) {
+        const Pending *first = first_pending(replica);
+
+        if (first->index == entry->index && first->term == entry->term) {
+            answer_first(replica, ST_OK, &replica->result);
+        }
+        else {
+            /* Another entry took its place. */
+            answer_first(
+                replica,
+                first->index == entry->index ? ST_NOT_LEADER : ST_AGAIN, NULL);
+        }
+    }
+}
+
+static void
+apply(Replica *replica, uint64_t commit_index)
+{
+    while (replica->applied < commit_index) {
+        /* A copy, since callbacks may propose and so move the entries. */
+        RaftEntry entry = *Raft_Entry(replica->raft, replica->applied + 1);
+
+        apply_entry(replica, &entry);
+    }
+}
+
+static Status
+compact(Replica *replica, ErrCtx *err)
+{
+    const ReplicaOptions *options = &replica->options;
+    uint64_t index = replica->applied;
+    uint64_t keep = options->snapshot_entries / 2;
+    uint64_t snapshot_index;
+    uint64_t term;
+    uint64_t from;
+    size_t len;
+    RaftMembers members;
+    Buf bytes = BUF_INIT;
+    Status status;
+
+    Raft_Snapshot(replica->raft, &len, &snapshot_index, &term);
+    if (index - snapshot_index < options->snapshot_entries) {
+        return ST_OK;
+    }
+    /* Members that lag a little then need no snapshot. */
+    from = index > keep ? index - keep + 1 : 1;
+    if (from < Raft_FirstIndex(replica->raft)) {
+        from = Raft_FirstIndex(replica->raft);
+    }
+    options->machine_ops->snapshot(options->machine, &bytes);
+    Raft_MembersAt(replica->raft, index, &members);
+    status =
+        Wal_Compact(replica->wal, index, Raft_TermAt(replica->raft, index),
+                    &members, bytes.data, bytes.len, from, err);
+    if (status == ST_OK) {
+        Raft_Compact(replica->raft, index, from, &bytes);
+    }
+    Buf_Free(&bytes);
+    return status;
+}
+
+static void
+report_role(Replica *replica)
+{
+    RaftRole role = Raft_Role(replica->raft);
+    uint64_t term = Raft_Term(replica->raft);
+    uint64_t leader = Raft_Leader(replica->raft);
+
+    if (replica->role == RAFT_LEADER &&
+        (role != RAFT_LEADER || term != replica->term)) {
+        abandon_pending(replica);
+    }
+    if (role == replica->role && term == replica->term &&
+        leader == replica->leader) {
+        return;
+    }
+    if (role == RAFT_LEADER && replica->role != RAFT_LEADER) {
+        Diag_Log(DIAG_NOTICE, REPLICA_PART,
+                 "Became leader in term %" PRIu64 ".", term);
+    }
+    replica->role = role;
+    replica->term = term;
+    replica->leader = leader;
+    if (replica->options.role_changed != NULL) {
+        replica->options.role_changed(replica->options.arg, role, term,
+                                      leader);
+    }
+}
+
+static Status
+flush_once(Replica *replica, const RaftReady *ready, ErrCtx *err)
+{
+    const ReplicaOptions *options = &replica->options;
+    Status status = persist(replica, ready, err);
+    size_t i;
+
+    if (status != ST_OK) {
+        return status;
+    }
+    Raft_Persisted(replica->raft);
+    for (i = 0; i < ready->message_count; i++) {
+        options->send(options->arg, ready->messages[i].to,
+                      ready->messages[i].bytes.data,
+                      ready->messages[i].bytes.len);
+    }
+    apply(replica, ready->commit_index);
+    for (i = 0; i < ready->read_count; i++) {
+        options->read_ready(options->arg, ready->reads[i].cookie,
+                            ready->reads[i].ok ? ST_OK : ST_AGAIN,
+                            ready->reads[i].index);
+    }
+    Raft_Sent(replica->raft);
+    report_role(replica);
+    return compact(replica, err);
+}
+
+Status
+Replica_Flush(Replica *replica, int64_t now_ms)
+{
+    RaftReady ready;
+    ErrCtx err = {ST_OK, ""};
+    uint64_t confirmed;
+
+    (void)now_ms;
+    while (replica->failure.status == ST_OK &&
+           Raft_Ready(replica->raft, &ready)) {
+        Status status = flush_once(replica, &ready, &err);
+
+        if (status != ST_OK) {
+            stop(replica, status, &err);
+            abandon_all(replica);
+            report_role(replica);
+        }
+    }
+    confirmed = Raft_ConfirmedCommit(replica->raft);
+    if (confirmed > 0 && replica->applied >= confirmed) {
+        replica->caught_up = true;
+    }
+    if (replica->failure.status == ST_OK) {
+        report_role(replica);
+    }
+    return replica->failure.status;
+}
+
+Status
+Replica_Tick(Replica *replica, int64_t now_ms)
+{
+    if (replica->failure.status != ST_OK) {
+        return replica->failure.status;
+    }
+    Raft_Tick(replica->raft, now_ms);
+    ReplicaCore_ChangeMembers(replica, now_ms);
+    return Replica_Flush(replica, now_ms);
+}
+
+Status
+Replica_Receive(Replica *replica, int64_t now_ms, uint64_t from_identity,
+                const char *bytes, size_t len)
+{
+    Status status;
+
+    if (replica->failure.status != ST_OK) {
+        return replica->failure.status;
+    }
+    status = RaftMsg_Decode(bytes, len, &replica->msg, NULL);
+    if (status != ST_OK) {
+        return status;
+    }
+    if (replica->msg.from != from_identity) {
+        return ST_STALE;
+    }
+    return Raft_Step(replica->raft, now_ms, &replica->msg);
+}
+
+Status
+Replica_Propose(Replica *replica, int64_t now_ms, const char *command,
+                size_t len, uint64_t cookie)
+{
+    Pending pending = {0, 0, cookie};
+    Status status;
+
+    if (replica->failure.status != ST_OK) {
+        return replica->failure.status;
+    }
+    if (replica->pending_count == replica->options.max_pending) {
+        return ST_FULL;
+    }
+    status = Raft_Propose(replica->raft, now_ms, command, len, &pending.index,
+                          &pending.term);
+    if (status == ST_OK) {
+        size_t last = (replica->pending_first + replica->pending_count) %
+                      replica->options.max_pending;
+
+        replica->pending[last] = pending;
+        replica->pending_count++;
+    }
+    return status;
+}
+
+Status
+Replica_ReadIndex(Replica *replica, int64_t now_ms, uint64_t cookie)
+{
+    if (replica->failure.status != ST_OK) {
+        return replica->failure.status;
+    }
+    return Raft_ReadIndex(replica->raft, now_ms, cookie);
+}
--- a/src/replica.h
+++ b/src/replica.h
@@ -118,7 +118,7 @@
                        size_t len, uint64_t cookie);
 
 /* Asks for a confirmed read. ST_NOT_LEADER; ST_AGAIN while the leader has not
- * committed an entry of its own term. */
+ * committed an entry of its own term; ST_FULL. */
 Status Replica_ReadIndex(Replica *replica, int64_t now_ms, uint64_t cookie);
 
 /* Adds a learner at once. ST_NOT_LEADER; ST_EXISTS; ST_AGAIN while another
--- a/src/wal_format.c
+++ b/src/wal_format.c
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #define MAGIC_BYTES 8
+#define SECTOR_BYTES 512
 
 static const char identity_magic[] = "CGIDEN01";
 static const char vote_magic[] = "CGVOTE01";
@@ -260,17 +261,26 @@
     return status;
 }
 
-/* Returns the length of the file without zero bytes at its end, if they are
- * more than a checksum can hold. */
+/* Returns the length of the file without the zero bytes at its end that stand
+ * for data never written: a run that a checksum cannot hold, or one that fills
+ * the last disk sector, since a disk writes a sector whole or not at all. */
 static size_t
 written_length(const Buf *file, size_t offset)
 {
     size_t len = file->len;
+    size_t sector;
 
     while (len > offset && file->data[len - 1] == 0) {
         len--;
     }
-    return file->len - len >= WAL_SUM_BYTES || len == offset ? len : file->len;
+    if (len == file->len) {
+        return len;
+    }
+    sector = (file->len - 1) / SECTOR_BYTES * SECTOR_BYTES;
+    if (file->len - len >= WAL_SUM_BYTES || len == offset || sector >= len) {
+        return len;
+    }
+    return file->len;
 }
 
 static Status
@@ -315,7 +325,7 @@
     }
     if (get(file->data + *next - 8, 8) !=
         XXH64(entry->data, entry->len, identity ^ entry->index)) {
-        if (written_length(file, offset) < *next - WAL_SUM_BYTES + 1) {
+        if (written_length(file, offset) < *next) {
             return ST_AGAIN;
         }
         return record_damage(offset, "the checksum of a record is wrong", err);
--- a/tests/support_storage.c
+++ b/tests/support_storage.c
@@ -6,6 +6,7 @@
 
 #define MAX_FILES 8
 #define NAME_BYTES 64
+#define SECTOR_BYTES 512
 
 typedef struct MemFile {
     char name[NAME_BYTES];
@@ -20,6 +21,7 @@
     int fail_sync;
     int fail_write;
     uint64_t syncs;
+    bool cut;
 };
 
 static MemFile *
@@ -53,8 +55,11 @@
 
 /* Counts down to the injected fault. */
 static bool
-due(int *countdown)
+due(const MemStorage *disk, int *countdown)
 {
+    if (disk->cut) {
+        return true;
+    }
     if (*countdown < 0) {
         return false;
     }
@@ -68,7 +73,7 @@
     MemStorage *disk = (MemStorage *)storage;
     MemFile *file = find_or_add(disk, name);
 
-    if (due(&disk->fail_write)) {
+    if (due(disk, &disk->fail_write)) {
         /* A full disk takes a part of the bytes. */
         Buf_Append(&file->data, data, len / 2);
         return Err_Set(err, ST_FULL, "%s: write failed: disk full", name);
@@ -84,7 +89,7 @@
     MemFile *file = find_or_add(disk, name);
 
     disk->syncs++;
-    if (due(&disk->fail_sync)) {
+    if (due(disk, &disk->fail_sync)) {
         return Err_Set(err, ST_IO, "%s: sync failed", name);
     }
     file->synced = file->data.len;
@@ -109,7 +114,7 @@
     MemStorage *disk = (MemStorage *)storage;
     MemFile *file = find_or_add(disk, name);
 
-    if (due(&disk->fail_sync)) {
+    if (due(disk, &disk->fail_sync)) {
         return Err_Set(err, ST_IO, "%s: truncate failed", name);
     }
     if (size < file->data.len) {
@@ -127,10 +132,10 @@
     MemFile *file;
 
     disk->syncs++;
-    if (due(&disk->fail_write)) {
+    if (due(disk, &disk->fail_write)) {
         return Err_Set(err, ST_FULL, "%s: write failed: disk full", name);
     }
-    if (due(&disk->fail_sync)) {
+    if (due(disk, &disk->fail_sync)) {
         return Err_Set(err, ST_IO, "%s: sync failed", name);
     }
     file = find_or_add(disk, name);
@@ -216,6 +221,25 @@
     disk->fail_write = count;
 }
 
+void
+MemStorage_Cut(MemStorage *disk, bool cut)
+{
+    disk->cut = cut;
+}
+
+/* The file grew, but its last sectors were not written. */
+static void
+zero_sectors(MemFile *file, size_t end, Rng *rng)
+{
+    size_t start =
+        file->synced + Rng_Below(rng, (uint32_t)(end - file->synced) + 1);
+
+    start = (start + SECTOR_BYTES - 1) / SECTOR_BYTES * SECTOR_BYTES;
+    if (start < end) {
+        memset(file->data.data + start, 0, end - start);
+    }
+}
+
 void
 MemStorage_Crash(MemStorage *disk, Rng *rng)
 {
@@ -230,10 +254,8 @@
             continue;
         }
         kept = Rng_Below(rng, (uint32_t)loose + 1);
-        if (kept > 0 && Rng_Below(rng, 2) == 0) {
-            size_t zeros = Rng_Below(rng, (uint32_t)kept + 1);
-
-            memset(file->data.data + file->synced + kept - zeros, 0, zeros);
+        if (Rng_Below(rng, 2) == 0) {
+            zero_sectors(file, file->synced + kept, rng);
         }
         file->data.len = file->synced + kept;
         file->synced = file->data.len;
--- a/tests/support_storage.h
+++ b/tests/support_storage.h
@@ -22,6 +22,9 @@
 void MemStorage_FailSync(MemStorage *disk, int count);
 void MemStorage_FailWrite(MemStorage *disk, int count);
 
+/* While cut, every write and sync fails, as after the process was killed. */
+void MemStorage_Cut(MemStorage *disk, bool cut);
+
 /* Loses a random part of the bytes that were not synced; some of those that
  * remain may be zero. */
 void MemStorage_Crash(MemStorage *disk, Rng *rng);
--- /dev/null
+++ b/tests/test_replica.c
@@ -0,0 +1,669 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "diag.h"
+#include "replica.h"
+#include "support.h"
+#include "support_storage.h"
+
+#define MAX_NODES 5
+#define MAX_INDEX 20000
+#define MAX_COOKIES 20000
+#define MAX_MAIL 4096
+#define STEP_MS 10
+
+typedef struct Cluster Cluster;
+
+typedef struct Node {
+    Cluster *cluster;
+    size_t slot;
+    char name[16];
+    char data_centre[16];
+    MemStorage *disk;
+    Replica *replica; /* NULL while crashed */
+    int64_t down_until;
+    int64_t frozen_until;
+    uint64_t index; /* the machine: last command and hash of all of them */
+    uint64_t chain;
+    uint64_t seen; /* highest applied index of this identity */
+} Node;
+
+typedef struct Mail {
+    int64_t due;
+    size_t from;
+    uint64_t from_identity;
+    uint64_t to;
+    char *bytes;
+    size_t len;
+} Mail;
+
+struct Cluster {
+    Rng rng;
+    int64_t now;
+    size_t count;
+    size_t voters;
+    Node nodes[MAX_NODES];
+    bool blocked[MAX_NODES][MAX_NODES];
+    int64_t heal_at;
+    bool calm; /* no faults */
+    bool wipe_wanted;
+    Mail mail[MAX_MAIL];
+    size_t mail_count;
+    /* What every node must agree on. */
+    uint64_t chain[MAX_INDEX];
+    uint64_t cookie_at[MAX_INDEX];
+    uint64_t acked_index;
+    int outcome[MAX_COOKIES]; /* -1 open, otherwise a Status */
+    uint64_t acked_at[MAX_COOKIES];
+    uint64_t cookies;
+    uint64_t read_floor[MAX_COOKIES];
+    uint64_t reads;
+    size_t acks;
+    size_t reads_done;
+    size_t wipes;
+    size_t crashes;
+    size_t restores;
+};
+
+/* Makes snapshots larger than one chunk where a test needs it. */
+static size_t snapshot_padding = 40;
+
+static void
+machine_apply(void *machine, uint64_t index, const char *command, size_t len,
+              Buf *result)
+{
+    Node *node = machine;
+    Cluster *cluster = node->cluster;
+    uint64_t cookie = 0;
+
+    ck_assert_uint_gt(index, node->index);
+    ck_assert_uint_lt(index, MAX_INDEX);
+    ck_assert_uint_eq(len, sizeof(cookie));
+    memcpy(&cookie, command, sizeof(cookie));
+    node->index = index;
+    node->chain = XXH64(command, len, node->chain ^ index);
+    if (cluster->chain[index] == 0) {
+        cluster->chain[index] = node->chain;
+        cluster->cookie_at[index] = cookie;
+    }
+    ck_assert_msg(cluster->chain[index] == node->chain,
+                  "two histories at entry %llu", (unsigned long long)index);
+    Buf_Append(result, &node->chain, sizeof(node->chain));
+}
+
+static void
+machine_snapshot(const void *machine, Buf *out)
+{
+    const Node *node = machine;
+    char padding[1024] = {0};
+    size_t left = snapshot_padding;
+
+    Buf_Append(out, &node->index, sizeof(node->index));
+    Buf_Append(out, &node->chain, sizeof(node->chain));
+    while (left > 0) {
+        size_t part = left < sizeof(padding) ? left : sizeof(padding);
+
+        Buf_Append(out, padding, part);
+        left -= part;
+    }
+}
+
+static Status
+machine_restore(void *machine, const char *bytes, size_t len)
+{
+    Node *node = machine;
+
+    if (len != 16 + snapshot_padding) {
+        return ST_CORRUPT;
+    }
+    memcpy(&node->index, bytes, 8);
+    memcpy(&node->chain, bytes + 8, 8);
+    node->cluster->restores++;
+    return ST_OK;
+}
+
+static const ReplicaMachineOps machine_ops = {machine_apply, machine_snapshot,
+                                              machine_restore};
+
+static void
+post(Cluster *cluster, Node *node, uint64_t to, const char *bytes, size_t len)
+{
+    Mail *mail;
+
+    if (cluster->mail_count == MAX_MAIL) {
+        return; /* a full queue loses messages */
+    }
+    mail = &cluster->mail[cluster->mail_count++];
+    mail->due = cluster->now + 1 + Rng_Below(&cluster->rng, 25);
+    mail->from = node->slot;
+    mail->from_identity = Replica_Identity(node->replica);
+    mail->to = to;
+    mail->bytes = malloc(len);
+    mail->len = len;
+    memcpy(mail->bytes, bytes, len);
+}
+
+static void
+on_send(void *arg, uint64_t to, const char *bytes, size_t len)
+{
+    Node *node = arg;
+    Cluster *cluster = node->cluster;
+
+    if (!cluster->calm && Rng_Below(&cluster->rng, 100) < 4) {
+        return;
+    }
+    post(cluster, node, to, bytes, len);
+    if (!cluster->calm && Rng_Below(&cluster->rng, 100) < 4) {
+        post(cluster, node, to, bytes, len);
+    }
+}
+
+static void
+on_applied(void *arg, uint64_t index, const char *command, size_t len,
+           const Buf *result)
+{
+    Node *node = arg;
+
+    (void)command;
+    (void)len;
+    ck_assert_uint_eq(index, node->index);
+    ck_assert_uint_eq(result->len, 8);
+}
+
+static void
+on_proposed(void *arg, uint64_t cookie, Status status, uint64_t index,
+            const Buf *result)
+{
+    Cluster *cluster = ((Node *)arg)->cluster;
+
+    ck_assert_int_eq(cluster->outcome[cookie], -1);
+    cluster->outcome[cookie] = (int)status;
+    if (status == ST_OK) {
+        ck_assert_uint_eq(cluster->cookie_at[index], cookie);
+        ck_assert_mem_eq(result->data, &cluster->chain[index], 8);
+        cluster->acked_at[cookie] = index;
+        cluster->acks++;
+        if (index > cluster->acked_index) {
+            cluster->acked_index = index;
+        }
+    }
+    else {
+        ck_assert(status == ST_AGAIN || status == ST_NOT_LEADER);
+    }
+}
+
+static void
+on_read(void *arg, uint64_t cookie, Status status, uint64_t index)
+{
+    Node *node = arg;
+
+    if (status == ST_OK) {
+        ck_assert_uint_ge(index, node->cluster->read_floor[cookie]);
+        ck_assert_uint_ge(Replica_AppliedIndex(node->replica), index);
+        node->cluster->reads_done++;
+    }
+}
+
+static void
+start_node(Node *node, bool init)
+{
+    ReplicaOptions options = REPLICA_OPTIONS_DEFAULT;
+    ErrCtx err = {ST_OK, ""};
+    Status status;
+
+    options.name = node->name;
+    options.data_centre = node->data_centre;
+    options.init = init;
+    options.seed = Rng_Next(&node->cluster->rng);
+    options.now_ms = node->cluster->now;
+    options.election_ms = 200;
+    options.heartbeat_ms = 40;
+    options.snapshot_entries = 60;
+    options.voters = node->cluster->voters;
+    options.machine_ops = &machine_ops;
+    options.machine = node;
+    options.arg = node;
+    options.send = on_send;
+    options.applied = on_applied;
+    options.proposed = on_proposed;
+    options.read_ready = on_read;
+    node->index = 0;
+    node->chain = 0;
+    status = Replica_Open(&options, MemStorage_Base(node->disk),
+                          &node->replica, &err);
+    ck_assert_msg(status == ST_OK, "%s: %s", node->name, err.message);
+}
+
+static void
+crash_node(Node *node, int64_t down_ms)
+{
+    Cluster *cluster = node->cluster;
+
+    MemStorage_Cut(node->disk, true);
+    Replica_Close(node->replica);
+    node->replica = NULL;
+    MemStorage_Cut(node->disk, false);
+    MemStorage_Crash(node->disk, &cluster->rng);
+    node->down_until = cluster->now + down_ms;
+    cluster->crashes++;
+}
+
+static Cluster *
+new_cluster(uint64_t seed, size_t count, size_t voters)
+{
+    Cluster *cluster = calloc(1, sizeof(*cluster));
+    size_t i;
+
+    Diag_Init("test", DIAG_ERROR);
+    Rng_Seed(&cluster->rng, seed);
+    cluster->count = count;
+    cluster->voters = voters;
+    for (i = 0; i < count; i++) {
+        Node *node = &cluster->nodes[i];
+
+        node->cluster = cluster;
+        node->slot = i;
+        snprintf(node->name, sizeof(node->name), "n%zu", i);
+        snprintf(node->data_centre, sizeof(node->data_centre), "dc%zu", i % 3);
+        node->disk = MemStorage_New();
+        start_node(node, i == 0);
+    }
+    return cluster;
+}
+
+static void
+free_cluster(Cluster *cluster)
+{
+    size_t i;
+
+    for (i = 0; i < cluster->count; i++) {
+        Replica_Close(cluster->nodes[i].replica);
+        MemStorage_Free(cluster->nodes[i].disk);
+    }
+    for (i = 0; i < cluster->mail_count; i++) {
+        free(cluster->mail[i].bytes);
+    }
+    free(cluster);
+}
+
+static Node *
+node_of(Cluster *cluster, uint64_t identity)
+{
+    size_t i;
+
+    for (i = 0; i < cluster->count; i++) {
+        if (cluster->nodes[i].replica != NULL &&
+            Replica_Identity(cluster->nodes[i].replica) == identity) {
+            return &cluster->nodes[i];
+        }
+    }
+    return NULL;
+}
+
+static Node *
+leader_of(Cluster *cluster)
+{
+    Node *best = NULL;
+    size_t i;
+
+    for (i = 0; i < cluster->count; i++) {
+        Node *node = &cluster->nodes[i];
+
+        if (node->replica != NULL &&
+            Replica_Role(node->replica) == RAFT_LEADER &&
+            (best == NULL ||
+             Replica_Term(node->replica) > Replica_Term(best->replica))) {
+            best = node;
+        }
+    }
+    return best;
+}
+
+static void
+deliver(Cluster *cluster)
+{
+    size_t kept = 0;
+    size_t count = cluster->mail_count;
+    size_t i;
+
+    for (i = 0; i < count; i++) {
+        Mail mail = cluster->mail[i];
+        Node *node = node_of(cluster, mail.to);
+
+        if (mail.due > cluster->now ||
+            (node != NULL && node->frozen_until > cluster->now)) {
+            cluster->mail[kept++] = mail;
+            continue;
+        }
+        if (node != NULL && !cluster->blocked[mail.from][node->slot]) {
+            Replica_Receive(node->replica, cluster->now, mail.from_identity,
+                            mail.bytes, mail.len);
+        }
+        free(mail.bytes);
+    }
+    cluster->mail_count = kept;
+}
+
+/* Every node says hello to every node that it reaches. */
+static void
+say_hello(Cluster *cluster)
+{
+    size_t i;
+    size_t k;
+
+    for (i = 0; i < cluster->count; i++) {
+        for (k = 0; k < cluster->count; k++) {
+            const Node *from = &cluster->nodes[i];
+            const Node *to = &cluster->nodes[k];
+            RaftMember member = {0};
+
+            if (i == k || from->replica == NULL || to->replica == NULL ||
+                cluster->blocked[i][k]) {
+                continue;
+            }
+            member.identity = Replica_Identity(from->replica);
+            snprintf(member.name, sizeof(member.name), "%s", from->name);
+            snprintf(member.data_centre, sizeof(member.data_centre), "%s",
+                     from->data_centre);
+            Replica_OfferMember(to->replica, cluster->now, &member);
+        }
+    }
+}
+
+static void
+propose(Cluster *cluster)
+{
+    Node *node =
+        &cluster->nodes[Rng_Below(&cluster->rng, (uint32_t)cluster->count)];
+    uint64_t cookie = cluster->cookies;
+
+    if (node->replica == NULL || node->frozen_until > cluster->now ||
+        cookie + 1 >= MAX_COOKIES || cluster->reads + 1 >= MAX_COOKIES) {
+        return;
+    }
+    cluster->outcome[cookie] = -1;
+    if (Replica_Propose(node->replica, cluster->now, (const char *)&cookie,
+                        sizeof(cookie), cookie) == ST_OK) {
+        cluster->cookies++;
+    }
+    cluster->read_floor[cluster->reads] = cluster->acked_index;
+    if (Replica_ReadIndex(node->replica, cluster->now, cluster->reads) ==
+        ST_OK) {
+        cluster->reads++;
+    }
+}
+
+/* Returns whether all voters are identities that exist and run. */
+static bool
+is_whole(Cluster *cluster)
+{
+    Node *leader = leader_of(cluster);
+    const RaftMembers *members;
+    size_t i;
+
+    if (leader == NULL) {
+        return false;
+    }
+    members = Replica_Members(leader->replica);
+    for (i = 0; i < members->count; i++) {
+        if (node_of(cluster, members->list[i].identity) == NULL) {
+            return false;
+        }
+    }
+    return RaftMembers_Voters(members) == cluster->voters &&
+           Replica_CommitIndex(leader->replica) ==
+               Replica_LastIndex(leader->replica);
+}
+
+static void
+inject_fault(Cluster *cluster)
+{
+    Node *node =
+        &cluster->nodes[Rng_Below(&cluster->rng, (uint32_t)cluster->count)];
+    size_t i;
+    size_t k;
+
+    if (node->replica == NULL) {
+        return;
+    }
+    switch (Rng_Below(&cluster->rng, 5)) {
+    case 0:
+        crash_node(node, Rng_Below(&cluster->rng, 600));
+        break;
+    case 1:
+        node->frozen_until = cluster->now + Rng_Below(&cluster->rng, 900);
+        break;
+    case 2:
+        MemStorage_FailSync(node->disk, (int)Rng_Below(&cluster->rng, 3));
+        break;
+    case 3:
+        for (i = 0; i < cluster->count; i++) {
+            for (k = 0; k < cluster->count; k++) {
+                cluster->blocked[i][k] = Rng_Below(&cluster->rng, 3) == 0;
+            }
+        }
+        cluster->heal_at = cluster->now + Rng_Below(&cluster->rng, 900);
+        break;
+    default:
+        cluster->wipe_wanted = true;
+        break;
+    }
+}
+
+/* Deletes a disk as soon as the cluster can bear it, which is often right
+ * after another deleted disk was replaced. */
+static void
+wipe_disk(Cluster *cluster)
+{
+    Node *node =
+        &cluster->nodes[Rng_Below(&cluster->rng, (uint32_t)cluster->count)];
+
+    if (cluster->wipe_wanted && node->replica != NULL && is_whole(cluster)) {
+        crash_node(node, Rng_Below(&cluster->rng, 300));
+        MemStorage_Wipe(node->disk);
+        node->seen = 0;
+        cluster->wipes++;
+        cluster->wipe_wanted = Rng_Below(&cluster->rng, 2) == 0;
+    }
+}
+
+static void
+run_node(Node *node)
+{
+    Cluster *cluster = node->cluster;
+    uint64_t before;
+
+    if (node->replica == NULL) {
+        if (node->down_until <= cluster->now) {
+            start_node(node, false);
+        }
+        return;
+    }
+    if (node->frozen_until > cluster->now) {
+        return;
+    }
+    before = Replica_AppliedIndex(node->replica);
+    if (Replica_Tick(node->replica, cluster->now) != ST_OK) {
+        crash_node(node, Rng_Below(&cluster->rng, 300));
+        return;
+    }
+    ck_assert_uint_ge(Replica_AppliedIndex(node->replica), before);
+    if (Replica_CaughtUp(node->replica)) {
+        ck_assert_uint_ge(Replica_AppliedIndex(node->replica), node->seen);
+        node->seen = Replica_AppliedIndex(node->replica);
+    }
+}
+
+static void
+step(Cluster *cluster)
+{
+    size_t i;
+
+    cluster->now += STEP_MS;
+    if (cluster->now >= cluster->heal_at || cluster->calm) {
+        memset(cluster->blocked, 0, sizeof(cluster->blocked));
+    }
+    if (cluster->now % 50 == 0) {
+        say_hello(cluster);
+    }
+    if (!cluster->calm && Rng_Below(&cluster->rng, 30) == 0) {
+        inject_fault(cluster);
+    }
+    if (!cluster->calm) {
+        wipe_disk(cluster);
+    }
+    deliver(cluster);
+    propose(cluster);
+    propose(cluster);
+    for (i = 0; i < cluster->count; i++) {
+        run_node(&cluster->nodes[i]);
+    }
+}
+
+static bool
+settled(Cluster *cluster)
+{
+    size_t i;
+
+    if (!is_whole(cluster)) {
+        return false;
+    }
+    for (i = 0; i < cluster->count; i++) {
+        const Node *node = &cluster->nodes[i];
+
+        if (node->replica == NULL ||
+            Replica_AppliedIndex(node->replica) < cluster->acked_index ||
+            !Replica_CaughtUp(node->replica)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Prints what a reader of a failed seed needs. */
+static void
+print_cluster(const Cluster *cluster)
+{
+    size_t i;
+    size_t k;
+
+    for (i = 0; i < cluster->count; i++) {
+        const Node *node = &cluster->nodes[i];
+        const RaftMembers *members;
+
+        if (node->replica == NULL) {
+            printf("%s: down\n", node->name);
+            continue;
+        }
+        members = Replica_Members(node->replica);
+        printf("%s: %04x role %d term %llu applied %llu commit %llu last %llu "
+               "caught up %d members",
+               node->name, (unsigned)(Replica_Identity(node->replica) >> 48),
+               (int)Replica_Role(node->replica),
+               (unsigned long long)Replica_Term(node->replica),
+               (unsigned long long)Replica_AppliedIndex(node->replica),
+               (unsigned long long)Replica_CommitIndex(node->replica),
+               (unsigned long long)Replica_LastIndex(node->replica),
+               (int)Replica_CaughtUp(node->replica));
+        for (k = 0; k < members->count; k++) {
+            printf(" %s=%04x%s", members->list[k].name,
+                   (unsigned)(members->list[k].identity >> 48),
+                   members->list[k].voter ? "v" : "");
+        }
+        printf("\n");
+    }
+}
+
+/* Ends all faults and waits until the cluster is whole again. */
+static void
+settle(Cluster *cluster, uint64_t seed)
+{
+    int i;
+
+    cluster->calm = true;
+    for (i = 0; i < (int)cluster->count; i++) {
+        cluster->nodes[i].frozen_until = 0;
+        cluster->nodes[i].down_until = 0;
+        MemStorage_FailSync(cluster->nodes[i].disk, -1);
+    }
+    for (i = 0; i < 1500 && !settled(cluster); i++) {
+        step(cluster);
+    }
+    if (!settled(cluster)) {
+        print_cluster(cluster);
+    }
+    ck_assert_msg(settled(cluster), "seed %llu: the cluster did not settle",
+                  (unsigned long long)seed);
+}
+
+static void
+check_history(const Cluster *cluster)
+{
+    uint64_t cookie;
+    uint64_t index;
+
+    for (cookie = 0; cookie < cluster->cookies; cookie++) {
+        if (cluster->outcome[cookie] == (int)ST_OK) {
+            ck_assert_uint_eq(cluster->cookie_at[cluster->acked_at[cookie]],
+                              cookie);
+        }
+    }
+    for (index = 1; index < MAX_INDEX; index++) {
+        if (cluster->chain[index] != 0) {
+            ck_assert_int_ne(cluster->outcome[cluster->cookie_at[index]],
+                             (int)ST_NOT_LEADER);
+        }
+    }
+}
+
+/* Guards against lost acknowledged entries, two entries at one index, applied
+ * state that goes back, stale reads, callbacks missing or doubled, and a
+ * cluster that cannot repair itself, under all faults at once. */
+START_TEST(survives_faults)
+{
+    static size_t acks;
+    static size_t reads;
+    static size_t wipes;
+    static size_t crashes;
+    static size_t restores;
+    uint64_t seed = (uint64_t)_i + 1;
+    Cluster *cluster =
+        new_cluster(seed, 3 + (size_t)_i % 3, _i % 3 == 2 ? 5 : 3);
+    int i;
+
+    for (i = 0; i < 800; i++) {
+        step(cluster);
+    }
+    settle(cluster, seed);
+    check_history(cluster);
+    acks += cluster->acks;
+    reads += cluster->reads_done;
+    wipes += cluster->wipes;
+    crashes += cluster->crashes;
+    restores += cluster->restores;
+    ck_assert_uint_gt(cluster->acks, 0);
+    free_cluster(cluster);
+    if (_i == 199) {
+        /* The faults have to happen for the test to mean anything. */
+        printf("acks %zu, reads %zu, wipes %zu, crashes %zu, restores %zu\n",
+               acks, reads, wipes, crashes, restores);
+        ck_assert_uint_gt(wipes, 200);
+        ck_assert_uint_gt(crashes, 1000);
+        ck_assert_uint_gt(restores, 200);
+        ck_assert_uint_gt(reads, 1000);
+    }
+}
+END_TEST
+
+Suite *
+Test_Suite(void)
+{
+    Suite *suite = suite_create("replica");
+    TCase *tcase = tcase_create("cluster");
+
+    tcase_add_loop_test(tcase, survives_faults, 0, 200);
+    suite_add_tcase(suite, tcase);
+    return suite;
+}
