--- a/src/once.c
+++ b/src/once.c
@@ -2,71 +2,21 @@
 
 #include <stdlib.h>
 #include <string.h>
-#include <xxhash.h>
-
-#include "once_record.h"
-#include "table.h"
-
-typedef enum RowState {
-    ROW_ISSUED, /* the token was given out */
-    ROW_BEGUN,  /* the request arrived; no intent is recorded */
-    ROW_INTENT, /* the intent is recorded; no attempt is out */
-    ROW_OUT,    /* an attempt is at a target */
-    ROW_CLOSED  /* there is an outcome */
-} RowState;
-
-/* Rows of one list were added in the order of their drop time. */
-typedef enum RowList {
-    LIST_OWN,  /* own tokens, dropped ONCE_RETENTION_MS after issue */
-    LIST_LATE, /* outcomes that came after that time */
-    LIST_HELD, /* records of other homes, and recovered ones */
-    LIST_COUNT,
-    LIST_NONE /* own tokens that still run after ONCE_RETENTION_MS */
-} RowList;
-
-typedef struct Row {
-    uint64_t id[2]; /* XXH3 of the token */
-    OnceBinding binding;
-    int64_t drop_at;
-    Handle bucket_next;
-    Handle prev; /* of its RowList */
-    Handle next;
-    Handle answer_prev; /* of the rows with an answer */
-    Handle answer_next;
-    char *answer;
-    uint32_t len;
-    uint32_t attempt; /* the last one */
-    uint16_t status;
-    uint8_t state;   /* RowState */
-    uint8_t outcome; /* OnceOutcome */
-    uint8_t list;    /* RowList */
-    bool answer_dropped;
-    bool attempt_out; /* also after "unknown": its answer is still welcome */
-} Row;
-
-typedef struct Ends {
-    Handle head;
-    Handle tail;
-} Ends;
+
+#include "once_rows.h"
 
 struct Once {
     char home[ONCE_HOME_BYTES];
     OnceOptions options;
     int64_t now;
     uint64_t next_number;
-    Table *rows;
-    Handle *buckets;
-    size_t bucket_mask;
-    Ends lists[LIST_COUNT];
-    Ends answers;
-    OnceCounts counts;
+    OnceRows rows;
 };
 
 Once *
 Once_New(const OnceOptions *options)
 {
     uint32_t max_rows = options->max_tokens + options->max_held;
-    size_t buckets = 16;
     Once *once;
 
     if (!OnceToken_ValidHome(options->home) ||
@@ -77,9 +27,6 @@
     if (once == NULL) {
         return NULL;
     }
-    while (buckets < max_rows) {
-        buckets *= 2;
-    }
     memcpy(once->home, options->home, strlen(options->home) + 1);
     once->options = *options;
     once->options.home = once->home;
@@ -87,10 +34,8 @@
         once->options.max_answer_bytes = ONCE_RECORD_MAX_BYTES / 2;
     }
     once->next_number = 1;
-    once->rows = Table_New(sizeof(Row), max_rows);
-    once->buckets = calloc(buckets, sizeof(*once->buckets));
-    once->bucket_mask = buckets - 1;
-    if (once->rows == NULL || once->buckets == NULL) {
+    if (!OnceRows_Init(&once->rows, max_rows, once->options.max_answer_bytes,
+                       once->options.max_answers_bytes)) {
         Once_Free(once);
         return NULL;
     }
@@ -100,210 +45,10 @@
 void
 Once_Free(Once *once)
 {
-    uint32_t cursor = 0;
-    Handle handle;
-
-    if (once == NULL) {
-        return;
-    }
-    if (once->rows != NULL) {
-        while (!Handle_IsNone(handle = Table_Next(once->rows, &cursor))) {
-            free(((Row *)Table_Get(once->rows, handle))->answer);
-        }
-    }
-    Table_Free(once->rows);
-    free(once->buckets);
-    free(once);
-}
-
-static Row *
-row_at(const Once *once, Handle handle)
-{
-    return Table_Get(once->rows, handle);
-}
-
-static void
-link_row(Once *once, Handle handle, RowList list, int64_t drop_at)
-{
-    Ends *ends = &once->lists[list];
-    Row *row = row_at(once, handle);
-
-    row->list = (uint8_t)list;
-    row->drop_at = drop_at;
-    row->prev = ends->tail;
-    row->next = HANDLE_NONE;
-    if (Handle_IsNone(ends->tail)) {
-        ends->head = handle;
-    }
-    else {
-        row_at(once, ends->tail)->next = handle;
-    }
-    ends->tail = handle;
-}
-
-static void
-unlink_row(Once *once, Row *row)
-{
-    Ends *ends;
-
-    if (row->list == LIST_NONE) {
-        return;
-    }
-    ends = &once->lists[row->list];
-    if (Handle_IsNone(row->prev)) {
-        ends->head = row->next;
-    }
-    else {
-        row_at(once, row->prev)->next = row->next;
-    }
-    if (Handle_IsNone(row->next)) {
-        ends->tail = row->prev;
-    }
-    else {
-        row_at(once, row->next)->prev = row->prev;
-    }
-    row->list = LIST_NONE;
-}
-
-static void
-drop_answer(Once *once, Row *row)
-{
-    if (row->answer == NULL) {
-        return;
-    }
-    if (Handle_IsNone(row->answer_prev)) {
-        once->answers.head = row->answer_next;
-    }
-    else {
-        row_at(once, row->answer_prev)->answer_next = row->answer_next;
-    }
-    if (Handle_IsNone(row->answer_next)) {
-        once->answers.tail = row->answer_prev;
-    }
-    else {
-        row_at(once, row->answer_next)->answer_prev = row->answer_prev;
-    }
-    free(row->answer);
-    once->counts.answer_bytes -= row->len;
-    row->answer = NULL;
-    row->len = 0;
-    row->answer_dropped = true;
-}
-
-/* Keeps a copy of the answer, for which the oldest ones make room. */
-static void
-keep_answer(Once *once, Handle handle, const char *answer, size_t len)
-{
-    const OnceOptions *options = &once->options;
-    Row *row = row_at(once, handle);
-
-    if (len == 0) {
-        return;
-    }
-    row->answer_dropped = true;
-    if (len > options->max_answer_bytes || len > options->max_answers_bytes) {
-        return;
-    }
-    while (once->counts.answer_bytes + len > options->max_answers_bytes) {
-        drop_answer(once, row_at(once, once->answers.head));
-    }
-    row->answer = malloc(len);
-    if (row->answer == NULL) {
-        return;
-    }
-    memcpy(row->answer, answer, len);
-    row->len = (uint32_t)len;
-    row->answer_dropped = false;
-    row->answer_prev = once->answers.tail;
-    row->answer_next = HANDLE_NONE;
-    if (Handle_IsNone(once->answers.tail)) {
-        once->answers.head = handle;
-    }
-    else {
-        row_at(once, once->answers.tail)->answer_next = handle;
-    }
-    once->answers.tail = handle;
-    once->counts.answer_bytes += len;
-}
-
-static Handle *
-bucket_of(const Once *once, const uint64_t id[2])
-{
-    return &once->buckets[id[0] & once->bucket_mask];
-}
-
-static void
-identify(const char *token, uint64_t id[2])
-{
-    XXH128_hash_t hash = XXH3_128bits(token, strlen(token));
-
-    id[0] = hash.low64;
-    id[1] = hash.high64;
-}
-
-static Handle
-find(const Once *once, const char *token)
-{
-    uint64_t id[2];
-    Handle at;
-
-    identify(token, id);
-    at = *bucket_of(once, id);
-    while (!Handle_IsNone(at)) {
-        const Row *row = row_at(once, at);
-        if (row->id[0] == id[0] && row->id[1] == id[1]) {
-            break;
-        }
-        at = row->bucket_next;
-    }
-    return at;
-}
-
-/* Returns HANDLE_NONE when memory is exhausted; the caller checks bounds. */
-static Handle
-add_row(Once *once, const char *token, RowList list)
-{
-    Handle handle = Table_Add(once->rows);
-    Handle *bucket;
-    Row *row;
-
-    if (Handle_IsNone(handle)) {
-        return handle;
-    }
-    row = row_at(once, handle);
-    identify(token, row->id);
-    bucket = bucket_of(once, row->id);
-    row->bucket_next = *bucket;
-    *bucket = handle;
-    link_row(once, handle, list, once->now + ONCE_RETENTION_MS);
-    if (list == LIST_HELD) {
-        once->counts.held++;
-    }
-    else {
-        once->counts.tokens++;
-    }
-    return handle;
-}
-
-static void
-remove_row(Once *once, Handle handle)
-{
-    Row *row = row_at(once, handle);
-    Handle *at = bucket_of(once, row->id);
-
-    if (row->list == LIST_HELD) {
-        once->counts.held--;
-    }
-    else {
-        once->counts.tokens--;
-    }
-    drop_answer(once, row);
-    unlink_row(once, row);
-    while (!Handle_Equal(*at, handle)) {
-        at = &row_at(once, *at)->bucket_next;
+    if (once != NULL) {
+        OnceRows_Destroy(&once->rows);
+        free(once);
     }
-    *at = row->bucket_next;
-    Table_Remove(once->rows, handle);
 }
 
 static void
@@ -314,19 +59,19 @@
     if (now > once->now) {
         once->now = now;
     }
-    for (list = 0; list < LIST_COUNT; list++) {
+    for (list = 0; list < ONCE_LIST_COUNT; list++) {
         Handle handle;
-        while (!Handle_IsNone(handle = once->lists[list].head)) {
-            Row *row = row_at(once, handle);
+        while (!Handle_IsNone(handle = once->rows.lists[list].head)) {
+            OnceRow *row = OnceRows_At(&once->rows, handle);
             if (row->drop_at > once->now) {
                 break;
             }
-            if (list == LIST_OWN && row->state != ROW_ISSUED &&
-                row->state != ROW_CLOSED) {
-                unlink_row(once, row);
+            if (list == ONCE_LIST_OWN && row->state != ONCE_ROW_ISSUED &&
+                row->state != ONCE_ROW_CLOSED) {
+                OnceRows_Unlink(&once->rows, row);
                 continue;
             }
-            remove_row(once, handle);
+            OnceRows_Remove(&once->rows, handle);
         }
     }
 }
@@ -347,7 +92,7 @@
     if (count == 0 || count > ONCE_MAX_ISSUE) {
         return ST_INVALID;
     }
-    if (once->counts.tokens + count > once->options.max_tokens) {
+    if (once->rows.counts.tokens + count > once->options.max_tokens) {
         return ST_FULL;
     }
     memcpy(token.home, once->home, sizeof(token.home));
@@ -356,7 +101,8 @@
     for (i = 0; i < count; i++) {
         token.number = once->next_number++;
         OnceToken_Format(&token, out[i]);
-        if (Handle_IsNone(add_row(once, out[i], LIST_OWN))) {
+        if (Handle_IsNone(OnceRows_Add(&once->rows, out[i], ONCE_LIST_OWN,
+                                       once->now + ONCE_RETENTION_MS))) {
             return ST_NO_MEMORY;
         }
     }
@@ -364,14 +110,14 @@
 }
 
 static bool
-is_bound_to(const Row *row, OnceBinding binding)
+is_bound_to(const OnceRow *row, OnceBinding binding)
 {
     return row->binding.caller == binding.caller &&
            row->binding.request == binding.request;
 }
 
 static void
-fill_view(const Row *row, OnceView *view)
+fill_view(const OnceRow *row, OnceView *view)
 {
     view->outcome = (OnceOutcome)row->outcome;
     view->status = row->status;
@@ -389,7 +135,7 @@
 
 /* Decides on a row whose request has begun. */
 static OnceVerdict
-resent(const Once *once, const Row *row, const OnceToken *token,
+resent(const Once *once, const OnceRow *row, const OnceToken *token,
        OnceBinding binding, OnceView *view)
 {
     if (!is_bound_to(row, binding)) {
@@ -409,7 +155,7 @@
 {
     OnceBinding binding = OnceBinding_Of(caller, request_id);
     OnceToken parsed;
-    Row *row;
+    OnceRow *row;
     bool expired;
 
     memset(view, 0, sizeof(*view));
@@ -421,8 +167,8 @@
     if (strcmp(parsed.home, once->home) != 0) {
         return ONCE_FORWARD;
     }
-    row = row_at(once, find(once, token));
-    if (row != NULL && row->state != ROW_ISSUED) {
+    row = OnceRows_At(&once->rows, OnceRows_Find(&once->rows, token));
+    if (row != NULL && row->state != ONCE_ROW_ISSUED) {
         return resent(once, row, &parsed, binding, view);
     }
     if (!is_own(once, &parsed)) {
@@ -434,20 +180,21 @@
         return expired ? ONCE_EXPIRED : ONCE_BAD;
     }
     row->binding = binding;
-    row->state = ROW_BEGUN;
+    row->state = ONCE_ROW_BEGUN;
     return ONCE_FRESH;
 }
 
 /* Returns the row of an own token whose request has begun, or NULL. */
-static Row *
+static OnceRow *
 begun_row(Once *once, int64_t now, const char *token, Handle *handle)
 {
-    Row *row;
+    OnceRow *row;
 
     advance(once, now);
-    *handle = find(once, token);
-    row = row_at(once, *handle);
-    if (row == NULL || row->list == LIST_HELD || row->state == ROW_ISSUED) {
+    *handle = OnceRows_Find(&once->rows, token);
+    row = OnceRows_At(&once->rows, *handle);
+    if (row == NULL || row->list == ONCE_LIST_HELD ||
+        row->state == ONCE_ROW_ISSUED) {
         return NULL;
     }
     return row;
@@ -457,13 +204,13 @@
 Once_IntentRecorded(Once *once, int64_t now, const char *token, bool recorded)
 {
     Handle handle;
-    Row *row = begun_row(once, now, token, &handle);
+    OnceRow *row = begun_row(once, now, token, &handle);
 
-    if (row == NULL || row->state == ROW_CLOSED) {
+    if (row == NULL || row->state == ONCE_ROW_CLOSED) {
         return ST_STALE;
     }
-    if (recorded && row->state == ROW_BEGUN) {
-        row->state = ROW_INTENT;
+    if (recorded && row->state == ONCE_ROW_BEGUN) {
+        row->state = ONCE_ROW_INTENT;
     }
     return ST_OK;
 }
@@ -472,18 +219,18 @@
 Once_Dispatch(Once *once, int64_t now, const char *token, uint32_t *attempt)
 {
     Handle handle;
-    Row *row = begun_row(once, now, token, &handle);
+    OnceRow *row = begun_row(once, now, token, &handle);
 
-    if (row == NULL || row->state == ROW_CLOSED) {
+    if (row == NULL || row->state == ONCE_ROW_CLOSED) {
         return ST_STALE;
     }
-    if (row->state == ROW_BEGUN) {
+    if (row->state == ONCE_ROW_BEGUN) {
         return ST_AGAIN;
     }
-    if (row->state == ROW_OUT) {
+    if (row->state == ONCE_ROW_OUT) {
         return ST_EXISTS;
     }
-    row->state = ROW_OUT;
+    row->state = ONCE_ROW_OUT;
     row->attempt_out = true;
     row->attempt++;
     *attempt = row->attempt;
@@ -494,24 +241,25 @@
 Once_NotRun(Once *once, int64_t now, const char *token, uint32_t attempt)
 {
     Handle handle;
-    Row *row = begun_row(once, now, token, &handle);
+    OnceRow *row = begun_row(once, now, token, &handle);
 
-    if (row == NULL || row->state != ROW_OUT || row->attempt != attempt) {
+    if (row == NULL || row->state != ONCE_ROW_OUT || row->attempt != attempt) {
         return ST_STALE;
     }
-    row->state = ROW_INTENT;
+    row->state = ONCE_ROW_INTENT;
     row->attempt_out = false;
     return ST_OK;
 }
 
 /* Returns whether the outcome may be stored. */
 static Status
-check_finish(const Row *row, uint32_t attempt, OnceOutcome outcome)
+check_finish(const OnceRow *row, uint32_t attempt, OnceOutcome outcome)
 {
     bool answered = row->attempt_out && row->attempt == attempt;
 
-    if (row->state == ROW_CLOSED && (outcome != ONCE_OUTCOME_DONE ||
-                                     row->outcome != ONCE_OUTCOME_UNKNOWN)) {
+    if (row->state == ONCE_ROW_CLOSED &&
+        (outcome != ONCE_OUTCOME_DONE ||
+         row->outcome != ONCE_OUTCOME_UNKNOWN)) {
         return ST_STALE;
     }
     if (outcome == ONCE_OUTCOME_DONE && !answered) {
@@ -528,7 +276,7 @@
             OnceOutcome outcome, int status, const char *answer, size_t len)
 {
     Handle handle;
-    Row *row = begun_row(once, now, token, &handle);
+    OnceRow *row = begun_row(once, now, token, &handle);
     Status checked;
 
     if (outcome <= ONCE_OUTCOME_NONE || outcome > ONCE_OUTCOME_CANCELLED ||
@@ -542,15 +290,16 @@
     if (checked != ST_OK) {
         return checked;
     }
-    row->state = ROW_CLOSED;
+    row->state = ONCE_ROW_CLOSED;
     row->outcome = (uint8_t)outcome;
     row->status = (uint16_t)status;
     if (outcome == ONCE_OUTCOME_DONE) {
         row->attempt_out = false;
-        keep_answer(once, handle, answer, len);
+        OnceRows_KeepAnswer(&once->rows, handle, answer, len);
     }
-    if (row->list == LIST_NONE) {
-        link_row(once, handle, LIST_LATE, once->now + ONCE_LATE_GRACE_MS);
+    if (row->list == ONCE_LIST_NONE) {
+        OnceRows_Link(&once->rows, handle, ONCE_LIST_LATE,
+                      once->now + ONCE_LATE_GRACE_MS);
     }
     return ST_OK;
 }
@@ -558,10 +307,11 @@
 Status
 Once_EncodeRecord(Once *once, const char *token, Buf *out)
 {
-    const Row *row = row_at(once, find(once, token));
+    const OnceRow *row =
+        OnceRows_At(&once->rows, OnceRows_Find(&once->rows, token));
     OnceRecord record;
 
-    if (row == NULL || row->state == ROW_ISSUED) {
+    if (row == NULL || row->state == ONCE_ROW_ISSUED) {
         return ST_NOT_FOUND;
     }
     memset(&record, 0, sizeof(record));
@@ -583,36 +333,38 @@
 static Status
 hold(Once *once, const OnceRecord *record)
 {
-    Handle handle = find(once, record->text);
-    Row *row = row_at(once, handle);
+    Handle handle = OnceRows_Find(&once->rows, record->text);
+    OnceRow *row = OnceRows_At(&once->rows, handle);
 
     if (is_own(once, &record->token)) {
         return ST_INVALID;
     }
     if (row == NULL) {
-        if (once->counts.held >= once->options.max_held) {
+        if (once->rows.counts.held >= once->options.max_held) {
             return ST_FULL;
         }
-        handle = add_row(once, record->text, LIST_HELD);
-        row = row_at(once, handle);
+        handle = OnceRows_Add(&once->rows, record->text, ONCE_LIST_HELD,
+                              once->now + ONCE_RETENTION_MS);
+        row = OnceRows_At(&once->rows, handle);
         if (row == NULL) {
             return ST_NO_MEMORY;
         }
         row->binding = record->binding;
-        row->state = ROW_OUT;
+        row->state = ONCE_ROW_OUT;
     }
     if (!is_bound_to(row, record->binding)) {
         return ST_INVALID;
     }
     if (record->kind == ONCE_RECORD_OUTCOME &&
-        (row->state == ROW_OUT || row->outcome == ONCE_OUTCOME_UNKNOWN)) {
-        row->state = ROW_CLOSED;
+        (row->state == ONCE_ROW_OUT || row->outcome == ONCE_OUTCOME_UNKNOWN)) {
+        row->state = ONCE_ROW_CLOSED;
         row->outcome = (uint8_t)record->outcome;
         row->status = (uint16_t)record->status;
         row->answer_dropped = record->answer_dropped;
-        keep_answer(once, handle, record->answer, record->len);
-        unlink_row(once, row);
-        link_row(once, handle, LIST_HELD, once->now + ONCE_RETENTION_MS);
+        OnceRows_KeepAnswer(&once->rows, handle, record->answer, record->len);
+        OnceRows_Unlink(&once->rows, row);
+        OnceRows_Link(&once->rows, handle, ONCE_LIST_HELD,
+                      once->now + ONCE_RETENTION_MS);
     }
     return ST_OK;
 }
@@ -649,15 +401,15 @@
           const char *request_id, OnceView *view)
 {
     OnceToken parsed;
-    const Row *row;
+    const OnceRow *row;
 
     memset(view, 0, sizeof(*view));
     advance(once, now);
     if (!OnceToken_Parse(token, &parsed)) {
         return ST_INVALID;
     }
-    row = row_at(once, find(once, token));
-    if (row == NULL || row->list != LIST_HELD) {
+    row = OnceRows_At(&once->rows, OnceRows_Find(&once->rows, token));
+    if (row == NULL || row->list != ONCE_LIST_HELD) {
         return ST_NOT_FOUND;
     }
     if (!is_bound_to(row, OnceBinding_Of(caller, request_id))) {
@@ -688,9 +440,9 @@
     else {
         out->outcomes++;
     }
-    if (once->counts.held >= once->options.max_held &&
-        !Handle_IsNone(once->lists[LIST_HELD].head)) {
-        remove_row(once, once->lists[LIST_HELD].head);
+    if (once->rows.counts.held >= once->options.max_held &&
+        !Handle_IsNone(once->rows.lists[ONCE_LIST_HELD].head)) {
+        OnceRows_Remove(&once->rows, once->rows.lists[ONCE_LIST_HELD].head);
     }
     (void)hold(once, record);
 }
@@ -730,5 +482,5 @@
 OnceCounts
 Once_Counts(const Once *once)
 {
-    return once->counts;
+    return once->rows.counts;
 }
--- a/src/once.h
+++ b/src/once.h
@@ -68,7 +68,7 @@
     ((OnceOptions){.max_tokens = 131072,                                      \
                    .max_held = 131072,                                        \
                    .max_answer_bytes = 65536,                                 \
-                   .max_answers_bytes = 16 * 1024 * 1024})
+                   .max_answers_bytes = 16777216})
 
 typedef enum OnceOutcome {
     ONCE_OUTCOME_NONE = 0, /* running, or an intent without an outcome */
--- a/src/once_record.h
+++ b/src/once_record.h
@@ -15,7 +15,7 @@
 #include "once.h"
 
 #define ONCE_RECORD_HEADER_BYTES 12
-#define ONCE_RECORD_MAX_BYTES (4 * 1024 * 1024)
+#define ONCE_RECORD_MAX_BYTES 4194304 /* that of a frame */
 
 typedef struct OnceToken {
     char home[ONCE_HOME_BYTES];
