Add counters and a log-linear histogram

Each power of two is divided into 32 buckets, so a quantile is off by at most 1/32; 8.2 KB a histogram.

--- /dev/null
+++ b/src/hist.h
@@ -0,0 +1,64 @@
+/*
+ * NAME
+ *     hist - counters and a log-linear histogram
+ *
+ * DESCRIPTION
+ *     Values below 32 have a bucket each. Above, each power of two is divided
+ *     into 32 buckets of equal width, so a quantile is off by at most
+ *     1/HIST_SUB_BUCKETS of the true value (the layout of HdrHistogram).
+ *     Values from HIST_MAX_VALUE on share the last bucket and are counted in
+ *     overflow; quantiles never exceed the largest recorded value. A Hist
+ *     takes HIST_BYTES (about 8.2 KB) and has no pointers.
+ */
+#ifndef COLTSFOOT_HIST_H
+#define COLTSFOOT_HIST_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "buf.h"
+
+#define HIST_SUB_BITS 5
+#define HIST_SUB_BUCKETS ((size_t)32) /* 2 to the power of HIST_SUB_BITS */
+#define HIST_MAX_BITS 36              /* 19 hours in microseconds */
+#define HIST_MAX_VALUE ((uint64_t)1 << HIST_MAX_BITS)
+#define HIST_BUCKETS (HIST_SUB_BUCKETS * (HIST_MAX_BITS - HIST_SUB_BITS + 1))
+#define HIST_BYTES (sizeof(Hist))
+
+typedef struct Hist {
+    uint64_t total;
+    uint64_t overflow; /* values of HIST_MAX_VALUE and more */
+    uint64_t min;
+    uint64_t max;
+    double sum;
+    uint64_t counts[HIST_BUCKETS];
+} Hist;
+
+void Hist_Clear(Hist *hist);
+void Hist_Record(Hist *hist, uint64_t value, uint64_t count);
+
+/* Adds the content of from. Order does not matter. */
+void Hist_Merge(Hist *hist, const Hist *from);
+
+/* Returns the value below or at which the fraction q (0 to 1) of all values
+ * lies, 0 for an empty histogram. */
+uint64_t Hist_Quantile(const Hist *hist, double q);
+
+/* Returns 0 for an empty histogram. */
+double Hist_Mean(const Hist *hist);
+
+/* A fixed set of counters; names and values have count elements. */
+typedef struct HistCounters {
+    const char *const *names;
+    uint64_t *values;
+    size_t count;
+} HistCounters;
+
+/* Adds to a counter, which stays at UINT64_MAX rather than wrap. An index out
+ * of range is ignored. */
+void Hist_Count(HistCounters *counters, size_t index, uint64_t amount);
+
+/* Appends one line "name value" for each counter. */
+void Hist_CountersText(const HistCounters *counters, Buf *out);
+
+#endif
