--- /dev/null
+++ b/src/journal.c
@@ -0,0 +1,213 @@
+#include "journal.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <math.h>
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+
+struct Journal {
+    size_t capacity;
+    uint64_t last; /* sequence of the newest entry, 0 for none */
+    JournalEntry *ring;
+};
+
+static const char *const kind_names[JOURNAL_KIND_COUNT] = {
+    "move",       "drain",     "refusal",          "eviction", "readmission",
+    "wave-pause", "wave-step", "reclassification", "other"};
+
+static const char *const subject_names[JOURNAL_SUBJECT_COUNT] = {
+    "vm", "pool", "to_pool", "request", "wave"};
+
+Journal *
+Journal_New(size_t capacity)
+{
+    Journal *journal = calloc(1, sizeof(*journal));
+
+    if (journal == NULL || capacity == 0) {
+        free(journal);
+        return NULL;
+    }
+    journal->capacity = capacity;
+    journal->ring = calloc(capacity, sizeof(*journal->ring));
+    if (journal->ring == NULL) {
+        free(journal);
+        return NULL;
+    }
+    return journal;
+}
+
+void
+Journal_Free(Journal *journal)
+{
+    if (journal != NULL) {
+        free(journal->ring);
+        free(journal);
+    }
+}
+
+static void
+copy_text(char *out, size_t size, const char *text)
+{
+    size_t i = 0;
+
+    for (; text != NULL && text[i] != '\0' && i + 1 < size; i++) {
+        out[i] = text[i] >= ' ' && text[i] <= '~' ? text[i] : '?';
+    }
+    out[i] = '\0';
+}
+
+static size_t
+subject_bytes(JournalSubject subject)
+{
+    return subject == JOURNAL_REQUEST ? JOURNAL_REQUEST_BYTES
+                                      : JOURNAL_NAME_BYTES;
+}
+
+void
+Journal_Add(Journal *journal, int64_t now, uint64_t version,
+            const JournalNote *note)
+{
+    JournalEntry *entry = &journal->ring[journal->last % journal->capacity];
+    int i;
+
+    memset(entry, 0, sizeof(*entry));
+    entry->sequence = ++journal->last;
+    entry->time_ms = now;
+    entry->version = version;
+    entry->kind = note->kind < JOURNAL_KIND_COUNT ? note->kind : JOURNAL_OTHER;
+    for (i = 0; i < JOURNAL_SUBJECT_COUNT; i++) {
+        copy_text(entry->subjects[i], subject_bytes((JournalSubject)i),
+                  note->subjects[i]);
+    }
+    copy_text(entry->cause, sizeof(entry->cause), note->cause);
+    for (i = 0; i < JOURNAL_FIGURES && note->figure_names[i] != NULL; i++) {
+        copy_text(entry->figures[i].name, JOURNAL_FIGURE_BYTES,
+                  note->figure_names[i]);
+        entry->figures[i].value = note->figures[i];
+    }
+    entry->figure_count = (size_t)i;
+}
+
+static bool
+has_subject(const JournalEntry *entry, JournalSubject subject,
+            const char *text)
+{
+    char wanted[JOURNAL_REQUEST_BYTES];
+
+    copy_text(wanted, subject_bytes(subject), text);
+    return wanted[0] != '\0' && strcmp(entry->subjects[subject], wanted) == 0;
+}
+
+static bool
+matches(const JournalEntry *entry, JournalSubject by, const char *subject)
+{
+    int i;
+
+    if (subject == NULL) {
+        return true;
+    }
+    for (i = 0; i < JOURNAL_SUBJECT_COUNT; i++) {
+        bool wanted = by == JOURNAL_ANY || by == (JournalSubject)i ||
+                      (by == JOURNAL_POOL && i == JOURNAL_TO_POOL);
+        if (wanted && has_subject(entry, (JournalSubject)i, subject)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+const JournalEntry *
+Journal_Next(const Journal *journal, JournalSubject by, const char *subject,
+             uint64_t *cursor)
+{
+    while (*cursor < journal->last && *cursor < journal->capacity) {
+        uint64_t sequence = journal->last - (*cursor)++;
+        const JournalEntry *entry =
+            &journal->ring[(sequence - 1) % journal->capacity];
+        if (matches(entry, by, subject)) {
+            return entry;
+        }
+    }
+    return NULL;
+}
+
+void
+Journal_Text(const Journal *journal, JournalSubject by, const char *subject,
+             size_t limit, Buf *out)
+{
+    const JournalEntry *entry;
+    uint64_t cursor = 0;
+    size_t i;
+
+    while (limit-- > 0 &&
+           (entry = Journal_Next(journal, by, subject, &cursor)) != NULL) {
+        Buf_Printf(out,
+                   "%" PRIu64 " at %" PRId64 " ms, version %" PRIu64 ": %s",
+                   entry->sequence, entry->time_ms, entry->version,
+                   kind_names[entry->kind]);
+        for (i = 0; i < JOURNAL_SUBJECT_COUNT; i++) {
+            if (entry->subjects[i][0] != '\0') {
+                Buf_Printf(out, " %s=%s", subject_names[i],
+                           entry->subjects[i]);
+            }
+        }
+        Buf_Printf(out, ": %s", entry->cause);
+        for (i = 0; i < entry->figure_count; i++) {
+            Buf_Printf(out, "%s%s=%g", i == 0 ? " (" : ", ",
+                       entry->figures[i].name, entry->figures[i].value);
+        }
+        Buf_Printf(out, "%s\n", entry->figure_count > 0 ? ")" : "");
+    }
+}
+
+static json_t *
+entry_json(const JournalEntry *entry)
+{
+    json_t *figures = json_object();
+    json_t *object = json_pack("{s:I,s:I,s:I,s:s,s:s}", "sequence",
+                               (json_int_t)entry->sequence, "time_ms",
+                               (json_int_t)entry->time_ms, "version",
+                               (json_int_t)entry->version, "kind",
+                               kind_names[entry->kind], "cause", entry->cause);
+    size_t i;
+
+    for (i = 0; i < JOURNAL_SUBJECT_COUNT; i++) {
+        if (entry->subjects[i][0] != '\0') {
+            json_object_set_new(object, subject_names[i],
+                                json_string(entry->subjects[i]));
+        }
+    }
+    for (i = 0; i < entry->figure_count; i++) {
+        double value = entry->figures[i].value;
+        /* JSON has no infinities. */
+        json_object_set_new(figures, entry->figures[i].name,
+                            isfinite(value) ? json_real(value) : json_null());
+    }
+    json_object_set_new(object, "figures", figures);
+    return object;
+}
+
+Status
+Journal_Json(const Journal *journal, JournalSubject by, const char *subject,
+             size_t limit, Buf *out)
+{
+    json_t *list = json_array();
+    const JournalEntry *entry;
+    uint64_t cursor = 0;
+    char *text;
+
+    while (limit-- > 0 &&
+           (entry = Journal_Next(journal, by, subject, &cursor)) != NULL) {
+        json_array_append_new(list, entry_json(entry));
+    }
+    text = list == NULL ? NULL : json_dumps(list, JSON_COMPACT);
+    json_decref(list);
+    if (text == NULL) {
+        return ST_NO_MEMORY;
+    }
+    Buf_Append(out, text, strlen(text));
+    free(text);
+    return ST_OK;
+}
