Check sequences of traffic calls against an oracle

It keeps plain records of what was sent, answered and replied. Its first runs found one fault: an item added to the bucket that the timing wheel was reading was skipped until the next round, so a reply came after its deadline. The wheel now starts from the new head of that bucket.

The oracle itself was wrong once: a slot taken for an intent may be used after the team's quota was lowered, since it was counted when it was taken.

--- /dev/null
+++ b/fuzz/fuzz_traffic.c
@@ -0,0 +1,19 @@
+#include <stdio.h>
+#include <stdlib.h>
+
+/* Fuzz targets are not linked with the support files of the tests. */
+#include "support_traffic_model.c"
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+    const char *error = TrafficModel_Run(data, size);
+
+    if (error != NULL) {
+        fprintf(stderr, "fuzz_traffic: broken: %s\n", error);
+        abort();
+    }
+    return 0;
+}
--- a/src/admit.c
+++ b/src/admit.c
@@ -229,7 +229,7 @@
 has_room(const Admit *a, const AdmitWork *work, uint32_t root, uint32_t max)
 {
     uint32_t service = AdmitTree_Find(a, root, work->service + 1);
-    uint32_t node = service;
+    uint32_t node;
     uint32_t room;
 
     if (service == ADMIT_NONE) {
--- a/src/traffic.c
+++ b/src/traffic.c
@@ -86,7 +86,7 @@
         abort();
     }
     memset(&t->services[service], 0, sizeof(ServiceRow));
-    strcpy(t->services[service].name, name);
+    memcpy(t->services[service].name, name, strlen(name)); /* fits */
     Keymap_Put(t->service_names, key, service);
     return service;
 }
--- a/src/wheel.c
+++ b/src/wheel.c
@@ -88,6 +88,11 @@
     if (*head != WHEEL_NONE) {
         wheel->items[*head].prev = item;
     }
+    /* A bucket that is read from its head next includes the new item. */
+    if (wheel->started && wheel->cursor == *head &&
+        row->bucket == (uint64_t)wheel->turn % WHEEL_BUCKETS) {
+        wheel->cursor = item;
+    }
     *head = item;
     wheel->count++;
 }
