--- a/tests/support_traffic_model.c
+++ b/tests/support_traffic_model.c
@@ -18,7 +18,7 @@
     uint32_t maybe_ran;
     uint32_t team;
     uint32_t quotas; /* Model.quotas when the slot was taken */
-    bool known; /* handle returned by Traffic_Submit */
+    bool known;      /* handle returned by Traffic_Submit */
     bool unrepeatable;
     bool intent_asked;
     bool intent_ok;
@@ -49,7 +49,7 @@
     uint32_t in_flight[MODEL_TARGETS];
     TrafficTeam teams[MODEL_TEAMS];
     uint32_t team_running[MODEL_TEAMS];
-    uint32_t quotas; /* changes so far */
+    uint32_t quotas;    /* changes so far */
     Handle answered_ok; /* attempt that was just answered */
     const char *error;
 } Model;
