--- a/fuzz/fuzz_traffic.c
+++ b/fuzz/fuzz_traffic.c
@@ -1,8 +1,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-/* Fuzz targets are not linked with the support files of the tests. */
-#include "support_traffic_model.c"
+#include "support_traffic_model.h"
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
