Add the operators' command line

Cause: operators need to submit patches, read state and control waves without writing HTTP requests. Change: coltsfoot sends one request to a control port, resends a change with the same request id until it has a definite answer, and keeps an unknown result (status 3) apart from a refusal (status 1).

--- /dev/null
+++ b/src/cli_http.c
@@ -0,0 +1,161 @@
+#include "cli_http.h"
+
+#include <curl/curl.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+#define CONNECT_TIMEOUT_MS 2000
+/* A frozen process accepts connections and does not answer; the next address
+ * is tried after this time. */
+#define ATTEMPT_TIMEOUT_MS 5000
+#define RESEND_PAUSE_MS 200
+#define ANSWER_MAX_BYTES (64 * 1024 * 1024)
+
+static int64_t
+now_ms(void)
+{
+    struct timespec now;
+
+    clock_gettime(CLOCK_MONOTONIC, &now);
+    return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
+}
+
+static size_t
+receive(char *bytes, size_t size, size_t count, void *arg)
+{
+    Buf *body = arg;
+
+    if (body->len + size * count > ANSWER_MAX_BYTES) {
+        return 0;
+    }
+    Buf_Append(body, bytes, size * count);
+    return size * count;
+}
+
+static bool
+is_unconnected(CURLcode code)
+{
+    return code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST;
+}
+
+static void
+send_once(CURL *curl, const CliRequest *request, const SettingsAddress *to,
+          int64_t timeout_ms, CliAnswer *answer)
+{
+    struct curl_slist *headers = NULL;
+    char line[128];
+    Buf url = BUF_INIT;
+    CURLcode code;
+
+    Buf_Clear(&answer->body);
+    answer->status = 0;
+    Buf_Printf(&url, "http://%s:%d%s", to->host, to->port, request->path);
+    curl_easy_reset(curl);
+    curl_easy_setopt(curl, CURLOPT_URL, Buf_Text(&url));
+    curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(curl, CURLOPT_NOPROXY, "*");
+    curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS,
+                     (long)CONNECT_TIMEOUT_MS);
+    curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)timeout_ms);
+    curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, receive);
+    curl_easy_setopt(curl, CURLOPT_WRITEDATA, &answer->body);
+    headers = curl_slist_append(headers, "Expect:");
+    if (request->body != NULL) {
+        snprintf(line, sizeof(line), "Content-Type: %s", request->type);
+        headers = curl_slist_append(headers, line);
+        curl_easy_setopt(curl, CURLOPT_POSTFIELDS, request->body);
+    }
+    curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, request->method);
+    curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
+    code = curl_easy_perform(curl);
+    answer->attempts++;
+    if (code == CURLE_OK) {
+        curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &answer->status);
+    }
+    else {
+        snprintf(answer->reason, sizeof(answer->reason), "%s:%d: %s", to->host,
+                 to->port, curl_easy_strerror(code));
+    }
+    answer->sent = answer->sent || !is_unconnected(code);
+    curl_slist_free_all(headers);
+    Buf_Free(&url);
+}
+
+/* Returns whether another attempt may give a better answer. A request that
+ * changes something is repeated also after 5xx: 503 means that no leader took
+ * it, 504 that its result is unknown. */
+static bool
+wants_resend(const CliRequest *request, const CliAnswer *answer)
+{
+    if (answer->status == 0) {
+        return true;
+    }
+    return request->resend && answer->status >= 500;
+}
+
+void
+Cli_Send(const CliRequest *request, CliAnswer *answer)
+{
+    int64_t deadline = now_ms() + request->timeout_ms;
+    CURL *curl = curl_easy_init();
+    int i = 0;
+
+    memset(answer, 0, sizeof(*answer));
+    if (curl == NULL) {
+        snprintf(answer->reason, sizeof(answer->reason), "out of memory");
+        return;
+    }
+    for (;;) {
+        int64_t left = deadline - now_ms();
+        struct timespec pause = {0, RESEND_PAUSE_MS * 1000000L};
+        if (left <= 0) {
+            break;
+        }
+        send_once(curl, request, &request->to[i % request->to_count],
+                  left < ATTEMPT_TIMEOUT_MS ? left : ATTEMPT_TIMEOUT_MS,
+                  answer);
+        i++;
+        if (!wants_resend(request, answer) ||
+            (!request->resend && i >= request->to_count)) {
+            break;
+        }
+        if (i % request->to_count == 0) {
+            nanosleep(&pause, NULL);
+        }
+    }
+    curl_easy_cleanup(curl);
+}
+
+CliExit
+Cli_ExitOf(long status)
+{
+    if (status >= 200 && status < 300) {
+        return CLI_OK;
+    }
+    if (status == 400 || status == 413 || status == 422) {
+        return CLI_BAD_INPUT;
+    }
+    if (status >= 400 && status < 500) {
+        return CLI_REFUSED;
+    }
+    return CLI_UNKNOWN;
+}
+
+void
+Cli_EscapeUrl(Buf *out, const char *text)
+{
+    const char *at;
+
+    for (at = text; *at != '\0'; at++) {
+        bool plain = (*at >= 'a' && *at <= 'z') ||
+                     (*at >= 'A' && *at <= 'Z') ||
+                     (*at >= '0' && *at <= '9') || strchr("-_.~", *at) != NULL;
+        if (plain) {
+            Buf_Append(out, at, 1);
+        }
+        else {
+            Buf_Printf(out, "%%%02X", (unsigned)(unsigned char)*at);
+        }
+    }
+}
