Check names of peers only within the list that was found

Cause: a settings file with the key peers twice, the second list longer than the first, made check_peer_names read past the first list. The process ended with a null pointer instead of the finding. Found by fuzz_settings after about 166,000 inputs. Ruled out: the YAML tree itself; it reports the second key and keeps both. Change: the check stops at the end of the list that it takes lines from. Conclusion: the new case of test_settings crashed before the change and passes after it; the input is in the corpus.

--- a/src/cli_run.c
+++ b/src/cli_run.c
@@ -248,7 +248,7 @@
     if (in == NULL) {
         return false;
     }
-    while (text->len <= YAML_TREE_MAX_BYTES &&
+    while (text->len <= (size_t)YAML_TREE_MAX_BYTES &&
            (len = fread(part, 1, sizeof(part), in)) > 0) {
         Buf_Append(text, part, len);
     }
--- a/src/settings.c
+++ b/src/settings.c
@@ -310,7 +310,8 @@
     size_t i;
     size_t j;
 
-    for (i = 0; i < settings->peer_count; i++) {
+    /* A second list under the same key, reported as such, may be longer. */
+    for (i = 0; i < settings->peer_count && i < YamlNode_Count(peers); i++) {
         const char *name = settings->peers[i].name;
         bool taken = strcmp(name, settings->name) == 0;
         for (j = 0; j < i; j++) {
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -55,6 +55,8 @@
     {HEAD "peers:\n  - {name: a, " PEER, {{8, "peers", "stands twice"}}},
     {HEAD "peers:\n  - {name: b, " PEER "  - {name: b, " PEER,
      {{9, "peers", "stands twice"}}},
+    {HEAD "peers: []\npeers:\n  - {name: a, " PEER,
+     {{8, "peers", "stands twice"}}},
     {HEAD "peers:\n  - {name: b}\n", {{8, "peers[0]", "needs name"}}},
     {HEAD "peers:\n  - {nam: b, " PEER, {{8, "peers[0].nam", "unknown key"}}},
     {"name: a\ncluster: c\ndata_centre: n\npeer: localhost:1\n"
