--- a/src/control.c
+++ b/src/control.c
@@ -12,6 +12,7 @@
 #define CONTROL_STATUS_MS 500
 #define CONTROL_HTTP_IDLE_S 60
 #define CONTROL_MAX_BODY_BYTES (1024 * 1024)
+#define CONTROL_JOURNAL_ENTRIES 4096
 
 void
 Control_PackText(msgpack_packer *packer, const char *text)
@@ -164,6 +165,12 @@
     case PEER_ONCE_OUTCOME:
         on_once(control, peer, type, message);
         break;
+    case PEER_DRAINS:
+        Control_OnDrains(control, peer, message);
+        break;
+    case PEER_DRAINS_ACK:
+        Control_OnDrainsAck(control, peer, message);
+        break;
     case PEER_HELLO:
     case PEER_REFUSED:
     case PEER_FEED:
@@ -371,9 +378,9 @@
     Buf_Free(&body);
 }
 
-static void
-on_registered(void *arg, Status status, uint64_t index, const char *result,
-              size_t len)
+void
+Control_IgnoreResult(void *arg, Status status, uint64_t index,
+                     const char *result, size_t len)
 {
     (void)arg;
     (void)status;
@@ -382,6 +389,13 @@
     (void)len;
 }
 
+void
+Control_Note(Control *control, const JournalNote *note)
+{
+    Journal_Add(control->journal, Loop_NowMs(), State_Version(control->state),
+                note);
+}
+
 /* Registers this start of the process, so that closes of VMs wait for its
  * acknowledgement. */
 static void
@@ -402,7 +416,7 @@
         &command, settings->name, settings->data_centre,
         control->replica != NULL ? Replica_Identity(control->replica) : 0,
         control->incarnation, control->replica != NULL);
-    Control_Propose(control, &command, on_registered, NULL);
+    Control_Propose(control, &command, Control_IgnoreResult, NULL);
     Buf_Free(&command);
 }
 
@@ -456,6 +470,8 @@
     Control_TargetTick(control, now);
     Control_PublishView(control, now);
     Control_AckCloses(control, now);
+    Control_AckDrains(control);
+    Control_KeeperTick(control, now);
     update_ready(control);
     check_stop(control, now);
 }
@@ -560,12 +576,16 @@
     control->stop_watch = Loop_Watch(control->loop, control->stop_pipe[0],
                                      LOOP_READ, on_stop, control);
     control->state = State_New();
-    control->targets = Table_New(sizeof(ControlTarget), CONTROL_MAX_TARGETS);
+    control->targets = StrMap_New();
+    control->journal = Journal_New(CONTROL_JOURNAL_ENTRIES);
     control->proposals =
         Table_New(sizeof(ControlProposal), CONTROL_MAX_PROPOSALS);
     control->peer_states =
         calloc(control->settings->peer_count + 1, sizeof(ControlPeer));
     status = Control_OpenLog(control, err);
+    if (status == ST_OK) {
+        status = Control_OpenKeeper(control, err);
+    }
     if (status == ST_OK) {
         status = open_network(control, err);
     }
@@ -590,6 +610,7 @@
     /* Wall time keeps incarnations rising over restarts without a disk. */
     control->incarnation = (uint64_t)apr_time_now();
     control->view_dirty = true;
+    control->drains_peer = -1;
     status = open_all(control, err);
     if (status != ST_OK) {
         Control_Free(control);
@@ -610,6 +631,20 @@
     Loop_Run(control->loop);
 }
 
+static void
+free_targets(Control *control)
+{
+    size_t i;
+
+    if (control->targets == NULL) {
+        return;
+    }
+    for (i = 0; i < StrMap_Count(control->targets); i++) {
+        free(StrMap_At(control->targets, i));
+    }
+    StrMap_Free(control->targets);
+}
+
 void
 Control_Free(Control *control)
 {
@@ -621,10 +656,12 @@
     Gateway_Free(control->gateway);
     HttpServer_Free(control->server);
     HttpClient_Free(control->client);
+    Control_CloseKeeper(control);
     Control_CloseLog(control);
     Peers_Free(control->peers);
     State_Free(control->state);
-    Table_Free(control->targets);
+    free_targets(control);
+    Journal_Free(control->journal);
     Table_Free(control->proposals);
     free(control->peer_states);
     Loop_Unwatch(control->stop_watch);
--- a/src/control_admin.c
+++ b/src/control_admin.c
@@ -4,25 +4,12 @@
 #include <string.h>
 
 #include "diag.h"
-#include "patch.h"
 
-#define CONTROL_PATCH_MS 8000
-#define CONTROL_PATCH_RETRY_MS 100
 #define CONTROL_PATH_BYTES 512
+#define CONTROL_EXPLAIN_ENTRIES 100
 
-/* A change that an operator waits for. It is proposed again until its answer
- * is known or its time is over; the state machine gives the first answer to
- * each repetition of a request id. */
-typedef struct OperatorChange {
-    Control *control;
-    HttpRequest *http;
-    LoopTimer *retry;
-    Buf command;
-    int64_t due_ms;
-} OperatorChange;
-
-static void
-reply_json(HttpRequest *http, int status, json_t *json)
+void
+Control_ReplyJson(HttpRequest *http, int status, json_t *json)
 {
     char *text = json_dumps(json, JSON_INDENT(2));
 
@@ -32,141 +19,13 @@
     json_decref(json);
 }
 
-static void
-reply_error(HttpRequest *http, int status, const char *error,
-            const char *message)
-{
-    reply_json(http, status,
-               json_pack("{s:s, s:s}", "error", error, "message", message));
-}
-
-static void
-end_change(OperatorChange *change)
-{
-    Loop_FreeTimer(change->retry);
-    Buf_Free(&change->command);
-    free(change);
-}
-
-static int
-http_status(Status status)
-{
-    switch (status) {
-    case ST_OK:
-        return 200;
-    case ST_CONFLICT:
-    case ST_EXISTS:
-    case ST_STALE:
-        return 409;
-    case ST_NOT_FOUND:
-        return 404;
-    case ST_AGAIN:
-        return 503;
-    default:
-        return 422;
-    }
-}
-
-static void
-reply_result(HttpRequest *http, const StateResult *result)
-{
-    json_t *paths = json_array();
-    size_t i;
-
-    for (i = 0; i < result->conflict_count; i++) {
-        json_array_append_new(paths, json_string(result->conflicts[i]));
-    }
-    reply_json(http, http_status(result->status),
-               json_pack("{s:b, s:s, s:I, s:s, s:o}", "accepted",
-                         result->status == ST_OK, "status",
-                         Err_Name(result->status), "version",
-                         (json_int_t)result->version, "message",
-                         result->message, "conflicts", paths));
-}
-
-static void
-on_change(void *arg, Status status, uint64_t index, const char *bytes,
-          size_t len)
-{
-    OperatorChange *change = arg;
-    StateResult result;
-
-    (void)index;
-    if (status == ST_OK && State_ParseResult(bytes, len, &result) == ST_OK) {
-        reply_result(change->http, &result);
-        end_change(change);
-        return;
-    }
-    if (Loop_NowMs() < change->due_ms) {
-        Loop_Arm(change->retry, CONTROL_PATCH_RETRY_MS, 0);
-        return;
-    }
-    reply_error(change->http, 504, "unknown",
-                "the result is unknown; repeat with the same request_id");
-    end_change(change);
-}
-
-static void
-propose_change(void *arg)
-{
-    OperatorChange *change = arg;
-
-    Control_Propose(change->control, &change->command, on_change, change);
-}
-
-/* Proposes a command and answers with its result. Takes the command over. */
-static void
-submit_change(Control *control, HttpRequest *http, Buf command)
-{
-    OperatorChange *change = calloc(1, sizeof(*change));
-
-    if (change == NULL) {
-        abort();
-    }
-    change->control = control;
-    change->http = http;
-    change->command = command;
-    change->due_ms = Loop_NowMs() + CONTROL_PATCH_MS;
-    change->retry = Loop_NewTimer(control->loop, propose_change, change);
-    propose_change(change);
-}
-
-static void
-reply_findings(HttpRequest *http, const Findings *findings)
-{
-    json_t *list = json_array();
-    size_t i;
-    const Finding *finding;
-
-    for (i = 0; (finding = Findings_Get(findings, i)) != NULL; i++) {
-        json_array_append_new(list, json_pack("{s:I, s:s, s:s}", "line",
-                                              (json_int_t)finding->line,
-                                              "path", finding->path, "reason",
-                                              finding->reason));
-    }
-    reply_json(http, 400,
-               json_pack("{s:s, s:s, s:o}", "error", "invalid", "message",
-                         "the patch has findings", "findings", list));
-}
-
-static void
-handle_patch(Control *control, HttpRequest *http)
+void
+Control_ReplyError(HttpRequest *http, int status, const char *error,
+                   const char *reason)
 {
-    Findings *findings = Findings_New("patch");
-    size_t len;
-    const char *text = HttpRequest_Body(http, &len);
-    PatchText *patch = Patch_Parse(text, len, findings);
-    Buf command = BUF_INIT;
-
-    if (patch == NULL || Findings_Count(findings) > 0) {
-        reply_findings(http, findings);
-    }
-    else {
-        StateCmd_Patch(&command, patch);
-        submit_change(control, http, command);
-    }
-    Patch_Free(patch);
-    Findings_Free(findings);
+    Control_ReplyJson(
+        http, status,
+        json_pack("{s:s, s:s}", "error", error, "reason", reason));
 }
 
 static void
@@ -178,13 +37,14 @@
     Status status = Control_Announce(control, body, len, true, &err);
 
     if (status != ST_OK) {
-        reply_error(http, status == ST_STALE ? 409 : 400, Err_Name(status),
-                    err.message);
+        Control_ReplyError(http, status == ST_STALE ? 409 : 400,
+                           Err_Name(status), err.message);
         return;
     }
-    reply_json(http, 200,
-               json_pack("{s:I}", "heartbeat_ms",
-                         (json_int_t)control->settings->target_heartbeat_ms));
+    Control_ReplyJson(
+        http, 200,
+        json_pack("{s:I}", "heartbeat_ms",
+                  (json_int_t)control->settings->target_heartbeat_ms));
 }
 
 static const char *
@@ -223,8 +83,8 @@
     return list;
 }
 
-json_t *
-Control_StatusJson(Control *control)
+static json_t *
+status_json(Control *control)
 {
     TrafficStats stats;
     json_t *json;
@@ -323,12 +183,6 @@
     return list;
 }
 
-typedef struct ConfigRead {
-    Control *control;
-    HttpRequest *http;
-    char prefix[CONTROL_PATH_BYTES];
-} ConfigRead;
-
 static void
 reply_config(Control *control, HttpRequest *http, const char *prefix,
              bool confirmed)
@@ -336,10 +190,11 @@
     Buf text = BUF_INIT;
 
     State_Config(control->state, prefix, &text);
-    reply_json(http, 200,
-               json_pack("{s:I, s:b, s:s}", "version",
-                         (json_int_t)State_Version(control->state),
-                         "confirmed", confirmed, "config", Buf_Text(&text)));
+    Control_ReplyJson(http, 200,
+                      json_pack("{s:I, s:b, s:s}", "version",
+                                (json_int_t)State_Version(control->state),
+                                "confirmed", confirmed, "config",
+                                Buf_Text(&text)));
     Buf_Free(&text);
 }
 
@@ -360,19 +215,19 @@
 static void
 handle_status(Control *control, HttpRequest *http)
 {
-    reply_json(http, 200, Control_StatusJson(control));
+    Control_ReplyJson(http, 200, status_json(control));
 }
 
 static void
 handle_vms(Control *control, HttpRequest *http)
 {
-    reply_json(http, 200, vms_json(control));
+    Control_ReplyJson(http, 200, vms_json(control));
 }
 
 static void
 handle_pools(Control *control, HttpRequest *http)
 {
-    reply_json(http, 200, pools_json(control));
+    Control_ReplyJson(http, 200, pools_json(control));
 }
 
 static void
@@ -382,25 +237,141 @@
                           control->ready ? "ready\n" : "not ready\n");
 }
 
+static void
+handle_burn(Control *control, HttpRequest *http)
+{
+    const char *format = HttpRequest_Query(http, "format");
+    Buf out = BUF_INIT;
+
+    if (format != NULL && strcmp(format, "json") == 0) {
+        Gateway_ReportBurn(control->gateway, GATEWAY_JSON, &out);
+        HttpRequest_ReplyText(http, 200, "application/json", Buf_Text(&out));
+    }
+    else if (format != NULL && strcmp(format, "html") == 0) {
+        Gateway_ReportBurn(control->gateway, GATEWAY_HTML, &out);
+        HttpRequest_ReplyText(http, 200, "text/html", Buf_Text(&out));
+    }
+    else {
+        Gateway_ReportBurn(control->gateway, GATEWAY_TEXT, &out);
+        HttpRequest_ReplyText(http, 200, "text/plain", Buf_Text(&out));
+    }
+    Buf_Free(&out);
+}
+
+static void
+handle_explain(Control *control, HttpRequest *http)
+{
+    const char *subject = HttpRequest_Query(http, "subject");
+    Buf out = BUF_INIT;
+
+    Journal_Json(control->journal, JOURNAL_ANY, subject,
+                 CONTROL_EXPLAIN_ENTRIES, &out);
+    HttpRequest_ReplyText(http, 200, "application/json", Buf_Text(&out));
+    Buf_Free(&out);
+}
+
+static const char *
+wave_state_name(StateWaveState state)
+{
+    static const char *const names[] = {[STATE_WAVE_RUNNING] = "running",
+                                        [STATE_WAVE_PAUSED] = "paused",
+                                        [STATE_WAVE_CANCELLED] = "cancelled",
+                                        [STATE_WAVE_DONE] = "done"};
+
+    return names[state];
+}
+
+static void
+handle_wave_show(Control *control, HttpRequest *http, const char *name)
+{
+    static const char *const steps[] = {[STATE_STEP_PENDING] = "pending",
+                                        [STATE_STEP_STARTED] = "started",
+                                        [STATE_STEP_DONE] = "done",
+                                        [STATE_STEP_SKIPPED] = "skipped",
+                                        [STATE_STEP_FAILED] = "failed"};
+    const StateWave *wave = State_Wave(control->state, name);
+    json_t *vms = json_object();
+    size_t i;
+
+    if (wave == NULL) {
+        json_decref(vms);
+        Control_ReplyError(http, 404, "not found", "no such wave");
+        return;
+    }
+    for (i = 0; i < wave->vm_count; i++) {
+        json_object_set_new(vms, wave->vms[i].name,
+                            json_string(steps[wave->vms[i].step]));
+    }
+    Control_ReplyJson(
+        http, 200,
+        json_pack("{s:s, s:s, s:s, s:s, s:I, s:I, s:I, s:o}", "name",
+                  wave->name, "state", wave_state_name(wave->state),
+                  "operator", wave->operator_name, "reason", wave->reason,
+                  "deadline_ms", (json_int_t)wave->deadline_ms, "done",
+                  (json_int_t)wave->steps[STATE_STEP_DONE], "pending",
+                  (json_int_t)wave->steps[STATE_STEP_PENDING], "vms", vms));
+}
+
 static const Route routes[] = {
-    {"POST", "/v1/patch", handle_patch},
+    {"POST", "/v1/patch", Control_HandlePatch},
     {"GET", "/v1/config", handle_config},
     {"GET", "/v1/status", handle_status},
     {"GET", "/v1/vms", handle_vms},
     {"GET", "/v1/pools", handle_pools},
     {"POST", "/v1/targets", handle_announce},
     {"GET", "/readyz", handle_ready},
+    {"POST", "/v1/waves", Control_HandleWaveStart},
+    {"GET", "/v1/report/burn", handle_burn},
+    {"GET", "/v1/explain", handle_explain},
 };
 
+/* Handles the paths that carry a name. Returns false for an unknown one. */
+static bool
+handle_named(Control *control, HttpRequest *http, char *path)
+{
+    const char *method = HttpRequest_Method(http);
+    char *save = NULL;
+    const char *version = strtok_r(path, "/", &save);
+    const char *kind = strtok_r(NULL, "/", &save);
+    const char *name = strtok_r(NULL, "/", &save);
+    const char *action = strtok_r(NULL, "/", &save);
+    bool post = strcmp(method, "POST") == 0;
+
+    if (version == NULL || kind == NULL || name == NULL) {
+        return false;
+    }
+    if (strcmp(kind, "targets") == 0 && strcmp(method, "DELETE") == 0) {
+        bool known = Control_Leave(control, name, true);
+        Control_ReplyJson(http, known ? 200 : 404,
+                          json_pack("{s:b}", "known", known));
+    }
+    else if (strcmp(kind, "waves") == 0 && action == NULL && !post) {
+        handle_wave_show(control, http, name);
+    }
+    else if (strcmp(kind, "waves") == 0 && action != NULL && post) {
+        Control_HandleWaveAction(control, http, name, action);
+    }
+    else if (strcmp(kind, "vms") == 0 && action != NULL && post) {
+        Control_HandleRemoveVm(control, http, name);
+    }
+    else if (strcmp(kind, "members") == 0 && action != NULL && post) {
+        Control_HandleDestroyed(control, http, name);
+    }
+    else {
+        return false;
+    }
+    return true;
+}
+
 void
 Control_HandleHttp(void *arg, HttpRequest *http)
 {
-    static const char targets[] = "/v1/targets/";
     Control *control = arg;
     const char *method = HttpRequest_Method(http);
-    const char *path = HttpRequest_Path(http);
+    char path[CONTROL_PATH_BYTES];
     size_t i;
 
+    snprintf(path, sizeof(path), "%s", HttpRequest_Path(http));
     for (i = 0; i < sizeof(routes) / sizeof(routes[0]); i++) {
         if (strcmp(method, routes[i].method) == 0 &&
             strcmp(path, routes[i].path) == 0) {
@@ -408,12 +379,7 @@
             return;
         }
     }
-    if (strcmp(method, "DELETE") == 0 &&
-        strncmp(path, targets, sizeof(targets) - 1) == 0) {
-        bool known = Control_Leave(control, path + sizeof(targets) - 1, true);
-        reply_json(http, known ? 200 : 404,
-                   json_pack("{s:b}", "known", known));
-        return;
+    if (!handle_named(control, http, path)) {
+        Control_ReplyError(http, 404, "not found", "no such path");
     }
-    reply_error(http, 404, "not found", "no such path");
 }
--- a/src/control_internal.h
+++ b/src/control_internal.h
@@ -14,9 +14,11 @@
 
 #include "buf.h"
 #include "control.h"
+#include "escrow.h"
 #include "gateway.h"
 #include "httpclient.h"
 #include "httpserver.h"
+#include "journal.h"
 #include "loop.h"
 #include "oncelog.h"
 #include "peer.h"
@@ -24,6 +26,7 @@
 #include "state.h"
 #include "statecmd.h"
 #include "storage.h"
+#include "strmap.h"
 #include "table.h"
 
 #define CONTROL_PART "control"
@@ -48,6 +51,14 @@
     bool suspect;
     int64_t heard_ms;
     int64_t registered_ms; /* of the last proposal to register */
+    bool draining;         /* the keeper wants no new work sent to it */
+    /* Of the keeper: what the platform said last. */
+    bool platform_busy;
+    bool platform_draining;
+    int64_t platform_ms;
+    uint32_t platform_in_flight;
+    uint64_t idle_epoch;     /* idle under this assignment epoch */
+    uint64_t close_sequence; /* of the drain list that first names it */
 } ControlTarget;
 
 /* What a peer reported about itself. */
@@ -56,7 +67,8 @@
     uint64_t version;
     uint64_t leader;
     bool ready;
-    int64_t version_ms; /* when this version was first reported */
+    int64_t version_ms;    /* when this version was first reported */
+    uint64_t drains_acked; /* sequence of the drain list it applied */
 } ControlPeer;
 
 /* Called once: ST_OK with index and result, ST_NOT_LEADER when the command
@@ -82,7 +94,7 @@
     HttpClient *client;
     Gateway *gateway;
     OnceLog *once_log; /* NULL without a disk */
-    Table *targets;    /* ControlTarget */
+    StrMap *targets;   /* ControlTarget */
     Table *proposals;
     LoopTimer *tick;
     LoopTimer *status_timer;
@@ -96,6 +108,17 @@
     int64_t register_ms;
     int64_t ack_ms;
     int64_t stop_ms; /* 0, or when the planned stop began */
+    Escrow *escrow;  /* NULL without a disk */
+    Journal *journal;
+    struct ControlWave *waves;
+    int64_t keeper_ms;
+    int64_t propose_ms;
+    uint64_t drains_sequence;
+    int64_t drains_ms;
+    /* A drain list of the keeper that waits for its view. */
+    long drains_peer;
+    uint64_t drains_seen;
+    uint64_t drains_view;
     bool view_dirty;
     bool registered;
     bool ready;
@@ -126,10 +149,43 @@
 
 /* control_admin.c */
 void Control_HandleHttp(void *arg, HttpRequest *http);
-json_t *Control_StatusJson(Control *control);
+void Control_ReplyJson(HttpRequest *http, int status, json_t *json);
+void Control_ReplyError(HttpRequest *http, int status, const char *error,
+                        const char *reason);
+
+/* control_change.c */
+void Control_HandlePatch(Control *control, HttpRequest *http);
+void Control_HandleWaveStart(Control *control, HttpRequest *http);
+void Control_HandleWaveAction(Control *control, HttpRequest *http,
+                              const char *name, const char *action);
+void Control_HandleRemoveVm(Control *control, HttpRequest *http,
+                            const char *name);
+void Control_HandleDestroyed(Control *control, HttpRequest *http,
+                             const char *name);
 
 /* control_maint.c */
 void Control_AckCloses(Control *control, int64_t now);
+void Control_OnDrains(Control *control, size_t peer,
+                      const msgpack_object_array *message);
+void Control_OnDrainsAck(Control *control, size_t peer,
+                         const msgpack_object_array *message);
+void Control_AckDrains(Control *control);
+
+/* control_keeper.c */
+Status Control_OpenKeeper(Control *control, ErrCtx *err);
+void Control_CloseKeeper(Control *control);
+void Control_KeeperTick(Control *control, int64_t now);
+
+/* control_wave.c */
+void Control_WaveTick(Control *control);
+/* Returns the VMs of a pool that running waves still have to drain. */
+size_t Control_WavePending(const Control *control, const char *pool);
+void Control_FreeWaves(Control *control);
+
+/* Ignores the result: the caller repeats what is still needed. */
+void Control_IgnoreResult(void *arg, Status status, uint64_t index,
+                          const char *result, size_t len);
+void Control_Note(Control *control, const JournalNote *note);
 
 /* Appends a msgpack text. */
 void Control_PackText(msgpack_packer *packer, const char *text);
--- /dev/null
+++ b/src/control_keeper.c
@@ -0,0 +1,441 @@
+#include "control_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "assign.h"
+#include "diag.h"
+
+#define KEEPER_PART "keeper"
+#define KEEPER_FILE "escrow"
+#define KEEPER_TICK_MS 100
+#define KEEPER_DRAINS_MS 500
+#define KEEPER_PROPOSE_MS 300
+#define KEEPER_PLATFORM_MS 200
+#define KEEPER_PLATFORM_TIMEOUT_MS 2000
+#define KEEPER_ANSWER_BYTES 4096
+
+/* One call to the platform interface of a VM. */
+typedef struct PlatformCall {
+    Control *control;
+    char vm[SETTINGS_NAME_BYTES];
+    uint64_t epoch;
+} PlatformCall;
+
+Status
+Control_OpenKeeper(Control *control, ErrCtx *err)
+{
+    const Settings *settings = control->settings;
+    Buf bytes = BUF_INIT;
+    Status status;
+
+    if (control->replica == NULL) {
+        return ST_OK;
+    }
+    control->escrow = Escrow_New(settings->name, settings->data_centre,
+                                 Replica_Identity(control->replica));
+    status = Storage_Read(control->storage, KEEPER_FILE, &bytes, err);
+    if (status == ST_OK) {
+        status = Escrow_Restore(control->escrow, bytes.data, bytes.len, err);
+    }
+    else if (status == ST_NOT_FOUND) {
+        status = ST_OK;
+    }
+    Buf_Free(&bytes);
+    return status;
+}
+
+void
+Control_CloseKeeper(Control *control)
+{
+    Control_FreeWaves(control);
+    Escrow_Free(control->escrow);
+    control->escrow = NULL;
+}
+
+static bool
+save_record(Control *control)
+{
+    Buf bytes = BUF_INIT;
+    ErrCtx err = {0};
+    uint64_t revision;
+    Status status;
+
+    if (!Escrow_NeedsSave(control->escrow)) {
+        return true;
+    }
+    revision = Escrow_Record(control->escrow, &bytes);
+    status = Storage_Replace(control->storage, KEEPER_FILE, bytes.data,
+                             bytes.len, &err);
+    Buf_Free(&bytes);
+    if (status != ST_OK) {
+        Diag_Log(DIAG_ERROR, KEEPER_PART, "The record is not saved: %s.",
+                 err.message);
+        return false;
+    }
+    Escrow_Saved(control->escrow, revision);
+    return true;
+}
+
+/* --- the platform --- */
+
+static void
+on_platform(void *arg, const HttpCallResult *result)
+{
+    PlatformCall *call = arg;
+    ControlTarget *target = Control_FindTarget(call->control, call->vm);
+    json_t *json = result->status == HTTP_CALL_ANSWERED
+                       ? json_loadb(result->body, result->body_len, 0, NULL)
+                       : NULL;
+    const char *state = json_string_value(json_object_get(json, "state"));
+
+    if (target != NULL) {
+        target->platform_busy = false;
+    }
+    if (target != NULL && state != NULL) {
+        target->platform_draining = strcmp(state, "draining") == 0;
+        target->platform_in_flight =
+            (uint32_t)json_integer_value(json_object_get(json, "in_flight"));
+        if (target->platform_in_flight == 0 && call->epoch != 0) {
+            target->idle_epoch = call->epoch;
+        }
+    }
+    json_decref(json);
+    free(call);
+}
+
+/* Starts a call unless one is under way. epoch names the closed assignment
+ * under which an answer without work in flight counts as idle. */
+static void
+ask_platform(Control *control, ControlTarget *target, const char *method,
+             const char *path, uint64_t epoch)
+{
+    HttpCallOptions options = {.method = method,
+                               .address = target->platform,
+                               .path = path,
+                               .timeout_ms = KEEPER_PLATFORM_TIMEOUT_MS,
+                               .max_answer_bytes = KEEPER_ANSWER_BYTES};
+    int64_t now = Loop_NowMs();
+    PlatformCall *call;
+
+    if (target->platform_busy ||
+        now - target->platform_ms < KEEPER_PLATFORM_MS) {
+        return;
+    }
+    call = calloc(1, sizeof(*call));
+    if (call == NULL) {
+        abort();
+    }
+    call->control = control;
+    call->epoch = epoch;
+    memcpy(call->vm, target->name, sizeof(call->vm));
+    if (strcmp(method, "POST") == 0) {
+        options.body = "";
+    }
+    target->platform_busy = true;
+    target->platform_ms = now;
+    if (HttpClient_Start(control->client, &options, on_platform, call) ==
+        NULL) {
+        target->platform_busy = false;
+        free(call);
+    }
+}
+
+/* --- drains --- */
+
+static bool
+is_listed(const EscrowGrant *grant)
+{
+    return grant->purpose == ESCROW_DRAIN && grant->step != ESCROW_REBOOTED;
+}
+
+/* Marks the VMs that are drained; a change gives the list a new number. */
+static void
+update_drains(Control *control)
+{
+    size_t i;
+    bool changed = false;
+
+    for (i = 0; i < StrMap_Count(control->targets); i++) {
+        ControlTarget *target = StrMap_At(control->targets, i);
+        const EscrowGrant *grant =
+            Escrow_FindGrant(control->escrow, target->name);
+        bool draining = grant != NULL && is_listed(grant);
+        if (draining != target->draining) {
+            target->draining = draining;
+            target->close_sequence =
+                draining ? control->drains_sequence + 1 : 0;
+            changed = true;
+        }
+    }
+    if (changed) {
+        control->drains_sequence++;
+        control->drains_ms = 0;
+        control->view_dirty = true;
+        control->drains_view = control->view_sequence + 1;
+    }
+}
+
+static bool
+is_local(const Control *control, size_t peer)
+{
+    return strcmp(control->settings->peers[peer].data_centre,
+                  control->settings->data_centre) == 0;
+}
+
+static void
+send_drains(Control *control, int64_t now)
+{
+    Buf body = BUF_INIT;
+    msgpack_packer packer;
+    size_t i;
+    uint32_t count = 0;
+
+    if (now < control->drains_ms) {
+        return;
+    }
+    control->drains_ms = now + KEEPER_DRAINS_MS;
+    for (i = 0; i < Escrow_GrantCount(control->escrow); i++) {
+        count += is_listed(Escrow_GrantAt(control->escrow, i)) ? 1 : 0;
+    }
+    msgpack_packer_init(&packer, &body, Buf_MsgpackWrite);
+    msgpack_pack_array(&packer, 3);
+    msgpack_pack_int(&packer, PEER_DRAINS);
+    msgpack_pack_uint64(&packer, control->drains_sequence);
+    msgpack_pack_array(&packer, count);
+    for (i = 0; i < Escrow_GrantCount(control->escrow); i++) {
+        const EscrowGrant *grant = Escrow_GrantAt(control->escrow, i);
+        if (is_listed(grant)) {
+            Control_PackText(&packer, grant->vm);
+        }
+    }
+    for (i = 0; i < control->settings->peer_count; i++) {
+        if (is_local(control, i)) {
+            Peers_Send(control->peers, i, body.data, body.len);
+        }
+    }
+    Buf_Free(&body);
+}
+
+/* Returns whether no entry VM that is heard sends new work to a target. One
+ * that is not heard meets the refusal of the draining platform. */
+static bool
+is_closed(const Control *control, const ControlTarget *target)
+{
+    size_t i;
+
+    if (control->view_applied < control->drains_view) {
+        return false;
+    }
+    for (i = 0; i < control->settings->peer_count; i++) {
+        if (is_local(control, i) && Peers_IsUp(control->peers, i) &&
+            control->peer_states[i].drains_acked < target->close_sequence) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+finish_drain(Control *control, const EscrowGrant *grant)
+{
+    JournalNote note = {.kind = JOURNAL_WAVE_STEP,
+                        .cause = "rebooted and healthy again"};
+
+    note.subjects[JOURNAL_VM] = grant->vm;
+    note.subjects[JOURNAL_POOL] = grant->pool;
+    note.subjects[JOURNAL_WAVE] = grant->wave;
+    Control_Note(control, &note);
+    Escrow_Return(control->escrow, grant->vm, true);
+}
+
+static void
+work_drain(Control *control, const EscrowGrant *grant, ControlTarget *target,
+           EscrowWork work)
+{
+    switch (work) {
+    case ESCROW_WORK_CLOSE:
+        if (is_closed(control, target)) {
+            Escrow_Advance(control->escrow, grant->vm, ESCROW_CLOSED);
+        }
+        break;
+    case ESCROW_WORK_DRAIN:
+        if (!target->platform_draining) {
+            ask_platform(control, target, "POST", "/platform/drain", 0);
+        }
+        else if (target->platform_in_flight > 0) {
+            ask_platform(control, target, "GET", "/platform/state", 0);
+        }
+        else {
+            Escrow_Advance(control->escrow, grant->vm, ESCROW_DRAINED);
+        }
+        break;
+    case ESCROW_WORK_REBOOT:
+        if (target->incarnation > grant->incarnation) {
+            target->platform_draining = false;
+            Escrow_Advance(control->escrow, grant->vm, ESCROW_REBOOTED);
+        }
+        else {
+            ask_platform(control, target, "POST", "/platform/reboot", 0);
+        }
+        break;
+    case ESCROW_WORK_OPEN:
+        if (target->platform_draining || target->platform_ms == 0) {
+            ask_platform(control, target, "POST", "/platform/undrain", 0);
+        }
+        else if (!target->suspect && !target->leaving) {
+            finish_drain(control, grant);
+        }
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+work_grants(Control *control)
+{
+    size_t i;
+
+    for (i = Escrow_GrantCount(control->escrow); i-- > 0;) {
+        const EscrowGrant *grant = Escrow_GrantAt(control->escrow, i);
+        ControlTarget *target = Control_FindTarget(control, grant->vm);
+        if (target != NULL && grant->purpose == ESCROW_DRAIN) {
+            work_drain(control, grant, target,
+                       Escrow_Work(control->escrow, control->state, grant));
+        }
+    }
+}
+
+/* --- moves --- */
+
+static void
+grant_moves(Control *control)
+{
+    size_t cursor = 0;
+    const StateVm *vm;
+    ErrCtx err;
+
+    while ((vm = Assign_NextToGrant(control->state,
+                                    control->settings->data_centre,
+                                    &cursor)) != NULL) {
+        if (Escrow_FindGrant(control->escrow, vm->name) == NULL &&
+            Escrow_GrantMove(control->escrow, control->state, vm->name,
+                             &err) == ST_OK) {
+            JournalNote note = {.kind = JOURNAL_MOVE,
+                                .cause = "granted out of the share"};
+            note.subjects[JOURNAL_VM] = vm->name;
+            note.subjects[JOURNAL_POOL] = vm->pool;
+            note.subjects[JOURNAL_TO_POOL] = vm->move->to;
+            Control_Note(control, &note);
+        }
+    }
+}
+
+/* Carries on moves of VMs in this data centre that are closed. */
+static void
+work_moves(Control *control, bool propose)
+{
+    Buf command = BUF_INIT;
+    AssignStep step;
+    size_t i;
+
+    for (i = 0; i < State_MoveCount(control->state); i++) {
+        const StateVm *vm = State_MoveAt(control->state, i);
+        ControlTarget *target = Control_FindTarget(control, vm->name);
+        if (strcmp(vm->data_centre, control->settings->data_centre) != 0) {
+            continue;
+        }
+        Assign_Next(control->state, vm,
+                    target != NULL && target->idle_epoch == vm->epoch, &step);
+        if (step.action == ASSIGN_WAIT_IDLE && target != NULL) {
+            ask_platform(control, target, "GET", "/platform/state", vm->epoch);
+        }
+        Buf_Clear(&command);
+        if (propose && Assign_Command(vm, step.action, &command)) {
+            Control_Propose(control, &command, Control_IgnoreResult, NULL);
+        }
+    }
+    Buf_Free(&command);
+}
+
+/* Asks for a unit of the share for each move that waits for one. */
+static void
+set_demand(Control *control)
+{
+    size_t i;
+
+    for (i = 0; i < Escrow_PoolCount(control->escrow); i++) {
+        const EscrowPool *pool = Escrow_PoolAt(control->escrow, i);
+        int64_t units = 0;
+        size_t cursor = 0;
+        const StateVm *vm;
+        while ((vm = Assign_NextToGrant(control->state,
+                                        control->settings->data_centre,
+                                        &cursor)) != NULL) {
+            units += strcmp(vm->pool, pool->name) == 0 ? 1 : 0;
+        }
+        units += (int64_t)Control_WavePending(control, pool->name);
+        Escrow_SetDemand(control->escrow, pool->name, units);
+    }
+}
+
+static void
+propose_escrow(Control *control)
+{
+    Buf command = BUF_INIT;
+    size_t cursor = 0;
+
+    while (
+        Escrow_Propose(control->escrow, control->state, &cursor, &command)) {
+        Control_Propose(control, &command, Control_IgnoreResult, NULL);
+        Buf_Clear(&command);
+    }
+    Buf_Free(&command);
+}
+
+static void
+observe(Control *control)
+{
+    size_t i;
+
+    for (i = 0; i < StrMap_Count(control->targets); i++) {
+        const ControlTarget *target = StrMap_At(control->targets, i);
+        if (strcmp(target->data_centre, control->settings->data_centre) == 0) {
+            Escrow_Observe(control->escrow, target->name,
+                           !target->suspect && !target->leaving,
+                           target->incarnation);
+        }
+    }
+}
+
+void
+Control_KeeperTick(Control *control, int64_t now)
+{
+    bool propose = now >= control->propose_ms;
+
+    if (control->escrow == NULL || now < control->keeper_ms) {
+        return;
+    }
+    control->keeper_ms = now + KEEPER_TICK_MS;
+    observe(control);
+    if (Escrow_Sync(control->escrow, control->state) != ST_OK ||
+        !Escrow_IsKeeper(control->escrow)) {
+        return;
+    }
+    grant_moves(control);
+    Control_WaveTick(control);
+    set_demand(control);
+    if (!save_record(control)) {
+        return;
+    }
+    update_drains(control);
+    send_drains(control, now);
+    work_grants(control);
+    work_moves(control, propose);
+    if (propose) {
+        control->propose_ms = now + KEEPER_PROPOSE_MS;
+        propose_escrow(control);
+    }
+    save_record(control);
+}
--- a/src/control_maint.c
+++ b/src/control_maint.c
@@ -2,58 +2,102 @@
 
 #include <string.h>
 
+#include "assign.h"
 #include "diag.h"
 
-static void
-on_acked(void *arg, Status status, uint64_t index, const char *result,
-         size_t len)
+/* Acknowledges closed VMs once the traffic threads use a view that has them
+ * closed, so that no dispatch can follow the acknowledgement. */
+void
+Control_AckCloses(Control *control, int64_t now)
 {
-    (void)arg;
-    (void)status;
-    (void)index;
-    (void)result;
-    (void)len;
+    Buf command = BUF_INIT;
+    size_t cursor = 0;
+    const StateVm *vm;
+
+    if (control->view_dirty ||
+        control->view_applied != control->view_sequence ||
+        now < control->ack_ms) {
+        return;
+    }
+    while ((vm = Assign_NextToAck(control->state, control->settings->name,
+                                  control->incarnation, &cursor)) != NULL) {
+        control->ack_ms = now + CONTROL_REPEAT_MS / 10;
+        Buf_Clear(&command);
+        StateCmd_AckClose(&command, vm->name, vm->epoch,
+                          control->settings->name, control->incarnation);
+        Control_Propose(control, &command, Control_IgnoreResult, NULL);
+    }
+    Buf_Free(&command);
 }
 
-/* Returns whether this start of this node still has to acknowledge. */
 static bool
-owes_ack(const Control *control, const StateMove *move)
+names_target(const msgpack_object_array *names, const char *name)
 {
+    size_t len = strlen(name);
     size_t i;
 
-    for (i = 0; i < move->ack_count; i++) {
-        const StateAck *ack = &move->acks[i];
-        if (!ack->acked && ack->incarnation == control->incarnation &&
-            strcmp(ack->member, control->settings->name) == 0) {
+    for (i = 0; i < names->size; i++) {
+        const msgpack_object *item = &names->ptr[i];
+        if (item->type == MSGPACK_OBJECT_STR && item->via.str.size == len &&
+            memcmp(item->via.str.ptr, name, len) == 0) {
             return true;
         }
     }
     return false;
 }
 
-/* Acknowledges closed VMs once the traffic threads use a view that has them
- * closed, so that no dispatch can follow the acknowledgement. */
+/* The keeper's list of VMs that get no new work because of a drain. */
 void
-Control_AckCloses(Control *control, int64_t now)
+Control_OnDrains(Control *control, size_t peer,
+                 const msgpack_object_array *message)
 {
+    const msgpack_object *items = message->ptr;
     size_t i;
-    Buf command = BUF_INIT;
 
-    if (control->view_dirty ||
-        control->view_applied != control->view_sequence ||
-        now < control->ack_ms) {
+    if (message->size != 3 ||
+        items[1].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+        items[2].type != MSGPACK_OBJECT_ARRAY) {
         return;
     }
-    for (i = 0; i < State_MoveCount(control->state); i++) {
-        const StateVm *vm = State_MoveAt(control->state, i);
-        if (vm->assignment != STATE_CLOSING || !owes_ack(control, vm->move)) {
-            continue;
-        }
-        control->ack_ms = now + CONTROL_REPEAT_MS / 10;
-        Buf_Clear(&command);
-        StateCmd_AckClose(&command, vm->name, vm->epoch,
-                          control->settings->name, control->incarnation);
-        Control_Propose(control, &command, on_acked, NULL);
+    for (i = 0; i < StrMap_Count(control->targets); i++) {
+        ControlTarget *target = StrMap_At(control->targets, i);
+        bool draining = names_target(&items[2].via.array, target->name);
+        control->view_dirty |= draining != target->draining;
+        target->draining = draining;
+    }
+    control->drains_peer = (long)peer;
+    control->drains_seen = items[1].via.u64;
+    control->drains_view =
+        control->view_sequence + (control->view_dirty ? 1 : 0);
+}
+
+/* Tells the keeper that the traffic threads use its drain list. */
+void
+Control_AckDrains(Control *control)
+{
+    Buf body = BUF_INIT;
+    msgpack_packer packer;
+
+    if (control->drains_peer < 0 ||
+        control->view_applied < control->drains_view) {
+        return;
+    }
+    msgpack_packer_init(&packer, &body, Buf_MsgpackWrite);
+    msgpack_pack_array(&packer, 2);
+    msgpack_pack_int(&packer, PEER_DRAINS_ACK);
+    msgpack_pack_uint64(&packer, control->drains_seen);
+    Peers_Send(control->peers, (size_t)control->drains_peer, body.data,
+               body.len);
+    Buf_Free(&body);
+    control->drains_peer = -1;
+}
+
+void
+Control_OnDrainsAck(Control *control, size_t peer,
+                    const msgpack_object_array *message)
+{
+    if (message->size == 2 &&
+        message->ptr[1].type == MSGPACK_OBJECT_POSITIVE_INTEGER) {
+        control->peer_states[peer].drains_acked = message->ptr[1].via.u64;
     }
-    Buf_Free(&command);
 }
--- a/src/control_targets.c
+++ b/src/control_targets.c
@@ -17,16 +17,7 @@
 ControlTarget *
 Control_FindTarget(Control *control, const char *name)
 {
-    uint32_t cursor = 0;
-    Handle handle;
-
-    while (!Handle_IsNone(handle = Table_Next(control->targets, &cursor))) {
-        ControlTarget *target = Table_Get(control->targets, handle);
-        if (strcmp(target->name, name) == 0) {
-            return target;
-        }
-    }
-    return NULL;
+    return StrMap_Get(control->targets, name);
 }
 
 static bool
@@ -195,20 +186,37 @@
            strcmp(a->address.host, b->address.host) == 0;
 }
 
+/* Takes over what an announcement says; the rest of the row stays. */
+static void
+take_news(ControlTarget *target, const ControlTarget *news)
+{
+    memcpy(target->rack, news->rack, sizeof(target->rack));
+    memcpy(target->pool, news->pool, sizeof(target->pool));
+    target->address = news->address;
+    target->platform = news->platform;
+    target->incarnation = news->incarnation;
+    target->slots = news->slots;
+    target->connections = news->connections;
+    target->leaving = news->leaving;
+    target->suspect = false;
+}
+
 static Status
 note_target(Control *control, const ControlTarget *news, int64_t now,
             ErrCtx *err)
 {
     ControlTarget *target = Control_FindTarget(control, news->name);
-    Handle handle;
 
     if (target == NULL) {
-        handle = Table_Add(control->targets);
-        target = Table_Get(control->targets, handle);
-        if (target == NULL) {
+        if (StrMap_Count(control->targets) == CONTROL_MAX_TARGETS) {
             return Err_Set(err, ST_FULL, "too many targets");
         }
+        target = malloc(sizeof(*target));
+        if (target == NULL) {
+            return Err_Set(err, ST_NO_MEMORY, "no memory for a target");
+        }
         *target = *news;
+        StrMap_Put(control->targets, target->name, target);
         control->view_dirty = true;
         Diag_Log(DIAG_INFO, CONTROL_PART, "Target %s in %s announced itself.",
                  target->name, target->data_centre);
@@ -222,10 +230,8 @@
         return ST_OK;
     }
     else {
-        int64_t registered_ms = target->registered_ms;
         control->view_dirty |= !same_view(news, target);
-        *target = *news;
-        target->registered_ms = registered_ms;
+        take_news(target, news);
     }
     target->heard_ms = now;
     register_vm(control, target, now);
@@ -292,11 +298,10 @@
 void
 Control_TargetTick(Control *control, int64_t now)
 {
-    uint32_t cursor = 0;
-    Handle handle;
+    size_t i;
 
-    while (!Handle_IsNone(handle = Table_Next(control->targets, &cursor))) {
-        ControlTarget *target = Table_Get(control->targets, handle);
+    for (i = StrMap_Count(control->targets); i-- > 0;) {
+        ControlTarget *target = StrMap_At(control->targets, i);
         int64_t silent = now - target->heard_ms;
         if (!target->suspect &&
             silent > control->settings->target_suspect_ms) {
@@ -307,7 +312,8 @@
                      target->name, (long long)silent);
         }
         if (silent > CONTROL_FORGET_MS) {
-            Table_Remove(control->targets, handle);
+            StrMap_Remove(control->targets, target->name);
+            free(target);
             control->view_dirty = true;
         }
     }
@@ -364,23 +370,25 @@
     if (vm->assignment != STATE_OPEN) {
         return TRAFFIC_TARGET_CLOSED;
     }
+    if (target->draining) {
+        return TRAFFIC_TARGET_DRAINING;
+    }
     return target->suspect ? TRAFFIC_TARGET_SUSPECT : TRAFFIC_TARGET_OPEN;
 }
 
 static void
 add_targets(const Control *control, GatewayView *view)
 {
-    uint32_t cursor = 0;
-    Handle handle;
+    size_t i;
     Ranks ranks;
 
     memset(&ranks, 0, sizeof(ranks));
     find_ranks(control, &ranks);
     view->targets =
-        apr_pcalloc(view->pool, (Table_Count(control->targets) + 1) *
+        apr_pcalloc(view->pool, (StrMap_Count(control->targets) + 1) *
                                     sizeof(*view->targets));
-    while (!Handle_IsNone(handle = Table_Next(control->targets, &cursor))) {
-        const ControlTarget *target = Table_Get(control->targets, handle);
+    for (i = 0; i < StrMap_Count(control->targets); i++) {
+        const ControlTarget *target = StrMap_At(control->targets, i);
         const StateVm *vm = State_Vm(control->state, target->name);
         TrafficTarget *out = &view->targets[view->target_count];
         if (vm == NULL ||
@@ -412,12 +420,16 @@
     view->service_count = State_ServiceCount(control->state);
     view->services = apr_pcalloc(view->pool, (view->service_count + 1) *
                                                  sizeof(*view->services));
+    view->objectives = apr_pcalloc(view->pool, (view->service_count + 1) *
+                                                   sizeof(*view->objectives));
     for (i = 0; i < view->service_count; i++) {
         const StateService *service = State_ServiceAt(control->state, i);
         view->services[i].name = apr_pstrdup(view->pool, service->name);
         view->services[i].pool = apr_pstrdup(view->pool, service->pool);
         view->services[i].short_ms = service->short_ms;
         view->services[i].max_queue = (uint32_t)service->max_queue;
+        view->objectives[i].slo_ms = service->slo_ms;
+        view->objectives[i].slo_percent = (double)service->slo_percent / 1000;
     }
     view->team_count = State_TeamCount(control->state);
     view->teams =
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -75,12 +75,13 @@
     gateway->traffic = Traffic_New(&traffic);
     gateway->once = Once_New(&once);
     gateway->registry = Registry_New(GATEWAY_MAX_REQUESTS);
+    gateway->burn = Burn_New(&BURN_OPTIONS_DEFAULT);
     gateway->requests = Table_New(sizeof(GwRequest *), GATEWAY_MAX_REQUESTS);
     gateway->thread_count = (size_t)settings->traffic_threads;
     gateway->threads = calloc(gateway->thread_count, sizeof(GwThread));
     if (gateway->traffic == NULL || gateway->once == NULL ||
         gateway->registry == NULL || gateway->requests == NULL ||
-        gateway->threads == NULL) {
+        gateway->burn == NULL || gateway->threads == NULL) {
         Err_Set(err, ST_NO_MEMORY, "no memory for the gateway");
         Gateway_Free(gateway);
         return NULL;
@@ -165,6 +166,22 @@
     return ST_OK;
 }
 
+static void
+set_objectives(Gateway *gateway, const GatewayView *view)
+{
+    size_t i;
+    size_t index;
+
+    for (i = 0; i < view->service_count; i++) {
+        const GatewayObjective *objective = &view->objectives[i];
+        if (objective->slo_ms > 0) {
+            Burn_SetObjective(gateway->burn, view->services[i].name,
+                              objective->slo_ms, objective->slo_percent,
+                              &index);
+        }
+    }
+}
+
 static void
 apply_view(void *arg)
 {
@@ -178,6 +195,7 @@
     Gw_Lock(gateway);
     Traffic_SetServices(gateway->traffic, now, view->services,
                         view->service_count);
+    set_objectives(gateway, view);
     Traffic_SetTeams(gateway->traffic, now, view->teams, view->team_count);
     Traffic_SetTargets(gateway->traffic, now, view->targets,
                        view->target_count);
@@ -319,6 +337,40 @@
     Gw_Unlock(gateway);
 }
 
+double
+Gateway_HighestBurn(Gateway *gateway)
+{
+    int64_t now = Loop_NowMs();
+    double highest = 0;
+    size_t i;
+
+    Gw_Lock(gateway);
+    for (i = 0; i < BURN_OPTIONS_DEFAULT.max_services; i++) {
+        double rate = Burn_Rate(gateway->burn, now, i).recent.rate;
+        highest = rate > highest ? rate : highest;
+    }
+    Gw_Unlock(gateway);
+    return highest;
+}
+
+void
+Gateway_ReportBurn(Gateway *gateway, GatewayFormat format, Buf *out)
+{
+    int64_t now = Loop_NowMs();
+
+    Gw_Lock(gateway);
+    if (format == GATEWAY_JSON) {
+        Burn_ReportJson(gateway->burn, now, out);
+    }
+    else if (format == GATEWAY_HTML) {
+        Burn_ReportHtml(gateway->burn, now, out);
+    }
+    else {
+        Burn_ReportText(gateway->burn, now, out);
+    }
+    Gw_Unlock(gateway);
+}
+
 void
 Gateway_StopThreads(Gateway *gateway)
 {
@@ -358,6 +410,7 @@
     }
     Table_Free(gateway->requests);
     Registry_Free(gateway->registry);
+    Burn_Free(gateway->burn);
     Once_Free(gateway->once);
     Traffic_Free(gateway->traffic);
     free(gateway->threads);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -25,9 +25,16 @@
 
 typedef struct Gateway Gateway;
 
+/* The service-level objective of a service; 0 for none. */
+typedef struct GatewayObjective {
+    int64_t slo_ms;
+    double slo_percent;
+} GatewayObjective;
+
 /* What the control thread publishes; immutable once published. */
 typedef struct GatewayView {
     TrafficService *services;
+    GatewayObjective *objectives; /* one for each service */
     size_t service_count;
     TrafficTeam *teams;
     size_t team_count;
@@ -88,6 +95,18 @@
 
 void Gateway_GetStats(Gateway *gateway, TrafficStats *stats);
 
+/* Returns the highest burn rate of a service over the short window. */
+double Gateway_HighestBurn(Gateway *gateway);
+
+typedef enum GatewayFormat {
+    GATEWAY_TEXT,
+    GATEWAY_JSON,
+    GATEWAY_HTML
+} GatewayFormat;
+
+/* Appends the report on service-level burn. */
+void Gateway_ReportBurn(Gateway *gateway, GatewayFormat format, Buf *out);
+
 /* Stops the threads; what is still in flight is cut off. */
 void Gateway_StopThreads(Gateway *gateway);
 void Gateway_Free(Gateway *gateway);
--- a/src/gateway_call.c
+++ b/src/gateway_call.c
@@ -322,10 +322,17 @@
     Gateway *gateway = self->gateway;
     TrafficOutcome outcome = end_once(gateway, request, action->outcome);
     const char *reason = Traffic_ReasonText(action->reason);
+    size_t index;
 
     Gw_Lock(gateway);
     Registry_End(gateway->registry, request->caller, request->id,
                  Traffic_OutcomeName(outcome));
+    if (outcome != TRAFFIC_CANCELLED &&
+        Burn_Find(gateway->burn, request->service, &index) == ST_OK) {
+        Burn_Record(gateway->burn, Loop_NowMs(), index,
+                    (Loop_NowUs() - request->received_us) / 1000,
+                    outcome == TRAFFIC_DONE);
+    }
     gateway->active--;
     Gw_Unlock(gateway);
     Gw_ReplyOutcome(request, outcome, reason, action->retry_ms);
--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -9,6 +9,7 @@
 #include <apr_thread_mutex.h>
 #include <apr_thread_proc.h>
 
+#include "burn.h"
 #include "gateway.h"
 #include "httpclient.h"
 #include "httpserver.h"
@@ -58,6 +59,7 @@
     Traffic *traffic;
     Once *once;
     Registry *registry;
+    Burn *burn;
     Table *requests; /* rows are GwRequest pointers */
     size_t active;
     bool ready;
--- a/src/peer.h
+++ b/src/peer.h
@@ -41,7 +41,9 @@
     PEER_ONCE_INTENT = 9,
     PEER_ONCE_ACK = 10,
     PEER_ONCE_OUTCOME = 11,
-    PEER_TYPE_MAX = 11
+    PEER_DRAINS = 12,
+    PEER_DRAINS_ACK = 13,
+    PEER_TYPE_MAX = 13
 } PeerMessageType;
 
 typedef struct PeerHello {
