--- a/src/raft_core.h
+++ b/src/raft_core.h
@@ -12,7 +12,7 @@
 #define RAFT_MAX_INFLIGHT 64
 #define RAFT_MAX_READS 1024
 /* Bounds what a faulty leader can make a follower store. */
-#define RAFT_MAX_SNAPSHOT_BYTES (256U * 1024 * 1024)
+#define RAFT_MAX_SNAPSHOT_BYTES ((uint64_t)256 * 1024 * 1024)
 
 /* What a leader knows about another member. */
 typedef enum RaftPeerMode {
--- a/src/raft_msg.c
+++ b/src/raft_msg.c
@@ -12,7 +12,7 @@
 #define MEMBER_FIELDS 4
 #define ENTRY_FIELDS 4
 /* A chunk is bounded by the frame between processes. */
-#define MAX_CHUNK_BYTES (4 * 1024 * 1024)
+#define MAX_CHUNK_BYTES ((size_t)4 * 1024 * 1024)
 
 static void
 pack_members(msgpack_packer *packer, const RaftMembers *members)
--- a/src/raft_msg.h
+++ b/src/raft_msg.h
@@ -24,7 +24,7 @@
 #define RAFT_MAX_MEMBERS 64
 /* Bounds one append message, see RaftOptions.max_batch_bytes. */
 #define RAFT_MAX_BATCH 1024
-#define RAFT_MAX_COMMAND_BYTES (1024 * 1024)
+#define RAFT_MAX_COMMAND_BYTES ((size_t)1024 * 1024)
 
 typedef struct RaftMember {
     uint64_t identity; /* of the data folder; never 0 */
