--- a/src/replica.h
+++ b/src/replica.h
@@ -153,6 +153,10 @@
 uint64_t Replica_Term(const Replica *replica);
 uint64_t Replica_Leader(const Replica *replica); /* 0 when unknown */
 uint64_t Replica_CommitIndex(const Replica *replica);
+
+/* Returns the highest commit index told by a leader of the current term that
+ * has committed an entry of that term; 0 when unknown. */
+uint64_t Replica_ConfirmedCommit(const Replica *replica);
 uint64_t Replica_AppliedIndex(const Replica *replica);
 uint64_t Replica_LastIndex(const Replica *replica);
 const RaftMembers *Replica_Members(const Replica *replica);
@@ -169,9 +173,9 @@
 
 /* For followers without a disk: appends applied entries from index on as
  * msgpack arrays [index, term, kind, data] to out, at least one and then up
- * to max_bytes, and stores their count. ST_OK with a count of 0 when there is
- * nothing newer; ST_STALE when the log no longer reaches back to index and a
- * snapshot is needed. */
+ * to max_bytes and RAFT_MAX_BATCH entries, and stores their count. ST_OK with
+ * a count of 0 when there is nothing newer; ST_STALE when the log no longer
+ * reaches back to index and a snapshot is needed. */
 Status Replica_EntriesFrom(const Replica *replica, uint64_t index,
                            size_t max_bytes, Buf *out, size_t *count);
 
--- a/src/replica_query.c
+++ b/src/replica_query.c
@@ -42,6 +42,12 @@
     return Raft_CommitIndex(replica->raft);
 }
 
+uint64_t
+Replica_ConfirmedCommit(const Replica *replica)
+{
+    return Raft_ConfirmedCommit(replica->raft);
+}
+
 uint64_t
 Replica_AppliedIndex(const Replica *replica)
 {
@@ -91,7 +97,7 @@
     if (index < Raft_FirstIndex(replica->raft)) {
         return ST_STALE;
     }
-    while (index <= replica->applied) {
+    while (index <= replica->applied && *count < RAFT_MAX_BATCH) {
         const RaftEntry *entry = Raft_Entry(replica->raft, index);
 
         if (*count > 0 && out->len - start + entry->len > max_bytes) {
