--- a/src/state_share.c
+++ b/src/state_share.c
@@ -77,65 +77,85 @@
     return centre != NULL && centre->keeper[0] != '\0';
 }
 
-/* What one share may still take in a round of apportion. */
+/* Returns the most units that a share may get in one apportionment: what its
+ * keeper asked for, or without bound. */
 static int64_t
-room(const State *state, const StateShare *share, bool by_demand)
+bound_of(const State *state, const StateShare *share, bool by_demand)
 {
     if (share->vms == 0 || !has_keeper(state, share)) {
         return 0;
     }
-    if (by_demand) {
-        return share->asked > share->wanted ? share->asked - share->wanted : 0;
-    }
-    return INT64_MAX;
+    return by_demand ? share->asked : INT64_MAX;
 }
 
-/* Returns whether the next unit goes to a rather than to b: the one with
- * more VMs a unit then (highest averages, D'Hondt). */
-static bool
-comes_first(const StateShare *a, const StateShare *b)
+/* Gives each share the whole part of its proportion by VMs, which it gets by
+ * highest averages in any case; what bounded shares leave goes to the
+ * others. */
+static void
+give_whole_parts(const StatePool *pool, const int64_t *bounds, int64_t budget,
+                 int64_t *given)
 {
-    return (int64_t)a->vms * (b->wanted + 1) >
-           (int64_t)b->vms * (a->wanted + 1);
-}
+    bool again = true;
 
-/* Adds to wanted by VMs in proportion, at most the room of each share.
- * Returns what is left over. */
-static int64_t
-apportion(const State *state, StatePool *pool, int64_t budget, bool by_demand)
-{
-    while (budget > 0) {
+    while (again) {
         int64_t weight = 0;
-        int64_t given = 0;
-        StateShare *first = NULL;
+        int64_t open = budget;
         size_t i;
+        again = false;
         for (i = 0; i < pool->share_count; i++) {
-            if (room(state, &pool->shares[i], by_demand) > 0) {
+            if (given[i] < bounds[i]) {
                 weight += pool->shares[i].vms;
             }
-        }
-        if (weight == 0) {
-            break;
+            else {
+                open -= given[i];
+            }
         }
         for (i = 0; i < pool->share_count; i++) {
-            StateShare *share = &pool->shares[i];
-            int64_t limit = room(state, share, by_demand);
-            int64_t quota = budget * share->vms / weight;
-            if (limit == 0) {
-                continue;
+            if (given[i] < bounds[i]) {
+                int64_t part = open * pool->shares[i].vms / weight;
+                part = part < bounds[i] ? part : bounds[i];
+                given[i] = part > given[i] ? part : given[i];
+                again = again || given[i] == bounds[i];
             }
-            quota = quota < limit ? quota : limit;
-            share->wanted += quota;
-            given += quota;
-            if (first == NULL || comes_first(share, first)) {
-                first = share;
+        }
+    }
+}
+
+/* Apportions a budget by highest averages (D'Hondt), a tie to the first by
+ * name, and adds the result to wanted. Returns what is left over. */
+static int64_t
+apportion(const State *state, StatePool *pool, int64_t budget, bool by_demand)
+{
+    int64_t bounds[STATE_MAX_DATA_CENTRES];
+    int64_t given[STATE_MAX_DATA_CENTRES];
+    size_t i;
+
+    for (i = 0; i < pool->share_count; i++) {
+        bounds[i] = bound_of(state, &pool->shares[i], by_demand);
+        given[i] = 0;
+    }
+    give_whole_parts(pool, bounds, budget, given);
+    for (i = 0; i < pool->share_count; i++) {
+        budget -= given[i];
+    }
+    while (budget > 0) {
+        size_t first = pool->share_count;
+        for (i = 0; i < pool->share_count; i++) {
+            if (given[i] < bounds[i] &&
+                (first == pool->share_count ||
+                 pool->shares[i].vms * (given[first] + 1) >
+                     pool->shares[first].vms * (given[i] + 1))) {
+                first = i;
             }
         }
-        if (given == 0 && first != NULL) {
-            first->wanted++;
-            given = 1;
+        if (first == pool->share_count) {
+            break;
         }
-        budget -= given;
+        given[first]++;
+        budget--;
+    }
+    for (i = 0; i < pool->share_count; i++) {
+        pool->shares[i].wanted += given[i];
     }
     return budget;
 }
@@ -156,7 +176,7 @@
             budget -= share->wanted;
         }
     }
-    budget = apportion(state, pool, budget, true);
+    budget = apportion(state, pool, budget > 0 ? budget : 0, true);
     apportion(state, pool, budget, false);
     for (i = 0; i < pool->share_count && unused > 0; i++) {
         StateShare *share = &pool->shares[i];
