Change single targets without publishing the whole list

Cause: publishing 29,000 targets took 15.6 ms, during which no request can be decided. Change: Traffic_PutTarget and Traffic_DropTarget change one target; the whole list stays for start and resynchronisation.

--- a/bench/bench_traffic.c
+++ b/bench/bench_traffic.c
@@ -1,7 +1,14 @@
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
+#include "admit.h"
+#include "rng.h"
+#include "route.h"
 #include "support_fleet.h"
+#include "support_naive.h"
+#include "traffic.h"
 
 static const char *const rule_names[] = {"traffic", "first come", "split"};
 
@@ -119,9 +126,225 @@
     }
 }
 
+/* Costs, measured in one run so that their ratios hold on any machine. */
+
+#define COST_MAX 29000
+#define COST_ROUNDS 200000
+#define SCAN_ROUNDS 200
+#define WAITING 100000
+
+static TrafficTarget cost_targets[COST_MAX];
+static char cost_names[COST_MAX][16];
+static NaiveTarget cost_naive[COST_MAX];
+static Handle cost_handles[WAITING];
+
+static double
+now_ns(void)
+{
+    struct timespec t;
+
+    clock_gettime(CLOCK_MONOTONIC, &t);
+    return (double)t.tv_sec * 1e9 + (double)t.tv_nsec;
+}
+
+/* Returns the resident memory of this process; 0 where it is not known. */
+static double
+resident_bytes(void)
+{
+    FILE *file = fopen("/proc/self/statm", "r");
+    char line[128] = "";
+    char *end = line;
+
+    if (file == NULL) {
+        return 0;
+    }
+    if (fgets(line, sizeof(line), file) == NULL) {
+        line[0] = '\0';
+    }
+    fclose(file);
+    strtol(line, &end, 10);
+    return (double)strtol(end, NULL, 10) * 4096;
+}
+
+static void
+cost_setup(void)
+{
+    uint32_t i;
+
+    for (i = 0; i < COST_MAX; i++) {
+        TrafficTarget target = {cost_names[i],       "pool", "dc", "r", 1,
+                                TRAFFIC_TARGET_OPEN, 4,      32,   i};
+        NaiveTarget naive = {4, 0, 2, 0, true, true};
+        snprintf(cost_names[i], sizeof(cost_names[i]), "vm%u", i);
+        cost_targets[i] = target;
+        cost_naive[i] = naive;
+    }
+}
+
+/* Half of the slots are taken, and each step takes one and frees one. */
+static double
+cost_of_route(uint32_t count, double *bytes)
+{
+    RouteOptions options = {"dc", 1, 50};
+    double before = resident_bytes();
+    Route *r = Route_New(&options);
+    RouteQuery query = {0, 1, false, true, NULL, 0};
+    uint32_t *taken = calloc(count * 2, sizeof(*taken));
+    uint32_t next = 0;
+    uint32_t i;
+    double ns;
+
+    query.pool = Route_Pool(r, "pool");
+    Route_SetTargets(r, cost_targets, count);
+    *bytes = (resident_bytes() - before) / count;
+    for (i = 0; i < count * 2; i++) {
+        Route_Pick(r, &query, &taken[i]);
+        Route_Take(r, taken[i], false);
+    }
+    ns = now_ns();
+    for (i = 0; i < COST_ROUNDS; i++) {
+        Route_Release(r, taken[next], false);
+        Route_Pick(r, &query, &taken[next]);
+        Route_Take(r, taken[next], false);
+        next = (next + 1) % (count * 2);
+    }
+    ns = (now_ns() - ns) / COST_ROUNDS;
+    free(taken);
+    Route_Free(r);
+    return ns;
+}
+
+static double
+cost_of_scan(uint32_t count)
+{
+    uint32_t sum = 0;
+    double ns = now_ns();
+    int i;
+
+    for (i = 0; i < SCAN_ROUNDS; i++) {
+        uint32_t target = NaiveTargets_Pick(cost_naive, count, false);
+        cost_naive[target].in_flight ^= 1;
+        sum += target;
+    }
+    ns = (now_ns() - ns) / SCAN_ROUNDS;
+    return sum == UINT32_MAX ? 0 : ns;
+}
+
+typedef struct RequestCost {
+    double submit_ns;
+    double cancel_ns;
+    double waiting_bytes;
+    double turn_ns;    /* submit, dispatch, answer, reply */
+    double publish_us; /* all targets */
+    double put_us;     /* one target */
+} RequestCost;
+
+static void
+take_actions(Traffic *t, Handle *attempt)
+{
+    TrafficAction action;
+
+    while (Traffic_NextAction(t, &action)) {
+        if (action.kind == TRAFFIC_DISPATCH) {
+            *attempt = action.attempt;
+        }
+    }
+}
+
+static void
+submit_one(Traffic *t, uint32_t i, Handle *out)
+{
+    char caller[16];
+    TrafficRequest request = {"s",           caller,     "team", "kind",
+                              TRAFFIC_SHORT, 1000000000, false,  i};
+
+    snprintf(caller, sizeof(caller), "c%u", i % 1000);
+    Traffic_Submit(t, 1, &request, out);
+}
+
+static void
+cost_of_requests(uint32_t count, RequestCost *cost)
+{
+    TrafficOptions options = TRAFFIC_OPTIONS_DEFAULT;
+    TrafficService service = {"s", "pool", 1000, 2 * WAITING};
+    TrafficResult ok = {TRAFFIC_OK, 1000};
+    Handle attempt = HANDLE_NONE;
+    Handle handle;
+    double before;
+    Traffic *t;
+    uint32_t i;
+
+    options.max_requests = 4 * WAITING;
+    t = Traffic_New(&options);
+    Traffic_SetServices(t, 0, &service, 1);
+    cost->publish_us = now_ns();
+    Traffic_SetTargets(t, 0, cost_targets, count);
+    cost->publish_us = (now_ns() - cost->publish_us) / 1000;
+    cost->put_us = now_ns();
+    for (i = 0; i < 1000; i++) {
+        Traffic_PutTarget(t, 0, &cost_targets[i * 7919 % count]);
+    }
+    cost->put_us = (now_ns() - cost->put_us) / 1e6;
+    cost->turn_ns = now_ns();
+    for (i = 0; i < COST_ROUNDS; i++) {
+        submit_one(t, i, &handle);
+        take_actions(t, &attempt);
+        Traffic_Answer(t, 1, attempt, ok);
+        take_actions(t, &attempt);
+    }
+    cost->turn_ns = (now_ns() - cost->turn_ns) / COST_ROUNDS;
+    for (i = 0; i < count * 4; i++) {
+        submit_one(t, i, &handle);
+        take_actions(t, &attempt);
+    }
+    before = resident_bytes();
+    cost->submit_ns = now_ns();
+    for (i = 0; i < WAITING; i++) {
+        submit_one(t, i, &cost_handles[i]);
+    }
+    cost->submit_ns = (now_ns() - cost->submit_ns) / WAITING;
+    cost->waiting_bytes = (resident_bytes() - before) / WAITING;
+    cost->cancel_ns = now_ns();
+    for (i = 0; i < WAITING; i++) {
+        Traffic_Cancel(t, 1, cost_handles[(i * 7919ULL) % WAITING]);
+    }
+    cost->cancel_ns = (now_ns() - cost->cancel_ns) / WAITING;
+    Traffic_Free(t);
+}
+
+static void
+bench_costs(void)
+{
+    static const uint32_t counts[] = {100, 1000, 10000, 29000};
+    size_t i;
+
+    cost_setup();
+    printf("costs by count of targets; %d requests wait at submit and cancel, "
+           "of 1000 callers\n",
+           WAITING);
+    for (i = 4; i-- > 0;) {
+        RequestCost cost;
+        double bytes;
+        double route = cost_of_route(counts[i], &bytes);
+        double scan = cost_of_scan(counts[i]);
+        cost_of_requests(counts[i], &cost);
+        printf("%5u targets: route %.0f ns, scan %.0f ns, ratio %.4f; submit "
+               "%.0f ns, cancel %.0f ns, whole turn %.0f ns, publish all %.0f "
+               "us, one %.2f us\n",
+               counts[i], route, scan, route / scan, cost.submit_ns,
+               cost.cancel_ns, cost.turn_ns, cost.publish_us, cost.put_us);
+        /* Later runs reuse memory, so only the first tells its growth. */
+        if (i == 3) {
+            printf("resident bytes by target %.0f, by waiting request %.0f\n",
+                   bytes, cost.waiting_bytes);
+        }
+    }
+}
+
 int
 main(void)
 {
+    bench_costs();
     bench_waits(false, false);
     bench_waits(true, false);
     bench_waits(false, true);
--- a/src/route.h
+++ b/src/route.h
@@ -96,6 +96,10 @@
 /* Replaces the targets; see Traffic_SetTargets. */
 Status Route_SetTargets(Route *r, const TrafficTarget *targets, size_t count);
 
+/* Adds or changes one target; see Traffic_PutTarget. */
+Status Route_PutTarget(Route *r, const TrafficTarget *target);
+Status Route_DropTarget(Route *r, const char *name);
+
 /* Chooses a target with a free slot and stores its number; takes nothing. */
 RouteAnswer Route_Pick(Route *r, const RouteQuery *query, uint32_t *target);
 
--- a/src/route_targets.c
+++ b/src/route_targets.c
@@ -43,6 +43,13 @@
     return target;
 }
 
+static bool
+target_valid(const TrafficTarget *target)
+{
+    return target->name != NULL && target->name[0] != '\0' &&
+           strlen(target->name) < TRAFFIC_NAME_BYTES && target->pool != NULL;
+}
+
 static Status
 check_targets(const TrafficTarget *targets, size_t count)
 {
@@ -51,15 +58,13 @@
     size_t i;
 
     for (i = 0; i < count && status == ST_OK; i++) {
-        const char *name = targets[i].name;
         uint32_t value;
         uint64_t key;
-        if (name == NULL || name[0] == '\0' || targets[i].pool == NULL ||
-            strlen(name) >= TRAFFIC_NAME_BYTES) {
+        if (!target_valid(&targets[i])) {
             status = ST_INVALID;
             break;
         }
-        key = Keymap_Key(name);
+        key = Keymap_Key(targets[i].name);
         if (Keymap_Get(seen, key, &value)) {
             status = ST_INVALID;
         }
@@ -110,19 +115,22 @@
     row->listed = true;
 }
 
+/* Adds the row to the figures of its pool, or takes it out of them. */
 static void
-count_row(Route *r, const RouteRow *row)
+count_row(Route *r, const RouteRow *row, bool add)
 {
     RoutePoolInfo *info = &r->pools[row->pool].info;
+    uint32_t sign = add ? 1 : UINT32_MAX; /* modular arithmetic */
 
     if (RouteRow_Usable(row)) {
-        info->targets++;
-        info->slots += row->slots;
-        info->long_most += row->long_limit;
-        info->in_flight += row->in_flight;
-        info->long_in_flight += row->long_in_flight;
-        info->evicted += row->evicted;
-        info->suspect += row->state == TRAFFIC_TARGET_SUSPECT && !row->evicted;
+        info->targets += sign;
+        info->slots += sign * row->slots;
+        info->long_most += sign * row->long_limit;
+        info->in_flight += sign * row->in_flight;
+        info->long_in_flight += sign * row->long_in_flight;
+        info->evicted += sign * row->evicted;
+        info->suspect +=
+            sign * (row->state == TRAFFIC_TARGET_SUSPECT && !row->evicted);
     }
 }
 
@@ -153,6 +161,13 @@
     }
 }
 
+static void
+settle_pool(Route *r, uint32_t pool)
+{
+    readmit_surplus(r, pool);
+    Route_ReserveShort(r, pool, r->pools[pool].short_need);
+}
+
 static void
 rebuild(Route *r)
 {
@@ -163,7 +178,7 @@
     }
     for (i = 0; i < r->row_count; i++) {
         if (r->rows[i].in_use) {
-            count_row(r, &r->rows[i]);
+            count_row(r, &r->rows[i], true);
         }
     }
     for (i = 0; i < r->row_count; i++) {
@@ -173,8 +188,7 @@
         }
     }
     for (i = 0; i < r->pool_count; i++) {
-        readmit_surplus(r, i);
-        Route_ReserveShort(r, i, r->pools[i].short_need);
+        settle_pool(r, i);
     }
 }
 
@@ -212,6 +226,53 @@
     return ST_OK;
 }
 
+Status
+Route_PutTarget(Route *r, const TrafficTarget *from)
+{
+    uint32_t target;
+    uint32_t old_pool;
+    uint64_t key;
+
+    if (!target_valid(from)) {
+        return ST_INVALID;
+    }
+    key = Keymap_Key(from->name);
+    if (!Keymap_Get(r->names, key, &target)) {
+        target = row_new(r, from->name, key);
+        r->rows[target].pool = Route_Pool(r, from->pool);
+    }
+    count_row(r, &r->rows[target], false);
+    withdraw(r, target);
+    old_pool = r->rows[target].pool;
+    apply(r, target, from);
+    count_row(r, &r->rows[target], true);
+    ensure_long(r, target);
+    RouteRow_Relist(r, target);
+    settle_pool(r, old_pool);
+    settle_pool(r, r->rows[target].pool);
+    return ST_OK;
+}
+
+Status
+Route_DropTarget(Route *r, const char *name)
+{
+    uint32_t target;
+    uint32_t pool;
+
+    if (name == NULL || !Keymap_Get(r->names, Keymap_Key(name), &target) ||
+        !r->rows[target].listed) {
+        return ST_NOT_FOUND;
+    }
+    pool = r->rows[target].pool;
+    count_row(r, &r->rows[target], false);
+    withdraw(r, target);
+    if (r->rows[target].in_flight == 0) {
+        RouteRow_Drop(r, target);
+    }
+    settle_pool(r, pool);
+    return ST_OK;
+}
+
 uint32_t
 Route_DivideCredits(const char *target, uint32_t total, uint32_t rank,
                     uint32_t count, const bool *silent)
--- a/src/traffic.c
+++ b/src/traffic.c
@@ -200,6 +200,25 @@
     return status;
 }
 
+Status
+Traffic_PutTarget(Traffic *t, int64_t now_ms, const TrafficTarget *target)
+{
+    Status status = Route_PutTarget(t->route, target);
+
+    if (status == ST_OK) {
+        uint32_t pool = Route_Pool(t->route, target->pool);
+        TrafficRun_Resume(t, pool);
+        TrafficRun_Pump(t, now_ms, pool);
+    }
+    return status;
+}
+
+Status
+Traffic_DropTarget(Traffic *t, const char *name)
+{
+    return Route_DropTarget(t->route, name);
+}
+
 static uint64_t
 key_of(const char *text)
 {
--- a/src/traffic.h
+++ b/src/traffic.h
@@ -80,7 +80,7 @@
     uint32_t attempt_number; /* from 1 in each request */
     uint64_t target_cookie;
     uint64_t epoch;
-    const char *target; /* valid until the next Traffic_SetTargets */
+    const char *target; /* valid until targets are set or put */
     int64_t deadline_ms;
     TrafficOutcome outcome; /* of TRAFFIC_REPLY */
     TrafficReason reason;
@@ -139,6 +139,14 @@
 Status Traffic_SetTargets(Traffic *t, int64_t now_ms,
                           const TrafficTarget *targets, size_t count);
 
+/* Adds or changes one target at a cost that does not grow with their number.
+ * Returns ST_INVALID for an empty or overlong name. */
+Status Traffic_PutTarget(Traffic *t, int64_t now_ms,
+                         const TrafficTarget *target);
+
+/* Removes one target; its attempts run on. ST_NOT_FOUND if not listed. */
+Status Traffic_DropTarget(Traffic *t, const char *name);
+
 /* Accepts a request, which will get exactly one TRAFFIC_REPLY (refusals by
  * queue length, quota or deadline included), and stores its handle.
  * Otherwise no action follows and nothing has run: ST_NOT_FOUND for an
--- a/tests/support_traffic_model.c
+++ b/tests/support_traffic_model.c
@@ -423,6 +423,11 @@
     }
     else if (what == 4) {
         m->listed[i] = !m->listed[i];
+        if (!m->listed[i] && take(m, 2)) {
+            require(m, Traffic_DropTarget(m->t, target->name) == ST_OK,
+                    "a listed target can be dropped");
+            return;
+        }
     }
     else if (what == 5) {
         target->pool = take(m, 2) ? "p1" : "p0";
@@ -435,6 +440,11 @@
     else {
         target->data_centre = take(m, 2) ? "dc1" : "dc2";
     }
+    if (m->listed[i] && take(m, 2)) {
+        require(m, Traffic_PutTarget(m->t, m->now_ms, target) == ST_OK,
+                "a good target is accepted");
+        return;
+    }
     publish(m);
 }
 
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -323,9 +323,40 @@
     default:
         target->data_centre = Rng_Below(rng, 2) ? "dc1" : "dc2";
     }
+    if (Rng_Below(rng, 2)) {
+        ck_assert_int_eq(Route_PutTarget(f->r, target), ST_OK);
+        return;
+    }
     ck_assert_int_eq(Route_SetTargets(f->r, f->targets, MANY), ST_OK);
 }
 
+/* Guards against figures of a pool that drift as single targets change. */
+static void
+compare_pool_info(Fixture *f)
+{
+    RoutePoolInfo sum = {0};
+    RoutePoolInfo info;
+    uint32_t i;
+
+    Route_GetPoolInfo(f->r, f->pool, &info);
+    for (i = 0; i < MANY; i++) {
+        RouteInfo row;
+        Route_GetInfo(f->r, i, &row);
+        if (row.usable) {
+            sum.targets++;
+            sum.slots += row.slots;
+            sum.in_flight += row.in_flight;
+            sum.long_in_flight += row.long_in_flight;
+            sum.long_most += row.long_limit;
+        }
+    }
+    ck_assert_uint_eq(info.targets, sum.targets);
+    ck_assert_uint_eq(info.slots, sum.slots);
+    ck_assert_uint_eq(info.in_flight, sum.in_flight);
+    ck_assert_uint_eq(info.long_in_flight, sum.long_in_flight);
+    ck_assert_uint_eq(info.long_most, sum.long_most);
+}
+
 /* Copies what a scan needs to know of the targets. */
 static void
 copy_for_scan(Fixture *f, NaiveTarget *naive)
@@ -366,6 +397,7 @@
         uint32_t got = 0;
         if (round % 10 == 0) {
             change_something(&f, &rng);
+            compare_pool_info(&f);
         }
         copy_for_scan(&f, naive);
         scan = NaiveTargets_Pick(naive, MANY, is_long);
