--- a/src/cli_http.c
+++ b/src/cli_http.c
@@ -10,7 +10,7 @@
  * is tried after this time. */
 #define ATTEMPT_TIMEOUT_MS 5000
 #define RESEND_PAUSE_MS 200
-#define ANSWER_MAX_BYTES (64 * 1024 * 1024)
+#define ANSWER_MAX_BYTES ((size_t)64 * 1024 * 1024)
 
 static int64_t
 now_ms(void)
--- a/standin/common_load.c
+++ b/standin/common_load.c
@@ -561,3 +561,11 @@
     }
     curl_multi_cleanup(load->multi);
 }
+
+void
+Load_Free(Load *load)
+{
+    free(load->records);
+    load->records = NULL;
+    load->record_count = 0;
+}
--- a/standin/common_load.h
+++ b/standin/common_load.h
@@ -96,6 +96,9 @@
  * wrong and is printed on standard error. */
 void Load_Verify(Load *load);
 
+/* Frees the records. */
+void Load_Free(Load *load);
+
 /* Prints the counts as one JSON line. */
 void Load_Print(const Load *load, FILE *out);
 
--- a/standin/common_targets.c
+++ b/standin/common_targets.c
@@ -138,7 +138,7 @@
     while (*at != NULL && *at != run) {
         at = &(*at)->next;
     }
-    if (*at == run) {
+    if (*at != NULL) {
         *at = run->next;
         target->in_flight--;
     }
--- a/standin/standin_caller.c
+++ b/standin/standin_caller.c
@@ -7,12 +7,71 @@
 #include "common_load.h"
 #include "rng.h"
 
-static Load load;
+typedef struct CallerArgs {
+    struct arg_str *to;
+    struct arg_str *service;
+    struct arg_dbl *rate;
+    struct arg_dbl *seconds;
+    struct arg_int *requests;
+    struct arg_int *body;
+    struct arg_int *run_us;
+    struct arg_int *deadline;
+    struct arg_str *class;
+    struct arg_int *unrepeatable;
+    struct arg_int *twice;
+    struct arg_int *cancel;
+    struct arg_str *team;
+    struct arg_str *caller;
+    struct arg_int *resend;
+    struct arg_int *seed;
+    struct arg_str *verify;
+    struct arg_lit *help;
+    struct arg_end *end;
+} CallerArgs;
 
-static int
-int_or(const struct arg_int *arg, int fallback)
+/* Makes the argument table; the values in it are the defaults. */
+static void
+make_args(CallerArgs *a)
 {
-    return arg->count > 0 ? arg->ival[0] : fallback;
+    a->to = arg_strn(NULL, "to", "IP:PORT", 1, LOAD_MAX_ADDRESSES,
+                     "traffic port of an entry VM; repeatable");
+    a->service =
+        arg_strn(NULL, "service", "NAME", 1, LOAD_MAX_SERVICES, "repeatable");
+    a->rate = arg_dbl0(NULL, "rate", "N", "requests a second (100)");
+    a->seconds = arg_dbl0(NULL, "seconds", "S", "(5)");
+    a->requests = arg_int0(NULL, "requests", "N", "in place of --seconds");
+    a->body = arg_int0(NULL, "body-bytes", "N", "(200)");
+    a->run_us = arg_int0(NULL, "run-us", "US", "bodies with \"run_us=NNN;\"");
+    a->deadline = arg_int0(NULL, "deadline-ms", "MS", "(10000)");
+    a->class = arg_str0(NULL, "class", "NAME", "urgent, short or long");
+    a->unrepeatable = arg_int0(NULL, "unrepeatable-percent", "P",
+                               "requests that may run once at most (0)");
+    a->twice = arg_int0(NULL, "twice-percent", "P",
+                        "unrepeatable requests sent to two at once (0)");
+    a->cancel = arg_int0(NULL, "cancel-percent", "P", "(0)");
+    a->team = arg_str0(NULL, "team", "NAME", NULL);
+    a->caller = arg_str0(NULL, "caller", "NAME", "(standin)");
+    a->resend = arg_int0(NULL, "resend", "N",
+                         "resends of a request after a lost connection (0)");
+    a->seed = arg_int0(NULL, "seed", "N", "0: random (0)");
+    a->verify = arg_strn(NULL, "verify", "IP:PORT", 0, LOAD_MAX_ADDRESSES,
+                         "target whose counts are checked; repeatable");
+    a->help = arg_lit0(NULL, "help", "print this text");
+    a->end = arg_end(20);
+    a->rate->dval[0] = 100.0;
+    a->seconds->dval[0] = 5.0;
+    a->requests->ival[0] = 0;
+    a->body->ival[0] = 200;
+    a->run_us->ival[0] = -1;
+    a->deadline->ival[0] = 10000;
+    a->class->sval[0] = NULL;
+    a->unrepeatable->ival[0] = 0;
+    a->twice->ival[0] = 0;
+    a->cancel->ival[0] = 0;
+    a->team->sval[0] = NULL;
+    a->caller->sval[0] = "standin";
+    a->resend->ival[0] = 0;
+    a->seed->ival[0] = 0;
 }
 
 static bool
@@ -31,87 +90,66 @@
     return true;
 }
 
+static bool
+read_options(const CallerArgs *a, LoadOptions *options)
+{
+    int i;
+
+    for (i = 0; i < a->service->count; i++) {
+        options->services[i] = a->service->sval[i];
+    }
+    options->service_count = a->service->count;
+    options->rate = a->rate->dval[0];
+    options->seconds = a->seconds->dval[0];
+    options->requests = a->requests->ival[0];
+    options->body_bytes = a->body->ival[0];
+    options->run_us = a->run_us->ival[0];
+    options->deadline_ms = a->deadline->ival[0];
+    options->class = a->class->sval[0];
+    options->team = a->team->sval[0];
+    options->caller = a->caller->sval[0];
+    options->unrepeatable_percent = a->unrepeatable->ival[0];
+    options->twice_percent = a->twice->ival[0];
+    options->cancel_percent = a->cancel->ival[0];
+    options->resend = a->resend->ival[0];
+    options->seed = (uint64_t)a->seed->ival[0];
+    if (options->rate <= 0.0) {
+        fprintf(stderr, "standin-caller: --rate must be above 0\n");
+        return false;
+    }
+    return read_addresses(a->to, options->to, &options->to_count) &&
+           read_addresses(a->verify, options->verify, &options->verify_count);
+}
+
 int
 main(int argc, char **argv)
 {
-    struct arg_str *to = arg_strn(NULL, "to", "IP:PORT", 1, LOAD_MAX_ADDRESSES,
-                                  "traffic port of an entry VM; repeatable");
-    struct arg_str *service =
-        arg_strn(NULL, "service", "NAME", 1, LOAD_MAX_SERVICES, "repeatable");
-    struct arg_dbl *rate =
-        arg_dbl0(NULL, "rate", "N", "requests a second (100)");
-    struct arg_dbl *seconds = arg_dbl0(NULL, "seconds", "S", "(5)");
-    struct arg_int *requests =
-        arg_int0(NULL, "requests", "N", "in place of --seconds");
-    struct arg_int *body = arg_int0(NULL, "body-bytes", "N", "(200)");
-    struct arg_int *run_us =
-        arg_int0(NULL, "run-us", "US", "start bodies with \"run_us=NNN;\"");
-    struct arg_int *deadline = arg_int0(NULL, "deadline-ms", "MS", "(10000)");
-    struct arg_str *class =
-        arg_str0(NULL, "class", "NAME", "urgent, short or long");
-    struct arg_int *unrepeatable =
-        arg_int0(NULL, "unrepeatable-percent", "P",
-                 "requests that may run once at most (0)");
-    struct arg_int *twice =
-        arg_int0(NULL, "twice-percent", "P",
-                 "unrepeatable requests sent to two addresses at once (0)");
-    struct arg_int *cancel = arg_int0(NULL, "cancel-percent", "P", "(0)");
-    struct arg_str *team = arg_str0(NULL, "team", "NAME", NULL);
-    struct arg_str *caller = arg_str0(NULL, "caller", "NAME", "(standin)");
-    struct arg_int *resend = arg_int0(
-        NULL, "resend", "N", "resends of a request after a lost connection");
-    struct arg_int *seed = arg_int0(NULL, "seed", "N", "0: random (0)");
-    struct arg_str *verify =
-        arg_strn(NULL, "verify", "IP:PORT", 0, LOAD_MAX_ADDRESSES,
-                 "stand-in target whose counts are checked; repeatable");
-    struct arg_lit *help = arg_lit0(NULL, "help", "print this text");
-    struct arg_end *end = arg_end(20);
-    void *table[] = {to,    service, rate,     seconds, requests,
-                     body,  run_us,  deadline, class,   unrepeatable,
-                     twice, cancel,  team,     caller,  resend,
-                     seed,  verify,  help,     end};
-    LoadOptions *options = &load.options;
-    int errors = arg_parse(argc, argv, table);
-    int i;
+    static Load load;
+    CallerArgs args;
+    void *table[sizeof(CallerArgs) / sizeof(void *)];
+    int errors;
 
-    if (help->count > 0) {
+    make_args(&args);
+    memcpy(table, &args, sizeof(table));
+    errors = arg_parse(argc, argv, table);
+    if (args.help->count > 0) {
         arg_print_syntax(stdout, table, "\n");
         arg_print_glossary(stdout, table, "  %-28s %s\n");
         return EXIT_SUCCESS;
     }
     if (errors > 0) {
-        arg_print_errors(stderr, end, "standin-caller");
+        arg_print_errors(stderr, args.end, "standin-caller");
         return 2;
     }
-    if (!read_addresses(to, options->to, &options->to_count) ||
-        !read_addresses(verify, options->verify, &options->verify_count)) {
-        return 2;
-    }
-    for (i = 0; i < service->count; i++) {
-        options->services[i] = service->sval[i];
-    }
-    options->service_count = service->count;
-    options->rate = rate->count > 0 ? rate->dval[0] : 100.0;
-    options->seconds = seconds->count > 0 ? seconds->dval[0] : 5.0;
-    options->requests = int_or(requests, 0);
-    options->body_bytes = int_or(body, 200);
-    options->run_us = int_or(run_us, -1);
-    options->deadline_ms = int_or(deadline, 10000);
-    options->class = class->count > 0 ? class->sval[0] : NULL;
-    options->team = team->count > 0 ? team->sval[0] : NULL;
-    options->caller = caller->count > 0 ? caller->sval[0] : "standin";
-    options->unrepeatable_percent = int_or(unrepeatable, 0);
-    options->twice_percent = int_or(twice, 0);
-    options->cancel_percent = int_or(cancel, 0);
-    options->resend = int_or(resend, 0);
-    options->seed = (uint64_t)int_or(seed, 0);
-    if (options->rate <= 0.0) {
-        fprintf(stderr, "standin-caller: --rate must be above 0\n");
+    if (!read_options(&args, &load.options)) {
         return 2;
     }
     curl_global_init(CURL_GLOBAL_ALL);
     Load_Run(&load);
     Load_Verify(&load);
     Load_Print(&load, stdout);
+    Load_Free(&load);
+    arg_freetable(table, sizeof(table) / sizeof(table[0]));
+    curl_global_cleanup();
     return load.counts.wrong == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/standin/standin_target.c
+++ b/standin/standin_target.c
@@ -8,14 +8,13 @@
 #include <time.h>
 
 #include "common.h"
+#include "common_announce.h"
 #include "common_targets.h"
 #include "diag.h"
 #include "rng.h"
 #include "settings.h"
 
 #define MAX_CONTROLS 64
-#define ANNOUNCE_DEFAULT_MS 500
-#define ANNOUNCE_TIMEOUT_MS 2000
 /* Connections beyond those of callers, for the platform and the counts. */
 #define EXTRA_CONNECTIONS 16
 
@@ -28,12 +27,6 @@
     bool received;
 } Exchange;
 
-typedef struct Announcer {
-    pthread_t thread;
-    SettingsAddress control;
-    long interval_ms;
-} Announcer;
-
 static void
 handle_signal(int number)
 {
@@ -358,91 +351,6 @@
     }
 }
 
-static void
-announce(CURL *curl, Announcer *announcer, const char *body, const char *name)
-{
-    char url[2 * SETTINGS_HOST_BYTES + TARGET_TEXT_BYTES];
-    Buf answer = BUF_INIT;
-    json_t *json;
-    json_t *interval;
-
-    (void)name;
-    snprintf(url, sizeof(url), "http://%s:%d/v1/targets",
-             announcer->control.host, announcer->control.port);
-    if (Common_Http(curl, "POST", url, body, ANNOUNCE_TIMEOUT_MS, &answer) ==
-        200) {
-        json = json_loadb(answer.data, answer.len, 0, NULL);
-        interval = json_object_get(json, "interval_ms");
-        if (json_is_integer(interval) && json_integer_value(interval) > 0) {
-            announcer->interval_ms = (long)json_integer_value(interval);
-        }
-        json_decref(json);
-    }
-    Buf_Free(&answer);
-}
-
-static void
-withdraw(CURL *curl, const Announcer *announcer, const char *name)
-{
-    char url[2 * SETTINGS_HOST_BYTES + TARGET_TEXT_BYTES];
-    Buf answer = BUF_INIT;
-
-    snprintf(url, sizeof(url), "http://%s:%d/v1/targets/%s",
-             announcer->control.host, announcer->control.port, name);
-    Common_Http(curl, "DELETE", url, NULL, ANNOUNCE_TIMEOUT_MS, &answer);
-    Buf_Free(&answer);
-}
-
-/* Announces all targets to one control port; one thread for each port, so
- * that a frozen entry VM does not delay the others. */
-static void *
-run_announcer(void *arg)
-{
-    Announcer *announcer = arg;
-    CURL *curl = curl_easy_init();
-    bool ended = false;
-    int i;
-
-    while (!ended) {
-        struct timespec until;
-        long interval;
-        for (i = 0; i < targets.options.count; i++) {
-            Target *target = &targets.list[i];
-            char *body = NULL;
-            Targets_Lock(&targets);
-            if (target->daemon != NULL) {
-                body = Targets_Announcement(&targets, target);
-            }
-            ended = targets.ended;
-            Targets_Unlock(&targets);
-            if (ended) {
-                free(body);
-                break;
-            }
-            if (body != NULL) {
-                announce(curl, announcer, body, target->name);
-            }
-            free(body);
-        }
-        Targets_Lock(&targets);
-        interval = announcer->interval_ms;
-        clock_gettime(CLOCK_REALTIME, &until);
-        until.tv_nsec += (interval % 1000) * 1000000;
-        until.tv_sec += interval / 1000 + until.tv_nsec / 1000000000;
-        until.tv_nsec %= 1000000000;
-        if (!targets.ended) {
-            pthread_cond_timedwait(&targets.changed, &targets.mutex, &until);
-        }
-        ended = targets.ended;
-        Targets_Unlock(&targets);
-    }
-    for (i = 0; i < targets.options.count; i++) {
-        withdraw(curl, announcer, targets.list[i].name);
-    }
-    curl_easy_cleanup(curl);
-    return NULL;
-}
-
 static void
 run_targets(void)
 {
@@ -498,9 +406,7 @@
         }
     }
     for (i = 0; i < count; i++) {
-        announcers[i].interval_ms = ANNOUNCE_DEFAULT_MS;
-        pthread_create(&announcers[i].thread, NULL, run_announcer,
-                       &announcers[i]);
+        Announcer_Start(&announcers[i], &targets);
     }
     Diag_Log(DIAG_INFO, "target", "Serving %d targets from port %d.",
              targets.options.count, targets.options.port);
@@ -510,7 +416,7 @@
     pthread_cond_broadcast(&targets.changed);
     Targets_Unlock(&targets);
     for (i = 0; i < count; i++) {
-        pthread_join(announcers[i].thread, NULL);
+        Announcer_Join(&announcers[i]);
     }
     for (i = 0; i < targets.options.count; i++) {
         if (targets.list[i].daemon != NULL) {
@@ -521,103 +427,148 @@
     return EXIT_SUCCESS;
 }
 
-static int
-int_or(const struct arg_int *arg, int fallback)
+typedef struct TargetArgs {
+    struct arg_str *control;
+    struct arg_str *listen_at;
+    struct arg_int *count;
+    struct arg_str *name;
+    struct arg_str *centre;
+    struct arg_str *rack;
+    struct arg_str *pool;
+    struct arg_int *per_rack;
+    struct arg_int *slots;
+    struct arg_int *connections;
+    struct arg_int *run_ms;
+    struct arg_lit *from_body;
+    struct arg_lit *fail_all;
+    struct arg_dbl *slow;
+    struct arg_int *late;
+    struct arg_int *reboot_ms;
+    struct arg_int *leave_ms;
+    struct arg_int *seed;
+    struct arg_lit *help;
+    struct arg_end *end;
+} TargetArgs;
+
+/* Makes the argument table; the values in it are the defaults. */
+static void
+make_args(TargetArgs *a)
 {
-    return arg->count > 0 ? arg->ival[0] : fallback;
+    a->control = arg_strn(NULL, "control", "IP:PORT", 0, MAX_CONTROLS,
+                          "control port of an entry VM; repeatable");
+    a->listen_at =
+        arg_str1(NULL, "listen", "IP:PORT", "address of the first target");
+    a->count =
+        arg_int0(NULL, "count", "N", "targets on consecutive ports (1)");
+    a->name = arg_str0(NULL, "name", "NAME", "name or prefix (target)");
+    a->centre = arg_str0(NULL, "data-centre", "NAME", "(north)");
+    a->rack = arg_str0(NULL, "rack", "NAME", "name or prefix (rack)");
+    a->pool = arg_str0(NULL, "pool", "NAME", "pool named in announcements");
+    a->per_rack = arg_int0(NULL, "per-rack", "N", "targets in one rack (4)");
+    a->slots = arg_int0(NULL, "slots", "N", "(8)");
+    a->connections = arg_int0(NULL, "connections", "N", "(64)");
+    a->run_ms = arg_int0(NULL, "run-ms", "MS", "run time of a request (10)");
+    a->from_body = arg_lit0(NULL, "run-from-body",
+                            "take the run time from \"run_us=NNN;\"");
+    a->fail_all = arg_lit0(NULL, "fail-all", "answer 500 to all at once");
+    a->slow = arg_dbl0(NULL, "slow-factor", "X", "factor on run times (1)");
+    a->late = arg_int0(NULL, "late-percent", "P",
+                       "answers later than the deadline (0)");
+    a->reboot_ms = arg_int0(NULL, "reboot-ms", "MS", "time of a reboot (300)");
+    a->leave_ms =
+        arg_int0(NULL, "leave-ms", "MS", "shortest stay after SIGTERM (2500)");
+    a->seed = arg_int0(NULL, "seed", "N", "(1)");
+    a->help = arg_lit0(NULL, "help", "print this text");
+    a->end = arg_end(20);
+    a->name->sval[0] = "target";
+    a->centre->sval[0] = "north";
+    a->rack->sval[0] = "rack";
+    a->pool->sval[0] = NULL;
+    a->count->ival[0] = 1;
+    a->per_rack->ival[0] = 4;
+    a->slots->ival[0] = 8;
+    a->connections->ival[0] = 64;
+    a->run_ms->ival[0] = 10;
+    a->late->ival[0] = 0;
+    a->reboot_ms->ival[0] = 300;
+    a->leave_ms->ival[0] = 2500;
+    a->seed->ival[0] = 1;
+    a->slow->dval[0] = 1.0;
 }
 
-static const char *
-text_or(const struct arg_str *arg, const char *fallback)
+static void
+read_options(const TargetArgs *a, const SettingsAddress *address,
+             TargetOptions *options)
 {
-    return arg->count > 0 ? arg->sval[0] : fallback;
+    memset(options, 0, sizeof(*options));
+    options->host = address->host;
+    options->port = address->port;
+    options->name = a->name->sval[0];
+    options->data_centre = a->centre->sval[0];
+    options->rack = a->rack->sval[0];
+    options->pool = a->pool->sval[0];
+    options->count = a->count->ival[0];
+    options->per_rack = a->per_rack->ival[0];
+    options->slots = a->slots->ival[0];
+    options->connections = a->connections->ival[0];
+    options->cores = 16;
+    options->memory_mb = 32768;
+    options->run_ms = a->run_ms->ival[0];
+    options->reboot_ms = a->reboot_ms->ival[0];
+    options->leave_ms = a->leave_ms->ival[0];
+    options->late_percent = a->late->ival[0];
+    options->run_from_body = a->from_body->count > 0;
+    options->fail_all = a->fail_all->count > 0;
+    options->slow_factor = a->slow->dval[0];
+    options->seed = (uint64_t)a->seed->ival[0];
+}
+
+static bool
+read_controls(const struct arg_str *control, Announcer *announcers)
+{
+    int i;
+
+    for (i = 0; i < control->count; i++) {
+        if (!Settings_ParseAddress(control->sval[i], &announcers[i].control)) {
+            fprintf(stderr, "standin-target: bad address %s\n",
+                    control->sval[i]);
+            return false;
+        }
+    }
+    return true;
 }
 
 int
 main(int argc, char **argv)
 {
-    struct arg_str *control =
-        arg_strn(NULL, "control", "IP:PORT", 0, MAX_CONTROLS,
-                 "control port of an entry VM; repeatable");
-    struct arg_str *listen_at =
-        arg_str1(NULL, "listen", "IP:PORT", "address of the first target");
-    struct arg_int *count =
-        arg_int0(NULL, "count", "N", "targets on consecutive ports (1)");
-    struct arg_str *name = arg_str0(NULL, "name", "NAME", "name or prefix");
-    struct arg_str *centre = arg_str0(NULL, "data-centre", "NAME", NULL);
-    struct arg_str *rack = arg_str0(NULL, "rack", "NAME", "name or prefix");
-    struct arg_str *pool =
-        arg_str0(NULL, "pool", "NAME", "pool named in announcements");
-    struct arg_int *per_rack =
-        arg_int0(NULL, "per-rack", "N", "targets in one rack (4)");
-    struct arg_int *slots = arg_int0(NULL, "slots", "N", "(8)");
-    struct arg_int *connections = arg_int0(NULL, "connections", "N", "(64)");
-    struct arg_int *run_ms =
-        arg_int0(NULL, "run-ms", "MS", "run time of a request (10)");
-    struct arg_lit *from_body = arg_lit0(
-        NULL, "run-from-body", "take the run time from \"run_us=NNN;\"");
-    struct arg_lit *fail_all =
-        arg_lit0(NULL, "fail-all", "answer 500 to every request at once");
-    struct arg_dbl *slow =
-        arg_dbl0(NULL, "slow-factor", "X", "factor on run times (1)");
-    struct arg_int *late = arg_int0(NULL, "late-percent", "P",
-                                    "answers later than the deadline (0)");
-    struct arg_int *reboot_ms =
-        arg_int0(NULL, "reboot-ms", "MS", "time of a reboot (300)");
-    struct arg_int *leave_ms =
-        arg_int0(NULL, "leave-ms", "MS", "shortest stay after SIGTERM (2500)");
-    struct arg_int *seed = arg_int0(NULL, "seed", "N", "(1)");
-    struct arg_lit *help = arg_lit0(NULL, "help", "print this text");
-    struct arg_end *end = arg_end(20);
-    void *table[] = {control,   listen_at, count,    name,  centre,
-                     rack,      pool,      per_rack, slots, connections,
-                     run_ms,    from_body, fail_all, slow,  late,
-                     reboot_ms, leave_ms,  seed,     help,  end};
+    TargetArgs args;
+    void *table[sizeof(TargetArgs) / sizeof(void *)];
     Announcer announcers[MAX_CONTROLS];
     SettingsAddress address;
     TargetOptions options;
     struct sigaction action;
-    int errors = arg_parse(argc, argv, table);
-    int i;
+    int errors;
 
-    if (help->count > 0) {
+    make_args(&args);
+    memcpy(table, &args, sizeof(table));
+    errors = arg_parse(argc, argv, table);
+    if (args.help->count > 0) {
         arg_print_syntax(stdout, table, "\n");
         arg_print_glossary(stdout, table, "  %-26s %s\n");
         return EXIT_SUCCESS;
     }
-    if (errors > 0 || !Settings_ParseAddress(listen_at->sval[0], &address)) {
-        arg_print_errors(stderr, end, "standin-target");
+    memset(announcers, 0, sizeof(announcers));
+    if (errors > 0 ||
+        !Settings_ParseAddress(args.listen_at->sval[0], &address) ||
+        !read_controls(args.control, announcers)) {
+        arg_print_errors(stderr, args.end, "standin-target");
         return 2;
     }
-    memset(announcers, 0, sizeof(announcers));
-    for (i = 0; i < control->count; i++) {
-        if (!Settings_ParseAddress(control->sval[i], &announcers[i].control)) {
-            fprintf(stderr, "standin-target: bad address %s\n",
-                    control->sval[i]);
-            return 2;
-        }
+    read_options(&args, &address, &options);
+    if (options.count < 1 || options.per_rack < 1 || options.slots < 1) {
+        fprintf(stderr, "standin-target: counts must be above 0\n");
+        return 2;
     }
-    memset(&options, 0, sizeof(options));
-    options.host = address.host;
-    options.port = address.port;
-    options.name = text_or(name, "target");
-    options.data_centre = text_or(centre, "north");
-    options.rack = text_or(rack, "rack");
-    options.pool = text_or(pool, NULL);
-    options.count = int_or(count, 1);
-    options.per_rack = int_or(per_rack, 4);
-    options.slots = int_or(slots, 8);
-    options.connections = int_or(connections, 64);
-    options.cores = 16;
-    options.memory_mb = 32768;
-    options.run_ms = int_or(run_ms, 10);
-    options.reboot_ms = int_or(reboot_ms, 300);
-    options.leave_ms = int_or(leave_ms, 2500);
-    options.late_percent = int_or(late, 0);
-    options.run_from_body = from_body->count > 0;
-    options.fail_all = fail_all->count > 0;
-    options.slow_factor = slow->count > 0 ? slow->dval[0] : 1.0;
-    options.seed = (uint64_t)int_or(seed, 1);
     Diag_Init("standin-target", DIAG_INFO);
     curl_global_init(CURL_GLOBAL_ALL);
     Targets_Init(&targets, &options);
@@ -625,5 +576,5 @@
     action.sa_handler = handle_signal;
     sigaction(SIGTERM, &action, NULL);
     sigaction(SIGINT, &action, NULL);
-    return serve_until_stopped(announcers, control->count);
+    return serve_until_stopped(announcers, args.control->count);
 }
