Fit the command line and the demo to the daemon's answers

Cause: the daemon names its announcement interval heartbeat_ms, its refusal text message, and returns the configuration as one text; a VM joins a pool only after a patch has created the pool. Change: read these names, print texts of several lines as a block, and apply the patch before the targets start.

--- a/demo.sh
+++ b/demo.sh
@@ -13,27 +13,27 @@
 start_entries
 echo "1. three entry VMs are ready: ${ENTRIES[*]}"
 
-start_targets north-book booking north $((BASE + 20)) 4 --run-from-body
-start_targets north-bill billing north $((BASE + 24)) 4 --run-from-body
-start_targets south-book booking south $((BASE + 28)) 3 --run-from-body
-start_targets south-bill billing south $((BASE + 31)) 3 --run-from-body
-wait_for "registration of 7 booking VMs" pool_has booking 7
-wait_for "registration of 7 billing VMs" pool_has billing 7
-echo "2. 14 targets have announced themselves in two pools"
-
 before=$(version)
 patch --request-id demo-1 --set services/booking/pool=booking \
     --set services/billing/pool=billing \
     --set pools/booking/max_unavailable=2 \
     --set pools/billing/max_unavailable=2 >/dev/null
-echo "3. patch demo-1 accepted: version $before is now $(version)"
+echo "2. patch demo-1 accepted: version $before is now $(version)"
 if cli patch --base "$before" --request-id demo-2 \
     --set pools/booking/max_unavailable=5 2>"$WORK/refusal"; then
     fail "a patch against an old version was accepted"
 fi
-echo "4. a patch against version $before is refused:" \
+echo "3. a patch against version $before is refused:" \
     "$(grep -h conflict: "$WORK/refusal" | head -1)"
 
+start_targets north-book booking north $((BASE + 20)) 4 --run-from-body
+start_targets north-bill billing north $((BASE + 24)) 4 --run-from-body
+start_targets south-book booking south $((BASE + 28)) 3 --run-from-body
+start_targets south-bill billing south $((BASE + 31)) 3 --run-from-body
+wait_for "registration of 7 booking VMs" pool_has booking 7
+wait_for "registration of 7 billing VMs" pool_has billing 7
+echo "4. 14 targets have announced themselves in two pools"
+
 serves() {
     "$BUILD/standin-caller" --to "$1" --service booking --service billing \
         --requests 4 | grep -q '"done":4'
--- a/src/cli_print.c
+++ b/src/cli_print.c
@@ -147,6 +147,22 @@
     }
 }
 
+/* Appends a text of several lines as an indented block. */
+static void
+append_block(Buf *out, const char *text, int indent)
+{
+    while (*text != '\0') {
+        size_t len = strcspn(text, "\n");
+        Buf line = BUF_INIT;
+        Buf_Append(&line, text, len);
+        pad(out, (size_t)indent);
+        append_text(out, Buf_Text(&line));
+        Buf_Append(out, "\n", 1);
+        Buf_Free(&line);
+        text += len + (text[len] == '\n');
+    }
+}
+
 static bool
 is_table(const json_t *value)
 {
@@ -169,6 +185,11 @@
             Buf_Append(out, ":\n", 2);
             Cli_Render(out, value, indent + INDENT_STEP);
         }
+        else if (json_is_string(value) &&
+                 strchr(json_string_value(value), '\n') != NULL) {
+            Buf_Append(out, ":\n", 2);
+            append_block(out, json_string_value(value), indent + INDENT_STEP);
+        }
         else {
             Buf_Append(out, ": ", 2);
             append_scalar(out, value);
--- a/src/cli_run.c
+++ b/src/cli_run.c
@@ -52,7 +52,7 @@
 static void
 print_refusal(const CliAnswer *answer, const json_t *json, const char *file)
 {
-    const char *reason = text_of(json, "reason");
+    const char *reason = text_of(json, "message");
     size_t i;
     json_t *path;
 
@@ -64,9 +64,7 @@
     }
     json_array_foreach(json_object_get(json, "conflicts"), i, path)
     {
-        fprintf(stderr, "conflict: %s\n",
-                json_is_string(path) ? json_string_value(path)
-                                     : text_of(path, "path"));
+        fprintf(stderr, "conflict: %s\n", json_string_value(path));
     }
     print_findings(json, file);
 }
@@ -77,7 +75,7 @@
               const char *request_id)
 {
     const char *reason =
-        answer->status != 0 ? text_of(json, "reason") : answer->reason;
+        answer->status != 0 ? text_of(json, "message") : answer->reason;
 
     if (!answer->sent) {
         fprintf(stderr, "coltsfoot: unreachable: %s\n", reason);
--- a/standin/common_announce.c
+++ b/standin/common_announce.c
@@ -22,7 +22,7 @@
     if (Common_Http(curl, "POST", url, body, ANNOUNCE_TIMEOUT_MS, &answer) ==
         200) {
         json = json_loadb(answer.data, answer.len, 0, NULL);
-        interval = json_object_get(json, "interval_ms");
+        interval = json_object_get(json, "heartbeat_ms");
         if (json_is_integer(interval) && json_integer_value(interval) > 0) {
             announcer->interval_ms = (long)json_integer_value(interval);
         }
--- a/tests/support_escrow.c
+++ b/tests/support_escrow.c
@@ -150,9 +150,8 @@
     node->state = State_New();
     node->applied = 0;
     node->escrow = Escrow_New(node->name, node->centre, node->identity);
-    if (node->disk.len > 0 &&
-        Escrow_Restore(node->escrow, node->disk.data, node->disk.len, &err) !=
-            ST_OK) {
+    if (node->disk.len > 0 && Escrow_Restore(node->escrow, node->disk.data,
+                                             node->disk.len, &err) != ST_OK) {
         fail(model, "a record that was saved whole is refused");
     }
     /* The source may lag behind what this node saw before. */
--- a/tests/support_proc.sh
+++ b/tests/support_proc.sh
@@ -223,7 +223,7 @@
 }
 
 vms_of_pool() {
-    cli vms --json | tr '{' '\n' | grep "\"pool\": *\"$1\"" |
+    cli vms --json | tr -d '\n' | tr '{' '\n' | grep "\"pool\": *\"$1\"" |
         grep -o '"name": *"[^"]*"' | cut -d'"' -f4
 }
 
--- a/tests/test_cli.c
+++ b/tests/test_cli.c
@@ -120,6 +120,8 @@
          "\"rack\": 2}]",
          "name  pool  rack\nvm-1  p     -\nv     -     2\n"},
         {"{\"vms\": [{\"n\": 1}]}", "vms:\n  n\n  1\n"},
+        {"{\"config\": \"a/b: 1\\nc/d: 2\\n\"}",
+         "config:\n  a/b: 1\n  c/d: 2\n"},
         {"{\"a\": \"\\u001b[2J\"}", "a: ?[2J\n"},
         {"{\"list\": [1, \"b\"], \"none\": []}", "list: 1,b\nnone: \n"},
     };
