--- a/src/control.c
+++ b/src/control.c
@@ -651,7 +651,9 @@
     if (control == NULL) {
         return;
     }
-    Gateway_StopThreads(control->gateway);
+    if (control->gateway != NULL) {
+        Gateway_StopThreads(control->gateway);
+    }
     OnceLog_Free(control->once_log);
     Gateway_Free(control->gateway);
     HttpServer_Free(control->server);
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -376,7 +376,7 @@
 {
     size_t i;
 
-    for (i = 0; gateway != NULL && i < gateway->thread_count; i++) {
+    for (i = 0; gateway->threads != NULL && i < gateway->thread_count; i++) {
         GwThread *thread = &gateway->threads[i];
         apr_status_t result;
         if (thread->thread != NULL) {
--- a/tests/support_naive_state.c
+++ b/tests/support_naive_state.c
@@ -530,8 +530,7 @@
     }
     out = count_moves(naive, path->name, false);
     if (path->section == STATE_POOLS && same(path->field->name, "min_size") &&
-        out > 0 &&
-        value->number > count_vms(naive, path->name, NULL) - out) {
+        out > 0 && value->number > count_vms(naive, path->name, NULL) - out) {
         return ST_INVALID;
     }
     return ST_OK;
@@ -564,8 +563,7 @@
     int at;
     size_t k;
 
-    if (vm == NULL ||
-        !exists_after(naive, edits, STATE_POOLS, path->name)) {
+    if (vm == NULL || !exists_after(naive, edits, STATE_POOLS, path->name)) {
         return ST_NOT_FOUND;
     }
     for (k = 0; k < i; k++) {
@@ -1105,8 +1103,8 @@
         const StateVm *real = State_Vm(state, vm->name);
         if (real == NULL || !same(real->pool, vm->pool) ||
             !same(real->rack, vm->rack) ||
-            !same(real->data_centre, vm->centre) ||
-            real->epoch != vm->epoch || real->changed != vm->changed ||
+            !same(real->data_centre, vm->centre) || real->epoch != vm->epoch ||
+            real->changed != vm->changed ||
             (int)real->assignment != vm->assignment ||
             !same(real->move != NULL ? real->move->to : "", vm->to) ||
             (real->move != NULL ? real->move->missing : 0) !=
--- a/tests/support_naive_state.h
+++ b/tests/support_naive_state.h
@@ -1,6 +1,7 @@
 /*
  * NAME
- *     support_naive_state - the state machine with linear lists, for comparison
+ *     support_naive_state - the state machine with linear lists, for
+ * comparison
  *
  * DESCRIPTION
  *     Follows the rules of the state machine in the plainest way: each row
--- a/tests/test_escrow.c
+++ b/tests/test_escrow.c
@@ -102,8 +102,8 @@
         ck_assert_int_eq(Escrow_Work(escrow, state, grant), works[step]);
         Escrow_Free(escrow);
         escrow = Escrow_New("k1", "a", 11);
-        ck_assert_int_eq(
-            Escrow_Restore(escrow, record.data, record.len, &err), ST_OK);
+        ck_assert_int_eq(Escrow_Restore(escrow, record.data, record.len, &err),
+                         ST_OK);
         grant = Escrow_FindGrant(escrow, "v1");
         ck_assert_int_eq(Escrow_Work(escrow, state, grant), ESCROW_WORK_WAIT);
         ck_assert_int_eq(Escrow_Sync(escrow, state), ST_OK);
@@ -218,8 +218,9 @@
     ck_assert_int_eq(pool->spent, 1);
     ck_assert_int_eq(Escrow_GrantDrain(escrow, "v1", "", NULL), ST_EXISTS);
     save(escrow, &record);
-    ck_assert_int_eq(Escrow_Work(escrow, state, Escrow_FindGrant(escrow, "v1")),
-                     ESCROW_WORK_PROPOSE);
+    ck_assert_int_eq(
+        Escrow_Work(escrow, state, Escrow_FindGrant(escrow, "v1")),
+        ESCROW_WORK_PROPOSE);
     SupportState_Apply(state, "close v1 1 1");
     Escrow_Sync(escrow, state);
     ck_assert_int_eq(pool->spent, 1);
