--- a/src/replica.c
+++ b/src/replica.c
@@ -421,6 +421,10 @@
         Diag_Log(DIAG_NOTICE, REPLICA_PART,
                  "Became leader in term %" PRIu64 ".", term);
     }
+    if (role != RAFT_LEADER && replica->role == RAFT_LEADER) {
+        Diag_Log(DIAG_NOTICE, REPLICA_PART,
+                 "Is no longer leader, term %" PRIu64 ".", term);
+    }
     replica->role = role;
     replica->term = term;
     replica->leader = leader;
--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -403,6 +403,113 @@
 }
 END_TEST
 
+/* Builds a message of two entries, two members or one chunk, then spoils one
+ * field of it. */
+typedef enum Spoil {
+    NOTHING,
+    ENTRY_GAP,
+    ENTRY_TERM_FALLS,
+    ENTRY_ABOVE_TERM,
+    ENTRY_KIND,
+    NOOP_WITH_DATA,
+    COMMAND_WITHOUT_DATA,
+    FROM_NOBODY,
+    UNKNOWN_TYPE,
+    MEMBER_TWICE,
+    MEMBER_WITHOUT_NAME,
+    NO_VOTER,
+    CHUNK_BEYOND_TOTAL,
+    TRAILING_BYTE,
+    LAST_BYTE_MISSING,
+    SPOILS
+} Spoil;
+
+static void
+spoil(RaftMsg *made, Spoil what)
+{
+    RaftMember *second = &made->members.list[1];
+
+    switch (what) {
+    case ENTRY_GAP:
+        made->entries[1].index++;
+        break;
+    case ENTRY_TERM_FALLS:
+        made->entries[1].term = 1;
+        break;
+    case ENTRY_ABOVE_TERM:
+        made->entries[1].term = 9;
+        break;
+    case ENTRY_KIND:
+        made->entries[1].kind = (RaftEntryKind)3;
+        break;
+    case NOOP_WITH_DATA:
+        made->entries[1].kind = RAFT_NOOP;
+        break;
+    case COMMAND_WITHOUT_DATA:
+        made->entries[1].len = 0;
+        break;
+    case FROM_NOBODY:
+        made->from = 0;
+        break;
+    case UNKNOWN_TYPE:
+        made->type = (RaftMsgType)11;
+        break;
+    case MEMBER_TWICE:
+        second->identity = made->members.list[0].identity;
+        break;
+    case MEMBER_WITHOUT_NAME:
+        second->name[0] = '\0';
+        break;
+    case NO_VOTER:
+        second->voter = made->members.list[0].voter = false;
+        break;
+    case CHUNK_BEYOND_TOTAL:
+        made->offset = 5;
+        break;
+    default:
+        break;
+    }
+}
+
+/* Guards against a malformed message that is taken in part. */
+START_TEST(malformed_messages_are_refused)
+{
+    Spoil what = (Spoil)_i;
+    bool chunk = what >= MEMBER_TWICE && what <= CHUNK_BEYOND_TOTAL;
+    RaftMsg *made = reply(chunk ? RAFT_MSG_SNAPSHOT : RAFT_MSG_APPEND, 2, 5);
+    static RaftMsg decoded;
+    Buf bytes = BUF_INIT;
+    size_t i;
+
+    made->index = 10;
+    made->log_term = 2;
+    made->entry_count = chunk ? 0 : 2;
+    for (i = 0; i < made->entry_count; i++) {
+        made->entries[i].index = 11 + i;
+        made->entries[i].term = 2;
+        made->entries[i].kind = RAFT_COMMAND;
+        made->entries[i].data = "data";
+        made->entries[i].len = 4;
+    }
+    made->members = members_of(2, 0);
+    made->total = 8;
+    made->data = "data";
+    made->len = 4;
+    spoil(made, what);
+    RaftMsg_Encode(made, &bytes);
+    if (what == TRAILING_BYTE) {
+        Buf_Append(&bytes, "\0", 1);
+    }
+    if (what == LAST_BYTE_MISSING) {
+        bytes.len--;
+    }
+    ck_assert_msg(RaftMsg_Decode(bytes.data, bytes.len, &decoded, NULL) ==
+                      (what == NOTHING ? ST_OK : ST_CORRUPT),
+                  "case %d", _i);
+    Buf_Free(&bytes);
+}
+END_TEST
+
 /* One member: name, data centre, voter, active, caught up. */
 typedef struct PlanMember {
     char name;
@@ -568,6 +675,7 @@
     tcase_add_test(tcase, messages_in_flight_are_bounded);
     tcase_add_test(tcase, snapshot_travels_in_chunks);
     tcase_add_test(tcase, foreign_messages_are_refused);
+    tcase_add_loop_test(tcase, malformed_messages_are_refused, 0, SPOILS);
     tcase_add_loop_test(tcase, plan_takes_the_right_step, 0,
                         sizeof(plan_cases) / sizeof(plan_cases[0]));
     suite_add_tcase(suite, tcase);
--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -48,6 +48,8 @@
     bool blocked[MAX_NODES][MAX_NODES];
     int64_t heal_at;
     bool calm; /* no faults */
+    bool slow; /* default timeouts */
+    bool idle; /* no proposals */
     bool wipe_wanted;
     Mail mail[MAX_MAIL];
     size_t mail_count;
@@ -65,6 +67,7 @@
     size_t wipes;
     size_t crashes;
     size_t restores;
+    size_t sent_bytes[MAX_NODES];
 };
 
 /* Makes snapshots larger than one chunk where a test needs it. */
@@ -151,6 +154,7 @@
     Node *node = arg;
     Cluster *cluster = node->cluster;
 
+    cluster->sent_bytes[node->slot] += len;
     if (!cluster->calm && Rng_Below(&cluster->rng, 100) < 4) {
         return;
     }
@@ -206,20 +210,20 @@
     }
 }
 
-static void
-start_node(Node *node, bool init)
+static Status
+open_node(Node *node, bool init, ErrCtx *err)
 {
     ReplicaOptions options = REPLICA_OPTIONS_DEFAULT;
-    ErrCtx err = {ST_OK, ""};
-    Status status;
 
     options.name = node->name;
     options.data_centre = node->data_centre;
     options.init = init;
     options.seed = Rng_Next(&node->cluster->rng);
     options.now_ms = node->cluster->now;
-    options.election_ms = 200;
-    options.heartbeat_ms = 40;
+    if (!node->cluster->slow) {
+        options.election_ms = 200;
+        options.heartbeat_ms = 40;
+    }
     options.snapshot_entries = 60;
     options.voters = node->cluster->voters;
     options.machine_ops = &machine_ops;
@@ -231,8 +235,16 @@
     options.read_ready = on_read;
     node->index = 0;
     node->chain = 0;
-    status = Replica_Open(&options, MemStorage_Base(node->disk),
-                          &node->replica, &err);
+    return Replica_Open(&options, MemStorage_Base(node->disk), &node->replica,
+                        err);
+}
+
+static void
+start_node(Node *node, bool init)
+{
+    ErrCtx err = {ST_OK, ""};
+    Status status = open_node(node, init, &err);
+
     ck_assert_msg(status == ST_OK, "%s: %s", node->name, err.message);
 }
 
@@ -251,11 +263,12 @@
 }
 
 static Cluster *
-new_cluster(uint64_t seed, size_t count, size_t voters)
+new_cluster(uint64_t seed, size_t count, size_t voters, bool slow)
 {
     Cluster *cluster = calloc(1, sizeof(*cluster));
     size_t i;
 
+    cluster->slow = slow;
     Diag_Init("test", DIAG_ERROR);
     Rng_Seed(&cluster->rng, seed);
     cluster->count = count;
@@ -515,8 +528,10 @@
         wipe_disk(cluster);
     }
     deliver(cluster);
-    propose(cluster);
-    propose(cluster);
+    if (!cluster->idle) {
+        propose(cluster);
+        propose(cluster);
+    }
     for (i = 0; i < cluster->count; i++) {
         run_node(&cluster->nodes[i]);
     }
@@ -630,7 +645,7 @@
     static size_t restores;
     uint64_t seed = (uint64_t)_i + 1;
     Cluster *cluster =
-        new_cluster(seed, 3 + (size_t)_i % 3, _i % 3 == 2 ? 5 : 3);
+        new_cluster(seed, 3 + (size_t)_i % 3, _i % 3 == 2 ? 5 : 3, false);
     int i;
 
     for (i = 0; i < 800; i++) {
@@ -657,12 +672,94 @@
 }
 END_TEST
 
+/* Guards against a wiped or new node that starts a second cluster, and against
+ * --init on a folder that belongs to one. */
+START_TEST(only_init_starts_a_cluster)
+{
+    Cluster *cluster = new_cluster(1, 3, 3, false);
+    Node *node = &cluster->nodes[2];
+    ErrCtx err = {ST_OK, ""};
+    int i;
+
+    cluster->calm = true;
+    cluster->idle = true;
+    for (i = 0; i < (int)cluster->count; i++) {
+        cluster->nodes[i].frozen_until = i < 2 ? INT64_MAX : 0;
+    }
+    for (i = 0; i < 1000; i++) {
+        step(cluster);
+    }
+    ck_assert_int_eq(Replica_Role(node->replica), RAFT_FOLLOWER);
+    ck_assert_uint_eq(cluster->sent_bytes[2], 0);
+    ck_assert_uint_eq(Replica_Cluster(node->replica), 0);
+    ck_assert(!Replica_CaughtUp(node->replica));
+    Replica_Close(node->replica);
+    node->replica = NULL;
+    ck_assert_int_eq(open_node(node, true, &err), ST_EXISTS);
+    start_node(node, false);
+    settle(cluster, 1);
+    ck_assert_uint_eq(Replica_Cluster(node->replica),
+                      Replica_Cluster(cluster->nodes[0].replica));
+    free_cluster(cluster);
+}
+END_TEST
+
+/* Guards against a snapshot of several chunks that never arrives, and against
+ * a leader that stops serving while it sends one. */
+START_TEST(large_snapshot_reaches_a_new_node)
+{
+    Cluster *cluster = new_cluster(2, 4, 3, false);
+    int i;
+
+    snapshot_padding = 400000;
+    cluster->nodes[3].frozen_until = 4000;
+    cluster->calm = true;
+    for (i = 0; i < 400; i++) {
+        step(cluster);
+    }
+    ck_assert_uint_gt(cluster->acks, 100);
+    settle(cluster, 2);
+    ck_assert_uint_ge(cluster->restores, 1);
+    check_history(cluster);
+    free_cluster(cluster);
+    snapshot_padding = 40;
+}
+END_TEST
+
+/* Guards against more than the 2 KB/s that control may cost an idle node; a
+ * frame adds 4 bytes to each message. */
+START_TEST(idle_cost_is_bounded)
+{
+    Cluster *cluster = new_cluster(3, 5, 5, true);
+    size_t before[MAX_NODES];
+    int i;
+
+    cluster->calm = true;
+    cluster->idle = true;
+    settle(cluster, 3);
+    memcpy(before, cluster->sent_bytes, sizeof(before));
+    for (i = 0; i < 10000 / STEP_MS; i++) {
+        step(cluster);
+    }
+    for (i = 0; i < 5; i++) {
+        size_t sent = cluster->sent_bytes[i] - before[i];
+
+        printf("idle node %d: %zu bytes/s\n", i, sent / 10);
+        ck_assert_uint_lt(sent / 10, 2000);
+    }
+    free_cluster(cluster);
+}
+END_TEST
+
 Suite *
 Test_Suite(void)
 {
     Suite *suite = suite_create("replica");
     TCase *tcase = tcase_create("cluster");
 
+    tcase_add_test(tcase, only_init_starts_a_cluster);
+    tcase_add_test(tcase, large_snapshot_reaches_a_new_node);
+    tcase_add_test(tcase, idle_cost_is_bounded);
     tcase_add_loop_test(tcase, survives_faults, 0, 200);
     suite_add_tcase(suite, tcase);
     return suite;
