--- a/src/route_targets.c
+++ b/src/route_targets.c
@@ -43,6 +43,13 @@
     return target;
 }
 
+static bool
+target_valid(const TrafficTarget *target)
+{
+    return target->name != NULL && target->name[0] != '\0' &&
+           strlen(target->name) < TRAFFIC_NAME_BYTES && target->pool != NULL;
+}
+
 static Status
 check_targets(const TrafficTarget *targets, size_t count)
 {
@@ -51,15 +58,13 @@
     size_t i;
 
     for (i = 0; i < count && status == ST_OK; i++) {
-        const char *name = targets[i].name;
         uint32_t value;
         uint64_t key;
-        if (name == NULL || name[0] == '\0' || targets[i].pool == NULL ||
-            strlen(name) >= TRAFFIC_NAME_BYTES) {
+        if (!target_valid(&targets[i])) {
             status = ST_INVALID;
             break;
         }
-        key = Keymap_Key(name);
+        key = Keymap_Key(targets[i].name);
         if (Keymap_Get(seen, key, &value)) {
             status = ST_INVALID;
         }
@@ -85,7 +90,10 @@
 static uint32_t
 long_limit_of(const Route *r, const RouteRow *row)
 {
-    uint32_t share = row->slots * r->long_percent;
+    uint32_t percent = r->long_percent > ROUTE_LONG_MOST_PERCENT
+                           ? r->long_percent
+                           : ROUTE_LONG_MOST_PERCENT;
+    uint32_t share = r->long_percent == 0 ? 0 : row->slots * percent;
 
     return share / 100 + ((uint32_t)(row->key >> 40) % 100 < share % 100);
 }
@@ -107,19 +115,22 @@
     row->listed = true;
 }
 
+/* Adds the row to the figures of its pool, or takes it out of them. */
 static void
-count_row(Route *r, const RouteRow *row)
+count_row(Route *r, const RouteRow *row, bool add)
 {
     RoutePoolInfo *info = &r->pools[row->pool].info;
+    uint32_t sign = add ? 1 : UINT32_MAX; /* modular arithmetic */
 
     if (RouteRow_Usable(row)) {
-        info->targets++;
-        info->slots += row->slots;
-        info->long_slots += row->long_limit;
-        info->in_flight += row->in_flight;
-        info->long_in_flight += row->long_in_flight;
-        info->evicted += row->evicted;
-        info->suspect += row->state == TRAFFIC_TARGET_SUSPECT && !row->evicted;
+        info->targets += sign;
+        info->slots += sign * row->slots;
+        info->long_most += sign * row->long_limit;
+        info->in_flight += sign * row->in_flight;
+        info->long_in_flight += sign * row->long_in_flight;
+        info->evicted += sign * row->evicted;
+        info->suspect +=
+            sign * (row->state == TRAFFIC_TARGET_SUSPECT && !row->evicted);
     }
 }
 
@@ -144,12 +155,19 @@
     RouteRow *row = &r->rows[target];
     RoutePoolInfo *info = &r->pools[row->pool].info;
 
-    if (RouteRow_Usable(row) && info->long_slots == 0 && r->long_percent > 0) {
+    if (RouteRow_Usable(row) && info->long_most == 0 && r->long_percent > 0) {
         row->long_limit = 1;
-        info->long_slots = 1;
+        info->long_most = 1;
     }
 }
 
+static void
+settle_pool(Route *r, uint32_t pool)
+{
+    readmit_surplus(r, pool);
+    Route_ReserveShort(r, pool, r->pools[pool].short_need);
+}
+
 static void
 rebuild(Route *r)
 {
@@ -160,7 +178,7 @@
     }
     for (i = 0; i < r->row_count; i++) {
         if (r->rows[i].in_use) {
-            count_row(r, &r->rows[i]);
+            count_row(r, &r->rows[i], true);
         }
     }
     for (i = 0; i < r->row_count; i++) {
@@ -170,7 +188,7 @@
         }
     }
     for (i = 0; i < r->pool_count; i++) {
-        readmit_surplus(r, i);
+        settle_pool(r, i);
     }
 }
 
@@ -208,6 +226,53 @@
     return ST_OK;
 }
 
+Status
+Route_PutTarget(Route *r, const TrafficTarget *from)
+{
+    uint32_t target;
+    uint32_t old_pool;
+    uint64_t key;
+
+    if (!target_valid(from)) {
+        return ST_INVALID;
+    }
+    key = Keymap_Key(from->name);
+    if (!Keymap_Get(r->names, key, &target)) {
+        target = row_new(r, from->name, key);
+        r->rows[target].pool = Route_Pool(r, from->pool);
+    }
+    count_row(r, &r->rows[target], false);
+    withdraw(r, target);
+    old_pool = r->rows[target].pool;
+    apply(r, target, from);
+    count_row(r, &r->rows[target], true);
+    ensure_long(r, target);
+    RouteRow_Relist(r, target);
+    settle_pool(r, old_pool);
+    settle_pool(r, r->rows[target].pool);
+    return ST_OK;
+}
+
+Status
+Route_DropTarget(Route *r, const char *name)
+{
+    uint32_t target;
+    uint32_t pool;
+
+    if (name == NULL || !Keymap_Get(r->names, Keymap_Key(name), &target) ||
+        !r->rows[target].listed) {
+        return ST_NOT_FOUND;
+    }
+    pool = r->rows[target].pool;
+    count_row(r, &r->rows[target], false);
+    withdraw(r, target);
+    if (r->rows[target].in_flight == 0) {
+        RouteRow_Drop(r, target);
+    }
+    settle_pool(r, pool);
+    return ST_OK;
+}
+
 uint32_t
 Route_DivideCredits(const char *target, uint32_t total, uint32_t rank,
                     uint32_t count, const bool *silent)
