--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -234,6 +234,42 @@
 }
 END_TEST
 
+/* Guards against a leader that commits an entry of an older term by counting
+ * copies: another leader could still replace it (figure 8 of the paper). */
+START_TEST(old_terms_commit_only_with_the_own_term)
+{
+    RaftMembers members = members_of(5, 0);
+    Raft *raft = new_raft(&members);
+
+    reply(RAFT_MSG_APPEND, 2, 1)->index = 5;
+    msg.log_term = 1;
+    msg.entry_count = 1;
+    msg.entries[0].index = 6;
+    msg.entries[0].term = 1;
+    ck_assert_int_eq(Raft_Step(raft, 100, &msg), ST_OK);
+    Raft_Tick(raft, 9000);
+    Raft_Step(raft, 9000, reply(RAFT_MSG_PREVOTE_REPLY, 2, 2));
+    Raft_Step(raft, 9000, reply(RAFT_MSG_PREVOTE_REPLY, 3, 2));
+    Raft_Step(raft, 9000, reply(RAFT_MSG_VOTE_REPLY, 2, 2));
+    Raft_Step(raft, 9000, reply(RAFT_MSG_VOTE_REPLY, 3, 2));
+    ck_assert_int_eq(Raft_Role(raft), RAFT_LEADER);
+    drain(raft, RAFT_MSG_APPEND);
+    reply(RAFT_MSG_APPEND_REPLY, 2, 2)->index = 6;
+    Raft_Step(raft, 9000, &msg);
+    reply(RAFT_MSG_APPEND_REPLY, 3, 2)->index = 6;
+    Raft_Step(raft, 9000, &msg);
+    reply(RAFT_MSG_APPEND_REPLY, 4, 2)->index = 6;
+    Raft_Step(raft, 9000, &msg);
+    ck_assert_uint_eq(Raft_CommitIndex(raft), 5);
+    reply(RAFT_MSG_APPEND_REPLY, 2, 2)->index = 7;
+    Raft_Step(raft, 9000, &msg);
+    reply(RAFT_MSG_APPEND_REPLY, 3, 2)->index = 7;
+    Raft_Step(raft, 9000, &msg);
+    ck_assert_uint_eq(Raft_CommitIndex(raft), 7);
+    Raft_Free(raft);
+}
+END_TEST
+
 /* Guards against a member change before the leader's first commit, two at a
  * time, by two voters at once, and acknowledgements by non-voters. */
 START_TEST(members_change_one_by_one)
@@ -670,6 +706,7 @@
     tcase_add_test(tcase, only_voters_elect);
     tcase_add_test(tcase, votes_follow_the_rules);
     tcase_add_loop_test(tcase, read_needs_a_round_of_its_own, 0, 2);
+    tcase_add_test(tcase, old_terms_commit_only_with_the_own_term);
     tcase_add_test(tcase, members_change_one_by_one);
     tcase_add_test(tcase, lost_member_change_is_undone);
     tcase_add_test(tcase, messages_in_flight_are_bounded);
--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -704,6 +704,96 @@
 }
 END_TEST
 
+/* Asks node 0 for its vote and returns whether it grants it. */
+static bool
+ask_vote(Cluster *cluster, uint64_t from)
+{
+    static RaftMsg ask;
+    static RaftMsg answer;
+    Node *node = &cluster->nodes[0];
+    Buf bytes = BUF_INIT;
+    Mail *mail;
+
+    ask.type = RAFT_MSG_VOTE;
+    ask.cluster = Replica_Cluster(node->replica);
+    ask.from = from;
+    ask.to = Replica_Identity(node->replica);
+    ask.term = 5;
+    ask.index = 10;
+    ask.log_term = 4;
+    RaftMsg_Encode(&ask, &bytes);
+    ck_assert_int_eq(Replica_Receive(node->replica, cluster->now, from,
+                                     bytes.data, bytes.len),
+                     ST_OK);
+    ck_assert_int_eq(Replica_Receive(node->replica, cluster->now, from + 1,
+                                     bytes.data, bytes.len),
+                     ST_STALE);
+    ck_assert_int_eq(Replica_Flush(node->replica, cluster->now), ST_OK);
+    ck_assert_uint_gt(cluster->mail_count, 0);
+    mail = &cluster->mail[cluster->mail_count - 1];
+    ck_assert_uint_eq(mail->to, from);
+    ck_assert_int_eq(RaftMsg_Decode(mail->bytes, mail->len, &answer, NULL),
+                     ST_OK);
+    ck_assert_int_eq(answer.type, RAFT_MSG_VOTE_REPLY);
+    Buf_Free(&bytes);
+    return !answer.reject;
+}
+
+/* Guards against a second vote in one term after a crash, and against a vote
+ * that leaves before it is durable. */
+START_TEST(vote_survives_a_crash)
+{
+    Cluster *cluster = new_cluster(4, 1, 1, true);
+    Node *node = &cluster->nodes[0];
+
+    cluster->calm = true;
+    ck_assert(ask_vote(cluster, 77));
+    crash_node(node, 0);
+    start_node(node, false);
+    ck_assert_uint_eq(Replica_Term(node->replica), 5);
+    ck_assert(!ask_vote(cluster, 88));
+    ck_assert(ask_vote(cluster, 77));
+    free_cluster(cluster);
+}
+END_TEST
+
+/* Guards against any message, answer or applied entry after a failed sync. */
+START_TEST(failed_sync_silences_a_replica)
+{
+    Cluster *cluster = new_cluster(5, 3, 3, false);
+    Node *leader;
+    const char *message = NULL;
+    uint64_t cookie;
+    uint64_t applied;
+    size_t sent;
+
+    cluster->calm = true;
+    settle(cluster, 5);
+    leader = leader_of(cluster);
+    cookie = cluster->cookies++;
+    cluster->outcome[cookie] = -1;
+    ck_assert_int_eq(Replica_Propose(leader->replica, cluster->now,
+                                     (const char *)&cookie, 8, cookie),
+                     ST_OK);
+    sent = cluster->sent_bytes[leader->slot];
+    applied = Replica_AppliedIndex(leader->replica);
+    MemStorage_FailSync(leader->disk, 0);
+    ck_assert_int_eq(Replica_Flush(leader->replica, cluster->now), ST_IO);
+    ck_assert_int_eq(cluster->outcome[cookie], (int)ST_AGAIN);
+    ck_assert_int_eq(Replica_Role(leader->replica), RAFT_FOLLOWER);
+    ck_assert_int_eq(Replica_Tick(leader->replica, cluster->now + 60000),
+                     ST_IO);
+    ck_assert_int_eq(Replica_Propose(leader->replica, cluster->now,
+                                     (const char *)&cookie, 8, cookie),
+                     ST_IO);
+    ck_assert_uint_eq(cluster->sent_bytes[leader->slot], sent);
+    ck_assert_uint_eq(Replica_AppliedIndex(leader->replica), applied);
+    ck_assert_int_eq(Replica_Failed(leader->replica, &message), ST_IO);
+    ck_assert_str_eq(message, "log: sync failed");
+    free_cluster(cluster);
+}
+END_TEST
+
 /* Guards against a snapshot of several chunks that never arrives, and against
  * a leader that stops serving while it sends one. */
 START_TEST(large_snapshot_reaches_a_new_node)
@@ -758,6 +848,8 @@
     TCase *tcase = tcase_create("cluster");
 
     tcase_add_test(tcase, only_init_starts_a_cluster);
+    tcase_add_test(tcase, vote_survives_a_crash);
+    tcase_add_test(tcase, failed_sync_silences_a_replica);
     tcase_add_test(tcase, large_snapshot_reaches_a_new_node);
     tcase_add_test(tcase, idle_cost_is_bounded);
     tcase_add_loop_test(tcase, survives_faults, 0, 200);
