--- a/src/traffic.c
+++ b/src/traffic.c
@@ -387,7 +387,15 @@
 void
 Traffic_GetStats(const Traffic *t, TrafficStats *stats)
 {
+    uint32_t i;
+
     *stats = t->stats;
+    for (i = 0; i < Route_PoolCount(t->route); i++) {
+        RoutePoolInfo info;
+        Route_GetPoolInfo(t->route, i, &info);
+        stats->slots += info.slots;
+        stats->slots_held += info.in_flight;
+    }
     stats->waiting =
         Table_Count(t->requests) - (t->stats.running - t->stopped);
 }
--- a/src/traffic.h
+++ b/src/traffic.h
@@ -112,8 +112,10 @@
     uint64_t replies[TRAFFIC_CANCELLED + 1]; /* by TrafficOutcome */
     uint64_t dropped_answers;
     uint64_t evictions;
-    uint32_t waiting; /* requests without a running attempt */
-    uint32_t running; /* attempts that hold a slot, stopped ones included */
+    uint32_t waiting;    /* requests without a running attempt */
+    uint32_t running;    /* attempts that hold a slot, stopped ones included */
+    uint32_t slots;      /* credited, of usable targets */
+    uint32_t slots_held; /* of these: attempts and intents */
 } TrafficStats;
 
 typedef struct Traffic Traffic;
--- a/tests/support_traffic_model.c
+++ b/tests/support_traffic_model.c
@@ -537,7 +537,16 @@
     tick(m);
     m->now_ms += TRAFFIC_STOPPED_HOLD_MS;
     tick(m);
+    for (i = 0; i < MODEL_TARGETS; i++) {
+        m->listed[i] = true;
+        m->targets[i].state = TRAFFIC_TARGET_OPEN;
+        m->targets[i].slots = 2;
+        m->targets[i].connections = 2;
+    }
+    publish(m);
     Traffic_GetStats(m->t, &stats);
+    require(m, stats.slots == 2 * MODEL_TARGETS, "all slots are known");
+    require(m, stats.slots_held == 0, "all slots are free again");
     require(m, stats.running == 0, "no slot stays taken");
     require(m, stats.waiting == 0, "no request stays behind");
 }
