--- a/fuzz/fuzz_once.c
+++ b/fuzz/fuzz_once.c
@@ -3,9 +3,7 @@
 #include <stdlib.h>
 
 #include "once.h"
-
-/* Fuzz targets are built from one file. */
-#include "support_once.c"
+#include "support_once.h"
 
 static void
 read_damaged(const char *bytes, size_t len)
