Let a restarted voter commit what its log holds

Cause: a voter that restarts while nothing is proposed stays at commit index 0. The leader regards it as matched up to the end and sends no append message, and the follower takes a commit index from heartbeats only for entries that an append message of this term has matched. In the demo, an entry VM killed and restarted after the move was not ready within 20 s; status showed applied 0 with the log opened at index 22. Ruled out: the log file (opened whole), the links (up, with traffic). Change: a heartbeat reply carries the matched index; when it is below the commit index and nothing is in flight, the leader sends an append message that matches the log again.

--- a/src/raft_follow.c
+++ b/src/raft_follow.c
@@ -145,6 +145,7 @@
     }
     reply = RaftCore_Message(raft, RAFT_MSG_HEARTBEAT_REPLY, msg->from);
     reply->context = msg->context;
+    reply->index = raft->verified;
     RaftCore_Send(raft, reply);
 }
 
--- a/src/raft_lead.c
+++ b/src/raft_lead.c
@@ -371,6 +371,11 @@
         }
         send_append(raft, peer, true);
     }
+    /* A voter that restarted has its entries on disk, and does not commit them
+     * before an append message of this term has matched them. */
+    else if (peer->mode == RAFT_STREAM && msg->index < raft->commit) {
+        send_append(raft, peer, true);
+    }
 }
 
 void
--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -337,6 +337,41 @@
 }
 END_TEST
 
+/* Guards against a voter that restarts while nothing is proposed and then
+ * never learns that the entries of its log are committed. */
+START_TEST(restarted_voter_is_matched_again)
+{
+    RaftMembers members = members_of(3, 0);
+    int64_t now;
+    Raft *raft = new_leader(&members, &now);
+
+    reply(RAFT_MSG_APPEND_REPLY, 2, 2)->index = 6;
+    Raft_Step(raft, now, &msg);
+    drain(raft, RAFT_MSG_APPEND);
+    ck_assert_uint_eq(Raft_CommitIndex(raft), 6);
+    reply(RAFT_MSG_HEARTBEAT_REPLY, 2, 2)->index = 6;
+    Raft_Step(raft, now, &msg);
+    ck_assert_uint_eq(drain(raft, RAFT_MSG_APPEND), 0);
+    reply(RAFT_MSG_HEARTBEAT_REPLY, 2, 2)->index = 5;
+    Raft_Step(raft, now, &msg);
+    ck_assert_uint_eq(drain(raft, RAFT_MSG_APPEND), 1);
+    ck_assert_uint_eq(msg.to, 2);
+    ck_assert_uint_eq(msg.index, 6);
+    ck_assert_uint_eq(msg.entry_count, 0);
+    ck_assert_uint_eq(msg.commit, 6);
+    Raft_Free(raft);
+
+    /* The follower's side: it reports what it has matched, and an empty
+     * append message is enough to commit. */
+    raft = new_raft(&members);
+    reply(RAFT_MSG_HEARTBEAT, 2, 2)->commit = 5;
+    Raft_Step(raft, now, &msg);
+    ck_assert_uint_eq(drain(raft, RAFT_MSG_HEARTBEAT_REPLY), 1);
+    ck_assert_uint_eq(msg.index, 5);
+    Raft_Free(raft);
+}
+END_TEST
+
 /* Guards against a snapshot transfer that skips, repeats or mixes chunks. */
 START_TEST(snapshot_travels_in_chunks)
 {
@@ -566,6 +601,7 @@
     tcase_add_test(tcase, members_change_one_by_one);
     tcase_add_test(tcase, lost_member_change_is_undone);
     tcase_add_test(tcase, messages_in_flight_are_bounded);
+    tcase_add_test(tcase, restarted_voter_is_matched_again);
     tcase_add_test(tcase, snapshot_travels_in_chunks);
     tcase_add_test(tcase, foreign_messages_are_refused);
     tcase_add_loop_test(tcase, plan_takes_the_right_step, 0,
