Make the life time of a token an option

The setting token_ttl_s had no counterpart in the core, which used 600 s always. Once_RetentionMs gives the retention that belongs to a life time, for the log files as well.

--- a/src/once.c
+++ b/src/once.c
@@ -9,10 +9,17 @@
     char home[ONCE_HOME_BYTES];
     OnceOptions options;
     int64_t now;
+    int64_t retention_ms;
     uint64_t next_number;
     OnceRows rows;
 };
 
+int64_t
+Once_RetentionMs(int64_t ttl_ms)
+{
+    return ttl_ms + (ONCE_RETENTION_MS - ONCE_TTL_MS);
+}
+
 Once *
 Once_New(const OnceOptions *options)
 {
@@ -20,7 +27,7 @@
     Once *once;
 
     if (!OnceToken_ValidHome(options->home) ||
-        max_rows < options->max_tokens) {
+        max_rows < options->max_tokens || options->ttl_ms <= 0) {
         return NULL;
     }
     once = calloc(1, sizeof(*once));
@@ -33,6 +40,7 @@
     if (once->options.max_answer_bytes > ONCE_RECORD_MAX_BYTES / 2) {
         once->options.max_answer_bytes = ONCE_RECORD_MAX_BYTES / 2;
     }
+    once->retention_ms = Once_RetentionMs(options->ttl_ms);
     once->next_number = 1;
     if (!OnceRows_Init(&once->rows, max_rows, once->options.max_answer_bytes,
                        once->options.max_answers_bytes)) {
@@ -102,7 +110,7 @@
         token.number = once->next_number++;
         OnceToken_Format(&token, out[i]);
         if (Handle_IsNone(OnceRows_Add(&once->rows, out[i], ONCE_LIST_OWN,
-                                       once->now + ONCE_RETENTION_MS))) {
+                                       once->now + once->retention_ms))) {
             return ST_NO_MEMORY;
         }
     }
@@ -175,7 +183,7 @@
         view->ask_peers = true;
         return ONCE_UNKNOWN;
     }
-    expired = parsed.issued <= once->now - ONCE_TTL_MS;
+    expired = parsed.issued <= once->now - once->options.ttl_ms;
     if (row == NULL || expired) {
         return expired ? ONCE_EXPIRED : ONCE_BAD;
     }
@@ -344,7 +352,7 @@
             return ST_FULL;
         }
         handle = OnceRows_Add(&once->rows, record->text, ONCE_LIST_HELD,
-                              once->now + ONCE_RETENTION_MS);
+                              once->now + once->retention_ms);
         row = OnceRows_At(&once->rows, handle);
         if (row == NULL) {
             return ST_NO_MEMORY;
@@ -364,7 +372,7 @@
         OnceRows_KeepAnswer(&once->rows, handle, record->answer, record->len);
         OnceRows_Unlink(&once->rows, row);
         OnceRows_Link(&once->rows, handle, ONCE_LIST_HELD,
-                      once->now + ONCE_RETENTION_MS);
+                      once->now + once->retention_ms);
     }
     return ST_OK;
 }
--- a/src/once.h
+++ b/src/once.h
@@ -45,11 +45,11 @@
 #include "buf.h"
 #include "status.h"
 
-#define ONCE_HOME_BYTES 64   /* with the terminator */
-#define ONCE_TOKEN_BYTES 160 /* with the terminator */
-#define ONCE_MAX_ISSUE 1024  /* tokens in one call */
-#define ONCE_TTL_MS 600000
-#define ONCE_RETENTION_MS 660000
+#define ONCE_HOME_BYTES 64       /* with the terminator */
+#define ONCE_TOKEN_BYTES 160     /* with the terminator */
+#define ONCE_MAX_ISSUE 1024      /* tokens in one call */
+#define ONCE_TTL_MS 600000       /* default */
+#define ONCE_RETENTION_MS 660000 /* Once_RetentionMs of the default */
 #define ONCE_LATE_GRACE_MS 60000 /* kept after an outcome past retention */
 
 typedef struct Once Once;
@@ -57,6 +57,7 @@
 typedef struct OnceOptions {
     const char *home;         /* name of this entry VM; no '~' */
     uint64_t incarnation;     /* differs at every start */
+    int64_t ttl_ms;           /* from issue; the same on all entry VMs */
     uint32_t max_tokens;      /* own tokens not yet dropped */
     uint32_t max_held;        /* records of other homes, and recovered ones */
     size_t max_answer_bytes;  /* a longer answer is not kept */
@@ -65,7 +66,8 @@
 
 /* At most about 50 MB: 112 bytes a row, 8 a bucket, and the answers. */
 #define ONCE_OPTIONS_DEFAULT                                                  \
-    ((OnceOptions){.max_tokens = 131072,                                      \
+    ((OnceOptions){.ttl_ms = ONCE_TTL_MS,                                     \
+                   .max_tokens = 131072,                                      \
                    .max_held = 131072,                                        \
                    .max_answer_bytes = 65536,                                 \
                    .max_answers_bytes = 16777216})
@@ -100,11 +102,16 @@
                      * and begin again */
 } OnceView;
 
-/* Returns NULL when memory is exhausted or the home's name is empty, too long
- * or contains '~', control characters or spaces. */
+/* Returns NULL when memory is exhausted, ttl_ms is not above 0, or the home's
+ * name is empty, too long or contains '~', control characters or spaces. */
 Once *Once_New(const OnceOptions *options);
 void Once_Free(Once *once);
 
+/* Returns how long records are kept for tokens with this life time: longer by
+ * ONCE_RETENTION_MS - ONCE_TTL_MS, which covers the resends and peers that are
+ * under way when the token expires. */
+int64_t Once_RetentionMs(int64_t ttl_ms);
+
 /* Drops what is past its retention. The other calls do the same; call it from
  * a timer so that an idle process gives memory back. */
 void Once_Tick(Once *once, int64_t now);
@@ -180,7 +187,7 @@
  * ST_OK, also for a tail cut off within a record: truncate the file to
  * out->valid. Returns ST_CORRUPT with the offset in the message for a bad
  * record inside; what precedes it is kept, and the rest becomes "unknown".
- * A file may be deleted ONCE_RETENTION_MS after the last append to it. */
+ * A file may be deleted Once_RetentionMs after the last append to it. */
 Status Once_Recover(Once *once, int64_t now, const char *bytes, size_t len,
                     OnceRecovery *out, ErrCtx *err);
 
--- a/src/once_rows.h
+++ b/src/once_rows.h
@@ -24,11 +24,11 @@
 
 /* Rows of one list were added in the order of their drop time. */
 typedef enum OnceRowList {
-    ONCE_LIST_OWN,  /* own tokens, dropped ONCE_RETENTION_MS after issue */
+    ONCE_LIST_OWN,  /* own tokens, dropped a retention time after issue */
     ONCE_LIST_LATE, /* outcomes that came after that time */
     ONCE_LIST_HELD, /* records of other homes, and recovered ones */
     ONCE_LIST_COUNT,
-    ONCE_LIST_NONE /* own tokens that still run after ONCE_RETENTION_MS */
+    ONCE_LIST_NONE /* own tokens that still run after that time */
 } OnceRowList;
 
 typedef struct OnceRow {
--- a/tests/test_once.c
+++ b/tests/test_once.c
@@ -272,6 +272,39 @@
 }
 END_TEST
 
+/* Guards against a life time that is set but not used. */
+START_TEST(life_time_is_an_option)
+{
+    static const struct {
+        int64_t ttl_ms;
+        int64_t at;
+        OnceVerdict verdict;
+        uint32_t tokens;
+    } cases[] = {
+        {1000, 999, ONCE_FRESH, 1},
+        {1000, 1000, ONCE_EXPIRED, 1},
+        {1000, 61000, ONCE_EXPIRED, 0},
+        {86400000, 86399999, ONCE_FRESH, 1},
+    };
+    OnceOptions options = ONCE_OPTIONS_DEFAULT;
+    size_t i;
+
+    options.home = "entry-1";
+    for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        char token[ONCE_TOKEN_BYTES];
+        Once *once;
+        options.ttl_ms = cases[i].ttl_ms;
+        once = Once_New(&options);
+        issue(once, 0, token);
+        ck_assert_int_eq(begin(once, cases[i].at, token), cases[i].verdict);
+        ck_assert_uint_eq(Once_Counts(once).tokens, cases[i].tokens);
+        Once_Free(once);
+    }
+    options.ttl_ms = 0;
+    ck_assert_ptr_null(Once_New(&options));
+}
+END_TEST
+
 /* Guards against losing the outcome of work that ran past the retention. */
 START_TEST(late_outcome_is_kept_for_the_grace)
 {
@@ -567,6 +600,7 @@
     tcase_add_test(tcase, not_run_is_final);
     tcase_add_test(tcase, token_is_bound_to_its_first_request);
     tcase_add_test(tcase, expiry_and_retention);
+    tcase_add_test(tcase, life_time_is_an_option);
     tcase_add_test(tcase, late_outcome_is_kept_for_the_grace);
     tcase_add_test(tcase, memory_is_bounded);
     tcase_add_test(tcase, second_entry_vm_holds_outcome);
