Serve pools without a local VM elsewhere; stop tasks of ended requests

A request for a pool that has no VM in this data centre was refused. The view now lists the entry VMs of data centres that have some as targets of last resort; a request is passed on at most once, and an unrepeatable one carries a mark that allows a single attempt, since its home holds the record.

--- a/src/control.c
+++ b/src/control.c
@@ -68,6 +68,7 @@
         state->version_ms = Loop_NowMs();
     }
     state->leader = items[3].via.u64;
+    control->view_dirty |= state->ready != (items[4].via.u64 != 0);
     state->ready = items[4].via.u64 != 0;
 }
 
--- a/src/control_targets.c
+++ b/src/control_targets.c
@@ -10,6 +10,9 @@
 #include "route.h"
 
 #define CONTROL_VIEW_MS 50
+#define CONTROL_MAX_REMOTES 1024
+/* Requests in flight to one entry VM of another data centre and pool. */
+#define CONTROL_REMOTE_SLOTS 64
 /* A target without a word for this long is forgotten; its VM stays in the
  * replicated state. */
 #define CONTROL_FORGET_MS 600000
@@ -376,6 +379,81 @@
     return target->suspect ? TRAFFIC_TARGET_SUSPECT : TRAFFIC_TARGET_OPEN;
 }
 
+/* Returns the port of the platform interface if the host is the same. */
+static int
+platform_port(const ControlTarget *target)
+{
+    return strcmp(target->platform.host, target->address.host) == 0
+               ? target->platform.port
+               : 0;
+}
+
+/* Returns whether the view has a target of a pool. */
+static bool
+has_target(const GatewayView *view, const char *pool)
+{
+    size_t i;
+
+    for (i = 0; i < view->target_count; i++) {
+        if (strcmp(view->targets[i].pool, pool) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Returns whether a data centre has VMs of a pool. */
+static bool
+has_vms(const StatePool *pool, const char *data_centre)
+{
+    size_t i;
+
+    for (i = 0; i < pool->share_count; i++) {
+        if (strcmp(pool->shares[i].data_centre, data_centre) == 0) {
+            return pool->shares[i].vms > 0;
+        }
+    }
+    return false;
+}
+
+/* For each pool without a VM here, adds the entry VMs of the data centres that
+ * have some, so that its work runs there. */
+static void
+add_remotes(const Control *control, GatewayView *view)
+{
+    const Settings *settings = control->settings;
+    size_t own = view->target_count;
+    size_t i;
+    size_t j;
+
+    for (i = 0; i < State_PoolCount(control->state); i++) {
+        const StatePool *pool = State_PoolAt(control->state, i);
+        if (has_target(view, pool->name)) {
+            continue;
+        }
+        for (j = 0; j < settings->peer_count; j++) {
+            const SettingsPeer *peer = &settings->peers[j];
+            TrafficTarget *out = &view->targets[view->target_count];
+            if (!Peers_IsUp(control->peers, j) ||
+                !control->peer_states[j].ready ||
+                !has_vms(pool, peer->data_centre) ||
+                view->target_count - own == CONTROL_MAX_REMOTES) {
+                continue;
+            }
+            out->name = apr_psprintf(view->pool, "%.30s/%.30s", peer->name,
+                                     pool->name);
+            out->pool = apr_pstrdup(view->pool, pool->name);
+            out->data_centre = apr_pstrdup(view->pool, peer->data_centre);
+            out->rack = "";
+            out->state = TRAFFIC_TARGET_OPEN;
+            out->slots = CONTROL_REMOTE_SLOTS;
+            out->connections = CONTROL_REMOTE_SLOTS;
+            out->cookie = Gateway_PackRemote(&peer->traffic);
+            view->target_count++;
+        }
+    }
+}
+
 static void
 add_targets(const Control *control, GatewayView *view)
 {
@@ -384,9 +462,9 @@
 
     memset(&ranks, 0, sizeof(ranks));
     find_ranks(control, &ranks);
-    view->targets =
-        apr_pcalloc(view->pool, (StrMap_Count(control->targets) + 1) *
-                                    sizeof(*view->targets));
+    view->targets = apr_pcalloc(view->pool, (StrMap_Count(control->targets) +
+                                             CONTROL_MAX_REMOTES + 1) *
+                                                sizeof(*view->targets));
     for (i = 0; i < StrMap_Count(control->targets); i++) {
         const ControlTarget *target = StrMap_At(control->targets, i);
         const StateVm *vm = State_Vm(control->state, target->name);
@@ -407,7 +485,8 @@
         out->connections =
             Route_DivideCredits(target->name, target->connections, ranks.rank,
                                 ranks.count, ranks.silent);
-        out->cookie = Gateway_PackAddress(&target->address);
+        out->cookie =
+            Gateway_PackTarget(&target->address, platform_port(target));
         view->target_count++;
     }
 }
@@ -458,6 +537,7 @@
     view->pool = pool;
     add_services(control, view);
     add_targets(control, view);
+    add_remotes(control, view);
     view->sequence = ++control->view_sequence;
     control->view_dirty = false;
     control->view_ms = now;
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -38,15 +38,22 @@
 }
 
 uint64_t
-Gateway_PackAddress(const SettingsAddress *address)
+Gateway_PackTarget(const SettingsAddress *address, int platform_port)
 {
     struct in_addr binary = {0};
 
     inet_pton(AF_INET, address->host, &binary);
-    return (uint64_t)ntohl(binary.s_addr) << 16 |
+    return (uint64_t)platform_port << 48 |
+           (uint64_t)ntohl(binary.s_addr) << 16 |
            ((uint64_t)address->port & 0xffff);
 }
 
+uint64_t
+Gateway_PackRemote(const SettingsAddress *address)
+{
+    return Gateway_PackTarget(address, GATEWAY_REMOTE_MARK);
+}
+
 Gateway *
 Gateway_New(const GatewayOptions *options, ErrCtx *err)
 {
@@ -69,6 +76,7 @@
     traffic.unable_targets = (uint32_t)settings->unable_targets;
     once.home = settings->name;
     once.incarnation = options->incarnation;
+    once.ttl_ms = settings->token_ttl_s * 1000;
     apr_pool_create(&gateway->pool, NULL);
     apr_thread_mutex_create(&gateway->mutex, APR_THREAD_MUTEX_DEFAULT,
                             gateway->pool);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -38,7 +38,7 @@
     size_t service_count;
     TrafficTeam *teams;
     size_t team_count;
-    TrafficTarget *targets; /* cookie: Gateway_PackAddress */
+    TrafficTarget *targets; /* cookie: Gateway_PackTarget or _PackRemote */
     size_t target_count;
     apr_pool_t *pool;  /* storage of all of this */
     uint64_t sequence; /* told to GatewayHooks.view_applied */
@@ -111,6 +111,12 @@
 void Gateway_StopThreads(Gateway *gateway);
 void Gateway_Free(Gateway *gateway);
 
-uint64_t Gateway_PackAddress(const SettingsAddress *address);
+/* Packs the address of a target into a cookie, with the port of its platform
+ * interface on the same host; 0 for none. */
+uint64_t Gateway_PackTarget(const SettingsAddress *address, int platform_port);
+
+/* Packs the address of an entry VM in another data centre, which serves work
+ * of pools that have no VM in this one. */
+uint64_t Gateway_PackRemote(const SettingsAddress *address);
 
 #endif
--- a/src/gateway_call.c
+++ b/src/gateway_call.c
@@ -14,10 +14,14 @@
 /* An attempt whose request ended is followed this long for its outcome. */
 #define GATEWAY_CALL_EXTRA_MS 30000
 #define GATEWAY_NUMBER_BYTES 24
+#define GATEWAY_PATH_BYTES 512
+#define GATEWAY_TASK_TIMEOUT_MS 1000
+#define GATEWAY_TASK_ANSWER_BYTES 4096
 
 /* One attempt of a request on one target. */
 typedef struct GwCall {
     GwRequest *request;
+    bool remote; /* the target is an entry VM of another data centre */
     Handle attempt;
     uint32_t once_attempt;
     int64_t started_us;
@@ -69,6 +73,16 @@
            strcmp(attempt, call->attempt_text) == 0;
 }
 
+/* The answer of an entry VM, which checked the echoes of its target. */
+static TrafficResultKind
+classify_remote(const HttpCallResult *result)
+{
+    if (result->http_status == 200) {
+        return TRAFFIC_OK;
+    }
+    return result->http_status == 422 ? TRAFFIC_FAILED : TRAFFIC_LOST;
+}
+
 static TrafficResultKind
 classify(const GwCall *call, const HttpCallResult *result)
 {
@@ -90,6 +104,9 @@
         strcmp(outcome, "not-run") == 0) {
         return TRAFFIC_REFUSED;
     }
+    if (call->remote) {
+        return classify_remote(result);
+    }
     if (!echoes_match(call, result)) {
         return TRAFFIC_LOST;
     }
@@ -147,36 +164,72 @@
     options->headers[options->header_count++] = (HttpHeader){name, value};
 }
 
+static SettingsAddress
+unpack_address(uint64_t cookie)
+{
+    struct in_addr binary = {htonl((uint32_t)(cookie >> 16))};
+    SettingsAddress address = {.port = (int)(cookie & 0xffff)};
+
+    inet_ntop(AF_INET, &binary, address.host, sizeof(address.host));
+    return address;
+}
+
+static bool
+is_unrepeatable(const GwRequest *request)
+{
+    return request->token[0] != '\0' || request->single_attempt;
+}
+
+static void
+add_remote_headers(const GwThread *self, HttpCallOptions *options,
+                   const GwRequest *request)
+{
+    add_header(options, GATEWAY_FORWARD_HEADER,
+               self->gateway->options.settings->name);
+    add_header(options, "Coltsfoot-Team", request->team);
+    add_header(options, "Coltsfoot-Kind", request->kind);
+    add_header(options, "Coltsfoot-Class", request->class);
+    if (is_unrepeatable(request)) {
+        add_header(options, GATEWAY_SINGLE_HEADER, "1");
+    }
+}
+
 static bool
-start_call(GwThread *self, GwCall *call, uint64_t address)
+start_call(GwThread *self, GwCall *call, uint64_t cookie)
 {
     GwRequest *request = call->request;
     HttpCallOptions options = {.method = "POST", .path = "/run"};
-    struct in_addr binary = {htonl((uint32_t)(address >> 16))};
+    char path[GATEWAY_PATH_BYTES];
     char deadline[GATEWAY_NUMBER_BYTES];
     int64_t left = request->deadline_ms - Loop_NowMs();
 
-    inet_ntop(AF_INET, &binary, options.address.host,
-              sizeof(options.address.host));
-    options.address.port = (int)(address & 0xffff);
+    options.address = unpack_address(cookie);
+    call->remote = cookie >> 48 == GATEWAY_REMOTE_MARK;
+    if (call->remote) {
+        snprintf(path, sizeof(path), "/v1/services/%s/requests",
+                 request->service);
+        options.path = path;
+        add_remote_headers(self, &options, request);
+    }
     snprintf(deadline, sizeof(deadline), "%" PRId64, left > 0 ? left : 1);
     add_header(&options, "Coltsfoot-Service", request->service);
     add_header(&options, "Coltsfoot-Caller", request->caller);
     add_header(&options, "Coltsfoot-Request-Id", request->id);
     add_header(&options, "Coltsfoot-Attempt", call->attempt_text);
     add_header(&options, "Coltsfoot-Deadline-Ms", deadline);
-    if (request->token[0] != '\0') {
+    if (is_unrepeatable(request)) {
         add_header(&options, "Coltsfoot-Unrepeatable", "1");
     }
     options.body = request->body.data != NULL ? request->body.data : "";
     options.body_len = request->body.len;
     /* An unrepeatable request is followed beyond its deadline, since a late
      * answer still settles its outcome. */
-    options.timeout_ms = left + GATEWAY_CALL_SLACK_MS +
-                         (request->token[0] ? GATEWAY_CALL_EXTRA_MS : 0);
+    options.timeout_ms =
+        left + GATEWAY_CALL_SLACK_MS +
+        (is_unrepeatable(request) ? GATEWAY_CALL_EXTRA_MS : 0);
     options.max_answer_bytes =
         (size_t)self->gateway->options.settings->max_body_bytes;
-    options.fresh_connection = request->token[0] != '\0';
+    options.fresh_connection = is_unrepeatable(request);
     return HttpClient_Start(self->client, &options, on_answer, call) != NULL;
 }
 
@@ -221,7 +274,9 @@
     GwCall *call;
     uint32_t once_attempt;
 
-    if (!permit_once(self->gateway, request, &once_attempt)) {
+    if ((request->forwarded &&
+         action->target_cookie >> 48 == GATEWAY_REMOTE_MARK) ||
+        !permit_once(self->gateway, request, &once_attempt)) {
         report_unsent(self, action->attempt, request, 0, batch);
         return;
     }
@@ -254,6 +309,10 @@
     Buf record = BUF_INIT;
     Status status;
 
+    if (request->single_attempt) {
+        Gateway_IntentRecorded(gateway, Handle_Pack(request->self), true);
+        return;
+    }
     Gw_Lock(gateway);
     status = Once_EncodeRecord(gateway->once, request->token, &record);
     Gw_Unlock(gateway);
@@ -340,6 +399,46 @@
     release_request(request);
 }
 
+/* Returns whether an id can stand in a path as it is. */
+static bool
+is_path_safe(const char *id)
+{
+    return strspn(id, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+                      "0123456789-_.") == strlen(id);
+}
+
+static void
+on_task(void *arg, const HttpCallResult *result)
+{
+    (void)arg;
+    (void)result;
+}
+
+/* Asks the platform to stop or throttle a task. The task goes on when the
+ * platform cannot be reached; its answer frees the slot. */
+static void
+ask_task(GwThread *self, const GwRequest *request, uint64_t cookie,
+         const char *operation)
+{
+    HttpCallOptions options = {.method = "POST",
+                               .address = unpack_address(cookie),
+                               .body = "",
+                               .timeout_ms = GATEWAY_TASK_TIMEOUT_MS,
+                               .max_answer_bytes = GATEWAY_TASK_ANSWER_BYTES};
+    char path[GATEWAY_PATH_BYTES];
+    uint64_t port = cookie >> 48;
+
+    if (port == 0 || port == GATEWAY_REMOTE_MARK ||
+        !is_path_safe(request->id)) {
+        return;
+    }
+    options.address.port = (int)port;
+    snprintf(path, sizeof(path), "/platform/tasks/%s/%s", request->id,
+             operation);
+    options.path = path;
+    HttpClient_Start(self->client, &options, on_task, NULL);
+}
+
 static void
 perform(GwThread *self, const TrafficAction *action, GwBatch *batch)
 {
@@ -359,9 +458,10 @@
         reply(self, request, action);
         break;
     case TRAFFIC_STOP:
+        ask_task(self, request, action->target_cookie, "stop");
+        break;
     case TRAFFIC_THROTTLE:
-        /* The platform interface of a target is called by name of task;
-         * the attempt goes on when it cannot be reached. */
+        ask_task(self, request, action->target_cookie, "throttle");
         break;
     }
 }
--- a/src/gateway_http.c
+++ b/src/gateway_http.c
@@ -10,7 +10,6 @@
 #define GATEWAY_PATH_BYTES 512
 #define GATEWAY_RETRY_RUNNING_MS 200
 #define GATEWAY_RETRY_HOME_MS 1000
-#define GATEWAY_FORWARD_HEADER "Coltsfoot-Forwarded"
 
 /* A request that is passed on to the home of its token. */
 typedef struct GwForward {
@@ -159,6 +158,17 @@
     request->waited_us = -1;
     request->deadline_ms = Loop_NowMs() + deadline_ms;
     snprintf(request->service, sizeof(request->service), "%s", service);
+    snprintf(request->team, sizeof(request->team), "%s",
+             header_or(http, "Coltsfoot-Team", ""));
+    snprintf(request->kind, sizeof(request->kind), "%s",
+             header_or(http, "Coltsfoot-Kind", ""));
+    snprintf(request->class, sizeof(request->class), "%s",
+             header_or(http, "Coltsfoot-Class", ""));
+    request->forwarded =
+        HttpRequest_Header(http, GATEWAY_FORWARD_HEADER) != NULL;
+    request->single_attempt =
+        request->forwarded &&
+        HttpRequest_Header(http, GATEWAY_SINGLE_HEADER) != NULL;
     snprintf(request->caller, sizeof(request->caller), "%s",
              HttpRequest_Header(http, "Coltsfoot-Caller"));
     snprintf(request->id, sizeof(request->id), "%s",
@@ -177,16 +187,16 @@
 
 /* Adds the request to the tables. Call with the lock held. */
 static Status
-admit_locked(Gateway *gateway, GwRequest *request, TrafficClass class,
-             const char *team, const char *kind)
+admit_locked(Gateway *gateway, GwRequest *request, TrafficClass class)
 {
     TrafficRequest submit = {.service = request->service,
                              .caller = request->caller,
-                             .team = team,
-                             .kind = kind,
+                             .team = request->team,
+                             .kind = request->kind,
                              .class = class,
                              .deadline_ms = request->deadline_ms,
-                             .unrepeatable = request->token[0] != '\0'};
+                             .unrepeatable = request->token[0] != '\0' ||
+                                             request->single_attempt};
     GwRequest **row;
     Status status;
 
@@ -231,14 +241,12 @@
 {
     Gateway *gateway = self->gateway;
     HttpRequest *http = request->http;
-    const char *team = header_or(http, "Coltsfoot-Team", "");
-    const char *kind = header_or(http, "Coltsfoot-Kind", "");
     GwBatch batch = {0};
     Status status;
 
     HttpRequest_TakeBody(http, &request->body);
     Gw_Lock(gateway);
-    status = admit_locked(gateway, request, class, team, kind);
+    status = admit_locked(gateway, request, class);
     Gw_Drain(self, &batch);
     Gw_Unlock(gateway);
     if (status != ST_OK) {
@@ -452,8 +460,6 @@
 {
     Gateway *gateway = self->gateway;
     const char *token = HttpRequest_Header(request->http, "Coltsfoot-Token");
-    bool forwarded =
-        HttpRequest_Header(request->http, GATEWAY_FORWARD_HEADER) != NULL;
     const SettingsPeer *home = NULL;
     OnceView view = {0};
     OnceVerdict verdict;
@@ -475,7 +481,7 @@
         reply_verdict(request, verdict, &view);
     }
     Gw_Unlock(gateway);
-    if (verdict == ONCE_FORWARD && home != NULL && !forwarded) {
+    if (verdict == ONCE_FORWARD && home != NULL && !request->forwarded) {
         forward_home(self, request, home);
     }
     else if (verdict == ONCE_FORWARD) {
@@ -514,7 +520,7 @@
     }
     request = new_request(self, http, service, deadline_ms);
     if (strcmp(header_or(http, "Coltsfoot-Unrepeatable", "0"), "1") == 0 &&
-        !begin_once(self, request)) {
+        !request->single_attempt && !begin_once(self, request)) {
         return;
     }
     submit(self, request, class);
--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -20,6 +20,10 @@
 #define GATEWAY_ID_BYTES 128
 #define GATEWAY_MAX_REQUESTS 262144
 #define GATEWAY_PART "traffic"
+#define GATEWAY_FORWARD_HEADER "Coltsfoot-Forwarded"
+#define GATEWAY_SINGLE_HEADER "Coltsfoot-Single-Attempt"
+/* In place of a platform port: the cookie names an entry VM elsewhere. */
+#define GATEWAY_REMOTE_MARK 0xffff
 
 typedef struct GwThread {
     Gateway *gateway;
@@ -41,7 +45,14 @@
     char service[TRAFFIC_NAME_BYTES];
     char caller[GATEWAY_ID_BYTES];
     char id[GATEWAY_ID_BYTES];
+    char team[TRAFFIC_NAME_BYTES];
+    char kind[TRAFFIC_NAME_BYTES];
+    char class[TRAFFIC_NAME_BYTES];
     char token[ONCE_TOKEN_BYTES]; /* empty for repeatable requests */
+    /* Sent by the home of a token, which has recorded the intent: one attempt
+     * that may run, and no record here. */
+    bool single_attempt;
+    bool forwarded; /* by another entry VM; not passed on again */
     Buf body;
     int64_t deadline_ms;
     int64_t received_us;
