--- a/tests/support_proc.sh
+++ b/tests/support_proc.sh
@@ -234,3 +234,65 @@
 pool_has() {
     [ "$(count_vms "$1")" -ge "$2" ]
 }
+
+# Starts three entry VMs in two data centres and the service booking with four
+# targets in the north and three in the south.
+standard_cluster() {
+    choose_base 60
+    cluster north-1:north north-2:north south-1:south
+    init_cluster north-1
+    start_entries
+    patch --request-id setup --set services/booking/pool=booking \
+        --set pools/booking/max_unavailable=2 >/dev/null
+    start_targets north-book booking north $((BASE + 20)) 4 --run-from-body
+    start_targets south-book booking south $((BASE + 28)) 3 --run-from-body
+    wait_for "registration of 7 VMs" pool_has booking 7
+    local name
+    for name in "${ENTRIES[@]}"; do
+        wait_for "answers of $name" serves "$name"
+    done
+    VERIFY=(--verify "127.0.0.1:$((BASE + 20))"
+        --verify "127.0.0.1:$((BASE + 28))")
+}
+
+serves() {
+    "$BUILD/standin-caller" --to "${TRAFFIC[$1]}" --service booking \
+        --requests 4 | grep -q '"done":4'
+}
+
+# start_load NAME [OPTIONS...]: checked load on all entry VMs.
+start_load() {
+    local name=$1
+    shift
+    # shellcheck disable=SC2046
+    "$BUILD/standin-caller" --service booking $(traffic_options) "$@" \
+        >"$WORK/$name.out" 2>"$WORK/$name.log" &
+    PID[$name]=$!
+}
+
+traffic_options() {
+    local name
+    for name in "${ENTRIES[@]}"; do
+        printf -- '--to %s ' "${TRAFFIC[$name]}"
+    done
+}
+
+# Waits for a load, prints its counts and fails on a wrong answer.
+end_load() {
+    local status=0
+    wait "${PID[$1]}" || status=$?
+    unset "PID[$1]"
+    echo "$1: $(cat "$WORK/$1.out")"
+    [ $status -eq 0 ] || fail "$1 ended with status $status"
+}
+
+# expect LOAD KEY OPERATOR NUMBER: checks one count of a load.
+expect() {
+    local value
+    value=$(number "$2" <"$WORK/$1.out")
+    [ "$value" "$3" "$4" ] || fail "$1: $2 is $value, expected $3 $4"
+}
+
+entry_number() {
+    "$BUILD/coltsfoot" status --json --to "${CONTROL[$1]}" | number "$2"
+}
