--- a/src/gateway.c
+++ b/src/gateway.c
@@ -250,9 +250,11 @@
     row = Table_Get(gateway->requests, Handle_Unpack(posted->cookie));
     if (row != NULL) {
         int64_t now = Loop_NowMs();
-        bool ok =
-            posted->ok && Once_IntentRecorded(gateway->once, now,
-                                              (*row)->token, true) == ST_OK;
+        const char *token = (*row)->token;
+        /* Without a token the record is with the home that passed it on. */
+        bool ok = posted->ok && (token[0] == '\0' ||
+                                 Once_IntentRecorded(gateway->once, now, token,
+                                                     true) == ST_OK);
         Traffic_IntentRecorded(gateway->traffic, now, (*row)->traffic, ok);
     }
     Gw_Drain(self, &batch);
