--- a/src/route.c
+++ b/src/route.c
@@ -18,6 +18,8 @@
  */
 #define PROBE_ANY_MS 5000
 #define PICK_TRIES 6
+/* Higher than any ratio of loads that slots alone can give. */
+#define SAME_RACK_LOAD 64.0F
 
 Route *
 Route_New(const RouteOptions *options)
@@ -217,10 +219,22 @@
     return false;
 }
 
+/* Work that failed in a rack goes to another one if it can: racks and their
+ * switches fail as a whole. */
 static float
-load_of(const RouteRow *row)
+load_of(const Route *r, const RouteQuery *query, uint32_t target)
 {
-    return (float)(row->in_flight + 1) * row->slowness / (float)row->slots;
+    const RouteRow *row = &r->rows[target];
+    float load =
+        (float)(row->in_flight + 1) * row->slowness / (float)row->slots;
+    uint32_t i;
+
+    for (i = 0; i < query->excluded_count; i++) {
+        if (r->rows[query->excluded[i]].rack == row->rack) {
+            return load * SAME_RACK_LOAD;
+        }
+    }
+    return load;
 }
 
 /* Returns a random member that is not excluded, or ROUTE_NONE. */
@@ -258,7 +272,7 @@
         return a;
     }
     b = draw(r, list, query);
-    return load_of(&r->rows[b]) < load_of(&r->rows[a]) ? b : a;
+    return load_of(r, query, b) < load_of(r, query, a) ? b : a;
 }
 
 static uint32_t
--- a/src/route_internal.h
+++ b/src/route_internal.h
@@ -39,6 +39,7 @@
     uint32_t long_in_flight;
     uint32_t place[ROUTE_LISTS]; /* position + 1 in each list; 0: absent */
     uint32_t next_free;
+    uint32_t rack; /* hash of the name */
     float slowness;
     uint8_t state; /* TrafficTargetState */
     uint8_t failures;
--- a/src/route_targets.c
+++ b/src/route_targets.c
@@ -107,6 +107,7 @@
     row->pool = Route_Pool(r, from->pool);
     row->local = from->data_centre != NULL &&
                  Keymap_Key(from->data_centre) == r->data_centre;
+    row->rack = (uint32_t)Keymap_Key(from->rack != NULL ? from->rack : "");
     row->epoch = from->epoch;
     row->cookie = from->cookie;
     row->state = (uint8_t)from->state;
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -279,6 +279,31 @@
 }
 END_TEST
 
+/* Guards against a retry in the rack where the work just failed. */
+START_TEST(retry_prefers_another_rack)
+{
+    uint32_t excluded[] = {0};
+    uint32_t same = 0;
+    uint32_t target;
+    Fixture f;
+    int i;
+
+    fixture_open(&f, 4);
+    f.targets[2].rack = "other";
+    f.targets[3].rack = "other";
+    Route_SetTargets(f.r, f.targets, 4);
+    for (i = 0; i < 1000; i++) {
+        RouteQuery query = {f.pool, 10, false, true, excluded, 1};
+        ck_assert_int_eq(Route_Pick(f.r, &query, &target), ROUTE_FOUND);
+        ck_assert_uint_ne(target, 0);
+        same += target == 1;
+    }
+    /* Both draws of two fall on it in one case of nine. */
+    ck_assert_uint_lt(same, 170);
+    Route_Free(f.r);
+}
+END_TEST
+
 /* Guards against a target that is never given its whole credits again after
  * it refused work. */
 START_TEST(refusal_lowers_the_ceiling_for_a_time)
@@ -468,6 +493,7 @@
     tcase_add_test(tcase, eviction_is_capped);
     tcase_add_test(tcase, probe_readmits);
     tcase_add_test(tcase, fast_failure_counts_as_slow);
+    tcase_add_test(tcase, retry_prefers_another_rack);
     tcase_add_test(tcase, refusal_lowers_the_ceiling_for_a_time);
     tcase_add_test(tcase, leaving_target_keeps_its_slots);
     tcase_add_test(tcase, agrees_with_scan);
