Throttle only the long work above its share

All work that had outlived its class on a target was throttled at once when one attempt was above the share of long work. Throttled attempts now count against the excess.

--- a/src/route.c
+++ b/src/route.c
@@ -206,6 +206,12 @@
     RouteRow_Relist(r, target);
 }
 
+void
+Route_Throttle(Route *r, uint32_t target, bool throttled)
+{
+    r->rows[target].throttled += throttled ? 1 : UINT32_MAX;
+}
+
 static bool
 is_excluded(const RouteQuery *query, uint32_t target)
 {
@@ -522,6 +528,7 @@
     info->cookie = row->cookie;
     info->in_flight = row->in_flight;
     info->long_in_flight = row->long_in_flight;
+    info->throttled = row->throttled;
     info->slots = row->slots;
     info->long_limit = row->long_limit;
     info->usable = RouteRow_Usable(row);
--- a/src/route.h
+++ b/src/route.h
@@ -70,7 +70,8 @@
     uint64_t cookie;
     uint32_t in_flight;
     uint32_t long_in_flight;
-    uint32_t slots; /* the lower of slots and connections credited */
+    uint32_t throttled; /* of these */
+    uint32_t slots;     /* the lower of slots and connections credited */
     uint32_t long_limit;
     bool usable; /* open or suspect, and listed */
     bool evicted;
@@ -124,6 +125,9 @@
 /* Counts a running attempt as long from now on. */
 void Route_MakeLong(Route *r, uint32_t target);
 
+/* Counts a long attempt as throttled, or no longer so. */
+void Route_Throttle(Route *r, uint32_t target, bool throttled);
+
 /* Learns from an answer. run_us and expected_us give the slowness of
  * TRAFFIC_OK and TRAFFIC_FAILED. Returns true when the target was evicted by
  * it. */
--- a/src/route_internal.h
+++ b/src/route_internal.h
@@ -37,6 +37,7 @@
     int64_t raised_ms;
     uint32_t in_flight;
     uint32_t long_in_flight;
+    uint32_t throttled;          /* of these */
     uint32_t place[ROUTE_LISTS]; /* position + 1 in each list; 0: absent */
     uint32_t next_free;
     uint32_t rack; /* hash of the name */
--- a/src/traffic_internal.h
+++ b/src/traffic_internal.h
@@ -58,6 +58,7 @@
     uint32_t team; /* from Admit_Detach, once stopped */
     bool is_long;
     bool linked;
+    bool throttled;
     bool outlived; /* was reclassified */
     bool stopped;  /* the request has ended */
 } AttemptRow;
--- a/src/traffic_run.c
+++ b/src/traffic_run.c
@@ -150,6 +150,9 @@
 {
     TrafficRun_UnlinkRunning(t, attempt);
     Wheel_Remove(t->holds, attempt->self.index);
+    if (attempt->throttled) {
+        Route_Throttle(t->route, attempt->target, false);
+    }
     Route_Release(t->route, attempt->target, attempt->is_long);
     if (attempt->stopped) {
         Admit_DoneDetached(t->admit, attempt->team);
--- a/src/traffic_tick.c
+++ b/src/traffic_tick.c
@@ -48,10 +48,12 @@
             continue;
         }
         Route_GetInfo(t->route, attempt->target, &info);
-        if (info.long_in_flight > info.long_limit &&
+        if (info.long_in_flight - info.throttled > info.long_limit &&
             Admit_Waiting(t->admit, pool, TRAFFIC_URGENT) +
                     Admit_Waiting(t->admit, pool, TRAFFIC_SHORT) >
                 0) {
+            attempt->throttled = true;
+            Route_Throttle(t->route, attempt->target, true);
             TrafficRun_Emit(t, TRAFFIC_THROTTLE,
                             Table_Get(t->requests, attempt->request));
             continue;
--- a/tests/test_traffic.c
+++ b/tests/test_traffic.c
@@ -230,6 +230,39 @@
 }
 END_TEST
 
+/* Guards against throttles without need: none while no short work waits,
+ * then only for as many attempts as are above the share of long work, once
+ * each. */
+START_TEST(throttles_only_the_excess)
+{
+    static const TrafficTarget target = {
+        "w1", "pool", "dc1", "r1", 1, TRAFFIC_TARGET_OPEN, 8, 8, 1};
+    TrafficService service = {"lists", "pool", 100, 100};
+    /* Of another kind: the first one is known to be long by then. */
+    TrafficRequest other = {"lists",       "caller", "team", "other",
+                            TRAFFIC_SHORT, 2000,     false,  78};
+    Traffic *t = traffic_with(&target, 1);
+    Handle handle;
+    int i;
+
+    Traffic_SetServices(t, 0, &service, 1);
+    for (i = 0; i < 8; i++) {
+        submit(t, 10, false);
+        expect(t, TRAFFIC_DISPATCH);
+    }
+    Traffic_Tick(t, 200);
+    expect_none(t);
+    ck_assert_int_eq(Traffic_Submit(t, 210, &other, &handle), ST_OK);
+    expect_none(t);
+    Traffic_Tick(t, 220);
+    expect(t, TRAFFIC_THROTTLE);
+    expect_none(t);
+    Traffic_Tick(t, 320);
+    expect_none(t);
+    Traffic_Free(t);
+}
+END_TEST
+
 static const TrafficTarget two_pools[] = {
     {"w1", "pool", "dc1", "r1", 1, TRAFFIC_TARGET_OPEN, 1, 8, 1},
     {"w2", "other", "dc1", "r1", 1, TRAFFIC_TARGET_OPEN, 1, 8, 2}};
@@ -308,6 +341,7 @@
     tcase_add_test(tcase, stopped_attempt_keeps_its_slot);
     tcase_add_test(tcase, stopped_attempt_is_given_up);
     tcase_add_test(tcase, only_target_is_tried_again);
+    tcase_add_test(tcase, throttles_only_the_excess);
     tcase_add_test(tcase, service_moves_to_another_pool);
     tcase_add_test(tcase, requests_without_a_place_are_answered);
     suite_add_tcase(suite, tcase);
