--- a/src/route.c
+++ b/src/route.c
@@ -18,6 +18,8 @@
  */
 #define PROBE_ANY_MS 5000
 #define PICK_TRIES 6
+/* Higher than any ratio of loads that slots alone can give. */
+#define SAME_RACK_LOAD 64.0F
 
 Route *
 Route_New(const RouteOptions *options)
@@ -204,6 +206,12 @@
     RouteRow_Relist(r, target);
 }
 
+void
+Route_Throttle(Route *r, uint32_t target, bool throttled)
+{
+    r->rows[target].throttled += throttled ? 1 : UINT32_MAX;
+}
+
 static bool
 is_excluded(const RouteQuery *query, uint32_t target)
 {
@@ -217,10 +225,22 @@
     return false;
 }
 
+/* Work that failed in a rack goes to another one if it can: racks and their
+ * switches fail as a whole. */
 static float
-load_of(const RouteRow *row)
+load_of(const Route *r, const RouteQuery *query, uint32_t target)
 {
-    return (float)(row->in_flight + 1) * row->slowness / (float)row->slots;
+    const RouteRow *row = &r->rows[target];
+    float load =
+        (float)(row->in_flight + 1) * row->slowness / (float)row->slots;
+    uint32_t i;
+
+    for (i = 0; i < query->excluded_count; i++) {
+        if (r->rows[query->excluded[i]].rack == row->rack) {
+            return load * SAME_RACK_LOAD;
+        }
+    }
+    return load;
 }
 
 /* Returns a random member that is not excluded, or ROUTE_NONE. */
@@ -258,7 +278,7 @@
         return a;
     }
     b = draw(r, list, query);
-    return load_of(&r->rows[b]) < load_of(&r->rows[a]) ? b : a;
+    return load_of(r, query, b) < load_of(r, query, a) ? b : a;
 }
 
 static uint32_t
@@ -508,6 +528,7 @@
     info->cookie = row->cookie;
     info->in_flight = row->in_flight;
     info->long_in_flight = row->long_in_flight;
+    info->throttled = row->throttled;
     info->slots = row->slots;
     info->long_limit = row->long_limit;
     info->usable = RouteRow_Usable(row);
