Answer unknown, not "not run", for tokens at a closed entry VM

Cause: an entry VM that was starting or stopping refused every request as not run, also one with a token, whose earlier send may have run on its home. In proc_once, 8 of 1,180 requests were answered both "not run" and "done" while entry VMs were killed and frozen. Change: such a request gets 504 unknown with a time to retry. Open: the daemon holds more than the 64 connections that a target announces; the count is in /standin/counts and not asserted yet.

--- a/src/gateway_http.c
+++ b/src/gateway_http.c
@@ -638,6 +638,10 @@
         handle_outcome(self, http, parts[2], parts[3],
                        strcmp(method, "DELETE") == 0);
     }
+    else if (!open && HttpRequest_Header(http, "Coltsfoot-Token") != NULL) {
+        /* An earlier send under this token may have run. */
+        Gw_ReplyRefusal(http, 504, id, "unknown", reason, 1000);
+    }
     else if (!open) {
         Gw_ReplyRefusal(http, 503, id, "not-run", reason, 1000);
     }
--- a/standin/common_targets.c
+++ b/standin/common_targets.c
@@ -166,12 +166,13 @@
     for (i = 0; i < targets->options.count; i++) {
         const Target *target = &targets->list[i];
         json_array_append_new(
-            list, json_pack("{s:s,s:i,s:I,s:I,s:I,s:i,s:i,s:I}", "name",
+            list, json_pack("{s:s,s:i,s:I,s:I,s:I,s:i,s:i,s:i,s:I}", "name",
                             target->name, "port", target->port, "executions",
                             (json_int_t)target->executions, "refused",
                             (json_int_t)target->refused, "after_departure",
                             (json_int_t)target->after_departure, "in_flight",
                             target->in_flight, "highest", target->highest,
+                            "highest_connections", target->highest_connections,
                             "incarnation", (json_int_t)target->incarnation));
     }
     return json_pack("{s:s,s:o,s:O,s:O}", "process", targets->process,
--- a/standin/common_targets.h
+++ b/standin/common_targets.h
@@ -49,6 +49,8 @@
     double slow_factor;
     int in_flight;
     int highest; /* most runs at one time */
+    int connections;
+    int highest_connections;
     int64_t executions;
     int64_t refused;
     int64_t after_departure; /* runs asked for later than the bound */
