--- a/src/control.c
+++ b/src/control.c
@@ -169,6 +169,9 @@
     case PEER_DRAINS:
         Control_OnDrains(control, peer, message);
         break;
+    case PEER_LOAD:
+        Control_OnLoad(control, peer, message);
+        break;
     case PEER_DRAINS_ACK:
         Control_OnDrainsAck(control, peer, message);
         break;
@@ -473,6 +476,7 @@
     Control_AckCloses(control, now);
     Control_AckDrains(control);
     Control_KeeperTick(control, now);
+    Control_SpareTick(control, now);
     update_ready(control);
     check_stop(control, now);
 }
@@ -579,6 +583,7 @@
     control->state = State_New();
     control->targets = StrMap_New();
     control->journal = Journal_New(CONTROL_JOURNAL_ENTRIES);
+    Control_OpenSpare(control);
     control->proposals =
         Table_New(sizeof(ControlProposal), CONTROL_MAX_PROPOSALS);
     control->peer_states =
@@ -659,6 +664,7 @@
     Gateway_Free(control->gateway);
     HttpServer_Free(control->server);
     HttpClient_Free(control->client);
+    Control_CloseSpare(control);
     Control_CloseKeeper(control);
     Control_CloseLog(control);
     Peers_Free(control->peers);
--- a/src/control_internal.h
+++ b/src/control_internal.h
@@ -111,6 +111,10 @@
     Escrow *escrow;  /* NULL without a disk */
     Journal *journal;
     struct ControlWave *waves;
+    struct Spare *spare;
+    struct ControlLoads *loads; /* by index of the settings' peers */
+    int64_t load_ms;
+    int64_t spare_ms;
     int64_t keeper_ms;
     int64_t propose_ms;
     uint64_t drains_sequence;
@@ -136,6 +140,8 @@
                        const msgpack_object_array *message);
 void Control_OnProposed(Control *control, const msgpack_object_array *message);
 bool Control_IsLeader(const Control *control);
+/* Returns the index of the peer that leads, or -1. */
+long Control_LeaderPeer(const Control *control);
 /* Returns the name of the leader as far as known, or "". */
 const char *Control_LeaderName(const Control *control);
 
@@ -182,6 +188,13 @@
 size_t Control_WavePending(const Control *control, const char *pool);
 void Control_FreeWaves(Control *control);
 
+/* control_spare.c */
+void Control_OpenSpare(Control *control);
+void Control_CloseSpare(Control *control);
+void Control_SpareTick(Control *control, int64_t now);
+void Control_OnLoad(Control *control, size_t peer,
+                    const msgpack_object_array *message);
+
 /* Ignores the result: the caller repeats what is still needed. */
 void Control_IgnoreResult(void *arg, Status status, uint64_t index,
                           const char *result, size_t len);
--- a/src/control_log.c
+++ b/src/control_log.c
@@ -240,9 +240,8 @@
     return 0;
 }
 
-/* Returns the index of the peer that leads, or -1. */
-static long
-leader_peer(const Control *control)
+long
+Control_LeaderPeer(const Control *control)
 {
     uint64_t identity = leader_identity(control);
     size_t i;
@@ -264,7 +263,7 @@
     if (Control_IsLeader(control)) {
         return control->settings->name;
     }
-    peer = leader_peer(control);
+    peer = Control_LeaderPeer(control);
     return peer >= 0 ? control->settings->peers[peer].name : "";
 }
 
@@ -290,7 +289,7 @@
 {
     Handle handle = Table_Add(control->proposals);
     ControlProposal *row = Table_Get(control->proposals, handle);
-    long leader = leader_peer(control);
+    long leader = Control_LeaderPeer(control);
     Status status = ST_NOT_LEADER;
 
     if (row == NULL) {
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -347,6 +347,14 @@
     Gw_Unlock(gateway);
 }
 
+void
+Gateway_GetPoolLoad(Gateway *gateway, const char *pool, TrafficPoolLoad *load)
+{
+    Gw_Lock(gateway);
+    Traffic_GetPoolLoad(gateway->traffic, pool, load);
+    Gw_Unlock(gateway);
+}
+
 double
 Gateway_HighestBurn(Gateway *gateway)
 {
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -95,6 +95,9 @@
 
 void Gateway_GetStats(Gateway *gateway, TrafficStats *stats);
 
+void Gateway_GetPoolLoad(Gateway *gateway, const char *pool,
+                         TrafficPoolLoad *load);
+
 /* Returns the highest burn rate of a service over the short window. */
 double Gateway_HighestBurn(Gateway *gateway);
 
--- a/src/peer.h
+++ b/src/peer.h
@@ -43,7 +43,8 @@
     PEER_ONCE_OUTCOME = 11,
     PEER_DRAINS = 12,
     PEER_DRAINS_ACK = 13,
-    PEER_TYPE_MAX = 13
+    PEER_LOAD = 14,
+    PEER_TYPE_MAX = 14
 } PeerMessageType;
 
 typedef struct PeerHello {
--- a/src/traffic.c
+++ b/src/traffic.c
@@ -400,6 +400,21 @@
         Table_Count(t->requests) - (t->stats.running - t->stopped);
 }
 
+void
+Traffic_GetPoolLoad(Traffic *t, const char *pool, TrafficPoolLoad *load)
+{
+    uint32_t index = Route_Pool(t->route, pool);
+    RoutePoolInfo info;
+    uint32_t class;
+
+    Route_GetPoolInfo(t->route, index, &info);
+    load->running = info.in_flight;
+    load->waiting = 0;
+    for (class = 0; class < TRAFFIC_CLASSES; class ++) {
+        load->waiting += Admit_Waiting(t->admit, index, (TrafficClass) class);
+    }
+}
+
 const char *
 Traffic_OutcomeName(TrafficOutcome outcome)
 {
--- a/src/traffic.h
+++ b/src/traffic.h
@@ -179,6 +179,15 @@
 
 void Traffic_GetStats(const Traffic *t, TrafficStats *stats);
 
+/* The load that this entry VM sees of one pool. */
+typedef struct TrafficPoolLoad {
+    uint32_t waiting;
+    uint32_t running;
+} TrafficPoolLoad;
+
+/* Returns zeros for a pool without targets and services. */
+void Traffic_GetPoolLoad(Traffic *t, const char *pool, TrafficPoolLoad *load);
+
 /* Returns a fixed lower-case word such as "not-run". */
 const char *Traffic_OutcomeName(TrafficOutcome outcome);
 
