Let entry VMs without a disk follow through a relay

The feed of a node without a disk is ticked by the control thread; each node answers the questions of followers from its replica or its own feed.

--- a/src/control.c
+++ b/src/control.c
@@ -31,6 +31,7 @@
 
     (void)peer;
     control->view_dirty = true;
+    Control_UpdateFeedPeers(control);
     if (hello->identity != 0 && control->replica != NULL) {
         snprintf(member.name, sizeof(member.name), "%s", hello->name);
         snprintf(member.data_centre, sizeof(member.data_centre), "%s",
@@ -47,6 +48,7 @@
     (void)peer;
     /* The slot credits of the silent peer are taken over. */
     control->view_dirty = true;
+    Control_UpdateFeedPeers(control);
 }
 
 static void
@@ -175,9 +177,11 @@
     case PEER_DRAINS_ACK:
         Control_OnDrainsAck(control, peer, message);
         break;
+    case PEER_FEED:
+        Control_OnFeed(control, peer, message);
+        break;
     case PEER_HELLO:
     case PEER_REFUSED:
-    case PEER_FEED:
         break;
     }
     msgpack_unpacked_destroy(&unpacked);
@@ -400,6 +404,13 @@
                 note);
 }
 
+static bool
+is_caught_up(const Control *control)
+{
+    return control->replica != NULL ? Replica_CaughtUp(control->replica)
+                                    : Feed_Ready(control->feed);
+}
+
 /* Registers this start of the process, so that closes of VMs wait for its
  * acknowledgement. */
 static void
@@ -412,7 +423,7 @@
     control->registered =
         self != NULL && self->incarnation == control->incarnation;
     if (control->registered || now < control->register_ms ||
-        (control->replica != NULL && !Replica_CaughtUp(control->replica))) {
+        !is_caught_up(control)) {
         return;
     }
     control->register_ms = now + CONTROL_REPEAT_MS;
@@ -469,6 +480,10 @@
     if (control->replica != NULL) {
         Replica_Tick(control->replica, now);
     }
+    if (control->feed != NULL) {
+        Feed_Tick(control->feed, now);
+    }
+    FeedServer_Tick(control->feed_server, now);
     Control_ExpireProposals(control, now);
     register_self(control, now);
     Control_TargetTick(control, now);
--- /dev/null
+++ b/src/control_feed.c
@@ -0,0 +1,124 @@
+#include "control_internal.h"
+
+#include <string.h>
+
+#include "diag.h"
+#include "rng.h"
+
+static const SettingsPeer *
+peer_of(const Control *control, size_t peer)
+{
+    return &control->settings->peers[peer];
+}
+
+static void
+send_to(Control *control, size_t peer, const char *bytes, size_t len)
+{
+    Buf body = BUF_INIT;
+    msgpack_packer packer;
+
+    msgpack_packer_init(&packer, &body, Buf_MsgpackWrite);
+    msgpack_pack_array(&packer, 2);
+    msgpack_pack_int(&packer, PEER_FEED);
+    msgpack_pack_bin(&packer, len);
+    msgpack_pack_bin_body(&packer, bytes, len);
+    Peers_Send(control->peers, peer, body.data, body.len);
+    Buf_Free(&body);
+}
+
+static void
+send_feed(void *arg, const char *name, const char *bytes, size_t len)
+{
+    Control *control = arg;
+    size_t i;
+
+    for (i = 0; i < control->settings->peer_count; i++) {
+        if (strcmp(peer_of(control, i)->name, name) == 0) {
+            send_to(control, i, bytes, len);
+            return;
+        }
+    }
+}
+
+static void
+on_applied(void *arg, uint64_t index, const char *command, size_t len,
+           const Buf *result)
+{
+    (void)command;
+    (void)len;
+    (void)result;
+    Control_NoteApplied(arg, index);
+}
+
+static void
+on_restored(void *arg, uint64_t index)
+{
+    Control_NoteApplied(arg, index);
+}
+
+Status
+Control_OpenFeed(Control *control, ErrCtx *err)
+{
+    const Settings *settings = control->settings;
+    FeedOptions options = FEED_OPTIONS_DEFAULT;
+
+    if (control->replica != NULL) {
+        return ST_OK;
+    }
+    options.name = settings->name;
+    options.data_centre = settings->data_centre;
+    options.seed = Rng_SystemSeed();
+    options.now_ms = Loop_NowMs();
+    options.machine_ops = Control_MachineOps();
+    options.machine = control->state;
+    options.arg = control;
+    options.send = send_feed;
+    options.applied = on_applied;
+    options.restored = on_restored;
+    return Feed_New(&options, &control->feed, err);
+}
+
+void
+Control_UpdateFeedPeers(Control *control)
+{
+    static FeedPeer peers[SETTINGS_MAX_PEERS];
+    const Settings *settings = control->settings;
+    size_t i;
+
+    if (control->feed == NULL) {
+        return;
+    }
+    for (i = 0; i < settings->peer_count; i++) {
+        FeedPeer *peer = &peers[i];
+        memcpy(peer->name, peer_of(control, i)->name, sizeof(peer->name));
+        memcpy(peer->data_centre, peer_of(control, i)->data_centre,
+               sizeof(peer->data_centre));
+        peer->disk = Peers_Hello(control->peers, i)->identity != 0;
+        peer->reachable = Peers_IsUp(control->peers, i);
+    }
+    Feed_SetPeers(control->feed, Loop_NowMs(), peers, settings->peer_count);
+}
+
+/* A question of a follower is answered from the replica or the feed of this
+ * node; anything else is an answer to a question of this node. */
+void
+Control_OnFeed(Control *control, size_t peer,
+               const msgpack_object_array *message)
+{
+    const msgpack_object *bytes = message->ptr + 1;
+    Buf answer = BUF_INIT;
+
+    if (message->size != 2 || bytes->type != MSGPACK_OBJECT_BIN) {
+        return;
+    }
+    if (FeedServer_Answer(control->feed_server, Loop_NowMs(),
+                          peer_of(control, peer)->name, bytes->via.bin.ptr,
+                          bytes->via.bin.size, &answer) == ST_OK) {
+        send_to(control, peer, answer.data, answer.len);
+    }
+    else if (control->feed != NULL) {
+        Feed_Receive(control->feed, Loop_NowMs(), peer_of(control, peer)->name,
+                     bytes->via.bin.ptr, bytes->via.bin.size);
+    }
+    Buf_Free(&answer);
+}
--- a/src/control_internal.h
+++ b/src/control_internal.h
@@ -15,6 +15,8 @@
 #include "buf.h"
 #include "control.h"
 #include "escrow.h"
+#include "feed.h"
+#include "feed_server.h"
 #include "gateway.h"
 #include "httpclient.h"
 #include "httpserver.h"
@@ -88,7 +90,9 @@
     Peers *peers;
     ControlPeer *peer_states; /* by index of the settings' peers */
     Storage *storage;
-    Replica *replica;
+    Replica *replica; /* NULL without a disk */
+    Feed *feed;       /* NULL with a disk */
+    FeedServer *feed_server;
     State *state;
     HttpServer *server;
     HttpClient *client;
@@ -145,6 +149,15 @@
 /* Returns the name of the leader as far as known, or "". */
 const char *Control_LeaderName(const Control *control);
 
+const ReplicaMachineOps *Control_MachineOps(void);
+void Control_NoteApplied(Control *control, uint64_t index);
+
+/* control_feed.c */
+Status Control_OpenFeed(Control *control, ErrCtx *err);
+void Control_UpdateFeedPeers(Control *control);
+void Control_OnFeed(Control *control, size_t peer,
+                    const msgpack_object_array *message);
+
 /* control_targets.c */
 Status Control_Announce(Control *control, const char *json, size_t len,
                         bool relay, ErrCtx *err);
--- a/src/control_log.c
+++ b/src/control_log.c
@@ -35,6 +35,12 @@
 static const ReplicaMachineOps machine_ops = {apply_command, take_snapshot,
                                               restore_snapshot};
 
+const ReplicaMachineOps *
+Control_MachineOps(void)
+{
+    return &machine_ops;
+}
+
 static void
 send_raft(void *arg, uint64_t to, const char *bytes, size_t len)
 {
@@ -60,8 +66,8 @@
     Buf_Free(&body);
 }
 
-static void
-note_applied(Control *control, uint64_t index)
+void
+Control_NoteApplied(Control *control, uint64_t index)
 {
     control->applied = index;
     control->view_dirty = true;
@@ -75,13 +81,13 @@
     (void)command;
     (void)len;
     (void)result;
-    note_applied(arg, index);
+    Control_NoteApplied(arg, index);
 }
 
 static void
 on_restored(void *arg, uint64_t index)
 {
-    note_applied(arg, index);
+    Control_NoteApplied(arg, index);
 }
 
 static void
@@ -152,7 +158,9 @@
     Status status;
 
     if (settings->data_folder[0] == '\0') {
-        return ST_OK;
+        status = Control_OpenFeed(control, err);
+        control->feed_server = FeedServer_New(NULL, control->feed);
+        return status;
     }
     status = Storage_OpenFolder(settings->data_folder, true, &control->storage,
                                 err);
@@ -164,6 +172,7 @@
     options.arg = control;
     status = Replica_Open(&options, control->storage, &control->replica, err);
     if (status == ST_OK) {
+        control->feed_server = FeedServer_New(control->replica, NULL);
         control->applied = Replica_AppliedIndex(control->replica);
         Diag_Log(DIAG_NOTICE, "raft",
                  "Opened the log of identity %016llx at index %llu.",
@@ -176,6 +185,14 @@
 void
 Control_CloseLog(Control *control)
 {
+    if (control->feed_server != NULL) {
+        FeedServer_Free(control->feed_server);
+        control->feed_server = NULL;
+    }
+    if (control->feed != NULL) {
+        Feed_Free(control->feed);
+        control->feed = NULL;
+    }
     if (control->replica != NULL) {
         Replica_Close(control->replica);
         control->replica = NULL;
