--- a/src/control.c
+++ b/src/control.c
@@ -31,6 +31,7 @@
 
     (void)peer;
     control->view_dirty = true;
+    Control_UpdateFeedPeers(control);
     if (hello->identity != 0 && control->replica != NULL) {
         snprintf(member.name, sizeof(member.name), "%s", hello->name);
         snprintf(member.data_centre, sizeof(member.data_centre), "%s",
@@ -47,6 +48,7 @@
     (void)peer;
     /* The slot credits of the silent peer are taken over. */
     control->view_dirty = true;
+    Control_UpdateFeedPeers(control);
 }
 
 static void
@@ -169,12 +171,17 @@
     case PEER_DRAINS:
         Control_OnDrains(control, peer, message);
         break;
+    case PEER_LOAD:
+        Control_OnLoad(control, peer, message);
+        break;
     case PEER_DRAINS_ACK:
         Control_OnDrainsAck(control, peer, message);
         break;
+    case PEER_FEED:
+        Control_OnFeed(control, peer, message);
+        break;
     case PEER_HELLO:
     case PEER_REFUSED:
-    case PEER_FEED:
         break;
     }
     msgpack_unpacked_destroy(&unpacked);
@@ -397,6 +404,13 @@
                 note);
 }
 
+static bool
+is_caught_up(const Control *control)
+{
+    return control->replica != NULL ? Replica_CaughtUp(control->replica)
+                                    : Feed_Ready(control->feed);
+}
+
 /* Registers this start of the process, so that closes of VMs wait for its
  * acknowledgement. */
 static void
@@ -409,7 +423,7 @@
     control->registered =
         self != NULL && self->incarnation == control->incarnation;
     if (control->registered || now < control->register_ms ||
-        (control->replica != NULL && !Replica_CaughtUp(control->replica))) {
+        !is_caught_up(control)) {
         return;
     }
     control->register_ms = now + CONTROL_REPEAT_MS;
@@ -466,6 +480,10 @@
     if (control->replica != NULL) {
         Replica_Tick(control->replica, now);
     }
+    if (control->feed != NULL) {
+        Feed_Tick(control->feed, now);
+    }
+    FeedServer_Tick(control->feed_server, now);
     Control_ExpireProposals(control, now);
     register_self(control, now);
     Control_TargetTick(control, now);
@@ -473,6 +491,7 @@
     Control_AckCloses(control, now);
     Control_AckDrains(control);
     Control_KeeperTick(control, now);
+    Control_SpareTick(control, now);
     update_ready(control);
     check_stop(control, now);
 }
@@ -579,6 +598,7 @@
     control->state = State_New();
     control->targets = StrMap_New();
     control->journal = Journal_New(CONTROL_JOURNAL_ENTRIES);
+    Control_OpenSpare(control);
     control->proposals =
         Table_New(sizeof(ControlProposal), CONTROL_MAX_PROPOSALS);
     control->peer_states =
@@ -659,6 +679,7 @@
     Gateway_Free(control->gateway);
     HttpServer_Free(control->server);
     HttpClient_Free(control->client);
+    Control_CloseSpare(control);
     Control_CloseKeeper(control);
     Control_CloseLog(control);
     Peers_Free(control->peers);
--- a/src/control_internal.h
+++ b/src/control_internal.h
@@ -15,6 +15,8 @@
 #include "buf.h"
 #include "control.h"
 #include "escrow.h"
+#include "feed.h"
+#include "feed_server.h"
 #include "gateway.h"
 #include "httpclient.h"
 #include "httpserver.h"
@@ -88,7 +90,9 @@
     Peers *peers;
     ControlPeer *peer_states; /* by index of the settings' peers */
     Storage *storage;
-    Replica *replica;
+    Replica *replica; /* NULL without a disk */
+    Feed *feed;       /* NULL with a disk */
+    FeedServer *feed_server;
     State *state;
     HttpServer *server;
     HttpClient *client;
@@ -111,6 +115,10 @@
     Escrow *escrow;  /* NULL without a disk */
     Journal *journal;
     struct ControlWave *waves;
+    struct Spare *spare;
+    struct ControlLoads *loads; /* by index of the settings' peers */
+    int64_t load_ms;
+    int64_t spare_ms;
     int64_t keeper_ms;
     int64_t propose_ms;
     uint64_t drains_sequence;
@@ -136,9 +144,20 @@
                        const msgpack_object_array *message);
 void Control_OnProposed(Control *control, const msgpack_object_array *message);
 bool Control_IsLeader(const Control *control);
+/* Returns the index of the peer that leads, or -1. */
+long Control_LeaderPeer(const Control *control);
 /* Returns the name of the leader as far as known, or "". */
 const char *Control_LeaderName(const Control *control);
 
+const ReplicaMachineOps *Control_MachineOps(void);
+void Control_NoteApplied(Control *control, uint64_t index);
+
+/* control_feed.c */
+Status Control_OpenFeed(Control *control, ErrCtx *err);
+void Control_UpdateFeedPeers(Control *control);
+void Control_OnFeed(Control *control, size_t peer,
+                    const msgpack_object_array *message);
+
 /* control_targets.c */
 Status Control_Announce(Control *control, const char *json, size_t len,
                         bool relay, ErrCtx *err);
@@ -182,6 +201,13 @@
 size_t Control_WavePending(const Control *control, const char *pool);
 void Control_FreeWaves(Control *control);
 
+/* control_spare.c */
+void Control_OpenSpare(Control *control);
+void Control_CloseSpare(Control *control);
+void Control_SpareTick(Control *control, int64_t now);
+void Control_OnLoad(Control *control, size_t peer,
+                    const msgpack_object_array *message);
+
 /* Ignores the result: the caller repeats what is still needed. */
 void Control_IgnoreResult(void *arg, Status status, uint64_t index,
                           const char *result, size_t len);
