--- a/src/state.c
+++ b/src/state.c
@@ -101,7 +101,7 @@
 
     msgpack_packer_init(&packer, out, Buf_MsgpackWrite);
     msgpack_pack_array(&packer, 4);
-    msgpack_pack_int(&packer, result->status);
+    msgpack_pack_uint64(&packer, (uint64_t)result->status);
     msgpack_pack_uint64(&packer, result->version);
     pack_text(&packer, result->message);
     msgpack_pack_array(&packer, result->conflict_count);
--- a/tests/test_assign.c
+++ b/tests/test_assign.c
@@ -6,8 +6,8 @@
 #include "support_state.h"
 
 static const char *const basis[] = {
-    "patch 0 op base pools/p/max_unavailable=2 pools/p/min_size=1 "
-    "pools/q/max_unavailable=1",
+    ("patch 0 op base pools/p/max_unavailable=2 pools/p/min_size=1 "
+     "pools/q/max_unavailable=1"),
     "member e1 a 11 1 disk", "member e2 a 0 1 nodisk",
     "member f1 b 0 1 nodisk", "vm v1 a r1 p",
     "vm v2 a r1 p",          "vm w1 b r1 p",
--- a/tests/test_state.c
+++ b/tests/test_state.c
@@ -23,8 +23,8 @@
 /* Two pools, one service, two VMs in data centre a; version 6, keeper epoch
  * 1, pools of number 1. */
 static const char *const basis[] = {
-    "patch 0 op base pools/web/max_unavailable=2 pools/web/min_size=1 "
-    "pools/db/max_unavailable=1 pools/web/spare=false",
+    ("patch 0 op base pools/web/max_unavailable=2 pools/web/min_size=1 "
+     "pools/db/max_unavailable=1 pools/web/spare=false"),
     "patch 1 op service services/book/pool=web",
     "member e1 a 11 1 disk",
     "member e2 a 0 1 nodisk",
