--- a/fuzz/fuzz_escrow.c
+++ b/fuzz/fuzz_escrow.c
@@ -7,7 +7,9 @@
 #include "rng.h"
 #include "support_escrow.h"
 
-#define MAX_STEPS 800
+#define MAX_STEPS 150
+/* Coming to rest takes many times longer than the steps. */
+#define REST_EVERY 32
 #define BYTES_A_STEP 3
 
 typedef struct Choices {
@@ -39,7 +41,8 @@
 
     Rng_Seed(&choices.rng, size);
     EscrowModel_Run(choose_next, &choices,
-                    steps < MAX_STEPS ? steps : MAX_STEPS, &report);
+                    steps < MAX_STEPS ? steps : MAX_STEPS,
+                    size % REST_EVERY == 0, &report);
     if (report.failure != NULL) {
         fprintf(stderr, "step %zu: %s\n", report.steps, report.failure);
         abort();
--- a/src/escrow.c
+++ b/src/escrow.c
@@ -233,8 +233,8 @@
     if (vm == NULL) {
         return err->status;
     }
-    grant = EscrowImpl_AddGrant(escrow, vm->name, vm->pool->name, wave,
-                                purpose);
+    grant =
+        EscrowImpl_AddGrant(escrow, vm->name, vm->pool->name, wave, purpose);
     grant->epoch = vm->epoch;
     grant->incarnation = vm->incarnation;
     EscrowImpl_Charge(escrow, vm);
--- a/src/escrow.h
+++ b/src/escrow.h
@@ -83,7 +83,8 @@
 /* Returns a keeper without a record. After a restart it works again once
  * Escrow_Sync has seen a state that is as new as its record; that an entry
  * VM was declared destroyed must be true, since a keeper that still runs
- * cut off would go on spending the share. identity is that of the data folder. */
+ * cut off would go on spending the share. identity is that of the data folder.
+ */
 Escrow *Escrow_New(const char *member, const char *data_centre,
                    uint64_t identity);
 void Escrow_Free(Escrow *escrow);
--- a/src/escrow_sync.c
+++ b/src/escrow_sync.c
@@ -93,8 +93,8 @@
     }
     else if (grant == NULL && row->assignment != STATE_OPEN) {
         /* A former keeper granted this move; the VM is out of service. */
-        adopted = EscrowImpl_AddGrant(escrow, row->name, row->pool, "",
-                                      ESCROW_MOVE);
+        adopted =
+            EscrowImpl_AddGrant(escrow, row->name, row->pool, "", ESCROW_MOVE);
         adopted->epoch = row->epoch - 1;
     }
 }
@@ -287,9 +287,8 @@
                                   i % 2 == 1, out);
         }
         else if (i < 2 * pools + grants) {
-            found = propose_grant(escrow, state,
-                                  StrMap_At(escrow->grants, i - 2 * pools),
-                                  out);
+            found = propose_grant(
+                escrow, state, StrMap_At(escrow->grants, i - 2 * pools), out);
         }
         else {
             found = propose_outcome(
--- a/src/statepath.c
+++ b/src/statepath.c
@@ -12,7 +12,7 @@
 
 #define FIELD(section, row, field, kind, fallback, min, max)                  \
     {                                                                         \
-        #field, section, kind, fallback, min, max, offsetof(row, field)       \
+#field, section, kind, fallback, min, max, offsetof(row, field)       \
     }
 
 static const StateField fields[] = {
@@ -37,13 +37,12 @@
 static const char *const section_names[] = {"pools", "services", "teams",
                                             "limits"};
 
-static const StateField limit_field = {
-    .name = "",
-    .section = STATE_LIMITS,
-    .kind = STATE_VALUE_INTEGER,
-    .min = -INT64_MAX,
-    .max = INT64_MAX,
-    .offset = offsetof(StateLimit, value)};
+static const StateField limit_field = {.name = "",
+                                       .section = STATE_LIMITS,
+                                       .kind = STATE_VALUE_INTEGER,
+                                       .min = -INT64_MAX,
+                                       .max = INT64_MAX,
+                                       .offset = offsetof(StateLimit, value)};
 
 static const StateField move_field = {
     .name = "vms", .section = STATE_POOLS, .kind = STATE_VALUE_MOVE};
--- a/src/wave.c
+++ b/src/wave.c
@@ -177,9 +177,8 @@
 is_past(const WavePlan *plan, const State *state, const StateWave *wave,
         const Escrow *escrow, const PlanVm *vm)
 {
-    const StateWaveVm *step =
-        bsearch(vm->name, wave->vms, wave->vm_count, sizeof(*wave->vms),
-                compare_wave_vm);
+    const StateWaveVm *step = bsearch(vm->name, wave->vms, wave->vm_count,
+                                      sizeof(*wave->vms), compare_wave_vm);
     const EscrowGrant *grant = Escrow_FindGrant(escrow, vm->name);
 
     return step == NULL || step->step >= STATE_STEP_DONE ||
@@ -200,9 +199,8 @@
  * over for now, so that a stuck move does not stop the pool; *left tells
  * whether any VM is left. */
 static const PlanVm *
-first_to_begin(const WavePlan *plan, const State *state,
-               const StateWave *wave, const Escrow *escrow, PlanPool *pool,
-               bool *left)
+first_to_begin(const WavePlan *plan, const State *state, const StateWave *wave,
+               const Escrow *escrow, PlanPool *pool, bool *left)
 {
     size_t i;
 
