--- a/src/spare.h
+++ b/src/spare.h
@@ -79,13 +79,13 @@
 } SparePool;
 
 typedef struct SpareMove {
-    uint32_t vm;
     size_t from; /* index in the input */
     size_t to;
     double regret;  /* points that standing still had cost */
     double cost;    /* points of the move */
     double lacking; /* VMs that the receiver lacked */
-    uint32_t idle;  /* VMs that the donor had idle */
+    uint32_t vm;
+    uint32_t idle; /* VMs that the donor had idle */
     char reason[SPARE_REASON_BYTES];
 } SpareMove;
 
