--- a/src/gateway_call.c
+++ b/src/gateway_call.c
@@ -90,7 +90,7 @@
 
     switch (result->status) {
     case HTTP_CALL_NOT_SENT:
-        return TRAFFIC_REFUSED;
+        return TRAFFIC_UNREACHABLE;
     case HTTP_CALL_TIMED_OUT:
         return TRAFFIC_TIMED_OUT;
     case HTTP_CALL_LOST:
@@ -124,7 +124,7 @@
     if (token[0] == '\0') {
         return;
     }
-    if (kind == TRAFFIC_REFUSED) {
+    if (kind == TRAFFIC_REFUSED || kind == TRAFFIC_UNREACHABLE) {
         Once_NotRun(gateway->once, now, token, call->once_attempt);
     }
     else if (kind == TRAFFIC_OK) {
--- a/src/traffic_run.c
+++ b/src/traffic_run.c
@@ -514,7 +514,11 @@
     }
     else {
         TrafficRun_AttemptEnd(t, attempt);
-        handle_failure(t, now_ms, request, result.kind);
+        /* Nothing ran in either case; only the health of the target differs.
+         */
+        handle_failure(t, now_ms, request,
+                       result.kind == TRAFFIC_UNREACHABLE ? TRAFFIC_REFUSED
+                                                          : result.kind);
     }
     TrafficRun_Pump(t, now_ms, pool);
     return ST_OK;
