--- /dev/null
+++ b/bench/hop.sh
@@ -0,0 +1,132 @@
+#!/usr/bin/env bash
+# Measures one hop through coltsfootd on loopback: latency added to direct
+# calls of the same targets in the same run, and requests a second by number
+# of traffic threads, with direct calls as the limit of the load itself.
+# Usage: bench/hop.sh [BUILD]
+cd "$(dirname "$0")/.." || exit 1
+# shellcheck source=tests/support_proc.sh
+. tests/support_proc.sh
+# shellcheck source=bench/usage.sh
+. bench/usage.sh
+
+TARGETS=16
+ROUNDS=${ROUNDS:-3}
+RATE=${RATE:-200}
+SECONDS_EACH=${SECONDS_EACH:-5}
+LOADS=${LOADS:-2}
+STEPS=(${STEPS:-1000 2000 4000 6000 8000 12000 16000})
+THREADS=(${THREADS:-1 2 4})
+P99_LIMIT_US=50000
+
+proc_begin "${1:-build}"
+choose_base 30
+
+direct_options() {
+    local i
+    for ((i = 0; i < TARGETS; i++)); do
+        printf -- '--to 127.0.0.1:%d ' $((BASE + 10 + i))
+    done
+}
+
+# load RATE SECONDS OPTIONS...
+load() {
+    local rate=$1 seconds=$2
+    shift 2
+    "$BUILD/standin-caller" --service booking --rate "$rate" \
+        --seconds "$seconds" --run-us 0 "$@"
+}
+
+serves() {
+    load 100 0.1 --to "${TRAFFIC[hop]}" | grep -q '"not_run":0'
+}
+
+begin() {
+    EXTRA_SETTINGS=("traffic_threads: $1")
+    ENTRIES=()
+    # A second entry VM, as the settings need a peer; it gets no load.
+    cluster hop:north other:south
+    init_cluster hop
+    start_entries
+    patch --request-id "hop-$1" --set services/booking/pool=booking \
+        --set pools/booking/max_unavailable=2 >/dev/null
+    start_targets target booking north $((BASE + 10)) "$TARGETS" \
+        --run-from-body
+    wait_for "registration" pool_has booking "$TARGETS"
+    wait_for "answers" serves
+    sleep 2
+}
+
+end() {
+    stop_process target
+    stop_process other
+    stop_process hop
+    rm -rf "$WORK/hop" "$WORK/other"
+}
+
+latency() {
+    local round text
+    for ((round = 1; round <= ROUNDS; round++)); do
+        # shellcheck disable=SC2046
+        text=$(load "$RATE" "$SECONDS_EACH" --direct $(direct_options))
+        echo "latency direct $round: $text"
+        text=$(load "$RATE" "$SECONDS_EACH" --to "${TRAFFIC[hop]}")
+        echo "latency hop $round: $text"
+    done
+}
+
+# step LABEL RATE OPTIONS...: several loads at once. Fails when a request is
+# not done or the p99 is above the limit.
+step() {
+    local label=$1 rate=$2 i before after status=0 hertz
+    shift 2
+    hertz=$(getconf CLK_TCK)
+    before=$(ticks_of "${PID[hop]}")
+    for ((i = 0; i < LOADS; i++)); do
+        load $((rate / LOADS)) 3 "$@" >"$WORK/load$i.out" \
+            2>>"$WORK/load.log" &
+        PID[load$i]=$!
+    done
+    for ((i = 0; i < LOADS; i++)); do
+        wait "${PID[load$i]}" || status=1
+        unset "PID[load$i]"
+    done
+    after=$(ticks_of "${PID[hop]}")
+    cat "$WORK"/load[0-9]*.out | awk -v label="$label" -v rate="$rate" \
+        -v cpu="$(((after - before) * 100 / hertz / 3))" \
+        -v limit=$P99_LIMIT_US -v status=$status '
+        function field(name) {
+            match($0, "\"" name "\":[0-9]+")
+            return substr($0, RSTART + length(name) + 3,
+                RLENGTH - length(name) - 3) + 0
+        }
+        { sent += field("sent"); done += field("done")
+          if (field("p99_us") > p99) p99 = field("p99_us") }
+        END {
+            ok = sent == done && p99 <= limit && status == 0
+            printf "%s at %d/s: sent %d, done %d, p99 %d us, ", label, rate,
+                sent, done, p99
+            printf "coltsfootd %d%% of a core: %s\n", cpu,
+                ok ? "holds" : "does not hold"
+            exit !ok
+        }'
+}
+
+climb() {
+    local rate
+    for rate in "${STEPS[@]}"; do
+        step "$1" "$rate" "${@:2}" || break
+    done
+}
+
+for count in "${THREADS[@]}"; do
+    begin "$count"
+    if [ "$count" -eq "${THREADS[0]}" ]; then
+        # shellcheck disable=SC2046
+        climb "direct" --direct $(direct_options)
+    fi
+    if [ "$count" -eq 2 ]; then
+        latency
+    fi
+    climb "threads $count" --to "${TRAFFIC[hop]}"
+    end
+done
--- a/src/control.c
+++ b/src/control.c
@@ -338,6 +338,9 @@
     ViewPost *post = arg;
 
     post->control->view_applied = post->sequence;
+    if (post->sequence == post->control->view_sequence) {
+        post->control->in_force = post->control->view_version;
+    }
     free(post);
 }
 
--- a/src/control_admin.c
+++ b/src/control_admin.c
@@ -91,15 +91,15 @@
 
     Gateway_GetStats(control->gateway, &stats);
     json = json_pack(
-        "{s:s, s:s, s:s, s:s, s:b, s:I, s:I, s:I, s:I, s:o}", "name",
+        "{s:s, s:s, s:s, s:s, s:b, s:I, s:I, s:I, s:I, s:I, s:o}", "name",
         control->settings->name, "data_centre", control->settings->data_centre,
         "role", role_name(control), "leader", Control_LeaderName(control),
         "ready", control->ready, "version",
-        (json_int_t)State_Version(control->state), "applied",
-        (json_int_t)control->applied, "peer_bytes_sent",
-        (json_int_t)Peers_BytesSent(control->peers), "peer_bytes_received",
-        (json_int_t)Peers_BytesReceived(control->peers), "peers",
-        peers_json(control));
+        (json_int_t)State_Version(control->state), "in_force",
+        (json_int_t)control->in_force, "applied", (json_int_t)control->applied,
+        "peer_bytes_sent", (json_int_t)Peers_BytesSent(control->peers),
+        "peer_bytes_received", (json_int_t)Peers_BytesReceived(control->peers),
+        "peers", peers_json(control));
     if (control->replica != NULL) {
         json_object_set_new(
             json, "term",
@@ -191,8 +191,9 @@
 
     State_Config(control->state, prefix, &text);
     Control_ReplyJson(http, 200,
-                      json_pack("{s:I, s:b, s:s}", "version",
+                      json_pack("{s:I, s:I, s:b, s:s}", "version",
                                 (json_int_t)State_Version(control->state),
+                                "in_force", (json_int_t)control->in_force,
                                 "confirmed", confirmed, "config",
                                 Buf_Text(&text)));
     Buf_Free(&text);
--- a/src/control_internal.h
+++ b/src/control_internal.h
@@ -103,6 +103,7 @@
     uint64_t view_sequence;
     uint64_t view_applied;
     uint64_t view_version; /* state version of the last view */
+    uint64_t in_force;     /* state version that all traffic threads use */
     int64_t view_ms;
     int64_t version_ms; /* when the present version was applied */
     int64_t register_ms;
--- a/standin/common_load.c
+++ b/standin/common_load.c
@@ -174,7 +174,12 @@
     Call *call;
 
     snprintf(text, sizeof(text), "/v1/services/%s/requests", request->service);
-    call = new_call(load, request, CALL_REQUEST, address, text);
+    call = new_call(load, request, CALL_REQUEST, address,
+                    options->direct ? "/run" : text);
+    if (options->direct) {
+        add_header(call, "Coltsfoot-Service", request->service);
+        add_header(call, "Coltsfoot-Attempt", "1");
+    }
     add_header(call, "Coltsfoot-Caller", options->caller);
     add_header(call, "Coltsfoot-Request-Id", request->id);
     snprintf(text, sizeof(text), "%d", options->deadline_ms);
@@ -406,6 +411,9 @@
         wrong(load, request->id, "the answer carries another request id");
         return;
     }
+    if (load->options.direct && status == 200 && call->outcome[0] == '\0') {
+        snprintf(call->outcome, sizeof(call->outcome), "done");
+    }
     if (!outcome_fits(status, call->outcome)) {
         char text[128];
         snprintf(text, sizeof(text), "status %ld carries outcome '%s'", status,
--- a/standin/common_load.h
+++ b/standin/common_load.h
@@ -43,6 +43,7 @@
     int twice_percent;
     int cancel_percent;
     int resend;
+    bool direct; /* to are targets, called as entry VMs call them */
     uint64_t seed;
 } LoadOptions;
 
--- a/standin/standin_caller.c
+++ b/standin/standin_caller.c
@@ -25,6 +25,7 @@
     struct arg_int *resend;
     struct arg_int *seed;
     struct arg_str *verify;
+    struct arg_lit *direct;
     struct arg_lit *help;
     struct arg_end *end;
 } CallerArgs;
@@ -56,6 +57,7 @@
     a->seed = arg_int0(NULL, "seed", "N", "0: random (0)");
     a->verify = arg_strn(NULL, "verify", "IP:PORT", 0, LOAD_MAX_ADDRESSES,
                          "target whose counts are checked; repeatable");
+    a->direct = arg_lit0(NULL, "direct", "the addresses are those of targets");
     a->help = arg_lit0(NULL, "help", "print this text");
     a->end = arg_end(20);
     a->rate->dval[0] = 100.0;
@@ -112,6 +114,7 @@
     options->twice_percent = a->twice->ival[0];
     options->cancel_percent = a->cancel->ival[0];
     options->resend = a->resend->ival[0];
+    options->direct = a->direct->count > 0;
     options->seed = (uint64_t)a->seed->ival[0];
     if (options->rate <= 0.0) {
         fprintf(stderr, "standin-caller: --rate must be above 0\n");
