Let a new node join whose first append message was lost

The message is lost whenever the leader knows the identity of the new node from its incoming link before its own link to it is connected.

--- a/src/raft.c
+++ b/src/raft.c
@@ -297,7 +297,9 @@
 }
 
 /* A folder that never joined learns its cluster from the first leader that
- * adds it; nothing else from a cluster may reach it. */
+ * adds it; nothing else from a cluster may reach it. A heartbeat counts too:
+ * when the first append message is lost, it is repeated only after answered
+ * heartbeats. */
 static Status
 check_cluster(Raft *raft, const RaftMsg *msg)
 {
@@ -305,7 +307,8 @@
         return msg->cluster == 0 ? ST_STALE : ST_OK;
     }
     if (raft->cluster == 0 &&
-        (msg->type == RAFT_MSG_APPEND || msg->type == RAFT_MSG_SNAPSHOT)) {
+        (msg->type == RAFT_MSG_APPEND || msg->type == RAFT_MSG_HEARTBEAT ||
+         msg->type == RAFT_MSG_SNAPSHOT)) {
         raft->cluster = msg->cluster;
         raft->cluster_dirty = true;
         return ST_OK;
--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -474,6 +474,29 @@
 }
 END_TEST
 
+/* Guards against a new node that never joins because the first append message
+ * to it was lost: the leader repeats it only after answered heartbeats. */
+START_TEST(new_node_answers_heartbeats)
+{
+    RaftOptions options = RAFT_OPTIONS_DEFAULT;
+    Raft *raft = NULL;
+
+    options.identity = SELF;
+    options.seed = 3;
+    ck_assert_int_eq(Raft_New(&options, &raft, NULL), ST_OK);
+    reply(RAFT_MSG_VOTE, 2, 2)->cluster = 9;
+    ck_assert_int_eq(Raft_Step(raft, 1, &msg), ST_STALE);
+    ck_assert_uint_eq(Raft_Cluster(raft), 0);
+    reply(RAFT_MSG_HEARTBEAT, 2, 2)->cluster = 9;
+    ck_assert_int_eq(Raft_Step(raft, 1, &msg), ST_OK);
+    ck_assert_uint_eq(Raft_Cluster(raft), 9);
+    ck_assert_uint_eq(drain(raft, RAFT_MSG_HEARTBEAT_REPLY), 1);
+    ck_assert_uint_eq(msg.to, 2);
+    ck_assert_uint_eq(msg.index, 0);
+    Raft_Free(raft);
+}
+END_TEST
+
 /* Builds a message of two entries, two members or one chunk, then spoils one
  * field of it. */
 typedef enum Spoil {
@@ -748,6 +771,7 @@
     tcase_add_test(tcase, restarted_voter_is_matched_again);
     tcase_add_test(tcase, snapshot_travels_in_chunks);
     tcase_add_test(tcase, foreign_messages_are_refused);
+    tcase_add_test(tcase, new_node_answers_heartbeats);
     tcase_add_loop_test(tcase, malformed_messages_are_refused, 0, SPOILS);
     tcase_add_loop_test(tcase, plan_takes_the_right_step, 0,
                         sizeof(plan_cases) / sizeof(plan_cases[0]));
