Confirm a read of the configuration by a read-index round

GET /v1/config always said "confirmed": false, since nothing called Replica_ReadIndex. The leader now asks for a round and says true when its state holds all that was committed before the request. It says false when it hears no majority within 1 s; nodes that do not lead say false at once, so a stale read is always marked.

--- a/src/control_admin.c
+++ b/src/control_admin.c
@@ -198,12 +198,40 @@
     Buf_Free(&text);
 }
 
+/* A read that waits for its read-index round. */
+typedef struct ConfigRead {
+    Control *control;
+    HttpRequest *http;
+    char prefix[CONTROL_PATH_BYTES];
+} ConfigRead;
+
+static void
+on_config_read(void *arg, Status status, uint64_t index, const char *result,
+               size_t len)
+{
+    ConfigRead *read = arg;
+
+    (void)index;
+    (void)result;
+    (void)len;
+    reply_config(read->control, read->http, read->prefix, status == ST_OK);
+    free(read);
+}
+
 static void
 handle_config(Control *control, HttpRequest *http)
 {
     const char *prefix = HttpRequest_Query(http, "path");
+    ConfigRead *read = calloc(1, sizeof(*read));
 
-    reply_config(control, http, prefix != NULL ? prefix : "", false);
+    if (read == NULL) {
+        abort();
+    }
+    read->control = control;
+    read->http = http;
+    snprintf(read->prefix, sizeof(read->prefix), "%s",
+             prefix != NULL ? prefix : "");
+    Control_Read(control, on_config_read, read);
 }
 
 typedef struct Route {
--- a/src/control_internal.h
+++ b/src/control_internal.h
@@ -35,6 +35,8 @@
 #define CONTROL_MAX_TARGETS 65536
 #define CONTROL_MAX_PROPOSALS 4096
 #define CONTROL_PROPOSAL_MS 3000
+/* A leader that hears no majority answers a read unconfirmed after this. */
+#define CONTROL_READ_MS 1000
 /* Limits how often a proposal without a known answer is repeated. */
 #define CONTROL_REPEAT_MS 1000
 
@@ -139,6 +141,10 @@
 void Control_CloseLog(Control *control);
 void Control_Propose(Control *control, const Buf *command, ProposeFn fn,
                      void *arg);
+/* Asks for a read-index round. Calls fn with ST_OK once the state of this
+ * node holds all that was committed before the call; with an error when this
+ * node does not lead or hears no majority in time. */
+void Control_Read(Control *control, ProposeFn fn, void *arg);
 void Control_ExpireProposals(Control *control, int64_t now);
 void Control_OnPropose(Control *control, size_t peer,
                        const msgpack_object_array *message);
--- a/src/control_log.c
+++ b/src/control_log.c
@@ -328,6 +328,27 @@
     }
 }
 
+void
+Control_Read(Control *control, ProposeFn fn, void *arg)
+{
+    Handle handle = Table_Add(control->proposals);
+    ControlProposal *row = Table_Get(control->proposals, handle);
+    Status status = ST_NOT_LEADER;
+
+    if (row == NULL) {
+        fn(arg, ST_FULL, 0, NULL, 0);
+        return;
+    }
+    *row = (ControlProposal){fn, arg, Loop_NowMs() + CONTROL_READ_MS};
+    if (Control_IsLeader(control)) {
+        status = Replica_ReadIndex(control->replica, Loop_NowMs(),
+                                   Handle_Pack(handle));
+    }
+    if (status != ST_OK) {
+        end_proposal(control, Handle_Pack(handle), status, 0, NULL, 0);
+    }
+}
+
 void
 Control_ExpireProposals(Control *control, int64_t now)
 {
