Add a relay that partitions data centres and counts of pools and drains

standin-relay forwards the links between entry VMs in groups that a control port cuts (silent, refuse, late), heals or delays. The stand-in targets count starts that mix services, changes of service, reboots, runs that a reboot stopped, and the most targets that were unavailable at one time.

--- a/standin/common_targets.c
+++ b/standin/common_targets.c
@@ -101,6 +101,38 @@
     return time_us;
 }
 
+/* Counts starts that two pools at one time would cause. */
+static void
+count_service(Target *target, const Run *run)
+{
+    const Run *other = target->runs;
+
+    while (other != NULL && strcmp(other->service, run->service) == 0) {
+        other = other->next;
+    }
+    target->mixed += other != NULL ? 1 : 0;
+    if (target->last_service[0] != '\0' &&
+        strcmp(target->last_service, run->service) != 0) {
+        target->switches++;
+    }
+    memcpy(target->last_service, run->service, sizeof(run->service));
+}
+
+void
+Targets_CountUnavailable(Targets *targets)
+{
+    int count = 0;
+    int i;
+
+    for (i = 0; i < targets->options.count; i++) {
+        const Target *target = &targets->list[i];
+        count += target->draining || target->reboot_wanted ? 1 : 0;
+    }
+    if (count > targets->most_unavailable) {
+        targets->most_unavailable = count;
+    }
+}
+
 bool
 Targets_Start(Targets *targets, Target *target, Run *run)
 {
@@ -116,6 +148,7 @@
         target->refused++;
         return false;
     }
+    count_service(target, run);
     run->due_us = now + run_time_us(targets, target, run);
     run->next = target->runs;
     target->runs = run;
@@ -166,16 +199,24 @@
     for (i = 0; i < targets->options.count; i++) {
         const Target *target = &targets->list[i];
         json_array_append_new(
-            list, json_pack("{s:s,s:i,s:I,s:I,s:I,s:i,s:i,s:I}", "name",
-                            target->name, "port", target->port, "executions",
-                            (json_int_t)target->executions, "refused",
-                            (json_int_t)target->refused, "after_departure",
-                            (json_int_t)target->after_departure, "in_flight",
-                            target->in_flight, "highest", target->highest,
-                            "incarnation", (json_int_t)target->incarnation));
-    }
-    return json_pack("{s:s,s:o,s:O,s:O}", "process", targets->process,
-                     "targets", list, "by_id", targets->by_id, "by_caller",
+            list,
+            json_pack("{s:s,s:i,s:I,s:I,s:I,s:i,s:i,s:I,s:I,s:I,s:I,s:I,"
+                      "s:s}",
+                      "name", target->name, "port", target->port, "executions",
+                      (json_int_t)target->executions, "refused",
+                      (json_int_t)target->refused, "after_departure",
+                      (json_int_t)target->after_departure, "in_flight",
+                      target->in_flight, "highest", target->highest,
+                      "incarnation", (json_int_t)target->incarnation,
+                      "reboots", (json_int_t)target->reboots, "cut_off",
+                      (json_int_t)target->cut_off, "mixed",
+                      (json_int_t)target->mixed, "switches",
+                      (json_int_t)target->switches, "service",
+                      target->last_service));
+    }
+    return json_pack("{s:s,s:i,s:o,s:O,s:O}", "process", targets->process,
+                     "most_unavailable", targets->most_unavailable, "targets",
+                     list, "by_id", targets->by_id, "by_caller",
                      targets->by_caller);
 }
 
--- a/standin/common_targets.h
+++ b/standin/common_targets.h
@@ -52,6 +52,12 @@
     int64_t executions;
     int64_t refused;
     int64_t after_departure; /* runs asked for later than the bound */
+    int64_t reboots;
+    int64_t cut_off; /* runs that a reboot stopped */
+    /* A target in one pool at a time runs one service at a time. */
+    int64_t mixed;    /* runs started while another service's run was on */
+    int64_t switches; /* changes of service from one start to the next */
+    char last_service[TARGET_TEXT_BYTES];
     Run *runs;
 } Target;
 
@@ -89,6 +95,7 @@
     char process[32];
     int64_t leaving_us; /* 0 until the process was asked to stop */
     bool ended;
+    int most_unavailable; /* targets draining or rebooting at one time */
     uint64_t random;
 } Targets;
 
@@ -105,6 +112,10 @@
  * refusal, when it does not run. */
 bool Targets_Start(Targets *targets, Target *target, Run *run);
 
+/* Counts the targets that are draining or rebooting; called after each change
+ * of one, so that the highest count misses none. */
+void Targets_CountUnavailable(Targets *targets);
+
 /* Ends a run and frees its slot. */
 void Targets_End(Target *target, Run *run);
 
--- /dev/null
+++ b/standin/standin_relay.c
@@ -0,0 +1,634 @@
+/* A TCP relay between entry VMs that makes network partitions: each pair of
+ * ports belongs to a group, and a control port cuts, heals or delays it. */
+#include <apr_general.h>
+#include <argtable2.h>
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/tcp.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "buf.h"
+#include "diag.h"
+#include "httpserver.h"
+#include "loop.h"
+#include "settings.h"
+
+#define RELAY_MAX_PAIRS 128
+#define RELAY_MAX_GROUPS 32
+#define RELAY_NAME_BYTES 64
+#define RELAY_READ_BYTES 65536
+#define RELAY_STOP_POLL_MS 50
+/* A pipe that holds this much is not read any further. */
+#define RELAY_MAX_HELD_BYTES (8 * 1024 * 1024)
+
+typedef enum RelayCut {
+    RELAY_OPEN,
+    RELAY_SILENT, /* drops bytes; new connections hang */
+    RELAY_REFUSE, /* drops bytes; new connections are refused */
+    RELAY_LATE    /* holds bytes until the group is healed */
+} RelayCut;
+
+typedef struct Group {
+    char name[RELAY_NAME_BYTES];
+    RelayCut cut;
+    int64_t delay_ms;
+    int64_t dropped_bytes;
+} Group;
+
+typedef struct Pair {
+    Group *group;
+    SettingsAddress from;
+    SettingsAddress to;
+    int listener; /* -1: closed */
+    LoopWatch *watch;
+} Pair;
+
+typedef struct Chunk {
+    int64_t due_ms;
+    Buf bytes;
+    struct Chunk *next;
+} Chunk;
+
+/* One direction of a link. */
+typedef struct Pipe {
+    struct Link *link;
+    int in;
+    int out;
+    bool ended; /* nothing more comes in */
+    size_t held;
+    Chunk *first;
+    Chunk **last;
+} Pipe;
+
+typedef struct Link {
+    Pair *pair;
+    int client;
+    int server;
+    bool broken; /* bytes were dropped; the stream cannot go on */
+    Pipe pipes[2];
+    LoopWatch *watches[2]; /* of client and server */
+    LoopTimer *timer;
+    struct Link *next;
+    struct Link **back;
+} Link;
+
+static Loop *loop;
+static Group groups[RELAY_MAX_GROUPS];
+static size_t group_count;
+static Pair pairs[RELAY_MAX_PAIRS];
+static size_t pair_count;
+static Link *links;
+static volatile sig_atomic_t stop_wanted;
+
+static void
+handle_signal(int number)
+{
+    (void)number;
+    stop_wanted = 1;
+}
+
+static bool
+to_socket_address(const SettingsAddress *address, struct sockaddr_in *out)
+{
+    memset(out, 0, sizeof(*out));
+    out->sin_family = AF_INET;
+    out->sin_port = htons((uint16_t)address->port);
+    return inet_pton(AF_INET, address->host, &out->sin_addr) == 1;
+}
+
+static void
+set_options(int fd)
+{
+    int on = 1;
+
+    fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) | O_NONBLOCK);
+    fcntl(fd, F_SETFD, FD_CLOEXEC);
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
+/* --- links --- */
+
+static void
+close_link(Link *link)
+{
+    size_t i;
+
+    *link->back = link->next;
+    if (link->next != NULL) {
+        link->next->back = link->back;
+    }
+    for (i = 0; i < 2; i++) {
+        Pipe *pipe = &link->pipes[i];
+        if (link->watches[i] != NULL) {
+            Loop_Unwatch(link->watches[i]);
+        }
+        while (pipe->first != NULL) {
+            Chunk *chunk = pipe->first;
+            pipe->first = chunk->next;
+            Buf_Free(&chunk->bytes);
+            free(chunk);
+        }
+    }
+    Loop_FreeTimer(link->timer);
+    close(link->client);
+    if (link->server >= 0) {
+        close(link->server);
+    }
+    free(link);
+}
+
+static bool
+reads(const Link *link, const Pipe *pipe)
+{
+    return !pipe->ended && pipe->held < RELAY_MAX_HELD_BYTES &&
+           link->pair->group->cut != RELAY_LATE;
+}
+
+/* Returns whether the first chunk of a pipe may be written now. */
+static bool
+is_due(const Link *link, const Pipe *pipe, int64_t now)
+{
+    return pipe->first != NULL && pipe->first->due_ms <= now &&
+           link->pair->group->cut == RELAY_OPEN;
+}
+
+static void
+set_events(Link *link)
+{
+    int64_t now = Loop_NowMs();
+    int64_t next = -1;
+    size_t i;
+
+    for (i = 0; i < 2; i++) {
+        Pipe *in = &link->pipes[i];
+        Pipe *out = &link->pipes[1 - i];
+        if (link->watches[i] != NULL) {
+            Loop_SetEvents(link->watches[i],
+                           (reads(link, in) ? LOOP_READ : 0) |
+                               (is_due(link, out, now) ? LOOP_WRITE : 0));
+        }
+        if (in->first != NULL && in->first->due_ms > now &&
+            (next < 0 || in->first->due_ms < next)) {
+            next = in->first->due_ms;
+        }
+    }
+    if (next >= 0) {
+        Loop_Arm(link->timer, next - now, 0);
+    }
+}
+
+static void
+on_due(void *arg)
+{
+    set_events(arg);
+}
+
+/* Reads what has come. Returns false when the link failed. */
+static bool
+read_pipe(Link *link, Pipe *pipe)
+{
+    static char bytes[RELAY_READ_BYTES];
+    Group *group = link->pair->group;
+    ssize_t len = read(pipe->in, bytes, sizeof(bytes));
+    Chunk *chunk;
+
+    if (len < 0) {
+        return errno == EAGAIN || errno == EINTR;
+    }
+    if (len == 0) {
+        pipe->ended = true;
+        return true;
+    }
+    if (group->cut != RELAY_OPEN || link->broken) {
+        link->broken = true;
+        group->dropped_bytes += len;
+        return true;
+    }
+    chunk = calloc(1, sizeof(*chunk));
+    if (chunk == NULL) {
+        abort();
+    }
+    chunk->due_ms = Loop_NowMs() + group->delay_ms;
+    Buf_Append(&chunk->bytes, bytes, (size_t)len);
+    pipe->held += (size_t)len;
+    *pipe->last = chunk;
+    pipe->last = &chunk->next;
+    return true;
+}
+
+static bool
+write_pipe(Link *link, Pipe *pipe)
+{
+    while (is_due(link, pipe, Loop_NowMs())) {
+        Chunk *chunk = pipe->first;
+        ssize_t len =
+            send(pipe->out, chunk->bytes.data, chunk->bytes.len, MSG_NOSIGNAL);
+        if (len < 0) {
+            return errno == EAGAIN || errno == EINTR;
+        }
+        pipe->held -= (size_t)len;
+        Buf_Consume(&chunk->bytes, (size_t)len);
+        if (chunk->bytes.len > 0) {
+            return true;
+        }
+        pipe->first = chunk->next;
+        if (pipe->first == NULL) {
+            pipe->last = &pipe->first;
+        }
+        Buf_Free(&chunk->bytes);
+        free(chunk);
+    }
+    return true;
+}
+
+static void
+on_link(Link *link, size_t end, int events)
+{
+    Pipe *in = &link->pipes[end];
+    Pipe *out = &link->pipes[1 - end];
+
+    if (((events & LOOP_READ) != 0 && reads(link, in) &&
+         !read_pipe(link, in)) ||
+        !write_pipe(link, out) || !write_pipe(link, in)) {
+        close_link(link);
+        return;
+    }
+    /* An end is passed on after the bytes before it. A cut hides it, as a
+     * partition hides the packets of a close. */
+    if (link->pair->group->cut == RELAY_OPEN &&
+        ((in->ended && in->first == NULL) ||
+         (out->ended && out->first == NULL))) {
+        close_link(link);
+        return;
+    }
+    set_events(link);
+}
+
+static void
+on_client(void *arg, int events)
+{
+    on_link(arg, 0, events);
+}
+
+static void
+on_server(void *arg, int events)
+{
+    on_link(arg, 1, events);
+}
+
+/* Connects the far side. Returns false when it cannot be reached. */
+static bool
+connect_server(Link *link)
+{
+    struct sockaddr_in address;
+
+    link->server = socket(AF_INET, SOCK_STREAM, 0);
+    if (link->server < 0 || !to_socket_address(&link->pair->to, &address)) {
+        return false;
+    }
+    set_options(link->server);
+    if (connect(link->server, (struct sockaddr *)&address, sizeof(address)) !=
+            0 &&
+        errno != EINPROGRESS) {
+        return false;
+    }
+    link->pipes[0].out = link->server;
+    link->pipes[1].in = link->server;
+    link->watches[1] =
+        Loop_Watch(loop, link->server, LOOP_READ, on_server, link);
+    return link->watches[1] != NULL;
+}
+
+static void
+accept_link(void *arg, int events)
+{
+    Pair *pair = arg;
+    Link *link;
+    size_t i;
+    int fd = accept(pair->listener, NULL, NULL);
+
+    (void)events;
+    if (fd < 0) {
+        return;
+    }
+    set_options(fd);
+    link = calloc(1, sizeof(*link));
+    if (link == NULL) {
+        abort();
+    }
+    link->pair = pair;
+    link->client = fd;
+    link->server = -1;
+    for (i = 0; i < 2; i++) {
+        link->pipes[i].link = link;
+        link->pipes[i].last = &link->pipes[i].first;
+    }
+    link->pipes[0].in = fd;
+    link->pipes[1].out = fd;
+    link->timer = Loop_NewTimer(loop, on_due, link);
+    link->next = links;
+    link->back = &links;
+    if (links != NULL) {
+        links->back = &link->next;
+    }
+    links = link;
+    link->watches[0] = Loop_Watch(loop, fd, LOOP_READ, on_client, link);
+    if (pair->group->cut != RELAY_OPEN) {
+        link->broken = true;
+    }
+    else if (!connect_server(link)) {
+        close_link(link);
+        return;
+    }
+    set_events(link);
+}
+
+/* --- groups --- */
+
+static bool
+open_listener(Pair *pair)
+{
+    struct sockaddr_in address;
+    int on = 1;
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+    if (fd < 0 || !to_socket_address(&pair->from, &address)) {
+        return false;
+    }
+    set_options(fd);
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    if (bind(fd, (struct sockaddr *)&address, sizeof(address)) != 0 ||
+        listen(fd, 64) != 0) {
+        close(fd);
+        Diag_Log(DIAG_ERROR, "relay", "Cannot listen on %s:%d: %s.",
+                 pair->from.host, pair->from.port, strerror(errno));
+        return false;
+    }
+    pair->listener = fd;
+    pair->watch = Loop_Watch(loop, fd, LOOP_READ, accept_link, pair);
+    return pair->watch != NULL;
+}
+
+static void
+close_listener(Pair *pair)
+{
+    if (pair->listener >= 0) {
+        Loop_Unwatch(pair->watch);
+        close(pair->listener);
+        pair->listener = -1;
+    }
+}
+
+/* Puts a change of a group into force on its pairs and links. */
+static bool
+update_group(Group *group)
+{
+    Link *link = links;
+    size_t i;
+    bool ok = true;
+
+    for (i = 0; i < pair_count; i++) {
+        if (pairs[i].group != group) {
+            continue;
+        }
+        if (group->cut == RELAY_REFUSE) {
+            close_listener(&pairs[i]);
+        }
+        else if (pairs[i].listener < 0) {
+            ok = open_listener(&pairs[i]) && ok;
+        }
+    }
+    while (link != NULL) {
+        Link *next = link->next;
+        if (link->pair->group != group) {
+            link = next;
+            continue;
+        }
+        /* A stream with a gap must not go on. */
+        if (group->cut == RELAY_OPEN &&
+            (link->broken || link->pipes[0].ended || link->pipes[1].ended)) {
+            close_link(link);
+        }
+        else {
+            set_events(link);
+        }
+        link = next;
+    }
+    return ok;
+}
+
+static Group *
+find_group(const char *name, size_t len)
+{
+    size_t i;
+
+    for (i = 0; i < group_count; i++) {
+        if (strlen(groups[i].name) == len &&
+            memcmp(groups[i].name, name, len) == 0) {
+            return &groups[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+reply_state(HttpRequest *http, int status)
+{
+    static const char *const names[] = {"open", "silent", "refuse", "late"};
+    Buf text = BUF_INIT;
+    size_t i;
+
+    for (i = 0; i < group_count; i++) {
+        Buf_Printf(&text, "%s %s %lld ms, %lld bytes dropped\n",
+                   groups[i].name, names[groups[i].cut],
+                   (long long)groups[i].delay_ms,
+                   (long long)groups[i].dropped_bytes);
+    }
+    HttpRequest_ReplyText(http, status, "text/plain", Buf_Text(&text));
+    Buf_Free(&text);
+}
+
+static bool
+change_group(Group *group, const char *path, HttpRequest *http)
+{
+    const char *kind = HttpRequest_Query(http, "kind");
+    const char *ms = HttpRequest_Query(http, "ms");
+
+    if (strcmp(path, "/heal") == 0) {
+        group->cut = RELAY_OPEN;
+    }
+    else if (strcmp(path, "/delay") == 0 && ms != NULL) {
+        group->delay_ms = strtol(ms, NULL, 10);
+    }
+    else if (strcmp(path, "/cut") == 0) {
+        if (kind == NULL || strcmp(kind, "silent") == 0) {
+            group->cut = RELAY_SILENT;
+        }
+        else if (strcmp(kind, "refuse") == 0) {
+            group->cut = RELAY_REFUSE;
+        }
+        else if (strcmp(kind, "late") == 0) {
+            group->cut = RELAY_LATE;
+        }
+        else {
+            return false;
+        }
+    }
+    else {
+        return false;
+    }
+    return update_group(group);
+}
+
+static void
+handle_http(void *arg, HttpRequest *http)
+{
+    const char *name = HttpRequest_Query(http, "group");
+    const char *path = HttpRequest_Path(http);
+    Group *group = name != NULL ? find_group(name, strlen(name)) : NULL;
+
+    (void)arg;
+    if (strcmp(path, "/state") == 0) {
+        reply_state(http, 200);
+    }
+    else if (group == NULL) {
+        reply_state(http, 404);
+    }
+    else {
+        reply_state(http, change_group(group, path, http) ? 200 : 400);
+    }
+}
+
+/* --- start --- */
+
+/* Parses "GROUP:IP:PORT=IP:PORT". */
+static bool
+add_pair(const char *text)
+{
+    const char *colon = strchr(text, ':');
+    const char *equals = strchr(text, '=');
+    char from[RELAY_NAME_BYTES];
+    Pair *pair = &pairs[pair_count];
+    size_t len;
+
+    if (colon == NULL || equals == NULL || equals < colon ||
+        pair_count == RELAY_MAX_PAIRS) {
+        return false;
+    }
+    len = (size_t)(colon - text);
+    pair->group = find_group(text, len);
+    if (pair->group == NULL) {
+        if (group_count == RELAY_MAX_GROUPS || len >= RELAY_NAME_BYTES) {
+            return false;
+        }
+        pair->group = &groups[group_count++];
+        memcpy(pair->group->name, text, len);
+    }
+    snprintf(from, sizeof(from), "%.*s", (int)(equals - colon - 1), colon + 1);
+    pair->listener = -1;
+    pair_count++;
+    return Settings_ParseAddress(from, &pair->from) &&
+           Settings_ParseAddress(equals + 1, &pair->to);
+}
+
+static void
+check_stop(void *arg)
+{
+    (void)arg;
+    if (stop_wanted) {
+        Loop_Stop(loop);
+    }
+}
+
+static int
+run_relay(const SettingsAddress *control)
+{
+    HttpServerOptions options = {.address = *control,
+                                 .max_body_bytes = 1024,
+                                 .idle_timeout_s = 30,
+                                 .handler = handle_http};
+    struct sigaction action = {.sa_handler = handle_signal};
+    LoopTimer *timer;
+    HttpServer *server;
+    ErrCtx err = {0};
+    size_t i;
+
+    sigaction(SIGTERM, &action, NULL);
+    sigaction(SIGINT, &action, NULL);
+    loop = Loop_New(&err);
+    server = loop != NULL ? HttpServer_New(loop, &options, &err) : NULL;
+    if (server == NULL) {
+        Diag_Log(DIAG_ERROR, "relay", "Cannot start: %s.", err.message);
+        return EXIT_FAILURE;
+    }
+    for (i = 0; i < pair_count; i++) {
+        if (!open_listener(&pairs[i])) {
+            return EXIT_FAILURE;
+        }
+    }
+    timer = Loop_NewTimer(loop, check_stop, NULL);
+    Loop_Arm(timer, RELAY_STOP_POLL_MS, RELAY_STOP_POLL_MS);
+    Diag_Log(DIAG_INFO, "relay", "Relaying %zu pairs in %zu groups.",
+             pair_count, group_count);
+    Loop_Run(loop);
+    while (links != NULL) {
+        close_link(links);
+    }
+    for (i = 0; i < pair_count; i++) {
+        close_listener(&pairs[i]);
+    }
+    Loop_FreeTimer(timer);
+    HttpServer_Free(server);
+    Loop_Free(loop);
+    return EXIT_SUCCESS;
+}
+
+int
+main(int argc, char **argv)
+{
+    struct arg_str *pair =
+        arg_strn(NULL, "pair", "GROUP:IP:PORT=IP:PORT", 1, RELAY_MAX_PAIRS,
+                 "listens on the first and connects to the second; "
+                 "repeatable");
+    struct arg_str *control =
+        arg_str1(NULL, "control", "IP:PORT",
+                 "HTTP: POST /cut?group=G&kind=silent|refuse|late, "
+                 "/heal?group=G, /delay?group=G&ms=N; GET /state");
+    struct arg_lit *help = arg_lit0(NULL, "help", "print this text");
+    struct arg_end *end = arg_end(20);
+    void *table[] = {pair, control, help, end};
+    SettingsAddress address;
+    int errors = arg_parse(argc, argv, table);
+    int i;
+
+    if (help->count > 0) {
+        arg_print_syntax(stdout, table, "\n");
+        arg_print_glossary(stdout, table, "  %-28s %s\n");
+        return EXIT_SUCCESS;
+    }
+    if (errors > 0) {
+        arg_print_errors(stderr, end, "standin-relay");
+        return 2;
+    }
+    for (i = 0; i < pair->count; i++) {
+        if (!add_pair(pair->sval[i])) {
+            fprintf(stderr, "standin-relay: bad pair %s\n", pair->sval[i]);
+            return 2;
+        }
+    }
+    if (!Settings_ParseAddress(control->sval[0], &address)) {
+        fprintf(stderr, "standin-relay: bad address %s\n", control->sval[0]);
+        return 2;
+    }
+    Diag_Init("standin-relay", DIAG_INFO);
+    if (apr_initialize() != APR_SUCCESS) {
+        return EXIT_FAILURE;
+    }
+    return run_relay(&address);
+}
--- a/standin/standin_target.c
+++ b/standin/standin_target.c
@@ -174,6 +174,7 @@
         Targets_Unlock(&targets);
         return reply_text(connection, MHD_HTTP_NOT_FOUND, "{}");
     }
+    Targets_CountUnavailable(&targets);
     if (target->reboot_wanted) {
         state = "rebooting";
     }
@@ -312,7 +313,10 @@
     while (run != NULL) {
         Run *next = run->next;
         if (all || run->due_us <= now) {
-            run->stopped = run->stopped || (all && run->due_us > now);
+            if (all && run->due_us > now) {
+                run->stopped = true;
+                target->cut_off++;
+            }
             Targets_End(target, run);
             MHD_resume_connection(run->connection);
         }
@@ -345,6 +349,7 @@
         int64_t wall = Common_WallMs();
         target->incarnation =
             wall > target->incarnation ? wall : target->incarnation + 1;
+        target->reboots++;
         target->reboot_wanted = false;
         target->draining = false;
         pthread_cond_broadcast(&targets.changed);
