Close the connection of an unrepeatable request after its answer

Unrepeatable requests use a fresh connection, so that libcurl never sends one a second time after a reused connection breaks. That connection then stayed in the pool although no later unrepeatable request may use it, so each such request left one idle connection until the limit of 64 connections for each host and thread.

Ruled out: a crash or deadlock of the stand-in target; its threads waited in epoll with about 80 open connections on each of its two ports. FORBID_REUSE now goes with FRESH_CONNECT.

--- a/src/httpclient.c
+++ b/src/httpclient.c
@@ -288,6 +288,9 @@
                      (long)HTTP_CONNECT_TIMEOUT_MS);
     if (options->fresh_connection) {
         curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+        /* Kept open, each of these would be one more idle connection until
+         * the target accepts no other. */
+        curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
     }
 }
 
