Let waves wait for announcements after a restart of the keeper

A keeper that was killed and restarted during a wave took every VM that had not yet announced itself to it as down and skipped it for good: one of six VMs was skipped in one of three runs of the process test. Waves of a data centre now begin target_suspect_ms after the start of its keeper, within which each healthy VM has announced itself at least twice.

--- a/src/control_internal.h
+++ b/src/control_internal.h
@@ -121,6 +121,9 @@
     struct ControlLoads *loads; /* by index of the settings' peers */
     int64_t load_ms;
     int64_t spare_ms;
+    /* Waves wait this long after a start: before a VM has announced itself
+     * again, a restarted keeper would skip it as down. */
+    int64_t waves_ms;
     int64_t keeper_ms;
     int64_t propose_ms;
     uint64_t drains_sequence;
--- a/src/control_keeper.c
+++ b/src/control_keeper.c
@@ -32,6 +32,7 @@
     if (control->replica == NULL) {
         return ST_OK;
     }
+    control->waves_ms = Loop_NowMs() + settings->target_suspect_ms;
     control->escrow = Escrow_New(settings->name, settings->data_centre,
                                  Replica_Identity(control->replica));
     status = Storage_Read(control->storage, KEEPER_FILE, &bytes, err);
@@ -424,7 +425,9 @@
         return;
     }
     grant_moves(control);
-    Control_WaveTick(control);
+    if (now >= control->waves_ms) {
+        Control_WaveTick(control);
+    }
     set_demand(control);
     if (!save_record(control)) {
         return;
