Ask the platform before a reboot is repeated

The keeper repeated POST /platform/reboot every 200 ms until the VM announced a new incarnation. A VM that was back but had not announced itself was rebooted a second time: 7 reboots of 6 VMs in one run of the process test. The keeper now repeats a reboot only after the platform has named the old incarnation and no reboot under way; a lost answer is settled the same way.

--- a/src/control_internal.h
+++ b/src/control_internal.h
@@ -59,6 +59,10 @@
     /* Of the keeper: what the platform said last. */
     bool platform_busy;
     bool platform_draining;
+    /* The platform has named this incarnation, and no reboot is under way or
+     * was asked for since. */
+    bool platform_settled;
+    uint64_t platform_incarnation;
     int64_t platform_ms;
     uint32_t platform_in_flight;
     uint64_t idle_epoch;     /* idle under this assignment epoch */
--- a/src/control_keeper.c
+++ b/src/control_keeper.c
@@ -95,6 +95,9 @@
     }
     if (target != NULL && state != NULL) {
         target->platform_draining = strcmp(state, "draining") == 0;
+        target->platform_settled = strcmp(state, "rebooting") != 0;
+        target->platform_incarnation =
+            (uint64_t)json_integer_value(json_object_get(json, "incarnation"));
         target->platform_in_flight =
             (uint32_t)json_integer_value(json_object_get(json, "in_flight"));
         if (target->platform_in_flight == 0 && call->epoch != 0) {
@@ -105,9 +108,10 @@
     free(call);
 }
 
-/* Starts a call unless one is under way. epoch names the closed assignment
- * under which an answer without work in flight counts as idle. */
-static void
+/* Starts a call unless one is under way; returns whether it did. epoch names
+ * the closed assignment under which an answer without work in flight counts as
+ * idle. */
+static bool
 ask_platform(Control *control, ControlTarget *target, const char *method,
              const char *path, uint64_t epoch)
 {
@@ -121,7 +125,7 @@
 
     if (target->platform_busy ||
         now - target->platform_ms < KEEPER_PLATFORM_MS) {
-        return;
+        return false;
     }
     call = calloc(1, sizeof(*call));
     if (call == NULL) {
@@ -139,7 +143,9 @@
         NULL) {
         target->platform_busy = false;
         free(call);
+        return false;
     }
+    return true;
 }
 
 /* --- drains --- */
@@ -276,8 +282,17 @@
             target->platform_draining = false;
             Escrow_Advance(control->escrow, grant->vm, ESCROW_REBOOTED);
         }
+        else if (target->platform_settled &&
+                 target->platform_incarnation <= grant->incarnation &&
+                 ask_platform(control, target, "POST", "/platform/reboot",
+                              0)) {
+            /* The answer may be lost, and the VM may be back before it has
+             * announced itself: the platform is asked first before a reboot
+             * is repeated. */
+            target->platform_settled = false;
+        }
         else {
-            ask_platform(control, target, "POST", "/platform/reboot", 0);
+            ask_platform(control, target, "GET", "/platform/state", 0);
         }
         break;
     case ESCROW_WORK_OPEN:
