--- a/src/control_internal.h
+++ b/src/control_internal.h
@@ -35,6 +35,8 @@
 #define CONTROL_MAX_TARGETS 65536
 #define CONTROL_MAX_PROPOSALS 4096
 #define CONTROL_PROPOSAL_MS 3000
+/* A leader that hears no majority answers a read unconfirmed after this. */
+#define CONTROL_READ_MS 1000
 /* Limits how often a proposal without a known answer is repeated. */
 #define CONTROL_REPEAT_MS 1000
 
@@ -57,6 +59,10 @@
     /* Of the keeper: what the platform said last. */
     bool platform_busy;
     bool platform_draining;
+    /* The platform has named this incarnation, and no reboot is under way or
+     * was asked for since. */
+    bool platform_settled;
+    uint64_t platform_incarnation;
     int64_t platform_ms;
     uint32_t platform_in_flight;
     uint64_t idle_epoch;     /* idle under this assignment epoch */
@@ -120,6 +126,9 @@
     struct ControlLoads *loads; /* by index of the settings' peers */
     int64_t load_ms;
     int64_t spare_ms;
+    /* Waves wait this long after a start: before a VM has announced itself
+     * again, a restarted keeper would skip it as down. */
+    int64_t waves_ms;
     int64_t keeper_ms;
     int64_t propose_ms;
     uint64_t drains_sequence;
@@ -140,6 +149,10 @@
 void Control_CloseLog(Control *control);
 void Control_Propose(Control *control, const Buf *command, ProposeFn fn,
                      void *arg);
+/* Asks for a read-index round. Calls fn with ST_OK once the state of this
+ * node holds all that was committed before the call; with an error when this
+ * node does not lead or hears no majority in time. */
+void Control_Read(Control *control, ProposeFn fn, void *arg);
 void Control_ExpireProposals(Control *control, int64_t now);
 void Control_OnPropose(Control *control, size_t peer,
                        const msgpack_object_array *message);
