Shorten unchanged announcements between entry VMs

An entry VM passed the whole JSON text of each announcement on to the other entry VMs of its data centre, twice a second for each target, although it hardly ever changes. It now sends the name and the incarnation, and the text only when it is new, every 10 s, and to all after a link came up. A longer interval of the announcements was ruled out, since a target must be suspected within 1.8 s; one frame for all targets is left for later.

proc_relay guards against a target that is suspected, or not known after a restart, because only its name was passed on.

--- a/bench/bench_state.c
+++ b/bench/bench_state.c
@@ -1,12 +1,13 @@
 /* Size and speed of the replicated state by number of VMs, at three sizes up
  * to the design size: snapshot bytes, resident memory, bytes of an entry, and
- * time of a patch, a snapshot and a restore. */
+ * time of a patch, a snapshot and a restore; and the record of a keeper. */
 #include <malloc.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <time.h>
 
 #include "buf.h"
+#include "escrow.h"
 #include "patch.h"
 #include "state.h"
 #include "statecmd.h"
@@ -117,9 +118,57 @@
     Buf_Free(&result);
 }
 
+/* A keeper of 8 VMs in each pool, with as many drains as its share allows. */
+static void
+measure_keeper(int pools)
+{
+    State *state = State_New();
+    Escrow *escrow = Escrow_New("k1", "a", 11);
+    Buf record = BUF_INIT;
+    char line[LINE_BYTES];
+    ErrCtx err;
+    double start;
+    int i;
+
+    must(state, "member k1 a 11 1 disk");
+    for (i = 0; i < pools; i++) {
+        snprintf(line, sizeof(line),
+                 "patch %llu ann pool-%d pools/pool-%d/max_unavailable=5",
+                 (unsigned long long)State_Version(state), i, i);
+        must(state, line);
+    }
+    for (i = 0; i < 8 * pools; i++) {
+        snprintf(line, sizeof(line), "vm vm-%06d a rack-%d pool-%d", i, i / 4,
+                 i % pools);
+        must(state, line);
+    }
+    start = seconds();
+    Escrow_Sync(escrow, state);
+    printf("keeper: %d pools, %d VMs: sync %.2f ms, ", pools, 8 * pools,
+           (seconds() - start) * 1e3);
+    for (i = 0; i < 8 * pools; i++) {
+        snprintf(line, sizeof(line), "vm-%06d", i);
+        Escrow_Observe(escrow, line, true, 1);
+    }
+    for (i = 0; i < 8 * pools; i++) {
+        snprintf(line, sizeof(line), "vm-%06d", i);
+        Escrow_GrantDrain(escrow, line, "", &err);
+    }
+    start = seconds();
+    Escrow_Record(escrow, &record);
+    printf("%zu grants, record %zu bytes in %.2f ms\n",
+           Escrow_GrantCount(escrow), record.len, (seconds() - start) * 1e3);
+    Buf_Free(&record);
+    Escrow_Free(escrow);
+    State_Free(state);
+}
+
 int
 main(void)
 {
+    measure_keeper(30);
+    measure_keeper(60);
+    measure_keeper(118);
     measure(1000);
     measure(7250);
     measure(14500);
--- a/src/control.c
+++ b/src/control.c
@@ -31,6 +31,7 @@
 
     (void)peer;
     control->view_dirty = true;
+    Control_RelayAll(control);
     if (hello->identity != 0 && control->replica != NULL) {
         snprintf(member.name, sizeof(member.name), "%s", hello->name);
         snprintf(member.data_centre, sizeof(member.data_centre), "%s",
@@ -128,6 +129,9 @@
         Control_Announce(control, message->ptr[1].via.str.ptr,
                          message->ptr[1].via.str.size, false, &err);
     }
+    else {
+        Control_OnTargetAlive(control, message);
+    }
 }
 
 static void
--- a/src/control_internal.h
+++ b/src/control_internal.h
@@ -51,6 +51,8 @@
     bool suspect;
     int64_t heard_ms;
     int64_t registered_ms; /* of the last proposal to register */
+    int64_t relayed_ms;    /* when peers were last sent the whole text, or 0 */
+    uint64_t relayed_hash; /* of that text */
     bool draining;         /* the keeper wants no new work sent to it */
     /* Of the keeper: what the platform said last. */
     bool platform_busy;
@@ -148,6 +150,17 @@
 void Control_PublishView(Control *control, int64_t now);
 ControlTarget *Control_FindTarget(Control *control, const char *name);
 
+/* control_relay.c: announcements for the peers of the own data centre. */
+void Control_RelayText(Control *control, const char *json, size_t len);
+/* Sends the text only when it is new to the peers. */
+void Control_RelayNews(Control *control, ControlTarget *target,
+                       const char *json, size_t len);
+/* Sends whole announcements again: a peer may have missed some. */
+void Control_RelayAll(Control *control);
+/* A peer heard from a target whose announcement has not changed. */
+void Control_OnTargetAlive(Control *control,
+                           const msgpack_object_array *message);
+
 /* control_admin.c */
 void Control_HandleHttp(void *arg, HttpRequest *http);
 void Control_ReplyJson(HttpRequest *http, int status, json_t *json);
--- a/src/control_targets.c
+++ b/src/control_targets.c
@@ -102,28 +102,6 @@
     return ST_OK;
 }
 
-static void
-relay_target(Control *control, const char *json, size_t len)
-{
-    const Settings *settings = control->settings;
-    Buf body = BUF_INIT;
-    msgpack_packer packer;
-    size_t i;
-
-    msgpack_packer_init(&packer, &body, Buf_MsgpackWrite);
-    msgpack_pack_array(&packer, 2);
-    msgpack_pack_int(&packer, PEER_TARGET);
-    msgpack_pack_str(&packer, len);
-    msgpack_pack_str_body(&packer, json, len);
-    for (i = 0; i < settings->peer_count; i++) {
-        if (strcmp(settings->peers[i].data_centre, settings->data_centre) ==
-            0) {
-            Peers_Send(control->peers, i, body.data, body.len);
-        }
-    }
-    Buf_Free(&body);
-}
-
 static void
 on_registered(void *arg, Status status, uint64_t index, const char *result,
               size_t len)
@@ -260,7 +238,8 @@
         status = note_target(control, &target, Loop_NowMs(), err);
     }
     if (status == ST_OK && relay) {
-        relay_target(control, json, len);
+        Control_RelayNews(control, Control_FindTarget(control, target.name),
+                          json, len);
     }
     return status;
 }
@@ -291,7 +270,7 @@
                      (json_int_t)target->incarnation, "state", "leaving");
     text = json_dumps(json, JSON_COMPACT);
     if (text != NULL) {
-        relay_target(control, text, strlen(text));
+        Control_RelayText(control, text, strlen(text));
     }
     free(text);
     json_decref(json);
