--- a/standin/standin_operator.c
+++ b/standin/standin_operator.c
@@ -268,14 +268,16 @@
 static void
 print_times(const char *name, int64_t *us, size_t count)
 {
+    size_t median = count / 2;
+    size_t late = count * 99 / 100;
+
     if (count == 0) {
         return;
     }
     qsort(us, count, sizeof(*us), compare);
     printf(", \"%s_p50_ms\": %.2f, \"%s_p99_ms\": %.2f, \"%s_max_ms\": %.2f",
-           name, (double)us[count / 2] / 1000, name,
-           (double)us[count * 99 / 100] / 1000, name,
-           (double)us[count - 1] / 1000);
+           name, (double)us[median] / 1000, name, (double)us[late] / 1000,
+           name, (double)us[count - 1] / 1000);
 }
 
 /* Returns the time at which the slowest watched VM had the patch in force, or
