Tell the entry VMs of all data centres of a drain

The keeper named drained VMs only to the entry VMs of its own data centre, although those of other data centres send work to its VMs too.

The keeper now sends the list to all entry VMs and waits for those it hears before the platform drains. A list concerns VMs of the keeper's data centre only, so that keepers do not clear each other's marks. Other data centres get an empty list only until they have acknowledged it, which keeps the idle cost low.

--- a/src/control_keeper.c
+++ b/src/control_keeper.c
@@ -32,6 +32,8 @@
     if (control->replica == NULL) {
         return ST_OK;
     }
+    /* Peers may still hold the list of an earlier start. */
+    control->drains_sequence = 1;
     control->waves_ms = Loop_NowMs() + settings->target_suspect_ms;
     control->escrow = Escrow_New(settings->name, settings->data_centre,
                                  Replica_Identity(control->replica));
@@ -168,7 +170,9 @@
         const EscrowGrant *grant =
             Escrow_FindGrant(control->escrow, target->name);
         bool draining = grant != NULL && is_listed(grant);
-        if (draining != target->draining) {
+        bool local =
+            strcmp(target->data_centre, control->settings->data_centre) == 0;
+        if (local && draining != target->draining) {
             target->draining = draining;
             target->close_sequence =
                 draining ? control->drains_sequence + 1 : 0;
@@ -190,6 +194,9 @@
                   control->settings->data_centre) == 0;
 }
 
+/* Sends the list to all entry VMs, since those of other data centres may send
+ * work here too. Those get an empty one only until they have acknowledged it,
+ * which keeps the idle cost low. */
 static void
 send_drains(Control *control, int64_t now)
 {
@@ -217,7 +224,8 @@
         }
     }
     for (i = 0; i < control->settings->peer_count; i++) {
-        if (is_local(control, i)) {
+        if (is_local(control, i) || count > 0 ||
+            control->peer_states[i].drains_acked < control->drains_sequence) {
             Peers_Send(control->peers, i, body.data, body.len);
         }
     }
@@ -235,7 +243,7 @@
         return false;
     }
     for (i = 0; i < control->settings->peer_count; i++) {
-        if (is_local(control, i) && Peers_IsUp(control->peers, i) &&
+        if (Peers_IsUp(control->peers, i) &&
             control->peer_states[i].drains_acked < target->close_sequence) {
             return false;
         }
--- a/src/control_maint.c
+++ b/src/control_maint.c
@@ -62,6 +62,11 @@
     for (i = 0; i < StrMap_Count(control->targets); i++) {
         ControlTarget *target = StrMap_At(control->targets, i);
         bool draining = names_target(&items[2].via.array, target->name);
+        /* The list says nothing about VMs of other data centres. */
+        if (strcmp(target->data_centre,
+                   control->settings->peers[peer].data_centre) != 0) {
+            continue;
+        }
         control->view_dirty |= draining != target->draining;
         target->draining = draining;
     }
