--- a/tests/support_proc.sh
+++ b/tests/support_proc.sh
@@ -14,7 +14,10 @@
     declare -gA PID=()
     declare -gA CONTROL=()
     declare -gA TRAFFIC=()
+    declare -gA CENTRE=()
+    declare -gA RELAYED=()
     ENTRIES=()
+    RELAY_PAIRS=()
     export COLTSFOOT_OPERATOR=ann
     trap proc_end EXIT
     trap 'exit 130' INT
@@ -85,6 +88,59 @@
     fail "no free ports"
 }
 
+# link_address FROM_CENTRE TO_CENTRE ADDRESS: sets LINK to the address under
+# which a peer is reached: a port of the relay between data centres when
+# RELAY_NEXT names the next free port for it.
+link_address() {
+    LINK=$3
+    if [ -z "${RELAY_NEXT:-}" ] || [ "$1" = "$2" ]; then
+        return 0
+    fi
+    LINK=${RELAYED["$1 $3"]:-}
+    if [ -z "$LINK" ]; then
+        LINK=127.0.0.1:$RELAY_NEXT
+        RELAY_NEXT=$((RELAY_NEXT + 1))
+        RELAYED["$1 $3"]=$LINK
+        RELAY_PAIRS+=(--pair "$1-$2:$LINK=$3")
+    fi
+}
+
+# start_relay CONTROL_PORT: starts the relay of the links of the cluster.
+start_relay() {
+    RELAY_CONTROL=127.0.0.1:$1
+    "$BUILD/standin-relay" --control "$RELAY_CONTROL" "${RELAY_PAIRS[@]}" \
+        >>"$WORK/relay.log" 2>&1 &
+    PID[relay]=$!
+    wait_for "relay" relay_state
+}
+
+relay_state() {
+    curl -sf --noproxy '*' -m 2 "http://$RELAY_CONTROL/state"
+}
+
+# relay_change DATA_CENTRE PATH [QUERY]: changes all links of a data centre,
+# in both directions.
+relay_change() {
+    local group
+    for group in $(relay_state | cut -d' ' -f1); do
+        case $group in
+        "$1"-* | *-"$1")
+            curl -sf --noproxy '*' -m 5 -X POST -o /dev/null \
+                "http://$RELAY_CONTROL/$2?group=$group${3:+&$3}"
+            ;;
+        esac
+    done
+}
+
+# cut_centre DATA_CENTRE silent|refuse|late
+cut_centre() {
+    relay_change "$1" cut "kind=$2"
+}
+
+heal_centre() {
+    relay_change "$1" heal
+}
+
 # cluster NAME:DATA_CENTRE...: writes the settings of entry VMs, each with a
 # data folder; a name that ends in "!" has none.
 cluster() {
@@ -93,6 +149,7 @@
         name=${node%%:*}
         name=${name%!}
         ENTRIES+=("$name")
+        CENTRE[$name]=${node#*:}
         CONTROL[$name]=127.0.0.1:$((BASE + 3 * i + 1))
         TRAFFIC[$name]=127.0.0.1:$((BASE + 3 * i + 2))
         i=$((i + 1))
@@ -118,8 +175,11 @@
                 if [ $j -ne $i ]; then
                     echo "  - name: $short"
                     echo "    data_centre: ${other#*:}"
-                    echo "    peer: 127.0.0.1:$((BASE + 3 * j))"
-                    echo "    traffic: ${TRAFFIC[$short]}"
+                    link_address "$centre" "${other#*:}" \
+                        "127.0.0.1:$((BASE + 3 * j))"
+                    echo "    peer: $LINK"
+                    link_address "$centre" "${other#*:}" "${TRAFFIC[$short]}"
+                    echo "    traffic: $LINK"
                 fi
                 j=$((j + 1))
             done
@@ -173,9 +233,12 @@
     unset "PID[$1]"
 }
 
+# control_options OPTION [DATA_CENTRE]: the control ports of all entry VMs or
+# of those of one data centre.
 control_options() {
     local name
     for name in "${ENTRIES[@]}"; do
+        [ "${2:-${CENTRE[$name]}}" = "${CENTRE[$name]}" ] || continue
         printf -- '--%s %s ' "$1" "${CONTROL[$name]}"
     done
 }
@@ -187,7 +250,8 @@
     # shellcheck disable=SC2046
     "$BUILD/standin-target" --listen "127.0.0.1:$port" --count "$count" \
         --name "$prefix" --pool "$pool" --data-centre "$centre" \
-        --rack "$prefix-rack" $(control_options control) "$@" \
+        --rack "$prefix-rack" \
+        $(control_options control "${ANNOUNCE_LOCALLY:+$centre}") "$@" \
         >"$WORK/$prefix.out" 2>>"$WORK/$prefix.log" &
     PID[$prefix]=$!
 }
