Bound the connections of each traffic thread to one target

Cause: the pool of libcurl kept idle connections without a bound by target, and each unrepeatable request opened one more. A target that offers 64 held 88 after kills and freezes. Closing the connection of an unrepeatable request after its answer alone was not enough of a bound.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -140,7 +140,10 @@
     if (self->loop == NULL) {
         return err != NULL ? err->status : ST_IO;
     }
-    self->client = HttpClient_New(self->loop, 0);
+    /* Idle connections count at a target as well as busy ones, so the pool of
+     * each thread is bounded, and not only the attempts in flight. */
+    self->client =
+        HttpClient_New(self->loop, (long)settings->target_connections);
     self->server = HttpServer_New(self->loop, &options, err);
     if (self->client == NULL || self->server == NULL) {
         return err != NULL ? err->status : ST_IO;
--- a/src/gateway_http.c
+++ b/src/gateway_http.c
@@ -408,8 +408,8 @@
         Gw_ReplyAnswer(request->http, request->id, view->answer, view->len);
     }
     else if (view->outcome == ONCE_OUTCOME_DONE) {
-        Gw_ReplyRefusal(request->http, 410, request->id, "done",
-                        "the answer is no longer kept", 0);
+        Gw_ReplyRefusal(request->http, 410, request->id, "unknown",
+                        "the request ran; its answer is no longer kept", 0);
     }
     else if (view->outcome == ONCE_OUTCOME_NOT_RUN) {
         Gw_ReplyRefusal(request->http, 503, request->id, "not-run",
--- a/src/settings.c
+++ b/src/settings.c
@@ -44,6 +44,8 @@
           "targets on which work fails before it is declared unable to run"),
     ENTRY(token_ttl_s, "s", 600, 1, 86400,
           "life time of a token of an unrepeatable request"),
+    ENTRY(target_connections, "connections", 16, 1, 1024,
+          "connections of one traffic thread to one target"),
     ENTRY(shutdown_grace_ms, "ms", 60000, 0, 86400000,
           "longest wait for requests in flight at a planned stop"),
     ENTRY(buffer_weight, "points", 1, 0, 1000,
--- a/src/settings.h
+++ b/src/settings.h
@@ -60,6 +60,7 @@
     long long retry_percent;
     long long unable_targets;
     long long token_ttl_s;
+    long long target_connections;
     long long shutdown_grace_ms;
     long long buffer_weight;
     long long move_weight;
--- a/tests/proc_once.sh
+++ b/tests/proc_once.sh
@@ -23,3 +23,11 @@
 end_load load
 expect load verified -gt 1000
 expect load done -gt 500
+# A target offers 64 connections. Idle ones of entry VMs count as well.
+for port in $((BASE + 20)) $((BASE + 28)); do
+    most=$(curl -s --noproxy '*' "http://127.0.0.1:$port/standin/counts" |
+        grep -o '"highest_connections": *[0-9]*' | grep -o '[0-9]*$' |
+        sort -n | tail -1)
+    echo "connections at a target of port $port: at most $most"
+    [ "$most" -le 64 ] || fail "$most connections at one target"
+done
