--- a/bench/bench_state.c
+++ b/bench/bench_state.c
@@ -1,177 +1,244 @@
-/* Size and speed of the replicated state by number of VMs, at three sizes up
- * to the design size: snapshot bytes, resident memory, bytes of an entry, and
- * time of a patch, a snapshot and a restore; and the record of a keeper. */
-#include <malloc.h>
+/* Costs of the state machine against the naive version, as ratios within one
+ * run, and the time of a wave in steps of model time with shares in escrow
+ * against grants by the leader only. */
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <time.h>
 
-#include "buf.h"
 #include "escrow.h"
-#include "patch.h"
-#include "state.h"
-#include "statecmd.h"
+#include "state_impl.h"
+#include "support_naive_state.h"
 #include "support_state.h"
+#include "wave.h"
 
 #define POOLS 118
-#define TEAMS 67
 #define CENTRES 37
-#define CHANGES 20000
-#define LINE_BYTES 256
+#define SAMPLE 100
+#define PATCHES 50
 
 static double
-seconds(void)
+now(void)
 {
-    struct timespec now;
+    struct timespec time;
 
-    clock_gettime(CLOCK_MONOTONIC, &now);
-    return (double)now.tv_sec + (double)now.tv_nsec * 1e-9;
+    clock_gettime(CLOCK_MONOTONIC, &time);
+    return (double)time.tv_sec + (double)time.tv_nsec / 1e9;
 }
 
 static void
-must(State *state, const char *line)
+write_vm(char *line, size_t bytes, int i)
 {
-    if (SupportState_Apply(state, line) != ST_OK) {
-        fprintf(stderr, "bench_state: refused: %s\n", line);
-        exit(EXIT_FAILURE);
+    snprintf(line, bytes, "vm vm%05d dc%02d r%d pool%d", i, i % CENTRES,
+             i / CENTRES / 4, i / CENTRES % POOLS);
+}
+
+/* Applies a line to whichever is given; the encoding is not timed. */
+static double
+apply(State *state, Naive *naive, uint64_t index, const char *line)
+{
+    Buf command = BUF_INIT;
+    Buf result = BUF_INIT;
+    double begin;
+
+    SupportState_Encode(&command, line);
+    begin = now();
+    if (state != NULL) {
+        State_Apply(state, index, command.data, command.len, &result);
     }
+    else {
+        Naive_Apply(naive, index, command.data, command.len);
+    }
+    begin = now() - begin;
+    Buf_Free(&command);
+    Buf_Free(&result);
+    return begin;
 }
 
-static State *
-fill(int vms)
+static uint64_t
+set_up(State *state, Naive *naive)
 {
-    State *state = State_New();
-    char line[LINE_BYTES];
+    uint64_t index = 0;
+    char line[256];
     int i;
 
     for (i = 0; i < POOLS; i++) {
         snprintf(line, sizeof(line),
-                 "patch %llu ann pool-%d pools/pool-%d/max_unavailable=5 "
-                 "services/service-%d/pool=pool-%d",
-                 (unsigned long long)State_Version(state), i, i, i, i);
-        must(state, line);
+                 "patch %d op p%d pools/pool%d/"
+                 "max_unavailable=20",
+                 i, i, i);
+        apply(state, naive, ++index, line);
     }
-    for (i = 0; i < TEAMS; i++) {
-        snprintf(line, sizeof(line),
-                 "patch %llu ann team-%d teams/team-%d/quota=50",
-                 (unsigned long long)State_Version(state), i, i);
-        must(state, line);
+    for (i = 0; i < CENTRES; i++) {
+        snprintf(line, sizeof(line), "member m%d dc%02d %d 1 disk", i, i,
+                 i + 1);
+        apply(state, naive, ++index, line);
     }
-    for (i = 0; i < vms; i++) {
-        snprintf(line, sizeof(line), "vm vm-%06d dc-%d rack-%d pool-%d", i,
-                 i % CENTRES, i / 4, i % POOLS);
-        must(state, line);
+    return index;
+}
+
+typedef struct Cost {
+    double registration; /* s for one */
+    double patch;
+} Cost;
+
+/* Fills up to count VMs, of which the last SAMPLE are timed. The naive
+ * version takes quadratic time, so its list is filled before any member or
+ * budget is there to be divided. */
+static Cost
+measure(State *state, Naive *naive, int count)
+{
+    Cost cost = {0, 0};
+    uint64_t index = set_up(state, naive);
+    char line[256];
+    int i;
+
+    for (i = 0; i < count; i++) {
+        double took;
+        write_vm(line, sizeof(line), i);
+        took = apply(state, naive, ++index, line);
+        cost.registration += i >= count - SAMPLE ? took / SAMPLE : 0;
+    }
+    for (i = 0; i < PATCHES; i++) {
+        snprintf(line, sizeof(line), "patch %d op x%d pools/pool%d/min_size=1",
+                 POOLS + CENTRES + count + i, i, i);
+        cost.patch += apply(state, naive, ++index, line) / PATCHES;
     }
-    return state;
+    return cost;
 }
 
-static void
-measure(int vms)
+/* Plans a wave over all VMs for one data centre and decides once. */
+static double
+measure_plan(State *state, int count)
 {
-    size_t before = mallinfo2().uordblks;
-    State *state = fill(vms);
-    State *copy = State_New();
-    Buf snapshot = BUF_INIT;
+    const char **names = calloc((size_t)count, sizeof(char *));
+    WaveLimits limits = WAVE_LIMITS_DEFAULT;
+    Escrow *escrow = Escrow_New("m0", "dc00", 1);
     Buf command = BUF_INIT;
     Buf result = BUF_INIT;
-    ErrCtx err;
-    char line[LINE_BYTES];
-    size_t memory;
-    size_t bytes = 0;
-    double start;
-    double apply;
-    double save;
+    WaveDecision decision;
+    WavePlan *plan;
+    double begin;
     int i;
 
-    start = seconds();
-    for (i = 0; i < CHANGES; i++) {
-        snprintf(line, sizeof(line),
-                 "patch %llu ann change-%d pools/pool-%d/max_unavailable=%d",
-                 (unsigned long long)State_Version(state), i, i % POOLS,
-                 i % 7 + 1);
-        Buf_Clear(&command);
-        Buf_Clear(&result);
-        SupportState_Encode(&command, line);
-        bytes += command.len;
-        if (State_Apply(state, State_Applied(state) + 1, command.data,
-                        command.len, &result) != ST_OK) {
-            exit(EXIT_FAILURE);
-        }
-    }
-    apply = seconds() - start;
-    memory = mallinfo2().uordblks - before;
-    start = seconds();
-    State_Snapshot(state, &snapshot);
-    save = seconds() - start;
-    start = seconds();
-    if (State_Restore(copy, snapshot.data, snapshot.len, &err) != ST_OK) {
-        exit(EXIT_FAILURE);
+    for (i = 0; i < count; i++) {
+        names[i] = State_VmAt(state, (size_t)i)->name;
     }
-    printf("state: %d VMs: snapshot %zu bytes in %.1f ms, restore %.1f ms, "
-           "memory %.1f MB, patch %zu bytes and %.1f us\n",
-           vms, snapshot.len, save * 1e3, (seconds() - start) * 1e3,
-           (double)memory / 1048576, bytes / CHANGES, apply * 1e6 / CHANGES);
-    State_Free(state);
-    State_Free(copy);
-    Buf_Free(&snapshot);
+    StateCmd_StartWave(&command, "w", "op", "w", 0, names, (size_t)count);
+    State_Apply(state, State_Applied(state) + 1, command.data, command.len,
+                &result);
+    begin = now();
+    plan = WavePlan_New(state, "w", "dc00", &limits);
+    Escrow_Sync(escrow, state);
+    WavePlan_Next(plan, state, escrow, 1, 0, &decision);
+    begin = now() - begin;
+    WavePlan_Free(plan);
+    Escrow_Free(escrow);
     Buf_Free(&command);
     Buf_Free(&result);
+    free(names);
+    return begin;
 }
 
-/* A keeper of 8 VMs in each pool, with as many drains as its share allows. */
 static void
-measure_keeper(int pools)
+bench_costs(int count, bool with_naive)
 {
     State *state = State_New();
-    Escrow *escrow = Escrow_New("k1", "a", 11);
-    Buf record = BUF_INIT;
-    char line[LINE_BYTES];
-    ErrCtx err;
-    double start;
-    int i;
+    Cost mine = measure(state, NULL, count);
+    Buf snapshot = BUF_INIT;
 
-    must(state, "member k1 a 11 1 disk");
-    for (i = 0; i < pools; i++) {
-        snprintf(line, sizeof(line),
-                 "patch %llu ann pool-%d pools/pool-%d/max_unavailable=5",
-                 (unsigned long long)State_Version(state), i, i);
-        must(state, line);
-    }
-    for (i = 0; i < 8 * pools; i++) {
-        snprintf(line, sizeof(line), "vm vm-%06d a rack-%d pool-%d", i, i / 4,
-                 i % pools);
-        must(state, line);
+    State_Snapshot(state, &snapshot);
+    printf("%6d VMs: registration %.1f us, patch %.1f us, memory %.0f "
+           "and snapshot %.0f bytes a VM, plan %.2f ms",
+           count, mine.registration * 1e6, mine.patch * 1e6,
+           (double)StrMap_Bytes(state->vms) / count + sizeof(StateVm),
+           (double)snapshot.len / count, measure_plan(state, count) * 1e3);
+    if (with_naive) {
+        Naive *naive = Naive_New();
+        Cost its = measure(NULL, naive, count);
+        printf("; naive/state: registration %.1f, patch %.1f",
+               its.registration / mine.registration, its.patch / mine.patch);
+        Naive_Free(naive);
     }
-    start = seconds();
-    Escrow_Sync(escrow, state);
-    printf("keeper: %d pools, %d VMs: sync %.2f ms, ", pools, 8 * pools,
-           (seconds() - start) * 1e3);
-    for (i = 0; i < 8 * pools; i++) {
-        snprintf(line, sizeof(line), "vm-%06d", i);
-        Escrow_Observe(escrow, line, true, 1);
+    printf("\n");
+    Buf_Free(&snapshot);
+    State_Free(state);
+}
+
+#define MODEL_CENTRES 3
+#define MODEL_VMS 24   /* in each data centre */
+#define MODEL_BUDGET 6 /* of the pool */
+#define MODEL_DRAIN 5  /* steps that a drain takes */
+#define CUT_FROM 20
+#define CUT_TO 120
+
+/* Returns the steps until all VMs are done; data centre 0 is cut off from
+ * CUT_FROM to CUT_TO. With escrow each data centre spends its own share; the
+ * leader alone can grant the whole budget to any, but none to the one that
+ * is cut off, and takes back no grant that it cannot see end. */
+static int
+wave_steps(bool escrow)
+{
+    int pending[MODEL_CENTRES];
+    int active[MODEL_CENTRES][MODEL_DRAIN] = {{0}};
+    int left = MODEL_CENTRES * MODEL_VMS;
+    int step;
+    int i;
+
+    for (i = 0; i < MODEL_CENTRES; i++) {
+        pending[i] = MODEL_VMS;
     }
-    for (i = 0; i < 8 * pools; i++) {
-        snprintf(line, sizeof(line), "vm-%06d", i);
-        Escrow_GrantDrain(escrow, line, "", &err);
+    for (step = 0; left > 0; step++) {
+        bool cut = step >= CUT_FROM && step < CUT_TO;
+        int phase = step % MODEL_DRAIN;
+        int total = 0;
+        int k;
+        for (i = 0; i < MODEL_CENTRES; i++) {
+            /* The leader sees no end of a drain in a cut-off centre. */
+            if (escrow || !cut || i != 0) {
+                left -= active[i][phase];
+                active[i][phase] = 0;
+            }
+            for (k = 0; k < MODEL_DRAIN; k++) {
+                total += active[i][k];
+            }
+        }
+        for (i = 0; i < MODEL_CENTRES; i++) {
+            int mine = 0;
+            int room = MODEL_BUDGET - total;
+            for (k = 0; k < MODEL_DRAIN; k++) {
+                mine += active[i][k];
+            }
+            if (escrow) {
+                room = MODEL_BUDGET / MODEL_CENTRES - mine;
+            }
+            else if (cut && i == 0) {
+                room = 0;
+            }
+            room = room < pending[i] ? room : pending[i];
+            if (room > 0) {
+                active[i][phase] += room;
+                pending[i] -= room;
+                total += room;
+            }
+        }
     }
-    start = seconds();
-    Escrow_Record(escrow, &record);
-    printf("%zu grants, record %zu bytes in %.2f ms\n",
-           Escrow_GrantCount(escrow), record.len, (seconds() - start) * 1e3);
-    Buf_Free(&record);
-    Escrow_Free(escrow);
-    State_Free(state);
+    return step;
 }
 
 int
 main(void)
 {
-    measure_keeper(30);
-    measure_keeper(60);
-    measure_keeper(118);
-    measure(1000);
-    measure(7250);
-    measure(14500);
-    measure(29000);
-    return EXIT_SUCCESS;
+    static const int counts[] = {100, 300, 1000, 10000, 29000};
+    size_t i;
+
+    for (i = 0; i < sizeof(counts) / sizeof(counts[0]); i++) {
+        /* The naive version takes minutes with more. */
+        bench_costs(counts[i], counts[i] <= 300);
+    }
+    printf("wave of %d VMs, one of %d data centres cut off for %d steps: "
+           "escrow %d steps, leader only %d steps\n",
+           MODEL_CENTRES * MODEL_VMS, MODEL_CENTRES, CUT_TO - CUT_FROM,
+           wave_steps(true), wave_steps(false));
+    return 0;
 }
--- a/src/control_internal.h
+++ b/src/control_internal.h
@@ -15,6 +15,8 @@
 #include "buf.h"
 #include "control.h"
 #include "escrow.h"
+#include "feed.h"
+#include "feed_server.h"
 #include "gateway.h"
 #include "httpclient.h"
 #include "httpserver.h"
@@ -33,6 +35,8 @@
 #define CONTROL_MAX_TARGETS 65536
 #define CONTROL_MAX_PROPOSALS 4096
 #define CONTROL_PROPOSAL_MS 3000
+/* A leader that hears no majority answers a read unconfirmed after this. */
+#define CONTROL_READ_MS 1000
 /* Limits how often a proposal without a known answer is repeated. */
 #define CONTROL_REPEAT_MS 1000
 
@@ -57,6 +61,10 @@
     /* Of the keeper: what the platform said last. */
     bool platform_busy;
     bool platform_draining;
+    /* The platform has named this incarnation, and no reboot is under way or
+     * was asked for since. */
+    bool platform_settled;
+    uint64_t platform_incarnation;
     int64_t platform_ms;
     uint32_t platform_in_flight;
     uint64_t idle_epoch;     /* idle under this assignment epoch */
@@ -90,7 +98,9 @@
     Peers *peers;
     ControlPeer *peer_states; /* by index of the settings' peers */
     Storage *storage;
-    Replica *replica;
+    Replica *replica; /* NULL without a disk */
+    Feed *feed;       /* NULL with a disk */
+    FeedServer *feed_server;
     State *state;
     HttpServer *server;
     HttpClient *client;
@@ -114,6 +124,13 @@
     Escrow *escrow;  /* NULL without a disk */
     Journal *journal;
     struct ControlWave *waves;
+    struct Spare *spare;
+    struct ControlLoads *loads; /* by index of the settings' peers */
+    int64_t load_ms;
+    int64_t spare_ms;
+    /* Waves wait this long after a start: before a VM has announced itself
+     * again, a restarted keeper would skip it as down. */
+    int64_t waves_ms;
     int64_t keeper_ms;
     int64_t propose_ms;
     uint64_t drains_sequence;
@@ -134,14 +151,29 @@
 void Control_CloseLog(Control *control);
 void Control_Propose(Control *control, const Buf *command, ProposeFn fn,
                      void *arg);
+/* Asks for a read-index round. Calls fn with ST_OK once the state of this
+ * node holds all that was committed before the call; with an error when this
+ * node does not lead or hears no majority in time. */
+void Control_Read(Control *control, ProposeFn fn, void *arg);
 void Control_ExpireProposals(Control *control, int64_t now);
 void Control_OnPropose(Control *control, size_t peer,
                        const msgpack_object_array *message);
 void Control_OnProposed(Control *control, const msgpack_object_array *message);
 bool Control_IsLeader(const Control *control);
+/* Returns the index of the peer that leads, or -1. */
+long Control_LeaderPeer(const Control *control);
 /* Returns the name of the leader as far as known, or "". */
 const char *Control_LeaderName(const Control *control);
 
+const ReplicaMachineOps *Control_MachineOps(void);
+void Control_NoteApplied(Control *control, uint64_t index);
+
+/* control_feed.c */
+Status Control_OpenFeed(Control *control, ErrCtx *err);
+void Control_UpdateFeedPeers(Control *control);
+void Control_OnFeed(Control *control, size_t peer,
+                    const msgpack_object_array *message);
+
 /* control_targets.c */
 Status Control_Announce(Control *control, const char *json, size_t len,
                         bool relay, ErrCtx *err);
@@ -196,6 +228,13 @@
 size_t Control_WavePending(const Control *control, const char *pool);
 void Control_FreeWaves(Control *control);
 
+/* control_spare.c */
+void Control_OpenSpare(Control *control);
+void Control_CloseSpare(Control *control);
+void Control_SpareTick(Control *control, int64_t now);
+void Control_OnLoad(Control *control, size_t peer,
+                    const msgpack_object_array *message);
+
 /* Ignores the result: the caller repeats what is still needed. */
 void Control_IgnoreResult(void *arg, Status status, uint64_t index,
                           const char *result, size_t len);
--- a/src/traffic_types.h
+++ b/src/traffic_types.h
@@ -66,10 +66,11 @@
 
 typedef enum TrafficResultKind {
     TRAFFIC_OK,
-    TRAFFIC_FAILED,   /* the target answered with a failure */
-    TRAFFIC_REFUSED,  /* the target states that it did not run the work */
-    TRAFFIC_LOST,     /* unknown whether it ran */
-    TRAFFIC_TIMED_OUT /* no answer in time; unknown whether it ran */
+    TRAFFIC_FAILED,      /* the target answered with a failure */
+    TRAFFIC_REFUSED,     /* the target states that it did not run the work */
+    TRAFFIC_UNREACHABLE, /* nothing was sent; counts against the target */
+    TRAFFIC_LOST,        /* unknown whether it ran */
+    TRAFFIC_TIMED_OUT    /* no answer in time; unknown whether it ran */
 } TrafficResultKind;
 
 typedef struct TrafficResult {
--- a/standin/standin_target.c
+++ b/standin/standin_target.c
@@ -15,8 +15,9 @@
 #include "settings.h"
 
 #define MAX_CONTROLS 64
-/* Connections beyond those of callers, for the platform and the counts. */
-#define EXTRA_CONNECTIONS 16
+/* Connections that are accepted above the announced count, so that an entry
+ * VM that exceeds it is counted and the counts stay within reach. */
+#define EXTRA_CONNECTIONS 1000
 
 static Targets targets;
 static volatile sig_atomic_t stop_wanted;
@@ -174,6 +175,7 @@
         Targets_Unlock(&targets);
         return reply_text(connection, MHD_HTTP_NOT_FOUND, "{}");
     }
+    Targets_CountUnavailable(&targets);
     if (target->reboot_wanted) {
         state = "rebooting";
     }
@@ -278,6 +280,27 @@
     *state = NULL;
 }
 
+static void
+count_connection(void *arg, struct MHD_Connection *connection, void **state,
+                 enum MHD_ConnectionNotificationCode code)
+{
+    Target *target = arg;
+
+    (void)connection;
+    (void)state;
+    Targets_Lock(&targets);
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        target->connections++;
+        if (target->connections > target->highest_connections) {
+            target->highest_connections = target->connections;
+        }
+    }
+    else {
+        target->connections--;
+    }
+    Targets_Unlock(&targets);
+}
+
 static bool
 start_target(Target *target)
 {
@@ -294,7 +317,9 @@
         MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&address,
         MHD_OPTION_CONNECTION_LIMIT,
         (unsigned int)(options->connections + EXTRA_CONNECTIONS),
-        MHD_OPTION_NOTIFY_COMPLETED, request_done, target, MHD_OPTION_END);
+        MHD_OPTION_NOTIFY_COMPLETED, request_done, target,
+        MHD_OPTION_NOTIFY_CONNECTION, count_connection, target,
+        MHD_OPTION_END);
     if (target->daemon == NULL) {
         Diag_Log(DIAG_ERROR, "target", "Cannot listen on %s:%d.",
                  options->host, target->port);
@@ -312,7 +337,10 @@
     while (run != NULL) {
         Run *next = run->next;
         if (all || run->due_us <= now) {
-            run->stopped = run->stopped || (all && run->due_us > now);
+            if (all && run->due_us > now) {
+                run->stopped = true;
+                target->cut_off++;
+            }
             Targets_End(target, run);
             MHD_resume_connection(run->connection);
         }
@@ -345,6 +373,7 @@
         int64_t wall = Common_WallMs();
         target->incarnation =
             wall > target->incarnation ? wall : target->incarnation + 1;
+        target->reboots++;
         target->reboot_wanted = false;
         target->draining = false;
         pthread_cond_broadcast(&targets.changed);
--- a/tests/support_naive_state.c
+++ b/tests/support_naive_state.c
@@ -94,7 +94,7 @@
 add(List *list)
 {
     if (list->count == list->capacity) {
-        list->capacity = list->capacity ? list->capacity * 2 : 16;
+        list->capacity *= 2;
         list->items = realloc(list->items, list->capacity * list->bytes);
     }
     memset(list->items + list->count * list->bytes, 0, list->bytes);
@@ -110,18 +110,27 @@
     memmove(list->items + at, list->items + at + list->bytes, end - at);
 }
 
+/* A list always has memory, since its end is computed from its begin. */
+static void
+init(List *list, size_t bytes)
+{
+    list->bytes = bytes;
+    list->capacity = 16;
+    list->items = calloc(list->capacity, bytes);
+}
+
 Naive *
 Naive_New(void)
 {
     Naive *naive = calloc(1, sizeof(*naive));
 
-    naive->paths.bytes = sizeof(NaivePath);
-    naive->rows.bytes = sizeof(NaiveRow);
-    naive->members.bytes = sizeof(NaiveMember);
-    naive->centres.bytes = sizeof(NaiveCentre);
-    naive->acks.bytes = sizeof(NaiveAck);
-    naive->vms.bytes = sizeof(NaiveVm);
-    naive->shares.bytes = sizeof(NaiveShare);
+    init(&naive->paths, sizeof(NaivePath));
+    init(&naive->rows, sizeof(NaiveRow));
+    init(&naive->members, sizeof(NaiveMember));
+    init(&naive->centres, sizeof(NaiveCentre));
+    init(&naive->acks, sizeof(NaiveAck));
+    init(&naive->vms, sizeof(NaiveVm));
+    init(&naive->shares, sizeof(NaiveShare));
     return naive;
 }
 
@@ -260,19 +269,20 @@
 static int64_t
 give_units(const Naive *naive, const char *pool, int64_t budget, bool demand)
 {
-    int64_t extra[64] = {0};
+    size_t none = naive->shares.count;
+    int64_t *extra = calloc(none + 1, sizeof(*extra));
     size_t i;
 
     while (budget > 0) {
-        size_t best = 64;
+        size_t best = none;
         int64_t best_vms = 0;
         NaiveShare *shares = (NaiveShare *)(void *)naive->shares.items;
         for (i = 0; i < naive->shares.count; i++) {
             int64_t vms = count_vms(naive, pool, shares[i].centre);
-            bool before =
-                best < 64 && strcmp(shares[i].centre, shares[best].centre) < 0;
-            int64_t mine = best < 64 ? vms * (extra[best] + 1) : 1;
-            int64_t theirs = best < 64 ? best_vms * (extra[i] + 1) : 0;
+            bool before = best < none &&
+                          strcmp(shares[i].centre, shares[best].centre) < 0;
+            int64_t mine = best < none ? vms * (extra[best] + 1) : 1;
+            int64_t theirs = best < none ? best_vms * (extra[i] + 1) : 0;
             if (!same(shares[i].pool, pool) || vms == 0 ||
                 !kept(naive, shares[i].centre) ||
                 (demand && extra[i] >= shares[i].asked)) {
@@ -283,13 +293,14 @@
                 best_vms = vms;
             }
         }
-        if (best == 64) {
+        if (best == none) {
             break;
         }
         extra[best]++;
         shares[best].wanted++;
         budget--;
     }
+    free(extra);
     return budget;
 }
 
