--- a/standin/standin_operator.c
+++ b/standin/standin_operator.c
@@ -268,13 +268,17 @@
 static void
 print_times(const char *name, int64_t *us, size_t count)
 {
+    int64_t median;
+    int64_t high;
+
     if (count == 0) {
         return;
     }
     qsort(us, count, sizeof(*us), compare);
+    median = us[count / 2];
+    high = us[count * 99 / 100];
     printf(", \"%s_p50_ms\": %.2f, \"%s_p99_ms\": %.2f, \"%s_max_ms\": %.2f",
-           name, (double)us[count / 2] / 1000, name,
-           (double)us[count * 99 / 100] / 1000, name,
+           name, (double)median / 1000, name, (double)high / 1000, name,
            (double)us[count - 1] / 1000);
 }
 
