--- a/src/control_internal.h
+++ b/src/control_internal.h
@@ -55,6 +55,8 @@
     bool suspect;
     int64_t heard_ms;
     int64_t registered_ms; /* of the last proposal to register */
+    int64_t relayed_ms;    /* when peers were last sent the whole text, or 0 */
+    uint64_t relayed_hash; /* of that text */
     bool draining;         /* the keeper wants no new work sent to it */
     /* Of the keeper: what the platform said last. */
     bool platform_busy;
@@ -113,6 +115,7 @@
     uint64_t view_sequence;
     uint64_t view_applied;
     uint64_t view_version; /* state version of the last view */
+    uint64_t in_force;     /* state version that all traffic threads use */
     int64_t view_ms;
     int64_t version_ms; /* when the present version was applied */
     int64_t register_ms;
@@ -179,6 +182,17 @@
 void Control_PublishView(Control *control, int64_t now);
 ControlTarget *Control_FindTarget(Control *control, const char *name);
 
+/* control_relay.c: announcements for the peers of the own data centre. */
+void Control_RelayText(Control *control, const char *json, size_t len);
+/* Sends the text only when it is new to the peers. */
+void Control_RelayNews(Control *control, ControlTarget *target,
+                       const char *json, size_t len);
+/* Sends whole announcements again: a peer may have missed some. */
+void Control_RelayAll(Control *control);
+/* A peer heard from a target whose announcement has not changed. */
+void Control_OnTargetAlive(Control *control,
+                           const msgpack_object_array *message);
+
 /* control_admin.c */
 void Control_HandleHttp(void *arg, HttpRequest *http);
 void Control_ReplyJson(HttpRequest *http, int status, json_t *json);
--- a/standin/common_targets.c
+++ b/standin/common_targets.c
@@ -200,13 +200,14 @@
         const Target *target = &targets->list[i];
         json_array_append_new(
             list,
-            json_pack("{s:s,s:i,s:I,s:I,s:I,s:i,s:i,s:I,s:I,s:I,s:I,s:I,"
+            json_pack("{s:s,s:i,s:I,s:I,s:I,s:i,s:i,s:i,s:I,s:I,s:I,s:I,s:I,"
                       "s:s}",
                       "name", target->name, "port", target->port, "executions",
                       (json_int_t)target->executions, "refused",
                       (json_int_t)target->refused, "after_departure",
                       (json_int_t)target->after_departure, "in_flight",
                       target->in_flight, "highest", target->highest,
+                      "highest_connections", target->highest_connections,
                       "incarnation", (json_int_t)target->incarnation,
                       "reboots", (json_int_t)target->reboots, "cut_off",
                       (json_int_t)target->cut_off, "mixed",
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -279,6 +279,25 @@
 }
 END_TEST
 
+/* Guards against a dead target that refuses connections at once and so takes
+ * work again and again: it has to be evicted like one that fails. */
+START_TEST(unreachable_target_is_evicted)
+{
+    TrafficResult result = {TRAFFIC_UNREACHABLE, 100};
+    RouteInfo info;
+    Fixture f;
+    int i;
+
+    fixture_open(&f, 4);
+    for (i = 0; i < ROUTE_EVICT_FAILURES; i++) {
+        Route_Learn(f.r, 10, 0, &result, 1000);
+    }
+    Route_GetInfo(f.r, 0, &info);
+    ck_assert(info.evicted);
+    Route_Free(f.r);
+}
+END_TEST
+
 /* Guards against a retry in the rack where the work just failed. */
 START_TEST(retry_prefers_another_rack)
 {
@@ -491,6 +510,7 @@
     tcase_add_loop_test(tcase, states_decide, 0,
                         sizeof(state_cases) / sizeof(state_cases[0]));
     tcase_add_test(tcase, eviction_is_capped);
+    tcase_add_test(tcase, unreachable_target_is_evicted);
     tcase_add_test(tcase, probe_readmits);
     tcase_add_test(tcase, fast_failure_counts_as_slow);
     tcase_add_test(tcase, retry_prefers_another_rack);
