--- a/src/control.c
+++ b/src/control.c
@@ -24,6 +24,22 @@
     msgpack_pack_str_body(packer, text, len);
 }
 
+void
+Control_SendBin(Control *control, size_t peer, PeerMessageType type,
+                const char *bytes, size_t len)
+{
+    Buf body = BUF_INIT;
+    msgpack_packer packer;
+
+    msgpack_packer_init(&packer, &body, Buf_MsgpackWrite);
+    msgpack_pack_array(&packer, 2);
+    msgpack_pack_int(&packer, (int)type);
+    msgpack_pack_bin(&packer, len);
+    msgpack_pack_bin_body(&packer, bytes, len);
+    Peers_Send(control->peers, peer, body.data, body.len);
+    Buf_Free(&body);
+}
+
 static void
 on_up(void *arg, size_t peer, const PeerHello *hello)
 {
@@ -76,41 +92,6 @@
     state->ready = items[4].via.u64 != 0;
 }
 
-static void
-on_once(Control *control, size_t peer, PeerMessageType type,
-        const msgpack_object_array *message)
-{
-    const msgpack_object *items = message->ptr;
-    Buf body = BUF_INIT;
-    msgpack_packer packer;
-    bool ok;
-
-    if (type == PEER_ONCE_OUTCOME && message->size == 2 &&
-        items[1].type == MSGPACK_OBJECT_BIN) {
-        Gateway_HoldOutcome(control->gateway, items[1].via.bin.ptr,
-                            items[1].via.bin.size);
-    }
-    else if (type == PEER_ONCE_ACK && message->size == 3 &&
-             items[1].type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
-             items[2].type == MSGPACK_OBJECT_BOOLEAN) {
-        Gateway_IntentRecorded(control->gateway, items[1].via.u64,
-                               items[2].via.boolean);
-    }
-    else if (type == PEER_ONCE_INTENT && message->size == 3 &&
-             items[1].type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
-             items[2].type == MSGPACK_OBJECT_BIN) {
-        ok = Gateway_HoldIntent(control->gateway, items[2].via.bin.ptr,
-                                items[2].via.bin.size) == ST_OK;
-        msgpack_packer_init(&packer, &body, Buf_MsgpackWrite);
-        msgpack_pack_array(&packer, 3);
-        msgpack_pack_int(&packer, PEER_ONCE_ACK);
-        msgpack_pack_uint64(&packer, items[1].via.u64);
-        ok ? msgpack_pack_true(&packer) : msgpack_pack_false(&packer);
-        Peers_Send(control->peers, peer, body.data, body.len);
-        Buf_Free(&body);
-    }
-}
-
 static void
 on_raft(Control *control, size_t peer, const msgpack_object_array *message)
 {
@@ -171,7 +152,7 @@
     case PEER_ONCE_INTENT:
     case PEER_ONCE_ACK:
     case PEER_ONCE_OUTCOME:
-        on_once(control, peer, type, message);
+        Control_OnOnce(control, peer, type, message);
         break;
     case PEER_DRAINS:
         Control_OnDrains(control, peer, message);
@@ -192,153 +173,6 @@
     msgpack_unpacked_destroy(&unpacked);
 }
 
-/* --- calls of the traffic threads --- */
-
-typedef struct OncePost {
-    Control *control;
-    uint64_t cookie;
-    bool is_intent;
-    Buf record;
-} OncePost;
-
-/* Returns the best peer to hold records, or -1: one of the own data centre
- * first. */
-static long
-choose_holder(const Control *control)
-{
-    const Settings *settings = control->settings;
-    long other = -1;
-    size_t i;
-
-    for (i = 0; i < settings->peer_count; i++) {
-        if (!Peers_IsUp(control->peers, i)) {
-            continue;
-        }
-        if (strcmp(settings->peers[i].data_centre, settings->data_centre) ==
-            0) {
-            return (long)i;
-        }
-        other = (long)i;
-    }
-    return other;
-}
-
-static void
-send_record(void *arg)
-{
-    OncePost *post = arg;
-    Control *control = post->control;
-    long holder = choose_holder(control);
-    Buf body = BUF_INIT;
-    msgpack_packer packer;
-
-    if (holder < 0 && post->is_intent) {
-        Gateway_IntentRecorded(control->gateway, post->cookie, false);
-    }
-    if (holder >= 0) {
-        msgpack_packer_init(&packer, &body, Buf_MsgpackWrite);
-        msgpack_pack_array(&packer, post->is_intent ? 3 : 2);
-        msgpack_pack_int(&packer, post->is_intent ? PEER_ONCE_INTENT
-                                                  : PEER_ONCE_OUTCOME);
-        if (post->is_intent) {
-            msgpack_pack_uint64(&packer, post->cookie);
-        }
-        msgpack_pack_bin(&packer, post->record.len);
-        msgpack_pack_bin_body(&packer, post->record.data, post->record.len);
-        Peers_Send(control->peers, (size_t)holder, body.data, body.len);
-        Buf_Free(&body);
-    }
-    Buf_Free(&post->record);
-    free(post);
-}
-
-static void
-post_record(Control *control, uint64_t cookie, bool is_intent,
-            const char *record, size_t len)
-{
-    OncePost *post = calloc(1, sizeof(*post));
-
-    if (post == NULL) {
-        abort();
-    }
-    post->control = control;
-    post->cookie = cookie;
-    post->is_intent = is_intent;
-    Buf_Append(&post->record, record, len);
-    Loop_Post(control->loop, send_record, post);
-}
-
-static void
-record_intent(void *arg, uint64_t cookie, const char *record, size_t len)
-{
-    Control *control = arg;
-
-    if (control->once_log == NULL ||
-        OnceLog_Append(control->once_log, cookie, record, len) != ST_OK) {
-        post_record(control, cookie, true, record, len);
-    }
-}
-
-/* A copy at a peer answers resends while this node is down. */
-static void
-record_outcome(void *arg, const char *record, size_t len)
-{
-    Control *control = arg;
-
-    if (control->once_log != NULL) {
-        OnceLog_Append(control->once_log, 0, record, len);
-    }
-    post_record(control, 0, false, record, len);
-}
-
-static void
-on_logged(void *arg, uint64_t cookie, bool ok)
-{
-    Control *control = arg;
-
-    Gateway_IntentRecorded(control->gateway, cookie, ok);
-}
-
-static Status
-recover_once(void *arg, const char *file, const char *bytes, size_t len,
-             size_t *valid, ErrCtx *err)
-{
-    Control *control = arg;
-    OnceRecovery recovery = {0};
-    ErrCtx inner = {0};
-    Status status =
-        Gateway_RecoverOnce(control->gateway, bytes, len, &recovery, &inner);
-
-    if (status != ST_OK) {
-        return Err_Set(err, status, "%s: %s", file, inner.message);
-    }
-    *valid = recovery.valid;
-    Diag_Log(DIAG_INFO, "once",
-             "Recovered %zu intents and %zu outcomes of %s.", recovery.intents,
-             recovery.outcomes, file);
-    return ST_OK;
-}
-
-static Status
-open_once_log(Control *control, ErrCtx *err)
-{
-    OnceLogOptions options = {
-        .arg = control, .done = on_logged, .recover = recover_once};
-    char folder[SETTINGS_FOLDER_BYTES + 8];
-    Status status;
-
-    if (control->settings->data_folder[0] == '\0') {
-        return ST_OK;
-    }
-    snprintf(folder, sizeof(folder), "%s/once",
-             control->settings->data_folder);
-    status = Storage_OpenFolder(folder, true, &options.storage, err);
-    if (status != ST_OK) {
-        return status;
-    }
-    return OnceLog_New(&options, &control->once_log, err);
-}
-
 typedef struct ViewPost {
     Control *control;
     uint64_t sequence;
@@ -544,13 +378,14 @@
 static Status
 open_gateway(Control *control, uint64_t seed, ErrCtx *err)
 {
-    GatewayOptions options = {.settings = control->settings,
-                              .incarnation = control->incarnation,
-                              .seed = seed,
-                              .hooks = {.arg = control,
-                                        .record_intent = record_intent,
-                                        .record_outcome = record_outcome,
-                                        .view_applied = view_applied}};
+    GatewayOptions options = {
+        .settings = control->settings,
+        .incarnation = control->incarnation,
+        .seed = seed,
+        .hooks = {.arg = control,
+                  .record_intent = Control_RecordIntent,
+                  .record_outcome = Control_RecordOutcome,
+                  .view_applied = view_applied}};
 
     Status status;
 
@@ -558,7 +393,7 @@
     if (control->gateway == NULL) {
         return ST_IO;
     }
-    status = open_once_log(control, err);
+    status = Control_OpenOnceLog(control, err);
     return status == ST_OK ? Gateway_Start(control->gateway, err) : status;
 }
 
--- a/src/control_feed.c
+++ b/src/control_feed.c
@@ -11,21 +11,6 @@
     return &control->settings->peers[peer];
 }
 
-static void
-send_to(Control *control, size_t peer, const char *bytes, size_t len)
-{
-    Buf body = BUF_INIT;
-    msgpack_packer packer;
-
-    msgpack_packer_init(&packer, &body, Buf_MsgpackWrite);
-    msgpack_pack_array(&packer, 2);
-    msgpack_pack_int(&packer, PEER_FEED);
-    msgpack_pack_bin(&packer, len);
-    msgpack_pack_bin_body(&packer, bytes, len);
-    Peers_Send(control->peers, peer, body.data, body.len);
-    Buf_Free(&body);
-}
-
 static void
 send_feed(void *arg, const char *name, const char *bytes, size_t len)
 {
@@ -34,7 +19,7 @@
 
     for (i = 0; i < control->settings->peer_count; i++) {
         if (strcmp(peer_of(control, i)->name, name) == 0) {
-            send_to(control, i, bytes, len);
+            Control_SendBin(control, i, PEER_FEED, bytes, len);
             return;
         }
     }
@@ -114,7 +99,7 @@
     if (FeedServer_Answer(control->feed_server, Loop_NowMs(),
                           peer_of(control, peer)->name, bytes->via.bin.ptr,
                           bytes->via.bin.size, &answer) == ST_OK) {
-        send_to(control, peer, answer.data, answer.len);
+        Control_SendBin(control, peer, PEER_FEED, answer.data, answer.len);
     }
     else if (control->feed != NULL) {
         Feed_Receive(control->feed, Loop_NowMs(), peer_of(control, peer)->name,
--- a/src/control_internal.h
+++ b/src/control_internal.h
@@ -177,6 +177,14 @@
 void Control_OnFeed(Control *control, size_t peer,
                     const msgpack_object_array *message);
 
+/* control_once.c */
+Status Control_OpenOnceLog(Control *control, ErrCtx *err);
+void Control_RecordIntent(void *arg, uint64_t cookie, const char *record,
+                          size_t len);
+void Control_RecordOutcome(void *arg, const char *record, size_t len);
+void Control_OnOnce(Control *control, size_t peer, PeerMessageType type,
+                    const msgpack_object_array *message);
+
 /* control_targets.c */
 Status Control_Announce(Control *control, const char *json, size_t len,
                         bool relay, ErrCtx *err);
@@ -243,6 +251,10 @@
                           const char *result, size_t len);
 void Control_Note(Control *control, const JournalNote *note);
 
+/* Sends a message of a type and one binary item. */
+void Control_SendBin(Control *control, size_t peer, PeerMessageType type,
+                     const char *bytes, size_t len);
+
 /* Appends a msgpack text. */
 void Control_PackText(msgpack_packer *packer, const char *text);
 
--- a/src/control_log.c
+++ b/src/control_log.c
@@ -45,25 +45,14 @@
 send_raft(void *arg, uint64_t to, const char *bytes, size_t len)
 {
     Control *control = arg;
-    Buf body = BUF_INIT;
-    msgpack_packer packer;
     size_t i;
 
     for (i = 0; i < control->settings->peer_count; i++) {
         if (Peers_Hello(control->peers, i)->identity == to) {
-            break;
+            Control_SendBin(control, i, PEER_RAFT, bytes, len);
+            return;
         }
     }
-    if (i == control->settings->peer_count) {
-        return;
-    }
-    msgpack_packer_init(&packer, &body, Buf_MsgpackWrite);
-    msgpack_pack_array(&packer, 2);
-    msgpack_pack_int(&packer, PEER_RAFT);
-    msgpack_pack_bin(&packer, len);
-    msgpack_pack_bin_body(&packer, bytes, len);
-    Peers_Send(control->peers, i, body.data, body.len);
-    Buf_Free(&body);
 }
 
 void
