Send work while waiting for a moved VM to serve its new pool

proc_partition failed once in a busy run: the move was complete on all entry VMs, but the load had ended before it, so no request was left to show that the VM serves its new pool. Each try now sends some; what is required of the VM is unchanged.

--- a/tests/proc_partition.sh
+++ b/tests/proc_partition.sh
@@ -293,7 +293,13 @@
 for name in "${ENTRIES[@]}"; do
     wait_for "move of $vm on $name" in_pool "$name" $vm booking
 done
-wait_for "booking on $vm" serves_service $port $vm booking
+# The load may have ended before the move did, so each try sends some work.
+books() {
+    "$BUILD/standin-caller" --to "${TRAFFIC[middle-1]}" --service booking \
+        --requests 12 >/dev/null
+    serves_service $port $vm booking
+}
+wait_for "booking on $vm" books
 for centre in "${CENTRES[@]}"; do
     end_load "move-$centre"
 done
