Pack texts with one function and decode a peer message once

The same packing of a text stood in five files and a sixth time in the control module; MpPack_Text serves all. peer.c unpacked each message to check its type and control.c unpacked the same bytes again; the decoded array is handed on now. Putting the function beside Buf_MsgpackWrite was tried and dropped: buf.h would then pull the socket headers of msgpack.h into every file.

--- a/src/control.c
+++ b/src/control.c
@@ -15,15 +15,6 @@
 #define CONTROL_MAX_BODY_BYTES (1024 * 1024)
 #define CONTROL_JOURNAL_ENTRIES 4096
 
-void
-Control_PackText(msgpack_packer *packer, const char *text)
-{
-    size_t len = strlen(text);
-
-    msgpack_pack_str(packer, len);
-    msgpack_pack_str_body(packer, text, len);
-}
-
 void
 Control_SendBin(Control *control, size_t peer, PeerMessageType type,
                 const char *bytes, size_t len)
@@ -119,20 +110,11 @@
 }
 
 static void
-on_message(void *arg, size_t peer, PeerMessageType type, const char *body,
-           size_t len)
+on_message(void *arg, size_t peer, PeerMessageType type,
+           const msgpack_object_array *message)
 {
     Control *control = arg;
-    msgpack_unpacked unpacked;
-    const msgpack_object_array *message;
-    size_t offset = 0;
 
-    msgpack_unpacked_init(&unpacked);
-    if (msgpack_unpack_next(&unpacked, body, len, &offset) !=
-        MSGPACK_UNPACK_SUCCESS) {
-        return;
-    }
-    message = &unpacked.data.via.array;
     switch (type) {
     case PEER_STATUS:
         on_status(control, peer, message);
@@ -170,7 +152,6 @@
     case PEER_REFUSED:
         break;
     }
-    msgpack_unpacked_destroy(&unpacked);
 }
 
 typedef struct ViewPost {
--- a/src/control_internal.h
+++ b/src/control_internal.h
@@ -22,6 +22,7 @@
 #include "httpserver.h"
 #include "journal.h"
 #include "loop.h"
+#include "mppack.h"
 #include "oncelog.h"
 #include "peer.h"
 #include "replica.h"
@@ -256,7 +257,4 @@
 void Control_SendBin(Control *control, size_t peer, PeerMessageType type,
                      const char *bytes, size_t len);
 
-/* Appends a msgpack text. */
-void Control_PackText(msgpack_packer *packer, const char *text);
-
 #endif
--- a/src/control_keeper.c
+++ b/src/control_keeper.c
@@ -221,7 +221,7 @@
     for (i = 0; i < Escrow_GrantCount(control->escrow); i++) {
         const EscrowGrant *grant = Escrow_GrantAt(control->escrow, i);
         if (is_listed(grant)) {
-            Control_PackText(&packer, grant->vm);
+            MpPack_Text(&packer, grant->vm);
         }
     }
     for (i = 0; i < control->settings->peer_count; i++) {
--- a/src/control_relay.c
+++ b/src/control_relay.c
@@ -47,7 +47,7 @@
     msgpack_packer_init(&packer, &body, Buf_MsgpackWrite);
     msgpack_pack_array(&packer, 3);
     msgpack_pack_int(&packer, PEER_TARGET);
-    Control_PackText(&packer, target->name);
+    MpPack_Text(&packer, target->name);
     msgpack_pack_uint64(&packer, target->incarnation);
     send_to_centre(control, &body);
     Buf_Free(&body);
--- a/src/control_spare.c
+++ b/src/control_spare.c
@@ -57,7 +57,7 @@
         Gateway_GetPoolLoad(control->gateway, pool->name, &load);
         if (load.waiting + load.running > 0) {
             msgpack_pack_array(&packer, 3);
-            Control_PackText(&packer, pool->name);
+            MpPack_Text(&packer, pool->name);
             msgpack_pack_uint32(&packer, load.waiting);
             msgpack_pack_uint32(&packer, load.running);
             loaded++;
--- a/src/escrow_record.c
+++ b/src/escrow_record.c
@@ -5,6 +5,7 @@
 #include <msgpack.h>
 
 #include "escrow_impl.h"
+#include "mppack.h"
 #include "mpread.h"
 #include "state_format.h"
 
@@ -13,15 +14,6 @@
 #define RECORD_ITEMS 10
 #define RECORD_MAX_ROWS 65536
 
-static void
-pack_text(msgpack_packer *packer, const char *text)
-{
-    size_t len = strlen(text);
-
-    msgpack_pack_str(packer, len);
-    msgpack_pack_str_body(packer, text, len);
-}
-
 static void
 pack_pools(msgpack_packer *packer, const Escrow *escrow)
 {
@@ -32,7 +24,7 @@
     for (i = 0; i < StrMap_Count(escrow->pools); i++) {
         const EscrowPool *pool = rows[i];
         msgpack_pack_array(packer, 3);
-        pack_text(packer, pool->name);
+        MpPack_Text(packer, pool->name);
         msgpack_pack_uint64(packer, pool->number);
         msgpack_pack_uint64(packer, pool->released);
     }
@@ -49,9 +41,9 @@
     for (i = 0; i < StrMap_Count(escrow->grants); i++) {
         const EscrowGrant *grant = rows[i];
         msgpack_pack_array(packer, 7);
-        pack_text(packer, grant->vm);
-        pack_text(packer, grant->pool);
-        pack_text(packer, grant->wave);
+        MpPack_Text(packer, grant->vm);
+        MpPack_Text(packer, grant->pool);
+        MpPack_Text(packer, grant->wave);
         msgpack_pack_uint64(packer, grant->purpose);
         msgpack_pack_uint64(packer, grant->step);
         msgpack_pack_uint64(packer, grant->epoch);
@@ -70,8 +62,8 @@
     for (i = 0; i < StrMap_Count(escrow->outcomes); i++) {
         const EscrowOutcome *outcome = rows[i];
         msgpack_pack_array(packer, 3);
-        pack_text(packer, outcome->wave);
-        pack_text(packer, outcome->vm);
+        MpPack_Text(packer, outcome->wave);
+        MpPack_Text(packer, outcome->vm);
         msgpack_pack_uint64(packer, outcome->step);
     }
     free(rows);
@@ -86,9 +78,9 @@
 
     msgpack_packer_init(&packer, out, Buf_MsgpackWrite);
     msgpack_pack_array(&packer, RECORD_ITEMS);
-    pack_text(&packer, RECORD_MAGIC);
+    MpPack_Text(&packer, RECORD_MAGIC);
     msgpack_pack_uint64(&packer, RECORD_FORMAT);
-    pack_text(&packer, escrow->data_centre);
+    MpPack_Text(&packer, escrow->data_centre);
     msgpack_pack_uint64(&packer, escrow->identity);
     msgpack_pack_uint64(&packer, escrow->epoch);
     msgpack_pack_uint64(&packer, escrow->applied);
--- a/src/peer.c
+++ b/src/peer.c
@@ -9,6 +9,7 @@
 
 #include "diag.h"
 #include "frame.h"
+#include "mppack.h"
 
 #define PEER_PART "peer"
 #define PEER_TICK_MS 200
@@ -113,15 +114,6 @@
     return true;
 }
 
-static void
-pack_text(msgpack_packer *packer, const char *text)
-{
-    size_t len = strlen(text);
-
-    msgpack_pack_str(packer, len);
-    msgpack_pack_str_body(packer, text, len);
-}
-
 static void
 queue_hello(Link *link)
 {
@@ -133,9 +125,9 @@
     msgpack_pack_array(&packer, 7);
     msgpack_pack_int(&packer, PEER_HELLO);
     msgpack_pack_int(&packer, PEER_PROTOCOL);
-    pack_text(&packer, options->settings->cluster);
-    pack_text(&packer, options->settings->name);
-    pack_text(&packer, options->settings->data_centre);
+    MpPack_Text(&packer, options->settings->cluster);
+    MpPack_Text(&packer, options->settings->name);
+    MpPack_Text(&packer, options->settings->data_centre);
     msgpack_pack_uint64(&packer, options->identity);
     msgpack_pack_uint64(&packer, options->incarnation);
     Frame_Encode(&link->out, body.data, body.len);
@@ -152,7 +144,7 @@
     msgpack_packer_init(&packer, &body, Buf_MsgpackWrite);
     msgpack_pack_array(&packer, 2);
     msgpack_pack_int(&packer, PEER_REFUSED);
-    pack_text(&packer, reason);
+    MpPack_Text(&packer, reason);
     Frame_Encode(&link->out, body.data, body.len);
     Buf_Free(&body);
     flush_link(link);
@@ -287,7 +279,7 @@
     else {
         peers->slots[link->peer].heard_ms = Loop_NowMs();
         peers->options.on_message(peers->options.arg, link->peer,
-                                  (PeerMessageType)type, body, len);
+                                  (PeerMessageType)type, &object->via.array);
     }
     msgpack_unpacked_destroy(&unpacked);
     return keep;
--- a/src/peer.h
+++ b/src/peer.h
@@ -18,6 +18,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include <msgpack.h>
+
 #include "buf.h"
 #include "loop.h"
 #include "settings.h"
@@ -61,9 +63,10 @@
     void *arg;
     void (*on_up)(void *arg, size_t peer, const PeerHello *hello);
     void (*on_down)(void *arg, size_t peer);
-    /* body is the msgpack array, its type already checked. */
+    /* message is the whole array; its first item is the type. Valid during
+     * the call. */
     void (*on_message)(void *arg, size_t peer, PeerMessageType type,
-                       const char *body, size_t len);
+                       const msgpack_object_array *message);
 } PeersOptions;
 
 typedef struct Peers Peers;
--- a/src/state.c
+++ b/src/state.c
@@ -8,6 +8,7 @@
 #include <msgpack.h>
 #include <xxhash.h>
 
+#include "mppack.h"
 #include "mpread.h"
 #include "state_impl.h"
 
@@ -84,15 +85,6 @@
     return ST_OK;
 }
 
-static void
-pack_text(msgpack_packer *packer, const char *text)
-{
-    size_t len = strlen(text);
-
-    msgpack_pack_str(packer, len);
-    msgpack_pack_str_body(packer, text, len);
-}
-
 static void
 pack_result(Buf *out, const StateResult *result)
 {
@@ -103,10 +95,10 @@
     msgpack_pack_array(&packer, 4);
     msgpack_pack_uint64(&packer, (uint64_t)result->status);
     msgpack_pack_uint64(&packer, result->version);
-    pack_text(&packer, result->message);
+    MpPack_Text(&packer, result->message);
     msgpack_pack_array(&packer, result->conflict_count);
     for (i = 0; i < result->conflict_count; i++) {
-        pack_text(&packer, result->conflicts[i]);
+        MpPack_Text(&packer, result->conflicts[i]);
     }
 }
 
--- a/src/state_snapshot.c
+++ b/src/state_snapshot.c
@@ -4,18 +4,10 @@
 #include <msgpack.h>
 #include <xxhash.h>
 
+#include "mppack.h"
 #include "state_format.h"
 #include "state_impl.h"
 
-static void
-pack_text(msgpack_packer *packer, const char *text)
-{
-    size_t len = strlen(text);
-
-    msgpack_pack_str(packer, len);
-    msgpack_pack_str_body(packer, text, len);
-}
-
 static void
 pack_bool(msgpack_packer *packer, bool value)
 {
@@ -33,8 +25,8 @@
     const StateDataCentre *centre = row;
 
     msgpack_pack_array(packer, 4);
-    pack_text(packer, centre->name);
-    pack_text(packer, centre->keeper);
+    MpPack_Text(packer, centre->name);
+    MpPack_Text(packer, centre->keeper);
     msgpack_pack_uint64(packer, centre->keeper_identity);
     msgpack_pack_uint64(packer, centre->keeper_epoch);
 }
@@ -55,7 +47,7 @@
         }
         StateImpl_GetField(row, &fields[i], &value);
         if (fields[i].kind == STATE_VALUE_NAME) {
-            pack_text(packer, value.name);
+            MpPack_Text(packer, value.name);
         }
         else {
             msgpack_pack_int64(packer, value.number);
@@ -70,14 +62,14 @@
     size_t i;
 
     msgpack_pack_array(packer, 7);
-    pack_text(packer, pool->name);
+    MpPack_Text(packer, pool->name);
     msgpack_pack_uint64(packer, pool->number);
     pack_fields(packer, STATE_POOLS, pool);
     msgpack_pack_array(packer, pool->share_count);
     for (i = 0; i < pool->share_count; i++) {
         const StateShare *share = &pool->shares[i];
         msgpack_pack_array(packer, 5);
-        pack_text(packer, share->data_centre);
+        MpPack_Text(packer, share->data_centre);
         msgpack_pack_uint64(packer, share->granted);
         msgpack_pack_uint64(packer, share->released);
         msgpack_pack_int64(packer, share->wanted);
@@ -89,7 +81,7 @@
 pack_service(msgpack_packer *packer, const void *row)
 {
     msgpack_pack_array(packer, 6);
-    pack_text(packer, ((const StateService *)row)->name);
+    MpPack_Text(packer, ((const StateService *)row)->name);
     pack_fields(packer, STATE_SERVICES, row);
 }
 
@@ -97,7 +89,7 @@
 pack_team(msgpack_packer *packer, const void *row)
 {
     msgpack_pack_array(packer, 2);
-    pack_text(packer, ((const StateTeam *)row)->name);
+    MpPack_Text(packer, ((const StateTeam *)row)->name);
     pack_fields(packer, STATE_TEAMS, row);
 }
 
@@ -105,7 +97,7 @@
 pack_limit(msgpack_packer *packer, const void *row)
 {
     msgpack_pack_array(packer, 2);
-    pack_text(packer, ((const StateLimit *)row)->name);
+    MpPack_Text(packer, ((const StateLimit *)row)->name);
     msgpack_pack_int64(packer, ((const StateLimit *)row)->value);
 }
 
@@ -115,8 +107,8 @@
     const StateMember *member = row;
 
     msgpack_pack_array(packer, 6);
-    pack_text(packer, member->name);
-    pack_text(packer, member->data_centre);
+    MpPack_Text(packer, member->name);
+    MpPack_Text(packer, member->data_centre);
     msgpack_pack_uint64(packer, member->identity);
     msgpack_pack_uint64(packer, member->incarnation);
     pack_bool(packer, member->disk);
@@ -133,12 +125,12 @@
         return;
     }
     msgpack_pack_array(packer, 3);
-    pack_text(packer, move->to);
+    MpPack_Text(packer, move->to);
     msgpack_pack_uint64(packer, move->number);
     msgpack_pack_array(packer, move->ack_count);
     for (i = 0; i < move->ack_count; i++) {
         msgpack_pack_array(packer, 3);
-        pack_text(packer, move->acks[i].member);
+        MpPack_Text(packer, move->acks[i].member);
         msgpack_pack_uint64(packer, move->acks[i].incarnation);
         pack_bool(packer, move->acks[i].acked);
     }
@@ -150,10 +142,10 @@
     const StateVm *vm = row;
 
     msgpack_pack_array(packer, 8);
-    pack_text(packer, vm->name);
-    pack_text(packer, vm->rack);
-    pack_text(packer, vm->data_centre);
-    pack_text(packer, vm->pool);
+    MpPack_Text(packer, vm->name);
+    MpPack_Text(packer, vm->rack);
+    MpPack_Text(packer, vm->data_centre);
+    MpPack_Text(packer, vm->pool);
     msgpack_pack_uint64(packer, vm->epoch);
     msgpack_pack_uint64(packer, vm->changed);
     msgpack_pack_uint64(packer, vm->assignment);
@@ -167,17 +159,17 @@
     size_t i;
 
     msgpack_pack_array(packer, 8);
-    pack_text(packer, wave->name);
-    pack_text(packer, wave->operator_name);
+    MpPack_Text(packer, wave->name);
+    MpPack_Text(packer, wave->operator_name);
     msgpack_pack_uint64(packer, wave->number);
     msgpack_pack_int64(packer, wave->deadline_ms);
     msgpack_pack_uint64(packer, wave->state);
-    pack_text(packer, wave->reason);
+    MpPack_Text(packer, wave->reason);
     msgpack_pack_uint64(packer, wave->failed_before);
     msgpack_pack_array(packer, wave->vm_count);
     for (i = 0; i < wave->vm_count; i++) {
         msgpack_pack_array(packer, 2);
-        pack_text(packer, wave->vms[i].name);
+        MpPack_Text(packer, wave->vms[i].name);
         msgpack_pack_uint64(packer, wave->vms[i].step);
     }
 }
@@ -200,7 +192,7 @@
 pack_path(msgpack_packer *packer, const StatePathRow *row)
 {
     msgpack_pack_array(packer, 2);
-    pack_text(packer, row->path);
+    MpPack_Text(packer, row->path);
     msgpack_pack_uint64(packer, row->version);
 }
 
@@ -237,7 +229,7 @@
         const StateAnswer *answer =
             state->ring[(state->ring_start + i) % STATE_ANSWERS];
         msgpack_pack_array(packer, 3);
-        pack_text(packer, answer->key);
+        MpPack_Text(packer, answer->key);
         msgpack_pack_uint64(packer, answer->digest);
         msgpack_pack_str(packer, answer->len);
         msgpack_pack_str_body(packer, answer->bytes, answer->len);
@@ -253,7 +245,7 @@
 
     msgpack_packer_init(&packer, out, Buf_MsgpackWrite);
     msgpack_pack_array(&packer, STATE_FORMAT_ITEMS);
-    pack_text(&packer, STATE_FORMAT_MAGIC);
+    MpPack_Text(&packer, STATE_FORMAT_MAGIC);
     msgpack_pack_uint64(&packer, STATE_FORMAT_VERSION);
     msgpack_pack_uint64(&packer, state->version);
     msgpack_pack_uint64(&packer, state->applied);
--- a/src/statecmd.c
+++ b/src/statecmd.c
@@ -6,6 +6,7 @@
 
 #include <msgpack.h>
 
+#include "mppack.h"
 #include "mpread.h"
 
 typedef enum ItemType {
@@ -109,15 +110,6 @@
 
 #define KIND_END (sizeof(shapes) / sizeof(shapes[0]))
 
-static void
-pack_text(msgpack_packer *packer, const char *text)
-{
-    size_t len = strlen(text);
-
-    msgpack_pack_str(packer, len);
-    msgpack_pack_str_body(packer, text, len);
-}
-
 static void
 pack_edits(msgpack_packer *packer, const StateCmd *command)
 {
@@ -127,9 +119,9 @@
     for (i = 0; i < command->edit_count; i++) {
         const PatchEdit *edit = &command->edits[i];
         msgpack_pack_array(packer, edit->is_delete ? 1 : 2);
-        pack_text(packer, edit->path);
+        MpPack_Text(packer, edit->path);
         if (!edit->is_delete) {
-            pack_text(packer, edit->value);
+            MpPack_Text(packer, edit->value);
         }
     }
 }
@@ -144,7 +136,7 @@
     case ITEM_NAME:
     case ITEM_OPTIONAL_NAME:
     case ITEM_REASON:
-        pack_text(packer, at);
+        MpPack_Text(packer, at);
         break;
     case ITEM_U64:
         msgpack_pack_uint64(packer, *(const uint64_t *)(const void *)at);
@@ -162,7 +154,7 @@
     case ITEM_VMS:
         msgpack_pack_array(packer, command->vm_count);
         for (i = 0; i < command->vm_count; i++) {
-            pack_text(packer, command->vms[i]);
+            MpPack_Text(packer, command->vms[i]);
         }
         break;
     }
