Read msgpack with one parser

reader and mpread each parsed the type bytes of msgpack. reader is now a thin layer that returns values over mpread, which gains byte arrays. Dropping reader altogether was ruled out: its users check once at the end, and mpread returns a result for each value.

--- a/src/mpread.c
+++ b/src/mpread.c
@@ -188,6 +188,28 @@
     return true;
 }
 
+bool
+MpRead_Bin(MpRead *reader, const char **bytes, size_t *len)
+{
+    unsigned char type;
+    uint64_t value = 0;
+
+    *bytes = NULL;
+    *len = 0;
+    if (!peek(reader, &type)) {
+        return false;
+    }
+    if (type < 0xc4 || type > 0xc6 ||
+        !take_number(reader, (size_t)1 << (type - 0xc4), &value) ||
+        value > left(reader)) {
+        return fail(reader);
+    }
+    *bytes = (const char *)reader->next;
+    *len = (size_t)value;
+    reader->next += value;
+    return true;
+}
+
 bool
 MpRead_Text(MpRead *reader, char *out, size_t out_bytes)
 {
--- a/src/mpread.h
+++ b/src/mpread.h
@@ -32,6 +32,7 @@
 bool MpRead_U64(MpRead *reader, uint64_t *value);
 bool MpRead_I64(MpRead *reader, int64_t *value);
 bool MpRead_Bool(MpRead *reader, bool *value);
+bool MpRead_Bin(MpRead *reader, const char **bytes, size_t *len);
 
 /* Reads a string into a terminated array; false when it does not fit or
  * holds a zero byte. */
--- a/src/reader.h
+++ b/src/reader.h
@@ -1,12 +1,11 @@
 /*
  * NAME
- *     reader - bounded reader of msgpack bytes
+ *     reader - decoders that check once, at the end
  *
  * DESCRIPTION
- *     Reads one value after the other and allocates nothing, so a hostile
- *     length costs nothing. The first mismatch sets failed; every later call
- *     then returns zero, so a caller checks once, at the end. Strings and
- *     byte arrays borrow the input.
+ *     Returns values in place of results over mpread. The first mismatch sets
+ *     failed; every later call then returns zero. Byte arrays borrow the
+ * input.
  */
 #ifndef COLTSFOOT_READER_H
 #define COLTSFOOT_READER_H
@@ -15,9 +14,10 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "mpread.h"
+
 typedef struct Reader {
-    const unsigned char *at;
-    const unsigned char *end;
+    MpRead in;
     bool failed;
 } Reader;
 
