--- a/src/control_internal.h
+++ b/src/control_internal.h
@@ -119,7 +119,6 @@
     uint64_t view_version; /* state version of the last view */
     uint64_t in_force;     /* state version that all traffic threads use */
     int64_t view_ms;
-    int64_t version_ms; /* when the present version was applied */
     int64_t register_ms;
     int64_t ack_ms;
     int64_t stop_ms; /* 0, or when the planned stop began */
--- a/src/control_log.c
+++ b/src/control_log.c
@@ -60,7 +60,6 @@
 {
     control->applied = index;
     control->view_dirty = true;
-    control->version_ms = Loop_NowMs();
 }
 
 static void
--- a/src/control_wave.c
+++ b/src/control_wave.c
@@ -165,27 +165,40 @@
     return false;
 }
 
+static void
+run_wave(Control *control, const StateWave *wave, double burn)
+{
+    struct ControlWave *entry = find_plan(control, wave);
+    int64_t wall_ms = apr_time_as_msec(apr_time_now());
+    int turn;
+
+    for (turn = 0; entry != NULL && turn < WAVE_MAX_DECISIONS; turn++) {
+        WaveDecision decision = {0};
+        WavePlan_Next(entry->plan, control->state, control->escrow, wall_ms,
+                      burn, &decision);
+        if (!carry_out(control, entry, &decision)) {
+            return;
+        }
+    }
+}
+
 void
 Control_WaveTick(Control *control)
 {
-    double burn = Gateway_HighestBurn(control->gateway);
-    int64_t wall_ms = apr_time_as_msec(apr_time_now());
+    double burn = -1;
     size_t i;
-    int turn;
 
     drop_ended(control);
     for (i = 0; i < State_WaveCount(control->state); i++) {
         const StateWave *wave = State_WaveAt(control->state, i);
-        struct ControlWave *entry = wave->state == STATE_WAVE_RUNNING
-                                        ? find_plan(control, wave)
-                                        : NULL;
-        for (turn = 0; entry != NULL && turn < WAVE_MAX_DECISIONS; turn++) {
-            WaveDecision decision = {0};
-            WavePlan_Next(entry->plan, control->state, control->escrow,
-                          wall_ms, burn, &decision);
-            if (!carry_out(control, entry, &decision)) {
-                break;
-            }
+        if (wave->state != STATE_WAVE_RUNNING) {
+            continue;
+        }
+        if (burn < 0) {
+            /* Adds up windows under the lock of the traffic threads, so it
+             * is not asked for while no wave runs. */
+            burn = Gateway_HighestBurn(control->gateway);
         }
+        run_wave(control, wave, burn);
     }
 }
--- a/src/gateway_http.c
+++ b/src/gateway_http.c
@@ -206,7 +206,7 @@
     GwRequest **row;
     Status status;
 
-    if (!Registry_Add(gateway->registry, request->caller, request->id, 0)) {
+    if (!Registry_Add(gateway->registry, request->caller, request->id)) {
         return ST_EXISTS;
     }
     request->self = Table_Add(gateway->requests);
--- a/src/httpclient.c
+++ b/src/httpclient.c
@@ -323,12 +323,6 @@
     return call;
 }
 
-void
-HttpCall_Cancel(HttpCall *call)
-{
-    free_call(call);
-}
-
 const char *
 HttpCall_Header(const HttpCall *call, const char *name)
 {
--- a/src/httpclient.h
+++ b/src/httpclient.h
@@ -64,9 +64,6 @@
 HttpCall *HttpClient_Start(HttpClient *client, const HttpCallOptions *options,
                            HttpCallFn fn, void *arg);
 
-/* Drops a call; fn does not run. */
-void HttpCall_Cancel(HttpCall *call);
-
 /* Returns a header of the answer, or NULL. */
 const char *HttpCall_Header(const HttpCall *call, const char *name);
 
--- a/src/httpserver.c
+++ b/src/httpserver.c
@@ -22,7 +22,6 @@
     Loop *loop;
     LoopWatch *watch;
     HttpServerOptions options;
-    size_t active;
     bool resumed; /* libmicrohttpd has to run before the next wait */
 };
 
@@ -33,7 +32,6 @@
     char *path;
     Buf body;
     bool too_large;
-    bool in_handler;
     bool started;
     bool suspended;
     struct MHD_Response *response;
@@ -82,8 +80,6 @@
     HttpServer *server = request->server;
 
     request->started = true;
-    server->active++;
-    request->in_handler = true;
     if (request->too_large) {
         HttpRequest_ReplyText(request, 413, "text/plain",
                               "the body is larger than the limit\n");
@@ -91,7 +87,6 @@
     else {
         server->options.handler(server->options.arg, request);
     }
-    request->in_handler = false;
     if (request->response != NULL) {
         return send_response(request);
     }
@@ -222,12 +217,6 @@
     }
 }
 
-size_t
-HttpServer_Active(const HttpServer *server)
-{
-    return server->active;
-}
-
 void
 HttpServer_Free(HttpServer *server)
 {
@@ -286,7 +275,6 @@
         MHD_RESPMEM_MUST_COPY);
     size_t i;
 
-    request->server->active--;
     for (i = 0; i < reply->header_count; i++) {
         MHD_add_response_header(response, reply->headers[i].name,
                                 reply->headers[i].value);
--- a/src/httpserver.h
+++ b/src/httpserver.h
@@ -52,8 +52,6 @@
 /* Closes the listening socket; connections in use go on. */
 void HttpServer_StopListening(HttpServer *server);
 
-/* Returns the count of requests that have no answer yet. */
-size_t HttpServer_Active(const HttpServer *server);
 void HttpServer_Free(HttpServer *server);
 
 const char *HttpRequest_Method(const HttpRequest *request);
--- a/src/registry.c
+++ b/src/registry.c
@@ -107,8 +107,7 @@
 }
 
 bool
-Registry_Add(Registry *registry, const char *caller, const char *id,
-             uint64_t cookie)
+Registry_Add(Registry *registry, const char *caller, const char *id)
 {
     char key[REGISTRY_KEY_BYTES];
     Node **at;
@@ -135,7 +134,6 @@
         *at = node;
     }
     node->entry.running = true;
-    node->entry.cookie = cookie;
     node->entry.request = HANDLE_NONE;
     node->entry.outcome[0] = '\0';
     registry->running++;
--- a/src/registry.h
+++ b/src/registry.h
@@ -23,8 +23,7 @@
 
 typedef struct RegistryEntry {
     bool running;
-    uint64_t cookie; /* of the running request */
-    Handle request;  /* of the running request */
+    Handle request; /* of the running request */
     char outcome[16];
 } RegistryEntry;
 
@@ -33,8 +32,7 @@
 
 /* Adds a running request. Returns false when the same key is running. An
  * ended one of the same key is replaced. */
-bool Registry_Add(Registry *registry, const char *caller, const char *id,
-                  uint64_t cookie);
+bool Registry_Add(Registry *registry, const char *caller, const char *id);
 
 /* Sets the handle of a running request. */
 void Registry_SetHandle(Registry *registry, const char *caller, const char *id,
--- a/src/status.c
+++ b/src/status.c
@@ -51,12 +51,3 @@
     va_end(args);
     return status;
 }
-
-void
-Err_Clear(ErrCtx *err)
-{
-    if (err != NULL) {
-        err->status = ST_OK;
-        err->message[0] = '\0';
-    }
-}
--- a/src/status.h
+++ b/src/status.h
@@ -43,7 +43,4 @@
 Status
 Err_Set(ErrCtx *err, Status status, const char *format, ...);
 
-/* Clears the context. */
-void Err_Clear(ErrCtx *err);
-
 #endif
