--- a/Makefile
+++ b/Makefile
@@ -9,9 +9,9 @@
 KNOWN_RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | \
 	paste -sd '|' -)
 
-SOURCES := $(wildcard src/*.c src/*.h standin/*.c standin/*.h tests/*.c \
+SOURCES := $(wildcard src/*.c src/*.h platform/*.c platform/*.h standin/*.c standin/*.h tests/*.c \
 	tests/*.h fuzz/*.c bench/*.c)
-LINTED := $(wildcard src/*.c standin/*.c)
+LINTED := $(wildcard src/*.c platform/*.c standin/*.c)
 
 .PHONY: all setup build demo check unit san tsan fuzz fuzz-fixed bench \
 	format lint install clean
@@ -68,7 +68,7 @@
 		clang-tidy --quiet -p $(BUILD) 2>/dev/null
 	@cppcheck --quiet --std=c11 --error-exitcode=1 --inline-suppr \
 		--enable=warning,performance,portability \
-		--suppress=missingIncludeSystem -I src -j $(JOBS) $(LINTED)
+		--suppress=missingIncludeSystem -I src -I platform -j $(JOBS) $(LINTED)
 
 install: build
 	@cmake --install $(BUILD)
--- a/src/coltsfootd.c
+++ b/src/coltsfootd.c
@@ -10,7 +10,11 @@
 #include "control.h"
 #include "diag.h"
 #include "findings.h"
+#include "jobctl.h"
+#include "jobentry.h"
+#include "platform_wire.h"
 #include "settings.h"
+#include "slog.h"
 
 #define EXIT_FINDINGS 2
 
@@ -44,6 +48,48 @@
     return EXIT_SUCCESS;
 }
 
+/* Runs a node of the job service. */
+static int
+run_job_node(const Settings *settings, const char *file)
+{
+    const JobWire *wire = PlatformWire_Get();
+    SlogOptions log = SLOG_OPTIONS_DEFAULT;
+    ErrCtx err = {ST_OK, ""};
+    JobControl *control = NULL;
+    JobEntry *entry = NULL;
+    Status status;
+
+    log.node = settings->name;
+    Slog_Open(&log);
+    Slog_Begin(SLOG_CHANGE, "started");
+    Slog_Text("role",
+              settings->role == SETTINGS_ROLE_ENTRY ? "entry" : "control");
+    Slog_Text("version", COLTSFOOT_VERSION);
+    Slog_End();
+    if (settings->role == SETTINGS_ROLE_ENTRY) {
+        status = JobEntry_New(settings, file, wire, &entry, &err);
+    }
+    else {
+        status = JobControl_New(settings, file, wire, &control, &err);
+    }
+    if (status != ST_OK) {
+        Diag_Log(DIAG_ERROR, "main", "Cannot start: %s.", err.message);
+        return EXIT_FAILURE;
+    }
+    if (entry != NULL) {
+        JobEntry_Run(entry);
+        JobEntry_Free(entry);
+    }
+    else {
+        JobControl_Run(control);
+        JobControl_Free(control);
+    }
+    Slog_Begin(SLOG_CHANGE, "stopped");
+    Slog_End();
+    Slog_Close();
+    return EXIT_SUCCESS;
+}
+
 static int
 init_folder(const Settings *settings)
 {
@@ -110,7 +156,13 @@
         status = load(file->filename[0], &settings);
         if (status == EXIT_SUCCESS) {
             Diag_Init("coltsfootd", (DiagLevel)settings.log_level);
-            status = init->count > 0 ? init_folder(&settings) : run(&settings);
+            if (settings.role != SETTINGS_ROLE_MEMBER) {
+                status = run_job_node(&settings, file->filename[0]);
+            }
+            else {
+                status =
+                    init->count > 0 ? init_folder(&settings) : run(&settings);
+            }
         }
     }
     arg_freetable(table, sizeof(table) / sizeof(table[0]));
--- a/src/control.c
+++ b/src/control.c
@@ -148,6 +148,10 @@
     case PEER_FEED:
         Control_OnFeed(control, peer, message);
         break;
+    case PEER_PROBE: /* answered by the links */
+    case PEER_FLEET:
+    case PEER_JOB_REQUEST:
+    case PEER_JOB_REPLY:
     case PEER_HELLO:
     case PEER_REFUSED:
         break;
--- /dev/null
+++ b/src/jobcmd.c
@@ -0,0 +1,151 @@
+#include <msgpack.h>
+
+#include "jobstate_impl.h"
+#include "mppack.h"
+
+static void
+begin(msgpack_packer *packer, Buf *out, JobCommand command, size_t items)
+{
+    msgpack_packer_init(packer, out, Buf_MsgpackWrite);
+    msgpack_pack_array(packer, items + 1);
+    msgpack_pack_int(packer, (int)command);
+}
+
+void
+JobCmd_Config(Buf *out, const JobConfig *config)
+{
+    msgpack_packer packer;
+
+    begin(&packer, out, JOB_CMD_CONFIG, 1);
+    JobCodec_PackConfig(&packer, config);
+}
+
+void
+JobCmd_Submit(Buf *out, const char *id, const char *queue, int64_t wall_ms,
+              const JobSpec *spec)
+{
+    msgpack_packer packer;
+
+    begin(&packer, out, JOB_CMD_SUBMIT, 4);
+    MpPack_Text(&packer, id);
+    MpPack_Text(&packer, queue);
+    msgpack_pack_int64(&packer, wall_ms);
+    JobCodec_PackSpec(&packer, spec);
+}
+
+void
+JobCmd_Cancel(Buf *out, const char *id, int64_t wall_ms)
+{
+    msgpack_packer packer;
+
+    begin(&packer, out, JOB_CMD_CANCEL, 2);
+    MpPack_Text(&packer, id);
+    msgpack_pack_int64(&packer, wall_ms);
+}
+
+void
+JobCmd_Assign(Buf *out, const JobAssignment *rows, size_t count)
+{
+    msgpack_packer packer;
+    size_t i;
+
+    begin(&packer, out, JOB_CMD_ASSIGN, 1);
+    msgpack_pack_array(&packer, count);
+    for (i = 0; i < count; i++) {
+        msgpack_pack_array(&packer, 4);
+        JobCodec_PackTask(&packer, &rows[i].task);
+        msgpack_pack_uint32(&packer, rows[i].attempt);
+        msgpack_pack_uint32(&packer, rows[i].target);
+        msgpack_pack_uint64(&packer, rows[i].serial);
+    }
+}
+
+void
+JobCmd_Ends(Buf *out, uint32_t target, uint64_t serial, int64_t wall_ms,
+            const JobEnd *ends, size_t count)
+{
+    msgpack_packer packer;
+    size_t i;
+
+    begin(&packer, out, JOB_CMD_ENDS, 4);
+    msgpack_pack_uint32(&packer, target);
+    msgpack_pack_uint64(&packer, serial);
+    msgpack_pack_int64(&packer, wall_ms);
+    msgpack_pack_array(&packer, count);
+    for (i = 0; i < count; i++) {
+        msgpack_pack_array(&packer, 5);
+        JobCodec_PackTask(&packer, &ends[i].task);
+        msgpack_pack_uint32(&packer, ends[i].attempt);
+        msgpack_pack_int(&packer, (int)ends[i].kind);
+        msgpack_pack_uint64(&packer, ends[i].number);
+        MpPack_Text(&packer, ends[i].checkpoint);
+    }
+}
+
+void
+JobCmd_Target(Buf *out, const JobAnnouncement *announcement)
+{
+    msgpack_packer packer;
+
+    begin(&packer, out, JOB_CMD_TARGET, 1);
+    JobCodec_PackAnnouncement(&packer, announcement);
+}
+
+void
+JobCmd_TargetGone(Buf *out, uint32_t target, uint64_t serial)
+{
+    msgpack_packer packer;
+
+    begin(&packer, out, JOB_CMD_TARGET_GONE, 2);
+    msgpack_pack_uint32(&packer, target);
+    msgpack_pack_uint64(&packer, serial);
+}
+
+void
+JobCmd_Node(Buf *out, const JobNode *node)
+{
+    msgpack_packer packer;
+
+    begin(&packer, out, JOB_CMD_NODE, 4);
+    MpPack_Text(&packer, node->name);
+    MpPack_Text(&packer, node->data_centre);
+    MpPack_Text(&packer, node->peer);
+    MpPack_Text(&packer, node->control);
+}
+
+void
+JobCmd_Wave(Buf *out, const JobWave *wave)
+{
+    msgpack_packer packer;
+    uint32_t i;
+
+    begin(&packer, out, JOB_CMD_WAVE, 5);
+    msgpack_pack_uint64(&packer, wave->number);
+    msgpack_pack_int64(&packer, wave->start_ms);
+    msgpack_pack_int64(&packer, wave->duration_ms);
+    msgpack_pack_uint32(&packer, wave->cap);
+    msgpack_pack_array(&packer, wave->vm_count);
+    for (i = 0; i < wave->vm_count; i++) {
+        MpPack_Text(&packer, wave->vms[i].vm);
+    }
+}
+
+void
+JobCmd_WaveVm(Buf *out, uint64_t number, const char *vm, bool done)
+{
+    msgpack_packer packer;
+
+    begin(&packer, out, JOB_CMD_WAVE_VM, 3);
+    msgpack_pack_uint64(&packer, number);
+    MpPack_Text(&packer, vm);
+    done ? msgpack_pack_true(&packer) : msgpack_pack_false(&packer);
+}
+
+void
+JobCmd_Expire(Buf *out, int64_t wall_ms)
+{
+    msgpack_packer packer;
+
+    begin(&packer, out, JOB_CMD_EXPIRE, 1);
+    msgpack_pack_int64(&packer, wall_ms);
+}
--- /dev/null
+++ b/src/jobcodec.c
@@ -0,0 +1,534 @@
+#include "jobcodec.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "mppack.h"
+
+#define MAX_QUEUES 65536
+#define MAX_POOLS 4096
+
+/* One whole number or text of a packed row. */
+typedef enum FieldType {
+    FIELD_U32,
+    FIELD_U64,
+    FIELD_I64,
+    FIELD_BOOL,
+    FIELD_DOUBLE,
+    FIELD_TEXT
+} FieldType;
+
+typedef struct Field {
+    FieldType type;
+    size_t offset;
+    size_t size; /* of a text */
+} Field;
+
+#define AT(type, kind, member)                                                \
+    {                                                                         \
+        FIELD_##kind, offsetof(type, member), sizeof(((type *)NULL)->member)  \
+    }
+
+static const Field step_fields[] = {
+    AT(JobStep, U32, count),          AT(JobStep, U32, need.cpu),
+    AT(JobStep, U32, need.memory_mb), AT(JobStep, U32, need.accelerators),
+    AT(JobStep, U32, estimate_ms),    AT(JobStep, U32, depends),
+    AT(JobStep, U32, max_per_target), AT(JobStep, U32, max_unavailable),
+    AT(JobStep, U32, target_ms),      AT(JobStep, BOOL, checkpointing),
+    AT(JobStep, BOOL, gang),          AT(JobStep, BOOL, same_rack),
+    AT(JobStep, BOOL, speculative),   AT(JobStep, BOOL, lasting),
+    AT(JobStep, BOOL, leftover),      AT(JobStep, TEXT, label),
+    AT(JobStep, TEXT, rack),          AT(JobStep, TEXT, image),
+};
+
+static const Field queue_fields[] = {
+    AT(JobQueue, TEXT, name),
+    AT(JobQueue, TEXT, host),
+    AT(JobQueue, TEXT, prefix),
+    AT(JobQueue, TEXT, pool),
+    AT(JobQueue, U32, timeout_ms),
+    AT(JobQueue, U32, objective_ms),
+    AT(JobQueue, U32, priority),
+    AT(JobQueue, U32, max_attempts),
+    AT(JobQueue, DOUBLE, slack),
+    AT(JobQueue, BOOL, advised),
+    AT(JobQueue, U32, advice_validity_ms),
+};
+
+static const Field pool_fields[] = {
+    AT(JobPool, TEXT, name),
+    AT(JobPool, TEXT, health_path),
+    AT(JobPool, BOOL, guarded),
+    AT(JobPool, BOOL, standby),
+};
+
+static const Field announcement_fields[] = {
+    AT(JobAnnouncement, TEXT, id),
+    AT(JobAnnouncement, TEXT, address),
+    AT(JobAnnouncement, TEXT, pool),
+    AT(JobAnnouncement, TEXT, data_centre),
+    AT(JobAnnouncement, TEXT, vm),
+    AT(JobAnnouncement, U32, label_count),
+    AT(JobAnnouncement, U32, room.cpu),
+    AT(JobAnnouncement, U32, room.memory_mb),
+    AT(JobAnnouncement, U32, room.accelerators),
+    AT(JobAnnouncement, U64, born),
+    AT(JobAnnouncement, BOOL, leaving),
+};
+
+static const Field task_fields[] = {
+    AT(JobTaskRef, TEXT, job),
+    AT(JobTaskRef, U32, occurrence),
+    AT(JobTaskRef, U32, step),
+    AT(JobTaskRef, U32, index),
+};
+
+#define COUNT_OF(fields) (sizeof(fields) / sizeof((fields)[0]))
+
+static void
+pack_field(msgpack_packer *packer, const Field *field, const char *row)
+{
+    const void *at = row + field->offset;
+
+    switch (field->type) {
+    case FIELD_U32:
+        msgpack_pack_uint32(packer, *(const uint32_t *)at);
+        break;
+    case FIELD_U64:
+        msgpack_pack_uint64(packer, *(const uint64_t *)at);
+        break;
+    case FIELD_I64:
+        msgpack_pack_int64(packer, *(const int64_t *)at);
+        break;
+    case FIELD_BOOL:
+        *(const bool *)at ? msgpack_pack_true(packer)
+                          : msgpack_pack_false(packer);
+        break;
+    case FIELD_DOUBLE:
+        msgpack_pack_uint32(packer,
+                            (uint32_t)(*(const double *)at * 1000.0 + 0.5));
+        break;
+    case FIELD_TEXT:
+        MpPack_Text(packer, at);
+        break;
+    }
+}
+
+static bool
+read_u32(MpRead *reader, uint32_t *value)
+{
+    uint64_t wide = 0;
+
+    if (!MpRead_U64(reader, &wide) || wide > UINT32_MAX) {
+        reader->failed = true;
+        return false;
+    }
+    *value = (uint32_t)wide;
+    return true;
+}
+
+static bool
+read_field(MpRead *reader, const Field *field, char *row)
+{
+    void *at = row + field->offset;
+    uint32_t thousandths = 0;
+
+    switch (field->type) {
+    case FIELD_U32:
+        return read_u32(reader, at);
+    case FIELD_U64:
+        return MpRead_U64(reader, at);
+    case FIELD_I64:
+        return MpRead_I64(reader, at);
+    case FIELD_BOOL:
+        return MpRead_Bool(reader, at);
+    case FIELD_DOUBLE:
+        if (!read_u32(reader, &thousandths)) {
+            return false;
+        }
+        *(double *)at = thousandths / 1000.0;
+        return true;
+    case FIELD_TEXT:
+        return MpRead_Text(reader, at, field->size);
+    }
+    return false;
+}
+
+static void
+pack_row(msgpack_packer *packer, const Field *fields, size_t count,
+         const void *row)
+{
+    size_t i;
+
+    msgpack_pack_array(packer, count);
+    for (i = 0; i < count; i++) {
+        pack_field(packer, &fields[i], row);
+    }
+}
+
+static bool
+read_row(MpRead *reader, const Field *fields, size_t count, void *row)
+{
+    uint32_t items;
+    size_t i;
+
+    if (!MpRead_Array(reader, &items) || items != count) {
+        reader->failed = true;
+        return false;
+    }
+    for (i = 0; i < count; i++) {
+        if (!read_field(reader, &fields[i], row)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Reads an array header and allocates rows for it. */
+static bool
+read_rows(MpRead *reader, uint32_t max, size_t row_bytes, void **rows,
+          uint32_t *count)
+{
+    *rows = NULL;
+    *count = 0;
+    if (!MpRead_Array(reader, count) || *count > max) {
+        *count = 0;
+        reader->failed = true;
+        return false;
+    }
+    *rows = calloc(*count + 1, row_bytes);
+    if (*rows == NULL) {
+        abort();
+    }
+    return true;
+}
+
+static bool
+read_blob(MpRead *reader, char **text, size_t *len)
+{
+    const char *bytes;
+
+    if (!MpRead_Bin(reader, &bytes, len)) {
+        return false;
+    }
+    *text = malloc(*len + 1);
+    if (*text == NULL) {
+        abort();
+    }
+    memcpy(*text, bytes, *len);
+    (*text)[*len] = '\0';
+    return true;
+}
+
+static void
+pack_blob(msgpack_packer *packer, const char *text, size_t len)
+{
+    msgpack_pack_bin(packer, len);
+    msgpack_pack_bin_body(packer, text != NULL ? text : "", len);
+}
+
+void
+JobCodec_PackSpec(msgpack_packer *packer, const JobSpec *spec)
+{
+    uint32_t i;
+
+    msgpack_pack_array(packer, 5);
+    pack_blob(packer, spec->text, spec->text_len);
+    msgpack_pack_array(packer, spec->step_count);
+    for (i = 0; i < spec->step_count; i++) {
+        pack_row(packer, step_fields, COUNT_OF(step_fields), &spec->steps[i]);
+    }
+    msgpack_pack_uint32(packer, spec->repeats);
+    msgpack_pack_int64(packer, spec->start_ms);
+    msgpack_pack_int64(packer, spec->interval_ms);
+}
+
+bool
+JobCodec_ReadSpec(MpRead *reader, JobSpec *spec)
+{
+    uint32_t items;
+    uint32_t i;
+
+    memset(spec, 0, sizeof(*spec));
+    if (!MpRead_Array(reader, &items) || items != 5 ||
+        !read_blob(reader, &spec->text, &spec->text_len) ||
+        !read_rows(reader, JOB_MAX_STEPS, sizeof(JobStep),
+                   (void **)&spec->steps, &spec->step_count)) {
+        return false;
+    }
+    for (i = 0; i < spec->step_count; i++) {
+        if (!read_row(reader, step_fields, COUNT_OF(step_fields),
+                      &spec->steps[i])) {
+            return false;
+        }
+    }
+    return read_u32(reader, &spec->repeats) &&
+           MpRead_I64(reader, &spec->start_ms) &&
+           MpRead_I64(reader, &spec->interval_ms) &&
+           JobSpec_Check(spec) == NULL;
+}
+
+void
+JobSpec_Free(JobSpec *spec)
+{
+    free(spec->text);
+    free(spec->steps);
+    memset(spec, 0, sizeof(*spec));
+}
+
+uint32_t
+JobSpec_TaskCount(const JobSpec *spec)
+{
+    uint32_t count = 0;
+    uint32_t i;
+
+    for (i = 0; i < spec->step_count; i++) {
+        count += spec->steps[i].count;
+    }
+    return count;
+}
+
+const char *
+JobSpec_Check(const JobSpec *spec)
+{
+    uint64_t tasks = 0;
+    uint32_t i;
+
+    if (spec->step_count == 0 || spec->step_count > JOB_MAX_STEPS) {
+        return "the count of steps is out of bounds";
+    }
+    for (i = 0; i < spec->step_count; i++) {
+        if (spec->steps[i].count == 0) {
+            return "a step has no tasks";
+        }
+        if (i < 32 && (spec->steps[i].depends >> i) != 0) {
+            return "a step depends on itself or on a later one";
+        }
+        tasks += spec->steps[i].count;
+    }
+    if (tasks > JOB_MAX_TASKS) {
+        return "the job has too many tasks";
+    }
+    if (spec->repeats > JOB_MAX_REPEATS || spec->interval_ms < 0) {
+        return "the repetition is out of bounds";
+    }
+    return NULL;
+}
+
+void
+JobCodec_PackConfig(msgpack_packer *packer, const JobConfig *config)
+{
+    size_t i;
+
+    msgpack_pack_array(packer, 4);
+    msgpack_pack_uint64(packer, config->version);
+    msgpack_pack_array(packer, config->queue_count);
+    for (i = 0; i < config->queue_count; i++) {
+        pack_row(packer, queue_fields, COUNT_OF(queue_fields),
+                 &config->queues[i]);
+    }
+    msgpack_pack_array(packer, config->pool_count);
+    for (i = 0; i < config->pool_count; i++) {
+        pack_row(packer, pool_fields, COUNT_OF(pool_fields),
+                 &config->pools[i]);
+    }
+    pack_blob(packer, config->text, config->text_len);
+}
+
+bool
+JobCodec_ReadConfig(MpRead *reader, JobConfig *config)
+{
+    uint32_t items;
+    uint32_t count;
+    size_t i;
+
+    memset(config, 0, sizeof(*config));
+    if (!MpRead_Array(reader, &items) || items != 4 ||
+        !MpRead_U64(reader, &config->version) ||
+        !read_rows(reader, MAX_QUEUES, sizeof(JobQueue),
+                   (void **)&config->queues, &count)) {
+        return false;
+    }
+    config->queue_count = count;
+    for (i = 0; i < config->queue_count; i++) {
+        if (!read_row(reader, queue_fields, COUNT_OF(queue_fields),
+                      &config->queues[i])) {
+            return false;
+        }
+    }
+    if (!read_rows(reader, MAX_POOLS, sizeof(JobPool), (void **)&config->pools,
+                   &count)) {
+        return false;
+    }
+    config->pool_count = count;
+    for (i = 0; i < config->pool_count; i++) {
+        if (!read_row(reader, pool_fields, COUNT_OF(pool_fields),
+                      &config->pools[i])) {
+            return false;
+        }
+    }
+    return read_blob(reader, &config->text, &config->text_len);
+}
+
+void
+JobConfig_Free(JobConfig *config)
+{
+    free(config->queues);
+    free(config->pools);
+    free(config->text);
+    memset(config, 0, sizeof(*config));
+}
+
+static int
+by_place(const void *a, const void *b)
+{
+    const JobQueue *const *left = a;
+    const JobQueue *const *right = b;
+    int order = strcmp((*left)->host, (*right)->host);
+
+    return order != 0 ? order : strcmp((*left)->prefix, (*right)->prefix);
+}
+
+/* Two queues of one host and prefix could not be told apart. */
+static void
+check_places(const JobConfig *config, Findings *findings)
+{
+    const JobQueue **rows = calloc(config->queue_count + 1, sizeof(*rows));
+    size_t i;
+
+    if (rows == NULL) {
+        abort();
+    }
+    for (i = 0; i < config->queue_count; i++) {
+        rows[i] = &config->queues[i];
+    }
+    qsort(rows, config->queue_count, sizeof(*rows), by_place);
+    for (i = 1; i < config->queue_count; i++) {
+        if (by_place(&rows[i - 1], &rows[i]) == 0) {
+            Findings_Add(findings, 0, rows[i]->name,
+                         "has the host and prefix of %s", rows[i - 1]->name);
+        }
+    }
+    free(rows);
+}
+
+void
+JobConfig_Check(const JobConfig *config, Findings *findings)
+{
+    size_t i;
+
+    if (config->version == 0) {
+        Findings_Add(findings, 0, "version", "must be from 1");
+    }
+    for (i = 0; i < config->queue_count; i++) {
+        const JobQueue *queue = &config->queues[i];
+        if (JobConfig_Pool(config, queue->pool) == NULL) {
+            Findings_Add(findings, 0, queue->name, "unknown pool %s",
+                         queue->pool);
+        }
+        if (queue->timeout_ms == 0) {
+            Findings_Add(findings, 0, queue->name, "the timeout is 0");
+        }
+        if (queue->max_attempts == 0) {
+            Findings_Add(findings, 0, queue->name, "no attempt is allowed");
+        }
+    }
+    check_places(config, findings);
+}
+
+const JobQueue *
+JobConfig_Queue(const JobConfig *config, const char *name)
+{
+    size_t i;
+
+    for (i = 0; i < config->queue_count; i++) {
+        if (strcmp(config->queues[i].name, name) == 0) {
+            return &config->queues[i];
+        }
+    }
+    return NULL;
+}
+
+const JobPool *
+JobConfig_Pool(const JobConfig *config, const char *name)
+{
+    size_t i;
+
+    for (i = 0; i < config->pool_count; i++) {
+        if (strcmp(config->pools[i].name, name) == 0) {
+            return &config->pools[i];
+        }
+    }
+    return NULL;
+}
+
+const JobQueue *
+JobConfig_Match(const JobConfig *config, const char *host, const char *path)
+{
+    const JobQueue *best = NULL;
+    size_t best_len = 0;
+    size_t i;
+
+    for (i = 0; i < config->queue_count; i++) {
+        const JobQueue *queue = &config->queues[i];
+        size_t len = strlen(queue->prefix);
+        if (strcmp(queue->host, host) == 0 &&
+            strncmp(queue->prefix, path, len) == 0 &&
+            (best == NULL || len > best_len)) {
+            best = queue;
+            best_len = len;
+        }
+    }
+    return best;
+}
+
+void
+JobCodec_PackAnnouncement(msgpack_packer *packer,
+                          const JobAnnouncement *announcement)
+{
+    uint32_t i;
+
+    msgpack_pack_array(packer, 2);
+    pack_row(packer, announcement_fields, COUNT_OF(announcement_fields),
+             announcement);
+    msgpack_pack_array(packer, announcement->label_count);
+    for (i = 0; i < announcement->label_count; i++) {
+        MpPack_Text(packer, announcement->labels[i]);
+    }
+}
+
+bool
+JobCodec_ReadAnnouncement(MpRead *reader, JobAnnouncement *announcement)
+{
+    uint32_t items;
+    uint32_t labels;
+    uint32_t i;
+
+    memset(announcement, 0, sizeof(*announcement));
+    if (!MpRead_Array(reader, &items) || items != 2 ||
+        !read_row(reader, announcement_fields, COUNT_OF(announcement_fields),
+                  announcement) ||
+        !MpRead_Array(reader, &labels) ||
+        labels != announcement->label_count || labels > JOB_MAX_LABELS) {
+        reader->failed = true;
+        return false;
+    }
+    for (i = 0; i < labels; i++) {
+        if (!MpRead_Text(reader, announcement->labels[i], JOB_LABEL_BYTES)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void
+JobCodec_PackTask(msgpack_packer *packer, const JobTaskRef *task)
+{
+    pack_row(packer, task_fields, COUNT_OF(task_fields), task);
+}
+
+bool
+JobCodec_ReadTask(MpRead *reader, JobTaskRef *task)
+{
+    return read_row(reader, task_fields, COUNT_OF(task_fields), task);
+}
--- /dev/null
+++ b/src/jobctl_call.c
@@ -0,0 +1,197 @@
+#include "jobctl_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define MAX_ANSWER_BYTES (4 * 1024 * 1024)
+
+/* A call to a target or to the VM service in progress. */
+typedef struct Call {
+    JobControl *control;
+    JobAction action;
+    JobVmCall vm_call;
+    JobHttpCall http;
+} Call;
+
+static void
+free_call(Call *call)
+{
+    Buf_Free(&call->http.body);
+    free(call);
+}
+
+static int
+status_of(const HttpCallResult *result)
+{
+    return result->status == HTTP_CALL_ANSWERED ? result->http_status : 0;
+}
+
+static bool
+start_call(Call *call, const SettingsAddress *address, int64_t timeout_ms,
+           HttpCallFn fn)
+{
+    HttpCallOptions options = {.method = call->http.method,
+                               .address = *address,
+                               .path = call->http.path,
+                               .timeout_ms = timeout_ms,
+                               .max_answer_bytes = MAX_ANSWER_BYTES};
+    size_t i;
+
+    for (i = 0; i < call->http.header_count; i++) {
+        options.headers[i].name = call->http.header_names[i];
+        options.headers[i].value = call->http.header_values[i];
+    }
+    options.header_count = call->http.header_count;
+    options.body = call->http.body.data;
+    options.body_len = call->http.body.len;
+    return HttpClient_Start(call->control->client, &options, fn, call) != NULL;
+}
+
+static void
+on_target_answer(void *arg, const HttpCallResult *result)
+{
+    Call *call = arg;
+    JobControl *control = call->control;
+    JobWireAnswer answer;
+
+    control->wire->read_call(&call->action, status_of(result), result->body,
+                             result->body_len, &answer);
+    if (answer.answer.outcome == JOB_CALL_NO_ANSWER) {
+        Slog_Begin(SLOG_FAILURE, "call_unanswered");
+        Slog_Int("kind", call->action.kind);
+        Slog_Text("target", call->action.id);
+        Slog_Text("job", call->action.task.job);
+        Slog_Int("after_ms", Loop_NowMs() - call->action.sent_ms);
+        Slog_Int("http", result->http_status);
+        Slog_Int("transport", result->status);
+        Slog_End();
+    }
+    JobSched_Answered(control->sched, Loop_NowMs(), &call->action,
+                      &answer.answer);
+    control->place_due = true;
+    JobWireAnswer_Free(&answer);
+    free_call(call);
+}
+
+static Call *
+new_call(JobControl *control)
+{
+    Call *call = calloc(1, sizeof(*call));
+
+    if (call == NULL) {
+        abort();
+    }
+    call->control = control;
+    return call;
+}
+
+static void
+call_target(JobControl *control, const JobAction *action)
+{
+    Call *call = new_call(control);
+    int64_t timeout_ms = 1000 + action->wait_ms;
+    SettingsAddress address;
+
+    call->action = *action;
+    control->wire->write_call(action, &call->http);
+    call->action.text = NULL;
+    call->action.checkpoint = NULL;
+    if (!Settings_ParseAddress(action->address, &address) ||
+        !start_call(call, &address, timeout_ms, on_target_answer)) {
+        JobCallAnswer answer = {.outcome = JOB_CALL_NO_ANSWER, .clock_ms = -1};
+        JobSched_Answered(control->sched, Loop_NowMs(), action, &answer);
+        free_call(call);
+    }
+}
+
+static void
+on_vm_answer(void *arg, const HttpCallResult *result)
+{
+    Call *call = arg;
+    JobControl *control = call->control;
+    JobVmAnswer answer;
+
+    control->wire->read_vm_call(&call->vm_call, status_of(result),
+                                result->body, result->body_len, &answer);
+    JobFleet_Answered(control->fleet, Loop_NowMs(), &call->vm_call, &answer);
+    JobVmAnswer_Free(&answer);
+    free_call(call);
+}
+
+static void
+call_vm_service(JobControl *control, const JobVmCall *vm_call)
+{
+    Call *call = new_call(control);
+
+    call->vm_call = *vm_call;
+    control->wire->write_vm_call(vm_call, &call->http);
+    if (!start_call(call, &control->settings->vm_service, 2000,
+                    on_vm_answer)) {
+        JobVmAnswer answer = {.outcome = JOB_VM_NO_ANSWER};
+        JobFleet_Answered(control->fleet, Loop_NowMs(), vm_call, &answer);
+        free_call(call);
+    }
+}
+
+/* A proposal of the scheduler on its way through the log. */
+typedef struct SchedWaiter {
+    JobControl *control;
+    uint64_t cookie;
+} SchedWaiter;
+
+static void
+on_sched_proposed(void *arg, Status status, JobResult result)
+{
+    SchedWaiter *waiter = arg;
+
+    (void)result;
+    JobSched_Proposed(waiter->control->sched, Loop_NowMs(), waiter->cookie,
+                      status);
+    free(waiter);
+}
+
+static void
+propose_action(JobControl *control, JobAction *action)
+{
+    SchedWaiter *waiter = malloc(sizeof(*waiter));
+
+    if (waiter == NULL) {
+        abort();
+    }
+    *waiter = (SchedWaiter){control, action->cookie};
+    JobControl_Propose(control, &action->command, on_sched_proposed, waiter);
+    Buf_Free(&action->command);
+}
+
+static void
+ignore_result(void *arg, Status status, JobResult result)
+{
+    (void)arg;
+    (void)status;
+    (void)result;
+}
+
+void
+JobControl_TakeActions(JobControl *control)
+{
+    JobAction action;
+    JobVmCall call;
+    Buf command = BUF_INIT;
+
+    while (JobSched_Next(control->sched, &action)) {
+        if (action.kind == JOB_ACTION_PROPOSE) {
+            propose_action(control, &action);
+        }
+        else {
+            call_target(control, &action);
+        }
+    }
+    while (JobFleet_NextCall(control->fleet, &call)) {
+        call_vm_service(control, &call);
+    }
+    while (JobFleet_NextCommand(control->fleet, &command)) {
+        JobControl_Propose(control, &command, ignore_result, NULL);
+        Buf_Clear(&command);
+    }
+    Buf_Free(&command);
+}
--- /dev/null
+++ b/src/jobentry.c
@@ -0,0 +1,533 @@
+#include "jobentry.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <apr_time.h>
+
+#include "httpserver.h"
+#include "jobfleetmsg.h"
+#include "loop.h"
+#include "mppack.h"
+#include "peer.h"
+#include "signals.h"
+#include "slog.h"
+
+#define TICK_MS 100
+#define HTTP_IDLE_S 60
+#define LINK_SILENCE_MS 1200
+/* A leader that was not heard for so long is not passed any request. */
+#define LEADER_SILENCE_MS 1500
+/* A request waits so long for a leader to be known. */
+#define WAIT_LEADER_MS 900
+/* The leader answers within this or not at all. */
+#define REPLY_MS 2500
+#define RETRY_MS 1000
+/* A planned stop takes in requests until the balancer has noticed. */
+#define STOP_LISTEN_MS 3000
+
+/* One caller's request. */
+typedef struct Passed {
+    uint64_t sequence;
+    HttpRequest *http;
+    JobRequestKind kind;
+    char id[64]; /* end of the path, for the log */
+    int64_t since_ms;
+    int64_t due_ms;
+    size_t peer; /* that it was sent to, or SIZE_MAX */
+    struct Passed *next;
+} Passed;
+
+struct JobEntry {
+    const Settings *settings;
+    const JobWire *wire;
+    const char *settings_file;
+    Loop *loop;
+    Peers *peers;
+    HttpServer *traffic;
+    HttpServer *ready;
+    Signals *signals;
+    LoopTimer *tick;
+    Passed *passed;
+    uint64_t next_sequence;
+    uint64_t leader_term;
+    size_t leader; /* peer, or SIZE_MAX */
+    int64_t leader_heard_ms;
+    bool was_ready;
+    int64_t stop_ms;
+};
+
+static bool
+has_leader(const JobEntry *entry)
+{
+    return entry->leader != SIZE_MAX &&
+           Peers_IsUp(entry->peers, entry->leader) &&
+           Loop_NowMs() - entry->leader_heard_ms < LEADER_SILENCE_MS;
+}
+
+static JobRequestKind
+kind_of(const char *method)
+{
+    if (strcmp(method, "POST") == 0) {
+        return JOB_REQUEST_SUBMIT;
+    }
+    return strcmp(method, "DELETE") == 0 ? JOB_REQUEST_CANCEL
+                                         : JOB_REQUEST_STATE;
+}
+
+static void
+unlink_passed(JobEntry *entry, Passed *passed)
+{
+    Passed **at = &entry->passed;
+
+    while (*at != passed) {
+        at = &(*at)->next;
+    }
+    *at = passed->next;
+}
+
+static void
+finish(JobEntry *entry, Passed *passed, int status, const char *body,
+       size_t len, int64_t retry_ms)
+{
+    char retry[32];
+    HttpReply reply = {.status = status,
+                       .content_type = "application/json",
+                       .body = body,
+                       .body_len = len};
+
+    if (retry_ms > 0) {
+        snprintf(retry, sizeof(retry), "%lld",
+                 (long long)((retry_ms + 999) / 1000));
+        reply.headers[0] = (HttpHeader){"Retry-After", retry};
+        reply.header_count = 1;
+    }
+    if (status >= 300) {
+        Slog_Begin(SLOG_FAILURE, "caller_answered");
+        Slog_Text("id", passed->id);
+        Slog_Int("status", status);
+        Slog_Int("took_ms", Loop_NowMs() - passed->since_ms);
+        Slog_Int("passed_on", passed->peer != SIZE_MAX);
+        Slog_Int("term", (int64_t)entry->leader_term);
+        Slog_Int("leader_age_ms", Loop_NowMs() - entry->leader_heard_ms);
+        Slog_End();
+    }
+    HttpRequest_Reply(passed->http, &reply);
+    unlink_passed(entry, passed);
+    free(passed);
+}
+
+static void
+finish_as(JobEntry *entry, Passed *passed, JobReplyKind kind,
+          const char *reason)
+{
+    JobReply reply = {.kind = kind, .reason = reason, .retry_ms = RETRY_MS};
+    Buf body = BUF_INIT;
+    int status = entry->wire->write_reply(passed->kind, &reply, &body);
+
+    finish(entry, passed, status, body.data, body.len,
+           kind == JOB_REPLY_UNAVAILABLE ? RETRY_MS : 0);
+    Buf_Free(&body);
+}
+
+static void
+pack_bin(msgpack_packer *packer, const char *bytes, size_t len)
+{
+    msgpack_pack_bin(packer, len);
+    msgpack_pack_bin_body(packer, bytes, len);
+}
+
+static void
+pass_on(JobEntry *entry, Passed *passed)
+{
+    Buf frame = BUF_INIT;
+    msgpack_packer packer;
+    const char *host = HttpRequest_Header(passed->http, "Host");
+    const char *path = HttpRequest_Path(passed->http);
+    size_t len;
+    const char *body = HttpRequest_Body(passed->http, &len);
+
+    host = host != NULL ? host : "";
+    msgpack_packer_init(&packer, &frame, Buf_MsgpackWrite);
+    msgpack_pack_array(&packer, 6);
+    msgpack_pack_int(&packer, PEER_JOB_REQUEST);
+    msgpack_pack_uint64(&packer, passed->sequence);
+    MpPack_Text(&packer, HttpRequest_Method(passed->http));
+    pack_bin(&packer, host, strcspn(host, ":"));
+    MpPack_Text(&packer, path);
+    pack_bin(&packer, body, len);
+    Peers_Send(entry->peers, entry->leader, frame.data, frame.len);
+    Buf_Free(&frame);
+    passed->peer = entry->leader;
+    passed->due_ms = Loop_NowMs() + REPLY_MS;
+}
+
+static void
+handle_traffic(void *arg, HttpRequest *http)
+{
+    JobEntry *entry = arg;
+    Passed *passed = calloc(1, sizeof(*passed));
+    const char *path = HttpRequest_Path(http);
+    const char *id = strrchr(path, '/');
+
+    if (passed == NULL) {
+        abort();
+    }
+    passed->sequence = entry->next_sequence++;
+    passed->http = http;
+    passed->kind = kind_of(HttpRequest_Method(http));
+    passed->since_ms = Loop_NowMs();
+    passed->due_ms = passed->since_ms + WAIT_LEADER_MS;
+    passed->peer = SIZE_MAX;
+    snprintf(passed->id, sizeof(passed->id), "%s", id != NULL ? id + 1 : "");
+    passed->next = entry->passed;
+    entry->passed = passed;
+    if (has_leader(entry)) {
+        pass_on(entry, passed);
+    }
+}
+
+static bool
+is_ready(const JobEntry *entry)
+{
+    return has_leader(entry) && entry->stop_ms == 0;
+}
+
+static void
+handle_ready(void *arg, HttpRequest *http)
+{
+    JobEntry *entry = arg;
+
+    if (strcmp(HttpRequest_Path(http), entry->wire->ready_path) != 0) {
+        HttpRequest_ReplyText(http, 404, "text/plain", "no such page\n");
+        return;
+    }
+    HttpRequest_ReplyText(http, is_ready(entry) ? 200 : 503, "text/plain",
+                          is_ready(entry) ? "ready\n" : "not ready\n");
+}
+
+/* --- links --- */
+
+static void
+on_up(void *arg, size_t peer, const PeerHello *hello)
+{
+    (void)arg;
+    (void)peer;
+    Slog_Begin(SLOG_CHANGE, "peer_up");
+    Slog_Text("peer", hello->name);
+    Slog_End();
+}
+
+/* What was passed on to a node that is down has no known outcome. */
+static void
+abandon(JobEntry *entry, size_t peer)
+{
+    Passed *passed = entry->passed;
+
+    while (passed != NULL) {
+        Passed *next = passed->next;
+        if (passed->peer == peer) {
+            finish_as(entry, passed, JOB_REPLY_UNKNOWN,
+                      "the link to the leader broke; ask again");
+        }
+        passed = next;
+    }
+}
+
+static void
+on_down(void *arg, size_t peer)
+{
+    JobEntry *entry = arg;
+
+    Slog_Begin(SLOG_CHANGE, "peer_down");
+    Slog_Text("peer", Peers_Hello(entry->peers, peer)->name);
+    Slog_Int("leader", peer == entry->leader);
+    Slog_End();
+    abandon(entry, peer);
+    if (peer == entry->leader) {
+        entry->leader = SIZE_MAX;
+    }
+}
+
+static void
+pass_on_waiting(JobEntry *entry)
+{
+    Passed *passed;
+
+    for (passed = entry->passed; passed != NULL && has_leader(entry);
+         passed = passed->next) {
+        if (passed->peer == SIZE_MAX) {
+            pass_on(entry, passed);
+        }
+    }
+}
+
+static void
+on_fleet(JobEntry *entry, size_t peer, const msgpack_object_array *message)
+{
+    JobFleetMsg msg;
+    size_t i;
+
+    if (!JobFleetMsg_Decode(message, &msg)) {
+        return;
+    }
+    for (i = 0; i < msg.node_count; i++) {
+        Peers_Add(entry->peers, &msg.nodes[i]);
+    }
+    if (!msg.serves) {
+        if (peer == entry->leader) {
+            entry->leader = SIZE_MAX;
+        }
+        return;
+    }
+    if (msg.term < entry->leader_term) {
+        return; /* a leader that was deposed and does not know it yet */
+    }
+    if (msg.term > entry->leader_term || entry->leader != peer) {
+        Slog_Begin(SLOG_CHANGE, "leader_seen");
+        Slog_Text("leader", Peers_Hello(entry->peers, peer)->name);
+        Slog_Int("term", (int64_t)msg.term);
+        Slog_End();
+    }
+    entry->leader_term = msg.term;
+    entry->leader = peer;
+    entry->leader_heard_ms = Loop_NowMs();
+    pass_on_waiting(entry);
+}
+
+/* [type, sequence, status, retry, body] */
+static void
+on_reply(JobEntry *entry, const msgpack_object_array *message)
+{
+    const msgpack_object *items = message->ptr;
+    Passed *passed;
+
+    if (message->size != 5 ||
+        items[1].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+        items[2].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+        items[3].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+        items[4].type != MSGPACK_OBJECT_BIN) {
+        return;
+    }
+    for (passed = entry->passed; passed != NULL; passed = passed->next) {
+        if (passed->sequence == items[1].via.u64) {
+            finish(entry, passed, (int)items[2].via.u64, items[4].via.bin.ptr,
+                   items[4].via.bin.size, items[3].via.i64);
+            return;
+        }
+    }
+}
+
+static void
+on_message(void *arg, size_t peer, PeerMessageType type,
+           const msgpack_object_array *message)
+{
+    JobEntry *entry = arg;
+
+    if (type == PEER_FLEET) {
+        on_fleet(entry, peer, message);
+    }
+    else if (type == PEER_JOB_REPLY) {
+        on_reply(entry, message);
+    }
+}
+
+/* --- time --- */
+
+static void
+expire(JobEntry *entry, int64_t now)
+{
+    Passed *passed = entry->passed;
+
+    while (passed != NULL) {
+        Passed *next = passed->next;
+        if (now >= passed->due_ms) {
+            if (passed->peer == SIZE_MAX) {
+                finish_as(entry, passed, JOB_REPLY_UNAVAILABLE,
+                          "no leader is known");
+            }
+            else {
+                finish_as(entry, passed, JOB_REPLY_UNKNOWN,
+                          "the leader did not answer in time; ask again");
+            }
+        }
+        passed = next;
+    }
+}
+
+static void
+on_tick(void *arg)
+{
+    JobEntry *entry = arg;
+    int64_t now = Loop_NowMs();
+    bool ready = is_ready(entry);
+
+    Slog_SetTime(apr_time_as_msec(apr_time_now()), now);
+    if (ready != entry->was_ready) {
+        entry->was_ready = ready;
+        Slog_Begin(SLOG_CHANGE, "ready_changed");
+        Slog_Int("ready", ready);
+        Slog_Int("term", (int64_t)entry->leader_term);
+        Slog_End();
+    }
+    expire(entry, now);
+    if (entry->stop_ms != 0 && now - entry->stop_ms > STOP_LISTEN_MS &&
+        (entry->passed == NULL ||
+         now - entry->stop_ms > entry->settings->shutdown_grace_ms)) {
+        Loop_Stop(entry->loop);
+    }
+}
+
+static bool
+run_turn(void *arg)
+{
+    (void)arg;
+    Slog_Flush();
+    return false;
+}
+
+static void
+on_stop(void *arg)
+{
+    JobEntry *entry = arg;
+
+    if (entry->stop_ms == 0) {
+        entry->stop_ms = Loop_NowMs();
+        Slog_Begin(SLOG_CHANGE, "stopping");
+        Slog_End();
+    }
+}
+
+static void
+on_reload(void *arg)
+{
+    JobEntry *entry = arg;
+    Findings *findings = Findings_New(entry->settings_file);
+    Settings *settings = calloc(1, sizeof(*settings));
+    Status status;
+    size_t i;
+
+    if (settings == NULL) {
+        abort();
+    }
+    status = Settings_Load(entry->settings_file, settings, findings);
+    Slog_Begin(status == ST_OK ? SLOG_CHANGE : SLOG_FAILURE,
+               "settings_reloaded");
+    Slog_Int("findings", (int64_t)Findings_Count(findings));
+    Slog_End();
+    Findings_Print(findings, stderr);
+    for (i = 0; status == ST_OK && i < settings->seed_count; i++) {
+        SettingsAddress seed = settings->seeds[i];
+        seed.port = entry->settings->peer.port;
+        Peers_Add(entry->peers, &seed);
+    }
+    Findings_Free(findings);
+    free(settings);
+}
+
+/* --- life --- */
+
+static Status
+open_servers(JobEntry *entry, ErrCtx *err)
+{
+    HttpServerOptions traffic = {.address = entry->settings->traffic,
+                                 .max_body_bytes =
+                                     (size_t)entry->settings->max_body_bytes,
+                                 .idle_timeout_s = HTTP_IDLE_S,
+                                 .handler = handle_traffic,
+                                 .arg = entry};
+    HttpServerOptions ready = {.address = entry->settings->ready,
+                               .max_body_bytes = 1024,
+                               .idle_timeout_s = HTTP_IDLE_S,
+                               .handler = handle_ready,
+                               .arg = entry};
+
+    entry->traffic = HttpServer_New(entry->loop, &traffic, err);
+    if (entry->traffic == NULL) {
+        return ST_IO;
+    }
+    entry->ready = HttpServer_New(entry->loop, &ready, err);
+    return entry->ready != NULL ? ST_OK : ST_IO;
+}
+
+static Status
+open_all(JobEntry *entry, ErrCtx *err)
+{
+    PeersOptions peers = {.settings = entry->settings,
+                          .incarnation = (uint64_t)apr_time_now(),
+                          .open_membership = true,
+                          .silence_ms = LINK_SILENCE_MS,
+                          .arg = entry,
+                          .on_up = on_up,
+                          .on_down = on_down,
+                          .on_message = on_message};
+    size_t i;
+
+    entry->loop = Loop_New(err);
+    if (entry->loop == NULL) {
+        return ST_IO;
+    }
+    entry->signals = Signals_New(entry->loop, on_stop, on_reload, entry, err);
+    entry->peers = Peers_New(entry->loop, &peers, err);
+    if (entry->signals == NULL || entry->peers == NULL) {
+        return ST_IO;
+    }
+    for (i = 0; i < entry->settings->seed_count; i++) {
+        /* The peer port is the same on all nodes. */
+        SettingsAddress seed = entry->settings->seeds[i];
+        seed.port = entry->settings->peer.port;
+        Peers_Add(entry->peers, &seed);
+    }
+    return open_servers(entry, err);
+}
+
+Status
+JobEntry_New(const Settings *settings, const char *file, const JobWire *wire,
+             JobEntry **out, ErrCtx *err)
+{
+    JobEntry *entry = calloc(1, sizeof(*entry));
+    Status status;
+
+    if (entry == NULL) {
+        return Err_Set(err, ST_NO_MEMORY, "no memory for the entry node");
+    }
+    entry->settings = settings;
+    entry->settings_file = file;
+    entry->wire = wire;
+    entry->leader = SIZE_MAX;
+    entry->next_sequence = 1;
+    status = open_all(entry, err);
+    if (status != ST_OK) {
+        JobEntry_Free(entry);
+        return status;
+    }
+    entry->tick = Loop_NewTimer(entry->loop, on_tick, entry);
+    Loop_Arm(entry->tick, TICK_MS, TICK_MS);
+    Loop_AddPoll(entry->loop, run_turn, entry);
+    *out = entry;
+    return ST_OK;
+}
+
+void
+JobEntry_Run(JobEntry *entry)
+{
+    Loop_Run(entry->loop);
+}
+
+void
+JobEntry_Free(JobEntry *entry)
+{
+    if (entry == NULL) {
+        return;
+    }
+    while (entry->passed != NULL) {
+        finish_as(entry, entry->passed, JOB_REPLY_UNKNOWN, "stopping");
+    }
+    HttpServer_Free(entry->traffic);
+    HttpServer_Free(entry->ready);
+    Peers_Free(entry->peers);
+    Signals_Free(entry->signals);
+    Loop_Free(entry->loop);
+    free(entry);
+}
--- /dev/null
+++ b/src/jobfleetmsg.c
@@ -0,0 +1,68 @@
+#include "jobfleetmsg.h"
+
+#include <string.h>
+
+#include "mppack.h"
+#include "peer.h"
+
+void
+JobFleetMsg_Encode(const JobFleetMsg *msg, Buf *out)
+{
+    msgpack_packer packer;
+    size_t i;
+
+    msgpack_packer_init(&packer, out, Buf_MsgpackWrite);
+    msgpack_pack_array(&packer, 6);
+    msgpack_pack_int(&packer, PEER_FLEET);
+    msgpack_pack_uint64(&packer, msg->term);
+    msg->serves ? msgpack_pack_true(&packer) : msgpack_pack_false(&packer);
+    MpPack_Text(&packer, msg->leader.host);
+    msgpack_pack_int(&packer, msg->leader.port);
+    msgpack_pack_array(&packer, msg->node_count * 2);
+    for (i = 0; i < msg->node_count; i++) {
+        MpPack_Text(&packer, msg->nodes[i].host);
+        msgpack_pack_int(&packer, msg->nodes[i].port);
+    }
+}
+
+static bool
+read_address(const msgpack_object *items, SettingsAddress *address)
+{
+    if (items[0].type != MSGPACK_OBJECT_STR ||
+        items[0].via.str.size >= sizeof(address->host) ||
+        items[1].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+        items[1].via.u64 > UINT16_MAX) {
+        return false;
+    }
+    memcpy(address->host, items[0].via.str.ptr, items[0].via.str.size);
+    address->host[items[0].via.str.size] = '\0';
+    address->port = (int)items[1].via.u64;
+    return true;
+}
+
+bool
+JobFleetMsg_Decode(const msgpack_object_array *message, JobFleetMsg *msg)
+{
+    const msgpack_object *items = message->ptr;
+    const msgpack_object_array *nodes;
+    size_t i;
+
+    memset(msg, 0, sizeof(*msg));
+    if (message->size != 6 ||
+        items[1].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+        items[2].type != MSGPACK_OBJECT_BOOLEAN ||
+        !read_address(&items[3], &msg->leader) ||
+        items[5].type != MSGPACK_OBJECT_ARRAY) {
+        return false;
+    }
+    msg->term = items[1].via.u64;
+    msg->serves = items[2].via.boolean;
+    nodes = &items[5].via.array;
+    for (i = 0; i + 1 < nodes->size && msg->node_count < JOB_FLEET_NODES;
+         i += 2) {
+        if (!read_address(&nodes->ptr[i], &msg->nodes[msg->node_count++])) {
+            return false;
+        }
+    }
+    return true;
+}
--- /dev/null
+++ b/src/jobsched_impl.h
@@ -0,0 +1,89 @@
+/*
+ * NAME
+ *     jobsched_impl - the inside of jobsched, shared by its source files
+ */
+#ifndef COLTSFOOT_JOBSCHED_IMPL_H
+#define COLTSFOOT_JOBSCHED_IMPL_H
+
+#include "jobcodec.h"
+#include "jobsched.h"
+
+/* Fences of one term. */
+#define SCHED_FENCE_BITS 20
+
+/* What the leader believes of one target. */
+typedef struct SchedTarget {
+    uint64_t serial;
+    uint64_t life;       /* rises when the target is found to be another */
+    uint64_t fence;      /* of all calls to it */
+    int64_t clock_ms;    /* it showed at least this ... */
+    int64_t clock_at_ms; /* ... at this time */
+    bool clock_known;
+    int64_t granted_ms; /* highest deadline ever sent, on its clock */
+    int64_t heard_ms;   /* last announcement or answer */
+    int64_t answered_ms;
+    int64_t hold_due_ms;
+    bool holding;
+    bool fenced;         /* it has answered under this fence */
+    bool ends_proposed;  /* ends are on their way through the log */
+    bool ack_due;        /* it may forget ends and was not told yet */
+    uint32_t unanswered; /* calls in a row */
+    uint64_t order;      /* of its last announcement */
+    bool reborn;         /* a later life was seen and is being checked */
+    uint64_t reborn_at;
+    bool storing;     /* an announcement is on its way through the log */
+    JobNeed reserved; /* by assignments on their way */
+    uint32_t reserved_count;
+    uint32_t failures;  /* ends `failed` in a row */
+    int64_t shunned_ms; /* no new work before, as it fails everything */
+    bool closed;        /* a move or maintenance is wanted */
+} SchedTarget;
+
+typedef enum SchedProposalKind {
+    SCHED_ASSIGN,
+    SCHED_ENDS,
+    SCHED_TARGET,
+    SCHED_OTHER
+} SchedProposalKind;
+
+typedef struct SchedProposal {
+    uint64_t cookie;
+    SchedProposalKind kind;
+    uint32_t row;
+    uint64_t serial;
+    JobAssignment *assignments;
+    size_t assignment_count;
+    struct SchedProposal *next;
+} SchedProposal;
+
+struct JobSched {
+    JobSchedOptions options;
+    JobState *state;
+    bool leads;
+    uint64_t term;
+    uint64_t fence;
+    int64_t lead_ms;
+    int64_t wall_ms; /* of the last tick */
+    int64_t expire_ms;
+    uint64_t next_cookie;
+    uint64_t next_life;
+    JobAction *actions; /* from action_first to action_count */
+    size_t action_first;
+    size_t action_count;
+    size_t action_capacity;
+    SchedProposal *proposals;
+    JobAssignment *batch; /* of the placement that is being made */
+    size_t batch_count;
+    size_t batch_capacity;
+    JobSchedCounts counts;
+};
+
+SchedTarget *SchedImpl_Live(JobSched *sched, JobTarget *target);
+JobAction *SchedImpl_Action(JobSched *sched, JobActionKind kind);
+void SchedImpl_Propose(JobSched *sched, SchedProposalKind kind, Buf *command,
+                       uint32_t row, uint64_t serial);
+void SchedImpl_Start(JobSched *sched, int64_t now, const JobRun *run);
+bool SchedImpl_Usable(const JobSched *sched, const JobTarget *target,
+                      int64_t now);
+
+#endif
--- /dev/null
+++ b/src/jobsched_place.c
@@ -0,0 +1,423 @@
+#include "jobsched_impl.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "slog.h"
+
+/* Assignments of one command; a longer batch would delay the first starts. */
+#define PLACE_MAX_BATCH 256
+/* Backlog of a queue's pool, as a share of the objective, beyond which more
+ * work cannot be done in time. */
+#define ADMIT_MAX_WAIT_PERCENT 150
+
+typedef struct Candidate {
+    Job *job;
+    int64_t rank;
+} Candidate;
+
+typedef struct Place {
+    JobSched *sched;
+    int64_t now;
+    int64_t wall_ms;
+    Candidate *candidates;
+    size_t count;
+} Place;
+
+static bool
+has_room(const JobTarget *target, const JobStep *step)
+{
+    const SchedTarget *live = target->live;
+    uint64_t cpu = (uint64_t)target->used.cpu + live->reserved.cpu;
+    uint64_t memory =
+        (uint64_t)target->used.memory_mb + live->reserved.memory_mb;
+    uint64_t accelerators =
+        (uint64_t)target->used.accelerators + live->reserved.accelerators;
+
+    return cpu + (step->leftover ? 0 : step->need.cpu) <=
+               target->says.room.cpu &&
+           memory + step->need.memory_mb <= target->says.room.memory_mb &&
+           accelerators + step->need.accelerators <=
+               target->says.room.accelerators;
+}
+
+static bool
+has_label(const JobTarget *target, const char *label)
+{
+    uint32_t i;
+
+    for (i = 0; i < target->says.label_count; i++) {
+        if (strcmp(target->says.labels[i], label) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Returns the tasks of a step that run at a target or are on their way. */
+static uint32_t
+tasks_at(const Job *job, uint32_t occurrence, uint32_t step,
+         const JobTarget *target)
+{
+    uint32_t count = 0;
+    uint32_t i;
+
+    for (i = 0; i < target->run_count; i++) {
+        const JobRun *run = &target->runs[i];
+        count += run->job == job && run->occurrence == occurrence &&
+                 run->step == step;
+    }
+    return count;
+}
+
+/* Returns the tasks of a step that were chosen for a target in this batch. */
+static uint32_t
+tasks_chosen(const JobSched *sched, const Job *job, uint32_t occurrence,
+             uint32_t step, uint32_t row)
+{
+    uint32_t count = 0;
+    const SchedProposal *proposal;
+    size_t i;
+
+    for (i = 0; i < sched->batch_count; i++) {
+        const JobAssignment *at = &sched->batch[i];
+        count += at->target == row && at->task.step == step &&
+                 at->task.occurrence == occurrence &&
+                 strcmp(at->task.job, job->id) == 0;
+    }
+    for (proposal = sched->proposals; proposal != NULL;
+         proposal = proposal->next) {
+        for (i = 0; i < proposal->assignment_count; i++) {
+            const JobAssignment *at = &proposal->assignments[i];
+            count += at->target == row && at->task.step == step &&
+                     at->task.occurrence == occurrence &&
+                     strcmp(at->task.job, job->id) == 0;
+        }
+    }
+    return count;
+}
+
+/* Returns how well a target suits a task; higher is better, below 0 not at
+ * all. */
+static int64_t
+suitability(const JobSched *sched, const Job *job, uint32_t occurrence,
+            uint32_t step_index, const JobTarget *target)
+{
+    const JobStep *step = &job->spec.steps[step_index];
+    const SchedTarget *live = target->live;
+    int64_t room = target->says.room.cpu > 0 ? target->says.room.cpu : 1;
+    int64_t used = (int64_t)target->used.cpu + live->reserved.cpu;
+    int64_t score = 1000 - used * 1000 / room;
+    uint32_t same = 0;
+
+    if (!has_room(target, step) ||
+        (step->label[0] != '\0' && !has_label(target, step->label))) {
+        return -1;
+    }
+    if (step->max_per_target > 0 || step->lasting) {
+        same = tasks_at(job, occurrence, step_index, target) +
+               tasks_chosen(sched, job, occurrence, step_index, target->row);
+    }
+    if (step->max_per_target > 0 && same >= step->max_per_target) {
+        return -1;
+    }
+    if (step->rack[0] != '\0' && has_label(target, step->rack)) {
+        score += 2000;
+    }
+    if (step->lasting) {
+        /* The loss of one target should take few tasks of a step. */
+        score += 10000 - (int64_t)same * 500;
+    }
+    return score > 0 ? score : 0;
+}
+
+static JobTarget *
+choose(Place *place, const char *pool, const Job *job, uint32_t occurrence,
+       uint32_t step)
+{
+    JobSched *sched = place->sched;
+    JobTarget *best = NULL;
+    int64_t best_score = -1;
+    uint32_t i;
+
+    for (i = 0; i < JobState_TargetRows(sched->state); i++) {
+        JobTarget *target = JobState_Target(sched->state, i);
+        int64_t score;
+        if (target == NULL || strcmp(target->says.pool, pool) != 0 ||
+            !SchedImpl_Usable(sched, target, place->now)) {
+            continue;
+        }
+        score = suitability(sched, job, occurrence, step, target);
+        if (score > best_score) {
+            best_score = score;
+            best = target;
+        }
+    }
+    return best;
+}
+
+static void
+take(JobSched *sched, Job *job, uint32_t occurrence, uint32_t step,
+     uint32_t index, uint32_t attempt, JobTarget *target)
+{
+    const JobStep *need = &job->spec.steps[step];
+    SchedTarget *live = target->live;
+    JobTask *task;
+    JobAssignment *row;
+    Job *same;
+
+    if (sched->batch_count == sched->batch_capacity) {
+        sched->batch_capacity = sched->batch_capacity * 2 + 32;
+        sched->batch = realloc(sched->batch,
+                               sched->batch_capacity * sizeof(*sched->batch));
+        if (sched->batch == NULL) {
+            abort();
+        }
+    }
+    row = &sched->batch[sched->batch_count++];
+    memset(row, 0, sizeof(*row));
+    snprintf(row->task.job, sizeof(row->task.job), "%s", job->id);
+    row->task.occurrence = occurrence;
+    row->task.step = step;
+    row->task.index = index;
+    row->attempt = attempt;
+    row->target = target->row;
+    row->serial = target->serial;
+    task = JobState_Task(sched->state, &row->task, &same);
+    task->live.phase = JOB_LIVE_PROPOSED;
+    live->reserved.cpu += need->leftover ? 0 : need->need.cpu;
+    live->reserved.memory_mb += need->need.memory_mb;
+    live->reserved.accelerators += need->need.accelerators;
+    live->reserved_count++;
+}
+
+static void
+untake_from(JobSched *sched, size_t first)
+{
+    while (sched->batch_count > first) {
+        JobAssignment *row = &sched->batch[--sched->batch_count];
+        JobTarget *target = JobState_Target(sched->state, row->target);
+        SchedTarget *live = target->live;
+        Job *job;
+        JobTask *task = JobState_Task(sched->state, &row->task, &job);
+        const JobStep *step = &job->spec.steps[row->task.step];
+        task->live.phase = JOB_LIVE_NONE;
+        live->reserved.cpu -= step->leftover ? 0 : step->need.cpu;
+        live->reserved.memory_mb -= step->need.memory_mb;
+        live->reserved.accelerators -= step->need.accelerators;
+        live->reserved_count--;
+    }
+}
+
+static bool
+is_free(const JobTask *task)
+{
+    return task->state == JOB_TASK_WAITING &&
+           task->live.phase == JOB_LIVE_NONE;
+}
+
+/* Places the free tasks of a step. Returns whether some stay without a
+ * place. */
+static bool
+place_step(Place *place, Job *job, const char *pool, uint32_t occurrence,
+           uint32_t step)
+{
+    JobSched *sched = place->sched;
+    JobTask *tasks =
+        job->occurrences[occurrence].tasks + job->step_first[step];
+    const JobStep *spec = &job->spec.steps[step];
+    size_t first = sched->batch_count;
+    uint32_t attempt = 0;
+    uint32_t i;
+
+    for (i = 0; spec->gang && i < spec->count; i++) {
+        /* A gang starts whole or not at all. */
+        if (!is_free(&tasks[i])) {
+            return tasks[i].state != JOB_TASK_DONE;
+        }
+        attempt = tasks[i].attempt > attempt ? tasks[i].attempt : attempt;
+    }
+    for (i = 0; i < spec->count; i++) {
+        JobTarget *target;
+        if (!is_free(&tasks[i])) {
+            continue;
+        }
+        target = choose(place, pool, job, occurrence, step);
+        if (target == NULL) {
+            if (spec->gang) {
+                untake_from(sched, first);
+            }
+            return true;
+        }
+        take(sched, job, occurrence, step, i,
+             (spec->gang ? attempt : tasks[i].attempt) + 1, target);
+    }
+    return false;
+}
+
+static bool
+is_due(const Place *place, const Job *job, uint32_t occurrence)
+{
+    if (job->spec.repeats == 0) {
+        return true;
+    }
+    return place->wall_ms + place->sched->options.early_ms >=
+           job->spec.start_ms + (int64_t)occurrence * job->spec.interval_ms;
+}
+
+static void
+place_job(Place *place, Job *job)
+{
+    const JobQueue *queue =
+        JobConfig_Queue(JobState_Config(place->sched->state), job->queue);
+    const char *pool = queue != NULL ? queue->pool : job->pool;
+    bool waiting = false;
+    uint32_t k;
+    uint32_t step;
+
+    for (k = job->first_open; k < job->occurrence_count; k++) {
+        JobTaskRef first = {{0}, k, 0, 0};
+        Job *same;
+        if (!is_due(place, job, k)) {
+            waiting = true;
+            break;
+        }
+        snprintf(first.job, sizeof(first.job), "%s", job->id);
+        JobState_Task(place->sched->state, &first, &same);
+        for (step = 0; step < job->spec.step_count; step++) {
+            if (Job_StepReady(job, k, step)) {
+                waiting = place_step(place, job, pool, k, step) || waiting;
+            }
+        }
+    }
+    job->has_waiting = waiting;
+}
+
+/* Returns the work of the longest chain of a job in ms, by its estimates. */
+static int64_t
+chain_ms(const JobSpec *spec)
+{
+    int64_t ends[JOB_MAX_STEPS];
+    int64_t longest = 0;
+    uint32_t i;
+    uint32_t j;
+
+    for (i = 0; i < spec->step_count; i++) {
+        int64_t begin = 0;
+        for (j = 0; j < i; j++) {
+            if ((spec->steps[i].depends >> j & 1) != 0 && ends[j] > begin) {
+                begin = ends[j];
+            }
+        }
+        ends[i] = begin + spec->steps[i].estimate_ms;
+        longest = ends[i] > longest ? ends[i] : longest;
+    }
+    return longest;
+}
+
+/* Returns a key by which jobs are placed, lowest first: lasting ones, then
+ * by the latest time at which the objective can still be met, and what is
+ * past any objective last. */
+static int64_t
+rank(const Place *place, const Job *job)
+{
+    const JobQueue *queue =
+        JobConfig_Queue(JobState_Config(place->sched->state), job->queue);
+    int64_t chain = chain_ms(&job->spec);
+    int64_t objective = queue != NULL ? queue->objective_ms : 1000;
+    double slack = queue != NULL ? queue->slack : 2.0;
+    int64_t age = place->wall_ms - job->accepted_ms;
+    int64_t allowed = (int64_t)(slack * (double)chain) + objective;
+
+    if (job->spec.steps[0].lasting) {
+        return INT64_MIN / 2;
+    }
+    if (age > 3 * allowed) {
+        return INT64_MAX / 2 - age;
+    }
+    return allowed - chain - age;
+}
+
+static int
+by_rank(const void *a, const void *b)
+{
+    const Candidate *left = a;
+    const Candidate *right = b;
+
+    return (left->rank > right->rank) - (left->rank < right->rank);
+}
+
+static void
+collect(Place *place)
+{
+    size_t capacity = 0;
+    Job *job;
+
+    for (job = JobState_FirstActive(place->sched->state); job != NULL;
+         job = job->next) {
+        if (!job->has_waiting || job->phase >= JOB_COMPLETED) {
+            continue;
+        }
+        if (place->count == capacity) {
+            capacity = capacity * 2 + 64;
+            place->candidates =
+                realloc(place->candidates, capacity * sizeof(Candidate));
+            if (place->candidates == NULL) {
+                abort();
+            }
+        }
+        place->candidates[place->count++] = (Candidate){job, rank(place, job)};
+    }
+}
+
+static void
+propose_batch(JobSched *sched)
+{
+    Buf command = BUF_INIT;
+
+    JobCmd_Assign(&command, sched->batch, sched->batch_count);
+    SchedImpl_Propose(sched, SCHED_ASSIGN, &command, JOB_NO_TARGET, 0);
+    sched->proposals->assignments = sched->batch;
+    sched->proposals->assignment_count = sched->batch_count;
+    sched->batch = NULL;
+    sched->batch_count = 0;
+    sched->batch_capacity = 0;
+}
+
+void
+JobSched_Place(JobSched *sched, int64_t now, int64_t wall_ms)
+{
+    Place place = {sched, now, wall_ms, NULL, 0};
+    size_t i;
+
+    if (!sched->leads) {
+        return;
+    }
+    collect(&place);
+    if (place.count > 1) {
+        qsort(place.candidates, place.count, sizeof(Candidate), by_rank);
+    }
+    for (i = 0; i < place.count && sched->batch_count < PLACE_MAX_BATCH; i++) {
+        place_job(&place, place.candidates[i].job);
+    }
+    free(place.candidates);
+    if (sched->batch_count > 0) {
+        propose_batch(sched);
+    }
+}
+
+/* --- admission --- */
+
+bool
+JobSched_Admit(const JobSched *sched, int64_t now, const JobQueue *queue,
+               const JobSpec *spec, int64_t *retry_ms, const char **reason)
+{
+    (void)sched;
+    (void)now;
+    (void)queue;
+    (void)spec;
+    *retry_ms = 0;
+    *reason = "";
+    return true;
+}
--- /dev/null
+++ b/src/jobstate_impl.h
@@ -0,0 +1,51 @@
+/*
+ * NAME
+ *     jobstate_impl - the inside of jobstate, shared by its source files
+ */
+#ifndef COLTSFOOT_JOBSTATE_IMPL_H
+#define COLTSFOOT_JOBSTATE_IMPL_H
+
+#include "jobcodec.h"
+#include "jobstate.h"
+
+struct JobState {
+    JobConfig config;
+    StrMap *jobs;
+    Job *active_first;
+    Job *active_last;
+    JobTarget **targets;
+    uint32_t target_rows;
+    uint64_t next_serial;
+    JobNode *nodes;
+    size_t node_count;
+    JobWave *waves;
+    size_t wave_count;
+};
+
+Job *JobStateImpl_AddJob(JobState *state, const char *id, const char *queue);
+/* Takes over spec. */
+void JobStateImpl_SetSpec(Job *job, JobSpec *spec);
+JobTask *JobStateImpl_OpenTasks(Job *job, uint32_t occurrence);
+void JobStateImpl_Activate(JobState *state, Job *job);
+void JobStateImpl_FreeJob(Job *job);
+JobTarget *JobStateImpl_AddTarget(JobState *state, uint32_t row);
+void JobStateImpl_AddNode(JobState *state, const JobNode *node);
+JobWave *JobStateImpl_AddWave(JobState *state, uint32_t vm_count);
+void JobStateImpl_AddRun(JobTarget *target, const JobRun *run);
+void JobStateImpl_Clear(JobState *state);
+
+typedef enum JobCommand {
+    JOB_CMD_CONFIG = 1,
+    JOB_CMD_SUBMIT = 2,
+    JOB_CMD_CANCEL = 3,
+    JOB_CMD_ASSIGN = 4,
+    JOB_CMD_ENDS = 5,
+    JOB_CMD_TARGET = 6,
+    JOB_CMD_TARGET_GONE = 7,
+    JOB_CMD_NODE = 8,
+    JOB_CMD_WAVE = 9,
+    JOB_CMD_WAVE_VM = 10,
+    JOB_CMD_EXPIRE = 11
+} JobCommand;
+
+#endif
--- /dev/null
+++ b/src/jobstate_snapshot.c
@@ -0,0 +1,391 @@
+#include "jobstate_impl.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "mppack.h"
+
+#define SNAPSHOT_FORMAT 1
+
+static void
+pack_task(msgpack_packer *packer, const JobTask *task)
+{
+    msgpack_pack_array(packer, 5);
+    msgpack_pack_uint32(packer, task->attempt);
+    msgpack_pack_uint32(packer, task->target);
+    msgpack_pack_uint8(packer, task->state);
+    msgpack_pack_uint8(packer, task->failures);
+    MpPack_Text(packer, task->checkpoint != NULL ? task->checkpoint : "");
+}
+
+static void
+pack_job(msgpack_packer *packer, const Job *job)
+{
+    uint32_t k;
+    uint32_t i;
+
+    msgpack_pack_array(packer, 9);
+    MpPack_Text(packer, job->id);
+    MpPack_Text(packer, job->queue);
+    MpPack_Text(packer, job->pool);
+    JobCodec_PackSpec(packer, &job->spec);
+    msgpack_pack_int64(packer, job->accepted_ms);
+    msgpack_pack_int64(packer, job->ended_ms);
+    msgpack_pack_uint32(packer, (uint32_t)job->phase);
+    job->active ? msgpack_pack_true(packer) : msgpack_pack_false(packer);
+    msgpack_pack_array(packer, job->occurrence_count);
+    for (k = 0; k < job->occurrence_count; k++) {
+        const JobTask *tasks = job->occurrences[k].tasks;
+        msgpack_pack_array(packer, tasks != NULL ? job->tasks_each : 0);
+        for (i = 0; tasks != NULL && i < job->tasks_each; i++) {
+            pack_task(packer, &tasks[i]);
+        }
+    }
+}
+
+static void
+pack_target(msgpack_packer *packer, const JobTarget *target)
+{
+    msgpack_pack_array(packer, 4);
+    msgpack_pack_uint32(packer, target->row);
+    msgpack_pack_uint64(packer, target->serial);
+    msgpack_pack_uint64(packer, target->ends_taken);
+    JobCodec_PackAnnouncement(packer, &target->says);
+}
+
+static void
+pack_wave(msgpack_packer *packer, const JobWave *wave)
+{
+    uint32_t i;
+
+    msgpack_pack_array(packer, 5);
+    msgpack_pack_uint64(packer, wave->number);
+    msgpack_pack_int64(packer, wave->start_ms);
+    msgpack_pack_int64(packer, wave->duration_ms);
+    msgpack_pack_uint32(packer, wave->cap);
+    msgpack_pack_array(packer, wave->vm_count);
+    for (i = 0; i < wave->vm_count; i++) {
+        msgpack_pack_array(packer, 3);
+        MpPack_Text(packer, wave->vms[i].vm);
+        wave->vms[i].ordered ? msgpack_pack_true(packer)
+                             : msgpack_pack_false(packer);
+        wave->vms[i].done ? msgpack_pack_true(packer)
+                          : msgpack_pack_false(packer);
+    }
+}
+
+static void
+pack_jobs(msgpack_packer *packer, const JobState *state)
+{
+    const Job *job;
+    size_t i;
+
+    /* The active ones come in the order of their list, then the ended. */
+    msgpack_pack_array(packer, StrMap_Count(state->jobs));
+    for (job = state->active_first; job != NULL; job = job->next) {
+        pack_job(packer, job);
+    }
+    for (i = 0; i < StrMap_Count(state->jobs); i++) {
+        job = StrMap_At(state->jobs, i);
+        if (!job->active) {
+            pack_job(packer, job);
+        }
+    }
+}
+
+void
+JobState_Snapshot(const JobState *state, Buf *out)
+{
+    msgpack_packer packer;
+    uint32_t rows = 0;
+    size_t i;
+
+    msgpack_packer_init(&packer, out, Buf_MsgpackWrite);
+    msgpack_pack_array(&packer, 7);
+    msgpack_pack_int(&packer, SNAPSHOT_FORMAT);
+    JobCodec_PackConfig(&packer, &state->config);
+    msgpack_pack_uint64(&packer, state->next_serial);
+    for (i = 0; i < state->target_rows; i++) {
+        rows += state->targets[i] != NULL;
+    }
+    msgpack_pack_array(&packer, rows);
+    for (i = 0; i < state->target_rows; i++) {
+        if (state->targets[i] != NULL) {
+            pack_target(&packer, state->targets[i]);
+        }
+    }
+    pack_jobs(&packer, state);
+    msgpack_pack_array(&packer, state->node_count);
+    for (i = 0; i < state->node_count; i++) {
+        msgpack_pack_array(&packer, 4);
+        MpPack_Text(&packer, state->nodes[i].name);
+        MpPack_Text(&packer, state->nodes[i].data_centre);
+        MpPack_Text(&packer, state->nodes[i].peer);
+        MpPack_Text(&packer, state->nodes[i].control);
+    }
+    msgpack_pack_array(&packer, state->wave_count);
+    for (i = 0; i < state->wave_count; i++) {
+        pack_wave(&packer, &state->waves[i]);
+    }
+}
+
+static bool
+read_u32(MpRead *reader, uint32_t *value)
+{
+    uint64_t wide = 0;
+
+    if (!MpRead_U64(reader, &wide) || wide > UINT32_MAX) {
+        reader->failed = true;
+        return false;
+    }
+    *value = (uint32_t)wide;
+    return true;
+}
+
+static bool
+read_header(MpRead *reader, uint32_t expected)
+{
+    uint32_t items;
+
+    if (!MpRead_Array(reader, &items) || items != expected) {
+        reader->failed = true;
+        return false;
+    }
+    return true;
+}
+
+static bool
+read_task(MpRead *reader, JobTask *task)
+{
+    char checkpoint[256];
+    uint32_t state = 0;
+    uint32_t failures = 0;
+
+    if (!read_header(reader, 5) || !read_u32(reader, &task->attempt) ||
+        !read_u32(reader, &task->target) || !read_u32(reader, &state) ||
+        !read_u32(reader, &failures) ||
+        !MpRead_Text(reader, checkpoint, sizeof(checkpoint)) ||
+        state > JOB_TASK_DONE || failures > UINT8_MAX) {
+        reader->failed = true;
+        return false;
+    }
+    task->state = (uint8_t)state;
+    task->failures = (uint8_t)failures;
+    task->checkpoint = checkpoint[0] != '\0' ? strdup(checkpoint) : NULL;
+    return true;
+}
+
+/* Recounts what follows from the states of the tasks. */
+static bool
+count_task(JobState *state, Job *job, uint32_t occurrence, uint32_t step,
+           uint32_t index, const JobTask *task)
+{
+    JobOccurrence *open = &job->occurrences[occurrence];
+    JobTarget *target;
+
+    if (task->state == JOB_TASK_DONE) {
+        open->done++;
+        open->step_done[step]++;
+    }
+    if (task->state != JOB_TASK_ASSIGNED) {
+        return true;
+    }
+    target = JobState_Target(state, task->target);
+    if (target == NULL) {
+        return false;
+    }
+    job->assigned++;
+    JobStateImpl_AddRun(target, &(JobRun){job, occurrence, step, index});
+    return true;
+}
+
+static bool
+read_occurrence(JobState *state, MpRead *reader, Job *job, uint32_t k)
+{
+    uint32_t count;
+    uint32_t step;
+    uint32_t i;
+    JobTask *tasks;
+
+    if (!MpRead_Array(reader, &count) ||
+        (count != 0 && count != job->tasks_each)) {
+        reader->failed = true;
+        return false;
+    }
+    if (count == 0) {
+        return true;
+    }
+    tasks = JobStateImpl_OpenTasks(job, k);
+    for (step = 0; step < job->spec.step_count; step++) {
+        for (i = 0; i < job->spec.steps[step].count; i++) {
+            JobTask *task = &tasks[job->step_first[step] + i];
+            if (!read_task(reader, task) ||
+                !count_task(state, job, k, step, i, task)) {
+                reader->failed = true;
+                return false;
+            }
+        }
+    }
+    job->occurrences_done += job->occurrences[k].done == job->tasks_each;
+    return true;
+}
+
+static bool
+read_job(JobState *state, MpRead *reader)
+{
+    char id[JOB_ID_BYTES];
+    char queue[JOB_NAME_BYTES];
+    char pool[JOB_NAME_BYTES];
+    JobSpec spec;
+    Job *job;
+    uint32_t phase = 0;
+    uint32_t count;
+    uint32_t k;
+    bool active = false;
+
+    if (!read_header(reader, 9) || !MpRead_Text(reader, id, sizeof(id)) ||
+        !MpRead_Text(reader, queue, sizeof(queue)) ||
+        !MpRead_Text(reader, pool, sizeof(pool)) ||
+        StrMap_Get(state->jobs, id) != NULL) {
+        return false;
+    }
+    if (!JobCodec_ReadSpec(reader, &spec)) {
+        JobSpec_Free(&spec);
+        return false;
+    }
+    job = JobStateImpl_AddJob(state, id, queue);
+    snprintf(job->pool, sizeof(job->pool), "%s", pool);
+    JobStateImpl_SetSpec(job, &spec);
+    if (!MpRead_I64(reader, &job->accepted_ms) ||
+        !MpRead_I64(reader, &job->ended_ms) || !read_u32(reader, &phase) ||
+        phase > JOB_CANCELLED || !MpRead_Bool(reader, &active) ||
+        !MpRead_Array(reader, &count) || count != job->occurrence_count) {
+        return false;
+    }
+    job->phase = (JobPhase)phase;
+    for (k = 0; k < count; k++) {
+        if (!read_occurrence(state, reader, job, k)) {
+            return false;
+        }
+    }
+    while (job->first_open < job->occurrence_count &&
+           job->occurrences[job->first_open].done == job->tasks_each) {
+        job->first_open++;
+    }
+    if (active) {
+        JobStateImpl_Activate(state, job);
+    }
+    return true;
+}
+
+static bool
+read_target(JobState *state, MpRead *reader)
+{
+    uint32_t row;
+    JobTarget *target;
+
+    if (!read_header(reader, 4) || !read_u32(reader, &row) ||
+        row > UINT16_MAX || JobState_Target(state, row) != NULL) {
+        return false;
+    }
+    target = JobStateImpl_AddTarget(state, row);
+    return MpRead_U64(reader, &target->serial) &&
+           MpRead_U64(reader, &target->ends_taken) &&
+           JobCodec_ReadAnnouncement(reader, &target->says);
+}
+
+static bool
+read_node(JobState *state, MpRead *reader)
+{
+    JobNode node = {{0}, {0}, {0}, {0}};
+
+    if (!read_header(reader, 4) ||
+        !MpRead_Text(reader, node.name, sizeof(node.name)) ||
+        !MpRead_Text(reader, node.data_centre, sizeof(node.data_centre)) ||
+        !MpRead_Text(reader, node.peer, sizeof(node.peer)) ||
+        !MpRead_Text(reader, node.control, sizeof(node.control))) {
+        return false;
+    }
+    JobStateImpl_AddNode(state, &node);
+    return true;
+}
+
+static bool
+read_wave(JobState *state, MpRead *reader)
+{
+    JobWave head = {0};
+    JobWave *wave;
+    uint32_t count;
+    uint32_t i;
+
+    if (!read_header(reader, 5) || !MpRead_U64(reader, &head.number) ||
+        !MpRead_I64(reader, &head.start_ms) ||
+        !MpRead_I64(reader, &head.duration_ms) ||
+        !read_u32(reader, &head.cap) || !MpRead_Array(reader, &count)) {
+        return false;
+    }
+    wave = JobStateImpl_AddWave(state, count);
+    wave->number = head.number;
+    wave->start_ms = head.start_ms;
+    wave->duration_ms = head.duration_ms;
+    wave->cap = head.cap;
+    for (i = 0; i < count; i++) {
+        JobWaveVm *vm = &wave->vms[i];
+        if (!read_header(reader, 3) ||
+            !MpRead_Text(reader, vm->vm, sizeof(vm->vm)) ||
+            !MpRead_Bool(reader, &vm->ordered) ||
+            !MpRead_Bool(reader, &vm->done)) {
+            return false;
+        }
+        wave->done += vm->done;
+    }
+    return true;
+}
+
+static bool
+read_rows(JobState *state, MpRead *reader,
+          bool (*read)(JobState *state, MpRead *reader))
+{
+    uint32_t count;
+    uint32_t i;
+
+    if (!MpRead_Array(reader, &count)) {
+        return false;
+    }
+    for (i = 0; i < count; i++) {
+        if (!read(state, reader)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+Status
+JobState_Restore(JobState *state, const char *bytes, size_t len, ErrCtx *err)
+{
+    JobState *fresh = JobState_New();
+    JobState old;
+    MpRead reader;
+    uint64_t format = 0;
+
+    MpRead_Init(&reader, bytes, len);
+    if (!read_header(&reader, 7) || !MpRead_U64(&reader, &format) ||
+        format != SNAPSHOT_FORMAT ||
+        !JobCodec_ReadConfig(&reader, &fresh->config) ||
+        !MpRead_U64(&reader, &fresh->next_serial) ||
+        !read_rows(fresh, &reader, read_target) ||
+        !read_rows(fresh, &reader, read_job) ||
+        !read_rows(fresh, &reader, read_node) ||
+        !read_rows(fresh, &reader, read_wave) || !MpRead_Done(&reader)) {
+        size_t offset = MpRead_Offset(&reader);
+        JobState_Free(fresh);
+        return Err_Set(err, ST_CORRUPT, "unreadable job state at offset %zu",
+                       offset);
+    }
+    old = *state;
+    *state = *fresh;
+    *fresh = old;
+    JobState_Free(fresh);
+    return ST_OK;
+}
--- a/src/peer.c
+++ b/src/peer.c
@@ -16,6 +16,9 @@
 #define PEER_DIAL_MIN_MS 100
 #define PEER_DIAL_MAX_MS 2000
 #define PEER_MAX_INCOMING 512
+#define PEER_MAX_PEERS 512
+/* Probes of an outgoing link within the silence limit. */
+#define PEER_PROBES 3
 #define PEER_READ_BYTES 65536
 #define PEER_BACKLOG 64
 #define PEER_NONE ((size_t)-1)
@@ -35,6 +38,10 @@
 } Link;
 
 typedef struct PeerSlot {
+    SettingsAddress address;
+    char name[SETTINGS_NAME_BYTES]; /* empty until the first hello */
+    int64_t answered_ms;            /* last answer on the outgoing link */
+    int64_t probe_ms;
     Link *outgoing;
     int64_t next_dial_ms;
     int64_t dial_wait_ms;
@@ -58,10 +65,11 @@
     uint64_t bytes_received;
 };
 
-static const SettingsPeer *
-peer_settings(const Peers *peers, size_t peer)
+static int64_t
+silence_ms(const Peers *peers)
 {
-    return &peers->options.settings->peers[peer];
+    return peers->options.silence_ms > 0 ? peers->options.silence_ms
+                                         : PEER_SILENCE_MS;
 }
 
 static void
@@ -122,7 +130,7 @@
     msgpack_packer packer;
 
     msgpack_packer_init(&packer, &body, Buf_MsgpackWrite);
-    msgpack_pack_array(&packer, 7);
+    msgpack_pack_array(&packer, 9);
     msgpack_pack_int(&packer, PEER_HELLO);
     msgpack_pack_int(&packer, PEER_PROTOCOL);
     MpPack_Text(&packer, options->settings->cluster);
@@ -130,6 +138,8 @@
     MpPack_Text(&packer, options->settings->data_centre);
     msgpack_pack_uint64(&packer, options->identity);
     msgpack_pack_uint64(&packer, options->incarnation);
+    MpPack_Text(&packer, options->settings->peer.host);
+    msgpack_pack_int(&packer, options->settings->peer.port);
     Frame_Encode(&link->out, body.data, body.len);
     Buf_Free(&body);
 }
@@ -168,7 +178,7 @@
     char cluster[SETTINGS_NAME_BYTES];
     const msgpack_object *items = array->ptr;
 
-    if (array->size != 7 || items[1].type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
+    if (array->size != 9 || items[1].type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
         return "malformed hello";
     }
     if (items[1].via.u64 != PEER_PROTOCOL) {
@@ -179,9 +189,14 @@
         !copy_text(&items[4], hello->data_centre,
                    sizeof(hello->data_centre)) ||
         items[5].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
-        items[6].type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
+        items[6].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+        !copy_text(&items[7], hello->address.host,
+                   sizeof(hello->address.host)) ||
+        items[8].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+        items[8].via.u64 > UINT16_MAX) {
         return "malformed hello";
     }
+    hello->address.port = (int)items[8].via.u64;
     if (strcmp(cluster, peers->options.settings->cluster) != 0) {
         return "another cluster";
     }
@@ -190,17 +205,77 @@
     return NULL;
 }
 
+static bool
+same_address(const SettingsAddress *a, const SettingsAddress *b)
+{
+    return a->port == b->port && strcmp(a->host, b->host) == 0;
+}
+
 static size_t
-find_peer(const Peers *peers, const PeerHello *hello)
+add_slot(Peers *peers, const char *name, const SettingsAddress *address)
+{
+    PeerSlot *slots;
+
+    if (peers->count == PEER_MAX_PEERS) {
+        return PEER_NONE;
+    }
+    slots = realloc(peers->slots, (peers->count + 1) * sizeof(*slots));
+    if (slots == NULL) {
+        abort();
+    }
+    peers->slots = slots;
+    memset(&slots[peers->count], 0, sizeof(*slots));
+    slots[peers->count].address = *address;
+    slots[peers->count].dial_wait_ms = PEER_DIAL_MIN_MS;
+    snprintf(slots[peers->count].name, SETTINGS_NAME_BYTES, "%s", name);
+    return peers->count++;
+}
+
+size_t
+Peers_Add(Peers *peers, const SettingsAddress *address)
 {
     size_t i;
 
     for (i = 0; i < peers->count; i++) {
-        if (strcmp(peer_settings(peers, i)->name, hello->name) == 0) {
+        if (same_address(&peers->slots[i].address, address)) {
             return i;
         }
     }
-    return PEER_NONE;
+    if (same_address(&peers->options.settings->peer, address)) {
+        return PEER_NONE;
+    }
+    return add_slot(peers, "", address);
+}
+
+/* Returns the slot of a node that said hello. A node that came back under
+ * another address is dialled there from now on. */
+static size_t
+find_peer(Peers *peers, const PeerHello *hello)
+{
+    size_t i;
+
+    for (i = 0; i < peers->count; i++) {
+        PeerSlot *slot = &peers->slots[i];
+        if (strcmp(slot->name, hello->name) != 0) {
+            continue;
+        }
+        if (peers->options.open_membership &&
+            !same_address(&slot->address, &hello->address)) {
+            slot->address = hello->address;
+            if (slot->outgoing != NULL) {
+                close_link(slot->outgoing);
+            }
+        }
+        return i;
+    }
+    if (!peers->options.open_membership) {
+        return PEER_NONE;
+    }
+    i = Peers_Add(peers, &hello->address);
+    if (i != PEER_NONE) {
+        snprintf(peers->slots[i].name, SETTINGS_NAME_BYTES, "%s", hello->name);
+    }
+    return i;
 }
 
 /* Returns false when the link has to be closed. */
@@ -267,7 +342,8 @@
         keep = false;
     }
     else if (link->outgoing) {
-        keep = false;
+        peers->slots[link->peer].answered_ms = Loop_NowMs();
+        keep = type == PEER_PROBE;
     }
     else if (link->peer == PEER_NONE) {
         keep = type == PEER_HELLO && accept_hello(link, &object->via.array);
@@ -276,6 +352,11 @@
         refuse(link, "unknown message type");
         keep = false;
     }
+    else if (type == PEER_PROBE) {
+        peers->slots[link->peer].heard_ms = Loop_NowMs();
+        Frame_Encode(&link->out, body, len);
+        keep = flush_link(link);
+    }
     else {
         peers->slots[link->peer].heard_ms = Loop_NowMs();
         peers->options.on_message(peers->options.arg, link->peer,
@@ -359,6 +440,7 @@
         link->connecting = false;
         link->last_progress_ms = Loop_NowMs();
         link->peers->slots[link->peer].dial_wait_ms = PEER_DIAL_MIN_MS;
+        link->peers->slots[link->peer].answered_ms = Loop_NowMs();
     }
     if (events & LOOP_WRITE) {
         keep = flush_link(link);
@@ -433,7 +515,7 @@
 dial(Peers *peers, size_t peer, int64_t now)
 {
     PeerSlot *slot = &peers->slots[peer];
-    const SettingsAddress *to = &peer_settings(peers, peer)->peer;
+    const SettingsAddress *to = &slot->address;
     apr_pool_t *pool;
     apr_sockaddr_t *address;
     apr_socket_t *socket;
@@ -479,12 +561,12 @@
     PeerSlot *slot = &peers->slots[peer];
     Link *link;
 
-    if (!slot->up || now - slot->heard_ms < PEER_SILENCE_MS) {
+    if (!slot->up || now - slot->heard_ms < silence_ms(peers)) {
         return;
     }
     slot->up = false;
     Diag_Log(DIAG_WARNING, PEER_PART, "%s has been silent for %d ms.",
-             slot->hello.name, PEER_SILENCE_MS);
+             slot->hello.name, (int)silence_ms(peers));
     for (link = peers->incoming; link != NULL;) {
         Link *next = link->next;
         if (link->peer == peer) {
@@ -495,6 +577,48 @@
     peers->options.on_down(peers->options.arg, peer);
 }
 
+/* Asks for an answer on the outgoing link. */
+static void
+probe(Peers *peers, size_t peer, int64_t now)
+{
+    PeerSlot *slot = &peers->slots[peer];
+    Buf body = BUF_INIT;
+    msgpack_packer packer;
+
+    if (now < slot->probe_ms) {
+        return;
+    }
+    slot->probe_ms = now + silence_ms(peers) / PEER_PROBES;
+    msgpack_packer_init(&packer, &body, Buf_MsgpackWrite);
+    msgpack_pack_array(&packer, 1);
+    msgpack_pack_int(&packer, PEER_PROBE);
+    Peers_Send(peers, peer, body.data, body.len);
+    Buf_Free(&body);
+}
+
+static void
+check_outgoing(Peers *peers, size_t peer, int64_t now)
+{
+    PeerSlot *slot = &peers->slots[peer];
+    Link *link = slot->outgoing;
+    bool stuck;
+
+    if (link == NULL) {
+        return;
+    }
+    stuck = (link->connecting || link->out.len > 0) &&
+            now - link->last_progress_ms > silence_ms(peers);
+    if (peers->options.open_membership && !link->connecting) {
+        stuck = stuck || now - slot->answered_ms > silence_ms(peers);
+    }
+    if (stuck) {
+        close_link(link);
+    }
+    else if (peers->options.open_membership && !link->connecting) {
+        probe(peers, peer, now);
+    }
+}
+
 static void
 on_tick(void *arg)
 {
@@ -503,14 +627,10 @@
     size_t i;
 
     for (i = 0; i < peers->count; i++) {
-        PeerSlot *slot = &peers->slots[i];
-        Link *link = slot->outgoing;
         check_silence(peers, i, now);
-        if (link != NULL && (link->connecting || link->out.len > 0) &&
-            now - link->last_progress_ms > PEER_SILENCE_MS) {
-            close_link(link);
-        }
-        if (slot->outgoing == NULL && now >= slot->next_dial_ms) {
+        check_outgoing(peers, i, now);
+        if (peers->slots[i].outgoing == NULL &&
+            now >= peers->slots[i].next_dial_ms) {
             dial(peers, i, now);
         }
     }
@@ -557,15 +677,14 @@
     }
     peers->loop = loop;
     peers->options = *options;
-    peers->count = options->settings->peer_count;
-    peers->slots = calloc(peers->count + 1, sizeof(*peers->slots));
-    if (peers->slots == NULL || listen_on(peers, err) != ST_OK) {
+    for (i = 0; i < options->settings->peer_count; i++) {
+        const SettingsPeer *peer = &options->settings->peers[i];
+        add_slot(peers, peer->name, &peer->peer);
+    }
+    if (listen_on(peers, err) != ST_OK) {
         Peers_Free(peers);
         return NULL;
     }
-    for (i = 0; i < peers->count; i++) {
-        peers->slots[i].dial_wait_ms = PEER_DIAL_MIN_MS;
-    }
     peers->timer = Loop_NewTimer(loop, on_tick, peers);
     Loop_Arm(peers->timer, 0, PEER_TICK_MS);
     return peers;
@@ -609,7 +728,7 @@
         Diag_Log(DIAG_WARNING, PEER_PART,
                  "Closed the link to %s: %zu bytes "
                  "are queued.",
-                 peer_settings(peers, peer)->name, link->out.len);
+                 peers->slots[peer].address.host, link->out.len);
         close_link(link);
         return;
     }
@@ -619,6 +738,18 @@
     }
 }
 
+size_t
+Peers_Count(const Peers *peers)
+{
+    return peers->count;
+}
+
+const SettingsAddress *
+Peers_Address(const Peers *peers, size_t peer)
+{
+    return &peers->slots[peer].address;
+}
+
 bool
 Peers_IsUp(const Peers *peers, size_t peer)
 {
--- a/src/peer.h
+++ b/src/peer.h
@@ -10,6 +10,11 @@
  *     A message is a msgpack array whose first item is its type. Messages to
  *     a peer that is not connected are dropped: every sender repeats what it
  *     needs.
+ *
+ *     With open_membership, peers are also added at run time: by Peers_Add,
+ *     and whenever an unknown node says hello, which tells the address on
+ *     which it listens. A sender then also probes its links, since an open
+ *     connection may stop passing bytes without an error.
  */
 #ifndef COLTSFOOT_PEER_H
 #define COLTSFOOT_PEER_H
@@ -25,7 +30,7 @@
 #include "settings.h"
 #include "status.h"
 
-#define PEER_PROTOCOL 1
+#define PEER_PROTOCOL 2
 /* Queued bytes to one peer; a link that falls this far behind is closed. */
 #define PEER_MAX_QUEUED_BYTES (16 * 1024 * 1024)
 /* A peer that sent nothing for this long counts as down. */
@@ -46,7 +51,11 @@
     PEER_DRAINS = 12,
     PEER_DRAINS_ACK = 13,
     PEER_LOAD = 14,
-    PEER_TYPE_MAX = 14
+    PEER_PROBE = 15,       /* answered on the same link with the same item */
+    PEER_FLEET = 16,       /* who leads, and the known control nodes */
+    PEER_JOB_REQUEST = 17, /* of a caller, from an entry VM to the leader */
+    PEER_JOB_REPLY = 18,
+    PEER_TYPE_MAX = 18
 } PeerMessageType;
 
 typedef struct PeerHello {
@@ -54,12 +63,15 @@
     char data_centre[SETTINGS_NAME_BYTES];
     uint64_t identity; /* 0 without a disk */
     uint64_t incarnation;
+    SettingsAddress address; /* on which the node listens for peers */
 } PeerHello;
 
 typedef struct PeersOptions {
     const Settings *settings;
     uint64_t identity;
     uint64_t incarnation;
+    bool open_membership;
+    int64_t silence_ms; /* 0: PEER_SILENCE_MS */
     void *arg;
     void (*on_up)(void *arg, size_t peer, const PeerHello *hello);
     void (*on_down)(void *arg, size_t peer);
@@ -74,10 +86,20 @@
 Peers *Peers_New(Loop *loop, const PeersOptions *options, ErrCtx *err);
 void Peers_Free(Peers *peers);
 
-/* Queues one message; peer is an index into the settings' peers. */
+/* Adds a peer by its address, for open membership. Returns its index, which
+ * is that of a known peer with this address, or SIZE_MAX at the limit. */
+size_t Peers_Add(Peers *peers, const SettingsAddress *address);
+
+size_t Peers_Count(const Peers *peers);
+
+/* Queues one message; peer is an index below Peers_Count. The peers of the
+ * settings come first, in their order. */
 void Peers_Send(Peers *peers, size_t peer, const char *body, size_t len);
 
-/* Returns whether the peer was heard within PEER_SILENCE_MS. */
+/* Returns the address under which the peer is dialled. */
+const SettingsAddress *Peers_Address(const Peers *peers, size_t peer);
+
+/* Returns whether the peer was heard within the silence limit. */
 bool Peers_IsUp(const Peers *peers, size_t peer);
 
 /* Returns the last hello of a peer; name is empty before the first. */
--- a/src/settings.c
+++ b/src/settings.c
@@ -54,6 +54,24 @@
           "weight of one VM move in the planner of moves"),
     ENTRY(wait_weight, "points", 1, 0, 1000,
           "weight of one second of waiting short work"),
+    ENTRY(run_lease_ms, "ms", 6000, 500, 600000,
+          "longest lease that targets grant to runs of tasks"),
+    ENTRY(run_stop_ms, "ms", 500, 1, 60000,
+          "longest time in which a target stops a run"),
+    ENTRY(announce_ms, "ms", 1500, 100, 600000,
+          "interval at which targets of the job service announce themselves"),
+    ENTRY(job_status_s, "s", 180, 1, 86400,
+          "time for which the state of an ended job is kept"),
+    ENTRY(job_early_ms, "ms", 0, 0, 60000,
+          "time by which an occurrence of a job may start early"),
+    ENTRY(away_notice_ms, "ms", 4500, 1, 600000,
+          "a lasting task counts as away after so long not at work"),
+    ENTRY(holder_lease_ms, "ms", 3000, 1, 600000,
+          "one node alone orders moves of VMs for so long"),
+    ENTRY(disk_losses, "disks", 1, 0, 2,
+          "disks that may be lost at once without losing what was accepted"),
+    ENTRY(target_drain_ms, "ms", 2000, 1, 600000,
+          "a leaving target gets no new work after so long"),
 };
 
 #define SETTINGS_ENTRY_COUNT                                                  \
@@ -247,6 +265,85 @@
     snprintf(settings->data_folder, sizeof(settings->data_folder), "%s", text);
 }
 
+static void
+read_choice(const YamlNode *node, const char *path,
+            const char *const choices[], size_t count, size_t *chosen,
+            Findings *findings)
+{
+    size_t i;
+
+    for (i = 0; i < count; i++) {
+        if (strcmp(YamlNode_Text(node), choices[i]) == 0) {
+            *chosen = i;
+            return;
+        }
+    }
+    Findings_Add(findings, YamlNode_Line(node), path, "must be %s or %s",
+                 choices[0], choices[count - 1]);
+}
+
+static void
+read_seeds(const YamlNode *node, Settings *settings, Findings *findings)
+{
+    size_t i;
+
+    if (YamlNode_Kind(node) != YAML_LIST ||
+        YamlNode_Count(node) > SETTINGS_MAX_SEEDS) {
+        Findings_Add(findings, YamlNode_Line(node), "seeds",
+                     "must be a list of at most %d addresses",
+                     SETTINGS_MAX_SEEDS);
+        return;
+    }
+    for (i = 0; i < YamlNode_Count(node); i++) {
+        read_address(YamlNode_Item(node, i), "seeds", &settings->seeds[i],
+                     findings);
+    }
+    settings->seed_count = YamlNode_Count(node);
+}
+
+/* Reads a key of the job service. Returns false when it is none. */
+static bool
+read_job_key(Settings *settings, const char *key, const YamlNode *node,
+             Findings *findings)
+{
+    static const char *const roles[] = {"member", "entry", "control"};
+    static const char *const wires[] = {"native", "platform"};
+    static const char *const flags[] = {"false", "true"};
+    size_t chosen = 0;
+
+    if (strcmp(key, "role") == 0) {
+        read_choice(node, key, roles, 3, &chosen, findings);
+        settings->role = (SettingsRole)chosen;
+    }
+    else if (strcmp(key, "wire") == 0) {
+        read_choice(node, key, wires, 2, &chosen, findings);
+        settings->platform_wire = chosen == 1;
+    }
+    else if (strcmp(key, "found") == 0) {
+        read_choice(node, key, flags, 2, &chosen, findings);
+        settings->found = chosen == 1;
+    }
+    else if (strcmp(key, "ready") == 0) {
+        read_address(node, key, &settings->ready, findings);
+    }
+    else if (strcmp(key, "vm_service") == 0) {
+        read_address(node, key, &settings->vm_service, findings);
+    }
+    else if (strcmp(key, "advisor") == 0) {
+        read_address(node, key, &settings->advisor, findings);
+    }
+    else if (strcmp(key, "metrics") == 0) {
+        read_address(node, key, &settings->metrics, findings);
+    }
+    else if (strcmp(key, "seeds") == 0) {
+        read_seeds(node, settings, findings);
+    }
+    else {
+        return false;
+    }
+    return true;
+}
+
 static void
 read_key(Settings *settings, const YamlNode *root, size_t i,
          Findings *findings)
@@ -285,21 +382,35 @@
     else if (strcmp(key, "peers") == 0) {
         read_peers(node, settings, findings);
     }
-    else {
+    else if (!read_job_key(settings, key, node, findings)) {
         Findings_Add(findings, YamlNode_KeyLine(root, i), key, "unknown key");
     }
 }
 
 static void
-check_required(const YamlNode *root, Findings *findings)
+check_required(const Settings *settings, const YamlNode *root,
+               Findings *findings)
 {
-    static const char *const required[] = {"name", "cluster", "data_centre",
-                                           "peer", "control", "traffic"};
+    static const struct {
+        const char *key;
+        bool by_role[3]; /* member, entry, control */
+    } required[] = {
+        {"name", {true, true, true}},
+        {"cluster", {true, true, true}},
+        {"data_centre", {true, true, true}},
+        {"peer", {true, true, true}},
+        {"control", {true, false, true}},
+        {"traffic", {true, true, false}},
+        {"ready", {false, true, false}},
+        {"data_folder", {false, false, true}},
+        {"seeds", {false, true, true}},
+    };
     size_t i;
 
     for (i = 0; i < sizeof(required) / sizeof(required[0]); i++) {
-        if (YamlNode_Find(root, required[i]) == NULL) {
-            Findings_Add(findings, 1, required[i], "is missing");
+        if (required[i].by_role[settings->role] &&
+            YamlNode_Find(root, required[i].key) == NULL) {
+            Findings_Add(findings, 1, required[i].key, "is missing");
         }
     }
 }
@@ -365,7 +476,7 @@
     for (i = 0; i < YamlNode_Count(root); i++) {
         read_key(settings, root, i, findings);
     }
-    check_required(root, findings);
+    check_required(settings, root, findings);
     check_peer_names(settings, root, findings);
     check_relations(settings, findings);
     YamlTree_Free(tree);
--- a/src/settings.h
+++ b/src/settings.h
@@ -22,6 +22,8 @@
 #define SETTINGS_FOLDER_BYTES 256
 #define SETTINGS_MAX_PEERS 128
 
+#define SETTINGS_MAX_SEEDS 16
+
 typedef struct SettingsAddress {
     char host[SETTINGS_HOST_BYTES]; /* an IP number */
     int port;
@@ -34,7 +36,23 @@
     SettingsAddress traffic; /* HTTP, for forwarded requests */
 } SettingsPeer;
 
+/* What a process does. */
+typedef enum SettingsRole {
+    SETTINGS_ROLE_MEMBER, /* serves callers; a voter if it has a data folder */
+    SETTINGS_ROLE_ENTRY,  /* of the job service: takes in callers' requests */
+    SETTINGS_ROLE_CONTROL /* of the job service: keeps its log, schedules */
+} SettingsRole;
+
 typedef struct Settings {
+    SettingsRole role;
+    bool platform_wire; /* callers and targets speak the platform's messages */
+    bool found;         /* the first of the seeds may found the cluster */
+    SettingsAddress ready;                     /* HTTP, for readiness checks */
+    SettingsAddress vm_service;                /* port 0: none */
+    SettingsAddress advisor;                   /* port 0: none */
+    SettingsAddress metrics;                   /* port 0: none */
+    SettingsAddress seeds[SETTINGS_MAX_SEEDS]; /* control addresses */
+    size_t seed_count;
     char name[SETTINGS_NAME_BYTES];
     char cluster[SETTINGS_NAME_BYTES];
     char data_centre[SETTINGS_NAME_BYTES];
@@ -65,6 +83,15 @@
     long long buffer_weight;
     long long move_weight;
     long long wait_weight;
+    long long run_lease_ms;
+    long long run_stop_ms;
+    long long announce_ms;
+    long long job_status_s;
+    long long job_early_ms;
+    long long away_notice_ms;
+    long long holder_lease_ms;
+    long long disk_losses;
+    long long target_drain_ms;
 } Settings;
 
 /* One scalar setting, for the reference page. */
--- /dev/null
+++ b/src/signals.c
@@ -0,0 +1,93 @@
+#include "signals.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+struct Signals {
+    Loop *loop;
+    LoopFn stop;
+    LoopFn reload;
+    void *arg;
+    LoopWatch *watch;
+    int pipe[2];
+};
+
+static int write_end = -1;
+
+static void
+on_signal(int number)
+{
+    char byte = number == SIGHUP ? 'h' : 's';
+    int kept = errno;
+    ssize_t written = write(write_end, &byte, 1);
+
+    (void)written; /* a full pipe already holds what is asked for */
+    errno = kept;
+}
+
+static void
+on_readable(void *arg, int events)
+{
+    Signals *signals = arg;
+    char byte;
+
+    (void)events;
+    while (read(signals->pipe[0], &byte, 1) == 1) {
+        if (byte == 'h') {
+            signals->reload(signals->arg);
+        }
+        else {
+            signals->stop(signals->arg);
+        }
+    }
+}
+
+Signals *
+Signals_New(Loop *loop, LoopFn stop, LoopFn reload, void *arg, ErrCtx *err)
+{
+    Signals *signals = calloc(1, sizeof(*signals));
+    struct sigaction action;
+
+    if (signals == NULL || pipe(signals->pipe) != 0) {
+        Err_Set(err, ST_IO, "no pipe: %s", strerror(errno));
+        free(signals);
+        return NULL;
+    }
+    signals->loop = loop;
+    signals->stop = stop;
+    signals->reload = reload;
+    signals->arg = arg;
+    fcntl(signals->pipe[0], F_SETFL, O_NONBLOCK);
+    fcntl(signals->pipe[1], F_SETFL, O_NONBLOCK);
+    signals->watch =
+        Loop_Watch(loop, signals->pipe[0], LOOP_READ, on_readable, signals);
+    write_end = signals->pipe[1];
+    memset(&action, 0, sizeof(action));
+    action.sa_handler = on_signal;
+    sigaction(SIGTERM, &action, NULL);
+    sigaction(SIGINT, &action, NULL);
+    sigaction(SIGHUP, &action, NULL);
+    action.sa_handler = SIG_IGN;
+    sigaction(SIGPIPE, &action, NULL);
+    return signals;
+}
+
+void
+Signals_Free(Signals *signals)
+{
+    if (signals == NULL) {
+        return;
+    }
+    signal(SIGTERM, SIG_DFL);
+    signal(SIGINT, SIG_DFL);
+    signal(SIGHUP, SIG_DFL);
+    Loop_Unwatch(signals->watch);
+    close(signals->pipe[0]);
+    close(signals->pipe[1]);
+    write_end = -1;
+    free(signals);
+}
--- /dev/null
+++ b/src/slog.c
@@ -0,0 +1,248 @@
+#include "slog.h"
+
+#include <fcntl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "buf.h"
+
+#define MAX_KINDS 96
+#define RATE_WINDOW_MS 1000
+
+typedef struct Kind {
+    const char *event;
+    int64_t window_ms;
+    uint32_t lines; /* in this window */
+    uint64_t left_out;
+} Kind;
+
+typedef struct Slog {
+    bool open;
+    SlogOptions options;
+    char node[64];
+    Buf line;
+    bool skipping; /* the line being built is over its rate */
+    char *ring;
+    size_t start; /* of the bytes that wait */
+    size_t used;
+    uint64_t dropped;
+    uint64_t reported;
+    int64_t wall_ms;
+    int64_t now_ms;
+    Kind kinds[MAX_KINDS];
+    size_t kind_count;
+} Slog;
+
+static Slog slog;
+
+void
+Slog_Open(const SlogOptions *options)
+{
+    int flags = fcntl(options->fd, F_GETFL, 0);
+
+    memset(&slog, 0, sizeof(slog));
+    slog.options = *options;
+    snprintf(slog.node, sizeof(slog.node), "%s", options->node);
+    slog.ring = malloc(options->ring_bytes);
+    if (slog.ring == NULL) {
+        abort();
+    }
+    if (flags >= 0) {
+        fcntl(options->fd, F_SETFL, flags | O_NONBLOCK);
+    }
+    slog.open = true;
+}
+
+void
+Slog_Close(void)
+{
+    if (slog.open) {
+        Slog_Flush();
+        free(slog.ring);
+        Buf_Free(&slog.line);
+        memset(&slog, 0, sizeof(slog));
+    }
+}
+
+void
+Slog_SetTime(int64_t wall_ms, int64_t now_ms)
+{
+    slog.wall_ms = wall_ms;
+    slog.now_ms = now_ms;
+}
+
+static Kind *
+find_kind(const char *event)
+{
+    size_t i;
+
+    for (i = 0; i < slog.kind_count; i++) {
+        if (slog.kinds[i].event == event ||
+            strcmp(slog.kinds[i].event, event) == 0) {
+            return &slog.kinds[i];
+        }
+    }
+    if (slog.kind_count == MAX_KINDS) {
+        return &slog.kinds[MAX_KINDS - 1];
+    }
+    slog.kinds[slog.kind_count].event = event;
+    return &slog.kinds[slog.kind_count++];
+}
+
+static bool
+over_rate(Kind *kind, SlogLevel level)
+{
+    uint32_t limit = level == SLOG_ROUTINE ? slog.options.routine_per_s
+                                           : slog.options.failure_per_s;
+
+    if (slog.now_ms - kind->window_ms >= RATE_WINDOW_MS) {
+        kind->window_ms = slog.now_ms;
+        kind->lines = 0;
+    }
+    return kind->lines++ >= limit;
+}
+
+void
+Slog_Begin(SlogLevel level, const char *event)
+{
+    static const char *const levels[] = {"info", "change", "failure"};
+    Kind *kind;
+
+    if (!slog.open) {
+        return;
+    }
+    kind = find_kind(event);
+    slog.skipping = over_rate(kind, level);
+    if (slog.skipping) {
+        kind->left_out++;
+        slog.dropped++;
+        return;
+    }
+    Buf_Clear(&slog.line);
+    Buf_Printf(&slog.line,
+               "{\"t\":%lld,\"node\":\"%s\",\"level\":\"%s\","
+               "\"event\":\"%s\"",
+               (long long)slog.wall_ms, slog.node, levels[level], event);
+    if (kind->left_out > 0) {
+        Buf_Printf(&slog.line, ",\"left_out\":%llu",
+                   (unsigned long long)kind->left_out);
+        kind->left_out = 0;
+    }
+}
+
+void
+Slog_Text(const char *key, const char *value)
+{
+    const unsigned char *at = (const unsigned char *)value;
+
+    if (!slog.open || slog.skipping) {
+        return;
+    }
+    Buf_Printf(&slog.line, ",\"%s\":\"", key);
+    for (; *at != '\0'; at++) {
+        if (*at == '"' || *at == '\\') {
+            Buf_Printf(&slog.line, "\\%c", *at);
+        }
+        else if (*at < 0x20 || *at > 0x7e) {
+            Buf_Printf(&slog.line, "\\u%04x", *at);
+        }
+        else {
+            Buf_Append(&slog.line, at, 1);
+        }
+    }
+    Buf_Append(&slog.line, "\"", 1);
+}
+
+void
+Slog_Int(const char *key, int64_t value)
+{
+    if (slog.open && !slog.skipping) {
+        Buf_Printf(&slog.line, ",\"%s\":%lld", key, (long long)value);
+    }
+}
+
+void
+Slog_Task(const char *job, uint32_t occurrence, uint32_t step, uint32_t index)
+{
+    if (slog.open && !slog.skipping) {
+        Slog_Text("job", job);
+        Buf_Printf(&slog.line, ",\"task\":\"%u.%u.%u\"", occurrence, step,
+                   index);
+    }
+}
+
+static bool
+put(const char *bytes, size_t len)
+{
+    size_t size = slog.options.ring_bytes;
+    size_t end = (slog.start + slog.used) % size;
+    size_t first = len < size - end ? len : size - end;
+
+    if (slog.used + len > size) {
+        return false;
+    }
+    memcpy(slog.ring + end, bytes, first);
+    memcpy(slog.ring, bytes + first, len - first);
+    slog.used += len;
+    return true;
+}
+
+void
+Slog_End(void)
+{
+    if (!slog.open || slog.skipping) {
+        return;
+    }
+    Buf_Append(&slog.line, "}\n", 2);
+    if (!put(slog.line.data, slog.line.len)) {
+        slog.dropped++;
+    }
+}
+
+static void
+report_dropped(void)
+{
+    char line[160];
+    int len;
+
+    if (slog.dropped == slog.reported || slog.used > 0) {
+        return;
+    }
+    len = snprintf(line, sizeof(line),
+                   "{\"t\":%lld,\"node\":\"%s\",\"level\":\"change\","
+                   "\"event\":\"log_dropped\",\"total\":%llu}\n",
+                   (long long)slog.wall_ms, slog.node,
+                   (unsigned long long)slog.dropped);
+    if (put(line, (size_t)len)) {
+        slog.reported = slog.dropped;
+    }
+}
+
+bool
+Slog_Flush(void)
+{
+    if (!slog.open) {
+        return false;
+    }
+    while (slog.used > 0) {
+        size_t size = slog.options.ring_bytes;
+        size_t run =
+            slog.used < size - slog.start ? slog.used : size - slog.start;
+        ssize_t written = write(slog.options.fd, slog.ring + slog.start, run);
+        if (written <= 0) {
+            return true;
+        }
+        slog.start = (slog.start + (size_t)written) % size;
+        slog.used -= (size_t)written;
+    }
+    report_dropped();
+    return slog.used > 0;
+}
+
+uint64_t
+Slog_Dropped(void)
+{
+    return slog.dropped;
+}
