--- a/src/jobctl.c
+++ b/src/jobctl.c
@@ -17,6 +17,7 @@
 #define NODE_REPEAT_MS 1000
 /* Turns of deciding and writing the log before the loop waits again. */
 #define MAX_TURNS 4
+#define CONFIRM_MS 250
 
 bool
 JobControl_Serves(const JobControl *control)
@@ -224,6 +225,42 @@
 
 /* --- time --- */
 
+typedef struct Confirmation {
+    JobControl *control;
+    int64_t since_ms;
+} Confirmation;
+
+static void
+on_confirmed(void *arg, Status status, JobResult result)
+{
+    Confirmation *asked = arg;
+
+    (void)result;
+    if (status == ST_OK) {
+        JobFleet_Confirmed(asked->control->fleet, asked->since_ms);
+    }
+    free(asked);
+}
+
+/* Asks a majority whether this node still leads, for orders to VMs. */
+static void
+confirm(JobControl *control, int64_t now)
+{
+    Confirmation *asked;
+
+    if (!JobControl_Serves(control) || now < control->confirm_ms ||
+        control->settings->vm_service.port == 0) {
+        return;
+    }
+    control->confirm_ms = now + CONFIRM_MS;
+    asked = malloc(sizeof(*asked));
+    if (asked == NULL) {
+        abort();
+    }
+    *asked = (Confirmation){control, now};
+    JobControl_Read(control, on_confirmed, asked);
+}
+
 static void
 on_tick(void *arg)
 {
@@ -235,6 +272,7 @@
     JobControl_LogTick(control, now);
     update_nodes(control, now);
     JobSched_Tick(control->sched, now, wall_ms);
+    confirm(control, now);
     JobFleet_Tick(control->fleet, now, wall_ms);
     control->place_due = true;
 }
@@ -347,7 +385,8 @@
     JobSchedOptions sched = JOBSCHED_OPTIONS_DEFAULT;
     JobFleetOptions fleet = {.holder = settings->name,
                              .holder_ms = settings->holder_lease_ms,
-                             .list_ms = 1000};
+                             .list_ms = 2000,
+                             .move_ms = 1500};
 
     if (sched.lease_ms > settings->run_lease_ms) {
         sched.lease_ms = settings->run_lease_ms;
--- a/src/jobctl_request.c
+++ b/src/jobctl_request.c
@@ -164,9 +164,8 @@
 
     if (wave != NULL) {
         reply.kind = JOB_REPLY_WAVE;
-        reply.phase = JobFleet_WaveDone(asked->control->fleet, wave)
-                          ? JOB_COMPLETED
-                          : JOB_RUNNING;
+        reply.phase =
+            wave->done == wave->vm_count ? JOB_COMPLETED : JOB_RUNNING;
     }
     answer(asked, &reply);
 }
@@ -242,6 +241,7 @@
     if (job != NULL && result == JOB_RESULT_OK) {
         job->live.accepted_ms = Loop_NowMs();
         job->live.observed = true;
+        JobSched_Accepted(asked->control->sched, Loop_NowMs(), job);
     }
     answer(asked, &reply);
 }
--- /dev/null
+++ b/src/jobdemand.c
@@ -0,0 +1,301 @@
+#include "jobdemand.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "job.h"
+
+#define MAX_POOLS 160
+#define MAX_TURNS 24
+/* A bin belongs to a turn when it is this far above the mean. */
+#define TURN_PERCENT 150
+/* Shorter runs of high bins are noise. */
+#define TURN_MIN_MS 1500
+/* A turn goes on over a dip of this length. */
+#define TURN_GAP_MS 750
+
+typedef struct Turn {
+    int64_t rise;
+    int64_t fall;
+    int64_t rate;
+    bool open; /* reaches up to now */
+} Turn;
+
+typedef struct DemandPool {
+    char name[JOB_NAME_BYTES];
+    int64_t bins[DEMAND_BINS]; /* core-ms, by time modulo */
+    int64_t bin_at[DEMAND_BINS]; /* number of the bin that is stored */
+} DemandPool;
+
+struct JobDemand {
+    int64_t since;
+    DemandPool *pools;
+    size_t count;
+};
+
+JobDemand *
+JobDemand_New(void)
+{
+    JobDemand *demand = calloc(1, sizeof(*demand));
+
+    if (demand == NULL) {
+        abort();
+    }
+    return demand;
+}
+
+void
+JobDemand_Free(JobDemand *demand)
+{
+    if (demand != NULL) {
+        free(demand->pools);
+        free(demand);
+    }
+}
+
+void
+JobDemand_Clear(JobDemand *demand, int64_t now)
+{
+    free(demand->pools);
+    memset(demand, 0, sizeof(*demand));
+    demand->since = now;
+}
+
+static DemandPool *
+find_pool(const JobDemand *demand, const char *name)
+{
+    size_t i;
+
+    for (i = 0; i < demand->count; i++) {
+        if (strcmp(demand->pools[i].name, name) == 0) {
+            return &demand->pools[i];
+        }
+    }
+    return NULL;
+}
+
+void
+JobDemand_Add(JobDemand *demand, int64_t now, const char *name,
+              int64_t core_ms)
+{
+    DemandPool *pool = find_pool(demand, name);
+    int64_t bin = now / DEMAND_BIN_MS;
+    size_t at = (size_t)(bin % DEMAND_BINS);
+
+    if (pool == NULL) {
+        if (demand->count == MAX_POOLS) {
+            return;
+        }
+        demand->pools = realloc(demand->pools,
+                                (demand->count + 1) * sizeof(DemandPool));
+        if (demand->pools == NULL) {
+            abort();
+        }
+        pool = &demand->pools[demand->count++];
+        memset(pool, 0, sizeof(*pool));
+        snprintf(pool->name, sizeof(pool->name), "%s", name);
+    }
+    if (pool->bin_at[at] != bin) {
+        pool->bin_at[at] = bin;
+        pool->bins[at] = 0;
+    }
+    pool->bins[at] += core_ms;
+}
+
+static int64_t
+bin_work(const DemandPool *pool, int64_t bin)
+{
+    size_t at = (size_t)(bin % DEMAND_BINS);
+
+    return pool->bin_at[at] == bin ? pool->bins[at] : 0;
+}
+
+static int64_t
+first_bin(const JobDemand *demand, int64_t now)
+{
+    int64_t first = demand->since / DEMAND_BIN_MS;
+    int64_t oldest = now / DEMAND_BIN_MS - DEMAND_BINS + 1;
+
+    return first > oldest ? first : oldest;
+}
+
+int64_t
+JobDemand_Rate(const JobDemand *demand, int64_t now, const char *name,
+               int64_t span_ms)
+{
+    const DemandPool *pool = find_pool(demand, name);
+    int64_t last = now / DEMAND_BIN_MS;
+    int64_t begin = (now - span_ms) / DEMAND_BIN_MS + 1;
+    int64_t work = 0;
+    int64_t bin;
+    int64_t span;
+
+    if (pool == NULL) {
+        return 0;
+    }
+    if (begin < first_bin(demand, now)) {
+        begin = first_bin(demand, now);
+    }
+    for (bin = begin; bin <= last; bin++) {
+        work += bin_work(pool, bin);
+    }
+    span = now - begin * DEMAND_BIN_MS;
+    return span >= DEMAND_BIN_MS ? work / span
+                                 : work / DEMAND_BIN_MS;
+}
+
+static int64_t
+mean_rate(const JobDemand *demand, const DemandPool *pool, int64_t now)
+{
+    int64_t first = first_bin(demand, now);
+    int64_t last = now / DEMAND_BIN_MS;
+    int64_t work = 0;
+    int64_t bin;
+
+    for (bin = first; bin <= last; bin++) {
+        work += bin_work(pool, bin);
+    }
+    return work / ((last - first + 1) * DEMAND_BIN_MS);
+}
+
+/* Lists the turns of a pool, oldest first. */
+static size_t
+find_turns(const JobDemand *demand, const DemandPool *pool, int64_t now,
+           Turn turns[MAX_TURNS])
+{
+    int64_t limit = mean_rate(demand, pool, now) * TURN_PERCENT / 100;
+    int64_t last = now / DEMAND_BIN_MS;
+    int64_t rise = -1;
+    int64_t high = -1;
+    int64_t work = 0;
+    size_t count = 0;
+    int64_t bin;
+
+    for (bin = first_bin(demand, now); bin <= last + 1; bin++) {
+        int64_t rate = bin <= last ? bin_work(pool, bin) / DEMAND_BIN_MS : 0;
+        if (rate > limit && limit > 0) {
+            rise = rise < 0 ? bin : rise;
+            high = bin;
+        }
+        if (rise >= 0) {
+            work += bin <= last ? bin_work(pool, bin) : 0;
+        }
+        if (rise < 0 || (bin <= last && (bin - high) * DEMAND_BIN_MS <=
+                                            TURN_GAP_MS)) {
+            continue;
+        }
+        if ((high - rise + 1) * DEMAND_BIN_MS >= TURN_MIN_MS &&
+            count < MAX_TURNS) {
+            Turn *turn = &turns[count++];
+            turn->rise = rise * DEMAND_BIN_MS;
+            turn->fall = (high + 1) * DEMAND_BIN_MS;
+            turn->rate = work / (turn->fall - turn->rise);
+            turn->open = (last - high) * DEMAND_BIN_MS <= TURN_GAP_MS;
+        }
+        rise = -1;
+        work = 0;
+    }
+    return count;
+}
+
+static int
+ascending(const void *a, const void *b)
+{
+    int64_t left = *(const int64_t *)a;
+    int64_t right = *(const int64_t *)b;
+
+    return (left > right) - (left < right);
+}
+
+/* Returns the period from the turns of all pools. */
+static int64_t
+common_period(const JobDemand *demand, int64_t now)
+{
+    int64_t rises[MAX_POOLS];
+    int64_t gaps[MAX_POOLS];
+    size_t seen = 0;
+    size_t active = 0;
+    size_t i;
+
+    for (i = 0; i < demand->count; i++) {
+        Turn turns[MAX_TURNS];
+        size_t count = find_turns(demand, &demand->pools[i], now, turns);
+        active += mean_rate(demand, &demand->pools[i], now) > 0;
+        if (count > 0) {
+            rises[seen++] = turns[0].rise;
+        }
+    }
+    if (seen < 3 || seen < active) {
+        return 0;
+    }
+    qsort(rises, seen, sizeof(rises[0]), ascending);
+    for (i = 1; i < seen; i++) {
+        gaps[i - 1] = rises[i] - rises[i - 1];
+    }
+    qsort(gaps, seen - 1, sizeof(gaps[0]), ascending);
+    return gaps[(seen - 1) / 2] * (int64_t)seen;
+}
+
+int64_t
+JobDemand_Period(const JobDemand *demand, int64_t now, const char *name)
+{
+    const DemandPool *pool = find_pool(demand, name);
+    Turn turns[MAX_TURNS];
+    size_t count;
+
+    if (pool == NULL) {
+        return 0;
+    }
+    count = find_turns(demand, pool, now, turns);
+    if (count >= 2) {
+        return turns[count - 1].rise - turns[count - 2].rise;
+    }
+    return count == 1 ? common_period(demand, now) : 0;
+}
+
+bool
+JobDemand_HadTurn(const JobDemand *demand, int64_t now, const char *name)
+{
+    const DemandPool *pool = find_pool(demand, name);
+    Turn turns[MAX_TURNS];
+    size_t count;
+
+    if (pool == NULL) {
+        return false;
+    }
+    count = find_turns(demand, pool, now, turns);
+    return count > 1 || (count == 1 && !turns[0].open);
+}
+
+int64_t
+JobDemand_Forecast(const JobDemand *demand, int64_t now, const char *name,
+                   int64_t from, int64_t until)
+{
+    const DemandPool *pool = find_pool(demand, name);
+    Turn turns[MAX_TURNS];
+    const Turn *last;
+    const Turn *whole;
+    int64_t period;
+    int64_t rise;
+    size_t count;
+
+    if (pool == NULL) {
+        return 0;
+    }
+    count = find_turns(demand, pool, now, turns);
+    period = JobDemand_Period(demand, now, name);
+    if (count == 0 || period <= 0) {
+        return 0;
+    }
+    last = &turns[count - 1];
+    /* A turn that has just begun says little about its length. */
+    whole = last->open && count > 1 ? &turns[count - 2] : last;
+    for (rise = last->rise; rise <= until; rise += period) {
+        int64_t fall = rise + (whole->fall - whole->rise);
+        if (rise < until && fall > from) {
+            return whole->rate;
+        }
+    }
+    return 0;
+}
--- a/src/jobfleet.c
+++ b/src/jobfleet.c
@@ -1,14 +1,22 @@
 #include "jobfleet.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-struct JobFleet {
-    JobFleetOptions options;
-    JobState *state;
-    JobSched *sched;
-    bool leads;
-};
+#include "jobcodec.h"
+#include "jobfleet_impl.h"
+#include "slog.h"
+
+/* Orders are given only so long after a majority confirmed the leader. */
+#define FLEET_CONFIRMED_MS 700
+/* A call without an answer is repeated after this. */
+#define FLEET_REPEAT_MS 500
+/* The list is read this often while VMs are on their way. */
+#define FLEET_LIST_BUSY_MS 600
+/* Fences of the VM service by term, apart from those of targets. */
+#define FLEET_FENCE_BITS 20
+#define FLEET_PLAN_MS 200
 
 JobFleet *
 JobFleet_New(const JobFleetOptions *options, JobState *state, JobSched *sched)
@@ -24,63 +32,448 @@
     return fleet;
 }
 
+void
+JobFleet_Resign(JobFleet *fleet)
+{
+    size_t i;
+
+    for (i = 0; i < fleet->command_count; i++) {
+        Buf_Free(&fleet->commands[i]);
+    }
+    fleet->command_count = 0;
+    fleet->call_count = 0;
+    fleet->vm_count = 0;
+    fleet->page[0] = '\0';
+    fleet->listing = false;
+    fleet->listed = false;
+    fleet->leads = false;
+}
+
 void
 JobFleet_Free(JobFleet *fleet)
 {
-    free(fleet);
+    if (fleet != NULL) {
+        JobFleet_Resign(fleet);
+        free(fleet->vms);
+        free(fleet);
+    }
 }
 
 void
 JobFleet_Lead(JobFleet *fleet, int64_t now, uint64_t term)
 {
-    (void)now;
-    (void)term;
+    JobFleet_Resign(fleet);
     fleet->leads = true;
+    fleet->lead_ms = now;
+    fleet->list_due_ms = now;
+    fleet->plan_ms = now;
+    fleet->fence = term << FLEET_FENCE_BITS;
 }
 
 void
-JobFleet_Resign(JobFleet *fleet)
+JobFleet_Confirmed(JobFleet *fleet, int64_t now)
 {
-    fleet->leads = false;
+    if (now > fleet->confirmed_ms) {
+        fleet->confirmed_ms = now;
+    }
+}
+
+/* --- VMs --- */
+
+FleetVm *
+FleetImpl_Find(JobFleet *fleet, const char *name)
+{
+    size_t i;
+
+    for (i = 0; i < fleet->vm_count; i++) {
+        if (strcmp(fleet->vms[i].listed.name, name) == 0) {
+            return &fleet->vms[i];
+        }
+    }
+    return NULL;
+}
+
+JobTarget *
+FleetImpl_Target(const JobFleet *fleet, const FleetVm *vm)
+{
+    JobTarget *found = NULL;
+    uint32_t i;
+
+    for (i = 0; i < JobState_TargetRows(fleet->state); i++) {
+        JobTarget *target = JobState_Target(fleet->state, i);
+        if (target == NULL ||
+            strcmp(target->says.vm, vm->listed.name) != 0) {
+            continue;
+        }
+        if (found == NULL || target->says.born > found->says.born) {
+            found = target;
+        }
+    }
+    return found;
+}
+
+static FleetVm *
+add_vm(JobFleet *fleet, const JobVm *listed)
+{
+    FleetVm *vm;
+
+    fleet->vms =
+        realloc(fleet->vms, (fleet->vm_count + 1) * sizeof(*fleet->vms));
+    if (fleet->vms == NULL) {
+        abort();
+    }
+    vm = &fleet->vms[fleet->vm_count++];
+    memset(vm, 0, sizeof(*vm));
+    vm->listed = *listed;
+    vm->moved_ms = fleet->lead_ms - FLEET_MOVE_AGAIN_MS;
+    return vm;
+}
+
+static void
+end_order(JobFleet *fleet, FleetVm *vm)
+{
+    JobTarget *target = FleetImpl_Target(fleet, vm);
+
+    vm->order = FLEET_NONE;
+    vm->ordered = false;
+    vm->calling = false;
+    if (target != NULL) {
+        JobSched_Close(fleet->sched, target, false);
+    }
+}
+
+static void
+take_listed(JobFleet *fleet, int64_t now, const JobVm *listed)
+{
+    FleetVm *vm = FleetImpl_Find(fleet, listed->name);
+
+    if (vm == NULL) {
+        vm = add_vm(fleet, listed);
+    }
+    vm->listed = *listed;
+    vm->seen_list = fleet->list_number;
+    if (vm->ordered && vm->ordered_ms < fleet->list_sent_ms &&
+        listed->up && !listed->busy) {
+        Slog_Begin(SLOG_CHANGE, "vm_back");
+        Slog_Text("vm", listed->name);
+        Slog_Text("pool", listed->pool);
+        Slog_Int("after_ms", now - vm->ordered_ms);
+        Slog_End();
+        end_order(fleet, vm);
+    }
+}
+
+/* VMs of a wave that are not in the list any more have left. */
+static void
+drop_unlisted(JobFleet *fleet)
+{
+    size_t i = 0;
+
+    while (i < fleet->vm_count) {
+        if (fleet->vms[i].seen_list == fleet->list_number ||
+            fleet->vms[i].calling) {
+            i++;
+            continue;
+        }
+        fleet->vms[i] = fleet->vms[--fleet->vm_count];
+    }
+    fleet->listed = true;
 }
 
 void
-JobFleet_Tick(JobFleet *fleet, int64_t now, int64_t wall_ms)
+FleetImpl_Command(JobFleet *fleet, Buf *command)
 {
-    (void)fleet;
-    (void)now;
-    (void)wall_ms;
+    if (fleet->command_count == FLEET_MAX_COMMANDS) {
+        Buf_Free(command); /* it is proposed again by a later plan */
+        return;
+    }
+    fleet->commands[fleet->command_count++] = *command;
+    *command = (Buf)BUF_INIT;
 }
 
 bool
-JobFleet_NextCall(JobFleet *fleet, JobVmCall *call)
+JobFleet_NextCommand(JobFleet *fleet, Buf *command)
 {
-    (void)fleet;
-    (void)call;
-    return false;
+    if (fleet->command_count == 0) {
+        return false;
+    }
+    Buf_Free(command);
+    *command = fleet->commands[0];
+    fleet->command_count--;
+    memmove(&fleet->commands[0], &fleet->commands[1],
+            fleet->command_count * sizeof(Buf));
+    return true;
+}
+
+/* --- calls --- */
+
+static JobVmCall *
+add_call(JobFleet *fleet, JobVmCallKind kind)
+{
+    JobVmCall *call;
+
+    if (fleet->call_count == FLEET_MAX_CALLS) {
+        return NULL;
+    }
+    call = &fleet->calls[fleet->call_count++];
+    memset(call, 0, sizeof(*call));
+    call->kind = kind;
+    snprintf(call->holder, sizeof(call->holder), "%s", fleet->options.holder);
+    call->fence = fleet->fence;
+    return call;
 }
 
 bool
-JobFleet_NextCommand(JobFleet *fleet, Buf *command)
+JobFleet_NextCall(JobFleet *fleet, JobVmCall *call)
 {
-    (void)fleet;
-    (void)command;
-    return false;
+    if (fleet->call_count == 0) {
+        return false;
+    }
+    *call = fleet->calls[0];
+    fleet->call_count--;
+    memmove(&fleet->calls[0], &fleet->calls[1],
+            fleet->call_count * sizeof(JobVmCall));
+    return true;
+}
+
+static bool
+may_order(const JobFleet *fleet, int64_t now)
+{
+    return now - fleet->lead_ms >= fleet->options.holder_ms &&
+           now - fleet->confirmed_ms <= FLEET_CONFIRMED_MS;
+}
+
+/* Calls the VM service for an order that is due. */
+static void
+call_order(JobFleet *fleet, int64_t now, FleetVm *vm)
+{
+    JobVmCall *call;
+
+    if (vm->calling || vm->ordered || now < vm->call_ms ||
+        !may_order(fleet, now)) {
+        return;
+    }
+    call = add_call(fleet, vm->order == FLEET_MOVE ? JOB_VM_MOVE
+                                                   : JOB_VM_MAINTAIN);
+    if (call == NULL) {
+        return;
+    }
+    snprintf(call->vm, sizeof(call->vm), "%s", vm->listed.name);
+    snprintf(call->pool, sizeof(call->pool), "%s", vm->pool);
+    call->wave = vm->wave;
+    vm->calling = true;
+    vm->committed = true;
+    vm->call_ms = now + FLEET_REPEAT_MS;
+}
+
+static void
+order_done(JobFleet *fleet, int64_t now, FleetVm *vm)
+{
+    JobTarget *target = FleetImpl_Target(fleet, vm);
+    Buf command = BUF_INIT;
+
+    vm->ordered = true;
+    vm->committed = false;
+    vm->ordered_ms = now;
+    vm->moved_ms = now;
+    fleet->list_due_ms = now + fleet->options.move_ms;
+    Slog_Begin(SLOG_CHANGE,
+               vm->order == FLEET_MOVE ? "vm_moves" : "vm_maintained");
+    Slog_Text("vm", vm->listed.name);
+    Slog_Text("from", vm->listed.pool);
+    Slog_Text("pool", vm->pool);
+    Slog_Int("wave", (int64_t)vm->wave);
+    Slog_Int("prepared_ms", now - vm->since_ms);
+    Slog_End();
+    if (target != NULL) {
+        JobSched_Ended(fleet->sched, target);
+    }
+    if (vm->order == FLEET_MOVE) {
+        snprintf(vm->listed.pool, sizeof(vm->listed.pool), "%s", vm->pool);
+    }
+    else {
+        JobCmd_WaveVm(&command, vm->wave, vm->listed.name, true);
+        FleetImpl_Command(fleet, &command);
+    }
+}
+
+static void
+order_answered(JobFleet *fleet, int64_t now, const JobVmCall *call,
+               const JobVmAnswer *answer)
+{
+    FleetVm *vm = FleetImpl_Find(fleet, call->vm);
+
+    if (vm == NULL || !vm->calling) {
+        return;
+    }
+    vm->calling = false;
+    if (answer->outcome == JOB_VM_OK) {
+        order_done(fleet, now, vm);
+        return;
+    }
+    Slog_Begin(SLOG_FAILURE, "vm_order_refused");
+    Slog_Text("vm", call->vm);
+    Slog_Int("kind", call->kind);
+    Slog_Int("outcome", answer->outcome);
+    Slog_End();
+    vm->call_ms = now + FLEET_REPEAT_MS;
+    switch (answer->outcome) {
+    case JOB_VM_FENCED:
+        /* Another node has ordered under a later term. */
+        fleet->lead_ms = now;
+        break;
+    case JOB_VM_BUSY:
+    case JOB_VM_INVALID:
+        vm->committed = false;
+        end_order(fleet, vm);
+        vm->moved_ms = now;
+        fleet->list_due_ms = now;
+        break;
+    default:
+        break; /* it is repeated until its outcome is known */
+    }
+}
+
+static void
+list_answered(JobFleet *fleet, int64_t now, const JobVmAnswer *answer)
+{
+    size_t i;
+    bool busy = false;
+
+    fleet->listing = false;
+    fleet->list_due_ms = now + FLEET_REPEAT_MS;
+    if (answer->outcome != JOB_VM_OK) {
+        fleet->page[0] = '\0';
+        return;
+    }
+    for (i = 0; i < answer->vm_count; i++) {
+        take_listed(fleet, now, &answer->vms[i]);
+    }
+    snprintf(fleet->page, sizeof(fleet->page), "%s", answer->next_page);
+    if (fleet->page[0] != '\0') {
+        fleet->list_due_ms = now;
+        return;
+    }
+    drop_unlisted(fleet);
+    for (i = 0; i < fleet->vm_count; i++) {
+        busy = busy || fleet->vms[i].ordered;
+    }
+    fleet->list_due_ms =
+        now + (busy ? FLEET_LIST_BUSY_MS : fleet->options.list_ms);
 }
 
 void
 JobFleet_Answered(JobFleet *fleet, int64_t now, const JobVmCall *call,
                   const JobVmAnswer *answer)
 {
-    (void)fleet;
-    (void)now;
-    (void)call;
-    (void)answer;
+    if (!fleet->leads || call->fence != fleet->fence) {
+        return;
+    }
+    if (call->kind == JOB_VM_LIST) {
+        list_answered(fleet, now, answer);
+    }
+    else {
+        order_answered(fleet, now, call, answer);
+    }
 }
 
-bool
-JobFleet_WaveDone(const JobFleet *fleet, const JobWave *wave)
+static void
+read_list(JobFleet *fleet, int64_t now)
+{
+    JobVmCall *call;
+
+    if (fleet->listing || now < fleet->list_due_ms) {
+        return;
+    }
+    call = add_call(fleet, JOB_VM_LIST);
+    if (call == NULL) {
+        return;
+    }
+    snprintf(call->page, sizeof(call->page), "%s", fleet->page);
+    if (fleet->page[0] == '\0') {
+        fleet->list_number++;
+        fleet->list_sent_ms = now;
+    }
+    fleet->listing = true;
+}
+
+/* --- orders --- */
+
+void
+FleetImpl_Order(JobFleet *fleet, int64_t now, FleetVm *vm, FleetOrder order,
+                const char *pool, uint64_t wave)
 {
     (void)fleet;
-    return wave->done == wave->vm_count;
+    vm->order = order;
+    vm->wave = wave;
+    vm->since_ms = now;
+    vm->call_ms = now;
+    vm->ordered = false;
+    vm->committed = false;
+    snprintf(vm->pool, sizeof(vm->pool), "%s", pool);
+}
+
+void
+FleetImpl_Cancel(JobFleet *fleet, FleetVm *vm)
+{
+    if (!vm->calling && !vm->committed && !vm->ordered) {
+        end_order(fleet, vm);
+    }
+}
+
+/* Drains a VM for its order, then calls. */
+static void
+drive_vm(JobFleet *fleet, int64_t now, FleetVm *vm)
+{
+    JobTarget *target;
+    int64_t patience =
+        vm->order == FLEET_MOVE ? FLEET_MOVE_DRAIN_MS : FLEET_WAVE_DRAIN_MS;
+
+    if (vm->order == FLEET_NONE || vm->ordered) {
+        return;
+    }
+    if (vm->committed) {
+        call_order(fleet, now, vm);
+        return;
+    }
+    target = FleetImpl_Target(fleet, vm);
+    if (target == NULL) {
+        call_order(fleet, now, vm);
+        return;
+    }
+    JobSched_Close(fleet->sched, target, true);
+    if (vm->order == FLEET_MAINTAIN) {
+        JobSched_Evacuate(fleet->sched, now, target);
+    }
+    if (JobSched_IsIdle(fleet->sched, target) ||
+        (vm->order == FLEET_MAINTAIN && now - vm->since_ms > patience &&
+         JobSched_IsExpendable(fleet->sched, target))) {
+        call_order(fleet, now, vm);
+    }
+    else if (vm->order == FLEET_MOVE && now - vm->since_ms > patience) {
+        FleetImpl_Cancel(fleet, vm);
+        vm->moved_ms = now;
+    }
+}
+
+void
+JobFleet_Tick(JobFleet *fleet, int64_t now, int64_t wall_ms)
+{
+    size_t i;
+
+    if (!fleet->leads || JobState_Config(fleet->state)->version == 0) {
+        return;
+    }
+    read_list(fleet, now);
+    if (!fleet->listed) {
+        return;
+    }
+    if (now >= fleet->plan_ms) {
+        fleet->plan_ms = now + FLEET_PLAN_MS;
+        FleetImpl_PlanWaves(fleet, now, wall_ms);
+        FleetImpl_PlanMoves(fleet, now);
+    }
+    for (i = 0; i < fleet->vm_count; i++) {
+        drive_vm(fleet, now, &fleet->vms[i]);
+    }
 }
--- /dev/null
+++ b/src/jobfleet_move.c
@@ -0,0 +1,237 @@
+#include "jobfleet_impl.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "jobcodec.h"
+#include "slog.h"
+
+/* Short work fills VMs only to this share before tasks no longer fit. */
+#define MOVE_FILL_PERCENT 80
+/* Demand is looked for this far ahead: a move and some seconds of use. */
+#define MOVE_AHEAD_MS 2600
+/* A pool gives a VM up only when this much more than one is not needed, so
+ * that small changes of demand do not move VMs to and fro. */
+#define MOVE_SURPLUS_PERCENT 130
+/* VMs that each pool keeps beyond its lasting tasks. */
+#define MOVE_RESERVE_VMS 1
+/* Without a turn seen, a pool keeps its VMs for this long. */
+#define MOVE_UNSEEN_MS 20000
+#define MOVE_MAX_POOLS 160
+
+typedef struct PoolPlan {
+    const JobPool *pool;
+    JobPoolLoad load;
+    int64_t have;   /* thousandths of a core that it has or will have */
+    int64_t want;
+    int64_t vm_cpu; /* of a usual VM */
+    size_t vms;
+} PoolPlan;
+
+static const char *
+pool_of(const FleetVm *vm)
+{
+    return vm->order == FLEET_MOVE ? vm->pool : vm->listed.pool;
+}
+
+static PoolPlan *
+find_plan(PoolPlan *plans, size_t count, const char *pool)
+{
+    size_t i;
+
+    for (i = 0; i < count; i++) {
+        if (strcmp(plans[i].pool->name, pool) == 0) {
+            return &plans[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+count_vms(const JobFleet *fleet, PoolPlan *plans, size_t count)
+{
+    size_t i;
+
+    for (i = 0; i < fleet->vm_count; i++) {
+        const FleetVm *vm = &fleet->vms[i];
+        PoolPlan *plan = find_plan(plans, count, pool_of(vm));
+        if (plan == NULL || (!vm->listed.up && !vm->listed.busy)) {
+            continue;
+        }
+        plan->vms++;
+        plan->vm_cpu = vm->listed.cpu;
+        if (vm->order != FLEET_MAINTAIN) {
+            plan->have += vm->listed.cpu;
+        }
+    }
+}
+
+static void
+plan_pool(const JobFleet *fleet, int64_t now, PoolPlan *plan)
+{
+    const JobPoolLoad *load = &plan->load;
+    int64_t rate = load->arriving;
+    int64_t floor;
+
+    if (load->forecast > rate) {
+        rate = load->forecast;
+    }
+    plan->want = (rate + load->waiting / 2) * 100 / MOVE_FILL_PERCENT +
+                 load->lasting;
+    floor = load->lasting * 100 / MOVE_FILL_PERCENT +
+            MOVE_RESERVE_VMS * plan->vm_cpu;
+    if (plan->want < floor) {
+        plan->want = floor;
+    }
+    if (!load->had_turn && now - fleet->lead_ms < MOVE_UNSEEN_MS &&
+        plan->want < plan->have) {
+        plan->want = plan->have;
+    }
+}
+
+/* Returns a free VM of a pool, or the one with the least short work when any
+ * is set. VMs with lasting tasks stay. */
+static FleetVm *
+pick_vm(JobFleet *fleet, int64_t now, const char *pool, bool any)
+{
+    FleetVm *best = NULL;
+    uint64_t best_used = UINT64_MAX;
+    size_t i;
+    uint32_t j;
+
+    for (i = 0; i < fleet->vm_count; i++) {
+        FleetVm *vm = &fleet->vms[i];
+        const JobTarget *target;
+        bool lasting = false;
+        uint64_t used;
+        if (vm->order != FLEET_NONE || !vm->listed.up || vm->listed.busy ||
+            now - vm->moved_ms < FLEET_MOVE_AGAIN_MS ||
+            strcmp(vm->listed.pool, pool) != 0) {
+            continue;
+        }
+        target = FleetImpl_Target(fleet, vm);
+        for (j = 0; target != NULL && j < target->run_count; j++) {
+            lasting = lasting || JobRun_Step(&target->runs[j])->lasting;
+        }
+        used = target != NULL ? target->used.cpu : 0;
+        if (lasting || (used > 0 && !any)) {
+            continue;
+        }
+        if (used < best_used) {
+            best_used = used;
+            best = vm;
+        }
+    }
+    return best;
+}
+
+static void
+move_vm(JobFleet *fleet, int64_t now, FleetVm *vm, PoolPlan *from,
+        PoolPlan *to)
+{
+    Slog_Begin(SLOG_CHANGE, "move_planned");
+    Slog_Text("vm", vm->listed.name);
+    Slog_Text("from", from->pool->name);
+    Slog_Text("pool", to->pool->name);
+    Slog_Int("from_have", from->have);
+    Slog_Int("from_want", from->want);
+    Slog_Int("have", to->have);
+    Slog_Int("want", to->want);
+    Slog_Int("arriving", to->load.arriving);
+    Slog_Int("waiting", to->load.waiting);
+    Slog_Int("forecast", to->load.forecast);
+    Slog_Int("period_ms", to->load.period_ms);
+    Slog_End();
+    FleetImpl_Order(fleet, now, vm, FLEET_MOVE, to->pool->name, 0);
+    from->have -= vm->listed.cpu;
+    to->have += vm->listed.cpu;
+    from->vms--;
+    to->vms++;
+}
+
+static bool
+has_surplus(const PoolPlan *plan)
+{
+    return !plan->pool->standby && plan->vms > 1 &&
+           plan->have - plan->want >=
+               plan->vm_cpu * MOVE_SURPLUS_PERCENT / 100;
+}
+
+/* Finds a VM for a pool that needs one: standby ones first, then free ones
+ * of pools with more than they need. */
+static bool
+fetch(JobFleet *fleet, int64_t now, PoolPlan *plans, size_t count,
+      PoolPlan *to)
+{
+    size_t i;
+    int pass;
+
+    for (pass = 0; pass < 2; pass++) {
+        for (i = 0; i < count; i++) {
+            PoolPlan *from = &plans[i];
+            FleetVm *vm;
+            if (from == to || from->pool->standby != (pass == 0) ||
+                (pass == 1 && !has_surplus(from))) {
+                continue;
+            }
+            vm = pick_vm(fleet, now, from->pool->name, pass == 0);
+            if (vm != NULL) {
+                move_vm(fleet, now, vm, from, to);
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+static PoolPlan *
+find_standby(PoolPlan *plans, size_t count)
+{
+    size_t i;
+
+    for (i = 0; i < count; i++) {
+        if (plans[i].pool->standby) {
+            return &plans[i];
+        }
+    }
+    return NULL;
+}
+
+void
+FleetImpl_PlanMoves(JobFleet *fleet, int64_t now)
+{
+    const JobConfig *config = JobState_Config(fleet->state);
+    PoolPlan *plans = calloc(config->pool_count + 1, sizeof(*plans));
+    PoolPlan *standby;
+    size_t count = 0;
+    size_t i;
+
+    if (plans == NULL) {
+        abort();
+    }
+    for (i = 0; i < config->pool_count && count < MOVE_MAX_POOLS; i++) {
+        plans[count++].pool = &config->pools[i];
+    }
+    standby = find_standby(plans, count);
+    count_vms(fleet, plans, count);
+    for (i = 0; standby != NULL && i < count; i++) {
+        if (!plans[i].pool->standby) {
+            JobSched_PoolLoad(fleet->sched, now, plans[i].pool->name,
+                              MOVE_AHEAD_MS, &plans[i].load);
+            plan_pool(fleet, now, &plans[i]);
+        }
+    }
+    for (i = 0; standby != NULL && i < count; i++) {
+        while (!plans[i].pool->standby && plans[i].have < plans[i].want &&
+               fetch(fleet, now, plans, count, &plans[i])) {
+        }
+    }
+    for (i = 0; standby != NULL && i < count; i++) {
+        FleetVm *vm;
+        while (has_surplus(&plans[i]) &&
+               (vm = pick_vm(fleet, now, plans[i].pool->name, true)) != NULL) {
+            move_vm(fleet, now, vm, &plans[i], standby);
+        }
+    }
+    free(plans);
+}
--- /dev/null
+++ b/src/jobfleet_wave.c
@@ -0,0 +1,142 @@
+#include "jobfleet_impl.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "jobcodec.h"
+
+static uint32_t
+under_way(const JobFleet *fleet, uint64_t wave)
+{
+    uint32_t count = 0;
+    size_t i;
+
+    for (i = 0; i < fleet->vm_count; i++) {
+        count += fleet->vms[i].order == FLEET_MAINTAIN &&
+                 fleet->vms[i].wave == wave;
+    }
+    return count;
+}
+
+static uint32_t
+under_way_in_pool(const JobFleet *fleet, const char *pool)
+{
+    uint32_t count = 0;
+    size_t i;
+
+    for (i = 0; i < fleet->vm_count; i++) {
+        count += fleet->vms[i].order == FLEET_MAINTAIN &&
+                 strcmp(fleet->vms[i].listed.pool, pool) == 0;
+    }
+    return count;
+}
+
+static uint32_t
+vms_in_pool(const JobFleet *fleet, const char *pool)
+{
+    uint32_t count = 0;
+    size_t i;
+
+    for (i = 0; i < fleet->vm_count; i++) {
+        count += strcmp(fleet->vms[i].listed.pool, pool) == 0;
+    }
+    return count;
+}
+
+static bool
+is_standby(const JobFleet *fleet, const char *pool)
+{
+    const JobPool *row = JobConfig_Pool(JobState_Config(fleet->state), pool);
+
+    return row != NULL && row->standby;
+}
+
+/* Returns how much a VM holds that maintenance would disturb; the least goes
+ * first. */
+static uint64_t
+disturbance(const JobFleet *fleet, const FleetVm *vm)
+{
+    const JobTarget *target = FleetImpl_Target(fleet, vm);
+    uint64_t cost = 0;
+    uint32_t i;
+
+    if (is_standby(fleet, vm->listed.pool) || target == NULL) {
+        return 0;
+    }
+    cost = 1 + target->used.cpu;
+    for (i = 0; i < target->run_count; i++) {
+        cost += JobRun_Step(&target->runs[i])->lasting ? 1000000 : 0;
+    }
+    return cost;
+}
+
+/* Marks VMs of a wave that have left the platform. */
+static void
+note_left(JobFleet *fleet, const JobWave *wave)
+{
+    uint32_t i;
+
+    for (i = 0; i < wave->vm_count; i++) {
+        Buf command = BUF_INIT;
+        if (wave->vms[i].done ||
+            FleetImpl_Find(fleet, wave->vms[i].vm) != NULL) {
+            continue;
+        }
+        JobCmd_WaveVm(&command, wave->number, wave->vms[i].vm, true);
+        FleetImpl_Command(fleet, &command);
+    }
+}
+
+static FleetVm *
+next_vm(JobFleet *fleet, const JobWave *wave)
+{
+    FleetVm *best = NULL;
+    uint64_t best_cost = UINT64_MAX;
+    uint32_t i;
+
+    for (i = 0; i < wave->vm_count; i++) {
+        FleetVm *vm;
+        uint32_t limit;
+        uint64_t cost;
+        if (wave->vms[i].done) {
+            continue;
+        }
+        vm = FleetImpl_Find(fleet, wave->vms[i].vm);
+        if (vm == NULL || vm->order != FLEET_NONE || !vm->listed.up ||
+            vm->listed.busy) {
+            continue;
+        }
+        limit = vms_in_pool(fleet, vm->listed.pool) / 4 + 1;
+        if (!is_standby(fleet, vm->listed.pool) &&
+            under_way_in_pool(fleet, vm->listed.pool) >= limit) {
+            continue;
+        }
+        cost = disturbance(fleet, vm);
+        if (cost < best_cost) {
+            best_cost = cost;
+            best = vm;
+        }
+    }
+    return best;
+}
+
+void
+FleetImpl_PlanWaves(JobFleet *fleet, int64_t now, int64_t wall_ms)
+{
+    size_t i;
+
+    (void)wall_ms;
+    for (i = 0; i < JobState_WaveCount(fleet->state); i++) {
+        const JobWave *wave = JobState_WaveAt(fleet->state, i);
+        FleetVm *vm;
+        if (wave->done == wave->vm_count) {
+            continue;
+        }
+        note_left(fleet, wave);
+        while (under_way(fleet, wave->number) < wave->cap &&
+               (vm = next_vm(fleet, wave)) != NULL) {
+            FleetImpl_Order(fleet, now, vm, FLEET_MAINTAIN, vm->listed.pool,
+                            wave->number);
+        }
+    }
+}
--- a/src/jobsched.c
+++ b/src/jobsched.c
@@ -34,6 +34,8 @@
     sched->state = state;
     sched->next_cookie = 1;
     sched->next_life = 1;
+    sched->est = JobEst_New();
+    sched->demand = JobDemand_New();
     return sched;
 }
 
@@ -70,6 +72,8 @@
         JobSched_Resign(sched);
         free(sched->actions);
         free(sched->batch);
+        JobEst_Free(sched->est);
+        JobDemand_Free(sched->demand);
         free(sched);
     }
 }
@@ -167,7 +171,7 @@
         target->live = live;
         live->fence = sched->fence;
         live->life = sched->next_life++;
-        live->heard_ms = sched->lead_ms;
+        live->heard_ms = sched->now_ms;
     }
     if (live->serial != target->serial) {
         /* A later life: the earlier one's clock says nothing about it. */
@@ -443,6 +447,12 @@
     SchedImpl_Propose(sched, SCHED_TARGET, &command,
                       target != NULL ? target->row : JOB_NO_TARGET,
                       target != NULL ? target->serial : 0);
+    if (target == NULL) {
+        SchedProposal *proposal = sched->proposals;
+        snprintf(proposal->id, sizeof(proposal->id), "%s", says->id);
+        proposal->clock_ms = says->clock_ms;
+        proposal->clock_at_ms = sched->now_ms;
+    }
 }
 
 static void
@@ -549,6 +559,7 @@
     JobTarget *target = JobState_FindTarget(sched->state, says->id);
     SchedProposal *proposal;
 
+    sched->now_ms = now;
     if (target != NULL) {
         return announce_known(sched, now, target, says);
     }
@@ -684,6 +695,20 @@
     }
 }
 
+static void
+learn(JobSched *sched, const JobEnd *end, int64_t now)
+{
+    Job *job;
+    const JobTask *task = JobState_Task(sched->state, &end->task, &job);
+
+    if (task != NULL && task->attempt == end->attempt &&
+        task->live.phase == JOB_LIVE_RUNNING && task->checkpoint == NULL) {
+        JobEst_Add(sched->est, job->queue,
+                   job->spec.steps[end->task.step].estimate_ms,
+                   now - task->live.since_ms);
+    }
+}
+
 static void
 count_end(JobSched *sched, SchedTarget *live, const JobTarget *target,
           const JobEnd *end, int64_t now)
@@ -691,6 +716,7 @@
     if (end->kind == JOB_END_DONE) {
         sched->counts.done++;
         live->failures = 0;
+        learn(sched, end, now);
     }
     else if (end->kind == JOB_END_FAILED) {
         sched->counts.failed++;
@@ -868,6 +894,7 @@
     JobTarget *target = JobState_Target(sched->state, call->row);
     SchedTarget *live;
 
+    sched->now_ms = now;
     if (!sched->leads || target == NULL || target->serial != call->serial) {
         return;
     }
@@ -963,6 +990,22 @@
     }
 }
 
+/* A new target can be used at once, by the clock of its announcement. */
+static void
+stored(JobSched *sched, const SchedProposal *proposal)
+{
+    JobTarget *target = JobState_FindTarget(sched->state, proposal->id);
+    SchedTarget *live;
+
+    if (target == NULL) {
+        return;
+    }
+    live = SchedImpl_Live(sched, target);
+    if (!live->clock_known) {
+        note_clock(sched, live, proposal->clock_at_ms, proposal->clock_ms);
+    }
+}
+
 void
 JobSched_Proposed(JobSched *sched, int64_t now, uint64_t cookie, Status status)
 {
@@ -974,6 +1017,10 @@
     if (proposal == NULL) {
         return;
     }
+    sched->now_ms = now;
+    if (sched->leads && proposal->id[0] != '\0') {
+        stored(sched, proposal);
+    }
     target = JobState_Target(sched->state, proposal->row);
     if (sched->leads && proposal->kind == SCHED_ASSIGN) {
         assigned(sched, now, proposal);
@@ -1005,6 +1052,8 @@
     sched->term = term;
     sched->fence = term << SCHED_FENCE_BITS;
     sched->lead_ms = now;
+    sched->now_ms = now;
+    JobDemand_Clear(sched->demand, now);
     for (i = 0; i < JobState_TargetRows(sched->state); i++) {
         JobTarget *target = JobState_Target(sched->state, i);
         if (target != NULL) {
@@ -1013,6 +1062,178 @@
     }
 }
 
+/* --- for the planner of moves --- */
+
+void
+JobSched_Accepted(JobSched *sched, int64_t now, const Job *job)
+{
+    int64_t work = 0;
+    uint32_t i;
+
+    for (i = 0; i < job->spec.step_count; i++) {
+        const JobStep *step = &job->spec.steps[i];
+        if (!step->lasting) {
+            work += (int64_t)step->count * step->need.cpu *
+                    JobEst_Predict(sched->est, job->queue, step->estimate_ms);
+        }
+    }
+    if (work > 0) {
+        JobDemand_Add(sched->demand, now, job->pool, work);
+    }
+}
+
+static int64_t
+waiting_cpu(const Job *job)
+{
+    int64_t cpu = 0;
+    uint32_t k = job->first_open;
+    uint32_t step;
+    uint32_t i;
+
+    for (step = 0; step < job->spec.step_count; step++) {
+        const JobStep *spec = &job->spec.steps[step];
+        const JobTask *tasks = job->occurrences[k].tasks;
+        if (!Job_StepReady(job, k, step)) {
+            continue;
+        }
+        for (i = 0; i < spec->count; i++) {
+            if (tasks == NULL || tasks[job->step_first[step] + i].state ==
+                                     JOB_TASK_WAITING) {
+                cpu += spec->need.cpu;
+            }
+        }
+    }
+    return cpu;
+}
+
+void
+JobSched_PoolLoad(const JobSched *sched, int64_t now, const char *pool,
+                  int64_t ahead_ms, JobPoolLoad *load)
+{
+    const Job *job;
+    uint32_t i;
+    uint32_t j;
+
+    memset(load, 0, sizeof(*load));
+    for (i = 0; i < JobState_TargetRows(sched->state); i++) {
+        const JobTarget *target = JobState_Target(sched->state, i);
+        if (target == NULL || strcmp(target->says.pool, pool) != 0) {
+            continue;
+        }
+        load->used += target->used.cpu;
+        for (j = 0; j < target->run_count; j++) {
+            const JobStep *step = JobRun_Step(&target->runs[j]);
+            load->lasting += step->lasting ? step->need.cpu : 0;
+        }
+    }
+    for (job = JobState_FirstActive(sched->state); job != NULL;
+         job = job->next) {
+        if (job->has_waiting && job->phase < JOB_COMPLETED &&
+            job->first_open < job->occurrence_count &&
+            strcmp(job->pool, pool) == 0) {
+            load->waiting += waiting_cpu(job);
+        }
+    }
+    load->arriving = JobDemand_Rate(sched->demand, now, pool, 1000);
+    load->forecast = JobDemand_Forecast(sched->demand, now, pool, now,
+                                        now + ahead_ms);
+    load->had_turn = JobDemand_HadTurn(sched->demand, now, pool);
+    load->period_ms = JobDemand_Period(sched->demand, now, pool);
+}
+
+void
+JobSched_Close(JobSched *sched, const JobTarget *target, bool closed)
+{
+    SchedTarget *live = live_of(target);
+
+    (void)sched;
+    if (live != NULL) {
+        live->closed = closed;
+    }
+}
+
+bool
+JobSched_IsIdle(const JobSched *sched, const JobTarget *target)
+{
+    const SchedTarget *live = live_of(target);
+
+    (void)sched;
+    return target->run_count == 0 &&
+           (live == NULL || live->reserved_count == 0);
+}
+
+bool
+JobSched_IsExpendable(const JobSched *sched, const JobTarget *target)
+{
+    const SchedTarget *live = live_of(target);
+    uint32_t i;
+
+    (void)sched;
+    for (i = 0; i < target->run_count; i++) {
+        if (JobRun_Step(&target->runs[i])->max_unavailable > 0) {
+            return false;
+        }
+    }
+    return live == NULL || live->reserved_count == 0;
+}
+
+static bool
+is_at_work(const JobTask *task)
+{
+    return task->state == JOB_TASK_ASSIGNED &&
+           task->live.phase == JOB_LIVE_RUNNING && task->live.percent >= 100 &&
+           !task->live.must_stop;
+}
+
+static bool
+may_stop(const JobRun *run)
+{
+    const JobStep *step = JobRun_Step(run);
+    const JobTask *tasks = run->job->occurrences[run->occurrence].tasks +
+                           run->job->step_first[run->step];
+    uint32_t away = 0;
+    uint32_t i;
+
+    if (step->max_unavailable == 0 || run->job->phase >= JOB_COMPLETED) {
+        return true;
+    }
+    for (i = 0; i < step->count; i++) {
+        away += !is_at_work(&tasks[i]);
+    }
+    return away < step->max_unavailable;
+}
+
+void
+JobSched_Evacuate(JobSched *sched, int64_t now, JobTarget *target)
+{
+    uint32_t i;
+
+    for (i = 0; i < target->run_count; i++) {
+        const JobRun *run = &target->runs[i];
+        JobTask *task = JobRun_Task(run);
+        if (!JobRun_Step(run)->lasting || task->live.must_stop ||
+            !may_stop(run)) {
+            continue;
+        }
+        task->live.must_stop = true;
+        Slog_Begin(SLOG_CHANGE, "run_evacuated");
+        Slog_Task(run->job->id, run->occurrence, run->step, run->index);
+        Slog_Text("target", target->says.id);
+        Slog_End();
+        stop_run(sched, now, run);
+    }
+}
+
+void
+JobSched_Ended(JobSched *sched, const JobTarget *target)
+{
+    JobTarget *row = JobState_Target(sched->state, target->row);
+
+    if (row != NULL) {
+        propose_gone(sched, row, "its VM was ordered away");
+    }
+}
+
 bool
 SchedImpl_Usable(const JobSched *sched, const JobTarget *target, int64_t now)
 {
@@ -1079,6 +1300,7 @@
     uint32_t i;
 
     sched->wall_ms = wall_ms;
+    sched->now_ms = now;
     if (!sched->leads) {
         return;
     }
--- a/src/jobsched.h
+++ b/src/jobsched.h
@@ -153,6 +153,40 @@
                     const JobSpec *spec, int64_t *retry_ms,
                     const char **reason);
 
+/* Notes that a job was accepted now, for the forecast of demand. */
+void JobSched_Accepted(JobSched *sched, int64_t now, const Job *job);
+
+/* What the planner of moves reads of a pool, in thousandths of a core. */
+typedef struct JobPoolLoad {
+    int64_t lasting; /* used by lasting tasks */
+    int64_t used;    /* by all assigned tasks */
+    int64_t waiting; /* wanted by tasks that could start now */
+    int64_t arriving; /* rate of arriving work */
+    int64_t forecast; /* highest rate expected soon */
+    bool had_turn;    /* its demand has risen and fallen before */
+    int64_t period_ms; /* of its turns, 0: not known */
+} JobPoolLoad;
+
+void JobSched_PoolLoad(const JobSched *sched, int64_t now, const char *pool,
+                       int64_t ahead_ms, JobPoolLoad *load);
+
+/* Keeps new work off a target, or lets it in again. */
+void JobSched_Close(JobSched *sched, const JobTarget *target, bool closed);
+
+/* Returns whether nothing runs at a target and nothing is on its way. */
+bool JobSched_IsIdle(const JobSched *sched, const JobTarget *target);
+
+/* Returns whether all that runs at a target may be cut off: no task whose
+ * step limits how many are away is among it. */
+bool JobSched_IsExpendable(const JobSched *sched, const JobTarget *target);
+
+/* Stops the lasting tasks at a target, as far as their steps allow it now;
+ * they start again elsewhere. */
+void JobSched_Evacuate(JobSched *sched, int64_t now, JobTarget *target);
+
+/* The target was ended by an order of this service. */
+void JobSched_Ended(JobSched *sched, const JobTarget *target);
+
 const JobSchedCounts *JobSched_Counts(const JobSched *sched);
 
 /* Returns a fence that is higher than all used before in this term. */
--- a/src/jobsched_impl.h
+++ b/src/jobsched_impl.h
@@ -6,6 +6,8 @@
 #define COLTSFOOT_JOBSCHED_IMPL_H
 
 #include "jobcodec.h"
+#include "jobdemand.h"
+#include "jobest.h"
 #include "jobsched.h"
 
 /* Fences of one term. */
@@ -53,6 +55,9 @@
     uint64_t serial;
     JobAssignment *assignments;
     size_t assignment_count;
+    char id[JOB_NAME_BYTES]; /* of an announcement, with its clock */
+    int64_t clock_ms;
+    int64_t clock_at_ms;
     struct SchedProposal *next;
 } SchedProposal;
 
@@ -64,6 +69,7 @@
     uint64_t fence;
     int64_t lead_ms;
     int64_t wall_ms; /* of the last tick */
+    int64_t now_ms;  /* of the last call that told it */
     int64_t expire_ms;
     uint64_t next_cookie;
     uint64_t next_life;
@@ -75,6 +81,8 @@
     JobAssignment *batch; /* of the placement that is being made */
     size_t batch_count;
     size_t batch_capacity;
+    JobEst *est;
+    JobDemand *demand;
     JobSchedCounts counts;
 };
 
--- a/src/jobsched_place.c
+++ b/src/jobsched_place.c
@@ -8,6 +8,9 @@
 
 /* Assignments of one command; a longer batch would delay the first starts. */
 #define PLACE_MAX_BATCH 256
+/* A job counts as late when its expected end is past its objective by this
+ * share of what is left of it; run times are only estimates. */
+#define RANK_TOLERANCE_PERCENT 0
 /* Backlog of a queue's pool, as a share of the objective, beyond which more
  * work cannot be done in time. */
 #define ADMIT_MAX_WAIT_PERCENT 150
@@ -98,6 +101,19 @@
     return count;
 }
 
+static uint32_t
+lasting_cpu(const JobTarget *target)
+{
+    uint32_t cpu = 0;
+    uint32_t i;
+
+    for (i = 0; i < target->run_count; i++) {
+        const JobStep *step = JobRun_Step(&target->runs[i]);
+        cpu += step->lasting ? step->need.cpu : 0;
+    }
+    return cpu;
+}
+
 /* Returns how well a target suits a task; higher is better, below 0 not at
  * all. */
 static int64_t
@@ -126,8 +142,10 @@
         score += 2000;
     }
     if (step->lasting) {
-        /* The loss of one target should take few tasks of a step. */
-        score += 10000 - (int64_t)same * 500;
+        /* Lasting tasks share few targets, so that the others can be moved
+         * freely, but the loss of one should take few tasks of a step. */
+        score = 10000 + (int64_t)lasting_cpu(target) * 1000 / room -
+                (int64_t)(same > 1 ? same * 3000 : 0);
     }
     return score > 0 ? score : 0;
 }
@@ -294,10 +312,16 @@
     job->has_waiting = waiting;
 }
 
-/* Returns the work of the longest chain of a job in ms, by its estimates. */
+/* Returns the expected time of the longest chain of a job in ms; with
+ * remaining only of steps that are not done. */
 static int64_t
-chain_ms(const JobSpec *spec)
+chain_ms(const JobSched *sched, const Job *job, bool remaining)
 {
+    const JobSpec *spec = &job->spec;
+    const JobOccurrence *open =
+        job->first_open < job->occurrence_count
+            ? &job->occurrences[job->first_open]
+            : NULL;
     int64_t ends[JOB_MAX_STEPS];
     int64_t longest = 0;
     uint32_t i;
@@ -305,38 +329,47 @@
 
     for (i = 0; i < spec->step_count; i++) {
         int64_t begin = 0;
+        bool done = remaining && open != NULL && open->tasks != NULL &&
+                    open->step_done[i] == spec->steps[i].count;
         for (j = 0; j < i; j++) {
             if ((spec->steps[i].depends >> j & 1) != 0 && ends[j] > begin) {
                 begin = ends[j];
             }
         }
-        ends[i] = begin + spec->steps[i].estimate_ms;
+        ends[i] = begin + (done ? 0
+                                : JobEst_Predict(sched->est, job->queue,
+                                                 spec->steps[i].estimate_ms));
         longest = ends[i] > longest ? ends[i] : longest;
     }
     return longest;
 }
 
+#define RANK_LATE ((int64_t)1 << 40)
+
 /* Returns a key by which jobs are placed, lowest first: lasting ones, then
- * by the latest time at which the objective can still be met, and what is
- * past any objective last. */
+ * by the latest time at which the objective can still be met, then what can
+ * no longer meet it, newest first, since only that may yet earn something. */
 static int64_t
 rank(const Place *place, const Job *job)
 {
     const JobQueue *queue =
         JobConfig_Queue(JobState_Config(place->sched->state), job->queue);
-    int64_t chain = chain_ms(&job->spec);
+    int64_t left = chain_ms(place->sched, job, true);
     int64_t objective = queue != NULL ? queue->objective_ms : 1000;
     double slack = queue != NULL ? queue->slack : 2.0;
     int64_t age = place->wall_ms - job->accepted_ms;
-    int64_t allowed = (int64_t)(slack * (double)chain) + objective;
+    int64_t allowed =
+        (int64_t)(slack * (double)chain_ms(place->sched, job, false)) +
+        objective;
+    int64_t spare = allowed - left - age;
 
     if (job->spec.steps[0].lasting) {
         return INT64_MIN / 2;
     }
-    if (age > 3 * allowed) {
-        return INT64_MAX / 2 - age;
+    if (spare < -left * RANK_TOLERANCE_PERCENT / 100) {
+        return RANK_LATE + age;
     }
-    return allowed - chain - age;
+    return spare;
 }
 
 static int
--- a/src/jobwire.h
+++ b/src/jobwire.h
@@ -114,6 +114,7 @@
     char target[JOB_NAME_BYTES]; /* id, or empty */
     char data_centre[JOB_NAME_BYTES];
     char rack[JOB_LABEL_BYTES];
+    uint32_t cpu; /* thousandths of a core */
     bool up;
     bool busy; /* moving or under maintenance */
 } JobVm;
