Read the VM list while orders go on; let silent targets lapse

Cause: each order put the next reading of the VM list off, so VMs that were back stayed unused for ten seconds; and starts repeated to a silent target each granted it more time, so its runs were never given up.

Change: an order only brings the reading forward; a target that does not answer is granted nothing more; work that waits counts for moves only up to the rate of arrival; targets announced after their VM was ordered away are ended.

--- a/src/jobctl_internal.h
+++ b/src/jobctl_internal.h
@@ -67,7 +67,7 @@
     bool taking_over;      /* a read asks whether the state is complete */
     uint64_t leading_term; /* 0: not serving */
     int64_t confirm_ms;
-    int64_t node_ms;       /* node rows are compared again */
+    int64_t node_ms; /* node rows are compared again */
     bool place_due;
     bool nodes_due;
     uint64_t incarnation;
--- a/src/jobdemand.c
+++ b/src/jobdemand.c
@@ -14,6 +14,14 @@
 #define TURN_MIN_MS 1500
 /* A turn goes on over a dip of this length. */
 #define TURN_GAP_MS 750
+/* Distances of turns that differ more are no period. */
+#define PERIOD_OFF_PERCENT 20
+/* The slope is that between two spans of this length. */
+#define SLOPE_MS 1000
+/* Below this rate single jobs make the slope. */
+#define SLOPE_MIN_RATE 12000
+/* A rise does not go on for ever. */
+#define SLOPE_TRUST_PERCENT 60
 
 typedef struct Turn {
     int64_t rise;
@@ -24,7 +32,7 @@
 
 typedef struct DemandPool {
     char name[JOB_NAME_BYTES];
-    int64_t bins[DEMAND_BINS]; /* core-ms, by time modulo */
+    int64_t bins[DEMAND_BINS];   /* core-ms, by time modulo */
     int64_t bin_at[DEMAND_BINS]; /* number of the bin that is stored */
 } DemandPool;
 
@@ -87,8 +95,8 @@
         if (demand->count == MAX_POOLS) {
             return;
         }
-        demand->pools = realloc(demand->pools,
-                                (demand->count + 1) * sizeof(DemandPool));
+        demand->pools =
+            realloc(demand->pools, (demand->count + 1) * sizeof(DemandPool));
         if (demand->pools == NULL) {
             abort();
         }
@@ -141,8 +149,7 @@
         work += bin_work(pool, bin);
     }
     span = now - begin * DEMAND_BIN_MS;
-    return span >= DEMAND_BIN_MS ? work / span
-                                 : work / DEMAND_BIN_MS;
+    return span >= DEMAND_BIN_MS ? work / span : work / DEMAND_BIN_MS;
 }
 
 static int64_t
@@ -181,8 +188,8 @@
         if (rise >= 0) {
             work += bin <= last ? bin_work(pool, bin) : 0;
         }
-        if (rise < 0 || (bin <= last && (bin - high) * DEMAND_BIN_MS <=
-                                            TURN_GAP_MS)) {
+        if (rise < 0 ||
+            (bin <= last && (bin - high) * DEMAND_BIN_MS <= TURN_GAP_MS)) {
             continue;
         }
         if ((high - rise + 1) * DEMAND_BIN_MS >= TURN_MIN_MS &&
@@ -199,73 +206,40 @@
     return count;
 }
 
-static int
-ascending(const void *a, const void *b)
-{
-    int64_t left = *(const int64_t *)a;
-    int64_t right = *(const int64_t *)b;
-
-    return (left > right) - (left < right);
-}
-
-/* Returns the period from the turns of all pools. */
-static int64_t
-common_period(const JobDemand *demand, int64_t now)
-{
-    int64_t rises[MAX_POOLS];
-    int64_t gaps[MAX_POOLS];
-    size_t seen = 0;
-    size_t active = 0;
-    size_t i;
-
-    for (i = 0; i < demand->count; i++) {
-        Turn turns[MAX_TURNS];
-        size_t count = find_turns(demand, &demand->pools[i], now, turns);
-        active += mean_rate(demand, &demand->pools[i], now) > 0;
-        if (count > 0) {
-            rises[seen++] = turns[0].rise;
-        }
-    }
-    if (seen < 3 || seen < active) {
-        return 0;
-    }
-    qsort(rises, seen, sizeof(rises[0]), ascending);
-    for (i = 1; i < seen; i++) {
-        gaps[i - 1] = rises[i] - rises[i - 1];
-    }
-    qsort(gaps, seen - 1, sizeof(gaps[0]), ascending);
-    return gaps[(seen - 1) / 2] * (int64_t)seen;
-}
-
 int64_t
 JobDemand_Period(const JobDemand *demand, int64_t now, const char *name)
 {
     const DemandPool *pool = find_pool(demand, name);
     Turn turns[MAX_TURNS];
+    int64_t last;
+    int64_t before;
     size_t count;
 
     if (pool == NULL) {
         return 0;
     }
     count = find_turns(demand, pool, now, turns);
-    if (count >= 2) {
-        return turns[count - 1].rise - turns[count - 2].rise;
+    if (count < 3) {
+        return 0;
     }
-    return count == 1 ? common_period(demand, now) : 0;
+    last = turns[count - 1].rise - turns[count - 2].rise;
+    before = turns[count - 2].rise - turns[count - 3].rise;
+    return llabs(last - before) * 100 <= last * PERIOD_OFF_PERCENT ? last : 0;
 }
 
-bool
-JobDemand_HadTurn(const JobDemand *demand, int64_t now, const char *name)
+int64_t
+JobDemand_Rising(const JobDemand *demand, int64_t now, const char *name,
+                 int64_t ahead_ms)
 {
-    const DemandPool *pool = find_pool(demand, name);
-    Turn turns[MAX_TURNS];
-    size_t count;
+    int64_t fresh = JobDemand_Rate(demand, now, name, SLOPE_MS);
+    int64_t both = JobDemand_Rate(demand, now, name, 2 * SLOPE_MS);
+    int64_t slope = (fresh - both) * 2; /* in SLOPE_MS */
 
-    if (pool == NULL) {
-        return false;
+    if (slope <= 0 || fresh < SLOPE_MIN_RATE) {
+        return 0;
     }
-    count = find_turns(demand, pool, now, turns);
-    return count > 1 || (count == 1 && !turns[0].open);
+    return fresh + slope * (ahead_ms + SLOPE_MS / 2) / SLOPE_MS *
+                       SLOPE_TRUST_PERCENT / 100;
 }
 
 int64_t
--- a/src/jobdemand.h
+++ b/src/jobdemand.h
@@ -41,8 +41,10 @@
 int64_t JobDemand_Forecast(const JobDemand *demand, int64_t now,
                            const char *pool, int64_t from, int64_t until);
 
-/* Returns whether a turn of the pool has been seen and has ended. */
-bool JobDemand_HadTurn(const JobDemand *demand, int64_t now, const char *pool);
+/* Returns the rate that the present slope leads to in ahead_ms; 0 while the
+ * rate does not rise. */
+int64_t JobDemand_Rising(const JobDemand *demand, int64_t now,
+                         const char *pool, int64_t ahead_ms);
 
 /* Returns the period of turns, 0 when it is not known. */
 int64_t JobDemand_Period(const JobDemand *demand, int64_t now,
--- a/src/jobfleet.c
+++ b/src/jobfleet.c
@@ -13,7 +13,9 @@
 /* A call without an answer is repeated after this. */
 #define FLEET_REPEAT_MS 500
 /* The list is read this often while VMs are on their way. */
-#define FLEET_LIST_BUSY_MS 600
+#define FLEET_LIST_BUSY_MS 400
+/* A VM is surely back so long after the time that its order takes. */
+#define FLEET_RETURN_MS 60
 /* Fences of the VM service by term, apart from those of targets. */
 #define FLEET_FENCE_BITS 20
 #define FLEET_PLAN_MS 200
@@ -101,8 +103,7 @@
 
     for (i = 0; i < JobState_TargetRows(fleet->state); i++) {
         JobTarget *target = JobState_Target(fleet->state, i);
-        if (target == NULL ||
-            strcmp(target->says.vm, vm->listed.name) != 0) {
+        if (target == NULL || strcmp(target->says.vm, vm->listed.name) != 0) {
             continue;
         }
         if (found == NULL || target->says.born > found->says.born) {
@@ -152,8 +153,8 @@
     }
     vm->listed = *listed;
     vm->seen_list = fleet->list_number;
-    if (vm->ordered && vm->ordered_ms < fleet->list_sent_ms &&
-        listed->up && !listed->busy) {
+    if (vm->ordered && vm->ordered_ms < fleet->list_sent_ms && listed->up &&
+        !listed->busy) {
         Slog_Begin(SLOG_CHANGE, "vm_back");
         Slog_Text("vm", listed->name);
         Slog_Text("pool", listed->pool);
@@ -253,8 +254,8 @@
         !may_order(fleet, now)) {
         return;
     }
-    call = add_call(fleet, vm->order == FLEET_MOVE ? JOB_VM_MOVE
-                                                   : JOB_VM_MAINTAIN);
+    call = add_call(fleet,
+                    vm->order == FLEET_MOVE ? JOB_VM_MOVE : JOB_VM_MAINTAIN);
     if (call == NULL) {
         return;
     }
@@ -272,11 +273,15 @@
     JobTarget *target = FleetImpl_Target(fleet, vm);
     Buf command = BUF_INIT;
 
+    snprintf(vm->old_target, sizeof(vm->old_target), "%s",
+             target != NULL ? target->says.id : vm->listed.target);
     vm->ordered = true;
     vm->committed = false;
     vm->ordered_ms = now;
     vm->moved_ms = now;
-    fleet->list_due_ms = now + fleet->options.move_ms;
+    if (fleet->list_due_ms > now + fleet->options.move_ms + FLEET_RETURN_MS) {
+        fleet->list_due_ms = now + fleet->options.move_ms + FLEET_RETURN_MS;
+    }
     Slog_Begin(SLOG_CHANGE,
                vm->order == FLEET_MOVE ? "vm_moves" : "vm_maintained");
     Slog_Text("vm", vm->listed.name);
@@ -421,6 +426,18 @@
     }
 }
 
+/* A target that was announced while its VM was already ordered away. */
+static void
+end_late_target(JobFleet *fleet, FleetVm *vm)
+{
+    JobTarget *target = FleetImpl_Target(fleet, vm);
+
+    if (target != NULL && strcmp(target->says.id, vm->old_target) == 0) {
+        JobSched_Close(fleet->sched, target, true);
+        JobSched_Ended(fleet->sched, target);
+    }
+}
+
 /* Drains a VM for its order, then calls. */
 static void
 drive_vm(JobFleet *fleet, int64_t now, FleetVm *vm)
@@ -429,7 +446,11 @@
     int64_t patience =
         vm->order == FLEET_MOVE ? FLEET_MOVE_DRAIN_MS : FLEET_WAVE_DRAIN_MS;
 
-    if (vm->order == FLEET_NONE || vm->ordered) {
+    if (vm->order == FLEET_NONE) {
+        return;
+    }
+    if (vm->ordered) {
+        end_late_target(fleet, vm);
         return;
     }
     if (vm->committed) {
--- a/src/jobfleet.h
+++ b/src/jobfleet.h
@@ -49,5 +49,4 @@
 void JobFleet_Answered(JobFleet *fleet, int64_t now, const JobVmCall *call,
                        const JobVmAnswer *answer);
 
-
 #endif
--- a/src/jobfleet_impl.h
+++ b/src/jobfleet_impl.h
@@ -22,7 +22,8 @@
     JobVm listed;
     uint64_t seen_list;
     FleetOrder order;
-    char pool[JOB_NAME_BYTES]; /* where it is to move */
+    char pool[JOB_NAME_BYTES];       /* where it is to move */
+    char old_target[JOB_NAME_BYTES]; /* that the order has ended */
     uint64_t wave;
     int64_t since_ms;   /* of the order */
     int64_t call_ms;    /* the next call is due */
@@ -50,6 +51,7 @@
     uint64_t list_number;
     char page[JOB_NAME_BYTES];
     int64_t plan_ms;
+    int64_t log_ms;
     JobVmCall calls[FLEET_MAX_CALLS];
     size_t call_count;
     Buf commands[FLEET_MAX_COMMANDS];
--- a/src/jobfleet_move.c
+++ b/src/jobfleet_move.c
@@ -14,16 +14,22 @@
  * that small changes of demand do not move VMs to and fro. */
 #define MOVE_SURPLUS_PERCENT 130
 /* VMs that each pool keeps beyond its lasting tasks. */
-#define MOVE_RESERVE_VMS 1
-/* Without a turn seen, a pool keeps its VMs for this long. */
-#define MOVE_UNSEEN_MS 20000
+#define MOVE_RESERVE_VMS 3
+/* Share of the work that waits for which VMs are fetched; the rest is done
+ * before they come. */
+#define MOVE_BACKLOG_PERCENT 60
+/* VMs that are fetched for work that waits although little arrives. */
+#define MOVE_BACKLOG_VMS 4
 #define MOVE_MAX_POOLS 160
+/* The plan of each pool is logged this often. */
+#define MOVE_LOG_MS 1000
 
 typedef struct PoolPlan {
     const JobPool *pool;
     JobPoolLoad load;
     int64_t have;   /* thousandths of a core that it has or will have */
-    int64_t want;
+    int64_t want;   /* VMs are fetched up to this */
+    int64_t keep;   /* and given up down to this */
     int64_t vm_cpu; /* of a usual VM */
     size_t vms;
 } PoolPlan;
@@ -67,26 +73,24 @@
 }
 
 static void
-plan_pool(const JobFleet *fleet, int64_t now, PoolPlan *plan)
+plan_pool(PoolPlan *plan)
 {
     const JobPoolLoad *load = &plan->load;
     int64_t rate = load->arriving;
-    int64_t floor;
+    int64_t backlog = load->waiting * MOVE_BACKLOG_PERCENT / 100;
+    int64_t floor = load->lasting * 100 / MOVE_FILL_PERCENT +
+                    MOVE_RESERVE_VMS * plan->vm_cpu;
 
-    if (load->forecast > rate) {
-        rate = load->forecast;
-    }
-    plan->want = (rate + load->waiting / 2) * 100 / MOVE_FILL_PERCENT +
-                 load->lasting;
-    floor = load->lasting * 100 / MOVE_FILL_PERCENT +
-            MOVE_RESERVE_VMS * plan->vm_cpu;
-    if (plan->want < floor) {
-        plan->want = floor;
-    }
-    if (!load->had_turn && now - fleet->lead_ms < MOVE_UNSEEN_MS &&
-        plan->want < plan->have) {
-        plan->want = plan->have;
+    rate = load->rising > rate ? load->rising : rate;
+    rate = load->forecast > rate ? load->forecast : rate;
+    if (backlog > rate + MOVE_BACKLOG_VMS * plan->vm_cpu) {
+        backlog = rate + MOVE_BACKLOG_VMS * plan->vm_cpu;
     }
+    plan->want = (rate + backlog) * 100 / MOVE_FILL_PERCENT + load->lasting;
+    plan->keep =
+        (rate + load->waiting) * 100 / MOVE_FILL_PERCENT + load->lasting;
+    plan->want = plan->want > floor ? plan->want : floor;
+    plan->keep = plan->keep > floor ? plan->keep : floor;
 }
 
 /* Returns a free VM of a pool, or the one with the least short work when any
@@ -105,7 +109,7 @@
         bool lasting = false;
         uint64_t used;
         if (vm->order != FLEET_NONE || !vm->listed.up || vm->listed.busy ||
-            now - vm->moved_ms < FLEET_MOVE_AGAIN_MS ||
+            (any && now - vm->moved_ms < FLEET_MOVE_AGAIN_MS) ||
             strcmp(vm->listed.pool, pool) != 0) {
             continue;
         }
@@ -149,11 +153,29 @@
     to->vms++;
 }
 
+static void
+log_plan(const PoolPlan *plan)
+{
+    Slog_Begin(SLOG_CHANGE, "pool_plan");
+    Slog_Text("pool", plan->pool->name);
+    Slog_Int("have", plan->have);
+    Slog_Int("want", plan->want);
+    Slog_Int("used", plan->load.used);
+    Slog_Int("lasting", plan->load.lasting);
+    Slog_Int("waiting", plan->load.waiting);
+    Slog_Int("arriving", plan->load.arriving);
+    Slog_Int("rising", plan->load.rising);
+    Slog_Int("forecast", plan->load.forecast);
+    Slog_Int("period_ms", plan->load.period_ms);
+    Slog_Int("vms", (int64_t)plan->vms);
+    Slog_End();
+}
+
 static bool
 has_surplus(const PoolPlan *plan)
 {
     return !plan->pool->standby && plan->vms > 1 &&
-           plan->have - plan->want >=
+           plan->have - plan->keep >=
                plan->vm_cpu * MOVE_SURPLUS_PERCENT / 100;
 }
 
@@ -174,7 +196,7 @@
                 (pass == 1 && !has_surplus(from))) {
                 continue;
             }
-            vm = pick_vm(fleet, now, from->pool->name, pass == 0);
+            vm = pick_vm(fleet, now, from->pool->name, false);
             if (vm != NULL) {
                 move_vm(fleet, now, vm, from, to);
                 return true;
@@ -218,9 +240,15 @@
         if (!plans[i].pool->standby) {
             JobSched_PoolLoad(fleet->sched, now, plans[i].pool->name,
                               MOVE_AHEAD_MS, &plans[i].load);
-            plan_pool(fleet, now, &plans[i]);
+            plan_pool(&plans[i]);
+            if (now >= fleet->log_ms) {
+                log_plan(&plans[i]);
+            }
         }
     }
+    if (now >= fleet->log_ms) {
+        fleet->log_ms = now + MOVE_LOG_MS;
+    }
     for (i = 0; standby != NULL && i < count; i++) {
         while (!plans[i].pool->standby && plans[i].have < plans[i].want &&
                fetch(fleet, now, plans, count, &plans[i])) {
--- a/src/jobsched.c
+++ b/src/jobsched.c
@@ -206,11 +206,16 @@
     live->clock_known = true;
 }
 
+/* Returns the deadline for a call. A target that does not answer is not
+ * granted more: its lease has to run out at some time. */
 static int64_t
 grant(const JobSched *sched, SchedTarget *live, int64_t now)
 {
     int64_t deadline = clock_now(live, now) + sched->options.lease_ms;
 
+    if (live->unanswered > 0 && live->granted_ms > 0) {
+        return live->granted_ms;
+    }
     if (deadline > live->granted_ms) {
         live->granted_ms = deadline;
     }
@@ -1097,8 +1102,8 @@
             continue;
         }
         for (i = 0; i < spec->count; i++) {
-            if (tasks == NULL || tasks[job->step_first[step] + i].state ==
-                                     JOB_TASK_WAITING) {
+            if (tasks == NULL ||
+                tasks[job->step_first[step] + i].state == JOB_TASK_WAITING) {
                 cpu += spec->need.cpu;
             }
         }
@@ -1135,9 +1140,9 @@
         }
     }
     load->arriving = JobDemand_Rate(sched->demand, now, pool, 1000);
-    load->forecast = JobDemand_Forecast(sched->demand, now, pool, now,
-                                        now + ahead_ms);
-    load->had_turn = JobDemand_HadTurn(sched->demand, now, pool);
+    load->forecast =
+        JobDemand_Forecast(sched->demand, now, pool, now, now + ahead_ms);
+    load->rising = JobDemand_Rising(sched->demand, now, pool, ahead_ms);
     load->period_ms = JobDemand_Period(sched->demand, now, pool);
 }
 
--- a/src/jobsched.h
+++ b/src/jobsched.h
@@ -158,12 +158,12 @@
 
 /* What the planner of moves reads of a pool, in thousandths of a core. */
 typedef struct JobPoolLoad {
-    int64_t lasting; /* used by lasting tasks */
-    int64_t used;    /* by all assigned tasks */
-    int64_t waiting; /* wanted by tasks that could start now */
-    int64_t arriving; /* rate of arriving work */
-    int64_t forecast; /* highest rate expected soon */
-    bool had_turn;    /* its demand has risen and fallen before */
+    int64_t lasting;   /* used by lasting tasks */
+    int64_t used;      /* by all assigned tasks */
+    int64_t waiting;   /* wanted by tasks that could start now */
+    int64_t arriving;  /* rate of arriving work */
+    int64_t rising;    /* that rate continued ahead by its slope */
+    int64_t forecast;  /* highest rate expected soon */
     int64_t period_ms; /* of its turns, 0: not known */
 } JobPoolLoad;
 
--- a/src/jobsched_place.c
+++ b/src/jobsched_place.c
@@ -318,10 +318,9 @@
 chain_ms(const JobSched *sched, const Job *job, bool remaining)
 {
     const JobSpec *spec = &job->spec;
-    const JobOccurrence *open =
-        job->first_open < job->occurrence_count
-            ? &job->occurrences[job->first_open]
-            : NULL;
+    const JobOccurrence *open = job->first_open < job->occurrence_count
+                                    ? &job->occurrences[job->first_open]
+                                    : NULL;
     int64_t ends[JOB_MAX_STEPS];
     int64_t longest = 0;
     uint32_t i;
