Give a lost voter's place to a spare node; end only the ordered target

(fresh-ca88) a repeated move order is answered 200 when the VM already runs its next target, and that target was given up while it worked.

Change: voters silent for three election timeouts do not count, so a caught up learner is promoted and the lost one demoted. An order keeps the target of its first call and has a fence of its own, so that a late copy cannot undo a later order.

--- a/src/jobfleet.c
+++ b/src/jobfleet.c
@@ -219,8 +219,8 @@
     call = &fleet->calls[fleet->call_count++];
     memset(call, 0, sizeof(*call));
     call->kind = kind;
-    snprintf(call->holder, sizeof(call->holder), "%s", fleet->options.holder);
     call->fence = fleet->fence;
+    snprintf(call->holder, sizeof(call->holder), "%s", fleet->options.holder);
     return call;
 }
 
@@ -262,6 +262,12 @@
     snprintf(call->vm, sizeof(call->vm), "%s", vm->listed.name);
     snprintf(call->pool, sizeof(call->pool), "%s", vm->pool);
     call->wave = vm->wave;
+    call->fence = vm->fence;
+    if (!vm->committed) {
+        const JobTarget *target = FleetImpl_Target(fleet, vm);
+        snprintf(vm->old_target, sizeof(vm->old_target), "%s",
+                 target != NULL ? target->says.id : vm->listed.target);
+    }
     vm->calling = true;
     vm->committed = true;
     vm->call_ms = now + FLEET_REPEAT_MS;
@@ -270,11 +276,12 @@
 static void
 order_done(JobFleet *fleet, int64_t now, FleetVm *vm)
 {
-    JobTarget *target = FleetImpl_Target(fleet, vm);
+    /* The answer to a repeated call may come when the VM already runs its
+     * next target, so only the one of the first call has ended. */
+    const JobTarget *target =
+        JobState_FindTarget(fleet->state, vm->old_target);
     Buf command = BUF_INIT;
 
-    snprintf(vm->old_target, sizeof(vm->old_target), "%s",
-             target != NULL ? target->says.id : vm->listed.target);
     vm->ordered = true;
     vm->committed = false;
     vm->ordered_ms = now;
@@ -371,7 +378,8 @@
 JobFleet_Answered(JobFleet *fleet, int64_t now, const JobVmCall *call,
                   const JobVmAnswer *answer)
 {
-    if (!fleet->leads || call->fence != fleet->fence) {
+    if (!fleet->leads || call->fence >> FLEET_FENCE_BITS !=
+                             fleet->fence >> FLEET_FENCE_BITS) {
         return;
     }
     if (call->kind == JOB_VM_LIST) {
@@ -408,7 +416,8 @@
 FleetImpl_Order(JobFleet *fleet, int64_t now, FleetVm *vm, FleetOrder order,
                 const char *pool, uint64_t wave)
 {
-    (void)fleet;
+    /* A call that is carried out late must not undo a later order. */
+    vm->fence = ++fleet->fence;
     vm->order = order;
     vm->wave = wave;
     vm->since_ms = now;
--- a/src/jobfleet_impl.h
+++ b/src/jobfleet_impl.h
@@ -23,7 +23,8 @@
     uint64_t seen_list;
     FleetOrder order;
     char pool[JOB_NAME_BYTES];       /* where it is to move */
-    char old_target[JOB_NAME_BYTES]; /* that the order has ended */
+    char old_target[JOB_NAME_BYTES]; /* that the order ends */
+    uint64_t fence;                  /* of the order */
     uint64_t wave;
     int64_t since_ms;   /* of the order */
     int64_t call_ms;    /* the next call is due */
--- a/src/raft.h
+++ b/src/raft.h
@@ -167,6 +167,10 @@
 /* Returns the last entry known to be synced at a member, or 0. */
 uint64_t Raft_Match(const Raft *raft, uint64_t identity);
 
+/* Returns for how long the leader has not heard from a member; 0 for itself
+ * and on other nodes. */
+int64_t Raft_SilentMs(const Raft *raft, int64_t now_ms, uint64_t identity);
+
 /* Returns whether the leader heard from a member within election_ms. */
 bool Raft_Active(const Raft *raft, int64_t now_ms, uint64_t identity);
 
--- a/src/raft_query.c
+++ b/src/raft_query.c
@@ -107,6 +107,16 @@
     return peer == NULL ? 0 : peer->match;
 }
 
+int64_t
+Raft_SilentMs(const Raft *raft, int64_t now_ms, uint64_t identity)
+{
+    const RaftPeer *peer = RaftCore_ConstPeer(raft, identity);
+
+    return raft->role == RAFT_LEADER && peer != NULL
+               ? now_ms - peer->heard_ms
+               : 0;
+}
+
 bool
 Raft_Active(const Raft *raft, int64_t now_ms, uint64_t identity)
 {
--- a/src/replica_members.c
+++ b/src/replica_members.c
@@ -4,6 +4,10 @@
 #include "diag.h"
 #include "replica_core.h"
 
+/* Election timeouts of silence after which another node takes the place of a
+ * voter. */
+#define LOST_ELECTIONS 3
+
 void
 ReplicaCore_ChangeMembers(Replica *replica, int64_t now_ms)
 {
@@ -24,6 +28,8 @@
         uint64_t identity = members->list[i].identity;
 
         health[i].active = Raft_Active(replica->raft, now_ms, identity);
+        health[i].lost = Raft_SilentMs(replica->raft, now_ms, identity) >
+                         LOST_ELECTIONS * replica->options.election_ms;
         health[i].caught_up = Raft_Match(replica->raft, identity) >=
                               Raft_CommitIndex(replica->raft);
     }
--- a/src/replica_plan.c
+++ b/src/replica_plan.c
@@ -135,6 +135,18 @@
     return largest;
 }
 
+static size_t
+lost_voters(const ReplicaPlanInput *input)
+{
+    size_t count = 0;
+    size_t i;
+
+    for (i = 0; i < input->members->count; i++) {
+        count += input->members->list[i].voter && input->health[i].lost;
+    }
+    return count;
+}
+
 static bool
 plan_promotion(const ReplicaPlanInput *input, RaftMember *changed)
 {
@@ -159,7 +171,10 @@
         if (name_has_voter(members, member->name)) {
             continue;
         }
+        /* A node that is gone for good has no successor of its name, so a
+         * spare one takes its place; rule 2 then takes the lost one away. */
         if ((voters < input->voters ||
+             (voters == input->voters && lost_voters(input) > 0) ||
              (voters == input->voters && largest >= near + 2)) &&
             near < best) {
             best = near;
--- a/src/replica_plan.h
+++ b/src/replica_plan.h
@@ -10,7 +10,8 @@
  *     2. Demote a voter when there are more than wanted: silent ones first,
  *        then from the data centre with most voters, never the leader.
  *     3. Promote a caught up learner that replaces a silent voter of the same
- *        node, that fills up the voters, or whose data centre has at least
+ *        node, that fills up the voters not counting lost ones, or whose
+ *        data centre has at least
  *        two voters fewer than another (rule 2 then takes one away there).
  *     4. Add a node that said hello as a learner.
  *
@@ -35,6 +36,7 @@
 /* What the leader knows about a member of the list at the same position. */
 typedef struct ReplicaHealth {
     bool active;    /* answered within the election timeout */
+    bool lost;      /* has not answered for much longer */
     bool caught_up; /* synced up to the commit index */
 } ReplicaHealth;
 
