Tell apart announcements of targets that were born in one ms

Cause: VMs that move together bring targets with the same birth time, and an announcement on its way was recognised by that time alone; half of the new targets became known only with their second announcement, 1.5 s late.

--- a/src/jobsched.c
+++ b/src/jobsched.c
@@ -577,7 +577,6 @@
     }
     end_predecessor(sched, says);
     propose_target(sched, says, NULL);
-    sched->proposals->serial = says->born;
     return false;
 }
 
