Store VM orders in the log; count only fresh lists as at work

A new leader also waited 3 s before any order, even for VMs that nobody had ordered.

Change: orders are in the log before they are given; VMs without one of an earlier term are free at once, others count as under way for its term. A task is at work only if its target has answered lately.

--- a/src/jobcmd.c
+++ b/src/jobcmd.c
@@ -149,3 +149,14 @@
     begin(&packer, out, JOB_CMD_EXPIRE, 1);
     msgpack_pack_int64(&packer, wall_ms);
 }
+
+void
+JobCmd_VmOrder(Buf *out, const JobVmOrder *order)
+{
+    msgpack_packer packer;
+
+    begin(&packer, out, JOB_CMD_VM_ORDER, 3);
+    MpPack_Text(&packer, order->vm);
+    msgpack_pack_uint64(&packer, order->fence);
+    msgpack_pack_int64(&packer, order->wall_ms);
+}
--- a/src/jobfleet.c
+++ b/src/jobfleet.c
@@ -16,8 +16,6 @@
 #define FLEET_LIST_BUSY_MS 400
 /* A VM is surely back so long after the time that its order takes. */
 #define FLEET_RETURN_MS 60
-/* Fences of the VM service by term, apart from those of targets. */
-#define FLEET_FENCE_BITS 20
 #define FLEET_PLAN_MS 200
 
 JobFleet *
@@ -237,11 +235,40 @@
     return true;
 }
 
+/* A VM that an earlier leader has ordered is left alone for its term. Every
+ * order is stored before it is given, so others are free at once. */
 static bool
-may_order(const JobFleet *fleet, int64_t now)
+may_order(const JobFleet *fleet, int64_t now, const FleetVm *vm)
 {
-    return now - fleet->lead_ms >= fleet->options.holder_ms &&
-           now - fleet->confirmed_ms <= FLEET_CONFIRMED_MS;
+    const JobVmOrder *stored = JobState_VmOrder(fleet->state, vm->listed.name);
+
+    if (now - fleet->confirmed_ms > FLEET_CONFIRMED_MS) {
+        return false;
+    }
+    return stored == NULL ||
+           stored->fence >> FLEET_FENCE_BITS ==
+               fleet->fence >> FLEET_FENCE_BITS ||
+           now - fleet->lead_ms >= fleet->options.holder_ms;
+}
+
+/* Returns whether the order is in the log; proposes it otherwise. */
+static bool
+is_stored(JobFleet *fleet, int64_t now, FleetVm *vm)
+{
+    const JobVmOrder *stored = JobState_VmOrder(fleet->state, vm->listed.name);
+    JobVmOrder order = {{0}, vm->fence, fleet->wall_ms};
+    Buf command = BUF_INIT;
+
+    if (stored != NULL && stored->fence >= vm->fence) {
+        return true;
+    }
+    if (now >= vm->store_ms) {
+        vm->store_ms = now + FLEET_REPEAT_MS;
+        snprintf(order.vm, sizeof(order.vm), "%s", vm->listed.name);
+        JobCmd_VmOrder(&command, &order);
+        FleetImpl_Command(fleet, &command);
+    }
+    return false;
 }
 
 /* Calls the VM service for an order that is due. */
@@ -251,7 +278,7 @@
     JobVmCall *call;
 
     if (vm->calling || vm->ordered || now < vm->call_ms ||
-        !may_order(fleet, now)) {
+        !may_order(fleet, now, vm) || !is_stored(fleet, now, vm)) {
         return;
     }
     call = add_call(fleet,
@@ -422,6 +449,7 @@
     vm->wave = wave;
     vm->since_ms = now;
     vm->call_ms = now;
+    vm->store_ms = now;
     vm->ordered = false;
     vm->committed = false;
     snprintf(vm->pool, sizeof(vm->pool), "%s", pool);
@@ -494,6 +522,7 @@
     if (!fleet->leads || JobState_Config(fleet->state)->version == 0) {
         return;
     }
+    fleet->wall_ms = wall_ms;
     read_list(fleet, now);
     if (!fleet->listed) {
         return;
--- a/src/jobfleet_impl.h
+++ b/src/jobfleet_impl.h
@@ -7,6 +7,8 @@
 
 #include "jobfleet.h"
 
+/* Fences of the VM service by term, apart from those of targets. */
+#define FLEET_FENCE_BITS 20
 #define FLEET_MAX_CALLS 64
 #define FLEET_MAX_COMMANDS 64
 /* A move is given up when the VM is not free after this. */
@@ -28,6 +30,7 @@
     uint64_t wave;
     int64_t since_ms;   /* of the order */
     int64_t call_ms;    /* the next call is due */
+    int64_t store_ms;   /* the next proposal to store the order is due */
     int64_t ordered_ms; /* the VM service has accepted it */
     int64_t moved_ms;
     bool calling;
@@ -41,6 +44,7 @@
     JobSched *sched;
     bool leads;
     int64_t lead_ms;
+    int64_t wall_ms;
     int64_t confirmed_ms;
     uint64_t fence;
     FleetVm *vms;
--- a/src/jobfleet_wave.c
+++ b/src/jobfleet_wave.c
@@ -5,15 +5,34 @@
 
 #include "jobcodec.h"
 
+/* Returns whether an earlier leader may have ordered the VM just now. */
+static bool
+is_unsettled(const JobFleet *fleet, int64_t now, const char *vm)
+{
+    const JobVmOrder *stored = JobState_VmOrder(fleet->state, vm);
+
+    return stored != NULL &&
+           stored->fence >> FLEET_FENCE_BITS !=
+               fleet->fence >> FLEET_FENCE_BITS &&
+           now - fleet->lead_ms < fleet->options.holder_ms;
+}
+
+/* Returns the VMs of a wave that are or may be under maintenance. */
 static uint32_t
-under_way(const JobFleet *fleet, uint64_t wave)
+under_way(JobFleet *fleet, int64_t now, const JobWave *wave)
 {
     uint32_t count = 0;
-    size_t i;
+    uint32_t i;
 
-    for (i = 0; i < fleet->vm_count; i++) {
-        count += fleet->vms[i].order == FLEET_MAINTAIN &&
-                 fleet->vms[i].wave == wave;
+    for (i = 0; i < wave->vm_count; i++) {
+        const FleetVm *vm = FleetImpl_Find(fleet, wave->vms[i].vm);
+        if (vm == NULL) {
+            continue;
+        }
+        count += (vm->order == FLEET_MAINTAIN && vm->wave == wave->number) ||
+                 (vm->order == FLEET_NONE &&
+                  (vm->listed.busy ||
+                   is_unsettled(fleet, now, wave->vms[i].vm)));
     }
     return count;
 }
@@ -133,7 +152,7 @@
             continue;
         }
         note_left(fleet, wave);
-        while (under_way(fleet, wave->number) < wave->cap &&
+        while (under_way(fleet, now, wave) < wave->cap &&
                (vm = next_vm(fleet, wave)) != NULL) {
             FleetImpl_Order(fleet, now, vm, FLEET_MAINTAIN, vm->listed.pool,
                             wave->number);
--- a/src/jobsched.c
+++ b/src/jobsched.c
@@ -16,6 +16,9 @@
 #define SCHED_FORGET_MS 20000
 /* Announcements missed before a target gets no new work. */
 #define SCHED_SILENT_BEATS 3
+/* Holds that ask an idle target for its clock before its announcement is
+ * waited for. */
+#define SCHED_ASK_CLOCK 3
 /* Ends in one list of a target; a longer list may be incomplete. */
 #define SCHED_LIST_ENDS 500
 /* Runs that fail in a row before a target is set aside, and for how long. */
@@ -1181,16 +1184,26 @@
     return live == NULL || live->reserved_count == 0;
 }
 
+/* Returns whether a lasting task is known to be at work now: what a silent
+ * target listed last says nothing. */
 static bool
-is_at_work(const JobTask *task)
+is_at_work(const JobSched *sched, int64_t now, const JobTask *task)
 {
-    return task->state == JOB_TASK_ASSIGNED &&
-           task->live.phase == JOB_LIVE_RUNNING && task->live.percent >= 100 &&
-           !task->live.must_stop;
+    const SchedTarget *live;
+
+    if (task->state != JOB_TASK_ASSIGNED ||
+        task->live.phase != JOB_LIVE_RUNNING || task->live.percent < 100 ||
+        task->live.must_stop) {
+        return false;
+    }
+    live = live_of(JobState_Target(sched->state, task->target));
+    return live != NULL && live->unanswered == 0 &&
+           now - live->answered_ms <
+               sched->options.hold_wait_ms + sched->options.call_ms;
 }
 
 static bool
-may_stop(const JobRun *run)
+may_stop(const JobSched *sched, int64_t now, const JobRun *run)
 {
     const JobStep *step = JobRun_Step(run);
     const JobTask *tasks = run->job->occurrences[run->occurrence].tasks +
@@ -1202,7 +1215,7 @@
         return true;
     }
     for (i = 0; i < step->count; i++) {
-        away += !is_at_work(&tasks[i]);
+        away += !is_at_work(sched, now, &tasks[i]);
     }
     return away < step->max_unavailable;
 }
@@ -1216,7 +1229,7 @@
         const JobRun *run = &target->runs[i];
         JobTask *task = JobRun_Task(run);
         if (!JobRun_Step(run)->lasting || task->live.must_stop ||
-            !may_stop(run)) {
+            !may_stop(sched, now, run)) {
             continue;
         }
         task->live.must_stop = true;
@@ -1275,7 +1288,8 @@
 drive_target(JobSched *sched, int64_t now, JobTarget *target)
 {
     SchedTarget *live = SchedImpl_Live(sched, target);
-    bool wanted = target->run_count > 0 || live->reborn || live->ack_due;
+    bool wanted = target->run_count > 0 || live->reborn || live->ack_due ||
+                  (!live->clock_known && live->unanswered < SCHED_ASK_CLOCK);
     uint32_t i;
 
     if (target->run_count > 0 && !live->ends_proposed &&
--- a/src/jobstate.c
+++ b/src/jobstate.c
@@ -751,6 +751,39 @@
     return JOB_RESULT_UNKNOWN;
 }
 
+void
+JobStateImpl_SetOrder(JobState *state, const JobVmOrder *order)
+{
+    size_t i;
+
+    for (i = 0; i < state->order_count; i++) {
+        if (strcmp(state->orders[i].vm, order->vm) == 0) {
+            state->orders[i] = *order;
+            return;
+        }
+    }
+    state->orders =
+        realloc(state->orders, (state->order_count + 1) * sizeof(*order));
+    if (state->orders == NULL) {
+        abort();
+    }
+    state->orders[state->order_count++] = *order;
+}
+
+static JobResult
+apply_vm_order(JobState *state, MpRead *reader)
+{
+    JobVmOrder order = {{0}, 0, 0};
+
+    if (!MpRead_Text(reader, order.vm, sizeof(order.vm)) ||
+        !MpRead_U64(reader, &order.fence) ||
+        !MpRead_I64(reader, &order.wall_ms)) {
+        return JOB_RESULT_CORRUPT;
+    }
+    JobStateImpl_SetOrder(state, &order);
+    return JOB_RESULT_OK;
+}
+
 static JobResult
 apply_expire(JobState *state, MpRead *reader)
 {
@@ -788,12 +821,13 @@
         [JOB_CMD_WAVE] = apply_wave,
         [JOB_CMD_WAVE_VM] = apply_wave_vm,
         [JOB_CMD_EXPIRE] = apply_expire,
+        [JOB_CMD_VM_ORDER] = apply_vm_order,
     };
     uint32_t items;
     uint64_t command;
 
     if (!MpRead_Array(reader, &items) || !MpRead_U64(reader, &command) ||
-        command < JOB_CMD_CONFIG || command > JOB_CMD_EXPIRE) {
+        command < JOB_CMD_CONFIG || command > JOB_CMD_VM_ORDER) {
         return JOB_RESULT_CORRUPT;
     }
     return functions[command](state, reader);
@@ -879,6 +913,19 @@
     return NULL;
 }
 
+const JobVmOrder *
+JobState_VmOrder(const JobState *state, const char *vm)
+{
+    size_t i;
+
+    for (i = 0; i < state->order_count; i++) {
+        if (strcmp(state->orders[i].vm, vm) == 0) {
+            return &state->orders[i];
+        }
+    }
+    return NULL;
+}
+
 size_t
 JobState_Pending(const JobState *state, const char *queue)
 {
@@ -939,6 +986,7 @@
         free(state->waves[i].vms);
     }
     free(state->waves);
+    free(state->orders);
     memset(state, 0, sizeof(*state));
 }
 
--- a/src/jobstate.h
+++ b/src/jobstate.h
@@ -145,6 +145,13 @@
     uint32_t done;
 } JobWave;
 
+/* The last order for a VM, stored before it is given. */
+typedef struct JobVmOrder {
+    char vm[JOB_NAME_BYTES];
+    uint64_t fence;
+    int64_t wall_ms;
+} JobVmOrder;
+
 typedef struct JobState JobState;
 
 JobState *JobState_New(void);
@@ -179,6 +186,9 @@
 const JobWave *JobState_WaveAt(const JobState *state, size_t i);
 const JobWave *JobState_Wave(const JobState *state, uint64_t number);
 
+/* Returns the last order for a VM, or NULL. */
+const JobVmOrder *JobState_VmOrder(const JobState *state, const char *vm);
+
 /* Returns the task, or NULL; creates the occurrence. */
 JobTask *JobState_Task(JobState *state, const JobTaskRef *task, Job **job);
 
@@ -220,6 +230,7 @@
 void JobCmd_Node(Buf *out, const JobNode *node);
 void JobCmd_Wave(Buf *out, const JobWave *wave);
 void JobCmd_WaveVm(Buf *out, uint64_t number, const char *vm, bool done);
+void JobCmd_VmOrder(Buf *out, const JobVmOrder *order);
 /* Forgets jobs that ended before wall_ms. */
 void JobCmd_Expire(Buf *out, int64_t wall_ms);
 
--- a/src/jobstate_impl.h
+++ b/src/jobstate_impl.h
@@ -20,6 +20,8 @@
     size_t node_count;
     JobWave *waves;
     size_t wave_count;
+    JobVmOrder *orders;
+    size_t order_count;
 };
 
 Job *JobStateImpl_AddJob(JobState *state, const char *id, const char *queue);
@@ -30,6 +32,7 @@
 void JobStateImpl_FreeJob(Job *job);
 JobTarget *JobStateImpl_AddTarget(JobState *state, uint32_t row);
 void JobStateImpl_AddNode(JobState *state, const JobNode *node);
+void JobStateImpl_SetOrder(JobState *state, const JobVmOrder *order);
 JobWave *JobStateImpl_AddWave(JobState *state, uint32_t vm_count);
 void JobStateImpl_AddRun(JobTarget *target, const JobRun *run);
 void JobStateImpl_Clear(JobState *state);
@@ -45,7 +48,8 @@
     JOB_CMD_NODE = 8,
     JOB_CMD_WAVE = 9,
     JOB_CMD_WAVE_VM = 10,
-    JOB_CMD_EXPIRE = 11
+    JOB_CMD_EXPIRE = 11,
+    JOB_CMD_VM_ORDER = 12
 } JobCommand;
 
 #endif
--- a/src/jobstate_snapshot.c
+++ b/src/jobstate_snapshot.c
@@ -102,7 +102,7 @@
     size_t i;
 
     msgpack_packer_init(&packer, out, Buf_MsgpackWrite);
-    msgpack_pack_array(&packer, 7);
+    msgpack_pack_array(&packer, 8);
     msgpack_pack_int(&packer, SNAPSHOT_FORMAT);
     JobCodec_PackConfig(&packer, &state->config);
     msgpack_pack_uint64(&packer, state->next_serial);
@@ -128,6 +128,13 @@
     for (i = 0; i < state->wave_count; i++) {
         pack_wave(&packer, &state->waves[i]);
     }
+    msgpack_pack_array(&packer, state->order_count);
+    for (i = 0; i < state->order_count; i++) {
+        msgpack_pack_array(&packer, 3);
+        MpPack_Text(&packer, state->orders[i].vm);
+        msgpack_pack_uint64(&packer, state->orders[i].fence);
+        msgpack_pack_int64(&packer, state->orders[i].wall_ms);
+    }
 }
 
 static bool
@@ -343,6 +350,21 @@
     return true;
 }
 
+static bool
+read_order(JobState *state, MpRead *reader)
+{
+    JobVmOrder order = {{0}, 0, 0};
+
+    if (!read_header(reader, 3) ||
+        !MpRead_Text(reader, order.vm, sizeof(order.vm)) ||
+        !MpRead_U64(reader, &order.fence) ||
+        !MpRead_I64(reader, &order.wall_ms)) {
+        return false;
+    }
+    JobStateImpl_SetOrder(state, &order);
+    return true;
+}
+
 static bool
 read_rows(JobState *state, MpRead *reader,
           bool (*read)(JobState *state, MpRead *reader))
@@ -370,14 +392,15 @@
     uint64_t format = 0;
 
     MpRead_Init(&reader, bytes, len);
-    if (!read_header(&reader, 7) || !MpRead_U64(&reader, &format) ||
+    if (!read_header(&reader, 8) || !MpRead_U64(&reader, &format) ||
         format != SNAPSHOT_FORMAT ||
         !JobCodec_ReadConfig(&reader, &fresh->config) ||
         !MpRead_U64(&reader, &fresh->next_serial) ||
         !read_rows(fresh, &reader, read_target) ||
         !read_rows(fresh, &reader, read_job) ||
         !read_rows(fresh, &reader, read_node) ||
-        !read_rows(fresh, &reader, read_wave) || !MpRead_Done(&reader)) {
+        !read_rows(fresh, &reader, read_wave) ||
+        !read_rows(fresh, &reader, read_order) || !MpRead_Done(&reader)) {
         size_t offset = MpRead_Offset(&reader);
         JobState_Free(fresh);
         return Err_Set(err, ST_CORRUPT, "unreadable job state at offset %zu",
