Turn VMs on their way to standby to pools in need

Cause: after a change of the leader surplus VMs were bound for the standby pool but not yet ordered, and a pool in need could not take them; every VM that any earlier leader had ever ordered was held back for 3 s.

Change: a move that is not yet ordered can be redirected, or is taken back when the VM's own pool needs it; an order counts as unsettled only for its holder's term after this node saw it stored, and is stored again before a later call.

--- a/src/jobctl.c
+++ b/src/jobctl.c
@@ -269,6 +269,7 @@
     int64_t wall_ms = apr_time_as_msec(apr_time_now());
 
     Slog_SetTime(wall_ms, now);
+    JobState_SetNow(control->state, now);
     JobControl_LogTick(control, now);
     update_nodes(control, now);
     JobSched_Tick(control->sched, now, wall_ms);
--- a/src/jobfleet.c
+++ b/src/jobfleet.c
@@ -17,6 +17,9 @@
 /* A VM is surely back so long after the time that its order takes. */
 #define FLEET_RETURN_MS 60
 #define FLEET_PLAN_MS 200
+/* An order is called for only so long after it was stored; for a later call
+ * it is stored again. */
+#define FLEET_STORED_MS 1000
 
 JobFleet *
 JobFleet_New(const JobFleetOptions *options, JobState *state, JobSched *sched)
@@ -237,18 +240,24 @@
 
 /* A VM that an earlier leader has ordered is left alone for its term. Every
  * order is stored before it is given, so others are free at once. */
-static bool
-may_order(const JobFleet *fleet, int64_t now, const FleetVm *vm)
+bool
+FleetImpl_MayOrder(const JobFleet *fleet, int64_t now, const FleetVm *vm)
 {
-    const JobVmOrder *stored = JobState_VmOrder(fleet->state, vm->listed.name);
+    return now - fleet->confirmed_ms <= FLEET_CONFIRMED_MS &&
+           !FleetImpl_IsUnsettled(fleet, now, vm->listed.name);
+}
 
-    if (now - fleet->confirmed_ms > FLEET_CONFIRMED_MS) {
-        return false;
-    }
-    return stored == NULL ||
-           stored->fence >> FLEET_FENCE_BITS ==
-               fleet->fence >> FLEET_FENCE_BITS ||
-           now - fleet->lead_ms >= fleet->options.holder_ms;
+/* An earlier leader may have called for so long after it stored an order, and
+ * others alone after it for its term. */
+bool
+FleetImpl_IsUnsettled(const JobFleet *fleet, int64_t now, const char *vm)
+{
+    const JobVmOrder *stored = JobState_VmOrder(fleet->state, vm);
+
+    return stored != NULL &&
+           stored->fence >> FLEET_FENCE_BITS !=
+               fleet->fence >> FLEET_FENCE_BITS &&
+           now - stored->seen_ms < FLEET_STORED_MS + fleet->options.holder_ms;
 }
 
 /* Returns whether the order is in the log; proposes it otherwise. */
@@ -256,10 +265,11 @@
 is_stored(JobFleet *fleet, int64_t now, FleetVm *vm)
 {
     const JobVmOrder *stored = JobState_VmOrder(fleet->state, vm->listed.name);
-    JobVmOrder order = {{0}, vm->fence, fleet->wall_ms};
+    JobVmOrder order = {{0}, vm->fence, fleet->wall_ms, 0};
     Buf command = BUF_INIT;
 
-    if (stored != NULL && stored->fence >= vm->fence) {
+    if (stored != NULL && stored->fence >= vm->fence &&
+        now - stored->seen_ms < FLEET_STORED_MS) {
         return true;
     }
     if (now >= vm->store_ms) {
@@ -278,7 +288,7 @@
     JobVmCall *call;
 
     if (vm->calling || vm->ordered || now < vm->call_ms ||
-        !may_order(fleet, now, vm) || !is_stored(fleet, now, vm)) {
+        !FleetImpl_MayOrder(fleet, now, vm) || !is_stored(fleet, now, vm)) {
         return;
     }
     call = add_call(fleet,
--- a/src/jobfleet_impl.h
+++ b/src/jobfleet_impl.h
@@ -66,6 +66,9 @@
 FleetVm *FleetImpl_Find(JobFleet *fleet, const char *name);
 /* Returns the latest target that runs on a VM, or NULL. */
 JobTarget *FleetImpl_Target(const JobFleet *fleet, const FleetVm *vm);
+/* Returns whether an earlier leader may have ordered the VM just now. */
+bool FleetImpl_IsUnsettled(const JobFleet *fleet, int64_t now, const char *vm);
+bool FleetImpl_MayOrder(const JobFleet *fleet, int64_t now, const FleetVm *vm);
 void FleetImpl_Command(JobFleet *fleet, Buf *command);
 void FleetImpl_Order(JobFleet *fleet, int64_t now, FleetVm *vm,
                      FleetOrder order, const char *pool, uint64_t wave);
--- a/src/jobfleet_move.c
+++ b/src/jobfleet_move.c
@@ -32,6 +32,9 @@
     int64_t keep;   /* and given up down to this */
     int64_t vm_cpu; /* of a usual VM */
     size_t vms;
+    size_t down;    /* VMs that are neither up nor on their way */
+    size_t ordered; /* VMs with an order */
+    size_t free;    /* VMs that may be ordered now */
 } PoolPlan;
 
 static const char *
@@ -54,16 +57,23 @@
 }
 
 static void
-count_vms(const JobFleet *fleet, PoolPlan *plans, size_t count)
+count_vms(const JobFleet *fleet, int64_t now, PoolPlan *plans, size_t count)
 {
     size_t i;
 
     for (i = 0; i < fleet->vm_count; i++) {
         const FleetVm *vm = &fleet->vms[i];
         PoolPlan *plan = find_plan(plans, count, pool_of(vm));
-        if (plan == NULL || (!vm->listed.up && !vm->listed.busy)) {
+        if (plan == NULL) {
             continue;
         }
+        plan->ordered += vm->order != FLEET_NONE;
+        if (!vm->listed.up && !vm->listed.busy) {
+            plan->down++;
+            continue;
+        }
+        plan->free += vm->order == FLEET_NONE && vm->listed.up &&
+                      FleetImpl_MayOrder(fleet, now, vm);
         plan->vms++;
         plan->vm_cpu = vm->listed.cpu;
         if (vm->order != FLEET_MAINTAIN) {
@@ -146,7 +156,13 @@
     Slog_Int("forecast", to->load.forecast);
     Slog_Int("period_ms", to->load.period_ms);
     Slog_End();
-    FleetImpl_Order(fleet, now, vm, FLEET_MOVE, to->pool->name, 0);
+    if (strcmp(vm->listed.pool, to->pool->name) == 0) {
+        /* It was to leave the pool that now needs it. */
+        FleetImpl_Cancel(fleet, vm);
+    }
+    else {
+        FleetImpl_Order(fleet, now, vm, FLEET_MOVE, to->pool->name, 0);
+    }
     from->have -= vm->listed.cpu;
     to->have += vm->listed.cpu;
     from->vms--;
@@ -168,6 +184,9 @@
     Slog_Int("forecast", plan->load.forecast);
     Slog_Int("period_ms", plan->load.period_ms);
     Slog_Int("vms", (int64_t)plan->vms);
+    Slog_Int("down", (int64_t)plan->down);
+    Slog_Int("ordered", (int64_t)plan->ordered);
+    Slog_Int("free", (int64_t)plan->free);
     Slog_End();
 }
 
@@ -179,8 +198,24 @@
                plan->vm_cpu * MOVE_SURPLUS_PERCENT / 100;
 }
 
-/* Finds a VM for a pool that needs one: standby ones first, then free ones
- * of pools with more than they need. */
+/* Returns a VM whose move to another pool was decided but not ordered. */
+static FleetVm *
+pick_moving(JobFleet *fleet, const char *pool)
+{
+    size_t i;
+
+    for (i = 0; i < fleet->vm_count; i++) {
+        FleetVm *vm = &fleet->vms[i];
+        if (vm->order == FLEET_MOVE && !vm->committed && !vm->ordered &&
+            strcmp(vm->pool, pool) == 0) {
+            return vm;
+        }
+    }
+    return NULL;
+}
+
+/* Finds a VM for a pool that needs one: ones on their way to standby and
+ * standby ones first, then free ones of pools with more than they need. */
 static bool
 fetch(JobFleet *fleet, int64_t now, PoolPlan *plans, size_t count,
       PoolPlan *to)
@@ -196,7 +231,10 @@
                 (pass == 1 && !has_surplus(from))) {
                 continue;
             }
-            vm = pick_vm(fleet, now, from->pool->name, false);
+            vm = pass == 0 ? pick_moving(fleet, from->pool->name) : NULL;
+            if (vm == NULL) {
+                vm = pick_vm(fleet, now, from->pool->name, false);
+            }
             if (vm != NULL) {
                 move_vm(fleet, now, vm, from, to);
                 return true;
@@ -235,15 +273,15 @@
         plans[count++].pool = &config->pools[i];
     }
     standby = find_standby(plans, count);
-    count_vms(fleet, plans, count);
+    count_vms(fleet, now, plans, count);
     for (i = 0; standby != NULL && i < count; i++) {
         if (!plans[i].pool->standby) {
             JobSched_PoolLoad(fleet->sched, now, plans[i].pool->name,
                               MOVE_AHEAD_MS, &plans[i].load);
             plan_pool(&plans[i]);
-            if (now >= fleet->log_ms) {
-                log_plan(&plans[i]);
-            }
+        }
+        if (now >= fleet->log_ms) {
+            log_plan(&plans[i]);
         }
     }
     if (now >= fleet->log_ms) {
--- a/src/jobfleet_wave.c
+++ b/src/jobfleet_wave.c
@@ -5,18 +5,6 @@
 
 #include "jobcodec.h"
 
-/* Returns whether an earlier leader may have ordered the VM just now. */
-static bool
-is_unsettled(const JobFleet *fleet, int64_t now, const char *vm)
-{
-    const JobVmOrder *stored = JobState_VmOrder(fleet->state, vm);
-
-    return stored != NULL &&
-           stored->fence >> FLEET_FENCE_BITS !=
-               fleet->fence >> FLEET_FENCE_BITS &&
-           now - fleet->lead_ms < fleet->options.holder_ms;
-}
-
 /* Returns the VMs of a wave that are or may be under maintenance. */
 static uint32_t
 under_way(JobFleet *fleet, int64_t now, const JobWave *wave)
@@ -32,7 +20,7 @@
         count += (vm->order == FLEET_MAINTAIN && vm->wave == wave->number) ||
                  (vm->order == FLEET_NONE &&
                   (vm->listed.busy ||
-                   is_unsettled(fleet, now, wave->vms[i].vm)));
+                   FleetImpl_IsUnsettled(fleet, now, wave->vms[i].vm)));
     }
     return count;
 }
--- a/src/jobstate.c
+++ b/src/jobstate.c
@@ -754,26 +754,38 @@
 void
 JobStateImpl_SetOrder(JobState *state, const JobVmOrder *order)
 {
+    JobVmOrder *row = NULL;
     size_t i;
 
-    for (i = 0; i < state->order_count; i++) {
+    for (i = 0; i < state->order_count && row == NULL; i++) {
         if (strcmp(state->orders[i].vm, order->vm) == 0) {
-            state->orders[i] = *order;
-            return;
+            row = &state->orders[i];
         }
     }
+    if (row != NULL) {
+        *row = *order;
+        row->seen_ms = state->now_ms;
+        return;
+    }
     state->orders =
         realloc(state->orders, (state->order_count + 1) * sizeof(*order));
     if (state->orders == NULL) {
         abort();
     }
-    state->orders[state->order_count++] = *order;
+    state->orders[state->order_count] = *order;
+    state->orders[state->order_count++].seen_ms = state->now_ms;
+}
+
+void
+JobState_SetNow(JobState *state, int64_t now)
+{
+    state->now_ms = now;
 }
 
 static JobResult
 apply_vm_order(JobState *state, MpRead *reader)
 {
-    JobVmOrder order = {{0}, 0, 0};
+    JobVmOrder order = {{0}, 0, 0, 0};
 
     if (!MpRead_Text(reader, order.vm, sizeof(order.vm)) ||
         !MpRead_U64(reader, &order.fence) ||
--- a/src/jobstate.h
+++ b/src/jobstate.h
@@ -150,6 +150,7 @@
     char vm[JOB_NAME_BYTES];
     uint64_t fence;
     int64_t wall_ms;
+    int64_t seen_ms; /* not replicated: when this node applied it */
 } JobVmOrder;
 
 typedef struct JobState JobState;
@@ -157,6 +158,9 @@
 JobState *JobState_New(void);
 void JobState_Free(JobState *state);
 
+/* Tells the steady time, which only members that are not replicated take. */
+void JobState_SetNow(JobState *state, int64_t now);
+
 /* Applies one command and appends one byte with a JobResult. */
 void JobState_Apply(JobState *state, const char *command, size_t len,
                     Buf *result);
--- a/src/jobstate_impl.h
+++ b/src/jobstate_impl.h
@@ -22,6 +22,7 @@
     size_t wave_count;
     JobVmOrder *orders;
     size_t order_count;
+    int64_t now_ms;
 };
 
 Job *JobStateImpl_AddJob(JobState *state, const char *id, const char *queue);
--- a/src/jobstate_snapshot.c
+++ b/src/jobstate_snapshot.c
@@ -353,7 +353,7 @@
 static bool
 read_order(JobState *state, MpRead *reader)
 {
-    JobVmOrder order = {{0}, 0, 0};
+    JobVmOrder order = {{0}, 0, 0, 0};
 
     if (!read_header(reader, 3) ||
         !MpRead_Text(reader, order.vm, sizeof(order.vm)) ||
@@ -391,6 +391,7 @@
     MpRead reader;
     uint64_t format = 0;
 
+    fresh->now_ms = state->now_ms;
     MpRead_Init(&reader, bytes, len);
     if (!read_header(&reader, 8) || !MpRead_U64(&reader, &format) ||
         format != SNAPSHOT_FORMAT ||
