--- a/src/jobfleet.c
+++ b/src/jobfleet.c
@@ -334,7 +334,9 @@
     Slog_Int("wave", (int64_t)vm->wave);
     Slog_Int("prepared_ms", now - vm->since_ms);
     Slog_End();
-    if (target != NULL) {
+    /* The service also accepts what was done before, so runs are given up
+     * only once the VM's next target, or no target, answers. */
+    if (target != NULL && target->run_count == 0) {
         JobSched_Ended(fleet->sched, target);
     }
     if (vm->order == FLEET_MOVE) {
@@ -481,7 +483,9 @@
 
     if (target != NULL && strcmp(target->says.id, vm->old_target) == 0) {
         JobSched_Close(fleet->sched, target, true);
-        JobSched_Ended(fleet->sched, target);
+        if (JobSched_IsIdle(fleet->sched, target)) {
+            JobSched_Ended(fleet->sched, target);
+        }
     }
 }
 
