--- a/src/jobfleet_wave.c
+++ b/src/jobfleet_wave.c
@@ -5,6 +5,9 @@
 
 #include "jobcodec.h"
 
+/* A VM that lists have missed for so long has left. */
+#define WAVE_ABSENT_MS 6000
+
 /* Returns the VMs of a wave that are or may be under maintenance. */
 static uint32_t
 under_way(JobFleet *fleet, int64_t now, const JobWave *wave)
@@ -77,16 +80,22 @@
     return cost;
 }
 
-/* Marks VMs of a wave that have left the platform. */
+/* Marks VMs of a wave that have left the platform. A list may be older than
+ * the VM, so one is missed for some time first. */
 static void
-note_left(JobFleet *fleet, const JobWave *wave)
+note_left(JobFleet *fleet, int64_t now, JobWave *wave)
 {
     uint32_t i;
 
     for (i = 0; i < wave->vm_count; i++) {
+        JobWaveVm *vm = &wave->vms[i];
         Buf command = BUF_INIT;
-        if (wave->vms[i].done ||
-            FleetImpl_Find(fleet, wave->vms[i].vm) != NULL) {
+        if (vm->done || FleetImpl_Find(fleet, vm->vm) != NULL) {
+            vm->absent_ms = 0;
+            continue;
+        }
+        vm->absent_ms = vm->absent_ms == 0 ? now : vm->absent_ms;
+        if (fleet->list_sent_ms - vm->absent_ms < WAVE_ABSENT_MS) {
             continue;
         }
         JobCmd_WaveVm(&command, wave->number, wave->vms[i].vm, true);
@@ -134,12 +143,12 @@
 
     (void)wall_ms;
     for (i = 0; i < JobState_WaveCount(fleet->state); i++) {
-        const JobWave *wave = JobState_WaveAt(fleet->state, i);
+        JobWave *wave = JobState_WaveAt(fleet->state, i);
         FleetVm *vm;
         if (wave->done == wave->vm_count) {
             continue;
         }
-        note_left(fleet, wave);
+        note_left(fleet, now, wave);
         while (under_way(fleet, now, wave) < wave->cap &&
                (vm = next_vm(fleet, wave)) != NULL) {
             FleetImpl_Order(fleet, now, vm, FLEET_MAINTAIN, vm->listed.pool,
--- a/src/jobsched.c
+++ b/src/jobsched.c
@@ -19,6 +19,8 @@
 /* Holds that ask an idle target for its clock before its announcement is
  * waited for. */
 #define SCHED_ASK_CLOCK 3
+/* An order without an answer may be carried out this late. */
+#define SCHED_LATE_MS 12000
 /* Ends in one list of a target; a longer list may be incomplete. */
 #define SCHED_LIST_ENDS 500
 /* Runs that fail in a row before a target is set aside, and for how long. */
@@ -231,6 +233,12 @@
 {
     int64_t left;
 
+    if (live->reborn) {
+        /* A late order to the earlier life may still reach this one and run
+         * for a whole lease. */
+        return live->reborn_ms + SCHED_LATE_MS +
+               sched->options.lease_ms * (100 + JOBSCHED_CLOCK_DRIFT) / 100;
+    }
     if (!live->clock_known) {
         /* Only an earlier leader can have granted a lease. */
         left = sched->options.lease_ms;
@@ -511,6 +519,7 @@
     Slog_Int("before", (int64_t)target->says.born);
     Slog_End();
     live->reborn = true;
+    live->reborn_ms = now;
     live->reborn_at = born;
     live->life = sched->next_life++;
     live->fence = JobSched_NewFence(sched);
@@ -1251,6 +1260,13 @@
     }
 }
 
+static bool
+is_heard(const JobSched *sched, const SchedTarget *live, int64_t now)
+{
+    return now - live->heard_ms <
+           SCHED_SILENT_BEATS * sched->options.announce_ms;
+}
+
 bool
 SchedImpl_Usable(const JobSched *sched, const JobTarget *target, int64_t now)
 {
@@ -1258,9 +1274,7 @@
 
     return live != NULL && !target->says.leaving && !live->reborn &&
            !live->closed && live->clock_known && live->unanswered < 2 &&
-           now >= live->shunned_ms &&
-           now - live->heard_ms <
-               SCHED_SILENT_BEATS * sched->options.announce_ms;
+           now >= live->shunned_ms && is_heard(sched, live, now);
 }
 
 static void
@@ -1289,7 +1303,8 @@
 {
     SchedTarget *live = SchedImpl_Live(sched, target);
     bool wanted = target->run_count > 0 || live->reborn || live->ack_due ||
-                  (!live->clock_known && live->unanswered < SCHED_ASK_CLOCK);
+                  (!live->clock_known && live->unanswered < SCHED_ASK_CLOCK) ||
+                  (live->unanswered > 0 && is_heard(sched, live, now));
     uint32_t i;
 
     if (target->run_count > 0 && !live->ends_proposed &&
--- a/src/jobstate.c
+++ b/src/jobstate.c
@@ -906,7 +906,7 @@
     return state->wave_count;
 }
 
-const JobWave *
+JobWave *
 JobState_WaveAt(const JobState *state, size_t i)
 {
     return &state->waves[i];
--- a/src/jobstate.h
+++ b/src/jobstate.h
@@ -133,6 +133,7 @@
     char vm[JOB_NAME_BYTES];
     bool ordered; /* its maintenance has begun */
     bool done;    /* it is back, or it has left */
+    int64_t absent_ms; /* not replicated: the planner has missed it since */
 } JobWaveVm;
 
 typedef struct JobWave {
@@ -187,7 +188,7 @@
 size_t JobState_NodeCount(const JobState *state);
 const JobNode *JobState_NodeAt(const JobState *state, size_t i);
 size_t JobState_WaveCount(const JobState *state);
-const JobWave *JobState_WaveAt(const JobState *state, size_t i);
+JobWave *JobState_WaveAt(const JobState *state, size_t i);
 const JobWave *JobState_Wave(const JobState *state, uint64_t number);
 
 /* Returns the last order for a VM, or NULL. */
