--- a/src/jobctl.c
+++ b/src/jobctl.c
@@ -65,7 +65,12 @@
 static void
 send_fleet(void *arg)
 {
-    JobControl *control = arg;
+    JobControl_SendFleet(arg);
+}
+
+void
+JobControl_SendFleet(JobControl *control)
+{
     JobFleetMsg msg = {.term = Replica_Term(control->replica)};
     Buf body = BUF_INIT;
     size_t i;
--- a/src/jobctl_internal.h
+++ b/src/jobctl_internal.h
@@ -81,6 +81,9 @@
 const char *JobControl_LeaderAddress(const JobControl *control, char *text,
                                      size_t size);
 
+/* Tells all peers who leads and which control nodes there are. */
+void JobControl_SendFleet(JobControl *control);
+
 /* jobctl_log.c */
 Status JobControl_OpenLog(JobControl *control, ErrCtx *err);
 void JobControl_CloseLog(JobControl *control);
--- a/src/jobctl_log.c
+++ b/src/jobctl_log.c
@@ -255,6 +255,7 @@
     JobFleet_Lead(control->fleet, now, control->leading_term);
     control->place_due = true;
     control->nodes_due = true;
+    JobControl_SendFleet(control);
     Slog_Begin(SLOG_CHANGE, "leader_serves");
     Slog_Int("term", (int64_t)control->leading_term);
     Slog_Int("jobs", (int64_t)JobState_JobCount(control->state));
--- a/src/jobentry.c
+++ b/src/jobentry.c
@@ -19,10 +19,13 @@
 #define LINK_SILENCE_MS 1200
 /* A leader that was not heard for so long is not passed any request. */
 #define LEADER_SILENCE_MS 1500
-/* A request waits so long for a leader to be known. */
-#define WAIT_LEADER_MS 900
-/* The leader answers within this or not at all. */
-#define REPLY_MS 2500
+/* A leader lost so recently is being replaced: requests wait for the next
+ * one. Later ones are refused at once. */
+#define ELECTION_MS 2000
+/* A request waits so long for a leader. */
+#define WAIT_LEADER_MS 1500
+/* A request is answered within this, or within its deadline. */
+#define REPLY_MS 2700
 #define RETRY_MS 1000
 /* A planned stop takes in requests until the balancer has noticed. */
 #define STOP_LISTEN_MS 3000
@@ -36,6 +39,7 @@
     int64_t since_ms;
     int64_t due_ms;
     size_t peer; /* that it was sent to, or SIZE_MAX */
+    bool sent;   /* to any leader: it may have been carried out */
     struct Passed *next;
 } Passed;
 
@@ -54,6 +58,7 @@
     uint64_t leader_term;
     size_t leader; /* peer, or SIZE_MAX */
     int64_t leader_heard_ms;
+    int64_t lost_ms; /* when the last leader was lost */
     bool was_ready;
     int64_t stop_ms;
 };
@@ -108,7 +113,7 @@
         Slog_Text("id", passed->id);
         Slog_Int("status", status);
         Slog_Int("took_ms", Loop_NowMs() - passed->since_ms);
-        Slog_Int("passed_on", passed->peer != SIZE_MAX);
+        Slog_Int("passed_on", passed->sent);
         Slog_Int("term", (int64_t)entry->leader_term);
         Slog_Int("leader_age_ms", Loop_NowMs() - entry->leader_heard_ms);
         Slog_End();
@@ -160,7 +165,17 @@
     Peers_Send(entry->peers, entry->leader, frame.data, frame.len);
     Buf_Free(&frame);
     passed->peer = entry->leader;
-    passed->due_ms = Loop_NowMs() + REPLY_MS;
+    passed->sent = true;
+}
+
+/* Returns how long a caller's request may take. */
+static int64_t
+wait_ms(const HttpRequest *http)
+{
+    const char *header = HttpRequest_Header(http, "X-Deadline-Ms");
+    int64_t limit = header != NULL ? strtoll(header, NULL, 10) * 9 / 10 : 0;
+
+    return limit > 0 && limit < REPLY_MS ? limit : REPLY_MS;
 }
 
 static void
@@ -178,7 +193,7 @@
     passed->http = http;
     passed->kind = kind_of(HttpRequest_Method(http));
     passed->since_ms = Loop_NowMs();
-    passed->due_ms = passed->since_ms + WAIT_LEADER_MS;
+    passed->due_ms = passed->since_ms + wait_ms(http);
     passed->peer = SIZE_MAX;
     snprintf(passed->id, sizeof(passed->id), "%s", id != NULL ? id + 1 : "");
     passed->next = entry->passed;
@@ -186,6 +201,9 @@
     if (has_leader(entry)) {
         pass_on(entry, passed);
     }
+    else if (passed->since_ms - entry->lost_ms > ELECTION_MS) {
+        finish_as(entry, passed, JOB_REPLY_UNAVAILABLE, "no leader is known");
+    }
 }
 
 static bool
@@ -219,19 +237,17 @@
     Slog_End();
 }
 
-/* What was passed on to a node that is down has no known outcome. */
+/* Requests change nothing when they are sent twice, so those without a reply
+ * wait for the next leader. */
 static void
-abandon(JobEntry *entry, size_t peer)
+lose_leader(JobEntry *entry)
 {
-    Passed *passed = entry->passed;
+    Passed *passed;
 
-    while (passed != NULL) {
-        Passed *next = passed->next;
-        if (passed->peer == peer) {
-            finish_as(entry, passed, JOB_REPLY_UNKNOWN,
-                      "the link to the leader broke; ask again");
-        }
-        passed = next;
+    entry->leader = SIZE_MAX;
+    entry->lost_ms = Loop_NowMs();
+    for (passed = entry->passed; passed != NULL; passed = passed->next) {
+        passed->peer = SIZE_MAX;
     }
 }
 
@@ -244,9 +260,8 @@
     Slog_Text("peer", Peers_Hello(entry->peers, peer)->name);
     Slog_Int("leader", peer == entry->leader);
     Slog_End();
-    abandon(entry, peer);
     if (peer == entry->leader) {
-        entry->leader = SIZE_MAX;
+        lose_leader(entry);
     }
 }
 
@@ -277,7 +292,7 @@
     }
     if (!msg.serves) {
         if (peer == entry->leader) {
-            entry->leader = SIZE_MAX;
+            lose_leader(entry);
         }
         return;
     }
@@ -285,6 +300,7 @@
         return; /* a leader that was deposed and does not know it yet */
     }
     if (msg.term > entry->leader_term || entry->leader != peer) {
+        lose_leader(entry);
         Slog_Begin(SLOG_CHANGE, "leader_seen");
         Slog_Text("leader", Peers_Hello(entry->peers, peer)->name);
         Slog_Int("term", (int64_t)msg.term);
@@ -342,8 +358,11 @@
 
     while (passed != NULL) {
         Passed *next = passed->next;
-        if (now >= passed->due_ms) {
-            if (passed->peer == SIZE_MAX) {
+        if (now >= passed->due_ms ||
+            (passed->peer == SIZE_MAX &&
+             now - passed->since_ms >= WAIT_LEADER_MS &&
+             now - entry->lost_ms >= ELECTION_MS)) {
+            if (!passed->sent) {
                 finish_as(entry, passed, JOB_REPLY_UNAVAILABLE,
                           "no leader is known");
             }
