--- a/src/httpclient.c
+++ b/src/httpclient.c
@@ -8,6 +8,8 @@
 
 #define HTTP_CONNECT_TIMEOUT_MS 1000
 #define HTTP_URL_BYTES 512
+/* Two or three for each target of a large fleet. */
+#define HTTP_MAX_IDLE_CONNECTIONS 2048L
 
 /* One socket that libcurl asked to watch. */
 typedef struct SocketWatch {
@@ -206,7 +208,8 @@
     curl_multi_setopt(client->multi, CURLMOPT_TIMERDATA, client);
     curl_multi_setopt(client->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
                       max_per_host);
-    curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS, 512L);
+    curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS,
+                      HTTP_MAX_IDLE_CONNECTIONS);
     return client;
 }
 
--- a/src/jobfleet.c
+++ b/src/jobfleet.c
@@ -99,19 +99,7 @@
 JobTarget *
 FleetImpl_Target(const JobFleet *fleet, const FleetVm *vm)
 {
-    JobTarget *found = NULL;
-    uint32_t i;
-
-    for (i = 0; i < JobState_TargetRows(fleet->state); i++) {
-        JobTarget *target = JobState_Target(fleet->state, i);
-        if (target == NULL || strcmp(target->says.vm, vm->listed.name) != 0) {
-            continue;
-        }
-        if (found == NULL || target->says.born > found->says.born) {
-            found = target;
-        }
-    }
-    return found;
+    return JobState_VmTarget(fleet->state, vm->listed.name);
 }
 
 static FleetVm *
@@ -417,8 +405,8 @@
 JobFleet_Answered(JobFleet *fleet, int64_t now, const JobVmCall *call,
                   const JobVmAnswer *answer)
 {
-    if (!fleet->leads || call->fence >> FLEET_FENCE_BITS !=
-                             fleet->fence >> FLEET_FENCE_BITS) {
+    if (!fleet->leads ||
+        call->fence >> FLEET_FENCE_BITS != fleet->fence >> FLEET_FENCE_BITS) {
         return;
     }
     if (call->kind == JOB_VM_LIST) {
--- a/src/jobsched.c
+++ b/src/jobsched.c
@@ -8,6 +8,8 @@
 
 /* A start or stop without an answer is ordered again after this. */
 #define SCHED_REPEAT_MS 300
+/* An accepted stop whose end does not show is ordered again after this. */
+#define SCHED_SETTLED_MS 4000
 /* A failed hold is repeated after this. */
 #define SCHED_HOLD_RETRY_MS 250
 /* Ended jobs are looked through this often. */
@@ -316,6 +318,7 @@
     task->live.phase = JOB_LIVE_STOPPING;
     task->live.since_ms = now;
     task->live.calling = true;
+    task->live.settled = false;
     stop_task(sched, now, JobState_Target(sched->state, task->target), &ref,
               task->attempt);
 }
@@ -339,6 +342,10 @@
         return;
     }
     if (is_unwanted(run)) {
+        /* After an accepted stop the next hold that is sent shows the end;
+         * a further stop would only put that off. */
+        due = due && (!task->live.settled ||
+                      now - task->live.since_ms >= SCHED_SETTLED_MS);
         if (task->live.phase != JOB_LIVE_STOPPING || due) {
             stop_run(sched, now, run);
         }
@@ -896,6 +903,7 @@
     if (answer->outcome == JOB_CALL_OK) {
         /* The next hold lists its end, or shows that it never ran. */
         task->live.calling = false;
+        task->live.settled = true;
         task->live.since_ms = now;
     }
     else if (answer->outcome != JOB_CALL_NO_ANSWER) {
--- a/src/jobsched_impl.h
+++ b/src/jobsched_impl.h
@@ -32,10 +32,10 @@
     uint32_t unanswered; /* calls in a row */
     uint64_t order;      /* of its last announcement */
     bool reborn;         /* a later life was seen and is being checked */
-    uint64_t reborn_at; /* birth time of that life */
-    int64_t reborn_ms;  /* when it was seen */
-    bool storing;     /* an announcement is on its way through the log */
-    JobNeed reserved; /* by assignments on their way */
+    uint64_t reborn_at;  /* birth time of that life */
+    int64_t reborn_ms;   /* when it was seen */
+    bool storing;        /* an announcement is on its way through the log */
+    JobNeed reserved;    /* by assignments on their way */
     uint32_t reserved_count;
     uint32_t failures;  /* ends `failed` in a row */
     int64_t shunned_ms; /* no new work before, as it fails everything */
--- a/src/jobsched_place.c
+++ b/src/jobsched_place.c
@@ -20,12 +20,24 @@
     int64_t rank;
 } Candidate;
 
+/* The usable targets of one pool. */
+typedef struct PlacePool {
+    const char *name;
+    JobTarget **targets;
+    size_t count;
+    size_t capacity;
+    bool full; /* a task with the need below had no place */
+    JobNeed no_fit;
+} PlacePool;
+
 typedef struct Place {
     JobSched *sched;
     int64_t now;
     int64_t wall_ms;
     Candidate *candidates;
     size_t count;
+    PlacePool *pools;
+    size_t pool_count;
 } Place;
 
 static bool
@@ -150,28 +162,88 @@
     return score > 0 ? score : 0;
 }
 
+static PlacePool *
+find_pool(Place *place, const char *name)
+{
+    size_t i;
+
+    for (i = 0; i < place->pool_count; i++) {
+        if (strcmp(place->pools[i].name, name) == 0) {
+            return &place->pools[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+add_target(Place *place, JobTarget *target)
+{
+    PlacePool *pool = find_pool(place, target->says.pool);
+
+    if (pool == NULL) {
+        place->pools = realloc(place->pools, (place->pool_count + 1) *
+                                                 sizeof(*place->pools));
+        if (place->pools == NULL) {
+            abort();
+        }
+        pool = &place->pools[place->pool_count++];
+        memset(pool, 0, sizeof(*pool));
+        pool->name = target->says.pool;
+    }
+    if (pool->count == pool->capacity) {
+        pool->capacity = pool->capacity * 2 + 16;
+        pool->targets =
+            realloc(pool->targets, pool->capacity * sizeof(*pool->targets));
+        if (pool->targets == NULL) {
+            abort();
+        }
+    }
+    pool->targets[pool->count++] = target;
+}
+
+static void
+list_targets(Place *place)
+{
+    uint32_t i;
+
+    for (i = 0; i < JobState_TargetRows(place->sched->state); i++) {
+        JobTarget *target = JobState_Target(place->sched->state, i);
+        if (target != NULL &&
+            SchedImpl_Usable(place->sched, target, place->now)) {
+            add_target(place, target);
+        }
+    }
+}
+
 static JobTarget *
-choose(Place *place, const char *pool, const Job *job, uint32_t occurrence,
+choose(Place *place, PlacePool *pool, const Job *job, uint32_t occurrence,
        uint32_t step)
 {
-    JobSched *sched = place->sched;
+    const JobStep *spec = &job->spec.steps[step];
     JobTarget *best = NULL;
     int64_t best_score = -1;
-    uint32_t i;
+    size_t i;
 
-    for (i = 0; i < JobState_TargetRows(sched->state); i++) {
-        JobTarget *target = JobState_Target(sched->state, i);
-        int64_t score;
-        if (target == NULL || strcmp(target->says.pool, pool) != 0 ||
-            !SchedImpl_Usable(sched, target, place->now)) {
-            continue;
-        }
-        score = suitability(sched, job, occurrence, step, target);
+    /* Room only shrinks within a pass. */
+    if (pool->full && spec->need.cpu >= pool->no_fit.cpu &&
+        spec->need.memory_mb >= pool->no_fit.memory_mb &&
+        spec->need.accelerators >= pool->no_fit.accelerators &&
+        !spec->leftover) {
+        return NULL;
+    }
+    for (i = 0; i < pool->count; i++) {
+        int64_t score =
+            suitability(place->sched, job, occurrence, step, pool->targets[i]);
         if (score > best_score) {
             best_score = score;
-            best = target;
+            best = pool->targets[i];
         }
     }
+    if (best == NULL && spec->label[0] == '\0' && spec->max_per_target == 0 &&
+        !spec->leftover) {
+        pool->full = true;
+        pool->no_fit = spec->need;
+    }
     return best;
 }
 
@@ -238,7 +310,7 @@
 /* Places the free tasks of a step. Returns whether some stay without a
  * place. */
 static bool
-place_step(Place *place, Job *job, const char *pool, uint32_t occurrence,
+place_step(Place *place, Job *job, PlacePool *pool, uint32_t occurrence,
            uint32_t step)
 {
     JobSched *sched = place->sched;
@@ -289,11 +361,15 @@
 {
     const JobQueue *queue =
         JobConfig_Queue(JobState_Config(place->sched->state), job->queue);
-    const char *pool = queue != NULL ? queue->pool : job->pool;
+    PlacePool *pool =
+        find_pool(place, queue != NULL ? queue->pool : job->pool);
     bool waiting = false;
     uint32_t k;
     uint32_t step;
 
+    if (pool == NULL) {
+        return; /* none of its targets can be used now */
+    }
     for (k = job->first_open; k < job->occurrence_count; k++) {
         JobTaskRef first = {{0}, k, 0, 0};
         Job *same;
@@ -344,27 +420,50 @@
 }
 
 #define RANK_LATE ((int64_t)1 << 40)
+/* The expected times of a job are worked out again after this. */
+#define RANK_CHAIN_MS 500
+
+/* Keeps the expected times of a job up to date. */
+static void
+update_chain(const Place *place, Job *job)
+{
+    const JobOccurrence *open = job->first_open < job->occurrence_count
+                                    ? &job->occurrences[job->first_open]
+                                    : NULL;
+    uint32_t done = open != NULL ? open->done : 0;
+
+    if (job->live.chain_at_ms != 0 && job->live.chain_done == done &&
+        place->now - job->live.chain_at_ms < RANK_CHAIN_MS) {
+        return;
+    }
+    job->live.chain_ms = chain_ms(place->sched, job, false);
+    job->live.left_ms = chain_ms(place->sched, job, true);
+    job->live.chain_at_ms = place->now;
+    job->live.chain_done = done;
+}
 
 /* Returns a key by which jobs are placed, lowest first: lasting ones, then
  * by the latest time at which the objective can still be met, then what can
  * no longer meet it, newest first, since only that may yet earn something. */
 static int64_t
-rank(const Place *place, const Job *job)
+rank(const Place *place, Job *job)
 {
-    const JobQueue *queue =
-        JobConfig_Queue(JobState_Config(place->sched->state), job->queue);
-    int64_t left = chain_ms(place->sched, job, true);
-    int64_t objective = queue != NULL ? queue->objective_ms : 1000;
-    double slack = queue != NULL ? queue->slack : 2.0;
+    const JobQueue *queue;
     int64_t age = place->wall_ms - job->accepted_ms;
-    int64_t allowed =
-        (int64_t)(slack * (double)chain_ms(place->sched, job, false)) +
-        objective;
-    int64_t spare = allowed - left - age;
+    int64_t allowed;
+    int64_t left;
+    int64_t spare;
 
     if (job->spec.steps[0].lasting) {
         return INT64_MIN / 2;
     }
+    queue = JobConfig_Queue(JobState_Config(place->sched->state), job->queue);
+    update_chain(place, job);
+    left = job->live.left_ms;
+    allowed = (int64_t)((queue != NULL ? queue->slack : 2.0) *
+                        (double)job->live.chain_ms) +
+              (queue != NULL ? queue->objective_ms : 1000);
+    spare = allowed - left - age;
     if (spare < -left * RANK_TOLERANCE_PERCENT / 100) {
         return RANK_LATE + age;
     }
@@ -420,13 +519,16 @@
 void
 JobSched_Place(JobSched *sched, int64_t now, int64_t wall_ms)
 {
-    Place place = {sched, now, wall_ms, NULL, 0};
+    Place place = {.sched = sched, .now = now, .wall_ms = wall_ms};
     size_t i;
 
     if (!sched->leads) {
         return;
     }
     collect(&place);
+    if (place.count > 0) {
+        list_targets(&place);
+    }
     if (place.count > 1) {
         qsort(place.candidates, place.count, sizeof(Candidate), by_rank);
     }
@@ -434,6 +536,10 @@
         place_job(&place, place.candidates[i].job);
     }
     free(place.candidates);
+    for (i = 0; i < place.pool_count; i++) {
+        free(place.pools[i].targets);
+    }
+    free(place.pools);
     if (sched->batch_count > 0) {
         propose_batch(sched);
     }
--- a/src/jobstate.c
+++ b/src/jobstate.c
@@ -21,6 +21,8 @@
     JobState *state = allocate(1, sizeof(*state));
 
     state->jobs = StrMap_New();
+    state->by_id = StrMap_New();
+    state->by_vm = StrMap_New();
     state->next_serial = 1;
     return state;
 }
@@ -270,18 +272,38 @@
     return row < state->target_rows ? state->targets[row] : NULL;
 }
 
+void
+JobStateImpl_IndexTarget(JobState *state, JobTarget *target)
+{
+    const JobTarget *other = StrMap_Get(state->by_vm, target->says.vm);
+
+    StrMap_Put(state->by_id, target->says.id, target);
+    if (target->says.vm[0] != '\0' &&
+        (other == NULL || other->says.born <= target->says.born)) {
+        StrMap_Put(state->by_vm, target->says.vm, target);
+    }
+}
+
+/* Takes a target out of the indexes before its announcement changes. */
+static void
+unindex(JobState *state, const JobTarget *target)
+{
+    StrMap_Remove(state->by_id, target->says.id);
+    if (StrMap_Get(state->by_vm, target->says.vm) == target) {
+        StrMap_Remove(state->by_vm, target->says.vm);
+    }
+}
+
 JobTarget *
 JobState_FindTarget(const JobState *state, const char *id)
 {
-    uint32_t i;
+    return StrMap_Get(state->by_id, id);
+}
 
-    for (i = 0; i < state->target_rows; i++) {
-        if (state->targets[i] != NULL &&
-            strcmp(state->targets[i]->says.id, id) == 0) {
-            return state->targets[i];
-        }
-    }
-    return NULL;
+JobTarget *
+JobState_VmTarget(const JobState *state, const char *vm)
+{
+    return StrMap_Get(state->by_vm, vm);
 }
 
 /* Returns a task to the queue. */
@@ -528,8 +550,20 @@
     Job *job;
     JobTask *task = JobState_Task(state, &end->task, &job);
 
-    if (task == NULL || task->state != JOB_TASK_ASSIGNED ||
-        task->target != target || task->attempt != end->attempt) {
+    if (task == NULL) {
+        return;
+    }
+    if (task->state == JOB_TASK_WAITING && end->kind == JOB_END_DONE &&
+        end->attempt > 0 && end->attempt <= task->attempt &&
+        !step_of(job, end->task.step)->lasting &&
+        !step_of(job, end->task.step)->gang) {
+        /* It was given up with its target, but had been done before. */
+        finish_task(state, job, &end->task, task, wall_ms);
+        settle(state, job);
+        return;
+    }
+    if (task->state != JOB_TASK_ASSIGNED || task->target != target ||
+        task->attempt != end->attempt) {
         return;
     }
     if (end->kind == JOB_END_DONE && !step_of(job, end->task.step)->lasting) {
@@ -617,7 +651,11 @@
         target = JobStateImpl_AddTarget(state, row);
         target->serial = state->next_serial++;
     }
+    else {
+        unindex(state, target);
+    }
     target->says = says;
+    JobStateImpl_IndexTarget(state, target);
     return JOB_RESULT_OK;
 }
 
@@ -636,6 +674,7 @@
         return JOB_RESULT_IGNORED;
     }
     release_all(state, target);
+    unindex(state, target);
     free(target->live);
     free(target->runs);
     free(target);
@@ -985,6 +1024,8 @@
         JobStateImpl_FreeJob(StrMap_At(state->jobs, i));
     }
     StrMap_Free(state->jobs);
+    StrMap_Free(state->by_id);
+    StrMap_Free(state->by_vm);
     JobConfig_Free(&state->config);
     for (i = 0; i < state->target_rows; i++) {
         if (state->targets[i] != NULL) {
--- a/src/jobstate.h
+++ b/src/jobstate.h
@@ -55,7 +55,7 @@
     uint8_t pace;
     bool calling;   /* a start or stop has no answer yet */
     bool must_stop; /* wanted by a move, a wave or a preemption */
-    bool seen;
+    bool settled;   /* the target has accepted the stop */
 } JobTaskLive;
 
 typedef struct JobTask {
@@ -77,7 +77,10 @@
     int64_t accepted_ms; /* steady time of the acceptance or takeover */
     int64_t retry_ms;    /* no placement is tried before */
     bool observed;       /* was not there at the takeover */
-    uint32_t proposed;
+    int64_t chain_ms;    /* expected time of its longest chain ... */
+    int64_t left_ms;     /* ... and of what is left of it */
+    int64_t chain_at_ms; /* when these were worked out */
+    uint32_t chain_done; /* tasks done then */
 } JobLive;
 
 typedef struct Job {
@@ -131,8 +134,8 @@
 
 typedef struct JobWaveVm {
     char vm[JOB_NAME_BYTES];
-    bool ordered; /* its maintenance has begun */
-    bool done;    /* it is back, or it has left */
+    bool ordered;      /* its maintenance has begun */
+    bool done;         /* it is back, or it has left */
     int64_t absent_ms; /* not replicated: the planner has missed it since */
 } JobWaveVm;
 
@@ -185,6 +188,8 @@
 /* Returns NULL for a row that is free. */
 JobTarget *JobState_Target(const JobState *state, uint32_t row);
 JobTarget *JobState_FindTarget(const JobState *state, const char *id);
+/* Returns the latest target that announced itself on a VM, or NULL. */
+JobTarget *JobState_VmTarget(const JobState *state, const char *vm);
 size_t JobState_NodeCount(const JobState *state);
 const JobNode *JobState_NodeAt(const JobState *state, size_t i);
 size_t JobState_WaveCount(const JobState *state);
--- a/src/jobstate_impl.h
+++ b/src/jobstate_impl.h
@@ -15,6 +15,8 @@
     Job *active_last;
     JobTarget **targets;
     uint32_t target_rows;
+    StrMap *by_id; /* of the targets */
+    StrMap *by_vm; /* the latest target of each VM */
     uint64_t next_serial;
     JobNode *nodes;
     size_t node_count;
@@ -32,6 +34,8 @@
 void JobStateImpl_Activate(JobState *state, Job *job);
 void JobStateImpl_FreeJob(Job *job);
 JobTarget *JobStateImpl_AddTarget(JobState *state, uint32_t row);
+/* Enters a target into the indexes once its announcement is set. */
+void JobStateImpl_IndexTarget(JobState *state, JobTarget *target);
 void JobStateImpl_AddNode(JobState *state, const JobNode *node);
 void JobStateImpl_SetOrder(JobState *state, const JobVmOrder *order);
 JobWave *JobStateImpl_AddWave(JobState *state, uint32_t vm_count);
--- a/src/jobstate_snapshot.c
+++ b/src/jobstate_snapshot.c
@@ -297,9 +297,13 @@
         return false;
     }
     target = JobStateImpl_AddTarget(state, row);
-    return MpRead_U64(reader, &target->serial) &&
-           MpRead_U64(reader, &target->ends_taken) &&
-           JobCodec_ReadAnnouncement(reader, &target->says);
+    if (!MpRead_U64(reader, &target->serial) ||
+        !MpRead_U64(reader, &target->ends_taken) ||
+        !JobCodec_ReadAnnouncement(reader, &target->says)) {
+        return false;
+    }
+    JobStateImpl_IndexTarget(state, target);
+    return true;
 }
 
 static bool
--- a/src/raft_query.c
+++ b/src/raft_query.c
@@ -112,9 +112,8 @@
 {
     const RaftPeer *peer = RaftCore_ConstPeer(raft, identity);
 
-    return raft->role == RAFT_LEADER && peer != NULL
-               ? now_ms - peer->heard_ms
-               : 0;
+    return raft->role == RAFT_LEADER && peer != NULL ? now_ms - peer->heard_ms
+                                                     : 0;
 }
 
 bool
