--- a/src/httpclient.c
+++ b/src/httpclient.c
@@ -10,6 +10,7 @@
 #define HTTP_URL_BYTES 512
 /* Two or three for each target of a large fleet. */
 #define HTTP_MAX_IDLE_CONNECTIONS 2048L
+#define HTTP_MAX_SPARE_HANDLES 64
 
 /* One socket that libcurl asked to watch. */
 typedef struct SocketWatch {
@@ -23,6 +24,9 @@
     CURLM *multi;
     LoopTimer *timer;
     HttpCall *calls; /* all in progress */
+    /* Handles that are free: a new one costs more than a small call. */
+    CURL *spare[HTTP_MAX_SPARE_HANDLES];
+    size_t spare_count;
 };
 
 struct HttpCall {
@@ -53,7 +57,13 @@
         call->next->previous = call->previous;
     }
     curl_multi_remove_handle(client->multi, call->easy);
-    curl_easy_cleanup(call->easy);
+    if (client->spare_count < HTTP_MAX_SPARE_HANDLES) {
+        curl_easy_reset(call->easy);
+        client->spare[client->spare_count++] = call->easy;
+    }
+    else {
+        curl_easy_cleanup(call->easy);
+    }
     curl_slist_free_all(call->headers);
     Buf_Free(&call->body);
     free(call);
@@ -228,6 +238,9 @@
         call->previous = NULL;
         free_call(call);
     }
+    while (client->spare_count > 0) {
+        curl_easy_cleanup(client->spare[--client->spare_count]);
+    }
     curl_multi_cleanup(client->multi);
     Loop_FreeTimer(client->timer);
     free(client);
@@ -306,7 +319,9 @@
     if (call == NULL) {
         return NULL;
     }
-    call->easy = curl_easy_init();
+    call->easy = client->spare_count > 0
+                     ? client->spare[--client->spare_count]
+                     : curl_easy_init();
     if (call->easy == NULL) {
         free(call);
         return NULL;
--- a/src/jobctl.c
+++ b/src/jobctl.c
@@ -14,10 +14,15 @@
 #define HTTP_IDLE_S 120
 #define MAX_BODY_BYTES (4 * 1024 * 1024)
 #define LINK_SILENCE_MS 1200
+/* Connections to one target: a hold waits on one of them. */
+#define HTTP_PER_TARGET 3
 #define NODE_REPEAT_MS 1000
 /* Turns of deciding and writing the log before the loop waits again. */
 #define MAX_TURNS 4
 #define CONFIRM_MS 250
+#define SLOW_TURN_US 100000
+/* Jobs and ends that come within this are placed together. */
+#define PLACE_INTERVAL_US 8000
 
 bool
 JobControl_Serves(const JobControl *control)
@@ -283,28 +288,70 @@
     control->place_due = true;
 }
 
+/* The placement that is due runs in the turn before the next wait. */
+static void
+wake(void *arg)
+{
+    (void)arg;
+}
+
+/* A turn that takes long delays every call and may cost the leadership. */
+static void
+log_slow_turn(const JobControl *control, int64_t begun_us, int64_t place_us,
+              int64_t flush_us)
+{
+    int64_t took_us = Loop_NowUs() - begun_us;
+
+    if (took_us < SLOW_TURN_US &&
+        begun_us - control->turn_us < 2 * SLOW_TURN_US) {
+        return;
+    }
+    Slog_Begin(SLOG_FAILURE, "turn_slow");
+    Slog_Int("took_us", took_us);
+    Slog_Int("place_us", place_us);
+    Slog_Int("flush_us", flush_us);
+    Slog_Int("between_us", begun_us - control->turn_us);
+    Slog_Int("jobs", (int64_t)JobState_JobCount(control->state));
+    Slog_End();
+}
+
 /* Decides, writes the log and carries out before each wait of the loop. */
 static bool
 run_turn(void *arg)
 {
     JobControl *control = arg;
+    int64_t begun_us = Loop_NowUs();
+    int64_t place_us = 0;
+    int64_t flush_us = 0;
     int turn;
 
     for (turn = 0; turn < MAX_TURNS; turn++) {
-        if (control->place_due) {
+        int64_t at_us = Loop_NowUs();
+        if (control->place_due &&
+            at_us - control->placed_us >= PLACE_INTERVAL_US) {
             control->place_due = false;
-            JobSched_Place(control->sched, Loop_NowMs(),
+            JobSched_Place(control->sched, at_us / 1000,
                            apr_time_as_msec(apr_time_now()));
+            control->placed_us = Loop_NowUs();
+            place_us += control->placed_us - at_us;
         }
         JobControl_TakeActions(control);
+        at_us = Loop_NowUs();
         Replica_Flush(control->replica, Loop_NowMs());
-        if (!control->place_due) {
+        flush_us += Loop_NowUs() - at_us;
+        if (!control->place_due ||
+            Loop_NowUs() - control->placed_us < PLACE_INTERVAL_US) {
             break;
         }
     }
     JobControl_TakeActions(control);
     Slog_Flush();
-    return control->place_due;
+    if (control->place_due) {
+        Loop_Arm(control->place_timer, PLACE_INTERVAL_US / 1000, 0);
+    }
+    log_slow_turn(control, begun_us, place_us, flush_us);
+    control->turn_us = Loop_NowUs();
+    return false;
 }
 
 static void
@@ -379,7 +426,7 @@
         Peers_Add(control->peers, &seed);
     }
     control->nodes_due = true;
-    control->client = HttpClient_New(control->loop, 0);
+    control->client = HttpClient_New(control->loop, HTTP_PER_TARGET);
     control->server = HttpServer_New(control->loop, &server, err);
     return control->server != NULL ? ST_OK : ST_IO;
 }
@@ -450,6 +497,7 @@
     }
     control->tick = Loop_NewTimer(control->loop, on_tick, control);
     Loop_Arm(control->tick, TICK_MS, TICK_MS);
+    control->place_timer = Loop_NewTimer(control->loop, wake, control);
     control->fleet_timer = Loop_NewTimer(control->loop, send_fleet, control);
     Loop_Arm(control->fleet_timer, FLEET_MS, FLEET_MS);
     Loop_AddPoll(control->loop, run_turn, control);
--- a/src/jobctl_internal.h
+++ b/src/jobctl_internal.h
@@ -59,6 +59,8 @@
     Signals *signals;
     LoopTimer *tick;
     LoopTimer *fleet_timer;
+    LoopTimer *place_timer;
+    int64_t placed_us; /* end of the last placement */
     JobWaiter *waiters;
     uint64_t next_cookie;
     JobReader *readers;      /* wait for the next confirmation */
@@ -67,6 +69,7 @@
     bool taking_over;      /* a read asks whether the state is complete */
     uint64_t leading_term; /* 0: not serving */
     int64_t confirm_ms;
+    int64_t turn_us; /* end of the last turn */
     int64_t node_ms; /* node rows are compared again */
     bool place_due;
     bool nodes_due;
--- a/src/jobsched.c
+++ b/src/jobsched.c
@@ -998,7 +998,8 @@
             live->reserved.accelerators -= step->need.accelerators;
             live->reserved_count--;
         }
-        if (task == NULL || task->live.phase != JOB_LIVE_PROPOSED) {
+        if (task == NULL || job == NULL ||
+            task->live.phase != JOB_LIVE_PROPOSED) {
             continue;
         }
         task->live.phase = JOB_LIVE_NONE;
