--- a/src/httpclient.c
+++ b/src/httpclient.c
@@ -319,9 +319,8 @@
     if (call == NULL) {
         return NULL;
     }
-    call->easy = client->spare_count > 0
-                     ? client->spare[--client->spare_count]
-                     : curl_easy_init();
+    call->easy = client->spare_count > 0 ? client->spare[--client->spare_count]
+                                         : curl_easy_init();
     if (call->easy == NULL) {
         free(call);
         return NULL;
