--- a/src/jobctl.c
+++ b/src/jobctl.c
@@ -428,7 +428,10 @@
     control->nodes_due = true;
     control->client = HttpClient_New(control->loop, HTTP_PER_TARGET);
     control->server = HttpServer_New(control->loop, &server, err);
-    return control->server != NULL ? ST_OK : ST_IO;
+    if (control->server == NULL) {
+        return ST_IO;
+    }
+    return JobControl_OpenMetrics(control, err);
 }
 
 static void
@@ -448,7 +451,6 @@
     sched.announce_ms = settings->announce_ms;
     sched.status_ms = settings->job_status_s * 1000;
     sched.early_ms = settings->job_early_ms;
-    sched.notice_ms = settings->away_notice_ms;
     control->state = JobState_New();
     control->sched = JobSched_New(&sched, control->state);
     control->fleet = JobFleet_New(&fleet, control->state, control->sched);
@@ -522,6 +524,8 @@
         JobControl_CloseLog(control);
     }
     HttpServer_Free(control->server);
+    HttpServer_Free(control->metrics_server);
+    free(control->metrics);
     Peers_Free(control->peers);
     JobFleet_Free(control->fleet);
     JobSched_Free(control->sched);
--- a/src/jobctl_internal.h
+++ b/src/jobctl_internal.h
@@ -12,6 +12,7 @@
 #include "jobcodec.h"
 #include "jobctl.h"
 #include "jobfleet.h"
+#include "jobmetrics.h"
 #include "jobsched.h"
 #include "jobstate.h"
 #include "loop.h"
@@ -55,6 +56,8 @@
     JobSched *sched;
     JobFleet *fleet;
     HttpServer *server;
+    HttpServer *metrics_server; /* NULL without an address */
+    JobMetrics *metrics;        /* NULL without an address */
     HttpClient *client;
     Signals *signals;
     LoopTimer *tick;
@@ -101,6 +104,9 @@
 void JobControl_OnJobRequest(JobControl *control, size_t peer,
                              const msgpack_object_array *message);
 
+/* jobctl_metrics.c */
+Status JobControl_OpenMetrics(JobControl *control, ErrCtx *err);
+
 /* jobctl_call.c: carries out what the scheduler and the fleet decided. */
 void JobControl_TakeActions(JobControl *control);
 
--- /dev/null
+++ b/src/jobctl_metrics.c
@@ -0,0 +1,110 @@
+#include "jobctl_internal.h"
+
+#include <stdlib.h>
+
+#define METRICS_IDLE_S 30
+#define CORE 1000.0 /* thousandths of a core */
+
+static void
+count_targets(const JobControl *control, double *values)
+{
+    int64_t now = Loop_NowMs();
+    uint32_t i;
+
+    for (i = 0; i < JobState_TargetRows(control->state); i++) {
+        const JobTarget *target = JobState_Target(control->state, i);
+        if (target == NULL) {
+            continue;
+        }
+        values[JOB_METRIC_USED_CORES] += target->used.cpu / CORE;
+        if (JobSched_IsUsable(control->sched, target, now)) {
+            values[JOB_METRIC_TARGETS_USABLE]++;
+            values[JOB_METRIC_ROOM_CORES] += target->says.room.cpu / CORE;
+        }
+        else {
+            values[JOB_METRIC_TARGETS_UNUSABLE]++;
+        }
+    }
+}
+
+static void
+count_waiting(const JobControl *control, double *values)
+{
+    const JobConfig *config = JobState_Config(control->state);
+    size_t i;
+
+    for (i = 0; i < config->pool_count; i++) {
+        JobPoolLoad load;
+        JobSched_PoolLoad(control->sched, Loop_NowMs(), config->pools[i].name,
+                          0, &load);
+        values[JOB_METRIC_WAITING_CORES] += (double)load.waiting / CORE;
+    }
+}
+
+static void
+set_gauges(JobControl *control)
+{
+    const JobSchedCounts *counts = JobSched_Counts(control->sched);
+    double *values = control->metrics->values;
+    size_t i;
+
+    for (i = 0; i < JOB_METRIC_COUNT; i++) {
+        values[i] = 0;
+    }
+    values[JOB_METRIC_LEADS] = JobControl_Serves(control);
+    values[JOB_METRIC_TERM] = (double)Replica_Term(control->replica);
+    values[JOB_METRIC_CONFIG_VERSION] =
+        (double)JobState_Config(control->state)->version;
+    for (i = 0; i < Peers_Count(control->peers); i++) {
+        values[JOB_METRIC_PEERS_UP] += Peers_IsUp(control->peers, i);
+    }
+    values[JOB_METRIC_VOTERS] =
+        (double)RaftMembers_Voters(Replica_Members(control->replica));
+    values[JOB_METRIC_JOBS] = (double)JobState_JobCount(control->state);
+    values[JOB_METRIC_LOG_BYTES] =
+        (double)Replica_StateBytes(control->replica);
+    values[JOB_METRIC_STARTS] = (double)counts->started;
+    values[JOB_METRIC_ENDS_DONE] = (double)counts->done;
+    values[JOB_METRIC_ENDS_FAILED] = (double)counts->failed;
+    values[JOB_METRIC_ENDS_LOST] = (double)counts->lost;
+    values[JOB_METRIC_STARTS_REFUSED] = (double)counts->refused;
+    values[JOB_METRIC_CALLS] = (double)counts->calls;
+    values[JOB_METRIC_HOLDS] = (double)counts->holds;
+    values[JOB_METRIC_CALLS_UNANSWERED] = (double)counts->unanswered;
+    values[JOB_METRIC_LOG_LINES_DROPPED] = (double)Slog_Dropped();
+    count_targets(control, values);
+    count_waiting(control, values);
+}
+
+static void
+handle(void *arg, HttpRequest *http)
+{
+    JobControl *control = arg;
+    Buf page = BUF_INIT;
+
+    set_gauges(control);
+    JobMetrics_Write(control->metrics, &page);
+    HttpRequest_ReplyText(http, 200, "text/plain; version=0.0.4",
+                          Buf_Text(&page));
+    Buf_Free(&page);
+}
+
+Status
+JobControl_OpenMetrics(JobControl *control, ErrCtx *err)
+{
+    HttpServerOptions options = {.address = control->settings->metrics,
+                                 .max_body_bytes = 1024,
+                                 .idle_timeout_s = METRICS_IDLE_S,
+                                 .handler = handle,
+                                 .arg = control};
+
+    if (options.address.port == 0) {
+        return ST_OK;
+    }
+    control->metrics = calloc(1, sizeof(*control->metrics));
+    if (control->metrics == NULL) {
+        return Err_Set(err, ST_NO_MEMORY, "no memory for metrics");
+    }
+    control->metrics_server = HttpServer_New(control->loop, &options, err);
+    return control->metrics_server != NULL ? ST_OK : ST_IO;
+}
--- a/src/jobctl_request.c
+++ b/src/jobctl_request.c
@@ -19,6 +19,7 @@
     size_t peer;
     uint64_t sequence;
     int64_t since_ms;
+    int64_t since_us;
     JobRequest request;
 } Asked;
 
@@ -61,9 +62,6 @@
 static void
 log_reply(const Asked *asked, int status, const JobReply *reply)
 {
-    static const char *const kinds[] = {
-        "none",       "submit",   "state", "cancel",   "pending", "put_config",
-        "get_config", "announce", "leave", "put_wave", "get_wave"};
     bool failed = status >= 300;
 
     if (!failed && (asked->request.kind == JOB_REQUEST_ANNOUNCE ||
@@ -72,7 +70,7 @@
         return;
     }
     Slog_Begin(failed ? SLOG_FAILURE : SLOG_ROUTINE, "request_answered");
-    Slog_Text("kind", kinds[asked->request.kind]);
+    Slog_Text("kind", JobMetrics_KindName(asked->request.kind));
     Slog_Text("id", asked->request.id);
     Slog_Text("queue", asked->request.queue);
     Slog_Int("status", status);
@@ -93,6 +91,10 @@
         asked->control->wire->write_reply(asked->request.kind, reply, &body);
 
     log_reply(asked, status, reply);
+    if (asked->control->metrics != NULL) {
+        JobMetrics_Answered(asked->control->metrics, asked->request.kind,
+                            status, Loop_NowUs() - asked->since_us);
+    }
     if (asked->http != NULL) {
         reply_http(asked, status, &body, reply->retry_ms);
     }
@@ -452,7 +454,8 @@
         abort();
     }
     asked->control = control;
-    asked->since_ms = Loop_NowMs();
+    asked->since_us = Loop_NowUs();
+    asked->since_ms = asked->since_us / 1000;
     return asked;
 }
 
--- /dev/null
+++ b/src/jobmetrics.c
@@ -0,0 +1,155 @@
+#include "jobmetrics.h"
+
+#define PREFIX "coltsfoot_"
+#define ANSWERS_NAME PREFIX "answers_total"
+#define SECONDS_NAME PREFIX "answer_seconds"
+
+typedef struct Row {
+    const char *name;
+    const char *type;
+    const char *help;
+} Row;
+
+static const Row rows[JOB_METRIC_COUNT] = {
+    [JOB_METRIC_LEADS] = {PREFIX "leader", "gauge",
+                          "1 while this node leads and serves"},
+    [JOB_METRIC_TERM] = {PREFIX "term", "gauge", "term of the log"},
+    [JOB_METRIC_CONFIG_VERSION] = {PREFIX "config_version", "gauge",
+                                   "version of the configuration in force"},
+    [JOB_METRIC_PEERS_UP] = {PREFIX "peers_up", "gauge",
+                             "nodes heard within the silence limit"},
+    [JOB_METRIC_VOTERS] = {PREFIX "voters", "gauge",
+                           "voters in the member list"},
+    [JOB_METRIC_JOBS] = {PREFIX "jobs", "gauge",
+                         "jobs whose state is remembered"},
+    [JOB_METRIC_TARGETS_USABLE] = {PREFIX "targets_usable", "gauge",
+                                   "targets that may get work"},
+    [JOB_METRIC_TARGETS_UNUSABLE] =
+        {PREFIX "targets_unusable", "gauge",
+         "targets that are leaving, silent, closed or set aside"},
+    [JOB_METRIC_WAITING_CORES] = {PREFIX "waiting_cores", "gauge",
+                                  "cores wanted by tasks that could start"},
+    [JOB_METRIC_USED_CORES] = {PREFIX "used_cores", "gauge",
+                               "cores of assigned tasks"},
+    [JOB_METRIC_ROOM_CORES] = {PREFIX "room_cores", "gauge",
+                               "cores of all usable targets"},
+    [JOB_METRIC_LOG_BYTES] = {PREFIX "log_bytes", "gauge",
+                              "bytes of log and snapshot in memory"},
+    [JOB_METRIC_STARTS] = {PREFIX "starts_total", "counter",
+                           "starts that targets confirmed"},
+    [JOB_METRIC_ENDS_DONE] = {PREFIX "ends_done_total", "counter",
+                              "runs that ended done"},
+    [JOB_METRIC_ENDS_FAILED] = {PREFIX "ends_failed_total", "counter",
+                                "runs that ended failed"},
+    [JOB_METRIC_ENDS_LOST] = {PREFIX "ends_lost_total", "counter",
+                              "runs given up with their target"},
+    [JOB_METRIC_STARTS_REFUSED] = {PREFIX "starts_refused_total", "counter",
+                                   "starts that never took effect"},
+    [JOB_METRIC_CALLS] = {PREFIX "calls_total", "counter",
+                          "starts and stops ordered"},
+    [JOB_METRIC_HOLDS] = {PREFIX "holds_total", "counter",
+                          "readings of targets' lists"},
+    [JOB_METRIC_CALLS_UNANSWERED] = {PREFIX "calls_unanswered_total",
+                                     "counter",
+                                     "calls to targets without an answer"},
+    [JOB_METRIC_LOG_LINES_DROPPED] = {PREFIX "log_lines_dropped_total",
+                                      "counter", "log lines left out"},
+};
+
+static const char *const kinds[JOB_METRICS_KINDS] = {
+    "none",       "submit", "state",      "cancel",   "pending", "put_config",
+    "get_config", "announce", "leave", "put_wave", "get_wave"};
+
+const char *
+JobMetrics_KindName(size_t kind)
+{
+    return kind < JOB_METRICS_KINDS ? kinds[kind] : "none";
+}
+
+void
+JobMetrics_Answered(JobMetrics *metrics, size_t kind, int status,
+                    int64_t took_us)
+{
+    size_t class = status >= 100 && status < 600 ? (size_t)status / 100 : 0;
+
+    if (kind >= JOB_METRICS_KINDS) {
+        kind = 0;
+    }
+    metrics->answers[kind][class]++;
+    Hist_Record(&metrics->answer_us[kind],
+                took_us > 0 ? (uint64_t)took_us : 0, 1);
+}
+
+static void
+write_head(Buf *out, const char *name, const char *type, const char *help)
+{
+    Buf_Printf(out, "# HELP %s %s\n# TYPE %s %s\n", name, help, name, type);
+}
+
+static void
+write_answers(const JobMetrics *metrics, Buf *out)
+{
+    size_t kind;
+    size_t class;
+
+    write_head(out, ANSWERS_NAME, "counter",
+               "requests answered, by kind and class of status");
+    for (kind = 0; kind < JOB_METRICS_KINDS; kind++) {
+        for (class = 1; class < 6; class++) {
+            if (metrics->answers[kind][class] > 0) {
+                Buf_Printf(out, "%s{kind=\"%s\",status=\"%zuxx\"} %llu\n",
+                           ANSWERS_NAME, kinds[kind], class,
+                           (unsigned long long)metrics->answers[kind][class]);
+            }
+        }
+    }
+}
+
+static void
+write_seconds(const JobMetrics *metrics, Buf *out)
+{
+    static const double quantiles[] = {0.5, 0.95, 0.99};
+    size_t kind;
+    size_t i;
+
+    write_head(out, SECONDS_NAME, "summary",
+               "time from a request's arrival to its answer");
+    for (kind = 0; kind < JOB_METRICS_KINDS; kind++) {
+        const Hist *hist = &metrics->answer_us[kind];
+        for (i = 0; hist->total > 0 && i < 3; i++) {
+            Buf_Printf(out, "%s{kind=\"%s\",quantile=\"%g\"} %g\n",
+                       SECONDS_NAME, kinds[kind], quantiles[i],
+                       (double)Hist_Quantile(hist, quantiles[i]) / 1e6);
+        }
+        if (hist->total > 0) {
+            Buf_Printf(out, "%s_sum{kind=\"%s\"} %g\n", SECONDS_NAME,
+                       kinds[kind], hist->sum / 1e6);
+            Buf_Printf(out, "%s_count{kind=\"%s\"} %llu\n", SECONDS_NAME,
+                       kinds[kind], (unsigned long long)hist->total);
+        }
+    }
+}
+
+void
+JobMetrics_Write(const JobMetrics *metrics, Buf *out)
+{
+    size_t i;
+
+    for (i = 0; i < JOB_METRIC_COUNT; i++) {
+        write_head(out, rows[i].name, rows[i].type, rows[i].help);
+        Buf_Printf(out, "%s %.15g\n", rows[i].name, metrics->values[i]);
+    }
+    write_answers(metrics, out);
+    write_seconds(metrics, out);
+}
+
+const char *
+JobMetrics_Name(size_t i)
+{
+    if (i < JOB_METRIC_COUNT) {
+        return rows[i].name;
+    }
+    return i == JOB_METRIC_COUNT       ? ANSWERS_NAME
+           : i == JOB_METRIC_COUNT + 1 ? SECONDS_NAME
+                                       : NULL;
+}
--- /dev/null
+++ b/src/jobmetrics.h
@@ -0,0 +1,63 @@
+/*
+ * NAME
+ *     jobmetrics - counters and histograms of the job service as text
+ *
+ * DESCRIPTION
+ *     Core without I/O. A node counts the requests that it answered and keeps
+ *     histograms of how long they took; gauges of what it believes are set
+ *     before a page is written. The page is in the Prometheus text format,
+ *     version 0.0.4. docs/OPERATIONS.md lists every metric.
+ */
+#ifndef COLTSFOOT_JOBMETRICS_H
+#define COLTSFOOT_JOBMETRICS_H
+
+#include "buf.h"
+#include "hist.h"
+
+#define JOB_METRICS_KINDS 11 /* as JobRequestKind */
+
+typedef enum JobMetric {
+    JOB_METRIC_LEADS,
+    JOB_METRIC_TERM,
+    JOB_METRIC_CONFIG_VERSION,
+    JOB_METRIC_PEERS_UP,
+    JOB_METRIC_VOTERS,
+    JOB_METRIC_JOBS,
+    JOB_METRIC_TARGETS_USABLE,
+    JOB_METRIC_TARGETS_UNUSABLE,
+    JOB_METRIC_WAITING_CORES,
+    JOB_METRIC_USED_CORES,
+    JOB_METRIC_ROOM_CORES,
+    JOB_METRIC_LOG_BYTES,
+    JOB_METRIC_STARTS,
+    JOB_METRIC_ENDS_DONE,
+    JOB_METRIC_ENDS_FAILED,
+    JOB_METRIC_ENDS_LOST,
+    JOB_METRIC_STARTS_REFUSED,
+    JOB_METRIC_CALLS,
+    JOB_METRIC_HOLDS,
+    JOB_METRIC_CALLS_UNANSWERED,
+    JOB_METRIC_LOG_LINES_DROPPED,
+    JOB_METRIC_COUNT
+} JobMetric;
+
+typedef struct JobMetrics {
+    double values[JOB_METRIC_COUNT];
+    /* Answers by kind of request and first digit of the status. */
+    uint64_t answers[JOB_METRICS_KINDS][6];
+    Hist answer_us[JOB_METRICS_KINDS];
+} JobMetrics;
+
+/* Notes an answer of an HTTP status that took took_us. */
+void JobMetrics_Answered(JobMetrics *metrics, size_t kind, int status,
+                         int64_t took_us);
+
+/* Returns the name of a kind of request. */
+const char *JobMetrics_KindName(size_t kind);
+
+void JobMetrics_Write(const JobMetrics *metrics, Buf *out);
+
+/* Returns name i without labels, or NULL past the end. */
+const char *JobMetrics_Name(size_t i);
+
+#endif
--- a/src/jobsched.c
+++ b/src/jobsched.c
@@ -1277,7 +1277,7 @@
 }
 
 bool
-SchedImpl_Usable(const JobSched *sched, const JobTarget *target, int64_t now)
+JobSched_IsUsable(const JobSched *sched, const JobTarget *target, int64_t now)
 {
     const SchedTarget *live = live_of(target);
 
--- a/src/jobsched.h
+++ b/src/jobsched.h
@@ -41,14 +41,13 @@
     int64_t stop_ms;      /* a target's longest time to stop a task */
     int64_t early_ms;     /* an occurrence may start this early */
     int64_t status_ms;    /* an ended job is remembered this long */
-    int64_t notice_ms;    /* a task is away after so long not at work */
 } JobSchedOptions;
 
 #define JOBSCHED_OPTIONS_DEFAULT                                              \
     {                                                                         \
         .lease_ms = 4000, .hold_wait_ms = 1000, .call_ms = 1000,              \
         .announce_ms = 1500, .stop_ms = 400, .early_ms = 0,                   \
-        .status_ms = 180000, .notice_ms = 4500                                \
+        .status_ms = 180000                                \
     }
 
 typedef enum JobActionKind {
@@ -170,6 +169,10 @@
 void JobSched_PoolLoad(const JobSched *sched, int64_t now, const char *pool,
                        int64_t ahead_ms, JobPoolLoad *load);
 
+/* Returns whether a target may get work now. */
+bool JobSched_IsUsable(const JobSched *sched, const JobTarget *target,
+                       int64_t now);
+
 /* Keeps new work off a target, or lets it in again. */
 void JobSched_Close(JobSched *sched, const JobTarget *target, bool closed);
 
--- a/src/jobsched_impl.h
+++ b/src/jobsched_impl.h
@@ -92,7 +92,5 @@
 void SchedImpl_Propose(JobSched *sched, SchedProposalKind kind, Buf *command,
                        uint32_t row, uint64_t serial);
 void SchedImpl_Start(JobSched *sched, int64_t now, const JobRun *run);
-bool SchedImpl_Usable(const JobSched *sched, const JobTarget *target,
-                      int64_t now);
 
 #endif
--- a/src/jobsched_place.c
+++ b/src/jobsched_place.c
@@ -209,7 +209,7 @@
     for (i = 0; i < JobState_TargetRows(place->sched->state); i++) {
         JobTarget *target = JobState_Target(place->sched->state, i);
         if (target != NULL &&
-            SchedImpl_Usable(place->sched, target, place->now)) {
+            JobSched_IsUsable(place->sched, target, place->now)) {
             add_target(place, target);
         }
     }
--- a/src/settings.c
+++ b/src/settings.c
@@ -64,14 +64,10 @@
           "time for which the state of an ended job is kept"),
     ENTRY(job_early_ms, "ms", 0, 0, 60000,
           "time by which an occurrence of a job may start early"),
-    ENTRY(away_notice_ms, "ms", 4500, 1, 600000,
-          "a lasting task counts as away after so long not at work"),
     ENTRY(holder_lease_ms, "ms", 3000, 1, 600000,
           "one node alone orders moves of VMs for so long"),
     ENTRY(disk_losses, "disks", 1, 0, 2,
           "disks that may be lost at once without losing what was accepted"),
-    ENTRY(target_drain_ms, "ms", 2000, 1, 600000,
-          "a leaving target gets no new work after so long"),
 };
 
 #define SETTINGS_ENTRY_COUNT                                                  \
--- a/src/settings.h
+++ b/src/settings.h
@@ -88,10 +88,8 @@
     long long announce_ms;
     long long job_status_s;
     long long job_early_ms;
-    long long away_notice_ms;
     long long holder_lease_ms;
     long long disk_losses;
-    long long target_drain_ms;
 } Settings;
 
 /* One scalar setting, for the reference page. */
