--- a/src/jobctl_call.c
+++ b/src/jobctl_call.c
@@ -4,6 +4,11 @@
 #include <string.h>
 
 #define MAX_ANSWER_BYTES (4 * 1024 * 1024)
+/* An order has the same effect when it is repeated, so one without an answer
+ * is given up early. */
+#define ORDER_MS 300
+#define HOLD_EXTRA_MS 1000
+#define VM_CALL_MS 2000
 
 /* A call to a target or to the VM service in progress. */
 typedef struct Call {
@@ -89,7 +94,9 @@
 call_target(JobControl *control, const JobAction *action)
 {
     Call *call = new_call(control);
-    int64_t timeout_ms = 1000 + action->wait_ms;
+    int64_t timeout_ms = action->kind == JOB_ACTION_HOLD
+                             ? HOLD_EXTRA_MS + action->wait_ms
+                             : ORDER_MS;
     SettingsAddress address;
 
     call->action = *action;
@@ -125,7 +132,7 @@
 
     call->vm_call = *vm_call;
     control->wire->write_vm_call(vm_call, &call->http);
-    if (!start_call(call, &control->settings->vm_service, 2000,
+    if (!start_call(call, &control->settings->vm_service, VM_CALL_MS,
                     on_vm_answer)) {
         JobVmAnswer answer = {.outcome = JOB_VM_NO_ANSWER};
         JobFleet_Answered(control->fleet, Loop_NowMs(), vm_call, &answer);
--- a/src/jobfleet.c
+++ b/src/jobfleet.c
@@ -67,6 +67,7 @@
 {
     JobFleet_Resign(fleet);
     fleet->leads = true;
+    fleet->demand_ms = 0;
     fleet->lead_ms = now;
     fleet->list_due_ms = now;
     fleet->plan_ms = now;
--- a/src/jobfleet_impl.h
+++ b/src/jobfleet_impl.h
@@ -57,6 +57,7 @@
     char page[JOB_NAME_BYTES];
     int64_t plan_ms;
     int64_t log_ms;
+    int64_t demand_ms; /* when this leader first saw work arrive */
     JobVmCall calls[FLEET_MAX_CALLS];
     size_t call_count;
     Buf commands[FLEET_MAX_COMMANDS];
--- a/src/jobfleet_move.c
+++ b/src/jobfleet_move.c
@@ -21,6 +21,8 @@
 /* VMs that are fetched for work that waits although little arrives. */
 #define MOVE_BACKLOG_VMS 4
 #define MOVE_MAX_POOLS 160
+/* No VM is given up before demand was seen for so long. */
+#define MOVE_LEARN_MS 2500
 /* The plan of each pool is logged this often. */
 #define MOVE_LOG_MS 1000
 
@@ -244,6 +246,22 @@
     return false;
 }
 
+/* Returns whether work has come for long enough, since the start or a change
+ * of the leader, to tell what pools do not need. */
+static bool
+knows_demand(JobFleet *fleet, int64_t now, const PoolPlan *plans,
+             size_t count)
+{
+    size_t i;
+
+    for (i = 0; fleet->demand_ms == 0 && i < count; i++) {
+        if (plans[i].load.arriving > 0) {
+            fleet->demand_ms = now;
+        }
+    }
+    return fleet->demand_ms != 0 && now - fleet->demand_ms >= MOVE_LEARN_MS;
+}
+
 static PoolPlan *
 find_standby(PoolPlan *plans, size_t count)
 {
@@ -292,6 +310,9 @@
                fetch(fleet, now, plans, count, &plans[i])) {
         }
     }
+    if (!knows_demand(fleet, now, plans, count)) {
+        count = 0;
+    }
     for (i = 0; standby != NULL && i < count; i++) {
         FleetVm *vm;
         while (has_surplus(&plans[i]) &&
--- a/src/jobfleet_wave.c
+++ b/src/jobfleet_wave.c
@@ -7,6 +7,8 @@
 
 /* A VM that lists have missed for so long has left. */
 #define WAVE_ABSENT_MS 6000
+/* Draining, maintenance and return of one VM, with some reserve. */
+#define WAVE_ROUND_MS 6000
 
 /* Returns the VMs of a wave that are or may be under maintenance. */
 static uint32_t
@@ -103,8 +105,32 @@
     }
 }
 
+/* Returns whether work waits in a pool for room. */
+static bool
+is_pressed(const JobFleet *fleet, int64_t now, const FleetVm *vm)
+{
+    JobPoolLoad load;
+
+    if (is_standby(fleet, vm->listed.pool)) {
+        return false;
+    }
+    JobSched_PoolLoad(fleet->sched, now, vm->listed.pool, 0, &load);
+    return load.waiting > vm->listed.cpu;
+}
+
+/* Returns whether a wave has no time left to wait for calmer pools. */
+static bool
+is_urgent(const JobWave *wave, int64_t wall_ms)
+{
+    int64_t rounds =
+        (wave->vm_count - wave->done) / (wave->cap > 0 ? wave->cap : 1) + 1;
+
+    return wave->start_ms + wave->duration_ms - wall_ms <
+           (rounds + 1) * WAVE_ROUND_MS;
+}
+
 static FleetVm *
-next_vm(JobFleet *fleet, const JobWave *wave)
+next_vm(JobFleet *fleet, int64_t now, const JobWave *wave, bool urgent)
 {
     FleetVm *best = NULL;
     uint64_t best_cost = UINT64_MAX;
@@ -128,7 +154,8 @@
             continue;
         }
         cost = disturbance(fleet, vm);
-        if (cost < best_cost) {
+        if (cost < best_cost &&
+            (urgent || !is_pressed(fleet, now, vm))) {
             best_cost = cost;
             best = vm;
         }
@@ -141,16 +168,16 @@
 {
     size_t i;
 
-    (void)wall_ms;
     for (i = 0; i < JobState_WaveCount(fleet->state); i++) {
         JobWave *wave = JobState_WaveAt(fleet->state, i);
+        bool urgent = is_urgent(wave, wall_ms);
         FleetVm *vm;
         if (wave->done == wave->vm_count) {
             continue;
         }
         note_left(fleet, now, wave);
         while (under_way(fleet, now, wave) < wave->cap &&
-               (vm = next_vm(fleet, wave)) != NULL) {
+               (vm = next_vm(fleet, now, wave, urgent)) != NULL) {
             FleetImpl_Order(fleet, now, vm, FLEET_MAINTAIN, vm->listed.pool,
                             wave->number);
         }
