Serve begun jobs first and new ones newest first

Cause: in a turn beyond the pool's room jobs were placed by their latest start, so each was served just too late, and the second step of a job waited behind new jobs until it was late as well.

--- a/src/jobfleet_move.c
+++ b/src/jobfleet_move.c
@@ -14,7 +14,7 @@
  * that small changes of demand do not move VMs to and fro. */
 #define MOVE_SURPLUS_PERCENT 130
 /* VMs that each pool keeps beyond its lasting tasks. */
-#define MOVE_RESERVE_VMS 3
+#define MOVE_RESERVE_VMS 2
 /* Share of the work that waits for which VMs are fetched; the rest is done
  * before they come. */
 #define MOVE_BACKLOG_PERCENT 60
@@ -249,8 +249,7 @@
 /* Returns whether work has come for long enough, since the start or a change
  * of the leader, to tell what pools do not need. */
 static bool
-knows_demand(JobFleet *fleet, int64_t now, const PoolPlan *plans,
-             size_t count)
+knows_demand(JobFleet *fleet, int64_t now, const PoolPlan *plans, size_t count)
 {
     size_t i;
 
--- a/src/jobfleet_wave.c
+++ b/src/jobfleet_wave.c
@@ -154,8 +154,7 @@
             continue;
         }
         cost = disturbance(fleet, vm);
-        if (cost < best_cost &&
-            (urgent || !is_pressed(fleet, now, vm))) {
+        if (cost < best_cost && (urgent || !is_pressed(fleet, now, vm))) {
             best_cost = cost;
             best = vm;
         }
--- a/src/jobmetrics.c
+++ b/src/jobmetrics.c
@@ -57,7 +57,7 @@
 };
 
 static const char *const kinds[JOB_METRICS_KINDS] = {
-    "none",       "submit", "state",      "cancel",   "pending", "put_config",
+    "none",       "submit",   "state", "cancel",   "pending", "put_config",
     "get_config", "announce", "leave", "put_wave", "get_wave"};
 
 const char *
@@ -76,8 +76,8 @@
         kind = 0;
     }
     metrics->answers[kind][class]++;
-    Hist_Record(&metrics->answer_us[kind],
-                took_us > 0 ? (uint64_t)took_us : 0, 1);
+    Hist_Record(&metrics->answer_us[kind], took_us > 0 ? (uint64_t)took_us : 0,
+                1);
 }
 
 static void
@@ -95,7 +95,7 @@
     write_head(out, ANSWERS_NAME, "counter",
                "requests answered, by kind and class of status");
     for (kind = 0; kind < JOB_METRICS_KINDS; kind++) {
-        for (class = 1; class < 6; class++) {
+        for (class = 1; class < 6; class ++) {
             if (metrics->answers[kind][class] > 0) {
                 Buf_Printf(out, "%s{kind=\"%s\",status=\"%zuxx\"} %llu\n",
                            ANSWERS_NAME, kinds[kind], class,
--- a/src/jobsched.h
+++ b/src/jobsched.h
@@ -47,7 +47,7 @@
     {                                                                         \
         .lease_ms = 4000, .hold_wait_ms = 1000, .call_ms = 1000,              \
         .announce_ms = 1500, .stop_ms = 400, .early_ms = 0,                   \
-        .status_ms = 180000                                \
+        .status_ms = 180000                                                   \
     }
 
 typedef enum JobActionKind {
--- a/src/jobsched_place.c
+++ b/src/jobsched_place.c
@@ -8,9 +8,6 @@
 
 /* Assignments of one command; a longer batch would delay the first starts. */
 #define PLACE_MAX_BATCH 256
-/* A job counts as late when its expected end is past its objective by this
- * share of what is left of it; run times are only estimates. */
-#define RANK_TOLERANCE_PERCENT 0
 /* Backlog of a queue's pool, as a share of the objective, beyond which more
  * work cannot be done in time. */
 #define ADMIT_MAX_WAIT_PERCENT 150
@@ -442,9 +439,11 @@
     job->live.chain_done = done;
 }
 
-/* Returns a key by which jobs are placed, lowest first: lasting ones, then
- * by the latest time at which the objective can still be met, then what can
- * no longer meet it, newest first, since only that may yet earn something. */
+/* Returns a key by which jobs are placed, lowest first: lasting ones; then
+ * jobs that have begun and may still end in time, since only a part of their
+ * work is left; then those that can still meet their objective, newest first,
+ * because a pool that is behind would otherwise serve each of them just too
+ * late; then what is late, newest first. */
 static int64_t
 rank(const Place *place, Job *job)
 {
@@ -453,6 +452,7 @@
     int64_t allowed;
     int64_t left;
     int64_t spare;
+    bool begun;
 
     if (job->spec.steps[0].lasting) {
         return INT64_MIN / 2;
@@ -464,10 +464,11 @@
                         (double)job->live.chain_ms) +
               (queue != NULL ? queue->objective_ms : 1000);
     spare = allowed - left - age;
-    if (spare < -left * RANK_TOLERANCE_PERCENT / 100) {
-        return RANK_LATE + age;
+    begun = job->assigned > 0 || job->live.chain_done > 0;
+    if (spare < -(begun ? allowed / 2 : 0)) {
+        return RANK_LATE + age - (begun ? RANK_LATE / 2 : 0);
     }
-    return spare;
+    return begun ? spare - RANK_LATE : -spare;
 }
 
 static int
--- a/tests/support_jobworld.c
+++ b/tests/support_jobworld.c
@@ -1134,6 +1134,9 @@
         }
         if (job->phase == JOB_COMPLETED) {
             total += job->ended_ms - job->accepted_ms;
+            report->in_time +=
+                (double)(job->ended_ms - job->accepted_ms) <=
+                WORLD_SLACK * WORLD_STEP_MS * job->spec.step_count;
             ended++;
         }
     }
--- a/tests/support_jobworld.h
+++ b/tests/support_jobworld.h
@@ -16,6 +16,10 @@
 
 #include "jobsched.h"
 
+/* A job is in time within this many times the usual time of its steps. */
+#define WORLD_SLACK 2.0
+#define WORLD_STEP_MS 1300
+
 typedef struct JobWorldOptions {
     uint64_t seed;
     uint32_t pools;
@@ -50,7 +54,7 @@
     uint64_t starts;
     uint64_t holds;
     uint64_t lasting_away; /* lasting tasks that do not run at the end */
-    uint64_t late;         /* jobs past three times their objective */
+    uint64_t in_time;      /* ended within WORLD_SLACK of their work */
     int64_t mean_ms;       /* from submission to the end */
     char violation[256];   /* first one; empty when none */
 } JobWorldReport;
--- a/tests/test_jobworld.c
+++ b/tests/test_jobworld.c
@@ -106,6 +106,32 @@
 }
 END_TEST
 
+/* Twice the work that fits arrives for 20 s. Serving what is due first makes
+ * most of it late by a little; as much as fits has to be in time. */
+START_TEST(overload_serves_what_fits)
+{
+    JobWorldOptions options = JOB_WORLD_DEFAULT;
+    JobWorldReport report;
+    double fits;
+
+    options.pools = 1;
+    options.targets_each = 6;
+    options.jobs_per_s = 24;
+    options.lasting_each = 0;
+    options.length_ms = 20000;
+    options.settle_ms = 60000;
+    JobWorld_Run(&options, &report);
+    ck_assert_str_eq(report.violation, "");
+    ck_assert_uint_eq(report.unfinished, 0);
+    /* 2 steps of 3.5 tasks of 1.35 cores for 0.85 s on 96 cores. */
+    fits = 96.0 / (2 * 3.5 * 1.35 * 0.85) / 24.0;
+    ck_assert_msg((double)report.in_time >= fits * (double)report.jobs,
+                  "%llu of %llu jobs in time, %.2f fit",
+                  (unsigned long long)report.in_time,
+                  (unsigned long long)report.jobs, fits);
+}
+END_TEST
+
 Suite *
 Test_Suite(void)
 {
@@ -114,6 +140,7 @@
 
     tcase_add_loop_test(tcase, test_world, 0,
                         (int)(sizeof(cases) / sizeof(cases[0])));
+    tcase_add_test(tcase, overload_serves_what_fits);
     suite_add_tcase(suite, tcase);
     return suite;
 }
