--- a/src/jobsched_impl.h
+++ b/src/jobsched_impl.h
@@ -87,10 +87,46 @@
     JobSchedCounts counts;
 };
 
+/* What is believed of a target, or NULL when nothing is yet. */
+SchedTarget *SchedImpl_LiveOf(const JobTarget *target);
 SchedTarget *SchedImpl_Live(JobSched *sched, JobTarget *target);
 JobAction *SchedImpl_Action(JobSched *sched, JobActionKind kind);
 void SchedImpl_Propose(JobSched *sched, SchedProposalKind kind, Buf *command,
                        uint32_t row, uint64_t serial);
 void SchedImpl_Start(JobSched *sched, int64_t now, const JobRun *run);
 
+/* jobsched.c: clocks and leases */
+/* Returns the deadline for a call. A target that does not answer is not
+ * granted more: its lease has to run out at some time. */
+int64_t SchedImpl_Grant(const JobSched *sched, SchedTarget *live, int64_t now);
+void SchedImpl_NoteClock(const JobSched *sched, SchedTarget *live, int64_t now,
+                         int64_t clock_ms);
+void SchedImpl_FillCall(JobAction *action, const JobTarget *target,
+                        const SchedTarget *live, int64_t now);
+/* Returns when everything that runs at a silent target has surely ended. */
+int64_t SchedImpl_LapsedMs(const JobSched *sched, const SchedTarget *live);
+
+/* jobsched_run.c: orders for tasks, and their ends */
+void SchedImpl_StopTask(JobSched *sched, int64_t now, JobTarget *target,
+                        const JobTaskRef *ref, uint32_t attempt);
+void SchedImpl_StopRun(JobSched *sched, int64_t now, const JobRun *run);
+/* Orders what a run at a target needs now. */
+void SchedImpl_DriveRun(JobSched *sched, int64_t now, const JobRun *run);
+void SchedImpl_ProposeEnds(JobSched *sched, JobTarget *target,
+                           const JobEnd *ends, size_t count);
+/* Ends one run that its target does not list. */
+void SchedImpl_EndUnlisted(JobSched *sched, JobTarget *target,
+                           const JobRun *run, JobEndKind kind);
+void SchedImpl_LoseAll(JobSched *sched, JobTarget *target);
+
+/* jobsched_target.c: announcements */
+void SchedImpl_ProposeTarget(JobSched *sched, const JobAnnouncement *says,
+                             JobTarget *target);
+void SchedImpl_ProposeGone(JobSched *sched, JobTarget *target,
+                           const char *why);
+/* A later life under the same id is checked by a hold under a new fence, so
+ * that no order to the earlier life takes effect any more. */
+void SchedImpl_BeginRebirth(JobSched *sched, int64_t now, JobTarget *target,
+                            uint64_t born);
+
 #endif
--- a/src/jobstate_impl.h
+++ b/src/jobstate_impl.h
@@ -42,6 +42,15 @@
 void JobStateImpl_AddRun(JobTarget *target, const JobRun *run);
 void JobStateImpl_Clear(JobState *state);
 
+/* A job leaves the active list once it has ended and nothing of it can run. */
+void JobStateImpl_Deactivate(JobState *state, Job *job);
+void JobStateImpl_Settle(JobState *state, Job *job);
+void JobStateImpl_ReleaseAll(JobState *state, const JobTarget *target);
+void JobStateImpl_Release(JobState *state, const JobRun *run);
+void JobStateImpl_UnindexTarget(JobState *state, const JobTarget *target);
+void JobStateImpl_EndJob(JobState *state, Job *job, JobPhase phase,
+                         int64_t wall_ms);
+
 typedef enum JobCommand {
     JOB_CMD_CONFIG = 1,
     JOB_CMD_SUBMIT = 2,
