--- a/src/peer.c
+++ b/src/peer.c
@@ -693,13 +693,16 @@
 void
 Peers_Free(Peers *peers)
 {
+    Link *link;
+    Link *next;
     size_t i;
 
     if (peers == NULL) {
         return;
     }
-    while (peers->incoming != NULL) {
-        close_link(peers->incoming);
+    for (link = peers->incoming; link != NULL; link = next) {
+        next = link->next;
+        close_link(link);
     }
     for (i = 0; peers->slots != NULL && i < peers->count; i++) {
         if (peers->slots[i].outgoing != NULL) {
--- a/tests/test_jobfleet.c
+++ b/tests/test_jobfleet.c
@@ -260,6 +260,32 @@
 }
 END_TEST
 
+/* The service confirms maintenance that an earlier leader has ordered; what
+ * runs on the VM since then goes on. */
+START_TEST(confirmed_maintenance_keeps_runs)
+{
+    JobVm rows[1];
+    JobVmCall calls[8];
+    JobVmAnswer ok = {.outcome = JOB_VM_OK};
+
+    rows[0] = vm_row("vm0", "p");
+    JobTest_Target(state, "t0", "vm0", "p", 100, false);
+    JobTest_Submit(state, "a", 1, 1, 500);
+    JobTest_Assign(state, "a", 0, 0, 1, "t0");
+    lead(1);
+    start_wave(1, 1);
+    tick(100);
+    serve_list(rows, 1, calls, 8);
+    tick(3900); /* the drain is given up for short work */
+    ck_assert_uint_eq(serve_list(rows, 1, calls, 8), 1);
+    JobFleet_Answered(fleet, now, &calls[0], &ok);
+    tick(200);
+    ck_assert_ptr_nonnull(JobState_FindTarget(state, "t0"));
+    ck_assert_uint_eq(JobState_FindTarget(state, "t0")->run_count, 1);
+    ck_assert_uint_eq(JobState_Wave(state, 1)->done, 1);
+}
+END_TEST
+
 START_TEST(standby_vms_follow_rising_work)
 {
     JobVm rows[6];
@@ -292,6 +318,7 @@
     tcase_add_test(tcase, no_order_without_a_confirmed_leader);
     tcase_add_test(tcase, a_vm_that_lists_miss_is_waited_for);
     tcase_add_test(tcase, a_repeated_move_does_not_end_the_next_target);
+    tcase_add_test(tcase, confirmed_maintenance_keeps_runs);
     tcase_add_test(tcase, standby_vms_follow_rising_work);
     suite_add_tcase(suite, tcase);
     return suite;
--- /dev/null
+++ b/tests/test_jobsched.c
@@ -0,0 +1,297 @@
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "jobsched.h"
+#include "support.h"
+#include "support_job.h"
+
+static JobState *state;
+static JobSched *sched;
+static int64_t now;
+static JobAction calls[64];
+static size_t call_count;
+
+static void
+setup(void)
+{
+    JobSchedOptions options = JOBSCHED_OPTIONS_DEFAULT;
+
+    now = 100000;
+    call_count = 0;
+    state = JobState_New();
+    JobTest_Configure(state, 1);
+    sched = JobSched_New(&options, state);
+    JobSched_Lead(sched, now, 1);
+}
+
+static void
+teardown(void)
+{
+    JobSched_Free(sched);
+    JobState_Free(state);
+}
+
+/* Commits proposals at once and keeps calls. */
+static void
+take(void)
+{
+    JobAction action;
+
+    while (JobSched_Next(sched, &action)) {
+        if (action.kind == JOB_ACTION_PROPOSE) {
+            JobTest_Apply(state, &action.command);
+            JobSched_Proposed(sched, now, action.cookie, ST_OK);
+        }
+        else if (call_count < 64) {
+            calls[call_count++] = action;
+        }
+    }
+}
+
+static void
+announce(const char *id, const char *vm, uint64_t born)
+{
+    JobAnnouncement says = {.room = {16000, 32000, 0}, .born = born};
+    static uint64_t order;
+
+    snprintf(says.id, sizeof(says.id), "%s", id);
+    snprintf(says.vm, sizeof(says.vm), "%s", vm);
+    snprintf(says.pool, sizeof(says.pool), "p");
+    snprintf(says.address, sizeof(says.address), "10.0.0.1:80");
+    says.clock_ms = now - 90000;
+    says.order = ++order;
+    JobSched_Announce(sched, now, &says);
+    take();
+}
+
+static void
+tick(int64_t ms)
+{
+    int64_t until = now + ms;
+
+    while (now < until) {
+        now += 50;
+        JobSched_Tick(sched, now, now);
+        JobSched_Place(sched, now, now);
+        take();
+    }
+}
+
+/* Answers all calls that are kept; holds list what runs as at work. */
+static void
+answer_all(JobCallOutcome outcome)
+{
+    size_t count = call_count;
+    JobAction kept[64];
+    size_t i;
+    uint32_t j;
+
+    memcpy(kept, calls, sizeof(kept));
+    call_count = 0;
+    for (i = 0; i < count; i++) {
+        const JobTarget *target = JobState_Target(state, kept[i].row);
+        JobRunning running[32];
+        JobCallAnswer answer = {
+            .outcome = outcome,
+            .clock_ms = outcome == JOB_CALL_NO_ANSWER ? -1 : now - 90000,
+            .running = running};
+        for (j = 0; target != NULL && j < target->run_count && j < 32; j++) {
+            running[j] = (JobRunning){JobRun_Ref(&target->runs[j]),
+                                      JobRun_Task(&target->runs[j])->attempt,
+                                      100, 0, ""};
+            answer.running_count = j + 1;
+        }
+        JobSched_Answered(sched, now, &kept[i], &answer);
+        take();
+    }
+}
+
+static size_t
+count_calls(JobActionKind kind)
+{
+    size_t count = 0;
+    size_t i;
+
+    for (i = 0; i < call_count; i++) {
+        count += calls[i].kind == kind;
+    }
+    return count;
+}
+
+START_TEST(tasks_are_assigned_before_they_start)
+{
+    announce("t1", "vm1", 10);
+    JobTest_Submit(state, "a", 1, 3, 500);
+    tick(50);
+    ck_assert_uint_eq(JobState_FindTarget(state, "t1")->run_count, 3);
+    ck_assert_uint_eq(count_calls(JOB_ACTION_START), 3);
+    ck_assert_uint_eq(calls[0].fence >> 20, 1);
+}
+END_TEST
+
+START_TEST(a_start_without_an_answer_stays_at_its_target)
+{
+    size_t i;
+
+    announce("t1", "vm1", 10);
+    announce("t2", "vm2", 10);
+    JobTest_Submit(state, "a", 1, 1, 500);
+    tick(50);
+    for (i = 0; i < 4; i++) {
+        uint32_t row = calls[0].row;
+        ck_assert_uint_gt(count_calls(JOB_ACTION_START), 0);
+        answer_all(JOB_CALL_NO_ANSWER);
+        call_count = 0;
+        tick(400);
+        ck_assert_uint_eq(calls[0].row, row);
+        ck_assert_uint_eq(calls[0].attempt > 1, 0);
+    }
+}
+END_TEST
+
+START_TEST(a_silent_target_is_granted_nothing_more)
+{
+    int64_t deadline;
+    size_t i;
+
+    announce("t1", "vm1", 10);
+    JobTest_Submit(state, "a", 1, 1, 500);
+    tick(50);
+    deadline = calls[0].deadline_ms;
+    for (i = 0; i < 3; i++) {
+        answer_all(JOB_CALL_NO_ANSWER);
+        tick(400);
+    }
+    for (i = 0; i < call_count; i++) {
+        ck_assert_int_le(calls[i].deadline_ms, deadline);
+    }
+    tick(6000);
+    ck_assert_uint_eq(JobState_FindTarget(state, "t1")->run_count, 0);
+}
+END_TEST
+
+START_TEST(silent_tasks_are_away)
+{
+    announce("t1", "vm1", 10);
+    announce("t2", "vm2", 10);
+    JobTest_SubmitLasting(state, "a", 4, 1);
+    tick(50);
+    answer_all(JOB_CALL_OK);
+    tick(100);
+    answer_all(JOB_CALL_OK);
+    ck_assert_uint_gt(JobState_FindTarget(state, "t1")->run_count, 0);
+    ck_assert_uint_gt(JobState_FindTarget(state, "t2")->run_count, 0);
+    /* All was at work; then t2 falls silent for longer than a hold. */
+    tick(1000);
+    answer_all(JOB_CALL_NO_ANSWER);
+    tick(1500);
+    call_count = 0;
+    JobSched_Evacuate(sched, now, JobState_FindTarget(state, "t1"));
+    take();
+    ck_assert_uint_eq(count_calls(JOB_ACTION_STOP), 0);
+}
+END_TEST
+
+START_TEST(lasting_tasks_leave_one_by_one)
+{
+    announce("t1", "vm1", 10);
+    announce("t2", "vm2", 10);
+    JobTest_SubmitLasting(state, "a", 4, 1);
+    tick(50);
+    answer_all(JOB_CALL_OK);
+    tick(100);
+    answer_all(JOB_CALL_OK);
+    call_count = 0;
+    JobSched_Evacuate(sched, now, JobState_FindTarget(state, "t1"));
+    JobSched_Evacuate(sched, now, JobState_FindTarget(state, "t1"));
+    take();
+    ck_assert_uint_eq(count_calls(JOB_ACTION_STOP), 1);
+}
+END_TEST
+
+START_TEST(an_idle_target_is_asked_again)
+{
+    announce("t1", "vm1", 10);
+    JobTest_Submit(state, "a", 1, 1, 500);
+    tick(50);
+    answer_all(JOB_CALL_NO_ANSWER);
+    tick(400);
+    answer_all(JOB_CALL_NO_ANSWER);
+    tick(7000); /* its runs are given up */
+    answer_all(JOB_CALL_NO_ANSWER);
+    call_count = 0;
+    ck_assert(
+        !JobSched_IsUsable(sched, JobState_FindTarget(state, "t1"), now));
+    announce("t1", "vm1", 10);
+    tick(500);
+    ck_assert_uint_gt(count_calls(JOB_ACTION_HOLD), 0);
+    answer_all(JOB_CALL_OK);
+    ck_assert(JobSched_IsUsable(sched, JobState_FindTarget(state, "t1"), now));
+}
+END_TEST
+
+START_TEST(targets_born_in_one_ms_are_told_apart)
+{
+    JobAnnouncement says = {.room = {16000, 32000, 0}, .born = 10};
+    int i;
+
+    /* Both arrive before the first is stored. */
+    for (i = 1; i <= 2; i++) {
+        snprintf(says.id, sizeof(says.id), "t%d", i);
+        snprintf(says.vm, sizeof(says.vm), "vm%d", i);
+        snprintf(says.pool, sizeof(says.pool), "p");
+        JobSched_Announce(sched, now, &says);
+    }
+    take();
+    ck_assert_ptr_nonnull(JobState_FindTarget(state, "t1"));
+    ck_assert_ptr_nonnull(JobState_FindTarget(state, "t2"));
+}
+END_TEST
+
+START_TEST(a_leaving_target_gets_no_work)
+{
+    announce("t1", "vm1", 10);
+    JobTest_Target(state, "t1", "vm1", "p", 10, true);
+    JobTest_Submit(state, "a", 1, 1, 500);
+    tick(200);
+    ck_assert_uint_eq(count_calls(JOB_ACTION_START), 0);
+}
+END_TEST
+
+START_TEST(cancelled_tasks_are_stopped)
+{
+    Buf command = BUF_INIT;
+
+    announce("t1", "vm1", 10);
+    JobTest_Submit(state, "a", 1, 2, 500);
+    tick(50);
+    answer_all(JOB_CALL_OK);
+    JobCmd_Cancel(&command, "a", now);
+    JobTest_Apply(state, &command);
+    call_count = 0;
+    tick(50);
+    ck_assert_uint_eq(count_calls(JOB_ACTION_STOP), 2);
+}
+END_TEST
+
+Suite *
+Test_Suite(void)
+{
+    Suite *suite = suite_create("jobsched");
+    TCase *tcase = tcase_create("sched");
+
+    tcase_add_checked_fixture(tcase, setup, teardown);
+    tcase_add_test(tcase, tasks_are_assigned_before_they_start);
+    tcase_add_test(tcase, a_start_without_an_answer_stays_at_its_target);
+    tcase_add_test(tcase, a_silent_target_is_granted_nothing_more);
+    tcase_add_test(tcase, silent_tasks_are_away);
+    tcase_add_test(tcase, lasting_tasks_leave_one_by_one);
+    tcase_add_test(tcase, an_idle_target_is_asked_again);
+    tcase_add_test(tcase, targets_born_in_one_ms_are_told_apart);
+    tcase_add_test(tcase, a_leaving_target_gets_no_work);
+    tcase_add_test(tcase, cancelled_tasks_are_stopped);
+    suite_add_tcase(suite, tcase);
+    return suite;
+}
--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -5,6 +5,7 @@
 
 #include "diag.h"
 #include "replica.h"
+#include "replica_plan.h"
 #include "support.h"
 #include "support_storage.h"
 
@@ -818,6 +819,55 @@
 
 /* Guards against more than the 2 KB/s that control may cost an idle node; a
  * frame adds 4 bytes to each message. */
+/* Guards against a node that is gone for good and has no successor of its
+ * name: the place of its vote has to go to a spare node. */
+START_TEST(lost_voters_give_way)
+{
+    static const struct {
+        const char *name;
+        bool lost;
+        bool caught_up;
+        bool promoted;
+    } cases[] = {
+        {"a voter is lost", true, true, true},
+        {"all voters answer", false, true, false},
+        {"the spare node lags", true, false, false},
+    };
+    size_t i;
+
+    for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        RaftMembers members = {.count = 4};
+        ReplicaHealth health[4];
+        ReplicaPlanInput input = {&members, health, NULL, 0, 1, 3};
+        RaftMembers next;
+        RaftMember changed;
+        const char *reason;
+        size_t j;
+        for (j = 0; j < 4; j++) {
+            members.list[j].identity = j + 1;
+            snprintf(members.list[j].name, RAFT_NAME_BYTES, "n%zu", j);
+            snprintf(members.list[j].data_centre, RAFT_NAME_BYTES, "dc%zu", j);
+            members.list[j].voter = j < 3;
+            health[j] = (ReplicaHealth){true, false, true};
+        }
+        health[2].active = !cases[i].lost;
+        health[2].lost = cases[i].lost;
+        health[3].caught_up = cases[i].caught_up;
+        ck_assert_msg(ReplicaPlan_Next(&input, &next, &reason, &changed) ==
+                          cases[i].promoted,
+                      "%s", cases[i].name);
+        if (!cases[i].promoted) {
+            continue;
+        }
+        ck_assert_uint_eq(changed.identity, 4);
+        members = next;
+        ck_assert(ReplicaPlan_Next(&input, &next, &reason, &changed));
+        ck_assert_uint_eq(changed.identity, 3);
+        ck_assert(!changed.voter);
+    }
+}
+END_TEST
+
 START_TEST(idle_cost_is_bounded)
 {
     Cluster *cluster = new_cluster(3, 5, 5, true);
@@ -851,6 +901,7 @@
     tcase_add_test(tcase, vote_survives_a_crash);
     tcase_add_test(tcase, failed_sync_silences_a_replica);
     tcase_add_test(tcase, large_snapshot_reaches_a_new_node);
+    tcase_add_test(tcase, lost_voters_give_way);
     tcase_add_test(tcase, idle_cost_is_bounded);
     tcase_add_loop_test(tcase, survives_faults, 0, 200);
     suite_add_tcase(suite, tcase);
