Spread idle connections; hold by fleet size; allow for the loop's own delay

Cause: on fleets of 350 targets the leader stood still for 200 to 250 ms once a second while libcurl looked at a thousand idle connections, took the answers it read late for lost after 300 ms and ordered again: 2,550 calls unanswered in a minute. Change: 16 multi handles by host; holds wait longer in a large fleet; limits for orders grow by the delay of the loop's timer.

--- a/src/httpclient.c
+++ b/src/httpclient.c
@@ -11,18 +11,27 @@
 /* Two or three for each target of a large fleet. */
 #define HTTP_MAX_IDLE_CONNECTIONS 2048L
 #define HTTP_MAX_SPARE_HANDLES 64
+/* Once a second libcurl looks at every idle connection of a multi handle. With
+ * a thousand of them the loop would stand still for a tenth of a second. */
+#define HTTP_SHARDS 16
+
+/* The calls to a share of the hosts, with their connections. */
+typedef struct HttpShard {
+    HttpClient *client;
+    CURLM *multi;
+    LoopTimer *timer;
+} HttpShard;
 
 /* One socket that libcurl asked to watch. */
 typedef struct SocketWatch {
-    HttpClient *client;
+    HttpShard *shard;
     curl_socket_t socket;
     LoopWatch *watch;
 } SocketWatch;
 
 struct HttpClient {
     Loop *loop;
-    CURLM *multi;
-    LoopTimer *timer;
+    HttpShard shards[HTTP_SHARDS];
     HttpCall *calls; /* all in progress */
     /* Handles that are free: a new one costs more than a small call. */
     CURL *spare[HTTP_MAX_SPARE_HANDLES];
@@ -30,7 +39,7 @@
 };
 
 struct HttpCall {
-    HttpClient *client;
+    HttpShard *shard;
     HttpCall *next;
     HttpCall *previous;
     CURL *easy;
@@ -45,7 +54,7 @@
 static void
 free_call(HttpCall *call)
 {
-    HttpClient *client = call->client;
+    HttpClient *client = call->shard->client;
 
     if (call->previous != NULL) {
         call->previous->next = call->next;
@@ -56,7 +65,7 @@
     if (call->next != NULL) {
         call->next->previous = call->previous;
     }
-    curl_multi_remove_handle(client->multi, call->easy);
+    curl_multi_remove_handle(call->shard->multi, call->easy);
     if (client->spare_count < HTTP_MAX_SPARE_HANDLES) {
         curl_easy_reset(call->easy);
         client->spare[client->spare_count++] = call->easy;
@@ -96,12 +105,12 @@
 }
 
 static void
-finish_calls(HttpClient *client)
+finish_calls(HttpShard *shard)
 {
     CURLMsg *message;
     int left;
 
-    while ((message = curl_multi_info_read(client->multi, &left)) != NULL) {
+    while ((message = curl_multi_info_read(shard->multi, &left)) != NULL) {
         HttpCall *call = NULL;
         HttpCallResult result = {0};
         long http_status = 0;
@@ -125,23 +134,23 @@
 on_socket_event(void *arg, int events)
 {
     const SocketWatch *watch = arg;
-    HttpClient *client = watch->client;
+    HttpShard *shard = watch->shard;
     int mask = 0;
     int running;
 
     mask |= events & LOOP_READ ? CURL_CSELECT_IN : 0;
     mask |= events & LOOP_WRITE ? CURL_CSELECT_OUT : 0;
-    curl_multi_socket_action(client->multi, watch->socket, mask, &running);
-    finish_calls(client);
+    curl_multi_socket_action(shard->multi, watch->socket, mask, &running);
+    finish_calls(shard);
 }
 
 static void
-unwatch_socket(HttpClient *client, curl_socket_t socket, SocketWatch *watch)
+unwatch_socket(HttpShard *shard, curl_socket_t socket, SocketWatch *watch)
 {
     if (watch != NULL) {
         Loop_Unwatch(watch->watch);
         free(watch);
-        curl_multi_assign(client->multi, socket, NULL);
+        curl_multi_assign(shard->multi, socket, NULL);
     }
 }
 
@@ -149,13 +158,13 @@
 on_curl_socket(CURL *easy, curl_socket_t socket, int what, void *arg,
                void *socket_arg)
 {
-    HttpClient *client = arg;
+    HttpShard *shard = arg;
     SocketWatch *watch = socket_arg;
     int events = 0;
 
     (void)easy;
     if (what == CURL_POLL_REMOVE) {
-        unwatch_socket(client, socket, watch);
+        unwatch_socket(shard, socket, watch);
         return 0;
     }
     events |= what & CURL_POLL_IN ? LOOP_READ : 0;
@@ -168,25 +177,25 @@
     if (watch == NULL) {
         return -1;
     }
-    watch->client = client;
+    watch->shard = shard;
     watch->socket = socket;
-    watch->watch =
-        Loop_Watch(client->loop, (int)socket, events, on_socket_event, watch);
-    curl_multi_assign(client->multi, socket, watch);
+    watch->watch = Loop_Watch(shard->client->loop, (int)socket, events,
+                              on_socket_event, watch);
+    curl_multi_assign(shard->multi, socket, watch);
     return 0;
 }
 
 static int
 on_curl_timer(CURLM *multi, long timeout_ms, void *arg)
 {
-    HttpClient *client = arg;
+    HttpShard *shard = arg;
 
     (void)multi;
     if (timeout_ms < 0) {
-        Loop_Disarm(client->timer);
+        Loop_Disarm(shard->timer);
     }
     else {
-        Loop_Arm(client->timer, timeout_ms, 0);
+        Loop_Arm(shard->timer, timeout_ms, 0);
     }
     return 0;
 }
@@ -194,32 +203,42 @@
 static void
 on_timer(void *arg)
 {
-    HttpClient *client = arg;
+    HttpShard *shard = arg;
     int running;
 
-    curl_multi_socket_action(client->multi, CURL_SOCKET_TIMEOUT, 0, &running);
-    finish_calls(client);
+    curl_multi_socket_action(shard->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+    finish_calls(shard);
+}
+
+static void
+open_shard(HttpClient *client, HttpShard *shard, long max_per_host)
+{
+    shard->client = client;
+    shard->multi = curl_multi_init();
+    shard->timer = Loop_NewTimer(client->loop, on_timer, shard);
+    curl_multi_setopt(shard->multi, CURLMOPT_SOCKETFUNCTION, on_curl_socket);
+    curl_multi_setopt(shard->multi, CURLMOPT_SOCKETDATA, shard);
+    curl_multi_setopt(shard->multi, CURLMOPT_TIMERFUNCTION, on_curl_timer);
+    curl_multi_setopt(shard->multi, CURLMOPT_TIMERDATA, shard);
+    curl_multi_setopt(shard->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                      max_per_host);
+    curl_multi_setopt(shard->multi, CURLMOPT_MAXCONNECTS,
+                      HTTP_MAX_IDLE_CONNECTIONS / HTTP_SHARDS);
 }
 
 HttpClient *
 HttpClient_New(Loop *loop, long max_per_host)
 {
     HttpClient *client = calloc(1, sizeof(*client));
+    size_t i;
 
     if (client == NULL) {
         return NULL;
     }
     client->loop = loop;
-    client->multi = curl_multi_init();
-    client->timer = Loop_NewTimer(loop, on_timer, client);
-    curl_multi_setopt(client->multi, CURLMOPT_SOCKETFUNCTION, on_curl_socket);
-    curl_multi_setopt(client->multi, CURLMOPT_SOCKETDATA, client);
-    curl_multi_setopt(client->multi, CURLMOPT_TIMERFUNCTION, on_curl_timer);
-    curl_multi_setopt(client->multi, CURLMOPT_TIMERDATA, client);
-    curl_multi_setopt(client->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
-                      max_per_host);
-    curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS,
-                      HTTP_MAX_IDLE_CONNECTIONS);
+    for (i = 0; i < HTTP_SHARDS; i++) {
+        open_shard(client, &client->shards[i], max_per_host);
+    }
     return client;
 }
 
@@ -228,6 +247,7 @@
 {
     HttpCall *call;
     HttpCall *next;
+    size_t i;
 
     if (client == NULL) {
         return;
@@ -241,8 +261,10 @@
     while (client->spare_count > 0) {
         curl_easy_cleanup(client->spare[--client->spare_count]);
     }
-    curl_multi_cleanup(client->multi);
-    Loop_FreeTimer(client->timer);
+    for (i = 0; i < HTTP_SHARDS; i++) {
+        curl_multi_cleanup(client->shards[i].multi);
+        Loop_FreeTimer(client->shards[i].timer);
+    }
     free(client);
 }
 
@@ -310,6 +332,20 @@
     }
 }
 
+/* All calls to one host go to one shard, where the limit of its connections is
+ * kept. */
+static HttpShard *
+shard_of(HttpClient *client, const SettingsAddress *address)
+{
+    uint32_t hash = (uint32_t)address->port;
+    const char *at;
+
+    for (at = address->host; *at != '\0'; at++) {
+        hash = hash * 31 + (unsigned char)*at;
+    }
+    return &client->shards[hash % HTTP_SHARDS];
+}
+
 HttpCall *
 HttpClient_Start(HttpClient *client, const HttpCallOptions *options,
                  HttpCallFn fn, void *arg)
@@ -325,7 +361,7 @@
         free(call);
         return NULL;
     }
-    call->client = client;
+    call->shard = shard_of(client, &options->address);
     call->fn = fn;
     call->arg = arg;
     call->max_answer_bytes = options->max_answer_bytes;
@@ -336,7 +372,7 @@
         client->calls->previous = call;
     }
     client->calls = call;
-    curl_multi_add_handle(client->multi, call->easy);
+    curl_multi_add_handle(call->shard->multi, call->easy);
     return call;
 }
 
--- a/src/jobctl.c
+++ b/src/jobctl.c
@@ -278,6 +278,7 @@
     int64_t now = Loop_NowMs();
     int64_t wall_ms = apr_time_as_msec(apr_time_now());
 
+    LoopLag_Fired(&control->lag, now);
     Slog_SetTime(wall_ms, now);
     JobState_SetNow(control->state, now);
     JobControl_LogTick(control, now);
@@ -498,6 +499,7 @@
         return status;
     }
     control->tick = Loop_NewTimer(control->loop, on_tick, control);
+    control->lag.period_ms = TICK_MS;
     Loop_Arm(control->tick, TICK_MS, TICK_MS);
     control->place_timer = Loop_NewTimer(control->loop, wake, control);
     control->fleet_timer = Loop_NewTimer(control->loop, send_fleet, control);
--- a/src/jobctl_call.c
+++ b/src/jobctl_call.c
@@ -7,6 +7,7 @@
 /* An order has the same effect when it is repeated, so one without an answer
  * is given up early. */
 #define ORDER_MS 300
+#define ORDER_MOST_MS 1000
 #define HOLD_EXTRA_MS 1000
 #define VM_CALL_MS 2000
 
@@ -94,9 +95,10 @@
 call_target(JobControl *control, const JobAction *action)
 {
     Call *call = new_call(control);
-    int64_t timeout_ms = action->kind == JOB_ACTION_HOLD
-                             ? HOLD_EXTRA_MS + action->wait_ms
-                             : ORDER_MS;
+    int64_t timeout_ms =
+        action->kind == JOB_ACTION_HOLD
+            ? HOLD_EXTRA_MS + action->wait_ms
+            : LoopLag_Stretch(&control->lag, ORDER_MS, ORDER_MOST_MS);
     SettingsAddress address;
 
     call->action = *action;
--- a/src/jobctl_internal.h
+++ b/src/jobctl_internal.h
@@ -16,6 +16,7 @@
 #include "jobsched.h"
 #include "jobstate.h"
 #include "loop.h"
+#include "looplag.h"
 #include "peer.h"
 #include "replica.h"
 #include "signals.h"
@@ -73,6 +74,7 @@
     uint64_t leading_term; /* 0: not serving */
     int64_t confirm_ms;
     int64_t turn_us; /* end of the last turn */
+    LoopLag lag;     /* of the tick */
     int64_t node_ms; /* node rows are compared again */
     bool place_due;
     bool nodes_due;
--- a/src/jobsched.c
+++ b/src/jobsched.c
@@ -17,6 +17,8 @@
 #define SCHED_ASK_CLOCK 3
 /* An order without an answer may be carried out this late. */
 #define SCHED_LATE_MS 12000
+/* Longest wait of a hold, in percent of the lease that it renews. */
+#define SCHED_WAIT_PERCENT 45
 
 JobSched *
 JobSched_New(const JobSchedOptions *options, JobState *state)
@@ -27,6 +29,7 @@
         abort();
     }
     sched->options = *options;
+    sched->wait_ms = options->hold_wait_ms;
     sched->state = state;
     sched->next_cookie = 1;
     sched->next_life = 1;
@@ -411,7 +414,7 @@
                               : 0;
     action->wait_ms = live->fenced && live->clock_known && !live->reborn &&
                               target->run_count > 0
-                          ? sched->options.hold_wait_ms
+                          ? sched->wait_ms
                           : 0;
     live->holding = true;
     sched->counts.holds++;
@@ -446,9 +449,24 @@
     }
 }
 
+/* Each hold costs the leader the same, however long the target waits. A lease
+ * outlives two waits. */
+int64_t
+JobSched_HoldWait(const JobSchedOptions *options, uint32_t held)
+{
+    int64_t wait = (int64_t)held * 1000 / options->holds_per_s;
+    int64_t most = options->lease_ms * SCHED_WAIT_PERCENT / 100;
+
+    if (wait > most) {
+        wait = most;
+    }
+    return wait > options->hold_wait_ms ? wait : options->hold_wait_ms;
+}
+
 void
 JobSched_Tick(JobSched *sched, int64_t now, int64_t wall_ms)
 {
+    uint32_t held = 0;
     uint32_t i;
 
     sched->wall_ms = wall_ms;
@@ -460,8 +478,10 @@
         JobTarget *target = JobState_Target(sched->state, i);
         if (target != NULL) {
             drive_target(sched, now, target);
+            held += target->run_count > 0;
         }
     }
+    sched->wait_ms = JobSched_HoldWait(&sched->options, held);
     if (now >= sched->expire_ms) {
         Buf command = BUF_INIT;
         sched->expire_ms = now + SCHED_EXPIRE_MS;
--- a/src/jobsched.h
+++ b/src/jobsched.h
@@ -35,7 +35,8 @@
 
 typedef struct JobSchedOptions {
     int64_t lease_ms;     /* time granted by each call */
-    int64_t hold_wait_ms; /* longest wait of a target for an end */
+    int64_t hold_wait_ms; /* wait of a target for an end, in a small fleet */
+    uint32_t holds_per_s; /* beyond this, targets wait longer for an end */
     int64_t call_ms;      /* a call without an answer is over */
     int64_t announce_ms;  /* interval of announcements */
     int64_t stop_ms;      /* a target's longest time to stop a task */
@@ -45,8 +46,8 @@
 
 #define JOBSCHED_OPTIONS_DEFAULT                                              \
     {                                                                         \
-        .lease_ms = 4000, .hold_wait_ms = 1000, .call_ms = 1000,              \
-        .announce_ms = 1500, .stop_ms = 400, .early_ms = 0,                   \
+        .lease_ms = 4000, .hold_wait_ms = 1000, .holds_per_s = 200,           \
+        .call_ms = 1000, .announce_ms = 1500, .stop_ms = 400, .early_ms = 0,  \
         .status_ms = 180000                                                   \
     }
 
@@ -114,6 +115,9 @@
 
 typedef struct JobSched JobSched;
 
+/* The wait in ms of the holds of so many targets with runs: the lists of a
+ * large fleet are read less often. */
+int64_t JobSched_HoldWait(const JobSchedOptions *options, uint32_t held);
 JobSched *JobSched_New(const JobSchedOptions *options, JobState *state);
 void JobSched_Free(JobSched *sched);
 
--- a/src/jobsched_impl.h
+++ b/src/jobsched_impl.h
@@ -64,6 +64,7 @@
 
 struct JobSched {
     JobSchedOptions options;
+    int64_t wait_ms; /* of the next holds */
     JobState *state;
     bool leads;
     uint64_t term;
--- a/src/jobsched_pool.c
+++ b/src/jobsched_pool.c
@@ -131,8 +131,7 @@
     }
     live = SchedImpl_LiveOf(JobState_Target(sched->state, task->target));
     return live != NULL && live->unanswered == 0 &&
-           now - live->answered_ms <
-               sched->options.hold_wait_ms + sched->options.call_ms;
+           now - live->answered_ms < sched->wait_ms + sched->options.call_ms;
 }
 
 static bool
--- a/tests/test_jobsched.c
+++ b/tests/test_jobsched.c
@@ -276,6 +276,27 @@
 }
 END_TEST
 
+typedef struct WaitCase {
+    uint32_t held;
+    int64_t lease_ms;
+    int64_t wait_ms;
+} WaitCase;
+
+static const WaitCase wait_cases[] = {
+    {0, 4000, 1000},   {49, 4000, 1000},   {200, 4000, 1000},
+    {350, 4000, 1750}, {5000, 4000, 1800}, {350, 2000, 1000},
+};
+
+START_TEST(large_fleets_are_read_less_often)
+{
+    JobSchedOptions options = JOBSCHED_OPTIONS_DEFAULT;
+
+    options.lease_ms = wait_cases[_i].lease_ms;
+    ck_assert_int_eq(JobSched_HoldWait(&options, wait_cases[_i].held),
+                     wait_cases[_i].wait_ms);
+}
+END_TEST
+
 Suite *
 Test_Suite(void)
 {
@@ -292,6 +313,8 @@
     tcase_add_test(tcase, targets_born_in_one_ms_are_told_apart);
     tcase_add_test(tcase, a_leaving_target_gets_no_work);
     tcase_add_test(tcase, cancelled_tasks_are_stopped);
+    tcase_add_loop_test(tcase, large_fleets_are_read_less_often, 0,
+                        (int)(sizeof(wait_cases) / sizeof(wait_cases[0])));
     suite_add_tcase(suite, tcase);
     return suite;
 }
