Copy no empty list of ends in the model of targets

The undefined-behaviour sanitizer refuses a null pointer with offset 0, which the model formed for a target without ends.

--- a/tests/support_jobworld.c
+++ b/tests/support_jobworld.c
@@ -535,8 +535,10 @@
                                          worker->runs[i].attempt, 100, 0, ""};
     }
     event->ends = allocate((worker->end_count - first + 1) * sizeof(JobEnd));
-    memcpy(event->ends, worker->ends + first,
-           (worker->end_count - first) * sizeof(JobEnd));
+    if (worker->end_count > first) {
+        memcpy(event->ends, worker->ends + first,
+               (worker->end_count - first) * sizeof(JobEnd));
+    }
     event->answer.running = event->running;
     event->answer.running_count = worker->run_count;
     event->answer.ends = event->ends;
