--- a/src/admit.c
+++ b/src/admit.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "admit_internal.h"
+#include "mem.h"
 
 #define RETRY_MIN_MS 10
 #define RETRY_MAX_MS 60000
@@ -72,10 +73,7 @@
         while (capacity <= id) {
             capacity *= 2;
         }
-        a->entries = realloc(a->entries, capacity * sizeof(AdmitEntry));
-        if (a->entries == NULL) {
-            abort();
-        }
+        a->entries = Mem_Resize(a->entries, capacity * sizeof(AdmitEntry));
         memset(a->entries + a->entry_capacity, 0,
                (capacity - a->entry_capacity) * sizeof(AdmitEntry));
         a->entry_capacity = capacity;
--- a/src/admit_tree.c
+++ b/src/admit_tree.c
@@ -1,6 +1,7 @@
-#include <stdlib.h>
 #include <string.h>
 
+#include "mem.h"
+
 #include "admit_internal.h"
 
 static uint32_t
@@ -14,10 +15,8 @@
     else {
         if (a->node_count == a->node_capacity) {
             a->node_capacity = a->node_capacity ? a->node_capacity * 2 : 64;
-            a->nodes = realloc(a->nodes, a->node_capacity * sizeof(AdmitNode));
-            if (a->nodes == NULL) {
-                abort();
-            }
+            a->nodes =
+                Mem_Resize(a->nodes, a->node_capacity * sizeof(AdmitNode));
         }
         node = a->node_count++;
     }
@@ -38,10 +37,7 @@
     if (index >= a->root_count) {
         uint32_t count = (pool + 1) * TRAFFIC_CLASSES;
         uint32_t i;
-        a->roots = realloc(a->roots, count * sizeof(*a->roots));
-        if (a->roots == NULL) {
-            abort();
-        }
+        a->roots = Mem_Resize(a->roots, count * sizeof(*a->roots));
         for (i = a->root_count; i < count; i++) {
             uint32_t root = node_new(a);
             a->nodes[root].path = Keymap_Pair(i + 1, 0);
@@ -226,10 +222,8 @@
     else {
         if (a->team_count == a->team_capacity) {
             a->team_capacity = a->team_capacity ? a->team_capacity * 2 : 64;
-            a->teams = realloc(a->teams, a->team_capacity * sizeof(AdmitTeam));
-            if (a->teams == NULL) {
-                abort();
-            }
+            a->teams =
+                Mem_Resize(a->teams, a->team_capacity * sizeof(AdmitTeam));
         }
         team = a->team_count++;
     }
--- a/src/buf.c
+++ b/src/buf.c
@@ -5,11 +5,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "mem.h"
+
 static void
 reserve(Buf *buf, size_t more)
 {
     size_t capacity = buf->capacity ? buf->capacity : 64;
-    char *data;
 
     if (buf->len + more <= buf->capacity) {
         return;
@@ -17,11 +18,7 @@
     while (capacity < buf->len + more) {
         capacity *= 2;
     }
-    data = realloc(buf->data, capacity);
-    if (data == NULL) {
-        abort();
-    }
-    buf->data = data;
+    buf->data = Mem_Resize(buf->data, capacity);
     buf->capacity = capacity;
 }
 
--- a/src/control.c
+++ b/src/control.c
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include "diag.h"
+#include "mem.h"
 #include "rng.h"
 
 #define CONTROL_TICK_MS 50
@@ -179,11 +180,8 @@
 view_applied(void *arg, uint64_t sequence)
 {
     Control *control = arg;
-    ViewPost *post = malloc(sizeof(*post));
+    ViewPost *post = Mem_New(1, sizeof(*post));
 
-    if (post == NULL) {
-        abort();
-    }
     *post = (ViewPost){control, sequence};
     Loop_Post(control->loop, note_view, post);
 }
@@ -480,20 +478,6 @@
     Loop_Run(control->loop);
 }
 
-static void
-free_targets(Control *control)
-{
-    size_t i;
-
-    if (control->targets == NULL) {
-        return;
-    }
-    for (i = 0; i < StrMap_Count(control->targets); i++) {
-        free(StrMap_At(control->targets, i));
-    }
-    StrMap_Free(control->targets);
-}
-
 void
 Control_Free(Control *control)
 {
@@ -512,7 +496,7 @@
     Control_CloseLog(control);
     Peers_Free(control->peers);
     State_Free(control->state);
-    free_targets(control);
+    StrMap_FreeAll(control->targets);
     Journal_Free(control->journal);
     Table_Free(control->proposals);
     free(control->peer_states);
--- a/src/control_admin.c
+++ b/src/control_admin.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "diag.h"
+#include "mem.h"
 
 #define CONTROL_PATH_BYTES 512
 #define CONTROL_EXPLAIN_ENTRIES 100
@@ -236,11 +237,8 @@
 handle_config(Control *control, HttpRequest *http)
 {
     const char *prefix = HttpRequest_Query(http, "path");
-    ConfigRead *read = calloc(1, sizeof(*read));
+    ConfigRead *read = Mem_New(1, sizeof(*read));
 
-    if (read == NULL) {
-        abort();
-    }
     read->control = control;
     read->http = http;
     snprintf(read->prefix, sizeof(read->prefix), "%s",
--- a/src/control_change.c
+++ b/src/control_change.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "diag.h"
+#include "mem.h"
 #include "patch.h"
 
 #define CONTROL_PATCH_MS 8000
@@ -99,11 +100,8 @@
 static void
 submit_change(Control *control, HttpRequest *http, Buf command)
 {
-    OperatorChange *change = calloc(1, sizeof(*change));
+    OperatorChange *change = Mem_New(1, sizeof(*change));
 
-    if (change == NULL) {
-        abort();
-    }
     change->control = control;
     change->http = http;
     change->command = command;
--- a/src/control_feed.c
+++ b/src/control_feed.c
@@ -25,22 +25,6 @@
     }
 }
 
-static void
-on_applied(void *arg, uint64_t index, const char *command, size_t len,
-           const Buf *result)
-{
-    (void)command;
-    (void)len;
-    (void)result;
-    Control_NoteApplied(arg, index);
-}
-
-static void
-on_restored(void *arg, uint64_t index)
-{
-    Control_NoteApplied(arg, index);
-}
-
 Status
 Control_OpenFeed(Control *control, ErrCtx *err)
 {
@@ -58,8 +42,8 @@
     options.machine = control->state;
     options.arg = control;
     options.send = send_feed;
-    options.applied = on_applied;
-    options.restored = on_restored;
+    options.applied = Control_OnApplied;
+    options.restored = Control_OnRestored;
     return Feed_New(&options, &control->feed, err);
 }
 
--- a/src/control_internal.h
+++ b/src/control_internal.h
@@ -170,7 +170,9 @@
 const char *Control_LeaderName(const Control *control);
 
 const ReplicaMachineOps *Control_MachineOps(void);
-void Control_NoteApplied(Control *control, uint64_t index);
+void Control_OnApplied(void *arg, uint64_t index, const char *command,
+                       size_t len, const Buf *result);
+void Control_OnRestored(void *arg, uint64_t index);
 
 /* control_feed.c */
 Status Control_OpenFeed(Control *control, ErrCtx *err);
--- a/src/control_keeper.c
+++ b/src/control_keeper.c
@@ -5,6 +5,7 @@
 
 #include "assign.h"
 #include "diag.h"
+#include "mem.h"
 
 #define KEEPER_PART "keeper"
 #define KEEPER_FILE "escrow"
@@ -131,10 +132,7 @@
         now - target->platform_ms < KEEPER_PLATFORM_MS) {
         return false;
     }
-    call = calloc(1, sizeof(*call));
-    if (call == NULL) {
-        abort();
-    }
+    call = Mem_New(1, sizeof(*call));
     call->control = control;
     call->epoch = epoch;
     memcpy(call->vm, target->name, sizeof(call->vm));
--- a/src/control_log.c
+++ b/src/control_log.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "diag.h"
+#include "mem.h"
 #include "rng.h"
 
 static void
@@ -55,27 +56,27 @@
     }
 }
 
-void
-Control_NoteApplied(Control *control, uint64_t index)
+static void
+note_applied(Control *control, uint64_t index)
 {
     control->applied = index;
     control->view_dirty = true;
 }
 
-static void
-on_applied(void *arg, uint64_t index, const char *command, size_t len,
-           const Buf *result)
+void
+Control_OnApplied(void *arg, uint64_t index, const char *command, size_t len,
+                  const Buf *result)
 {
     (void)command;
     (void)len;
     (void)result;
-    Control_NoteApplied(arg, index);
+    note_applied(arg, index);
 }
 
-static void
-on_restored(void *arg, uint64_t index)
+void
+Control_OnRestored(void *arg, uint64_t index)
 {
-    Control_NoteApplied(arg, index);
+    note_applied(arg, index);
 }
 
 static void
@@ -131,10 +132,10 @@
     options->voters = (size_t)settings->voters;
     options->machine_ops = &machine_ops;
     options->send = send_raft;
-    options->applied = on_applied;
+    options->applied = Control_OnApplied;
     options->proposed = on_proposed;
     options->read_ready = on_read;
-    options->restored = on_restored;
+    options->restored = Control_OnRestored;
     options->role_changed = on_role;
 }
 
@@ -407,10 +408,7 @@
         message->ptr[2].type != MSGPACK_OBJECT_BIN) {
         return;
     }
-    proposal = malloc(sizeof(*proposal));
-    if (proposal == NULL) {
-        abort();
-    }
+    proposal = Mem_New(1, sizeof(*proposal));
     *proposal = (PeerProposal){control, peer, message->ptr[1].via.u64};
     if (!Control_IsLeader(control)) {
         /* Not passed on, so that two nodes cannot send it in circles. */
--- a/src/control_once.c
+++ b/src/control_once.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "diag.h"
+#include "mem.h"
 
 void
 Control_OnOnce(Control *control, size_t peer, PeerMessageType type,
@@ -102,11 +103,8 @@
 post_record(Control *control, uint64_t cookie, bool is_intent,
             const char *record, size_t len)
 {
-    OncePost *post = calloc(1, sizeof(*post));
+    OncePost *post = Mem_New(1, sizeof(*post));
 
-    if (post == NULL) {
-        abort();
-    }
     post->control = control;
     post->cookie = cookie;
     post->is_intent = is_intent;
--- a/src/control_spare.c
+++ b/src/control_spare.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "diag.h"
+#include "mem.h"
 #include "spare.h"
 
 #define SPARE_PART "spare"
@@ -249,12 +250,9 @@
     size_t count = 0;
     size_t i;
 
-    input.pools = calloc(input.count + 1, sizeof(*input.pools));
+    input.pools = Mem_New(input.count + 1, sizeof(*input.pools));
     input.movable =
-        calloc(input.count * SPARE_MAX_MOVES + 1, sizeof(*input.movable));
-    if (input.pools == NULL || input.movable == NULL) {
-        abort();
-    }
+        Mem_New(input.count * SPARE_MAX_MOVES + 1, sizeof(*input.movable));
     for (i = 0; i < input.count; i++) {
         fill_pool(control, State_PoolAt(control->state, i), now,
                   &input.pools[i]);
--- a/src/control_wave.c
+++ b/src/control_wave.c
@@ -6,6 +6,7 @@
 #include <apr_time.h>
 
 #include "diag.h"
+#include "mem.h"
 #include "wave.h"
 
 #define WAVE_PART "wave"
@@ -32,10 +33,7 @@
             return entry;
         }
     }
-    entry = calloc(1, sizeof(*entry));
-    if (entry == NULL) {
-        abort();
-    }
+    entry = Mem_New(1, sizeof(*entry));
     entry->plan = WavePlan_New(control->state, wave->name,
                                control->settings->data_centre, &limits);
     if (entry->plan == NULL) {
--- a/src/escrow.c
+++ b/src/escrow.c
@@ -5,23 +5,12 @@
 #include <string.h>
 
 #include "escrow_impl.h"
-
-void *
-EscrowImpl_Allocate(size_t bytes)
-{
-    void *memory = calloc(1, bytes);
-
-    /* A grant that is not counted would break the budget. */
-    if (memory == NULL) {
-        abort();
-    }
-    return memory;
-}
+#include "mem.h"
 
 Escrow *
 Escrow_New(const char *member, const char *data_centre, uint64_t identity)
 {
-    Escrow *escrow = EscrowImpl_Allocate(sizeof(*escrow));
+    Escrow *escrow = Mem_New(1, sizeof(*escrow));
 
     snprintf(escrow->member, sizeof(escrow->member), "%s", member);
     snprintf(escrow->data_centre, sizeof(escrow->data_centre), "%s",
@@ -34,25 +23,14 @@
     return escrow;
 }
 
-static void
-free_all(StrMap *map)
-{
-    size_t i;
-
-    for (i = 0; i < StrMap_Count(map); i++) {
-        free(StrMap_At(map, i));
-    }
-    StrMap_Free(map);
-}
-
 void
 Escrow_Free(Escrow *escrow)
 {
     if (escrow != NULL) {
-        free_all(escrow->pools);
-        free_all(escrow->vms);
-        free_all(escrow->grants);
-        free_all(escrow->outcomes);
+        StrMap_FreeAll(escrow->pools);
+        StrMap_FreeAll(escrow->vms);
+        StrMap_FreeAll(escrow->grants);
+        StrMap_FreeAll(escrow->outcomes);
         free(escrow);
     }
 }
@@ -77,7 +55,7 @@
     EscrowPool *pool = StrMap_Get(escrow->pools, name);
 
     if (pool == NULL) {
-        pool = EscrowImpl_Allocate(sizeof(*pool));
+        pool = Mem_New(1, sizeof(*pool));
         snprintf(pool->name, sizeof(pool->name), "%s", name);
         pool->number = number;
         StrMap_Put(escrow->pools, pool->name, pool);
@@ -97,7 +75,7 @@
 EscrowImpl_AddGrant(Escrow *escrow, const char *vm, const char *pool,
                     const char *wave, EscrowPurpose purpose)
 {
-    EscrowGrant *grant = EscrowImpl_Allocate(sizeof(*grant));
+    EscrowGrant *grant = Mem_New(1, sizeof(*grant));
 
     snprintf(grant->vm, sizeof(grant->vm), "%s", vm);
     snprintf(grant->pool, sizeof(grant->pool), "%s", pool);
@@ -118,7 +96,7 @@
     snprintf(key, sizeof(key), "%s/%s", wave, vm);
     outcome = StrMap_Get(escrow->outcomes, key);
     if (outcome == NULL) {
-        outcome = EscrowImpl_Allocate(sizeof(*outcome));
+        outcome = Mem_New(1, sizeof(*outcome));
         snprintf(outcome->key, sizeof(outcome->key), "%s", key);
         snprintf(outcome->wave, sizeof(outcome->wave), "%s", wave);
         snprintf(outcome->vm, sizeof(outcome->vm), "%s", vm);
--- a/src/escrow_impl.h
+++ b/src/escrow_impl.h
@@ -46,7 +46,6 @@
     StrMap *outcomes;
 };
 
-void *EscrowImpl_Allocate(size_t bytes);
 EscrowPool *EscrowImpl_AddPool(Escrow *escrow, const char *name,
                                uint64_t number);
 EscrowGrant *EscrowImpl_AddGrant(Escrow *escrow, const char *vm,
--- a/src/escrow_record.c
+++ b/src/escrow_record.c
@@ -93,22 +93,6 @@
     return escrow->revision;
 }
 
-static bool
-read_name(MpRead *reader, char *out, bool optional)
-{
-    return MpRead_Text(reader, out, STATE_NAME_BYTES) &&
-           ((optional && out[0] == '\0') ||
-            StatePath_IsName(out, strlen(out)));
-}
-
-static bool
-open_row(MpRead *reader, uint32_t items)
-{
-    uint32_t count;
-
-    return MpRead_Array(reader, &count) && count == items;
-}
-
 static bool
 read_pool(Escrow *escrow, MpRead *reader)
 {
@@ -116,7 +100,7 @@
     uint64_t number;
     uint64_t released;
 
-    if (!open_row(reader, 3) || !read_name(reader, name, false) ||
+    if (!MpRead_Row(reader, 3) || !StatePath_ReadName(reader, name, false) ||
         !MpRead_U64(reader, &number) || !MpRead_U64(reader, &released) ||
         StrMap_Get(escrow->pools, name) != NULL) {
         return false;
@@ -133,11 +117,12 @@
     uint64_t purpose;
     uint64_t step;
 
-    if (!open_row(reader, 7) || !read_name(reader, row.vm, false) ||
-        !read_name(reader, row.pool, false) ||
-        !read_name(reader, row.wave, true) || !MpRead_U64(reader, &purpose) ||
-        purpose > ESCROW_MOVE || !MpRead_U64(reader, &step) ||
-        step > ESCROW_REBOOTED || !MpRead_U64(reader, &row.epoch) ||
+    if (!MpRead_Row(reader, 7) || !StatePath_ReadName(reader, row.vm, false) ||
+        !StatePath_ReadName(reader, row.pool, false) ||
+        !StatePath_ReadName(reader, row.wave, true) ||
+        !MpRead_U64(reader, &purpose) || purpose > ESCROW_MOVE ||
+        !MpRead_U64(reader, &step) || step > ESCROW_REBOOTED ||
+        !MpRead_U64(reader, &row.epoch) ||
         !MpRead_U64(reader, &row.incarnation) ||
         StrMap_Get(escrow->grants, row.vm) != NULL ||
         StrMap_Get(escrow->pools, row.pool) == NULL) {
@@ -159,8 +144,8 @@
     char vm[STATE_NAME_BYTES];
     uint64_t step;
 
-    if (!open_row(reader, 3) || !read_name(reader, wave, false) ||
-        !read_name(reader, vm, false) || !MpRead_U64(reader, &step) ||
+    if (!MpRead_Row(reader, 3) || !StatePath_ReadName(reader, wave, false) ||
+        !StatePath_ReadName(reader, vm, false) || !MpRead_U64(reader, &step) ||
         step < STATE_STEP_DONE || step > STATE_STEP_FAILED) {
         return false;
     }
@@ -193,10 +178,11 @@
     uint64_t format;
     uint64_t revision;
 
-    if (!open_row(reader, RECORD_ITEMS) ||
+    if (!MpRead_Row(reader, RECORD_ITEMS) ||
         !MpRead_Text(reader, magic, sizeof(magic)) ||
         strcmp(magic, RECORD_MAGIC) != 0 || !MpRead_U64(reader, &format) ||
-        format != RECORD_FORMAT || !read_name(reader, centre, false) ||
+        format != RECORD_FORMAT ||
+        !StatePath_ReadName(reader, centre, false) ||
         !MpRead_U64(reader, identity) || !MpRead_U64(reader, &escrow->epoch) ||
         !MpRead_U64(reader, &escrow->applied) ||
         !MpRead_U64(reader, &revision) ||
--- a/src/escrow_sync.c
+++ b/src/escrow_sync.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "escrow_impl.h"
+#include "mem.h"
 #include "statecmd.h"
 
 /* Takes over a newer epoch of the keeper. Another keeper may have spent the
@@ -69,7 +70,7 @@
     EscrowVm *vm = StrMap_Get(escrow->vms, row->name);
 
     if (vm == NULL) {
-        vm = EscrowImpl_Allocate(sizeof(*vm));
+        vm = Mem_New(1, sizeof(*vm));
         snprintf(vm->name, sizeof(vm->name), "%s", row->name);
         StrMap_Put(escrow->vms, vm->name, vm);
     }
--- a/src/feed.c
+++ b/src/feed.c
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #include "diag.h"
+#include "mem.h"
 #include "reader.h"
 
 #define ASK_FIELDS 8
@@ -398,10 +399,7 @@
     if (at == FEED_NO_PEER) {
         return ST_STALE;
     }
-    answer = malloc(sizeof(*answer));
-    if (answer == NULL) {
-        abort();
-    }
+    answer = Mem_New(1, sizeof(*answer));
     status = decode(bytes, len, answer);
     if (status == ST_OK && feed->cluster != 0 &&
         feed->cluster != answer->cluster) {
--- a/src/feed_choice.c
+++ b/src/feed_choice.c
@@ -4,6 +4,7 @@
 
 #include "diag.h"
 #include "feed_core.h"
+#include "mem.h"
 
 size_t
 FeedCore_FindPeer(const Feed *feed, const char *name)
@@ -120,12 +121,9 @@
 void
 Feed_SetPeers(Feed *feed, int64_t now_ms, const FeedPeer *peers, size_t count)
 {
-    FeedLink *next = calloc(FEED_MAX_PEERS, sizeof(*next));
+    FeedLink *next = Mem_New(FEED_MAX_PEERS, sizeof(*next));
     size_t i;
 
-    if (next == NULL) {
-        abort();
-    }
     if (count > FEED_MAX_PEERS) {
         count = FEED_MAX_PEERS;
     }
--- a/src/feed_server.c
+++ b/src/feed_server.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "mem.h"
 #include "reader.h"
 
 #define ASK_FIELDS 8
@@ -45,11 +46,8 @@
 FeedServer *
 FeedServer_New(const Replica *replica, const Feed *feed)
 {
-    FeedServer *server = calloc(1, sizeof(*server));
+    FeedServer *server = Mem_New(1, sizeof(*server));
 
-    if (server == NULL) {
-        abort();
-    }
     server->replica = replica;
     server->feed = feed;
     return server;
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "diag.h"
+#include "mem.h"
 
 #define GATEWAY_TICK_MS 20
 #define GATEWAY_IDLE_TIMEOUT_S 120
@@ -222,11 +223,8 @@
 void
 Gateway_Publish(Gateway *gateway, GatewayView *view)
 {
-    PostedView *posted = malloc(sizeof(*posted));
+    PostedView *posted = Mem_New(1, sizeof(*posted));
 
-    if (posted == NULL) {
-        abort();
-    }
     posted->thread = &gateway->threads[0];
     posted->view = view;
     Loop_Post(posted->thread->loop, apply_view, posted);
@@ -269,11 +267,8 @@
 void
 Gateway_IntentRecorded(Gateway *gateway, uint64_t cookie, bool ok)
 {
-    PostedIntent *posted = malloc(sizeof(*posted));
+    PostedIntent *posted = Mem_New(1, sizeof(*posted));
 
-    if (posted == NULL) {
-        abort();
-    }
     posted->thread = &gateway->threads[0];
     posted->cookie = cookie;
     posted->ok = ok;
@@ -455,12 +450,8 @@
 {
     if (batch->count == batch->capacity) {
         size_t capacity = batch->capacity ? batch->capacity * 2 : 8;
-        TrafficAction *items =
-            realloc(batch->items, capacity * sizeof(*items));
-        if (items == NULL) {
-            abort();
-        }
-        batch->items = items;
+        batch->items =
+            Mem_Resize(batch->items, capacity * sizeof(*batch->items));
         batch->capacity = capacity;
     }
     batch->items[batch->count++] = *action;
@@ -496,10 +487,7 @@
             add_action(batch, &action);
             continue;
         }
-        posted = malloc(sizeof(*posted));
-        if (posted == NULL) {
-            abort();
-        }
+        posted = Mem_New(1, sizeof(*posted));
         posted->thread = (*row)->thread;
         posted->action = action;
         Loop_Post(posted->thread->loop, perform_posted, posted);
--- a/src/gateway_call.c
+++ b/src/gateway_call.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "diag.h"
+#include "mem.h"
 
 /* Slack beyond a request's deadline, so that the core's deadline, which
  * decides on the answer, comes first. */
@@ -280,10 +281,7 @@
         report_unsent(self, action->attempt, request, 0, batch);
         return;
     }
-    call = calloc(1, sizeof(*call));
-    if (call == NULL) {
-        abort();
-    }
+    call = Mem_New(1, sizeof(*call));
     call->request = request;
     call->attempt = action->attempt;
     call->once_attempt = once_attempt;
--- a/src/gateway_http.c
+++ b/src/gateway_http.c
@@ -8,6 +8,7 @@
 #include <jansson.h>
 
 #include "diag.h"
+#include "mem.h"
 
 #define GATEWAY_PATH_BYTES 512
 #define GATEWAY_RETRY_RUNNING_MS 200
@@ -153,11 +154,8 @@
 new_request(GwThread *self, HttpRequest *http, const char *service,
             int64_t deadline_ms)
 {
-    GwRequest *request = calloc(1, sizeof(*request));
+    GwRequest *request = Mem_New(1, sizeof(*request));
 
-    if (request == NULL) {
-        abort();
-    }
     request->thread = self;
     request->http = http;
     request->received_us = Loop_NowUs();
@@ -373,13 +371,10 @@
         "Coltsfoot-Caller",       "Coltsfoot-Request-Id", "Coltsfoot-Team",
         "Coltsfoot-Deadline-Ms",  "Coltsfoot-Class",      "Coltsfoot-Kind",
         "Coltsfoot-Unrepeatable", "Coltsfoot-Token"};
-    GwForward *forward = calloc(1, sizeof(*forward));
+    GwForward *forward = Mem_New(1, sizeof(*forward));
     HttpCallOptions options = {.method = "POST", .address = home->traffic};
     size_t i;
 
-    if (forward == NULL) {
-        abort();
-    }
     forward->thread = self;
     forward->http = request->http;
     snprintf(forward->id, sizeof(forward->id), "%s", request->id);
@@ -548,10 +543,7 @@
                         "count must be from 1 to 1024", 0);
         return;
     }
-    tokens = calloc((size_t)count, sizeof(*tokens));
-    if (tokens == NULL) {
-        abort();
-    }
+    tokens = Mem_New((size_t)count, sizeof(*tokens));
     Gw_Lock(self->gateway);
     status =
         Once_Issue(self->gateway->once, Loop_NowMs(), (size_t)count, tokens);
--- a/src/httpclient.c
+++ b/src/httpclient.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include <curl/curl.h>
+#include <xxhash.h>
 
 #define HTTP_CONNECT_TIMEOUT_MS 1000
 #define HTTP_URL_BYTES 512
@@ -337,12 +338,9 @@
 static HttpShard *
 shard_of(HttpClient *client, const SettingsAddress *address)
 {
-    uint32_t hash = (uint32_t)address->port;
-    const char *at;
+    uint64_t hash = XXH64(address->host, strlen(address->host),
+                          (XXH64_hash_t)address->port);
 
-    for (at = address->host; *at != '\0'; at++) {
-        hash = hash * 31 + (unsigned char)*at;
-    }
     return &client->shards[hash % HTTP_SHARDS];
 }
 
--- a/src/jobcodec.c
+++ b/src/jobcodec.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "mem.h"
 #include "mppack.h"
 
 #define MAX_QUEUES 65536
@@ -114,19 +115,6 @@
     }
 }
 
-static bool
-read_u32(MpRead *reader, uint32_t *value)
-{
-    uint64_t wide = 0;
-
-    if (!MpRead_U64(reader, &wide) || wide > UINT32_MAX) {
-        reader->failed = true;
-        return false;
-    }
-    *value = (uint32_t)wide;
-    return true;
-}
-
 static bool
 read_field(MpRead *reader, const Field *field, char *row)
 {
@@ -135,7 +123,7 @@
 
     switch (field->type) {
     case FIELD_U32:
-        return read_u32(reader, at);
+        return MpRead_U32(reader, at);
     case FIELD_U64:
         return MpRead_U64(reader, at);
     case FIELD_I64:
@@ -143,7 +131,7 @@
     case FIELD_BOOL:
         return MpRead_Bool(reader, at);
     case FIELD_DOUBLE:
-        if (!read_u32(reader, &thousandths)) {
+        if (!MpRead_U32(reader, &thousandths)) {
             return false;
         }
         *(double *)at = thousandths / 1000.0;
@@ -169,11 +157,9 @@
 static bool
 read_row(MpRead *reader, const Field *fields, size_t count, void *row)
 {
-    uint32_t items;
     size_t i;
 
-    if (!MpRead_Array(reader, &items) || items != count) {
-        reader->failed = true;
+    if (!MpRead_Row(reader, (uint32_t)count)) {
         return false;
     }
     for (i = 0; i < count; i++) {
@@ -196,10 +182,7 @@
         reader->failed = true;
         return false;
     }
-    *rows = calloc(*count + 1, row_bytes);
-    if (*rows == NULL) {
-        abort();
-    }
+    *rows = Mem_New(*count + 1, row_bytes);
     return true;
 }
 
@@ -211,10 +194,7 @@
     if (!MpRead_Bin(reader, &bytes, len)) {
         return false;
     }
-    *text = malloc(*len + 1);
-    if (*text == NULL) {
-        abort();
-    }
+    *text = Mem_New(1, *len + 1);
     memcpy(*text, bytes, *len);
     (*text)[*len] = '\0';
     return true;
@@ -262,7 +242,7 @@
             return false;
         }
     }
-    return read_u32(reader, &spec->repeats) &&
+    return MpRead_U32(reader, &spec->repeats) &&
            MpRead_I64(reader, &spec->start_ms) &&
            MpRead_I64(reader, &spec->interval_ms) &&
            JobSpec_Check(spec) == NULL;
@@ -393,12 +373,9 @@
 static void
 check_places(const JobConfig *config, Findings *findings)
 {
-    const JobQueue **rows = calloc(config->queue_count + 1, sizeof(*rows));
+    const JobQueue **rows = Mem_New(config->queue_count + 1, sizeof(*rows));
     size_t i;
 
-    if (rows == NULL) {
-        abort();
-    }
     for (i = 0; i < config->queue_count; i++) {
         rows[i] = &config->queues[i];
     }
--- a/src/jobctl.c
+++ b/src/jobctl.c
@@ -8,6 +8,7 @@
 
 #include "diag.h"
 #include "jobfleetmsg.h"
+#include "mem.h"
 
 #define TICK_MS 50
 #define FLEET_MS 400
@@ -263,10 +264,7 @@
         return;
     }
     control->confirm_ms = now + CONFIRM_MS;
-    asked = malloc(sizeof(*asked));
-    if (asked == NULL) {
-        abort();
-    }
+    asked = Mem_New(1, sizeof(*asked));
     *asked = (Confirmation){control, now};
     JobControl_Read(control, on_confirmed, asked);
 }
@@ -371,13 +369,10 @@
 {
     JobControl *control = arg;
     Findings *findings = Findings_New(control->settings_file);
-    Settings *settings = calloc(1, sizeof(*settings));
+    Settings *settings = Mem_New(1, sizeof(*settings));
     Status status;
     size_t i;
 
-    if (settings == NULL) {
-        abort();
-    }
     status = Settings_Load(control->settings_file, settings, findings);
     Slog_Begin(status == ST_OK ? SLOG_CHANGE : SLOG_FAILURE,
                "settings_reloaded");
--- a/src/jobctl_call.c
+++ b/src/jobctl_call.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "mem.h"
+
 #define MAX_ANSWER_BYTES (4 * 1024 * 1024)
 /* An order has the same effect when it is repeated, so one without an answer
  * is given up early. */
@@ -82,11 +84,8 @@
 static Call *
 new_call(JobControl *control)
 {
-    Call *call = calloc(1, sizeof(*call));
+    Call *call = Mem_New(1, sizeof(*call));
 
-    if (call == NULL) {
-        abort();
-    }
     call->control = control;
     return call;
 }
@@ -162,11 +161,8 @@
 static void
 propose_action(JobControl *control, JobAction *action)
 {
-    SchedWaiter *waiter = malloc(sizeof(*waiter));
+    SchedWaiter *waiter = Mem_New(1, sizeof(*waiter));
 
-    if (waiter == NULL) {
-        abort();
-    }
     *waiter = (SchedWaiter){control, action->cookie};
     JobControl_Propose(control, &action->command, on_sched_proposed, waiter);
     Buf_Free(&action->command);
--- a/src/jobctl_log.c
+++ b/src/jobctl_log.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "diag.h"
+#include "mem.h"
 #include "rng.h"
 
 /* A read without a confirmation by a majority is given up after this. */
@@ -123,12 +124,9 @@
 JobControl_Propose(JobControl *control, const Buf *command, JobDoneFn fn,
                    void *arg)
 {
-    JobWaiter *waiter = calloc(1, sizeof(*waiter));
+    JobWaiter *waiter = Mem_New(1, sizeof(*waiter));
     Status status;
 
-    if (waiter == NULL) {
-        abort();
-    }
     *waiter = (JobWaiter){control->next_cookie++, fn, arg, control->waiters};
     control->waiters = waiter;
     status = Replica_Propose(control->replica, Loop_NowMs(), command->data,
@@ -174,11 +172,8 @@
 void
 JobControl_Read(JobControl *control, JobDoneFn fn, void *arg)
 {
-    JobReader *reader = calloc(1, sizeof(*reader));
+    JobReader *reader = Mem_New(1, sizeof(*reader));
 
-    if (reader == NULL) {
-        abort();
-    }
     *reader = (JobReader){fn, arg, Loop_NowMs(), control->readers};
     control->readers = reader;
     send_read(control);
--- a/src/jobctl_request.c
+++ b/src/jobctl_request.c
@@ -6,6 +6,7 @@
 
 #include <apr_time.h>
 
+#include "mem.h"
 #include "mppack.h"
 
 /* Told to callers while there is no leader. */
@@ -448,11 +449,8 @@
 static Asked *
 new_asked(JobControl *control)
 {
-    Asked *asked = calloc(1, sizeof(*asked));
+    Asked *asked = Mem_New(1, sizeof(*asked));
 
-    if (asked == NULL) {
-        abort();
-    }
     asked->control = control;
     asked->since_us = Loop_NowUs();
     asked->since_ms = asked->since_us / 1000;
--- a/src/jobdemand.c
+++ b/src/jobdemand.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "job.h"
+#include "mem.h"
 
 #define MAX_POOLS 160
 #define MAX_TURNS 24
@@ -45,11 +46,8 @@
 JobDemand *
 JobDemand_New(void)
 {
-    JobDemand *demand = calloc(1, sizeof(*demand));
+    JobDemand *demand = Mem_New(1, sizeof(*demand));
 
-    if (demand == NULL) {
-        abort();
-    }
     return demand;
 }
 
@@ -95,11 +93,8 @@
         if (demand->count == MAX_POOLS) {
             return;
         }
-        demand->pools =
-            realloc(demand->pools, (demand->count + 1) * sizeof(DemandPool));
-        if (demand->pools == NULL) {
-            abort();
-        }
+        demand->pools = Mem_Resize(demand->pools,
+                                   (demand->count + 1) * sizeof(DemandPool));
         pool = &demand->pools[demand->count++];
         memset(pool, 0, sizeof(*pool));
         snprintf(pool->name, sizeof(pool->name), "%s", name);
@@ -206,25 +201,32 @@
     return count;
 }
 
+static int64_t
+period_of(const Turn *turns, size_t count)
+{
+    int64_t last;
+    int64_t before;
+
+    if (count < 3) {
+        return 0;
+    }
+    last = turns[count - 1].rise - turns[count - 2].rise;
+    before = turns[count - 2].rise - turns[count - 3].rise;
+    return llabs(last - before) * 100 <= last * PERIOD_OFF_PERCENT ? last : 0;
+}
+
 int64_t
 JobDemand_Period(const JobDemand *demand, int64_t now, const char *name)
 {
     const DemandPool *pool = find_pool(demand, name);
     Turn turns[MAX_TURNS];
-    int64_t last;
-    int64_t before;
     size_t count;
 
     if (pool == NULL) {
         return 0;
     }
     count = find_turns(demand, pool, now, turns);
-    if (count < 3) {
-        return 0;
-    }
-    last = turns[count - 1].rise - turns[count - 2].rise;
-    before = turns[count - 2].rise - turns[count - 3].rise;
-    return llabs(last - before) * 100 <= last * PERIOD_OFF_PERCENT ? last : 0;
+    return period_of(turns, count);
 }
 
 int64_t
@@ -258,7 +260,7 @@
         return 0;
     }
     count = find_turns(demand, pool, now, turns);
-    period = JobDemand_Period(demand, now, name);
+    period = period_of(turns, count);
     if (count == 0 || period <= 0) {
         return 0;
     }
--- a/src/jobentry.c
+++ b/src/jobentry.c
@@ -9,6 +9,7 @@
 #include "httpserver.h"
 #include "jobfleetmsg.h"
 #include "loop.h"
+#include "mem.h"
 #include "mppack.h"
 #include "peer.h"
 #include "signals.h"
@@ -182,13 +183,10 @@
 handle_traffic(void *arg, HttpRequest *http)
 {
     JobEntry *entry = arg;
-    Passed *passed = calloc(1, sizeof(*passed));
+    Passed *passed = Mem_New(1, sizeof(*passed));
     const char *path = HttpRequest_Path(http);
     const char *id = strrchr(path, '/');
 
-    if (passed == NULL) {
-        abort();
-    }
     passed->sequence = entry->next_sequence++;
     passed->http = http;
     passed->kind = kind_of(HttpRequest_Method(http));
@@ -423,13 +421,10 @@
 {
     JobEntry *entry = arg;
     Findings *findings = Findings_New(entry->settings_file);
-    Settings *settings = calloc(1, sizeof(*settings));
+    Settings *settings = Mem_New(1, sizeof(*settings));
     Status status;
     size_t i;
 
-    if (settings == NULL) {
-        abort();
-    }
     status = Settings_Load(entry->settings_file, settings, findings);
     Slog_Begin(status == ST_OK ? SLOG_CHANGE : SLOG_FAILURE,
                "settings_reloaded");
--- a/src/jobest.c
+++ b/src/jobest.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "job.h"
+#include "mem.h"
 
 #define MAX_QUEUES 4096
 /* Runs seen before a queue's own figures count in full. */
@@ -31,11 +32,8 @@
 JobEst *
 JobEst_New(void)
 {
-    JobEst *est = calloc(1, sizeof(*est));
+    JobEst *est = Mem_New(1, sizeof(*est));
 
-    if (est == NULL) {
-        abort();
-    }
     return est;
 }
 
@@ -75,10 +73,7 @@
             return;
         }
         est->queues =
-            realloc(est->queues, (est->count + 1) * sizeof(EstQueue));
-        if (est->queues == NULL) {
-            abort();
-        }
+            Mem_Resize(est->queues, (est->count + 1) * sizeof(EstQueue));
         queue = &est->queues[est->count++];
         memset(queue, 0, sizeof(*queue));
         snprintf(queue->name, sizeof(queue->name), "%s", name);
--- a/src/jobfleet.c
+++ b/src/jobfleet.c
@@ -6,6 +6,7 @@
 
 #include "jobcodec.h"
 #include "jobfleet_impl.h"
+#include "mem.h"
 #include "slog.h"
 
 /* Orders are given only so long after a majority confirmed the leader. */
@@ -24,11 +25,8 @@
 JobFleet *
 JobFleet_New(const JobFleetOptions *options, JobState *state, JobSched *sched)
 {
-    JobFleet *fleet = calloc(1, sizeof(*fleet));
+    JobFleet *fleet = Mem_New(1, sizeof(*fleet));
 
-    if (fleet == NULL) {
-        abort();
-    }
     fleet->options = *options;
     fleet->state = state;
     fleet->sched = sched;
@@ -109,10 +107,7 @@
     FleetVm *vm;
 
     fleet->vms =
-        realloc(fleet->vms, (fleet->vm_count + 1) * sizeof(*fleet->vms));
-    if (fleet->vms == NULL) {
-        abort();
-    }
+        Mem_Resize(fleet->vms, (fleet->vm_count + 1) * sizeof(*fleet->vms));
     vm = &fleet->vms[fleet->vm_count++];
     memset(vm, 0, sizeof(*vm));
     vm->listed = *listed;
--- a/src/jobfleet_move.c
+++ b/src/jobfleet_move.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "jobcodec.h"
+#include "mem.h"
 #include "slog.h"
 
 /* Short work fills VMs only to this share before tasks no longer fit. */
@@ -278,14 +279,11 @@
 FleetImpl_PlanMoves(JobFleet *fleet, int64_t now)
 {
     const JobConfig *config = JobState_Config(fleet->state);
-    PoolPlan *plans = calloc(config->pool_count + 1, sizeof(*plans));
+    PoolPlan *plans = Mem_New(config->pool_count + 1, sizeof(*plans));
     PoolPlan *standby;
     size_t count = 0;
     size_t i;
 
-    if (plans == NULL) {
-        abort();
-    }
     for (i = 0; i < config->pool_count && count < MOVE_MAX_POOLS; i++) {
         plans[count++].pool = &config->pools[i];
     }
--- a/src/jobsched.c
+++ b/src/jobsched.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "mem.h"
 #include "slog.h"
 
 /* Ended jobs are looked through this often. */
@@ -23,11 +24,8 @@
 JobSched *
 JobSched_New(const JobSchedOptions *options, JobState *state)
 {
-    JobSched *sched = calloc(1, sizeof(*sched));
+    JobSched *sched = Mem_New(1, sizeof(*sched));
 
-    if (sched == NULL) {
-        abort();
-    }
     sched->options = *options;
     sched->wait_ms = options->hold_wait_ms;
     sched->state = state;
@@ -107,11 +105,8 @@
     }
     if (sched->action_count == sched->action_capacity) {
         sched->action_capacity = sched->action_capacity * 2 + 16;
-        sched->actions = realloc(sched->actions, sched->action_capacity *
-                                                     sizeof(*sched->actions));
-        if (sched->actions == NULL) {
-            abort();
-        }
+        sched->actions = Mem_Resize(
+            sched->actions, sched->action_capacity * sizeof(*sched->actions));
     }
     action = &sched->actions[sched->action_count++];
     memset(action, 0, sizeof(*action));
@@ -135,11 +130,8 @@
                   uint32_t row, uint64_t serial)
 {
     JobAction *action = SchedImpl_Action(sched, JOB_ACTION_PROPOSE);
-    SchedProposal *proposal = calloc(1, sizeof(*proposal));
+    SchedProposal *proposal = Mem_New(1, sizeof(*proposal));
 
-    if (proposal == NULL) {
-        abort();
-    }
     action->command = *command;
     *command = (Buf)BUF_INIT;
     proposal->cookie = action->cookie;
@@ -162,10 +154,7 @@
     SchedTarget *live = target->live;
 
     if (live == NULL) {
-        live = calloc(1, sizeof(*live));
-        if (live == NULL) {
-            abort();
-        }
+        live = Mem_New(1, sizeof(*live));
         target->live = live;
         live->fence = sched->fence;
         live->life = sched->next_life++;
--- a/src/jobsched.h
+++ b/src/jobsched.h
@@ -55,8 +55,7 @@
     JOB_ACTION_PROPOSE, /* command; answer with JobSched_Proposed */
     JOB_ACTION_START,   /* the others: answer with JobSched_Answered */
     JOB_ACTION_STOP,
-    JOB_ACTION_HOLD,
-    JOB_ACTION_PACE
+    JOB_ACTION_HOLD
 } JobActionKind;
 
 typedef struct JobAction {
@@ -74,7 +73,6 @@
     int64_t deadline_ms; /* on the target's clock */
     uint64_t ack;        /* ends up to here may be forgotten */
     int64_t wait_ms;
-    uint32_t percent;
     const char *text; /* the job's; valid until the next call here */
     const char *checkpoint;
     int64_t sent_ms;
--- a/src/jobsched_call.c
+++ b/src/jobsched_call.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "mem.h"
 #include "slog.h"
 
 /* A failed hold is repeated after this. */
@@ -21,10 +22,7 @@
 
     for (i = 0; i < answer->running_count; i++) {
         const JobRunning *row = &answer->running[i];
-        if (row->attempt == attempt && row->task.index == ref->index &&
-            row->task.step == ref->step &&
-            row->task.occurrence == ref->occurrence &&
-            strcmp(row->task.job, ref->job) == 0) {
+        if (row->attempt == attempt && JobTaskRef_IsSame(&row->task, ref)) {
             return row;
         }
     }
@@ -39,10 +37,7 @@
 
     for (i = 0; i < answer->end_count; i++) {
         const JobEnd *row = &answer->ends[i];
-        if (row->attempt == attempt && row->task.index == ref->index &&
-            row->task.step == ref->step &&
-            row->task.occurrence == ref->occurrence &&
-            strcmp(row->task.job, ref->job) == 0) {
+        if (row->attempt == attempt && JobTaskRef_IsSame(&row->task, ref)) {
             return true;
         }
     }
@@ -87,7 +82,6 @@
         task->live.calling = false;
     }
     task->live.percent = (uint8_t)(row->percent > 100 ? 100 : row->percent);
-    task->live.load = row->load;
 }
 
 /* Compares the lists of a target with what is assigned to it. */
@@ -189,11 +183,8 @@
         return;
     }
     if (answer->end_count > 0) {
-        JobEnd *ends = malloc(answer->end_count * sizeof(*ends));
+        JobEnd *ends = Mem_New(1, answer->end_count * sizeof(*ends));
         size_t i;
-        if (ends == NULL) {
-            abort();
-        }
         for (i = 0; i < answer->end_count; i++) {
             ends[i] = answer->ends[i];
             ends[i].number = 0;
@@ -358,7 +349,6 @@
             hold_answered(sched, now, target, call, answer);
         }
         break;
-    case JOB_ACTION_PACE:
     case JOB_ACTION_PROPOSE:
         break;
     }
--- a/src/jobsched_place.c
+++ b/src/jobsched_place.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "mem.h"
 #include "slog.h"
 
 /* Assignments of one command; a longer batch would delay the first starts. */
@@ -83,29 +84,35 @@
     return count;
 }
 
+static uint32_t
+count_assigned(const JobAssignment *list, size_t count, const Job *job,
+               uint32_t occurrence, uint32_t step, uint32_t row)
+{
+    uint32_t found = 0;
+    size_t i;
+
+    for (i = 0; i < count; i++) {
+        found += list[i].target == row && list[i].task.step == step &&
+                 list[i].task.occurrence == occurrence &&
+                 strcmp(list[i].task.job, job->id) == 0;
+    }
+    return found;
+}
+
 /* Returns the tasks of a step that were chosen for a target in this batch. */
 static uint32_t
 tasks_chosen(const JobSched *sched, const Job *job, uint32_t occurrence,
              uint32_t step, uint32_t row)
 {
-    uint32_t count = 0;
+    uint32_t count = count_assigned(sched->batch, sched->batch_count, job,
+                                    occurrence, step, row);
     const SchedProposal *proposal;
-    size_t i;
 
-    for (i = 0; i < sched->batch_count; i++) {
-        const JobAssignment *at = &sched->batch[i];
-        count += at->target == row && at->task.step == step &&
-                 at->task.occurrence == occurrence &&
-                 strcmp(at->task.job, job->id) == 0;
-    }
     for (proposal = sched->proposals; proposal != NULL;
          proposal = proposal->next) {
-        for (i = 0; i < proposal->assignment_count; i++) {
-            const JobAssignment *at = &proposal->assignments[i];
-            count += at->target == row && at->task.step == step &&
-                     at->task.occurrence == occurrence &&
-                     strcmp(at->task.job, job->id) == 0;
-        }
+        count +=
+            count_assigned(proposal->assignments, proposal->assignment_count,
+                           job, occurrence, step, row);
     }
     return count;
 }
@@ -178,11 +185,8 @@
     PlacePool *pool = find_pool(place, target->says.pool);
 
     if (pool == NULL) {
-        place->pools = realloc(place->pools, (place->pool_count + 1) *
-                                                 sizeof(*place->pools));
-        if (place->pools == NULL) {
-            abort();
-        }
+        place->pools = Mem_Resize(place->pools, (place->pool_count + 1) *
+                                                    sizeof(*place->pools));
         pool = &place->pools[place->pool_count++];
         memset(pool, 0, sizeof(*pool));
         pool->name = target->says.pool;
@@ -190,10 +194,7 @@
     if (pool->count == pool->capacity) {
         pool->capacity = pool->capacity * 2 + 16;
         pool->targets =
-            realloc(pool->targets, pool->capacity * sizeof(*pool->targets));
-        if (pool->targets == NULL) {
-            abort();
-        }
+            Mem_Resize(pool->targets, pool->capacity * sizeof(*pool->targets));
     }
     pool->targets[pool->count++] = target;
 }
@@ -256,11 +257,8 @@
 
     if (sched->batch_count == sched->batch_capacity) {
         sched->batch_capacity = sched->batch_capacity * 2 + 32;
-        sched->batch = realloc(sched->batch,
-                               sched->batch_capacity * sizeof(*sched->batch));
-        if (sched->batch == NULL) {
-            abort();
-        }
+        sched->batch = Mem_Resize(sched->batch, sched->batch_capacity *
+                                                    sizeof(*sched->batch));
     }
     row = &sched->batch[sched->batch_count++];
     memset(row, 0, sizeof(*row));
@@ -494,10 +492,7 @@
         if (place->count == capacity) {
             capacity = capacity * 2 + 64;
             place->candidates =
-                realloc(place->candidates, capacity * sizeof(Candidate));
-            if (place->candidates == NULL) {
-                abort();
-            }
+                Mem_Resize(place->candidates, capacity * sizeof(Candidate));
         }
         place->candidates[place->count++] = (Candidate){job, rank(place, job)};
     }
--- a/src/jobsched_run.c
+++ b/src/jobsched_run.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "mem.h"
 #include "slog.h"
 
 /* A start or stop without an answer is ordered again after this. */
@@ -153,12 +154,9 @@
 void
 SchedImpl_LoseAll(JobSched *sched, JobTarget *target)
 {
-    JobEnd *ends = calloc(target->run_count + 1, sizeof(*ends));
+    JobEnd *ends = Mem_New(target->run_count + 1, sizeof(*ends));
     uint32_t i;
 
-    if (ends == NULL) {
-        abort();
-    }
     for (i = 0; i < target->run_count; i++) {
         ends[i].task = JobRun_Ref(&target->runs[i]);
         ends[i].attempt = JobRun_Task(&target->runs[i])->attempt;
--- a/src/jobstate.c
+++ b/src/jobstate.c
@@ -4,21 +4,12 @@
 #include <stdlib.h>
 #include <string.h>
 
-static void *
-allocate(size_t count, size_t bytes)
-{
-    void *memory = calloc(count > 0 ? count : 1, bytes);
-
-    if (memory == NULL) {
-        abort();
-    }
-    return memory;
-}
+#include "mem.h"
 
 JobState *
 JobState_New(void)
 {
-    JobState *state = allocate(1, sizeof(*state));
+    JobState *state = Mem_New(1, sizeof(*state));
 
     state->jobs = StrMap_New();
     state->by_id = StrMap_New();
--- a/src/jobstate.h
+++ b/src/jobstate.h
@@ -49,10 +49,8 @@
 typedef struct JobTaskLive {
     int64_t since_ms; /* of the phase */
     int64_t away_ms;  /* a lasting task: since when it is not at work */
-    uint32_t load;
     uint8_t phase;
     uint8_t percent;
-    uint8_t pace;
     bool calling;   /* a start or stop has no answer yet */
     bool must_stop; /* wanted by a move, a wave or a preemption */
     bool settled;   /* the target has accepted the stop */
@@ -206,6 +204,7 @@
 JobTask *JobRun_Task(const JobRun *run);
 const JobStep *JobRun_Step(const JobRun *run);
 JobTaskRef JobRun_Ref(const JobRun *run);
+bool JobTaskRef_IsSame(const JobTaskRef *a, const JobTaskRef *b);
 
 /* Returns whether all steps that a step depends on are done. */
 bool Job_StepReady(const Job *job, uint32_t occurrence, uint32_t step);
--- a/src/jobstate_apply.c
+++ b/src/jobstate_apply.c
@@ -4,16 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-static void *
-allocate(size_t count, size_t bytes)
-{
-    void *memory = calloc(count > 0 ? count : 1, bytes);
-
-    if (memory == NULL) {
-        abort();
-    }
-    return memory;
-}
+#include "mem.h"
 
 static JobStep *
 step_of(const Job *job, uint32_t step)
@@ -95,19 +86,6 @@
     return JOB_RESULT_OK;
 }
 
-static bool
-read_u32(MpRead *reader, uint32_t *value)
-{
-    uint64_t wide = 0;
-
-    if (!MpRead_U64(reader, &wide) || wide > UINT32_MAX) {
-        reader->failed = true;
-        return false;
-    }
-    *value = (uint32_t)wide;
-    return true;
-}
-
 static void
 assign(JobState *state, const JobAssignment *row)
 {
@@ -143,8 +121,8 @@
         JobAssignment row;
         if (!MpRead_Array(reader, &items) || items != 4 ||
             !JobCodec_ReadTask(reader, &row.task) ||
-            !read_u32(reader, &row.attempt) ||
-            !read_u32(reader, &row.target) ||
+            !MpRead_U32(reader, &row.attempt) ||
+            !MpRead_U32(reader, &row.target) ||
             !MpRead_U64(reader, &row.serial)) {
             return JOB_RESULT_CORRUPT;
         }
@@ -282,7 +260,7 @@
     uint32_t i;
     JobTarget *target;
 
-    if (!read_u32(reader, &row) || !MpRead_U64(reader, &serial) ||
+    if (!MpRead_U32(reader, &row) || !MpRead_U64(reader, &serial) ||
         !MpRead_I64(reader, &wall_ms) || !MpRead_Array(reader, &count)) {
         return JOB_RESULT_CORRUPT;
     }
@@ -297,7 +275,7 @@
         JobEnd end;
         if (!MpRead_Array(reader, &items) || items != 5 ||
             !JobCodec_ReadTask(reader, &end.task) ||
-            !read_u32(reader, &end.attempt) || !read_u32(reader, &kind) ||
+            !MpRead_U32(reader, &end.attempt) || !MpRead_U32(reader, &kind) ||
             kind >= JOB_END_KINDS || !MpRead_U64(reader, &end.number) ||
             !MpRead_Text(reader, checkpoint, sizeof(checkpoint))) {
             return JOB_RESULT_CORRUPT;
@@ -353,7 +331,7 @@
     uint64_t serial;
     JobTarget *target;
 
-    if (!read_u32(reader, &row) || !MpRead_U64(reader, &serial)) {
+    if (!MpRead_U32(reader, &row) || !MpRead_U64(reader, &serial)) {
         return JOB_RESULT_CORRUPT;
     }
     target = JobState_Target(state, row);
@@ -381,10 +359,7 @@
         }
     }
     state->nodes =
-        realloc(state->nodes, (state->node_count + 1) * sizeof(*node));
-    if (state->nodes == NULL) {
-        abort();
-    }
+        Mem_Resize(state->nodes, (state->node_count + 1) * sizeof(*node));
     state->nodes[state->node_count++] = *node;
 }
 
@@ -409,13 +384,10 @@
     JobWave *wave;
 
     state->waves =
-        realloc(state->waves, (state->wave_count + 1) * sizeof(*wave));
-    if (state->waves == NULL) {
-        abort();
-    }
+        Mem_Resize(state->waves, (state->wave_count + 1) * sizeof(*wave));
     wave = &state->waves[state->wave_count++];
     memset(wave, 0, sizeof(*wave));
-    wave->vms = allocate(vm_count, sizeof(JobWaveVm));
+    wave->vms = Mem_New(vm_count, sizeof(JobWaveVm));
     wave->vm_count = vm_count;
     return wave;
 }
@@ -431,7 +403,7 @@
     if (!MpRead_U64(reader, &head.number) ||
         !MpRead_I64(reader, &head.start_ms) ||
         !MpRead_I64(reader, &head.duration_ms) ||
-        !read_u32(reader, &head.cap) || !MpRead_Array(reader, &count)) {
+        !MpRead_U32(reader, &head.cap) || !MpRead_Array(reader, &count)) {
         return JOB_RESULT_CORRUPT;
     }
     if (JobState_Wave(state, head.number) != NULL) {
@@ -494,10 +466,7 @@
         return;
     }
     state->orders =
-        realloc(state->orders, (state->order_count + 1) * sizeof(*order));
-    if (state->orders == NULL) {
-        abort();
-    }
+        Mem_Resize(state->orders, (state->order_count + 1) * sizeof(*order));
     state->orders[state->order_count] = *order;
     state->orders[state->order_count++].seen_ms = state->now_ms;
 }
--- a/src/jobstate_rows.c
+++ b/src/jobstate_rows.c
@@ -4,23 +4,14 @@
 #include <stdlib.h>
 #include <string.h>
 
-static void *
-allocate(size_t count, size_t bytes)
-{
-    void *memory = calloc(count > 0 ? count : 1, bytes);
-
-    if (memory == NULL) {
-        abort();
-    }
-    return memory;
-}
+#include "mem.h"
 
 /* --- jobs --- */
 
 Job *
 JobStateImpl_AddJob(JobState *state, const char *id, const char *queue)
 {
-    Job *job = allocate(1, sizeof(*job));
+    Job *job = Mem_New(1, sizeof(*job));
 
     snprintf(job->id, sizeof(job->id), "%s", id);
     snprintf(job->queue, sizeof(job->queue), "%s", queue);
@@ -36,14 +27,14 @@
 
     job->spec = *spec;
     memset(spec, 0, sizeof(*spec));
-    job->step_first = allocate(job->spec.step_count, sizeof(uint32_t));
+    job->step_first = Mem_New(job->spec.step_count, sizeof(uint32_t));
     for (i = 0; i < job->spec.step_count; i++) {
         job->step_first[i] = first;
         first += job->spec.steps[i].count;
     }
     job->tasks_each = first;
     job->occurrence_count = job->spec.repeats > 0 ? job->spec.repeats : 1;
-    job->occurrences = allocate(job->occurrence_count, sizeof(JobOccurrence));
+    job->occurrences = Mem_New(job->occurrence_count, sizeof(JobOccurrence));
 }
 
 JobTask *
@@ -52,8 +43,8 @@
     JobOccurrence *open = &job->occurrences[occurrence];
 
     if (open->tasks == NULL) {
-        open->tasks = allocate(job->tasks_each, sizeof(JobTask));
-        open->step_done = allocate(job->spec.step_count, sizeof(uint32_t));
+        open->tasks = Mem_New(job->tasks_each, sizeof(JobTask));
+        open->step_done = Mem_New(job->spec.step_count, sizeof(uint32_t));
     }
     return open->tasks;
 }
@@ -175,15 +166,12 @@
 {
     if (row >= state->target_rows) {
         state->targets =
-            realloc(state->targets, (row + 1) * sizeof(*state->targets));
-        if (state->targets == NULL) {
-            abort();
-        }
+            Mem_Resize(state->targets, (row + 1) * sizeof(*state->targets));
         while (state->target_rows <= row) {
             state->targets[state->target_rows++] = NULL;
         }
     }
-    state->targets[row] = allocate(1, sizeof(JobTarget));
+    state->targets[row] = Mem_New(1, sizeof(JobTarget));
     state->targets[row]->row = row;
     return state->targets[row];
 }
@@ -210,6 +198,13 @@
     return ref;
 }
 
+bool
+JobTaskRef_IsSame(const JobTaskRef *a, const JobTaskRef *b)
+{
+    return a->index == b->index && a->step == b->step &&
+           a->occurrence == b->occurrence && strcmp(a->job, b->job) == 0;
+}
+
 void
 JobStateImpl_AddRun(JobTarget *target, const JobRun *run)
 {
@@ -217,11 +212,8 @@
 
     if (target->run_count == target->run_capacity) {
         target->run_capacity = target->run_capacity * 2 + 8;
-        target->runs = realloc(target->runs,
-                               target->run_capacity * sizeof(*target->runs));
-        if (target->runs == NULL) {
-            abort();
-        }
+        target->runs = Mem_Resize(target->runs, target->run_capacity *
+                                                    sizeof(*target->runs));
     }
     target->runs[target->run_count++] = *run;
     target->used.cpu += step->leftover ? 0 : step->need.cpu;
--- a/src/jobstate_snapshot.c
+++ b/src/jobstate_snapshot.c
@@ -137,31 +137,6 @@
     }
 }
 
-static bool
-read_u32(MpRead *reader, uint32_t *value)
-{
-    uint64_t wide = 0;
-
-    if (!MpRead_U64(reader, &wide) || wide > UINT32_MAX) {
-        reader->failed = true;
-        return false;
-    }
-    *value = (uint32_t)wide;
-    return true;
-}
-
-static bool
-read_header(MpRead *reader, uint32_t expected)
-{
-    uint32_t items;
-
-    if (!MpRead_Array(reader, &items) || items != expected) {
-        reader->failed = true;
-        return false;
-    }
-    return true;
-}
-
 static bool
 read_task(MpRead *reader, JobTask *task)
 {
@@ -169,9 +144,9 @@
     uint32_t state = 0;
     uint32_t failures = 0;
 
-    if (!read_header(reader, 5) || !read_u32(reader, &task->attempt) ||
-        !read_u32(reader, &task->target) || !read_u32(reader, &state) ||
-        !read_u32(reader, &failures) ||
+    if (!MpRead_Row(reader, 5) || !MpRead_U32(reader, &task->attempt) ||
+        !MpRead_U32(reader, &task->target) || !MpRead_U32(reader, &state) ||
+        !MpRead_U32(reader, &failures) ||
         !MpRead_Text(reader, checkpoint, sizeof(checkpoint)) ||
         state > JOB_TASK_DONE || failures > UINT8_MAX) {
         reader->failed = true;
@@ -251,7 +226,7 @@
     uint32_t k;
     bool active = false;
 
-    if (!read_header(reader, 9) || !MpRead_Text(reader, id, sizeof(id)) ||
+    if (!MpRead_Row(reader, 9) || !MpRead_Text(reader, id, sizeof(id)) ||
         !MpRead_Text(reader, queue, sizeof(queue)) ||
         !MpRead_Text(reader, pool, sizeof(pool)) ||
         StrMap_Get(state->jobs, id) != NULL) {
@@ -265,7 +240,7 @@
     snprintf(job->pool, sizeof(job->pool), "%s", pool);
     JobStateImpl_SetSpec(job, &spec);
     if (!MpRead_I64(reader, &job->accepted_ms) ||
-        !MpRead_I64(reader, &job->ended_ms) || !read_u32(reader, &phase) ||
+        !MpRead_I64(reader, &job->ended_ms) || !MpRead_U32(reader, &phase) ||
         phase > JOB_CANCELLED || !MpRead_Bool(reader, &active) ||
         !MpRead_Array(reader, &count) || count != job->occurrence_count) {
         return false;
@@ -292,7 +267,7 @@
     uint32_t row;
     JobTarget *target;
 
-    if (!read_header(reader, 4) || !read_u32(reader, &row) ||
+    if (!MpRead_Row(reader, 4) || !MpRead_U32(reader, &row) ||
         row > UINT16_MAX || JobState_Target(state, row) != NULL) {
         return false;
     }
@@ -311,7 +286,7 @@
 {
     JobNode node = {{0}, {0}, {0}, {0}};
 
-    if (!read_header(reader, 4) ||
+    if (!MpRead_Row(reader, 4) ||
         !MpRead_Text(reader, node.name, sizeof(node.name)) ||
         !MpRead_Text(reader, node.data_centre, sizeof(node.data_centre)) ||
         !MpRead_Text(reader, node.peer, sizeof(node.peer)) ||
@@ -330,10 +305,10 @@
     uint32_t count;
     uint32_t i;
 
-    if (!read_header(reader, 5) || !MpRead_U64(reader, &head.number) ||
+    if (!MpRead_Row(reader, 5) || !MpRead_U64(reader, &head.number) ||
         !MpRead_I64(reader, &head.start_ms) ||
         !MpRead_I64(reader, &head.duration_ms) ||
-        !read_u32(reader, &head.cap) || !MpRead_Array(reader, &count)) {
+        !MpRead_U32(reader, &head.cap) || !MpRead_Array(reader, &count)) {
         return false;
     }
     wave = JobStateImpl_AddWave(state, count);
@@ -343,7 +318,7 @@
     wave->cap = head.cap;
     for (i = 0; i < count; i++) {
         JobWaveVm *vm = &wave->vms[i];
-        if (!read_header(reader, 3) ||
+        if (!MpRead_Row(reader, 3) ||
             !MpRead_Text(reader, vm->vm, sizeof(vm->vm)) ||
             !MpRead_Bool(reader, &vm->ordered) ||
             !MpRead_Bool(reader, &vm->done)) {
@@ -359,7 +334,7 @@
 {
     JobVmOrder order = {{0}, 0, 0, 0};
 
-    if (!read_header(reader, 3) ||
+    if (!MpRead_Row(reader, 3) ||
         !MpRead_Text(reader, order.vm, sizeof(order.vm)) ||
         !MpRead_U64(reader, &order.fence) ||
         !MpRead_I64(reader, &order.wall_ms)) {
@@ -397,7 +372,7 @@
 
     fresh->now_ms = state->now_ms;
     MpRead_Init(&reader, bytes, len);
-    if (!read_header(&reader, 8) || !MpRead_U64(&reader, &format) ||
+    if (!MpRead_Row(&reader, 8) || !MpRead_U64(&reader, &format) ||
         format != SNAPSHOT_FORMAT ||
         !JobCodec_ReadConfig(&reader, &fresh->config) ||
         !MpRead_U64(&reader, &fresh->next_serial) ||
--- a/src/keymap.c
+++ b/src/keymap.c
@@ -4,6 +4,8 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "mem.h"
+
 typedef struct Pair {
     uint64_t key; /* 0: empty */
     uint32_t value;
@@ -99,10 +101,7 @@
     uint32_t old_size = map->mask + 1;
     uint32_t i;
 
-    map->pairs = calloc((size_t)old_size * 2, sizeof(*map->pairs));
-    if (map->pairs == NULL) {
-        abort();
-    }
+    map->pairs = Mem_New((size_t)old_size * 2, sizeof(*map->pairs));
     map->mask = old_size * 2 - 1;
     for (i = 0; i < old_size; i++) {
         if (old[i].key != 0) {
--- a/src/loop.c
+++ b/src/loop.c
@@ -8,6 +8,8 @@
 #include <apr_portable.h>
 #include <apr_thread_mutex.h>
 
+#include "mem.h"
+
 #define LOOP_MAX_DESCRIPTORS 8192
 #define LOOP_MAX_POLL_FNS 8
 #define LOOP_MAX_WAIT_MS 1000
@@ -240,12 +242,9 @@
 void
 Loop_Post(Loop *loop, LoopFn fn, void *arg)
 {
-    Post *post = malloc(sizeof(*post));
+    Post *post = Mem_New(1, sizeof(*post));
     bool first;
 
-    if (post == NULL) {
-        abort();
-    }
     *post = (Post){fn, arg, NULL};
     apr_thread_mutex_lock(loop->mutex);
     first = loop->posts_head == NULL;
--- a/src/mpread.c
+++ b/src/mpread.c
@@ -82,6 +82,14 @@
     return true;
 }
 
+bool
+MpRead_Row(MpRead *reader, uint32_t items)
+{
+    uint32_t count;
+
+    return (MpRead_Array(reader, &count) && count == items) || fail(reader);
+}
+
 bool
 MpRead_Str(MpRead *reader, const char **text, size_t *len)
 {
@@ -134,6 +142,19 @@
     return fail(reader);
 }
 
+bool
+MpRead_U32(MpRead *reader, uint32_t *value)
+{
+    uint64_t wide;
+
+    *value = 0;
+    if (!MpRead_U64(reader, &wide) || wide > UINT32_MAX) {
+        return fail(reader);
+    }
+    *value = (uint32_t)wide;
+    return true;
+}
+
 bool
 MpRead_I64(MpRead *reader, int64_t *value)
 {
--- a/src/mpread.h
+++ b/src/mpread.h
@@ -29,6 +29,7 @@
  * cut off. A count of an array never exceeds the bytes that are left. */
 bool MpRead_Array(MpRead *reader, uint32_t *count);
 bool MpRead_Str(MpRead *reader, const char **text, size_t *len);
+bool MpRead_U32(MpRead *reader, uint32_t *value);
 bool MpRead_U64(MpRead *reader, uint64_t *value);
 bool MpRead_I64(MpRead *reader, int64_t *value);
 bool MpRead_Bool(MpRead *reader, bool *value);
@@ -38,6 +39,9 @@
  * holds a zero byte. */
 bool MpRead_Text(MpRead *reader, char *out, size_t out_bytes);
 
+/* Reads the head of an array of exactly this many items. */
+bool MpRead_Row(MpRead *reader, uint32_t items);
+
 /* Returns whether all bytes were read without a failure. */
 bool MpRead_Done(const MpRead *reader);
 
--- a/src/oncelog.c
+++ b/src/oncelog.c
@@ -12,6 +12,7 @@
 #include "buf.h"
 #include "diag.h"
 #include "loop.h"
+#include "mem.h"
 #include "once.h"
 
 #define ONCELOG_PART "once"
@@ -274,11 +275,8 @@
     }
     if (log->cookie_count == log->cookie_capacity) {
         size_t capacity = log->cookie_capacity ? log->cookie_capacity * 2 : 64;
-        uint64_t *cookies = realloc(log->cookies, capacity * sizeof(*cookies));
-        if (cookies == NULL) {
-            abort();
-        }
-        log->cookies = cookies;
+        log->cookies =
+            Mem_Resize(log->cookies, capacity * sizeof(*log->cookies));
         log->cookie_capacity = capacity;
     }
     log->cookies[log->cookie_count++] = cookie;
--- a/src/patch.c
+++ b/src/patch.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "mem.h"
 #include "state.h"
 #include "strmap.h"
 #include "yaml_tree.h"
@@ -190,10 +191,7 @@
                      STATE_MAX_EDITS, count);
         return;
     }
-    patch->edits = calloc(count, sizeof(*patch->edits));
-    if (patch->edits == NULL) {
-        abort();
-    }
+    patch->edits = Mem_New(count, sizeof(*patch->edits));
     seen = StrMap_New();
     read_set(set, patch, seen, findings);
     read_delete(list, patch, seen, findings);
@@ -216,10 +214,7 @@
         YamlTree_Free(tree);
         return NULL;
     }
-    patch = calloc(1, sizeof(*patch));
-    if (patch == NULL) {
-        abort();
-    }
+    patch = Mem_New(1, sizeof(*patch));
     read_patch(root, patch, findings);
     YamlTree_Free(tree);
     if (Findings_Count(findings) > before) {
--- a/src/peer.c
+++ b/src/peer.c
@@ -9,6 +9,7 @@
 
 #include "diag.h"
 #include "frame.h"
+#include "mem.h"
 #include "mppack.h"
 
 #define PEER_PART "peer"
@@ -219,10 +220,7 @@
     if (peers->count == PEER_MAX_PEERS) {
         return PEER_NONE;
     }
-    slots = realloc(peers->slots, (peers->count + 1) * sizeof(*slots));
-    if (slots == NULL) {
-        abort();
-    }
+    slots = Mem_Resize(peers->slots, (peers->count + 1) * sizeof(*slots));
     peers->slots = slots;
     memset(&slots[peers->count], 0, sizeof(*slots));
     slots[peers->count].address = *address;
--- a/src/raft.c
+++ b/src/raft.c
@@ -4,6 +4,8 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "mem.h"
+
 size_t
 RaftCore_Quorum(const Raft *raft)
 {
@@ -53,10 +55,7 @@
     if (raft->out_count == raft->out_capacity) {
         size_t capacity = raft->out_capacity ? raft->out_capacity * 2 : 16;
 
-        out = realloc(raft->out, capacity * sizeof(*out));
-        if (out == NULL) {
-            abort();
-        }
+        out = Mem_Resize(raft->out, capacity * sizeof(*out));
         raft->out = out;
         raft->out_capacity = capacity;
     }
@@ -87,13 +86,10 @@
 void
 RaftCore_SetMembers(Raft *raft, const RaftMembers *members, uint64_t index)
 {
-    RaftPeer *peers = calloc(RAFT_MAX_MEMBERS, sizeof(*peers));
+    RaftPeer *peers = Mem_New(RAFT_MAX_MEMBERS, sizeof(*peers));
     size_t count = 0;
     size_t i;
 
-    if (peers == NULL) {
-        abort();
-    }
     raft->members = *members;
     raft->members_index = index;
     raft->self_voter = false;
--- a/src/raft_log.c
+++ b/src/raft_log.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "mem.h"
+
 /* Data is stored as owned bytes behind the const pointer of RaftEntry. */
 static void
 free_data(const RaftEntry *entry)
@@ -46,21 +48,14 @@
 
     if (log->count == log->capacity) {
         size_t capacity = log->capacity ? log->capacity * 2 : 64;
-        RaftEntry *more = realloc(log->entries, capacity * sizeof(*more));
-
-        if (more == NULL) {
-            abort();
-        }
-        log->entries = more;
+        log->entries =
+            Mem_Resize(log->entries, capacity * sizeof(*log->entries));
         log->capacity = capacity;
     }
     copy.data = NULL;
     if (entry->len > 0) {
-        char *data = malloc(entry->len);
+        char *data = Mem_New(1, entry->len);
 
-        if (data == NULL) {
-            abort();
-        }
         memcpy(data, entry->data, entry->len);
         copy.data = data;
     }
--- a/src/route.c
+++ b/src/route.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "keymap.h"
+#include "mem.h"
 #include "rng.h"
 #include "route_internal.h"
 
@@ -73,10 +74,7 @@
         return pool;
     }
     pool = r->pool_count++;
-    r->pools = realloc(r->pools, r->pool_count * sizeof(*r->pools));
-    if (r->pools == NULL) {
-        abort();
-    }
+    r->pools = Mem_Resize(r->pools, r->pool_count * sizeof(*r->pools));
     memset(&r->pools[pool], 0, sizeof(r->pools[pool]));
     Keymap_Put(r->pool_names, key, pool);
     return pool;
@@ -110,10 +108,7 @@
     if (list->count == list->capacity) {
         list->capacity = list->capacity ? list->capacity * 2 : 16;
         list->items =
-            realloc(list->items, list->capacity * sizeof(*list->items));
-        if (list->items == NULL) {
-            abort();
-        }
+            Mem_Resize(list->items, list->capacity * sizeof(*list->items));
     }
     list->items[list->count++] = target;
     row->place[which] = list->count;
--- a/src/route_targets.c
+++ b/src/route_targets.c
@@ -1,6 +1,7 @@
-#include <stdlib.h>
 #include <string.h>
 
+#include "mem.h"
+
 #include "route_internal.h"
 
 void
@@ -26,10 +27,7 @@
     else {
         if (r->row_count == r->row_capacity) {
             r->row_capacity = r->row_capacity ? r->row_capacity * 2 : 64;
-            r->rows = realloc(r->rows, r->row_capacity * sizeof(*r->rows));
-            if (r->rows == NULL) {
-                abort();
-            }
+            r->rows = Mem_Resize(r->rows, r->row_capacity * sizeof(*r->rows));
         }
         target = r->row_count++;
     }
--- a/src/slog.c
+++ b/src/slog.c
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include "buf.h"
+#include "mem.h"
 
 #define MAX_KINDS 96
 #define RATE_WINDOW_MS 1000
@@ -45,10 +46,7 @@
     memset(&slog, 0, sizeof(slog));
     slog.options = *options;
     snprintf(slog.node, sizeof(slog.node), "%s", options->node);
-    slog.ring = malloc(options->ring_bytes);
-    if (slog.ring == NULL) {
-        abort();
-    }
+    slog.ring = Mem_New(1, options->ring_bytes);
     if (flags >= 0) {
         fcntl(options->fd, F_SETFL, flags | O_NONBLOCK);
     }
--- a/src/state.c
+++ b/src/state.c
@@ -8,6 +8,7 @@
 #include <msgpack.h>
 #include <xxhash.h>
 
+#include "mem.h"
 #include "mppack.h"
 #include "mpread.h"
 #include "state_impl.h"
@@ -181,7 +182,7 @@
 State_Apply(State *state, uint64_t index, const char *command, size_t len,
             Buf *result)
 {
-    StateResult *answer = StateImpl_Allocate(1, sizeof(*answer));
+    StateResult *answer = Mem_New(1, sizeof(*answer));
     StateCmd decoded;
     ErrCtx err;
     Status status;
--- a/src/state_config.c
+++ b/src/state_config.c
@@ -2,6 +2,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "mem.h"
+
 #include "state_impl.h"
 
 typedef struct Edit {
@@ -459,7 +461,7 @@
     Plan plan = {.state = state};
     Status status;
 
-    plan.edits = StateImpl_Allocate(command->edit_count, sizeof(*plan.edits));
+    plan.edits = Mem_New(command->edit_count, sizeof(*plan.edits));
     plan.overlay = StrMap_New();
     plan.moved = StrMap_New();
     status = parse_edits(&plan, command, result);
--- a/src/state_history.c
+++ b/src/state_history.c
@@ -4,13 +4,15 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "mem.h"
+
 static StatePathRow *
 add_path(State *state, const char *path)
 {
     StatePathRow *row = StrMap_Get(state->paths, path);
 
     if (row == NULL) {
-        row = StateImpl_Allocate(1, sizeof(*row));
+        row = Mem_New(1, sizeof(*row));
         snprintf(row->path, sizeof(row->path), "%s", path);
         StrMap_Put(state->paths, row->path, row);
     }
@@ -106,11 +108,11 @@
         state->ring_start = (state->ring_start + 1) % STATE_ANSWERS;
         state->ring_count--;
     }
-    answer = StateImpl_Allocate(1, sizeof(*answer));
+    answer = Mem_New(1, sizeof(*answer));
     snprintf(answer->key, sizeof(answer->key), "%s", key);
     answer->digest = digest;
     answer->len = len;
-    answer->bytes = StateImpl_Allocate(len, 1);
+    answer->bytes = Mem_New(len, 1);
     memcpy(answer->bytes, bytes, len);
     state->ring[(state->ring_start + state->ring_count) % STATE_ANSWERS] =
         answer;
--- a/src/state_impl.h
+++ b/src/state_impl.h
@@ -78,8 +78,6 @@
 Status
 StateImpl_Accept(StateResult *result, const char *format, ...);
 
-/* state_rows.c: rows of each section, created empty or found. */
-void *StateImpl_Allocate(size_t count, size_t bytes);
 void StateImpl_InitMaps(State *state);
 void StateImpl_FreeRows(State *state);
 StrMap *StateImpl_Section(const State *state, StateSection section);
--- a/src/state_member.c
+++ b/src/state_member.c
@@ -1,6 +1,8 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "mem.h"
+
 #include "state_impl.h"
 
 /* Settles every pool that has a share in a data centre whose keeper changed.
@@ -78,7 +80,7 @@
     if (centre == NULL) {
         return StateImpl_Refuse(result, ST_FULL, "too many data centres");
     }
-    member = StateImpl_Allocate(1, sizeof(*member));
+    member = Mem_New(1, sizeof(*member));
     snprintf(member->name, sizeof(member->name), "%s", command->name);
     member->identity = command->identity;
     member->incarnation = command->incarnation;
--- a/src/state_move.c
+++ b/src/state_move.c
@@ -2,6 +2,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "mem.h"
+
 #include "state_impl.h"
 
 static void
@@ -74,7 +76,7 @@
         return StateImpl_Refuse(result, ST_FULL, "too many %s",
                                 centre == NULL ? "data centres" : "VMs");
     }
-    vm = StateImpl_Allocate(1, sizeof(*vm));
+    vm = Mem_New(1, sizeof(*vm));
     snprintf(vm->name, sizeof(vm->name), "%s", command->name);
     snprintf(vm->rack, sizeof(vm->rack), "%s", command->rack);
     vm->data_centre = centre->name;
@@ -134,7 +136,7 @@
 {
     StatePool *from = StrMap_Get(state->pools, vm->pool);
 
-    vm->move = StateImpl_Allocate(1, sizeof(*vm->move));
+    vm->move = Mem_New(1, sizeof(*vm->move));
     vm->move->to = to->name;
     vm->move->number = state->applied;
     vm->changed = state->version;
@@ -194,7 +196,7 @@
     StateMove *move = vm->move;
     size_t i;
 
-    move->acks = StateImpl_Allocate(centre->member_count, sizeof(*move->acks));
+    move->acks = Mem_New(centre->member_count, sizeof(*move->acks));
     for (i = 0; i < centre->member_count; i++) {
         const StateMember *member = centre->members[i];
         if (!member->destroyed) {
--- a/src/state_restore.c
+++ b/src/state_restore.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "mem.h"
 #include "mpread.h"
 #include "state_format.h"
 #include "state_impl.h"
@@ -207,7 +208,7 @@
         !MpRead_Bool(&loader->reader, &member.destroyed)) {
         return false;
     }
-    row = StateImpl_Allocate(1, sizeof(*row));
+    row = Mem_New(1, sizeof(*row));
     *row = member;
     StateImpl_AttachMember(loader->state, row, centre);
     return true;
@@ -225,7 +226,7 @@
     if (count == 0) {
         return true; /* not closed yet; the close lists them */
     }
-    move->acks = StateImpl_Allocate(count, sizeof(*move->acks));
+    move->acks = Mem_New(count, sizeof(*move->acks));
     move->ack_count = count;
     for (i = 0; i < count; i++) {
         StateAck *ack = &move->acks[i];
@@ -261,7 +262,7 @@
     if (to == NULL || to == from) {
         return false;
     }
-    vm->move = StateImpl_Allocate(1, sizeof(*vm->move));
+    vm->move = Mem_New(1, sizeof(*vm->move));
     vm->move->to = to->name;
     StrMap_Put(loader->state->moves, vm->name, vm);
     from->moves_out++;
@@ -284,7 +285,7 @@
 {
     char centre_name[STATE_NAME_BYTES];
     char pool_name[STATE_NAME_BYTES];
-    StateVm *vm = StateImpl_Allocate(1, sizeof(*vm));
+    StateVm *vm = Mem_New(1, sizeof(*vm));
     const StateDataCentre *centre;
     StatePool *pool;
     StateShare *share;
@@ -326,7 +327,7 @@
         count > STATE_MAX_WAVE_VMS) {
         return false;
     }
-    wave->vms = StateImpl_Allocate(count, sizeof(*wave->vms));
+    wave->vms = Mem_New(count, sizeof(*wave->vms));
     wave->vm_count = count;
     for (i = 0; i < count; i++) {
         StateWaveVm *vm = &wave->vms[i];
@@ -345,7 +346,7 @@
 static bool
 load_wave(Loader *loader)
 {
-    StateWave *wave = StateImpl_Allocate(1, sizeof(*wave));
+    StateWave *wave = Mem_New(1, sizeof(*wave));
     int64_t state;
 
     if (!open_row(loader, 8) || !load_name(loader, wave->name, false) ||
--- a/src/state_rows.c
+++ b/src/state_rows.c
@@ -4,17 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-void *
-StateImpl_Allocate(size_t count, size_t bytes)
-{
-    void *memory = calloc(count > 0 ? count : 1, bytes);
-
-    /* A replica that skips part of a command would differ from the others. */
-    if (memory == NULL) {
-        abort();
-    }
-    return memory;
-}
+#include "mem.h"
 
 void
 StateImpl_InitMaps(State *state)
@@ -48,17 +38,6 @@
     free(wave);
 }
 
-static void
-free_all(StrMap *map)
-{
-    size_t i;
-
-    for (i = 0; i < StrMap_Count(map); i++) {
-        free(StrMap_At(map, i));
-    }
-    StrMap_Free(map);
-}
-
 void
 StateImpl_FreeRows(State *state)
 {
@@ -85,16 +64,16 @@
         free(answer->bytes);
     }
     StrMap_Free(state->moves);
-    free_all(state->vms);
-    free_all(state->members);
-    free_all(state->data_centres);
-    free_all(state->pools);
-    free_all(state->services);
-    free_all(state->teams);
-    free_all(state->limits);
-    free_all(state->waves);
-    free_all(state->paths);
-    free_all(state->answers);
+    StrMap_FreeAll(state->vms);
+    StrMap_FreeAll(state->members);
+    StrMap_FreeAll(state->data_centres);
+    StrMap_FreeAll(state->pools);
+    StrMap_FreeAll(state->services);
+    StrMap_FreeAll(state->teams);
+    StrMap_FreeAll(state->limits);
+    StrMap_FreeAll(state->waves);
+    StrMap_FreeAll(state->paths);
+    StrMap_FreeAll(state->answers);
 }
 
 StrMap *
@@ -127,7 +106,7 @@
     if (row != NULL) {
         return row;
     }
-    row = StateImpl_Allocate(1, row_bytes(section));
+    row = Mem_New(1, row_bytes(section));
     /* The name is the first member of each row. */
     snprintf(row, STATE_NAME_BYTES, "%s", name);
     fields = StatePath_Fields(&count);
@@ -163,7 +142,7 @@
 
     if (centre == NULL &&
         StrMap_Count(state->data_centres) < STATE_MAX_DATA_CENTRES) {
-        centre = StateImpl_Allocate(1, sizeof(*centre));
+        centre = Mem_New(1, sizeof(*centre));
         snprintf(centre->name, sizeof(centre->name), "%s", name);
         StrMap_Put(state->data_centres, centre->name, centre);
     }
@@ -177,10 +156,7 @@
     size_t at = centre->member_count;
     StateMember **members;
 
-    members = realloc(centre->members, (at + 1) * sizeof(StateMember *));
-    if (members == NULL) {
-        abort();
-    }
+    members = Mem_Resize(centre->members, (at + 1) * sizeof(StateMember *));
     while (at > 0 && strcmp(members[at - 1]->name, member->name) > 0) {
         members[at] = members[at - 1];
         at--;
--- a/src/state_share.c
+++ b/src/state_share.c
@@ -1,9 +1,10 @@
 #include "state_impl.h"
 
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
+#include "mem.h"
+
 StateShare *
 StateImpl_FindShare(const StatePool *pool, const char *data_centre)
 {
@@ -26,10 +27,7 @@
     if (share != NULL) {
         return share;
     }
-    share = realloc(pool->shares, (at + 1) * sizeof(*share));
-    if (share == NULL) {
-        abort();
-    }
+    share = Mem_Resize(pool->shares, (at + 1) * sizeof(*share));
     pool->shares = share;
     while (at > 0 && strcmp(share[at - 1].data_centre, data_centre) > 0) {
         share[at] = share[at - 1];
--- a/src/state_wave.c
+++ b/src/state_wave.c
@@ -2,6 +2,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "mem.h"
+
 #include "state_impl.h"
 
 static bool
@@ -80,13 +82,13 @@
         return StateImpl_Refuse(result, ST_FULL, "%d waves are under way",
                                 STATE_MAX_WAVES);
     }
-    wave = StateImpl_Allocate(1, sizeof(*wave));
+    wave = Mem_New(1, sizeof(*wave));
     snprintf(wave->name, sizeof(wave->name), "%s", command->name);
     snprintf(wave->operator_name, sizeof(wave->operator_name), "%s",
              command->operator_name);
     wave->number = state->applied;
     wave->deadline_ms = command->deadline_ms;
-    wave->vms = StateImpl_Allocate(command->vm_count, sizeof(*wave->vms));
+    wave->vms = Mem_New(command->vm_count, sizeof(*wave->vms));
     wave->vm_count = command->vm_count;
     wave->steps[STATE_STEP_PENDING] = command->vm_count;
     for (i = 0; i < command->vm_count; i++) {
--- a/src/statecmd.c
+++ b/src/statecmd.c
@@ -6,6 +6,7 @@
 
 #include <msgpack.h>
 
+#include "mem.h"
 #include "mppack.h"
 #include "mpread.h"
 
@@ -349,10 +350,7 @@
                         .vm_count = vm_count};
     size_t i;
 
-    command.vms = calloc(vm_count + 1, sizeof(*command.vms));
-    if (command.vms == NULL) {
-        abort();
-    }
+    command.vms = Mem_New(vm_count + 1, sizeof(*command.vms));
     for (i = 0; i < vm_count; i++) {
         set_name(command.vms[i], vms[i]);
     }
@@ -406,10 +404,7 @@
         count > STATE_MAX_EDITS) {
         return false;
     }
-    command->edits = calloc(count, sizeof(*command->edits));
-    if (command->edits == NULL) {
-        abort();
-    }
+    command->edits = Mem_New(count, sizeof(*command->edits));
     command->edit_count = count;
     for (i = 0; i < count; i++) {
         PatchEdit *edit = &command->edits[i];
@@ -426,14 +421,6 @@
     return true;
 }
 
-static bool
-read_name(MpRead *reader, char *out, bool optional)
-{
-    return MpRead_Text(reader, out, STATE_NAME_BYTES) &&
-           ((optional && out[0] == '\0') ||
-            StatePath_IsName(out, strlen(out)));
-}
-
 static bool
 read_vms(MpRead *reader, StateCmd *command)
 {
@@ -444,13 +431,10 @@
         count > STATE_MAX_WAVE_VMS) {
         return false;
     }
-    command->vms = calloc(count, sizeof(*command->vms));
-    if (command->vms == NULL) {
-        abort();
-    }
+    command->vms = Mem_New(count, sizeof(*command->vms));
     command->vm_count = count;
     for (i = 0; i < count; i++) {
-        if (!read_name(reader, command->vms[i], false)) {
+        if (!StatePath_ReadName(reader, command->vms[i], false)) {
             return false;
         }
     }
@@ -464,9 +448,9 @@
 
     switch (item->type) {
     case ITEM_NAME:
-        return read_name(reader, at, false);
+        return StatePath_ReadName(reader, at, false);
     case ITEM_OPTIONAL_NAME:
-        return read_name(reader, at, true);
+        return StatePath_ReadName(reader, at, true);
     case ITEM_REASON:
         return MpRead_Text(reader, at, STATE_REASON_BYTES);
     case ITEM_U64:
--- a/src/statepath.c
+++ b/src/statepath.c
@@ -83,6 +83,14 @@
     return true;
 }
 
+bool
+StatePath_ReadName(MpRead *reader, char *out, bool optional)
+{
+    return MpRead_Text(reader, out, STATE_NAME_BYTES) &&
+           ((optional && out[0] == '\0') ||
+            StatePath_IsName(out, strlen(out)));
+}
+
 #if defined(__GNUC__)
 __attribute__((format(printf, 2, 3)))
 #endif
--- a/src/statepath.h
+++ b/src/statepath.h
@@ -18,6 +18,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "mpread.h"
+
 #define STATE_NAME_BYTES 64
 /* Holds the longest path, pools/NAME/vms/NAME. */
 #define STATE_PATH_BYTES 160
@@ -65,6 +67,10 @@
 /* Returns whether text of len bytes is a valid name. */
 bool StatePath_IsName(const char *text, size_t len);
 
+/* Reads a valid name, or if optional also an empty one, into out of
+ * STATE_NAME_BYTES. */
+bool StatePath_ReadName(MpRead *reader, char *out, bool optional);
+
 /* Returns the table of fields, ordered by section, and its length. */
 const StateField *StatePath_Fields(size_t *count);
 
--- a/src/storage_file.c
+++ b/src/storage_file.c
@@ -115,21 +115,30 @@
     return file;
 }
 
+static Status
+open_for_writing(FileStorage *self, const char *name, OpenFile **file,
+                 ErrCtx *err)
+{
+    Status status = check_name(self, name, err);
+
+    if (status != ST_OK) {
+        return status;
+    }
+    *file = find_open(self, name);
+    return *file != NULL ? ST_OK : fail(self, name, "open", err);
+}
+
 static Status
 file_append(Storage *storage, const char *name, const void *data, size_t len,
             ErrCtx *err)
 {
     FileStorage *self = (FileStorage *)storage;
-    Status status = check_name(self, name, err);
     OpenFile *file;
+    Status status = open_for_writing(self, name, &file, err);
 
     if (status != ST_OK) {
         return status;
     }
-    file = find_open(self, name);
-    if (file == NULL) {
-        return fail(self, name, "open", err);
-    }
     if (write_all(file->fd, data, len) != 0) {
         return fail(self, name, "write", err);
     }
@@ -140,16 +149,12 @@
 file_sync(Storage *storage, const char *name, ErrCtx *err)
 {
     FileStorage *self = (FileStorage *)storage;
-    Status status = check_name(self, name, err);
     OpenFile *file;
+    Status status = open_for_writing(self, name, &file, err);
 
     if (status != ST_OK) {
         return status;
     }
-    file = find_open(self, name);
-    if (file == NULL) {
-        return fail(self, name, "open", err);
-    }
     if (fdatasync(file->fd) != 0) {
         return fail(self, name, "sync", err);
     }
@@ -195,16 +200,12 @@
 file_truncate(Storage *storage, const char *name, uint64_t size, ErrCtx *err)
 {
     FileStorage *self = (FileStorage *)storage;
-    Status status = check_name(self, name, err);
     OpenFile *file;
+    Status status = open_for_writing(self, name, &file, err);
 
     if (status != ST_OK) {
         return status;
     }
-    file = find_open(self, name);
-    if (file == NULL) {
-        return fail(self, name, "open", err);
-    }
     if (ftruncate(file->fd, (off_t)size) != 0 || fsync(file->fd) != 0) {
         return fail(self, name, "truncate", err);
     }
--- a/src/strmap.c
+++ b/src/strmap.c
@@ -6,6 +6,8 @@
 
 #include <xxhash.h>
 
+#include "mem.h"
+
 typedef struct Entry {
     uint64_t hash;
     const char *key;
@@ -22,24 +24,13 @@
 
 #define FIRST_SLOTS 16
 
-static void *
-allocate(size_t count, size_t bytes)
-{
-    void *memory = calloc(count, bytes);
-
-    if (memory == NULL) {
-        abort();
-    }
-    return memory;
-}
-
 StrMap *
 StrMap_New(void)
 {
-    StrMap *map = allocate(1, sizeof(*map));
+    StrMap *map = Mem_New(1, sizeof(*map));
 
     map->slot_count = FIRST_SLOTS;
-    map->slots = allocate(map->slot_count, sizeof(*map->slots));
+    map->slots = Mem_New(map->slot_count, sizeof(*map->slots));
     return map;
 }
 
@@ -53,6 +44,17 @@
     }
 }
 
+void
+StrMap_FreeAll(StrMap *map)
+{
+    size_t i;
+
+    for (i = 0; map != NULL && i < StrMap_Count(map); i++) {
+        free(StrMap_At(map, i));
+    }
+    StrMap_Free(map);
+}
+
 static uint64_t
 hash_key(const char *key)
 {
@@ -92,7 +94,7 @@
 
     free(map->slots);
     map->slot_count *= 2;
-    map->slots = allocate(map->slot_count, sizeof(*map->slots));
+    map->slots = Mem_New(map->slot_count, sizeof(*map->slots));
     mask = map->slot_count - 1;
     for (i = 0; i < map->count; i++) {
         size_t slot = (size_t)map->entries[i].hash & mask;
@@ -116,12 +118,8 @@
     }
     if (map->count == map->capacity) {
         size_t capacity = map->capacity ? map->capacity * 2 : 8;
-        Entry *entries =
-            realloc(map->entries, capacity * sizeof(*map->entries));
-        if (entries == NULL) {
-            abort();
-        }
-        map->entries = entries;
+        map->entries =
+            Mem_Resize(map->entries, capacity * sizeof(*map->entries));
         map->capacity = capacity;
     }
     map->entries[map->count] = (Entry){hash, key, value};
@@ -205,8 +203,8 @@
     if (map->count == 0) {
         return NULL;
     }
-    sorted = allocate(map->count, sizeof(*sorted));
-    values = allocate(map->count, sizeof(*values));
+    sorted = Mem_New(map->count, sizeof(*sorted));
+    values = Mem_New(map->count, sizeof(*values));
     memcpy(sorted, map->entries, map->count * sizeof(*sorted));
     qsort(sorted, map->count, sizeof(*sorted), compare_entries);
     for (i = 0; i < map->count; i++) {
--- a/src/strmap.h
+++ b/src/strmap.h
@@ -20,6 +20,9 @@
 StrMap *StrMap_New(void);
 void StrMap_Free(StrMap *map);
 
+/* Frees the values with free(), then the map. */
+void StrMap_FreeAll(StrMap *map);
+
 /* Returns the value of a key, or NULL. */
 void *StrMap_Get(const StrMap *map, const char *key);
 
--- a/src/traffic.c
+++ b/src/traffic.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "mem.h"
 #include "traffic_internal.h"
 
 /* A pool without a usable target may get one with the next announcement. */
@@ -81,10 +82,8 @@
         return service;
     }
     service = t->service_count++;
-    t->services = realloc(t->services, t->service_count * sizeof(ServiceRow));
-    if (t->services == NULL) {
-        abort();
-    }
+    t->services =
+        Mem_Resize(t->services, t->service_count * sizeof(ServiceRow));
     memset(&t->services[service], 0, sizeof(ServiceRow));
     memcpy(t->services[service].name, name, strlen(name)); /* fits */
     Keymap_Put(t->service_names, key, service);
@@ -237,10 +236,7 @@
 {
     if (handle.index >= t->by_id_capacity) {
         uint32_t capacity = handle.index < 64 ? 128 : handle.index * 2;
-        t->by_id = realloc(t->by_id, capacity * sizeof(Handle));
-        if (t->by_id == NULL) {
-            abort();
-        }
+        t->by_id = Mem_Resize(t->by_id, capacity * sizeof(Handle));
         t->by_id_capacity = capacity;
     }
     t->by_id[handle.index] = handle;
--- a/src/traffic_run.c
+++ b/src/traffic_run.c
@@ -1,6 +1,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "mem.h"
+
 #include "traffic_internal.h"
 
 /* While fewer than one in this many of the slots open to long work run it,
@@ -14,11 +16,8 @@
 
     if (t->action_count == t->action_capacity) {
         uint32_t capacity = t->action_capacity ? t->action_capacity * 2 : 64;
-        TrafficAction *ring = calloc(capacity, sizeof(*ring));
+        TrafficAction *ring = Mem_New(capacity, sizeof(*ring));
         uint32_t i;
-        if (ring == NULL) {
-            abort();
-        }
         for (i = 0; i < t->action_count; i++) {
             ring[i] = t->actions[(t->action_first + i) % t->action_capacity];
         }
@@ -58,10 +57,7 @@
 TrafficRun_Pool(Traffic *t, uint32_t pool)
 {
     if (pool >= t->pool_count) {
-        t->pools = realloc(t->pools, (pool + 1) * sizeof(*t->pools));
-        if (t->pools == NULL) {
-            abort();
-        }
+        t->pools = Mem_Resize(t->pools, (pool + 1) * sizeof(*t->pools));
         memset(t->pools + t->pool_count, 0,
                (pool + 1 - t->pool_count) * sizeof(*t->pools));
         t->pool_count = pool + 1;
@@ -75,10 +71,7 @@
     if (list->count == list->capacity) {
         list->capacity = list->capacity ? list->capacity * 2 : 16;
         list->items =
-            realloc(list->items, list->capacity * sizeof(*list->items));
-        if (list->items == NULL) {
-            abort();
-        }
+            Mem_Resize(list->items, list->capacity * sizeof(*list->items));
     }
     list->items[list->count++] = handle;
 }
@@ -168,10 +161,7 @@
     if (handle.index >= t->attempt_by_id_capacity) {
         uint32_t capacity = handle.index < 64 ? 128 : handle.index * 2;
         t->attempt_by_id =
-            realloc(t->attempt_by_id, capacity * sizeof(Handle));
-        if (t->attempt_by_id == NULL) {
-            abort();
-        }
+            Mem_Resize(t->attempt_by_id, capacity * sizeof(Handle));
         t->attempt_by_id_capacity = capacity;
     }
     t->attempt_by_id[handle.index] = handle;
--- a/src/wal.c
+++ b/src/wal.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "mem.h"
 #include "wal_format.h"
 
 typedef struct Position {
@@ -141,12 +142,8 @@
 {
     if (wal->count == wal->capacity) {
         size_t capacity = wal->capacity ? wal->capacity * 2 : 256;
-        Position *more = realloc(wal->positions, capacity * sizeof(*more));
-
-        if (more == NULL) {
-            abort();
-        }
-        wal->positions = more;
+        wal->positions =
+            Mem_Resize(wal->positions, capacity * sizeof(*wal->positions));
         wal->capacity = capacity;
     }
     wal->positions[wal->count].offset = offset;
@@ -261,12 +258,8 @@
 {
     if (wal->count == wal->capacity) {
         size_t capacity = wal->capacity ? wal->capacity * 2 : 256;
-        RaftEntry *more = realloc(recovery->entries, capacity * sizeof(*more));
-
-        if (more == NULL) {
-            abort();
-        }
-        recovery->entries = more;
+        recovery->entries = Mem_Resize(recovery->entries,
+                                       capacity * sizeof(*recovery->entries));
     }
     push_position(wal, offset, entry->term);
     recovery->entries[recovery->entry_count++] = *entry;
--- a/src/wheel.c
+++ b/src/wheel.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "mem.h"
+
 #define WHEEL_BUCKETS 1024
 #define WHEEL_BUCKET_MS 8
 #define WHEEL_NONE UINT32_MAX
@@ -57,10 +59,7 @@
     while (capacity <= item) {
         capacity *= 2;
     }
-    wheel->items = realloc(wheel->items, capacity * sizeof(*wheel->items));
-    if (wheel->items == NULL) {
-        abort();
-    }
+    wheel->items = Mem_Resize(wheel->items, capacity * sizeof(*wheel->items));
     for (i = wheel->capacity; i < capacity; i++) {
         wheel->items[i].bucket = WHEEL_NONE;
     }
--- a/tests/support_jobworld.c
+++ b/tests/support_jobworld.c
@@ -304,20 +304,13 @@
     return (int64_t)((double)(world->now - worker->begun_ms) * worker->rate);
 }
 
-static bool
-same_task(const JobTaskRef *a, const JobTaskRef *b)
-{
-    return a->index == b->index && a->step == b->step &&
-           a->occurrence == b->occurrence && strcmp(a->job, b->job) == 0;
-}
-
 static Run *
 find_run(Worker *worker, const JobTaskRef *task)
 {
     size_t i;
 
     for (i = 0; i < worker->run_count; i++) {
-        if (same_task(&worker->runs[i].task, task)) {
+        if (JobTaskRef_IsSame(&worker->runs[i].task, task)) {
             return &worker->runs[i];
         }
     }
@@ -331,7 +324,7 @@
 
     for (i = 0; i < worker->barred_count; i++) {
         Barred *row = &worker->barred[i];
-        if (same_task(&row->task, task)) {
+        if (JobTaskRef_IsSame(&row->task, task)) {
             row->attempt = row->attempt > attempt ? row->attempt : attempt;
             return;
         }
@@ -347,7 +340,7 @@
     size_t i;
 
     for (i = 0; i < worker->barred_count; i++) {
-        if (same_task(&worker->barred[i].task, task)) {
+        if (JobTaskRef_IsSame(&worker->barred[i].task, task)) {
             return attempt <= worker->barred[i].attempt;
         }
     }
