--- a/src/jobentry.c
+++ b/src/jobentry.c
@@ -30,6 +30,8 @@
 #define RETRY_MS 1000
 /* A planned stop takes in requests until the balancer has noticed. */
 #define STOP_LISTEN_MS 3000
+/* The loop runs on for so long after the last reply, which it writes. */
+#define STOP_WRITE_MS 150
 
 /* One caller's request. */
 typedef struct Passed {
@@ -62,6 +64,7 @@
     int64_t lost_ms; /* when the last leader was lost */
     bool was_ready;
     int64_t stop_ms;
+    int64_t replied_ms; /* a stop found no request without a reply; 0: not */
 };
 
 static bool
@@ -349,6 +352,16 @@
 
 /* --- time --- */
 
+/* Replies to a request that is given up. */
+static void
+give_up(JobEntry *entry, Passed *passed, const char *not_sent,
+        const char *sent)
+{
+    finish_as(entry, passed,
+              passed->sent ? JOB_REPLY_UNKNOWN : JOB_REPLY_UNAVAILABLE,
+              passed->sent ? sent : not_sent);
+}
+
 static void
 expire(JobEntry *entry, int64_t now)
 {
@@ -360,19 +373,38 @@
             (passed->peer == SIZE_MAX &&
              now - passed->since_ms >= WAIT_LEADER_MS &&
              now - entry->lost_ms >= ELECTION_MS)) {
-            if (!passed->sent) {
-                finish_as(entry, passed, JOB_REPLY_UNAVAILABLE,
-                          "no leader is known");
-            }
-            else {
-                finish_as(entry, passed, JOB_REPLY_UNKNOWN,
-                          "the leader did not answer in time; ask again");
-            }
+            give_up(entry, passed, "no leader is known",
+                    "the leader did not answer in time; ask again");
         }
         passed = next;
     }
 }
 
+/* Ends the loop once all requests have their replies, which those that are
+ * left at the end of the grace time get at once. */
+static void
+continue_stop(JobEntry *entry, int64_t now)
+{
+    int64_t since_ms = now - entry->stop_ms;
+
+    if (entry->stop_ms == 0 || since_ms <= STOP_LISTEN_MS) {
+        return;
+    }
+    while (entry->passed != NULL &&
+           since_ms > entry->settings->shutdown_grace_ms) {
+        give_up(entry, entry->passed, "stopping", "stopping; ask again");
+    }
+    if (entry->passed != NULL) {
+        entry->replied_ms = 0;
+    }
+    else if (entry->replied_ms == 0) {
+        entry->replied_ms = now;
+    }
+    else if (now - entry->replied_ms >= STOP_WRITE_MS) {
+        Loop_Stop(entry->loop);
+    }
+}
+
 static void
 on_tick(void *arg)
 {
@@ -389,11 +421,7 @@
         Slog_End();
     }
     expire(entry, now);
-    if (entry->stop_ms != 0 && now - entry->stop_ms > STOP_LISTEN_MS &&
-        (entry->passed == NULL ||
-         now - entry->stop_ms > entry->settings->shutdown_grace_ms)) {
-        Loop_Stop(entry->loop);
-    }
+    continue_stop(entry, now);
 }
 
 static bool
