Let other control nodes call targets for the leader

Cause: in a fleet of 350 targets the leader's processor went to HTTP: in five seconds of a busy queue 7,000 to 9,000 events of sockets, 0.32 ms each, and loop turns of 100 ms (trial with times by part). Change: from 128 targets on the leader passes calls to the other control nodes, by preference in the target's data centre, and these take announcements for it. Records of one turn share a message. JobAgents_ chooses, JobCallMsg_ encodes, jobctl_agent.c carries out; an agent without an answer is not used for 2 s, and its calls end as unknown without blame for the target. Smaller fleets are called as before.

--- a/src/control.c
+++ b/src/control.c
@@ -153,6 +153,9 @@
     case PEER_FLEET:
     case PEER_JOB_REQUEST:
     case PEER_JOB_REPLY:
+    case PEER_JOB_CALLS:
+    case PEER_JOB_ANSWERS:
+    case PEER_JOB_ANNOUNCED:
     case PEER_HELLO:
     case PEER_REFUSED:
         break;
--- a/src/jobctl.c
+++ b/src/jobctl.c
@@ -37,8 +37,8 @@
     return (size_t)control->settings->disk_losses * 2 + 1;
 }
 
-static int
-leader_peer(const JobControl *control)
+size_t
+JobControl_LeaderPeer(const JobControl *control)
 {
     uint64_t leader = Replica_Leader(control->replica);
     size_t i;
@@ -46,22 +46,22 @@
     for (i = 0; leader != 0 && i < Peers_Count(control->peers); i++) {
         if (Peers_IsUp(control->peers, i) &&
             Peers_Hello(control->peers, i)->identity == leader) {
-            return (int)i;
+            return i;
         }
     }
-    return -1;
+    return JOB_AGENT_NONE;
 }
 
 const char *
 JobControl_LeaderAddress(const JobControl *control, char *text, size_t size)
 {
-    int peer = leader_peer(control);
+    size_t peer = JobControl_LeaderPeer(control);
 
-    if (peer < 0) {
+    if (peer == JOB_AGENT_NONE) {
         return NULL;
     }
     snprintf(text, size, "%s:%d",
-             Peers_Hello(control->peers, (size_t)peer)->address.host,
+             Peers_Hello(control->peers, peer)->address.host,
              control->settings->control.port);
     return text;
 }
@@ -80,14 +80,14 @@
     JobFleetMsg msg = {.term = Replica_Term(control->replica)};
     Buf body = BUF_INIT;
     size_t i;
-    int leader = leader_peer(control);
+    size_t leader = JobControl_LeaderPeer(control);
 
     msg.serves = JobControl_Serves(control);
     if (msg.serves) {
         msg.leader = control->settings->peer;
     }
-    else if (leader >= 0) {
-        msg.leader = Peers_Hello(control->peers, (size_t)leader)->address;
+    else if (leader != JOB_AGENT_NONE) {
+        msg.leader = Peers_Hello(control->peers, leader)->address;
     }
     for (i = 0; i < JobState_NodeCount(control->state) &&
                 msg.node_count < JOB_FLEET_NODES;
@@ -113,12 +113,12 @@
     Slog_Text("address", hello->address.host);
     Slog_Int("disk", hello->identity != 0);
     Slog_End();
-    (void)peer;
     if (hello->identity != 0) {
         snprintf(member.name, sizeof(member.name), "%s", hello->name);
         snprintf(member.data_centre, sizeof(member.data_centre), "%s",
                  hello->data_centre);
         Replica_OfferMember(control->replica, Loop_NowMs(), &member);
+        JobAgents_Put(control->agents, peer, hello->data_centre);
         control->nodes_due = true;
     }
 }
@@ -131,6 +131,7 @@
     Slog_Begin(SLOG_CHANGE, "peer_down");
     Slog_Text("peer", Peers_Hello(control->peers, peer)->name);
     Slog_End();
+    JobControl_AgentDown(control, peer);
 }
 
 static void
@@ -166,6 +167,18 @@
     else if (type == PEER_JOB_REQUEST) {
         JobControl_OnJobRequest(control, peer, message);
     }
+    else if (type == PEER_JOB_CALLS) {
+        JobControl_OnCalls(control, peer, message);
+    }
+    else if (type == PEER_JOB_ANSWERS) {
+        JobControl_OnAnswers(control, peer, message);
+    }
+    else if (type == PEER_JOB_ANNOUNCED) {
+        JobControl_OnAnnounced(control, peer, message);
+    }
+    else if (type == PEER_JOB_REPLY) {
+        JobControl_OnAnnounceReply(control, message);
+    }
 }
 
 /* --- control nodes in the replicated state --- */
@@ -282,6 +295,7 @@
     JobControl_LogTick(control, now);
     update_nodes(control, now);
     JobSched_Tick(control->sched, now, wall_ms);
+    JobControl_AgentTick(control, now);
     confirm(control, now);
     JobFleet_Tick(control->fleet, now, wall_ms);
     control->place_due = true;
@@ -344,6 +358,7 @@
         }
     }
     JobControl_TakeActions(control);
+    JobControl_FlushAgents(control);
     Peers_Flush(control->peers);
     Slog_Flush();
     if (control->place_due) {
@@ -450,6 +465,7 @@
     sched.status_ms = settings->job_status_s * 1000;
     sched.early_ms = settings->job_early_ms;
     control->state = JobState_New();
+    JobControl_OpenAgents(control);
     control->sched = JobSched_New(&sched, control->state);
     control->fleet = JobFleet_New(&fleet, control->state, control->sched);
 }
@@ -522,6 +538,7 @@
     if (control->replica != NULL) {
         JobControl_CloseLog(control);
     }
+    JobControl_CloseAgents(control);
     HttpServer_Free(control->server);
     HttpServer_Free(control->metrics_server);
     free(control->metrics);
--- a/src/jobctl_call.c
+++ b/src/jobctl_call.c
@@ -17,6 +17,9 @@
 typedef struct Call {
     JobControl *control;
     JobAction action;
+    JobCallFn done;
+    size_t peer; /* that passed the call on, and its term */
+    uint64_t term;
     JobVmCall vm_call;
     JobHttpCall http;
 } Call;
@@ -55,6 +58,19 @@
     return HttpClient_Start(call->control->client, &options, fn, call) != NULL;
 }
 
+static void
+log_unanswered(const JobAction *action, int http, int transport)
+{
+    Slog_Begin(SLOG_FAILURE, "call_unanswered");
+    Slog_Int("kind", action->kind);
+    Slog_Text("target", action->id);
+    Slog_Text("job", action->task.job);
+    Slog_Int("after_ms", Loop_NowMs() - action->sent_ms);
+    Slog_Int("http", http);
+    Slog_Int("transport", transport);
+    Slog_End();
+}
+
 static void
 on_target_answer(void *arg, const HttpCallResult *result)
 {
@@ -65,18 +81,9 @@
     control->wire->read_call(&call->action, status_of(result), result->body,
                              result->body_len, &answer);
     if (answer.answer.outcome == JOB_CALL_NO_ANSWER) {
-        Slog_Begin(SLOG_FAILURE, "call_unanswered");
-        Slog_Int("kind", call->action.kind);
-        Slog_Text("target", call->action.id);
-        Slog_Text("job", call->action.task.job);
-        Slog_Int("after_ms", Loop_NowMs() - call->action.sent_ms);
-        Slog_Int("http", result->http_status);
-        Slog_Int("transport", result->status);
-        Slog_End();
+        log_unanswered(&call->action, result->http_status, result->status);
     }
-    JobSched_Answered(control->sched, Loop_NowMs(), &call->action,
-                      &answer.answer);
-    control->place_due = true;
+    call->done(control, &call->action, &answer.answer, call->peer, call->term);
     JobWireAnswer_Free(&answer);
     free_call(call);
 }
@@ -90,28 +97,53 @@
     return call;
 }
 
-static void
-call_target(JobControl *control, const JobAction *action)
+void
+JobControl_CallTarget(JobControl *control, const JobAction *action,
+                      int64_t timeout_ms, JobCallFn done, size_t peer,
+                      uint64_t term)
 {
     Call *call = new_call(control);
-    int64_t timeout_ms =
-        action->kind == JOB_ACTION_HOLD
-            ? HOLD_EXTRA_MS + action->wait_ms
-            : LoopLag_Stretch(&control->lag, ORDER_MS, ORDER_MOST_MS);
     SettingsAddress address;
 
     call->action = *action;
+    call->done = done;
+    call->peer = peer;
+    call->term = term;
     control->wire->write_call(action, &call->http);
     call->action.text = NULL;
     call->action.checkpoint = NULL;
     if (!Settings_ParseAddress(action->address, &address) ||
         !start_call(call, &address, timeout_ms, on_target_answer)) {
         JobCallAnswer answer = {.outcome = JOB_CALL_NO_ANSWER, .clock_ms = -1};
-        JobSched_Answered(control->sched, Loop_NowMs(), action, &answer);
+        done(control, &call->action, &answer, peer, term);
         free_call(call);
     }
 }
 
+void
+JobControl_Answered(JobControl *control, const JobAction *action,
+                    const JobCallAnswer *answer, size_t peer, uint64_t term)
+{
+    (void)peer;
+    (void)term;
+    JobSched_Answered(control->sched, Loop_NowMs(), action, answer);
+    control->place_due = true;
+}
+
+static void
+call_target(JobControl *control, const JobAction *action)
+{
+    int64_t timeout_ms =
+        action->kind == JOB_ACTION_HOLD
+            ? HOLD_EXTRA_MS + action->wait_ms
+            : LoopLag_Stretch(&control->lag, ORDER_MS, ORDER_MOST_MS);
+
+    if (!JobControl_Delegate(control, action, timeout_ms)) {
+        JobControl_CallTarget(control, action, timeout_ms, JobControl_Answered,
+                              JOB_AGENT_NONE, 0);
+    }
+}
+
 static void
 on_vm_answer(void *arg, const HttpCallResult *result)
 {
--- a/src/jobctl_internal.h
+++ b/src/jobctl_internal.h
@@ -9,6 +9,8 @@
 
 #include "httpclient.h"
 #include "httpserver.h"
+#include "jobagents.h"
+#include "jobcallmsg.h"
 #include "jobcodec.h"
 #include "jobctl.h"
 #include "jobfleet.h"
@@ -23,6 +25,7 @@
 #include "slog.h"
 #include "storage.h"
 #include "strmap.h"
+#include "table.h"
 #include "wal.h"
 #include "worker.h"
 
@@ -61,6 +64,13 @@
     JobState *state;
     JobSched *sched;
     JobFleet *fleet;
+    JobAgents *agents;
+    Table *delegated; /* calls that agents make: Delegated */
+    Table *announced; /* requests of targets passed to the leader: Announced */
+    Buf *agent_calls; /* records to each peer that leave with this turn */
+    Buf *agent_answers;
+    size_t agent_peers;  /* entries in the two above */
+    uint64_t agent_term; /* of the leader that this node makes calls for */
     HttpServer *server;
     HttpServer *metrics_server; /* NULL without an address */
     JobMetrics *metrics;        /* NULL without an address */
@@ -88,6 +98,8 @@
 };
 
 /* jobctl.c */
+/* Returns the peer that leads, or JOB_AGENT_NONE. */
+size_t JobControl_LeaderPeer(const JobControl *control);
 bool JobControl_Serves(const JobControl *control);
 size_t JobControl_VotersWanted(const JobControl *control);
 /* Returns the control address of the leader, or NULL. */
@@ -110,6 +122,9 @@
 void JobControl_HandleHttp(void *arg, HttpRequest *http);
 void JobControl_OnJobRequest(JobControl *control, size_t peer,
                              const msgpack_object_array *message);
+/* Serves a request that a peer has decoded, which is emptied. */
+void JobControl_ServePeer(JobControl *control, size_t peer, uint64_t sequence,
+                          JobRequest *request);
 
 /* jobctl_metrics.c */
 Status JobControl_OpenMetrics(JobControl *control, ErrCtx *err);
@@ -117,4 +132,50 @@
 /* jobctl_call.c: carries out what the scheduler and the fleet decided. */
 void JobControl_TakeActions(JobControl *control);
 
+/* Takes the answer to a call; peer and term are those of the call. */
+typedef void (*JobCallFn)(JobControl *control, const JobAction *action,
+                          const JobCallAnswer *answer, size_t peer,
+                          uint64_t term);
+
+void JobControl_CallTarget(JobControl *control, const JobAction *action,
+                           int64_t timeout_ms, JobCallFn done, size_t peer,
+                           uint64_t term);
+/* Hands an answer to the scheduler. */
+void JobControl_Answered(JobControl *control, const JobAction *action,
+                         const JobCallAnswer *answer, size_t peer,
+                         uint64_t term);
+
+/* jobctl_agent.c: calls and announcements that other control nodes take off
+ * the leader. */
+void JobControl_OpenAgents(JobControl *control);
+void JobControl_CloseAgents(JobControl *control);
+/* Returns whether the fleet is large enough for agents. */
+bool JobControl_UsesAgents(const JobControl *control);
+/* Passes a call on. Returns false when the leader is to make it. */
+bool JobControl_Delegate(JobControl *control, const JobAction *action,
+                         int64_t timeout_ms);
+/* Sends what was passed on in this turn. */
+void JobControl_FlushAgents(JobControl *control);
+void JobControl_AgentTick(JobControl *control, int64_t now);
+/* Ends what waits for a peer that is down. */
+void JobControl_AgentDown(JobControl *control, size_t peer);
+/* Forgets all calls, at the end of a leadership. */
+void JobControl_DropDelegated(JobControl *control);
+void JobControl_OnCalls(JobControl *control, size_t peer,
+                        const msgpack_object_array *message);
+void JobControl_OnAnswers(JobControl *control, size_t peer,
+                          const msgpack_object_array *message);
+/* Passes a target's announcement, or that it has left, to the leader. */
+void JobControl_PassAnnouncement(JobControl *control, size_t leader,
+                                 HttpRequest *http, const JobRequest *request);
+void JobControl_OnAnnounced(JobControl *control, size_t peer,
+                            const msgpack_object_array *message);
+void JobControl_OnAnnounceReply(JobControl *control,
+                                const msgpack_object_array *message);
+/* Returns the address for later announcements of a target that was announced
+ * through this peer, or directly for JOB_AGENT_NONE. */
+const char *JobControl_AnnounceAddress(const JobControl *control, size_t peer,
+                                       const JobAnnouncement *says, char *text,
+                                       size_t size);
+
 #endif
--- a/src/jobctl_log.c
+++ b/src/jobctl_log.c
@@ -215,6 +215,7 @@
     }
     control->leading_term = 0;
     JobSched_Resign(control->sched);
+    JobControl_DropDelegated(control);
     JobFleet_Resign(control->fleet);
 }
 
--- a/src/jobctl_request.c
+++ b/src/jobctl_request.c
@@ -364,9 +364,12 @@
 announce(Asked *asked)
 {
     JobControl *control = asked->control;
-    JobReply reply = {.kind = JOB_REPLY_HEARD,
-                      .text = control->control_address};
+    char address[JOB_ADDRESS_BYTES];
+    JobReply reply = {.kind = JOB_REPLY_HEARD};
 
+    reply.text = JobControl_AnnounceAddress(
+        control, asked->http != NULL ? JOB_AGENT_NONE : asked->peer,
+        &asked->request.announcement, address, sizeof(address));
     if (!JobSched_Announce(control->sched, Loop_NowMs(),
                            &asked->request.announcement) &&
         asked->request.announcement.leaving) {
@@ -473,6 +476,14 @@
     HttpRequest_Reply(http, &reply);
 }
 
+static bool
+is_announcement(const Asked *asked)
+{
+    return asked->request.error == JOB_ERROR_NONE &&
+           (asked->request.kind == JOB_REQUEST_ANNOUNCE ||
+            asked->request.kind == JOB_REQUEST_LEAVE);
+}
+
 void
 JobControl_HandleHttp(void *arg, HttpRequest *http)
 {
@@ -483,15 +494,24 @@
                           .path = HttpRequest_Path(http)};
     Asked *asked;
 
-    if (!JobControl_Serves(control) &&
-        JobControl_LeaderAddress(control, leader, sizeof(leader)) != NULL) {
-        redirect(control, http, leader);
-        return;
-    }
     asked = new_asked(control);
     asked->http = http;
     raw.body = HttpRequest_Body(http, &raw.body_len);
     control->wire->read_control(&raw, &asked->request);
+    if (!JobControl_Serves(control) &&
+        JobControl_LeaderAddress(control, leader, sizeof(leader)) != NULL) {
+        if (JobControl_UsesAgents(control) && is_announcement(asked)) {
+            JobControl_PassAnnouncement(control,
+                                        JobControl_LeaderPeer(control), http,
+                                        &asked->request);
+        }
+        else {
+            redirect(control, http, leader);
+        }
+        JobRequest_Free(&asked->request);
+        free(asked);
+        return;
+    }
     if (!JobControl_Serves(control)) {
         answer_unavailable(asked, "no leader is known");
         return;
@@ -499,6 +519,24 @@
     serve(asked);
 }
 
+void
+JobControl_ServePeer(JobControl *control, size_t peer, uint64_t sequence,
+                     JobRequest *request)
+{
+    Asked *asked = new_asked(control);
+
+    asked->peer = peer;
+    asked->sequence = sequence;
+    asked->request = *request;
+    memset(request, 0, sizeof(*request));
+    if (!JobControl_Serves(control)) {
+        answer_unavailable(asked, "this node does not lead");
+    }
+    else {
+        serve(asked);
+    }
+}
+
 static bool
 read_bytes(const msgpack_object *object, Buf *out)
 {
--- a/src/jobsched.h
+++ b/src/jobsched.h
@@ -87,7 +87,8 @@
     JOB_CALL_UNHEALTHY,      /* nothing was done */
     JOB_CALL_OTHER_INSTANCE, /* another target has the address */
     JOB_CALL_INVALID,        /* the target does not understand the call */
-    JOB_CALL_NO_ANSWER       /* it may have been carried out, or may be yet */
+    JOB_CALL_NO_ANSWER,      /* it may have been carried out, or may be yet */
+    JOB_CALL_AGENT_LOST      /* the same, but the target is not to blame */
 } JobCallOutcome;
 
 typedef struct JobCallAnswer {
--- a/src/jobsched_call.c
+++ b/src/jobsched_call.c
@@ -277,6 +277,7 @@
     case JOB_CALL_FENCED:
     case JOB_CALL_OTHER_INSTANCE:
     case JOB_CALL_NO_ANSWER:
+    case JOB_CALL_AGENT_LOST:
         break;
     }
 }
@@ -299,7 +300,8 @@
         task->live.settled = true;
         task->live.since_ms = now;
     }
-    else if (answer->outcome != JOB_CALL_NO_ANSWER) {
+    else if (answer->outcome != JOB_CALL_NO_ANSWER &&
+             answer->outcome != JOB_CALL_AGENT_LOST) {
         task->live.calling = false;
     }
 }
@@ -327,6 +329,9 @@
         live->unanswered++;
         sched->counts.unanswered++;
     }
+    else if (answer->outcome == JOB_CALL_AGENT_LOST) {
+        sched->counts.unanswered++;
+    }
     else if (answer->outcome == JOB_CALL_OTHER_INSTANCE) {
         SchedImpl_ProposeGone(sched, target, "another target has its address");
         return;
--- a/src/peer.h
+++ b/src/peer.h
@@ -55,7 +55,10 @@
     PEER_FLEET = 16,       /* who leads, and the known control nodes */
     PEER_JOB_REQUEST = 17, /* of a caller, from an entry VM to the leader */
     PEER_JOB_REPLY = 18,
-    PEER_TYPE_MAX = 18
+    PEER_JOB_CALLS = 19, /* to targets, from the leader to another node */
+    PEER_JOB_ANSWERS = 20,
+    PEER_JOB_ANNOUNCED = 21, /* by a target, passed on to the leader */
+    PEER_TYPE_MAX = 21
 } PeerMessageType;
 
 typedef struct PeerHello {
--- /dev/null
+++ b/tests/test_jobagents.c
@@ -0,0 +1,221 @@
+#include <check.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "jobagents.h"
+#include "jobcallmsg.h"
+#include "support.h"
+
+/* Guards against agents far from their targets, and calls through agents that
+ * are down or silent. */
+static const struct {
+    const char *name;
+    const char *data_centre;
+    uint32_t row;
+    bool second_down;
+    bool second_silent;
+    size_t wanted;
+} choices[] = {
+    {"near agent", "east", 0, false, false, 1},
+    {"two near agents share the targets", "west", 0, false, false, 2},
+    {"two near agents share the targets, next row", "west", 1, false, false,
+     3},
+    {"any agent without a near one", "north", 1, false, false, 2},
+    {"the other near agent when one is down", "west", 0, true, false, 3},
+    {"the other near agent when one is silent", "west", 0, false, true, 3},
+};
+
+START_TEST(calls_go_through_near_agents)
+{
+    JobAgents *agents = JobAgents_New();
+
+    JobAgents_Put(agents, 3, "west");
+    JobAgents_Put(agents, 1, "east");
+    JobAgents_Put(agents, 2, "west");
+    if (choices[_i].second_down) {
+        JobAgents_Remove(agents, 2);
+    }
+    if (choices[_i].second_silent) {
+        ck_assert(JobAgents_Suspect(agents, 100, 2));
+        ck_assert(!JobAgents_Suspect(agents, 100, 2));
+    }
+    ck_assert_msg(JobAgents_Choose(agents, 200, choices[_i].data_centre,
+                                   choices[_i].row) == choices[_i].wanted,
+                  "%s", choices[_i].name);
+    /* A silent agent is tried again. */
+    if (choices[_i].second_silent) {
+        ck_assert_uint_eq(
+            JobAgents_Choose(agents, 100 + JOB_AGENTS_SUSPECT_MS, "west", 0),
+            2);
+    }
+    JobAgents_Free(agents);
+}
+END_TEST
+
+START_TEST(without_agents_the_leader_calls)
+{
+    JobAgents *agents = JobAgents_New();
+
+    ck_assert(JobAgents_Choose(agents, 0, "east", 0) == JOB_AGENT_NONE);
+    JobAgents_Put(agents, 4, "east");
+    JobAgents_Suspect(agents, 0, 4);
+    ck_assert(JobAgents_Choose(agents, 1, "east", 0) == JOB_AGENT_NONE);
+    JobAgents_Free(agents);
+}
+END_TEST
+
+/* Guards against fields that get lost between the leader and its agents: a
+ * clock of 0 made starts too late, an order of 0 made targets seem overtaken
+ * when they began to leave. */
+START_TEST(announcements_arrive_whole)
+{
+    JobAnnouncement says = {.id = "i-1",
+                            .address = "10.0.0.1:80",
+                            .pool = "p",
+                            .data_centre = "east",
+                            .vm = "m-1",
+                            .labels = {"a", "r1"},
+                            .label_count = 2,
+                            .room = {16000, 32768, 2},
+                            .born = 1700000000123,
+                            .order = 17,
+                            .clock_ms = 482113,
+                            .leaving = true,
+                            .leaving_ms = 2000};
+    JobAnnouncement read;
+    Buf bytes = BUF_INIT;
+    MpRead reader;
+
+    JobAnnounceMsg_Pack(&says, &bytes);
+    MpRead_Init(&reader, bytes.data, bytes.len);
+    ck_assert(JobAnnounceMsg_Read(&reader, &read) && MpRead_Done(&reader));
+    ck_assert_mem_eq(&says, &read, sizeof(says));
+    Buf_Free(&bytes);
+}
+END_TEST
+
+static JobCallMsg
+sample_call(void)
+{
+    JobCallMsg call = {.timeout_ms = 300};
+
+    call.action.kind = JOB_ACTION_START;
+    call.action.cookie = UINT64_MAX - 3;
+    snprintf(call.action.id, sizeof(call.action.id), "i-1");
+    snprintf(call.action.address, sizeof(call.action.address), "10.0.0.1:80");
+    call.action.task = (JobTaskRef){"5c0e7a21d94b36f8", 1, 2, 3};
+    call.action.attempt = 4;
+    call.action.fence = 1ULL << 40;
+    call.action.deadline_ms = 486000;
+    call.action.ack = 57;
+    call.action.wait_ms = 1000;
+    call.action.text = "what to run";
+    call.action.checkpoint = "00000bb8";
+    return call;
+}
+
+START_TEST(calls_arrive_whole)
+{
+    JobCallMsg call = sample_call();
+    JobCallMsg read;
+    Buf bytes = BUF_INIT;
+    MpRead reader;
+
+    JobCallMsg_Pack(&call, &bytes);
+    call.action.kind = JOB_ACTION_HOLD;
+    call.action.text = NULL;
+    call.action.checkpoint = NULL;
+    JobCallMsg_Pack(&call, &bytes);
+    MpRead_Init(&reader, bytes.data, bytes.len);
+    ck_assert(JobCallMsg_Read(&reader, &read));
+    ck_assert_int_eq(read.action.kind, JOB_ACTION_START);
+    ck_assert_str_eq(read.action.text, "what to run");
+    ck_assert_str_eq(read.action.checkpoint, "00000bb8");
+    ck_assert_str_eq(read.action.task.job, "5c0e7a21d94b36f8");
+    ck_assert_uint_eq(read.action.task.index, 3);
+    ck_assert_uint_eq(read.action.attempt, 4);
+    ck_assert_uint_eq(read.action.fence, 1ULL << 40);
+    ck_assert_int_eq(read.action.deadline_ms, 486000);
+    ck_assert_int_eq(read.timeout_ms, 300);
+    ck_assert(JobCallMsg_Read(&reader, &read));
+    ck_assert_int_eq(read.action.kind, JOB_ACTION_HOLD);
+    ck_assert(read.action.checkpoint == NULL);
+    ck_assert_uint_eq(read.action.ack, 57);
+    ck_assert_int_eq(read.action.wait_ms, 1000);
+    ck_assert_uint_eq(read.action.cookie, UINT64_MAX - 3);
+    ck_assert(MpRead_Done(&reader));
+    Buf_Free(&bytes);
+}
+END_TEST
+
+START_TEST(answers_arrive_whole)
+{
+    JobRunning running[1] = {{{"job1", 0, 0, 1}, 2, 100, 41, ""}};
+    JobEnd ends[1] = {{{"job2", 0, 1, 0}, 1, JOB_END_FAILED, 9, "cp"}};
+    JobCallAnswer answer = {JOB_CALL_OK, 1234, 77, running, 1, ends, 1};
+    JobAnswerMsg read;
+    Buf bytes = BUF_INIT;
+    MpRead reader;
+
+    JobAnswerMsg_Pack(5, &answer, &bytes);
+    MpRead_Init(&reader, bytes.data, bytes.len);
+    ck_assert(JobAnswerMsg_Read(&reader, &read) && MpRead_Done(&reader));
+    ck_assert_uint_eq(read.cookie, 5);
+    ck_assert_int_eq(read.answer.clock_ms, 1234);
+    ck_assert_uint_eq(read.answer.born, 77);
+    ck_assert_uint_eq(read.answer.running_count, 1);
+    ck_assert_str_eq(read.answer.running[0].task.job, "job1");
+    ck_assert_uint_eq(read.answer.running[0].load, 41);
+    ck_assert_uint_eq(read.answer.end_count, 1);
+    ck_assert_int_eq(read.answer.ends[0].kind, JOB_END_FAILED);
+    ck_assert_uint_eq(read.answer.ends[0].number, 9);
+    ck_assert_str_eq(read.answer.ends[0].checkpoint, "cp");
+    JobAnswerMsg_Free(&read);
+    Buf_Free(&bytes);
+}
+END_TEST
+
+/* Guards against reads past the end: every cut is refused. */
+START_TEST(cut_records_are_refused)
+{
+    JobCallMsg call = sample_call();
+    JobEnd ends[1] = {{{"job2", 0, 1, 0}, 1, JOB_END_DONE, 9, ""}};
+    JobCallAnswer answer = {JOB_CALL_OK, 1, 2, NULL, 0, ends, 1};
+    JobAnswerMsg read;
+    JobCallMsg read_call;
+    Buf bytes = BUF_INIT;
+    MpRead reader;
+    size_t len;
+
+    JobCallMsg_Pack(&call, &bytes);
+    for (len = 0; len < bytes.len; len++) {
+        MpRead_Init(&reader, bytes.data, len);
+        ck_assert(!JobCallMsg_Read(&reader, &read_call));
+    }
+    Buf_Clear(&bytes);
+    JobAnswerMsg_Pack(5, &answer, &bytes);
+    for (len = 0; len < bytes.len; len++) {
+        MpRead_Init(&reader, bytes.data, len);
+        ck_assert(!JobAnswerMsg_Read(&reader, &read));
+        JobAnswerMsg_Free(&read);
+    }
+    Buf_Free(&bytes);
+}
+END_TEST
+
+Suite *
+Test_Suite(void)
+{
+    Suite *suite = suite_create("jobagents");
+    TCase *tcase = tcase_create("agents");
+    int count = (int)(sizeof(choices) / sizeof(choices[0]));
+
+    tcase_add_loop_test(tcase, calls_go_through_near_agents, 0, count);
+    tcase_add_test(tcase, without_agents_the_leader_calls);
+    tcase_add_test(tcase, announcements_arrive_whole);
+    tcase_add_test(tcase, calls_arrive_whole);
+    tcase_add_test(tcase, answers_arrive_whole);
+    tcase_add_test(tcase, cut_records_are_refused);
+    suite_add_tcase(suite, tcase);
+    return suite;
+}
