Fill used targets first, hold VMs from standby, repeat lost orders early

Change: JobSizing_ plans pools: what was needed within 3 s is kept from standby, but pools in need still get it; best fit in place of the emptiest target; starts and stops are repeated after 100 ms; holds wait 400 ms where short work runs.

--- a/src/jobctl_call.c
+++ b/src/jobctl_call.c
@@ -8,9 +8,10 @@
 #define MAX_ANSWER_BYTES (4 * 1024 * 1024)
 /* An order has the same effect when it is repeated, so one without an answer
  * is given up early. */
-#define ORDER_MS 300
+#define ORDER_MS 100
 #define ORDER_MOST_MS 1000
-#define HOLD_EXTRA_MS 1000
+#define HOLD_EXTRA_MS 150
+#define HOLD_EXTRA_MOST_MS 1000
 #define VM_CALL_MS 2000
 
 /* A call to a target or to the VM service in progress. */
@@ -135,7 +136,8 @@
 {
     int64_t timeout_ms =
         action->kind == JOB_ACTION_HOLD
-            ? HOLD_EXTRA_MS + action->wait_ms
+            ? action->wait_ms + LoopLag_Stretch(&control->lag, HOLD_EXTRA_MS,
+                                                HOLD_EXTRA_MOST_MS)
             : LoopLag_Stretch(&control->lag, ORDER_MS, ORDER_MOST_MS);
 
     if (!JobControl_Delegate(control, action, timeout_ms)) {
--- a/src/jobfleet.c
+++ b/src/jobfleet.c
@@ -44,6 +44,7 @@
     fleet->command_count = 0;
     fleet->call_count = 0;
     fleet->vm_count = 0;
+    fleet->sizing_count = 0;
     fleet->page[0] = '\0';
     fleet->listing = false;
     fleet->listed = false;
@@ -56,6 +57,7 @@
     if (fleet != NULL) {
         JobFleet_Resign(fleet);
         free(fleet->vms);
+        free(fleet->sizings);
         free(fleet);
     }
 }
--- a/src/jobfleet_impl.h
+++ b/src/jobfleet_impl.h
@@ -6,6 +6,7 @@
 #define COLTSFOOT_JOBFLEET_IMPL_H
 
 #include "jobfleet.h"
+#include "jobsizing.h"
 
 /* Fences of the VM service by term, apart from those of targets. */
 #define FLEET_FENCE_BITS 20
@@ -57,6 +58,8 @@
     char page[JOB_NAME_BYTES];
     int64_t plan_ms;
     int64_t log_ms;
+    JobSizing *sizings; /* of the pools that were planned */
+    size_t sizing_count;
     int64_t demand_ms; /* when this leader first saw work arrive */
     JobVmCall calls[FLEET_MAX_CALLS];
     size_t call_count;
--- a/src/jobfleet_move.c
+++ b/src/jobfleet_move.c
@@ -1,5 +1,6 @@
 #include "jobfleet_impl.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -7,20 +8,11 @@
 #include "mem.h"
 #include "slog.h"
 
-/* Short work fills VMs only to this share before tasks no longer fit. */
-#define MOVE_FILL_PERCENT 80
 /* Demand is looked for this far ahead: a move and some seconds of use. */
 #define MOVE_AHEAD_MS 2600
 /* A pool gives a VM up only when this much more than one is not needed, so
  * that small changes of demand do not move VMs to and fro. */
 #define MOVE_SURPLUS_PERCENT 130
-/* VMs that each pool keeps beyond its lasting tasks. */
-#define MOVE_RESERVE_VMS 2
-/* Share of the work that waits for which VMs are fetched; the rest is done
- * before they come. */
-#define MOVE_BACKLOG_PERCENT 60
-/* VMs that are fetched for work that waits although little arrives. */
-#define MOVE_BACKLOG_VMS 4
 #define MOVE_MAX_POOLS 160
 /* No VM is given up before demand was seen for so long. */
 #define MOVE_LEARN_MS 2500
@@ -32,7 +24,8 @@
     JobPoolLoad load;
     int64_t have;   /* thousandths of a core that it has or will have */
     int64_t want;   /* VMs are fetched up to this */
-    int64_t keep;   /* and given up down to this */
+    int64_t keep;   /* and given up down to this, */
+    int64_t hold;   /* or to standby down to this */
     int64_t vm_cpu; /* of a usual VM */
     size_t vms;
     size_t down;    /* VMs that are neither up nor on their way */
@@ -85,25 +78,38 @@
     }
 }
 
-static void
-plan_pool(PoolPlan *plan)
+/* Returns what is remembered of a pool. */
+static JobSizing *
+sizing_of(JobFleet *fleet, const char *pool)
 {
-    const JobPoolLoad *load = &plan->load;
-    int64_t rate = load->arriving;
-    int64_t backlog = load->waiting * MOVE_BACKLOG_PERCENT / 100;
-    int64_t floor = load->lasting * 100 / MOVE_FILL_PERCENT +
-                    MOVE_RESERVE_VMS * plan->vm_cpu;
+    JobSizing *sizing;
+    size_t i;
 
-    rate = load->rising > rate ? load->rising : rate;
-    rate = load->forecast > rate ? load->forecast : rate;
-    if (backlog > rate + MOVE_BACKLOG_VMS * plan->vm_cpu) {
-        backlog = rate + MOVE_BACKLOG_VMS * plan->vm_cpu;
+    for (i = 0; i < fleet->sizing_count; i++) {
+        if (strcmp(fleet->sizings[i].pool, pool) == 0) {
+            return &fleet->sizings[i];
+        }
     }
-    plan->want = (rate + backlog) * 100 / MOVE_FILL_PERCENT + load->lasting;
-    plan->keep =
-        (rate + load->waiting) * 100 / MOVE_FILL_PERCENT + load->lasting;
-    plan->want = plan->want > floor ? plan->want : floor;
-    plan->keep = plan->keep > floor ? plan->keep : floor;
+    fleet->sizings = Mem_Resize(fleet->sizings, (fleet->sizing_count + 1) *
+                                                    sizeof(*fleet->sizings));
+    sizing = &fleet->sizings[fleet->sizing_count++];
+    memset(sizing, 0, sizeof(*sizing));
+    snprintf(sizing->pool, sizeof(sizing->pool), "%s", pool);
+    return sizing;
+}
+
+static void
+plan_pool(JobFleet *fleet, int64_t now, PoolPlan *plan)
+{
+    JobSize size;
+
+    JobSched_PoolLoad(fleet->sched, now, plan->pool->name, MOVE_AHEAD_MS,
+                      &plan->load);
+    size = JobSizing_Plan(sizing_of(fleet, plan->pool->name), now, &plan->load,
+                          plan->vm_cpu);
+    plan->want = size.want;
+    plan->keep = size.keep;
+    plan->hold = size.hold;
 }
 
 /* Returns a free VM of a pool, or the one with the least short work when any
@@ -194,11 +200,10 @@
 }
 
 static bool
-has_surplus(const PoolPlan *plan)
+has_surplus(const PoolPlan *plan, int64_t needed)
 {
     return !plan->pool->standby && plan->vms > 1 &&
-           plan->have - plan->keep >=
-               plan->vm_cpu * MOVE_SURPLUS_PERCENT / 100;
+           plan->have - needed >= plan->vm_cpu * MOVE_SURPLUS_PERCENT / 100;
 }
 
 /* Returns a VM whose move to another pool was decided but not ordered. */
@@ -231,7 +236,7 @@
             PoolPlan *from = &plans[i];
             FleetVm *vm;
             if (from == to || from->pool->standby != (pass == 0) ||
-                (pass == 1 && !has_surplus(from))) {
+                (pass == 1 && !has_surplus(from, from->keep))) {
                 continue;
             }
             vm = pass == 0 ? pick_moving(fleet, from->pool->name) : NULL;
@@ -291,9 +296,7 @@
     count_vms(fleet, now, plans, count);
     for (i = 0; standby != NULL && i < count; i++) {
         if (!plans[i].pool->standby) {
-            JobSched_PoolLoad(fleet->sched, now, plans[i].pool->name,
-                              MOVE_AHEAD_MS, &plans[i].load);
-            plan_pool(&plans[i]);
+            plan_pool(fleet, now, &plans[i]);
         }
         if (now >= fleet->log_ms) {
             log_plan(&plans[i]);
@@ -312,7 +315,7 @@
     }
     for (i = 0; standby != NULL && i < count; i++) {
         FleetVm *vm;
-        while (has_surplus(&plans[i]) &&
+        while (has_surplus(&plans[i], plans[i].hold) &&
                (vm = pick_vm(fleet, now, plans[i].pool->name, true)) != NULL) {
             move_vm(fleet, now, vm, &plans[i], standby);
         }
--- a/src/jobsched.c
+++ b/src/jobsched.c
@@ -388,6 +388,23 @@
            now >= live->shunned_ms && is_heard(sched, live, now);
 }
 
+/* A hold without an answer hides the ends of its target until it is given up,
+ * so it waits less where an end is likely soon. */
+static int64_t
+wait_for(const JobSched *sched, const JobTarget *target)
+{
+    uint32_t i;
+
+    for (i = 0; i < target->run_count; i++) {
+        if (!JobRun_Step(&target->runs[i])->lasting) {
+            return sched->options.short_wait_ms < sched->wait_ms
+                       ? sched->options.short_wait_ms
+                       : sched->wait_ms;
+        }
+    }
+    return sched->wait_ms;
+}
+
 static void
 hold(JobSched *sched, int64_t now, JobTarget *target)
 {
@@ -403,7 +420,7 @@
                               : 0;
     action->wait_ms = live->fenced && live->clock_known && !live->reborn &&
                               target->run_count > 0
-                          ? sched->wait_ms
+                          ? wait_for(sched, target)
                           : 0;
     live->holding = true;
     sched->counts.holds++;
--- a/src/jobsched.h
+++ b/src/jobsched.h
@@ -34,21 +34,22 @@
 #define JOBSCHED_CLOCK_DRIFT 3
 
 typedef struct JobSchedOptions {
-    int64_t lease_ms;     /* time granted by each call */
-    int64_t hold_wait_ms; /* wait of a target for an end, in a small fleet */
-    uint32_t holds_per_s; /* beyond this, targets wait longer for an end */
-    int64_t call_ms;      /* a call without an answer is over */
-    int64_t announce_ms;  /* interval of announcements */
-    int64_t stop_ms;      /* a target's longest time to stop a task */
-    int64_t early_ms;     /* an occurrence may start this early */
-    int64_t status_ms;    /* an ended job is remembered this long */
+    int64_t lease_ms;      /* time granted by each call */
+    int64_t hold_wait_ms;  /* wait of a target for an end, in a small fleet */
+    int64_t short_wait_ms; /* the same where short work runs */
+    uint32_t holds_per_s;  /* beyond this, targets wait longer for an end */
+    int64_t call_ms;       /* a call without an answer is over */
+    int64_t announce_ms;   /* interval of announcements */
+    int64_t stop_ms;       /* a target's longest time to stop a task */
+    int64_t early_ms;      /* an occurrence may start this early */
+    int64_t status_ms;     /* an ended job is remembered this long */
 } JobSchedOptions;
 
 #define JOBSCHED_OPTIONS_DEFAULT                                              \
     {                                                                         \
-        .lease_ms = 4000, .hold_wait_ms = 1000, .holds_per_s = 200,           \
-        .call_ms = 1000, .announce_ms = 1500, .stop_ms = 400, .early_ms = 0,  \
-        .status_ms = 180000                                                   \
+        .lease_ms = 4000, .hold_wait_ms = 1000, .short_wait_ms = 400,         \
+        .holds_per_s = 200, .call_ms = 1000, .announce_ms = 1500,             \
+        .stop_ms = 400, .early_ms = 0, .status_ms = 180000                    \
     }
 
 typedef enum JobActionKind {
--- a/src/jobsched_place.c
+++ b/src/jobsched_place.c
@@ -140,7 +140,7 @@
     const SchedTarget *live = target->live;
     int64_t room = target->says.room.cpu > 0 ? target->says.room.cpu : 1;
     int64_t used = (int64_t)target->used.cpu + live->reserved.cpu;
-    int64_t score = 1000 - used * 1000 / room;
+    int64_t score = used * 1000 / room; /* best fit */
     uint32_t same = 0;
 
     if (!has_room(target, step) ||
--- a/src/jobsched_run.c
+++ b/src/jobsched_run.c
@@ -8,7 +8,7 @@
 #include "slog.h"
 
 /* A start or stop without an answer is ordered again after this. */
-#define SCHED_REPEAT_MS 300
+#define SCHED_REPEAT_MS 100
 /* An accepted stop whose end does not show is ordered again after this. */
 #define SCHED_SETTLED_MS 4000
 
--- a/tests/test_jobsched.c
+++ b/tests/test_jobsched.c
@@ -297,6 +297,65 @@
 }
 END_TEST
 
+/* Guards against a slow or failing target that delays most jobs: each of 8
+ * jobs of 4 tasks, on targets with room for 8 tasks, is on few of them. */
+START_TEST(a_job_is_on_few_targets)
+{
+    char id[8];
+    size_t shared = 0;
+    uint32_t i;
+    uint32_t j;
+
+    for (i = 0; i < 8; i++) {
+        snprintf(id, sizeof(id), "t%u", i);
+        announce(id, id, i + 1);
+    }
+    for (i = 0; i < 8; i++) {
+        snprintf(id, sizeof(id), "j%u", i);
+        JobTest_Submit(state, id, 1, 4, 2000);
+        tick(50);
+    }
+    for (i = 0; i < 8; i++) {
+        const JobTarget *target = JobState_Target(state, i);
+        for (j = 1; j < target->run_count; j++) {
+            shared += target->runs[j].job == target->runs[j - 1].job;
+        }
+    }
+    ck_assert_uint_eq(shared, 8 * 3);
+    /* 32 tasks of 2 cores fill 4 targets; the others are free to move. */
+    for (i = 0, j = 0; i < 8; i++) {
+        j += JobState_Target(state, i)->run_count == 0;
+    }
+    ck_assert_uint_eq(j, 4);
+}
+END_TEST
+
+/* Guards against ends that stay unseen for a second because the answer of one
+ * hold is lost, and against frequent holds where nothing ends. */
+START_TEST(holds_wait_less_for_short_work)
+{
+    JobSchedOptions options = JOBSCHED_OPTIONS_DEFAULT;
+    size_t i;
+    int64_t wait = -1;
+
+    announce("t1", "vm1", 10);
+    if (_i == 0) {
+        JobTest_Submit(state, "a", 1, 1, 500);
+    }
+    else {
+        JobTest_SubmitLasting(state, "a", 1, 0);
+    }
+    tick(100);
+    answer_all(JOB_CALL_OK);
+    tick(100);
+    for (i = 0; i < call_count; i++) {
+        wait = calls[i].kind == JOB_ACTION_HOLD ? calls[i].wait_ms : wait;
+    }
+    ck_assert_int_eq(wait,
+                     _i == 0 ? options.short_wait_ms : options.hold_wait_ms);
+}
+END_TEST
+
 Suite *
 Test_Suite(void)
 {
@@ -312,6 +371,8 @@
     tcase_add_test(tcase, an_idle_target_is_asked_again);
     tcase_add_test(tcase, targets_born_in_one_ms_are_told_apart);
     tcase_add_test(tcase, a_leaving_target_gets_no_work);
+    tcase_add_test(tcase, a_job_is_on_few_targets);
+    tcase_add_loop_test(tcase, holds_wait_less_for_short_work, 0, 2);
     tcase_add_test(tcase, cancelled_tasks_are_stopped);
     tcase_add_loop_test(tcase, large_fleets_are_read_less_often, 0,
                         (int)(sizeof(wait_cases) / sizeof(wait_cases[0])));
