--- a/src/jobctl_call.c
+++ b/src/jobctl_call.c
@@ -82,7 +82,8 @@
     control->wire->read_call(&call->action, status_of(result), result->body,
                              result->body_len, &answer);
     if (answer.answer.outcome == JOB_CALL_NO_ANSWER) {
-        log_unanswered(&call->action, result->http_status, result->status);
+        log_unanswered(&call->action, result->http_status,
+                       (int)result->status);
     }
     call->done(control, &call->action, &answer.answer, call->peer, call->term);
     JobWireAnswer_Free(&answer);
