--- a/tests/support_proc.sh
+++ b/tests/support_proc.sh
@@ -70,8 +70,12 @@
     done
 }
 
+# On all addresses that the tests give to their nodes.
 port_is_free() {
-    ! (exec 3<>"/dev/tcp/127.0.0.1/$1") 2>/dev/null
+    local host
+    for host in 1 2 3 4 5; do
+        ! (exec 3<>"/dev/tcp/127.0.0.$host/$1") 2>/dev/null || return 1
+    done
 }
 
 # Sets BASE to a port from which COUNT consecutive ports are free. The range
