--- a/src/replica_core.h
+++ b/src/replica_core.h
@@ -43,6 +43,9 @@
     RaftMsg msg;
 };
 
+/* replica_flush.c: gives up leadership and answers everything that waits. */
+void ReplicaCore_AbandonAll(Replica *replica);
+
 /* Proposes the next change of the member list, if one is due. */
 void ReplicaCore_ChangeMembers(Replica *replica, int64_t now_ms);
 
