--- a/tests/support_jobworld.c
+++ b/tests/support_jobworld.c
@@ -549,6 +549,10 @@
     event->action = *call;
     event->answer =
         (JobCallAnswer){.outcome = JOB_CALL_NO_ANSWER, .clock_ms = -1};
+    if (world->options.lost_agents > 0 &&
+        chance(world, world->options.lost_agents)) {
+        event->answer.outcome = JOB_CALL_AGENT_LOST;
+    }
 }
 
 static void
--- a/tests/support_jobworld.h
+++ b/tests/support_jobworld.h
@@ -31,6 +31,8 @@
     double lost_order;     /* share of calls that never arrive */
     double lost_answer;    /* share carried out without an answer */
     double late_order;     /* share carried out 2 to 12 s later */
+    double lost_agents;    /* of the unanswered calls, share of those whose
+                              agent did not tell */
     double cuts_per_s;     /* targets that are cut off for some seconds */
     double crashes_per_s;  /* targets that crash; half return as they were */
     double leaders_per_s;  /* changes of the leader */
--- a/tests/test_jobworld.c
+++ b/tests/test_jobworld.c
@@ -79,6 +79,23 @@
       .leaders_per_s = 0.2,
       .cancel_share = 0.1},
      200},
+    {"calls through agents that are lost",
+     {.pools = 2,
+      .targets_each = 5,
+      .jobs_per_s = 6,
+      .lasting_each = 1,
+      .length_ms = 25000,
+      .settle_ms = 60000,
+      .failing_share = 0.02,
+      .lost_order = 0.08,
+      .lost_answer = 0.08,
+      .late_order = 0.04,
+      .lost_agents = 0.7,
+      .cuts_per_s = 0.2,
+      .crashes_per_s = 0.2,
+      .leaders_per_s = 0.2,
+      .cancel_share = 0.05},
+     60},
 };
 
 START_TEST(test_world)
