--- a/src/peer.c
+++ b/src/peer.c
@@ -753,6 +753,12 @@
     }
 }
 
+bool
+Peers_HasLink(const Peers *peers, size_t peer)
+{
+    return peers->slots[peer].outgoing != NULL;
+}
+
 size_t
 Peers_Count(const Peers *peers)
 {
