Trace the failure of proc_relay; reserve the ports of a test run

Runs side by side could draw the same base port (seen with ten at once: cannot listen on 127.0.0.1:16500 and 25200): the first of them now locks it.

--- a/tests/proc_relay.sh
+++ b/tests/proc_relay.sh
@@ -32,11 +32,16 @@
 grep -q suspected "$WORK/north-2.log" && fail "north-2 suspected a target"
 
 # A new process knows no target until it gets whole announcements again,
-# which must not wait for their usual interval of 10 s.
-kill_now north-2
-start_entry north-2
-wait_for "readiness of north-2" is_ready north-2
-WAIT_S=5 wait_for "4 targets up at the new north-2" has_health up
+# which must not wait for their usual interval of 10 s. They come every 500 ms,
+# and may come while the link to the new process is not dialled yet, so the
+# process is replaced at five times within that interval.
+for phase in 0 0.1 0.2 0.3 0.4; do
+    sleep $phase
+    kill_now north-2
+    start_entry north-2
+    wait_for "readiness of north-2" is_ready north-2
+    WAIT_S=5 wait_for "4 targets up at the new north-2" has_health up
+done
 
 signal told TERM
 wait_for "departure of 4 targets at north-2" has_health leaving
--- a/tests/support_proc.sh
+++ b/tests/support_proc.sh
@@ -78,12 +78,23 @@
     done
 }
 
+# Keeps other runs from the same ports until this one and all that it started
+# have ended. Returns false when another run holds them.
+reserve_base() {
+    exec {RESERVED}>"${TMPDIR:-/tmp}/coltsfoot-ports-$BASE"
+    flock -n "$RESERVED" || {
+        exec {RESERVED}>&-
+        return 1
+    }
+}
+
 # Sets BASE to a port from which COUNT consecutive ports are free. The range
 # lies below the ports that the kernel gives to outgoing connections.
 choose_base() {
     local count=$1 try i
     for ((try = 0; try < 50; try++)); do
         BASE=$((12000 + (RANDOM % 180) * 100))
+        reserve_base || continue
         for ((i = 0; i < count; i++)); do
             port_is_free $((BASE + i)) || continue 2
         done
