Dial a peer as it says hello, before anything is sent to it

The gap was in the links: a peer was up, but dialled by the next timer only, and all that was sent meanwhile was dropped.

--- a/src/control_relay.c
+++ b/src/control_relay.c
@@ -9,47 +9,33 @@
  */
 #define CONTROL_RELAY_MS 10000
 
-/* Returns whether all peers that are up get it: a peer that has just said
- * hello may not have been dialled yet. */
-static bool
+static void
 send_to_centre(Control *control, const Buf *body)
 {
     const Settings *settings = control->settings;
-    bool all = true;
     size_t i;
 
     for (i = 0; i < settings->peer_count; i++) {
         if (strcmp(settings->peers[i].data_centre, settings->data_centre) ==
             0) {
             Peers_Send(control->peers, i, body->data, body->len);
-            all = all && (!Peers_IsUp(control->peers, i) ||
-                          Peers_HasLink(control->peers, i));
         }
     }
-    return all;
 }
 
-static bool
-relay_text(Control *control, const char *json, size_t len)
+void
+Control_RelayText(Control *control, const char *json, size_t len)
 {
     Buf body = BUF_INIT;
     msgpack_packer packer;
-    bool all;
 
     msgpack_packer_init(&packer, &body, Buf_MsgpackWrite);
     msgpack_pack_array(&packer, 2);
     msgpack_pack_int(&packer, PEER_TARGET);
     msgpack_pack_str(&packer, len);
     msgpack_pack_str_body(&packer, json, len);
-    all = send_to_centre(control, &body);
+    send_to_centre(control, &body);
     Buf_Free(&body);
-    return all;
-}
-
-void
-Control_RelayText(Control *control, const char *json, size_t len)
-{
-    (void)relay_text(control, json, len);
 }
 
 static void
@@ -79,8 +65,9 @@
         relay_alive(control, target);
         return;
     }
-    target->relayed_ms = relay_text(control, json, len) ? now : 0;
+    target->relayed_ms = now;
     target->relayed_hash = hash;
+    Control_RelayText(control, json, len);
 }
 
 void
--- a/src/peer.c
+++ b/src/peer.c
@@ -276,6 +276,79 @@
     return i;
 }
 
+static void on_link_event(void *arg, int events);
+
+static Link *
+new_link(Peers *peers, apr_pool_t *pool, apr_socket_t *socket, int events)
+{
+    Link *link = calloc(1, sizeof(*link));
+    apr_os_sock_t fd;
+
+    if (link == NULL) {
+        return NULL;
+    }
+    apr_socket_opt_set(socket, APR_SO_NONBLOCK, 1);
+    apr_socket_timeout_set(socket, 0);
+    apr_socket_opt_set(socket, APR_TCP_NODELAY, 1);
+    apr_os_sock_get(&fd, socket);
+    link->peers = peers;
+    link->peer = PEER_NONE;
+    link->pool = pool;
+    link->socket = socket;
+    link->last_progress_ms = Loop_NowMs();
+    Frame_DecoderInit(&link->decoder);
+    link->watch = Loop_Watch(peers->loop, fd, events, on_link_event, link);
+    if (link->watch == NULL) {
+        free(link);
+        return NULL;
+    }
+    return link;
+}
+
+static void
+dial(Peers *peers, size_t peer, int64_t now)
+{
+    PeerSlot *slot = &peers->slots[peer];
+    const SettingsAddress *to = &slot->address;
+    apr_pool_t *pool;
+    apr_sockaddr_t *address;
+    apr_socket_t *socket;
+    apr_status_t status;
+
+    slot->dial_wait_ms = slot->dial_wait_ms * 2 < PEER_DIAL_MAX_MS
+                             ? slot->dial_wait_ms * 2
+                             : PEER_DIAL_MAX_MS;
+    slot->next_dial_ms = now + slot->dial_wait_ms;
+    if (apr_pool_create(&pool, NULL) != APR_SUCCESS) {
+        return;
+    }
+    if (apr_sockaddr_info_get(&address, to->host, APR_INET,
+                              (apr_port_t)to->port, 0, pool) != APR_SUCCESS ||
+        apr_socket_create(&socket, APR_INET, SOCK_STREAM, APR_PROTO_TCP,
+                          pool) != APR_SUCCESS) {
+        apr_pool_destroy(pool);
+        return;
+    }
+    apr_socket_opt_set(socket, APR_SO_NONBLOCK, 1);
+    apr_socket_timeout_set(socket, 0);
+    status = apr_socket_connect(socket, address);
+    if (status != APR_SUCCESS && !APR_STATUS_IS_EINPROGRESS(status)) {
+        apr_socket_close(socket);
+        apr_pool_destroy(pool);
+        return;
+    }
+    slot->outgoing = new_link(peers, pool, socket, LOOP_READ | LOOP_WRITE);
+    if (slot->outgoing == NULL) {
+        apr_socket_close(socket);
+        apr_pool_destroy(pool);
+        return;
+    }
+    slot->outgoing->peer = peer;
+    slot->outgoing->outgoing = true;
+    slot->outgoing->connecting = true;
+    queue_hello(slot->outgoing);
+}
+
 /* Returns false when the link has to be closed. */
 static bool
 accept_hello(Link *link, const msgpack_object_array *array)
@@ -300,8 +373,11 @@
     slot->hello = hello;
     slot->heard_ms = Loop_NowMs();
     slot->up = true;
-    /* The peer is surely reachable now. */
-    slot->next_dial_ms = 0;
+    /* The peer is surely reachable now. Messages to it are dropped while there
+     * is no link, and on_up may send some. */
+    if (slot->outgoing == NULL) {
+        dial(peers, peer, slot->heard_ms);
+    }
     Diag_Log(DIAG_INFO, PEER_PART, "%s in %s is connected.", hello.name,
              hello.data_centre);
     peers->options.on_up(peers->options.arg, peer, &hello);
@@ -451,33 +527,6 @@
     }
 }
 
-static Link *
-new_link(Peers *peers, apr_pool_t *pool, apr_socket_t *socket, int events)
-{
-    Link *link = calloc(1, sizeof(*link));
-    apr_os_sock_t fd;
-
-    if (link == NULL) {
-        return NULL;
-    }
-    apr_socket_opt_set(socket, APR_SO_NONBLOCK, 1);
-    apr_socket_timeout_set(socket, 0);
-    apr_socket_opt_set(socket, APR_TCP_NODELAY, 1);
-    apr_os_sock_get(&fd, socket);
-    link->peers = peers;
-    link->peer = PEER_NONE;
-    link->pool = pool;
-    link->socket = socket;
-    link->last_progress_ms = Loop_NowMs();
-    Frame_DecoderInit(&link->decoder);
-    link->watch = Loop_Watch(peers->loop, fd, events, on_link_event, link);
-    if (link->watch == NULL) {
-        free(link);
-        return NULL;
-    }
-    return link;
-}
-
 static void
 on_accept(void *arg, int events)
 {
@@ -509,50 +558,6 @@
     }
 }
 
-static void
-dial(Peers *peers, size_t peer, int64_t now)
-{
-    PeerSlot *slot = &peers->slots[peer];
-    const SettingsAddress *to = &slot->address;
-    apr_pool_t *pool;
-    apr_sockaddr_t *address;
-    apr_socket_t *socket;
-    apr_status_t status;
-
-    slot->dial_wait_ms = slot->dial_wait_ms * 2 < PEER_DIAL_MAX_MS
-                             ? slot->dial_wait_ms * 2
-                             : PEER_DIAL_MAX_MS;
-    slot->next_dial_ms = now + slot->dial_wait_ms;
-    if (apr_pool_create(&pool, NULL) != APR_SUCCESS) {
-        return;
-    }
-    if (apr_sockaddr_info_get(&address, to->host, APR_INET,
-                              (apr_port_t)to->port, 0, pool) != APR_SUCCESS ||
-        apr_socket_create(&socket, APR_INET, SOCK_STREAM, APR_PROTO_TCP,
-                          pool) != APR_SUCCESS) {
-        apr_pool_destroy(pool);
-        return;
-    }
-    apr_socket_opt_set(socket, APR_SO_NONBLOCK, 1);
-    apr_socket_timeout_set(socket, 0);
-    status = apr_socket_connect(socket, address);
-    if (status != APR_SUCCESS && !APR_STATUS_IS_EINPROGRESS(status)) {
-        apr_socket_close(socket);
-        apr_pool_destroy(pool);
-        return;
-    }
-    slot->outgoing = new_link(peers, pool, socket, LOOP_READ | LOOP_WRITE);
-    if (slot->outgoing == NULL) {
-        apr_socket_close(socket);
-        apr_pool_destroy(pool);
-        return;
-    }
-    slot->outgoing->peer = peer;
-    slot->outgoing->outgoing = true;
-    slot->outgoing->connecting = true;
-    queue_hello(slot->outgoing);
-}
-
 static void
 check_silence(Peers *peers, size_t peer, int64_t now)
 {
@@ -753,12 +758,6 @@
     }
 }
 
-bool
-Peers_HasLink(const Peers *peers, size_t peer)
-{
-    return peers->slots[peer].outgoing != NULL;
-}
-
 size_t
 Peers_Count(const Peers *peers)
 {
--- a/src/peer.h
+++ b/src/peer.h
@@ -104,10 +104,6 @@
  * loop; what the sockets do not take follows by itself. */
 void Peers_Flush(Peers *peers);
 
-/* Returns whether a message to the peer would be queued rather than dropped.
- */
-bool Peers_HasLink(const Peers *peers, size_t peer);
-
 /* Returns the address under which the peer is dialled. */
 const SettingsAddress *Peers_Address(const Peers *peers, size_t peer);
 
