Add seeds and read settings again in one place

Four loops gave the seeds of settings the port for peers (start and reload of control nodes and of entry VMs), and both kinds of node had a copy of the reload. Peers_AddSeeds and JobReload_Read take their place.

--- a/src/jobctl.c
+++ b/src/jobctl.c
@@ -8,6 +8,7 @@
 
 #include "diag.h"
 #include "jobfleetmsg.h"
+#include "jobreload.h"
 #include "mem.h"
 
 #define TICK_MS 50
@@ -386,25 +387,8 @@
 on_reload(void *arg)
 {
     JobControl *control = arg;
-    Findings *findings = Findings_New(control->settings_file);
-    Settings *settings = Mem_New(1, sizeof(*settings));
-    Status status;
-    size_t i;
 
-    status = Settings_Load(control->settings_file, settings, findings);
-    Slog_Begin(status == ST_OK ? SLOG_CHANGE : SLOG_FAILURE,
-               "settings_reloaded");
-    Slog_Int("findings", (int64_t)Findings_Count(findings));
-    Slog_Int("seeds", (int64_t)settings->seed_count);
-    Slog_End();
-    Findings_Print(findings, stderr);
-    for (i = 0; status == ST_OK && i < settings->seed_count; i++) {
-        SettingsAddress seed = settings->seeds[i];
-        seed.port = control->settings->peer.port;
-        Peers_Add(control->peers, &seed);
-    }
-    Findings_Free(findings);
-    free(settings);
+    JobReload_Read(control->settings_file, control->peers);
 }
 
 /* --- life --- */
@@ -428,18 +412,12 @@
                                 .idle_timeout_s = HTTP_IDLE_S,
                                 .handler = JobControl_HandleHttp,
                                 .arg = control};
-    size_t i;
 
     control->peers = Peers_New(control->loop, &peers, err);
     if (control->peers == NULL) {
         return ST_IO;
     }
-    for (i = 0; i < settings->seed_count; i++) {
-        /* The peer port is the same on all nodes. */
-        SettingsAddress seed = settings->seeds[i];
-        seed.port = settings->peer.port;
-        Peers_Add(control->peers, &seed);
-    }
+    Peers_AddSeeds(control->peers, control->settings);
     control->nodes_due = true;
     control->client = HttpClient_New(control->loop, HTTP_PER_TARGET);
     control->server = HttpServer_New(control->loop, &server, err);
--- a/src/jobentry.c
+++ b/src/jobentry.c
@@ -8,6 +8,7 @@
 
 #include "httpserver.h"
 #include "jobfleetmsg.h"
+#include "jobreload.h"
 #include "loop.h"
 #include "mem.h"
 #include "mppack.h"
@@ -450,24 +451,8 @@
 on_reload(void *arg)
 {
     JobEntry *entry = arg;
-    Findings *findings = Findings_New(entry->settings_file);
-    Settings *settings = Mem_New(1, sizeof(*settings));
-    Status status;
-    size_t i;
 
-    status = Settings_Load(entry->settings_file, settings, findings);
-    Slog_Begin(status == ST_OK ? SLOG_CHANGE : SLOG_FAILURE,
-               "settings_reloaded");
-    Slog_Int("findings", (int64_t)Findings_Count(findings));
-    Slog_End();
-    Findings_Print(findings, stderr);
-    for (i = 0; status == ST_OK && i < settings->seed_count; i++) {
-        SettingsAddress seed = settings->seeds[i];
-        seed.port = entry->settings->peer.port;
-        Peers_Add(entry->peers, &seed);
-    }
-    Findings_Free(findings);
-    free(settings);
+    JobReload_Read(entry->settings_file, entry->peers);
 }
 
 /* --- life --- */
@@ -507,7 +492,6 @@
                           .on_up = on_up,
                           .on_down = on_down,
                           .on_message = on_message};
-    size_t i;
 
     entry->loop = Loop_New(err);
     if (entry->loop == NULL) {
@@ -518,12 +502,7 @@
     if (entry->signals == NULL || entry->peers == NULL) {
         return ST_IO;
     }
-    for (i = 0; i < entry->settings->seed_count; i++) {
-        /* The peer port is the same on all nodes. */
-        SettingsAddress seed = entry->settings->seeds[i];
-        seed.port = entry->settings->peer.port;
-        Peers_Add(entry->peers, &seed);
-    }
+    Peers_AddSeeds(entry->peers, entry->settings);
     return open_servers(entry, err);
 }
 
--- a/src/peer.c
+++ b/src/peer.c
@@ -758,6 +758,18 @@
     }
 }
 
+void
+Peers_AddSeeds(Peers *peers, const Settings *settings)
+{
+    size_t i;
+
+    for (i = 0; i < settings->seed_count; i++) {
+        SettingsAddress seed = settings->seeds[i];
+        seed.port = peers->options.settings->peer.port;
+        Peers_Add(peers, &seed);
+    }
+}
+
 size_t
 Peers_Count(const Peers *peers)
 {
--- a/src/peer.h
+++ b/src/peer.h
@@ -94,6 +94,9 @@
  * is that of a known peer with this address, or SIZE_MAX at the limit. */
 size_t Peers_Add(Peers *peers, const SettingsAddress *address);
 
+/* Adds the seeds of settings. The port for peers is the same on all nodes. */
+void Peers_AddSeeds(Peers *peers, const Settings *settings);
+
 size_t Peers_Count(const Peers *peers);
 
 /* Queues one message; peer is an index below Peers_Count. The peers of the
