One piece of code for the leader's answers

An announcement that an agent passed on is now answered like one that the leader hears itself, Retry-After included, which the copy left out.

--- a/src/jobctl_agent.c
+++ b/src/jobctl_agent.c
@@ -320,29 +320,21 @@
     free(request);
 }
 
-/* [type, sequence, status, retry, body] */
 void
 JobControl_OnAnnounceReply(JobControl *control,
                            const msgpack_object_array *message)
 {
-    const msgpack_object *items = message->ptr;
-    HttpReply reply = {.content_type = "application/json"};
+    JobReplyMsg msg;
     Announced *row;
     Handle handle;
 
-    if (message->size != 5 ||
-        items[1].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
-        items[2].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
-        items[4].type != MSGPACK_OBJECT_BIN) {
+    if (!JobReplyMsg_Decode(message, &msg)) {
         return;
     }
-    handle = Handle_Unpack(items[1].via.u64);
+    handle = Handle_Unpack(msg.sequence);
     row = Table_Get(control->announced, handle);
     if (row != NULL) {
-        reply.status = (int)items[2].via.u64;
-        reply.body = items[4].via.bin.ptr;
-        reply.body_len = items[4].via.bin.size;
-        HttpRequest_Reply(row->http, &reply);
+        JobReplyMsg_Answer(&msg, row->http);
         Table_Remove(control->announced, handle);
     }
 }
--- a/src/jobctl_internal.h
+++ b/src/jobctl_internal.h
@@ -15,6 +15,7 @@
 #include "jobctl.h"
 #include "jobfleet.h"
 #include "jobmetrics.h"
+#include "jobreplymsg.h"
 #include "jobsched.h"
 #include "jobstate.h"
 #include "loop.h"
--- a/src/jobctl_request.c
+++ b/src/jobctl_request.c
@@ -25,37 +25,11 @@
 } Asked;
 
 static void
-reply_http(Asked *asked, int status, const Buf *body, int64_t retry_ms)
-{
-    char retry[32];
-    HttpReply reply = {.status = status,
-                       .content_type = "application/json",
-                       .body = body->data,
-                       .body_len = body->len};
-
-    if (retry_ms > 0) {
-        snprintf(retry, sizeof(retry), "%lld",
-                 (long long)((retry_ms + 999) / 1000));
-        reply.headers[0] = (HttpHeader){"Retry-After", retry};
-        reply.header_count = 1;
-    }
-    HttpRequest_Reply(asked->http, &reply);
-}
-
-static void
-reply_peer(Asked *asked, int status, const Buf *body, int64_t retry_ms)
+reply_peer(const Asked *asked, const JobReplyMsg *msg)
 {
     Buf frame = BUF_INIT;
-    msgpack_packer packer;
-
-    msgpack_packer_init(&packer, &frame, Buf_MsgpackWrite);
-    msgpack_pack_array(&packer, 5);
-    msgpack_pack_int(&packer, PEER_JOB_REPLY);
-    msgpack_pack_uint64(&packer, asked->sequence);
-    msgpack_pack_int(&packer, status);
-    msgpack_pack_int64(&packer, retry_ms);
-    msgpack_pack_bin(&packer, body->len);
-    msgpack_pack_bin_body(&packer, body->data, body->len);
+
+    JobReplyMsg_Encode(msg, &frame);
     Peers_Send(asked->control->peers, asked->peer, frame.data, frame.len);
     Buf_Free(&frame);
 }
@@ -88,6 +62,7 @@
 answer(Asked *asked, const JobReply *reply)
 {
     Buf body = BUF_INIT;
+    JobReplyMsg msg;
     int status =
         asked->control->wire->write_reply(asked->request.kind, reply, &body);
 
@@ -96,11 +71,13 @@
         JobMetrics_Answered(asked->control->metrics, asked->request.kind,
                             status, Loop_NowUs() - asked->since_us);
     }
+    msg = (JobReplyMsg){asked->sequence, status, reply->retry_ms, body.data,
+                        body.len};
     if (asked->http != NULL) {
-        reply_http(asked, status, &body, reply->retry_ms);
+        JobReplyMsg_Answer(&msg, asked->http);
     }
     else {
-        reply_peer(asked, status, &body, reply->retry_ms);
+        reply_peer(asked, &msg);
     }
     Buf_Free(&body);
     JobRequest_Free(&asked->request);
--- a/src/jobentry.c
+++ b/src/jobentry.c
@@ -9,6 +9,7 @@
 #include "httpserver.h"
 #include "jobfleetmsg.h"
 #include "jobreload.h"
+#include "jobreplymsg.h"
 #include "loop.h"
 #include "mem.h"
 #include "mppack.h"
@@ -98,32 +99,19 @@
 }
 
 static void
-finish(JobEntry *entry, Passed *passed, int status, const char *body,
-       size_t len, int64_t retry_ms)
+finish(JobEntry *entry, Passed *passed, const JobReplyMsg *msg)
 {
-    char retry[32];
-    HttpReply reply = {.status = status,
-                       .content_type = "application/json",
-                       .body = body,
-                       .body_len = len};
-
-    if (retry_ms > 0) {
-        snprintf(retry, sizeof(retry), "%lld",
-                 (long long)((retry_ms + 999) / 1000));
-        reply.headers[0] = (HttpHeader){"Retry-After", retry};
-        reply.header_count = 1;
-    }
-    if (status >= 300) {
+    if (msg->status >= 300) {
         Slog_Begin(SLOG_FAILURE, "caller_answered");
         Slog_Text("id", passed->id);
-        Slog_Int("status", status);
+        Slog_Int("status", msg->status);
         Slog_Int("took_ms", Loop_NowMs() - passed->since_ms);
         Slog_Int("passed_on", passed->sent);
         Slog_Int("term", (int64_t)entry->leader_term);
         Slog_Int("leader_age_ms", Loop_NowMs() - entry->leader_heard_ms);
         Slog_End();
     }
-    HttpRequest_Reply(passed->http, &reply);
+    JobReplyMsg_Answer(msg, passed->http);
     unlink_passed(entry, passed);
     free(passed);
 }
@@ -135,9 +123,11 @@
     JobReply reply = {.kind = kind, .reason = reason, .retry_ms = RETRY_MS};
     Buf body = BUF_INIT;
     int status = entry->wire->write_reply(passed->kind, &reply, &body);
+    JobReplyMsg msg = {passed->sequence, status,
+                       kind == JOB_REPLY_UNAVAILABLE ? RETRY_MS : 0, body.data,
+                       body.len};
 
-    finish(entry, passed, status, body.data, body.len,
-           kind == JOB_REPLY_UNAVAILABLE ? RETRY_MS : 0);
+    finish(entry, passed, &msg);
     Buf_Free(&body);
 }
 
@@ -314,24 +304,18 @@
     pass_on_waiting(entry);
 }
 
-/* [type, sequence, status, retry, body] */
 static void
 on_reply(JobEntry *entry, const msgpack_object_array *message)
 {
-    const msgpack_object *items = message->ptr;
+    JobReplyMsg msg;
     Passed *passed;
 
-    if (message->size != 5 ||
-        items[1].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
-        items[2].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
-        items[3].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
-        items[4].type != MSGPACK_OBJECT_BIN) {
+    if (!JobReplyMsg_Decode(message, &msg)) {
         return;
     }
     for (passed = entry->passed; passed != NULL; passed = passed->next) {
-        if (passed->sequence == items[1].via.u64) {
-            finish(entry, passed, (int)items[2].via.u64, items[4].via.bin.ptr,
-                   items[4].via.bin.size, items[3].via.i64);
+        if (passed->sequence == msg.sequence) {
+            finish(entry, passed, &msg);
             return;
         }
     }
