Read a request before a redirect only where it may be an announcement

A control node that does not lead parsed each body, a whole configuration included, and then sent the redirect; it does so in fleets with agents only, as before.

--- a/src/jobcallmsg.c
+++ b/src/jobcallmsg.c
@@ -7,7 +7,7 @@
 #include "mem.h"
 #include "mppack.h"
 
-#define CALL_ITEMS 12
+#define CALL_ITEMS 13
 #define ANSWER_ITEMS 6
 #define RUNNING_ITEMS 4
 #define END_ITEMS 5
@@ -57,7 +57,6 @@
     msgpack_pack_uint64(&packer, action->ack);
     msgpack_pack_int64(&packer, action->wait_ms);
     msgpack_pack_int64(&packer, call->timeout_ms);
-    msgpack_pack_array(&packer, 2);
     pack_text(&packer, action->text != NULL ? action->text : "");
     pack_text(&packer, action->checkpoint != NULL ? action->checkpoint : "");
 }
@@ -79,7 +78,7 @@
         !MpRead_I64(reader, &action->deadline_ms) ||
         !MpRead_U64(reader, &action->ack) ||
         !MpRead_I64(reader, &action->wait_ms) ||
-        !MpRead_I64(reader, &call->timeout_ms) || !MpRead_Row(reader, 2) ||
+        !MpRead_I64(reader, &call->timeout_ms) ||
         !read_text(reader, &action->text) ||
         !read_text(reader, &action->checkpoint) ||
         kind <= JOB_ACTION_PROPOSE || kind > JOB_ACTION_HOLD) {
--- a/src/jobctl_agent.c
+++ b/src/jobctl_agent.c
@@ -43,11 +43,10 @@
     size_t i;
 
     for (i = 0; i < control->agent_peers; i++) {
-        Buf_Free(&control->agent_calls[i]);
-        Buf_Free(&control->agent_answers[i]);
+        Buf_Free(&control->agent_records[i].calls);
+        Buf_Free(&control->agent_records[i].answers);
     }
-    free(control->agent_calls);
-    free(control->agent_answers);
+    free(control->agent_records);
     JobAgents_Free(control->agents);
     Table_Free(control->delegated);
     Table_Free(control->announced);
@@ -59,25 +58,20 @@
     return JobState_TargetRows(control->state) >= JOB_AGENTS_MIN_TARGETS;
 }
 
-/* Returns the records that leave for a peer with this turn. */
-static Buf *
-records_for(JobControl *control, Buf **list, size_t peer)
+static JobAgentRecords *
+records_for(JobControl *control, size_t peer)
 {
     size_t count = Peers_Count(control->peers);
 
     if (control->agent_peers < count) {
-        size_t added = count - control->agent_peers;
-        control->agent_calls =
-            Mem_Resize(control->agent_calls, count * sizeof(Buf));
-        control->agent_answers =
-            Mem_Resize(control->agent_answers, count * sizeof(Buf));
-        memset(control->agent_calls + control->agent_peers, 0,
-               added * sizeof(Buf));
-        memset(control->agent_answers + control->agent_peers, 0,
-               added * sizeof(Buf));
+        control->agent_records = Mem_Resize(
+            control->agent_records, count * sizeof(*control->agent_records));
+        memset(control->agent_records + control->agent_peers, 0,
+               (count - control->agent_peers) *
+                   sizeof(*control->agent_records));
         control->agent_peers = count;
     }
-    return &(*list)[peer];
+    return &control->agent_records[peer];
 }
 
 static void
@@ -102,9 +96,9 @@
 
     for (i = 0; i < control->agent_peers; i++) {
         send_records(control, PEER_JOB_CALLS, i, control->leading_term,
-                     &control->agent_calls[i]);
+                     &control->agent_records[i].calls);
         send_records(control, PEER_JOB_ANSWERS, i, control->agent_term,
-                     &control->agent_answers[i]);
+                     &control->agent_records[i].answers);
     }
 }
 
@@ -142,7 +136,7 @@
         now + timeout_ms +
         LoopLag_Stretch(&control->lag, AGENT_EXTRA_MS, AGENT_EXTRA_MOST_MS);
     msg.action.cookie = Handle_Pack(handle);
-    JobCallMsg_Pack(&msg, records_for(control, &control->agent_calls, peer));
+    JobCallMsg_Pack(&msg, &records_for(control, peer)->calls);
     return true;
 }
 
@@ -194,7 +188,7 @@
         Table_Remove(control->delegated, handle);
     }
     for (i = 0; i < control->agent_peers; i++) {
-        Buf_Clear(&control->agent_calls[i]);
+        Buf_Clear(&control->agent_records[i].calls);
     }
 }
 
@@ -235,7 +229,7 @@
 {
     if (term == control->agent_term) {
         JobAnswerMsg_Pack(action->cookie, answer,
-                          records_for(control, &control->agent_answers, peer));
+                          &records_for(control, peer)->answers);
     }
 }
 
@@ -253,7 +247,7 @@
     if (term > control->agent_term) {
         size_t i;
         for (i = 0; i < control->agent_peers; i++) {
-            Buf_Clear(&control->agent_answers[i]);
+            Buf_Clear(&control->agent_records[i].answers);
         }
         control->agent_term = term;
     }
--- a/src/jobctl_internal.h
+++ b/src/jobctl_internal.h
@@ -51,6 +51,12 @@
     struct JobReader *next;
 } JobReader;
 
+/* Packed calls and answers that leave for a peer with this turn. */
+typedef struct JobAgentRecords {
+    Buf calls;
+    Buf answers;
+} JobAgentRecords;
+
 struct JobControl {
     const Settings *settings;
     const JobWire *wire;
@@ -68,9 +74,8 @@
     JobAgents *agents;
     Table *delegated; /* calls that agents make: Delegated */
     Table *announced; /* requests of targets passed to the leader: Announced */
-    Buf *agent_calls; /* records to each peer that leave with this turn */
-    Buf *agent_answers;
-    size_t agent_peers;  /* entries in the two above */
+    JobAgentRecords *agent_records; /* by peer */
+    size_t agent_peers;             /* entries in it */
     uint64_t agent_term; /* of the leader that this node makes calls for */
     HttpServer *server;
     HttpServer *metrics_server; /* NULL without an address */
--- a/src/jobctl_request.c
+++ b/src/jobctl_request.c
@@ -453,11 +453,45 @@
 }
 
 static bool
-is_announcement(const Asked *asked)
+is_announcement(const JobRequest *request)
 {
-    return asked->request.error == JOB_ERROR_NONE &&
-           (asked->request.kind == JOB_REQUEST_ANNOUNCE ||
-            asked->request.kind == JOB_REQUEST_LEAVE);
+    return request->error == JOB_ERROR_NONE &&
+           (request->kind == JOB_REQUEST_ANNOUNCE ||
+            request->kind == JOB_REQUEST_LEAVE);
+}
+
+static void
+read_request(const JobControl *control, HttpRequest *http, JobRequest *request)
+{
+    JobHttpRequest raw = {.method = HttpRequest_Method(http),
+                          .host = "",
+                          .path = HttpRequest_Path(http)};
+
+    raw.body = HttpRequest_Body(http, &raw.body_len);
+    control->wire->read_control(&raw, request);
+}
+
+/* Takes an announcement for the leader of a large fleet. Returns false for
+ * anything else. */
+static bool
+pass_announcement(JobControl *control, HttpRequest *http)
+{
+    JobRequest *request;
+    bool passed;
+
+    if (!JobControl_UsesAgents(control)) {
+        return false;
+    }
+    request = Mem_New(1, sizeof(*request));
+    read_request(control, http, request);
+    passed = is_announcement(request);
+    if (passed) {
+        JobControl_PassAnnouncement(control, JobControl_LeaderPeer(control),
+                                    http, request);
+    }
+    JobRequest_Free(request);
+    free(request);
+    return passed;
 }
 
 void
@@ -465,29 +499,18 @@
 {
     JobControl *control = arg;
     char leader[JOB_ADDRESS_BYTES];
-    JobHttpRequest raw = {.method = HttpRequest_Method(http),
-                          .host = "",
-                          .path = HttpRequest_Path(http)};
     Asked *asked;
 
-    asked = new_asked(control);
-    asked->http = http;
-    raw.body = HttpRequest_Body(http, &raw.body_len);
-    control->wire->read_control(&raw, &asked->request);
     if (!JobControl_Serves(control) &&
         JobControl_LeaderAddress(control, leader, sizeof(leader)) != NULL) {
-        if (JobControl_UsesAgents(control) && is_announcement(asked)) {
-            JobControl_PassAnnouncement(control,
-                                        JobControl_LeaderPeer(control), http,
-                                        &asked->request);
-        }
-        else {
+        if (!pass_announcement(control, http)) {
             redirect(control, http, leader);
         }
-        JobRequest_Free(&asked->request);
-        free(asked);
         return;
     }
+    asked = new_asked(control);
+    asked->http = http;
+    read_request(control, http, &asked->request);
     if (!JobControl_Serves(control)) {
         answer_unavailable(asked, "no leader is known");
         return;
