Derive what a sync on a thread covers; share the append and its end

Nothing is written while a sync goes on, so it covers the log's last entry: sync_index held the same. Wal_Sync and Wal_Synced end in one function, and both ways to flush call one that appends.

--- a/src/replica_core.h
+++ b/src/replica_core.h
@@ -27,10 +27,9 @@
     Raft *raft;
     uint64_t applied;
     bool caught_up;
-    bool syncing;        /* the callback's sync has not ended */
-    uint64_t sync_index; /* last entry that it makes durable */
-    size_t held;         /* messages that wait for it */
-    Pending *pending;    /* ordered by index; a ring of max_pending */
+    bool syncing;     /* the callback's sync of all that was written goes on */
+    size_t held;      /* messages that wait for it */
+    Pending *pending; /* ordered by index; a ring of max_pending */
     size_t pending_first;
     size_t pending_count;
     ReplicaOffer offers[MAX_OFFERS];
--- a/src/replica_flush.c
+++ b/src/replica_flush.c
@@ -94,15 +94,14 @@
     return ST_OK;
 }
 
+/* Hands new entries to the disk; they are durable after a sync. */
 static Status
-persist_entries(Replica *replica, const RaftReady *ready, ErrCtx *err)
+append_entries(Replica *replica, const RaftReady *ready, ErrCtx *err)
 {
     /* Entries lie in one array. */
-    Status status =
-        Wal_Append(replica->wal, Raft_Entry(replica->raft, ready->append_from),
-                   (size_t)(ready->last_index - ready->append_from + 1), err);
-
-    return status != ST_OK ? status : Wal_Sync(replica->wal, err);
+    return Wal_Append(
+        replica->wal, Raft_Entry(replica->raft, ready->append_from),
+        (size_t)(ready->last_index - ready->append_from + 1), err);
 }
 
 static Status
@@ -123,7 +122,10 @@
         status = restore_machine(replica, err);
     }
     if (status == ST_OK && ready->append_from <= ready->last_index) {
-        status = persist_entries(replica, ready, err);
+        status = append_entries(replica, ready, err);
+        if (status == ST_OK) {
+            status = Wal_Sync(replica->wal, err);
+        }
     }
     return status;
 }
@@ -330,16 +332,13 @@
 static Status
 begin_sync(Replica *replica, const RaftReady *ready, ErrCtx *err)
 {
-    Status status =
-        Wal_Append(replica->wal, Raft_Entry(replica->raft, ready->append_from),
-                   (size_t)(ready->last_index - ready->append_from + 1), err);
+    Status status = append_entries(replica, ready, err);
 
     if (status != ST_OK) {
         return status;
     }
     Raft_Written(replica->raft);
     replica->syncing = true;
-    replica->sync_index = ready->last_index;
     replica->held = ready->message_count;
     replica->options.sync(replica->options.arg);
     flush_meanwhile(replica, ready);
@@ -375,12 +374,12 @@
     if (replica->failure.status != ST_OK) {
         return;
     }
-    status = Wal_Synced(replica->wal, replica->sync_index, status, &cause);
+    status = Wal_Synced(replica->wal, status, &cause);
     if (status != ST_OK) {
         fail_replica(replica, status, &cause);
         return;
     }
-    Raft_Synced(replica->raft, replica->sync_index);
+    Raft_Synced(replica->raft, Wal_LastIndex(replica->wal));
     Raft_Ready(replica->raft, &ready);
     send_messages(replica, ready.messages, replica->held, true);
     Raft_SentFirst(replica->raft, replica->held);
--- a/src/wal.c
+++ b/src/wal.c
@@ -498,6 +498,15 @@
     return stick(wal, status, &cause, err);
 }
 
+static Status
+take_sync(Wal *wal, Status status, const ErrCtx *cause, ErrCtx *err)
+{
+    if (status == ST_OK) {
+        wal->synced_index = Wal_LastIndex(wal);
+    }
+    return stick(wal, status, cause, err);
+}
+
 Status
 Wal_Sync(Wal *wal, ErrCtx *err)
 {
@@ -508,21 +517,15 @@
         return wal->failure.status;
     }
     status = Storage_Sync(wal->storage, WAL_LOG, &cause);
-    if (status == ST_OK) {
-        wal->synced_index = Wal_LastIndex(wal);
-    }
-    return stick(wal, status, &cause, err);
+    return take_sync(wal, status, &cause, err);
 }
 
 Status
-Wal_Synced(Wal *wal, uint64_t index, Status status, ErrCtx *err)
+Wal_Synced(Wal *wal, Status status, ErrCtx *err)
 {
     ErrCtx cause = *err;
 
-    if (status == ST_OK) {
-        wal->synced_index = index;
-    }
-    return stick(wal, status, &cause, err);
+    return take_sync(wal, status, &cause, err);
 }
 
 Status
--- a/src/wal.h
+++ b/src/wal.h
@@ -93,10 +93,10 @@
                   ErrCtx *err);
 Status Wal_Sync(Wal *wal, ErrCtx *err);
 
-/* Takes the result of a sync of WAL_LOG that another thread has made, begun
- * when index was the last entry. No other call that writes may come between.
- */
-Status Wal_Synced(Wal *wal, uint64_t index, Status status, ErrCtx *err);
+/* Takes the result of a sync of WAL_LOG that another thread has made; err
+ * holds the cause of a failure. Nothing may be written between its begin and
+ * this call. */
+Status Wal_Synced(Wal *wal, Status status, ErrCtx *err);
 
 /* Removes all entries from index on, durably. */
 Status Wal_Truncate(Wal *wal, uint64_t index, ErrCtx *err);
