--- a/src/jobcmd.c
+++ b/src/jobcmd.c
@@ -107,10 +107,7 @@
     msgpack_packer packer;
 
     begin(&packer, out, JOB_CMD_NODE, 4);
-    MpPack_Text(&packer, node->name);
-    MpPack_Text(&packer, node->data_centre);
-    MpPack_Text(&packer, node->peer);
-    MpPack_Text(&packer, node->control);
+    JobStateImpl_PackNode(&packer, node);
 }
 
 void
@@ -120,11 +117,7 @@
     uint32_t i;
 
     begin(&packer, out, JOB_CMD_WAVE, 5);
-    msgpack_pack_uint64(&packer, wave->number);
-    msgpack_pack_int64(&packer, wave->start_ms);
-    msgpack_pack_int64(&packer, wave->duration_ms);
-    msgpack_pack_uint32(&packer, wave->cap);
-    msgpack_pack_array(&packer, wave->vm_count);
+    JobStateImpl_PackWaveHead(&packer, wave);
     for (i = 0; i < wave->vm_count; i++) {
         MpPack_Text(&packer, wave->vms[i].vm);
     }
@@ -156,7 +149,5 @@
     msgpack_packer packer;
 
     begin(&packer, out, JOB_CMD_VM_ORDER, 3);
-    MpPack_Text(&packer, order->vm);
-    msgpack_pack_uint64(&packer, order->fence);
-    msgpack_pack_int64(&packer, order->wall_ms);
+    JobStateImpl_PackOrder(&packer, order);
 }
--- a/src/jobstate_apply.c
+++ b/src/jobstate_apply.c
@@ -375,55 +375,38 @@
 static JobResult
 apply_node(JobState *state, MpRead *reader)
 {
-    JobNode node = {{0}, {0}, {0}, {0}};
-
-    if (!MpRead_Text(reader, node.name, sizeof(node.name)) ||
-        !MpRead_Text(reader, node.data_centre, sizeof(node.data_centre)) ||
-        !MpRead_Text(reader, node.peer, sizeof(node.peer)) ||
-        !MpRead_Text(reader, node.control, sizeof(node.control))) {
-        return JOB_RESULT_CORRUPT;
-    }
-    JobStateImpl_AddNode(state, &node);
-    return JOB_RESULT_OK;
+    return JobStateImpl_ReadNode(state, reader) ? JOB_RESULT_OK
+                                                : JOB_RESULT_CORRUPT;
 }
 
 JobWave *
-JobStateImpl_AddWave(JobState *state, uint32_t vm_count)
+JobStateImpl_AddWave(JobState *state, const JobWave *head)
 {
     JobWave *wave;
 
     state->waves =
         Mem_Resize(state->waves, (state->wave_count + 1) * sizeof(*wave));
     wave = &state->waves[state->wave_count++];
-    memset(wave, 0, sizeof(*wave));
-    wave->vms = Mem_New(vm_count, sizeof(JobWaveVm));
-    wave->vm_count = vm_count;
+    *wave = *head;
+    wave->vms = Mem_New(head->vm_count, sizeof(JobWaveVm));
     return wave;
 }
 
 static JobResult
 apply_wave(JobState *state, MpRead *reader)
 {
-    JobWave head = {0};
+    JobWave head;
     JobWave *wave;
-    uint32_t count;
     uint32_t i;
 
-    if (!MpRead_U64(reader, &head.number) ||
-        !MpRead_I64(reader, &head.start_ms) ||
-        !MpRead_I64(reader, &head.duration_ms) ||
-        !MpRead_U32(reader, &head.cap) || !MpRead_Array(reader, &count)) {
+    if (!JobStateImpl_ReadWaveHead(reader, &head)) {
         return JOB_RESULT_CORRUPT;
     }
     if (JobState_Wave(state, head.number) != NULL) {
         return JOB_RESULT_EXISTS;
     }
-    wave = JobStateImpl_AddWave(state, count);
-    wave->number = head.number;
-    wave->start_ms = head.start_ms;
-    wave->duration_ms = head.duration_ms;
-    wave->cap = head.cap;
-    for (i = 0; i < count; i++) {
+    wave = JobStateImpl_AddWave(state, &head);
+    for (i = 0; i < wave->vm_count; i++) {
         MpRead_Text(reader, wave->vms[i].vm, sizeof(wave->vms[i].vm));
     }
     return JOB_RESULT_OK;
@@ -501,15 +484,8 @@
 static JobResult
 apply_vm_order(JobState *state, MpRead *reader)
 {
-    JobVmOrder order = {{0}, 0, 0, 0};
-
-    if (!MpRead_Text(reader, order.vm, sizeof(order.vm)) ||
-        !MpRead_U64(reader, &order.fence) ||
-        !MpRead_I64(reader, &order.wall_ms)) {
-        return JOB_RESULT_CORRUPT;
-    }
-    JobStateImpl_SetOrder(state, &order);
-    return JOB_RESULT_OK;
+    return JobStateImpl_ReadOrder(state, reader) ? JOB_RESULT_OK
+                                                 : JOB_RESULT_CORRUPT;
 }
 
 static JobResult
--- a/src/jobstate_impl.h
+++ b/src/jobstate_impl.h
@@ -40,7 +40,8 @@
 void JobStateImpl_IndexTarget(JobState *state, JobTarget *target);
 void JobStateImpl_AddNode(JobState *state, const JobNode *node);
 void JobStateImpl_SetOrder(JobState *state, const JobVmOrder *order);
-JobWave *JobStateImpl_AddWave(JobState *state, uint32_t vm_count);
+/* Adds a wave with the figures of head and room for its VMs. */
+JobWave *JobStateImpl_AddWave(JobState *state, const JobWave *head);
 void JobStateImpl_AddRun(JobTarget *target, const JobRun *run);
 void JobStateImpl_Clear(JobState *state);
 
@@ -53,6 +54,15 @@
 void JobStateImpl_EndJob(JobState *state, Job *job, JobPhase phase,
                          int64_t wall_ms);
 
+/* jobstate_field.c: fields that commands and snapshots have in common. */
+void JobStateImpl_PackNode(msgpack_packer *packer, const JobNode *node);
+bool JobStateImpl_ReadNode(JobState *state, MpRead *reader);
+/* All but the VMs, of which the count comes last. */
+void JobStateImpl_PackWaveHead(msgpack_packer *packer, const JobWave *wave);
+bool JobStateImpl_ReadWaveHead(MpRead *reader, JobWave *head);
+void JobStateImpl_PackOrder(msgpack_packer *packer, const JobVmOrder *order);
+bool JobStateImpl_ReadOrder(JobState *state, MpRead *reader);
+
 typedef enum JobCommand {
     JOB_CMD_CONFIG = 1,
     JOB_CMD_SUBMIT = 2,
--- a/src/jobstate_snapshot.c
+++ b/src/jobstate_snapshot.c
@@ -60,11 +60,7 @@
     uint32_t i;
 
     msgpack_pack_array(packer, 5);
-    msgpack_pack_uint64(packer, wave->number);
-    msgpack_pack_int64(packer, wave->start_ms);
-    msgpack_pack_int64(packer, wave->duration_ms);
-    msgpack_pack_uint32(packer, wave->cap);
-    msgpack_pack_array(packer, wave->vm_count);
+    JobStateImpl_PackWaveHead(packer, wave);
     for (i = 0; i < wave->vm_count; i++) {
         msgpack_pack_array(packer, 3);
         MpPack_Text(packer, wave->vms[i].vm);
@@ -119,10 +115,7 @@
     msgpack_pack_array(&packer, state->node_count);
     for (i = 0; i < state->node_count; i++) {
         msgpack_pack_array(&packer, 4);
-        MpPack_Text(&packer, state->nodes[i].name);
-        MpPack_Text(&packer, state->nodes[i].data_centre);
-        MpPack_Text(&packer, state->nodes[i].peer);
-        MpPack_Text(&packer, state->nodes[i].control);
+        JobStateImpl_PackNode(&packer, &state->nodes[i]);
     }
     msgpack_pack_array(&packer, state->wave_count);
     for (i = 0; i < state->wave_count; i++) {
@@ -131,9 +124,7 @@
     msgpack_pack_array(&packer, state->order_count);
     for (i = 0; i < state->order_count; i++) {
         msgpack_pack_array(&packer, 3);
-        MpPack_Text(&packer, state->orders[i].vm);
-        msgpack_pack_uint64(&packer, state->orders[i].fence);
-        msgpack_pack_int64(&packer, state->orders[i].wall_ms);
+        JobStateImpl_PackOrder(&packer, &state->orders[i]);
     }
 }
 
@@ -284,39 +275,21 @@
 static bool
 read_node(JobState *state, MpRead *reader)
 {
-    JobNode node = {{0}, {0}, {0}, {0}};
-
-    if (!MpRead_Row(reader, 4) ||
-        !MpRead_Text(reader, node.name, sizeof(node.name)) ||
-        !MpRead_Text(reader, node.data_centre, sizeof(node.data_centre)) ||
-        !MpRead_Text(reader, node.peer, sizeof(node.peer)) ||
-        !MpRead_Text(reader, node.control, sizeof(node.control))) {
-        return false;
-    }
-    JobStateImpl_AddNode(state, &node);
-    return true;
+    return MpRead_Row(reader, 4) && JobStateImpl_ReadNode(state, reader);
 }
 
 static bool
 read_wave(JobState *state, MpRead *reader)
 {
-    JobWave head = {0};
+    JobWave head;
     JobWave *wave;
-    uint32_t count;
     uint32_t i;
 
-    if (!MpRead_Row(reader, 5) || !MpRead_U64(reader, &head.number) ||
-        !MpRead_I64(reader, &head.start_ms) ||
-        !MpRead_I64(reader, &head.duration_ms) ||
-        !MpRead_U32(reader, &head.cap) || !MpRead_Array(reader, &count)) {
+    if (!MpRead_Row(reader, 5) || !JobStateImpl_ReadWaveHead(reader, &head)) {
         return false;
     }
-    wave = JobStateImpl_AddWave(state, count);
-    wave->number = head.number;
-    wave->start_ms = head.start_ms;
-    wave->duration_ms = head.duration_ms;
-    wave->cap = head.cap;
-    for (i = 0; i < count; i++) {
+    wave = JobStateImpl_AddWave(state, &head);
+    for (i = 0; i < wave->vm_count; i++) {
         JobWaveVm *vm = &wave->vms[i];
         if (!MpRead_Row(reader, 3) ||
             !MpRead_Text(reader, vm->vm, sizeof(vm->vm)) ||
@@ -332,16 +305,7 @@
 static bool
 read_order(JobState *state, MpRead *reader)
 {
-    JobVmOrder order = {{0}, 0, 0, 0};
-
-    if (!MpRead_Row(reader, 3) ||
-        !MpRead_Text(reader, order.vm, sizeof(order.vm)) ||
-        !MpRead_U64(reader, &order.fence) ||
-        !MpRead_I64(reader, &order.wall_ms)) {
-        return false;
-    }
-    JobStateImpl_SetOrder(state, &order);
-    return true;
+    return MpRead_Row(reader, 3) && JobStateImpl_ReadOrder(state, reader);
 }
 
 static bool
