Use Signals for the request service too

Control kept a pipe and coltsfootd a handler of its own for what signals.c does since the job service came. SIGHUP keeps its default effect there. proc_stop, proc_path and proc_entry_stop pass.

--- a/src/coltsfootd.c
+++ b/src/coltsfootd.c
@@ -1,7 +1,5 @@
-#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 
 #include <apr_general.h>
 #include <argtable2.h>
@@ -18,33 +16,18 @@
 
 #define EXIT_FINDINGS 2
 
-static Control *running;
-
-static void
-on_signal(int number)
-{
-    (void)number;
-    Control_RequestStop(running);
-}
-
 static int
 run(const Settings *settings)
 {
-    struct sigaction action;
     ErrCtx err = {0};
+    Control *control;
 
-    if (Control_New(settings, &running, &err) != ST_OK) {
+    if (Control_New(settings, &control, &err) != ST_OK) {
         Diag_Log(DIAG_ERROR, "main", "Cannot start: %s.", err.message);
         return EXIT_FAILURE;
     }
-    memset(&action, 0, sizeof(action));
-    action.sa_handler = on_signal;
-    sigaction(SIGTERM, &action, NULL);
-    sigaction(SIGINT, &action, NULL);
-    action.sa_handler = SIG_IGN;
-    sigaction(SIGPIPE, &action, NULL);
-    Control_Run(running);
-    Control_Free(running);
+    Control_Run(control);
+    Control_Free(control);
     return EXIT_SUCCESS;
 }
 
--- a/src/control.c
+++ b/src/control.c
@@ -1,9 +1,7 @@
 #include "control_internal.h"
 
-#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
-#include <unistd.h>
 
 #include "diag.h"
 #include "mem.h"
@@ -338,13 +336,11 @@
 /* --- life --- */
 
 static void
-on_stop(void *arg, int events)
+on_stop(void *arg)
 {
     Control *control = arg;
-    char byte;
 
-    (void)events;
-    if (read(control->stop_pipe[0], &byte, 1) != 1 || control->stop_ms != 0) {
+    if (control->stop_ms != 0) {
         return;
     }
     control->stop_ms = Loop_NowMs();
@@ -353,14 +349,6 @@
     Gateway_BeginShutdown(control->gateway);
 }
 
-void
-Control_RequestStop(Control *control)
-{
-    ssize_t written = write(control->stop_pipe[1], "x", 1);
-
-    (void)written; /* a full pipe already asks for the stop */
-}
-
 static Status
 open_gateway(Control *control, uint64_t seed, ErrCtx *err)
 {
@@ -415,15 +403,14 @@
 {
     Status status;
 
-    if (pipe(control->stop_pipe) != 0) {
-        return Err_Set(err, ST_IO, "no pipe: %s", strerror(errno));
-    }
     control->loop = Loop_New(err);
     if (control->loop == NULL) {
         return ST_IO;
     }
-    control->stop_watch = Loop_Watch(control->loop, control->stop_pipe[0],
-                                     LOOP_READ, on_stop, control);
+    control->signals = Signals_New(control->loop, on_stop, NULL, control, err);
+    if (control->signals == NULL) {
+        return ST_IO;
+    }
     control->state = State_New();
     control->targets = StrMap_New();
     control->journal = Journal_New(CONTROL_JOURNAL_ENTRIES);
@@ -455,8 +442,6 @@
         return Err_Set(err, ST_NO_MEMORY, "no memory for the control");
     }
     control->settings = settings;
-    control->stop_pipe[0] = -1;
-    control->stop_pipe[1] = -1;
     /* Wall time keeps incarnations rising over restarts without a disk. */
     control->incarnation = (uint64_t)apr_time_now();
     control->view_dirty = true;
@@ -503,11 +488,7 @@
     Journal_Free(control->journal);
     Table_Free(control->proposals);
     free(control->peer_states);
-    Loop_Unwatch(control->stop_watch);
+    Signals_Free(control->signals);
     Loop_Free(control->loop);
-    if (control->stop_pipe[0] >= 0) {
-        close(control->stop_pipe[0]);
-        close(control->stop_pipe[1]);
-    }
     free(control);
 }
--- a/src/control.h
+++ b/src/control.h
@@ -16,15 +16,12 @@
 typedef struct Control Control;
 
 /* Opens the data folder, the ports and the traffic threads. The settings must
- * outlive the control. */
+ * outlive the control. SIGTERM and SIGINT begin a planned stop. */
 Status Control_New(const Settings *settings, Control **control, ErrCtx *err);
 
 /* Runs until a planned stop is complete. */
 void Control_Run(Control *control);
 
-/* Begins a planned stop; callable from a signal handler. */
-void Control_RequestStop(Control *control);
-
 void Control_Free(Control *control);
 
 /* Creates the data folder of the first voter of a new cluster. */
--- a/src/control_internal.h
+++ b/src/control_internal.h
@@ -26,6 +26,7 @@
 #include "oncelog.h"
 #include "peer.h"
 #include "replica.h"
+#include "signals.h"
 #include "state.h"
 #include "statecmd.h"
 #include "storage.h"
@@ -144,8 +145,7 @@
     bool view_dirty;
     bool registered;
     bool ready;
-    int stop_pipe[2];
-    LoopWatch *stop_watch;
+    Signals *signals;
 };
 
 /* control_log.c */
--- a/src/signals.c
+++ b/src/signals.c
@@ -70,7 +70,9 @@
     action.sa_handler = on_signal;
     sigaction(SIGTERM, &action, NULL);
     sigaction(SIGINT, &action, NULL);
-    sigaction(SIGHUP, &action, NULL);
+    if (reload != NULL) {
+        sigaction(SIGHUP, &action, NULL);
+    }
     action.sa_handler = SIG_IGN;
     sigaction(SIGPIPE, &action, NULL);
     return signals;
--- a/src/signals.h
+++ b/src/signals.h
@@ -11,7 +11,8 @@
 typedef struct Signals Signals;
 
 /* Calls stop on SIGTERM and SIGINT, and reload on SIGHUP, on the loop's
- * thread. SIGPIPE is ignored. One for each process. */
+ * thread. Without reload SIGHUP has its default effect. SIGPIPE is ignored.
+ * One for each process. */
 Signals *Signals_New(Loop *loop, LoopFn stop, LoopFn reload, void *arg,
                      ErrCtx *err);
 void Signals_Free(Signals *signals);
