Find peers by identity and send bytes to them in one place

Both log modules and both searches for the leader had a loop over the peers, and the request service and the job service each packed [type, bytes]: Peers_Find and Peers_SendBytes. Binary values are packed by msgpack-c's own msgpack_pack_bin_with_body throughout.

--- a/src/control.c
+++ b/src/control.c
@@ -14,22 +14,6 @@
 #define CONTROL_MAX_BODY_BYTES (1024 * 1024)
 #define CONTROL_JOURNAL_ENTRIES 4096
 
-void
-Control_SendBin(Control *control, size_t peer, PeerMessageType type,
-                const char *bytes, size_t len)
-{
-    Buf body = BUF_INIT;
-    msgpack_packer packer;
-
-    msgpack_packer_init(&packer, &body, Buf_MsgpackWrite);
-    msgpack_pack_array(&packer, 2);
-    msgpack_pack_int(&packer, (int)type);
-    msgpack_pack_bin(&packer, len);
-    msgpack_pack_bin_body(&packer, bytes, len);
-    Peers_Send(control->peers, peer, body.data, body.len);
-    Buf_Free(&body);
-}
-
 static void
 on_up(void *arg, size_t peer, const PeerHello *hello)
 {
--- a/src/control_feed.c
+++ b/src/control_feed.c
@@ -19,7 +19,7 @@
 
     for (i = 0; i < control->settings->peer_count; i++) {
         if (strcmp(peer_of(control, i)->name, name) == 0) {
-            Control_SendBin(control, i, PEER_FEED, bytes, len);
+            Peers_SendBytes(control->peers, i, PEER_FEED, bytes, len);
             return;
         }
     }
@@ -83,7 +83,8 @@
     if (FeedServer_Answer(control->feed_server, Loop_NowMs(),
                           peer_of(control, peer)->name, bytes->via.bin.ptr,
                           bytes->via.bin.size, &answer) == ST_OK) {
-        Control_SendBin(control, peer, PEER_FEED, answer.data, answer.len);
+        Peers_SendBytes(control->peers, peer, PEER_FEED, answer.data,
+                        answer.len);
     }
     else if (control->feed != NULL) {
         Feed_Receive(control->feed, Loop_NowMs(), peer_of(control, peer)->name,
--- a/src/control_internal.h
+++ b/src/control_internal.h
@@ -254,8 +254,4 @@
                           const char *result, size_t len);
 void Control_Note(Control *control, const JournalNote *note);
 
-/* Sends a message of a type and one binary item. */
-void Control_SendBin(Control *control, size_t peer, PeerMessageType type,
-                     const char *bytes, size_t len);
-
 #endif
--- a/src/control_log.c
+++ b/src/control_log.c
@@ -46,13 +46,10 @@
 send_raft(void *arg, uint64_t to, const char *bytes, size_t len)
 {
     Control *control = arg;
-    size_t i;
+    size_t peer = Peers_Find(control->peers, to);
 
-    for (i = 0; i < control->settings->peer_count; i++) {
-        if (Peers_Hello(control->peers, i)->identity == to) {
-            Control_SendBin(control, i, PEER_RAFT, bytes, len);
-            return;
-        }
+    if (peer != SIZE_MAX) {
+        Peers_SendBytes(control->peers, peer, PEER_RAFT, bytes, len);
     }
 }
 
@@ -249,16 +246,10 @@
 long
 Control_LeaderPeer(const Control *control)
 {
-    uint64_t identity = leader_identity(control);
-    size_t i;
+    size_t peer = Peers_Find(control->peers, leader_identity(control));
 
-    for (i = 0; identity != 0 && i < control->settings->peer_count; i++) {
-        if (Peers_IsUp(control->peers, i) &&
-            Peers_Hello(control->peers, i)->identity == identity) {
-            return (long)i;
-        }
-    }
-    return -1;
+    return peer != SIZE_MAX && Peers_IsUp(control->peers, peer) ? (long)peer
+                                                                : -1;
 }
 
 const char *
@@ -284,8 +275,7 @@
     msgpack_pack_array(&packer, 3);
     msgpack_pack_int(&packer, PEER_PROPOSE);
     msgpack_pack_uint64(&packer, cookie);
-    msgpack_pack_bin(&packer, command->len);
-    msgpack_pack_bin_body(&packer, command->data, command->len);
+    msgpack_pack_bin_with_body(&packer, command->data, command->len);
     Peers_Send(control->peers, peer, body.data, body.len);
     Buf_Free(&body);
 }
@@ -389,8 +379,7 @@
     msgpack_pack_uint64(&packer, proposal->cookie);
     msgpack_pack_int(&packer, (int)status);
     msgpack_pack_uint64(&packer, index);
-    msgpack_pack_bin(&packer, len);
-    msgpack_pack_bin_body(&packer, result, len);
+    msgpack_pack_bin_with_body(&packer, result, len);
     Peers_Send(proposal->control->peers, proposal->peer, body.data, body.len);
     Buf_Free(&body);
     free(proposal);
--- a/src/control_once.c
+++ b/src/control_once.c
@@ -90,8 +90,8 @@
         if (post->is_intent) {
             msgpack_pack_uint64(&packer, post->cookie);
         }
-        msgpack_pack_bin(&packer, post->record.len);
-        msgpack_pack_bin_body(&packer, post->record.data, post->record.len);
+        msgpack_pack_bin_with_body(&packer, post->record.data,
+                                   post->record.len);
         Peers_Send(control->peers, (size_t)holder, body.data, body.len);
         Buf_Free(&body);
     }
--- a/src/jobcallmsg.c
+++ b/src/jobcallmsg.c
@@ -19,8 +19,7 @@
 {
     size_t len = strlen(text) + 1;
 
-    msgpack_pack_bin(packer, len);
-    msgpack_pack_bin_body(packer, text, len);
+    msgpack_pack_bin_with_body(packer, text, len);
 }
 
 static bool
@@ -235,8 +234,7 @@
     msgpack_pack_array(&packer, 3);
     msgpack_pack_int(&packer, (int)type);
     msgpack_pack_uint64(&packer, term);
-    msgpack_pack_bin(&packer, records->len);
-    msgpack_pack_bin_body(&packer, records->data, records->len);
+    msgpack_pack_bin_with_body(&packer, records->data, records->len);
 }
 
 bool
--- a/src/jobcodec.c
+++ b/src/jobcodec.c
@@ -203,8 +203,7 @@
 static void
 pack_blob(msgpack_packer *packer, const char *text, size_t len)
 {
-    msgpack_pack_bin(packer, len);
-    msgpack_pack_bin_body(packer, text != NULL ? text : "", len);
+    msgpack_pack_bin_with_body(packer, text != NULL ? text : "", len);
 }
 
 void
--- a/src/jobctl.c
+++ b/src/jobctl.c
@@ -41,16 +41,11 @@
 size_t
 JobControl_LeaderPeer(const JobControl *control)
 {
-    uint64_t leader = Replica_Leader(control->replica);
-    size_t i;
+    size_t peer = Peers_Find(control->peers, Replica_Leader(control->replica));
 
-    for (i = 0; leader != 0 && i < Peers_Count(control->peers); i++) {
-        if (Peers_IsUp(control->peers, i) &&
-            Peers_Hello(control->peers, i)->identity == leader) {
-            return i;
-        }
-    }
-    return JOB_AGENT_NONE;
+    return peer != SIZE_MAX && Peers_IsUp(control->peers, peer)
+               ? peer
+               : JOB_AGENT_NONE;
 }
 
 const char *
--- a/src/jobctl_log.c
+++ b/src/jobctl_log.c
@@ -44,22 +44,10 @@
 send_raft(void *arg, uint64_t to, const char *bytes, size_t len)
 {
     JobControl *control = arg;
-    Buf body = BUF_INIT;
-    msgpack_packer packer;
-    size_t i;
+    size_t peer = Peers_Find(control->peers, to);
 
-    for (i = 0; i < Peers_Count(control->peers); i++) {
-        if (Peers_Hello(control->peers, i)->identity != to) {
-            continue;
-        }
-        msgpack_packer_init(&packer, &body, Buf_MsgpackWrite);
-        msgpack_pack_array(&packer, 2);
-        msgpack_pack_int(&packer, PEER_RAFT);
-        msgpack_pack_bin(&packer, len);
-        msgpack_pack_bin_body(&packer, bytes, len);
-        Peers_Send(control->peers, i, body.data, body.len);
-        Buf_Free(&body);
-        return;
+    if (peer != SIZE_MAX) {
+        Peers_SendBytes(control->peers, peer, PEER_RAFT, bytes, len);
     }
 }
 
--- a/src/jobentry.c
+++ b/src/jobentry.c
@@ -131,13 +131,6 @@
     Buf_Free(&body);
 }
 
-static void
-pack_bin(msgpack_packer *packer, const char *bytes, size_t len)
-{
-    msgpack_pack_bin(packer, len);
-    msgpack_pack_bin_body(packer, bytes, len);
-}
-
 static void
 pass_on(JobEntry *entry, Passed *passed)
 {
@@ -154,9 +147,9 @@
     msgpack_pack_int(&packer, PEER_JOB_REQUEST);
     msgpack_pack_uint64(&packer, passed->sequence);
     MpPack_Text(&packer, HttpRequest_Method(passed->http));
-    pack_bin(&packer, host, strcspn(host, ":"));
+    msgpack_pack_bin_with_body(&packer, host, strcspn(host, ":"));
     MpPack_Text(&packer, path);
-    pack_bin(&packer, body, len);
+    msgpack_pack_bin_with_body(&packer, body, len);
     Peers_Send(entry->peers, entry->leader, frame.data, frame.len);
     Buf_Free(&frame);
     passed->peer = entry->leader;
--- a/src/jobreplymsg.c
+++ b/src/jobreplymsg.c
@@ -16,8 +16,7 @@
     msgpack_pack_uint64(&packer, msg->sequence);
     msgpack_pack_int(&packer, msg->status);
     msgpack_pack_int64(&packer, msg->retry_ms);
-    msgpack_pack_bin(&packer, msg->body_len);
-    msgpack_pack_bin_body(&packer, msg->body, msg->body_len);
+    msgpack_pack_bin_with_body(&packer, msg->body, msg->body_len);
 }
 
 bool
--- a/src/once_record.c
+++ b/src/once_record.c
@@ -138,8 +138,7 @@
     msgpack_pack_uint16(&packer, (uint16_t)record->status);
     msgpack_pack_uint8(&packer, record->answer_dropped ? 1 : 0);
     if (record->answer != NULL) {
-        msgpack_pack_bin(&packer, record->len);
-        msgpack_pack_bin_body(&packer, record->answer, record->len);
+        msgpack_pack_bin_with_body(&packer, record->answer, record->len);
     }
     else {
         msgpack_pack_nil(&packer);
--- a/src/peer.c
+++ b/src/peer.c
@@ -744,6 +744,21 @@
     }
 }
 
+void
+Peers_SendBytes(Peers *peers, size_t peer, PeerMessageType type,
+                const char *bytes, size_t len)
+{
+    Buf body = BUF_INIT;
+    msgpack_packer packer;
+
+    msgpack_packer_init(&packer, &body, Buf_MsgpackWrite);
+    msgpack_pack_array(&packer, 2);
+    msgpack_pack_int(&packer, (int)type);
+    msgpack_pack_bin_with_body(&packer, bytes, len);
+    Peers_Send(peers, peer, body.data, body.len);
+    Buf_Free(&body);
+}
+
 void
 Peers_Flush(Peers *peers)
 {
@@ -776,6 +791,19 @@
     return peers->count;
 }
 
+size_t
+Peers_Find(const Peers *peers, uint64_t identity)
+{
+    size_t i;
+
+    for (i = 0; identity != 0 && i < peers->count; i++) {
+        if (peers->slots[i].hello.identity == identity) {
+            return i;
+        }
+    }
+    return PEER_NONE;
+}
+
 const SettingsAddress *
 Peers_Address(const Peers *peers, size_t peer)
 {
--- a/src/peer.h
+++ b/src/peer.h
@@ -99,10 +99,18 @@
 
 size_t Peers_Count(const Peers *peers);
 
+/* Returns the peer that said hello with this identity, or SIZE_MAX for none
+ * and for identity 0. */
+size_t Peers_Find(const Peers *peers, uint64_t identity);
+
 /* Queues one message; peer is an index below Peers_Count. The peers of the
  * settings come first, in their order. */
 void Peers_Send(Peers *peers, size_t peer, const char *body, size_t len);
 
+/* Queues [type, bytes]. */
+void Peers_SendBytes(Peers *peers, size_t peer, PeerMessageType type,
+                     const char *bytes, size_t len);
+
 /* With explicit_flush: writes what is queued. Call it before each wait of the
  * loop; what the sockets do not take follows by itself. */
 void Peers_Flush(Peers *peers);
