--- a/src/jobsched.c
+++ b/src/jobsched.c
@@ -287,11 +287,7 @@
         JobTask *task = JobState_Task(sched->state, &row->task, &job);
         if (target != NULL && target->serial == row->serial && job != NULL) {
             SchedTarget *live = SchedImpl_Live(sched, target);
-            const JobStep *step = &job->spec.steps[row->task.step];
-            live->reserved.cpu -= step->leftover ? 0 : step->need.cpu;
-            live->reserved.memory_mb -= step->need.memory_mb;
-            live->reserved.accelerators -= step->need.accelerators;
-            live->reserved_count--;
+            SchedImpl_Unreserve(live, &job->spec.steps[row->task.step]);
         }
         if (task == NULL || job == NULL ||
             task->live.phase != JOB_LIVE_PROPOSED) {
--- a/src/jobsched_impl.h
+++ b/src/jobsched_impl.h
@@ -111,6 +111,10 @@
 /* Returns when everything that runs at a silent target has surely ended. */
 int64_t SchedImpl_LapsedMs(const JobSched *sched, const SchedTarget *live);
 
+/* jobsched_place.c: room for an assignment that is on its way, and no more */
+void SchedImpl_Reserve(SchedTarget *live, const JobStep *step);
+void SchedImpl_Unreserve(SchedTarget *live, const JobStep *step);
+
 /* jobsched_run.c: orders for tasks, and their ends */
 void SchedImpl_StopTask(JobSched *sched, int64_t now, JobTarget *target,
                         const JobTaskRef *ref, uint32_t attempt);
--- a/src/jobsched_place.c
+++ b/src/jobsched_place.c
@@ -245,12 +245,28 @@
     return best;
 }
 
+void
+SchedImpl_Reserve(SchedTarget *live, const JobStep *step)
+{
+    live->reserved.cpu += step->leftover ? 0 : step->need.cpu;
+    live->reserved.memory_mb += step->need.memory_mb;
+    live->reserved.accelerators += step->need.accelerators;
+    live->reserved_count++;
+}
+
+void
+SchedImpl_Unreserve(SchedTarget *live, const JobStep *step)
+{
+    live->reserved.cpu -= step->leftover ? 0 : step->need.cpu;
+    live->reserved.memory_mb -= step->need.memory_mb;
+    live->reserved.accelerators -= step->need.accelerators;
+    live->reserved_count--;
+}
+
 static void
 take(JobSched *sched, Job *job, uint32_t occurrence, uint32_t step,
      uint32_t index, uint32_t attempt, JobTarget *target)
 {
-    const JobStep *need = &job->spec.steps[step];
-    SchedTarget *live = target->live;
     JobTask *task;
     JobAssignment *row;
     Job *same;
@@ -271,10 +287,7 @@
     row->serial = target->serial;
     task = JobState_Task(sched->state, &row->task, &same);
     task->live.phase = JOB_LIVE_PROPOSED;
-    live->reserved.cpu += need->leftover ? 0 : need->need.cpu;
-    live->reserved.memory_mb += need->need.memory_mb;
-    live->reserved.accelerators += need->need.accelerators;
-    live->reserved_count++;
+    SchedImpl_Reserve(target->live, &job->spec.steps[step]);
 }
 
 static void
@@ -283,15 +296,10 @@
     while (sched->batch_count > first) {
         JobAssignment *row = &sched->batch[--sched->batch_count];
         JobTarget *target = JobState_Target(sched->state, row->target);
-        SchedTarget *live = target->live;
         Job *job;
         JobTask *task = JobState_Task(sched->state, &row->task, &job);
-        const JobStep *step = &job->spec.steps[row->task.step];
         task->live.phase = JOB_LIVE_NONE;
-        live->reserved.cpu -= step->leftover ? 0 : step->need.cpu;
-        live->reserved.memory_mb -= step->need.memory_mb;
-        live->reserved.accelerators -= step->need.accelerators;
-        live->reserved_count--;
+        SchedImpl_Unreserve(target->live, &job->spec.steps[row->task.step]);
     }
 }
 
