--- a/tests/proc_job_soak.sh
+++ b/tests/proc_job_soak.sh
@@ -8,6 +8,8 @@
 cd "$(dirname "$0")/.."
 # shellcheck source=tests/support_proc.sh
 . tests/support_proc.sh
+# shellcheck source=platform/request.sh
+. platform/request.sh
 
 SEED=${SEED:-1}
 ROUNDS=${ROUNDS:-8}
@@ -97,16 +99,9 @@
 
 send_config() {
     VERSION=$((VERSION + 1 + RANDOM % 5))
-    local body status
-    body='{"version":'$VERSION',"routes":[{"name":"q","host":"a.example",
-"path-prefix":"/jobs/","kind":"non_idempotent","timeout-ms":3000,
-"completion-target-ms":600,"priority":0,"service":"p","max-attempts":2,
-"slack-factor":1.6}],"services":[{"name":"p","health-check":"/healthz",
-"max-conns":64,"protocol":"h1","tls":false,"enforce-capacity":true,
-"standby":false}],"limits":{"max-header-bytes":16384,"max-body-bytes":262144,
-"header-timeout-ms":3000,"idle-timeout-ms":15000}}'
-    status=$(request -X PUT -d "$body" \
-        "http://$(host_of "$(any_core)"):$((BASE + 1))/api/config")
+    local status
+    status=$(request -X PUT -d "$(platform_config "$VERSION" a.example /jobs/)" \
+        "http://$(host_of "$(any_core)"):$((BASE + 1))$PLATFORM_CONFIG_PATH")
     [ "$status" = 200 ] && ACKED=$VERSION
     return 0
 }
@@ -116,7 +111,7 @@
     for ((i = 0; i < 3; i++)); do
         id=$(printf '%016x' $((${#JOBS[@]} * 4096 + RANDOM % 4096)))
         status=$(request -X POST -H 'Host: a.example' \
-            -d '{"spec":"s","steps":[{"count":2,"cpu":500,"mem-mb":64}]}' \
+            -d "$(platform_job 2)" \
             "http://127.0.0.5:$((BASE + 2))/jobs/$id")
         [ "$status" = 200 ] && JOBS+=("$id")
     done
@@ -125,9 +120,10 @@
 
 read_config() {
     local acked=$ACKED core=$1 status seen
-    status=$(request "http://$(host_of "$core"):$((BASE + 1))/api/config")
+    status=$(request \
+        "http://$(host_of "$core"):$((BASE + 1))$PLATFORM_CONFIG_PATH")
     [ "$status" = 200 ] || return 1
-    seen=$(grep -o '"version":[0-9]*' "$WORK/body" | head -1 | cut -d: -f2)
+    seen=$(platform_config_version "$WORK/body")
     [ "$seen" -ge "$acked" ] ||
         fail "seed $SEED: $core shows version $seen after $acked was accepted"
 }
