Log copies of a request, redirects and late proposals

caller_answered gains sequence, copies and replier; request_answered gains peer and sequence, so that both ends of a request can be joined.

--- a/src/jobctl_internal.h
+++ b/src/jobctl_internal.h
@@ -41,6 +41,7 @@
     uint64_t cookie;
     JobCompletionFn fn;
     void *arg;
+    int64_t proposed_ms;
     struct JobProposal *next;
 } JobProposal;
 
@@ -88,8 +89,9 @@
     LoopTimer *tick_timer;
     LoopTimer *fleet_msg_timer;
     LoopTimer *place_timer;
-    int64_t placement_end_us; /* end of the last placement */
-    JobProposal *proposals;
+    int64_t placement_end_us;       /* end of the last placement */
+    JobProposal *proposals;         /* newest first */
+    int64_t next_late_proposals_ms; /* earliest time of the next line */
     uint64_t next_cookie;
     JobReadRequest *queued_reads; /* reads for the next confirmation */
     JobReadRequest *sent_reads;   /* reads for the confirmation in progress */
--- a/src/jobctl_log.c
+++ b/src/jobctl_log.c
@@ -10,6 +10,8 @@
 
 /* Timeout of a majority's confirmation of a read. */
 #define READ_TIMEOUT_MS 800
+/* Age from which a pending proposal is logged, and interval of that line. */
+#define LATE_PROPOSAL_MS 1000
 /* Proposals beyond this number are refused and have to be retried. */
 #define MAX_PENDING_PROPOSALS 4096
 
@@ -97,10 +99,15 @@
     JobProposal *proposal = remove_proposal(arg, cookie);
     JobResult answer = JOB_RESULT_CORRUPT;
 
-    (void)index;
     if (proposal == NULL) {
         return;
     }
+    if (status == ST_NOT_LEADER) {
+        Slog_Begin(SLOG_CHANGE, "proposal_replaced");
+        Slog_AddInt("index", (int64_t)index);
+        Slog_AddInt("age_ms", Loop_NowMs() - proposal->proposed_ms);
+        Slog_End();
+    }
     if (status == ST_OK && result != NULL && result->len > 0) {
         answer = (JobResult)result->data[0];
     }
@@ -115,14 +122,21 @@
     JobProposal *proposal = Mem_New(1, sizeof(*proposal));
     Status status;
 
-    *proposal =
-        (JobProposal){control->next_cookie++, fn, arg, control->proposals};
+    *proposal = (JobProposal){.cookie = control->next_cookie++,
+                              .fn = fn,
+                              .arg = arg,
+                              .proposed_ms = Loop_NowMs(),
+                              .next = control->proposals};
     control->proposals = proposal;
     status = Replica_Propose(control->replica, Loop_NowMs(), command->data,
                              command->len, proposal->cookie);
     if (status != ST_OK) {
         proposal = remove_proposal(control, proposal->cookie);
         free(proposal);
+        Slog_Begin(SLOG_FAILURE, "proposal_not_accepted");
+        Slog_AddInt("status", status);
+        Slog_AddInt("bytes", (int64_t)command->len);
+        Slog_End();
         fn(arg, ST_NOT_LEADER, JOB_RESULT_IGNORED);
     }
 }
@@ -194,6 +208,47 @@
     }
 }
 
+/* Logs that proposals wait for longer than LATE_PROPOSAL_MS, with what tells a
+ * slow disk from members that do not acknowledge entries. */
+static void
+log_late_proposals(JobControl *control, int64_t now)
+{
+    const JobProposal *oldest = control->proposals;
+    const RaftMembers *members = Replica_GetMembers(control->replica);
+    int64_t count = 0;
+    size_t behind = 0;
+    size_t i;
+
+    if (oldest == NULL || now < control->next_late_proposals_ms) {
+        return;
+    }
+    for (; oldest->next != NULL; oldest = oldest->next) {
+        count++;
+    }
+    if (now - oldest->proposed_ms < LATE_PROPOSAL_MS) {
+        return;
+    }
+    control->next_late_proposals_ms = now + LATE_PROPOSAL_MS;
+    for (i = 0; i < members->count; i++) {
+        behind += members->list[i].voter &&
+                  Replica_GetMatchIndex(control->replica,
+                                        members->list[i].identity) <
+                      Replica_GetLastIndex(control->replica);
+    }
+    Slog_Begin(SLOG_FAILURE, "proposals_late");
+    Slog_AddInt("count", count + 1);
+    Slog_AddInt("oldest_ms", now - oldest->proposed_ms);
+    Slog_AddInt("last", (int64_t)Replica_GetLastIndex(control->replica));
+    Slog_AddInt("committed",
+                (int64_t)Replica_GetCommitIndex(control->replica));
+    Slog_AddInt("applied", (int64_t)Replica_GetAppliedIndex(control->replica));
+    Slog_AddInt("own_synced",
+                (int64_t)Replica_GetMatchIndex(
+                    control->replica, Replica_GetIdentity(control->replica)));
+    Slog_AddInt("voters_behind", (int64_t)behind);
+    Slog_End();
+}
+
 static void
 stop_serving(JobControl *control)
 {
@@ -255,6 +310,7 @@
     Replica_Tick(control->replica, now);
     expire_reads(&control->queued_reads, now);
     expire_reads(&control->sent_reads, now);
+    log_late_proposals(control, now);
     if (Replica_GetRole(control->replica) == RAFT_LEADER &&
         control->serving_term == 0 && !control->taking_over) {
         control->taking_over = true;
--- a/src/jobctl_request.c
+++ b/src/jobctl_request.c
@@ -48,6 +48,11 @@
     Slog_AddText("kind", JobMetrics_GetKindName(pending->request.kind));
     Slog_AddText("id", pending->request.id);
     Slog_AddText("queue", pending->request.queue);
+    if (pending->http == NULL) {
+        Slog_AddText(
+            "peer", Peers_Hello(pending->control->peers, pending->peer)->name);
+        Slog_AddInt("sequence", (int64_t)pending->sequence);
+    }
     Slog_AddInt("status", status);
     Slog_AddText("reason", reply->reason != NULL ? reply->reason : "");
     Slog_AddInt("took_ms", Loop_NowMs() - pending->received_ms);
@@ -444,12 +449,18 @@
 }
 
 static void
-redirect_to_leader(JobControl *control, HttpRequest *http, const char *leader)
+redirect_to_leader(const JobControl *control, HttpRequest *http,
+                   const char *leader)
 {
     char location[JOB_ADDRESS_BYTES + 200];
     HttpReply reply = {.status = 307, .content_type = "application/json"};
 
-    (void)control;
+    Slog_Begin(SLOG_ROUTINE, "request_redirected");
+    Slog_AddText("method", HttpRequest_GetMethod(http));
+    Slog_AddText("path", HttpRequest_GetPath(http));
+    Slog_AddText("leader", leader);
+    Slog_AddInt("leads", Replica_GetRole(control->replica) == RAFT_LEADER);
+    Slog_End();
     snprintf(location, sizeof(location), "http://%s%.190s", leader,
              HttpRequest_GetPath(http));
     reply.body = "{}";
--- a/src/jobentry.c
+++ b/src/jobentry.c
@@ -50,6 +50,7 @@
     int64_t due_ms;
     size_t peer;    /* leader that has the request, or SIZE_MAX */
     bool forwarded; /* a leader received it and may have carried it out */
+    int copies;     /* number of times that it was forwarded */
     struct PendingRequest *next;
 } PendingRequest;
 
@@ -104,16 +105,27 @@
     *at = request->next;
 }
 
+static const char *
+get_peer_name(const JobEntry *entry, size_t peer)
+{
+    return peer != SIZE_MAX ? Peers_Hello(entry->peers, peer)->name : "";
+}
+
+/* Answers the caller. replier is the peer that sent the reply, or SIZE_MAX if
+ * it is the entry VM's own. */
 static void
 finish_request(JobEntry *entry, PendingRequest *request,
-               const JobReplyMsg *msg)
+               const JobReplyMsg *msg, size_t replier)
 {
     if (msg->status >= 300) {
         Slog_Begin(SLOG_FAILURE, "caller_answered");
         Slog_AddText("id", request->id);
+        Slog_AddInt("sequence", (int64_t)request->sequence);
         Slog_AddInt("status", msg->status);
         Slog_AddInt("took_ms", Loop_NowMs() - request->received_ms);
         Slog_AddInt("passed_on", request->forwarded);
+        Slog_AddInt("copies", request->copies);
+        Slog_AddText("replier", get_peer_name(entry, replier));
         Slog_AddInt("term", (int64_t)entry->leader_term);
         Slog_AddInt("leader_age_ms", Loop_NowMs() - entry->leader_heard_ms);
         Slog_End();
@@ -135,7 +147,7 @@
                        kind == JOB_REPLY_UNAVAILABLE ? RETRY_DELAY_MS : 0,
                        body.data, body.len};
 
-    finish_request(entry, request, &msg);
+    finish_request(entry, request, &msg, SIZE_MAX);
     Buf_Free(&body);
 }
 
@@ -162,6 +174,17 @@
     Buf_Free(&frame);
     request->peer = entry->leader;
     request->forwarded = true;
+    request->copies++;
+    if (request->copies > 1) {
+        Slog_Begin(SLOG_CHANGE, "request_resent");
+        Slog_AddText("id", request->id);
+        Slog_AddInt("sequence", (int64_t)request->sequence);
+        Slog_AddInt("copies", request->copies);
+        Slog_AddText("leader", get_peer_name(entry, entry->leader));
+        Slog_AddInt("term", (int64_t)entry->leader_term);
+        Slog_AddInt("age_ms", Loop_NowMs() - request->received_ms);
+        Slog_End();
+    }
 }
 
 /* Returns the timeout of a caller's request: nine tenths of its deadline, at
@@ -309,7 +332,17 @@
 }
 
 static void
-handle_reply(JobEntry *entry, const msgpack_object_array *message)
+log_unmatched_reply(const JobEntry *entry, size_t peer, const JobReplyMsg *msg)
+{
+    Slog_Begin(SLOG_CHANGE, "reply_unmatched");
+    Slog_AddInt("sequence", (int64_t)msg->sequence);
+    Slog_AddInt("status", msg->status);
+    Slog_AddText("replier", get_peer_name(entry, peer));
+    Slog_End();
+}
+
+static void
+handle_reply(JobEntry *entry, size_t peer, const msgpack_object_array *message)
 {
     JobReplyMsg msg;
     PendingRequest *request;
@@ -319,10 +352,11 @@
     }
     for (request = entry->requests; request != NULL; request = request->next) {
         if (request->sequence == msg.sequence) {
-            finish_request(entry, request, &msg);
+            finish_request(entry, request, &msg, peer);
             return;
         }
     }
+    log_unmatched_reply(entry, peer, &msg);
 }
 
 static void
@@ -335,7 +369,7 @@
         handle_fleet_msg(entry, peer, message);
     }
     else if (type == PEER_JOB_REPLY) {
-        handle_reply(entry, message);
+        handle_reply(entry, peer, message);
     }
 }
 
