Refuse a request only if all of its copies were refused

A caller that got 503, 429 or 404 for a submission could see its job run. The entry VM sends a pending request again to the next leader under the same sequence number, and the first reply answered the caller: a refusal of one copy (its entry was replaced, its receiver no longer leads) hid the other copy, which could be committed. Cancels had the same fault.

Each copy now has a number of its own. jobcopies keeps the state of the copies: a refusal is passed on if the leader refused and every other copy was refused; while another one is open the reply is withheld (reply_withheld); if no reply can settle it, the caller gets 504 at once. A refusal by a node that no longer leads waits for the next leader, and an unknown outcome at the leader is asked again there, instead of ending the request.

--- a/src/jobentry.c
+++ b/src/jobentry.c
@@ -7,6 +7,7 @@
 #include <apr_time.h>
 
 #include "httpserver.h"
+#include "jobcopies.h"
 #include "jobfleetmsg.h"
 #include "jobreload.h"
 #include "jobreplymsg.h"
@@ -40,17 +41,17 @@
  * the socket. */
 #define STOP_FLUSH_MS 150
 
+#define UNKNOWN_REASON "the outcome is not known; ask again"
+
 /* A caller's request that has no reply yet. */
 typedef struct PendingRequest {
-    uint64_t sequence;
     HttpRequest *http;
     JobRequestKind kind;
     char id[64]; /* last segment of the path, for log lines */
     int64_t received_ms;
     int64_t due_ms;
-    size_t peer;    /* leader that has the request, or SIZE_MAX */
-    bool forwarded; /* a leader received it and may have carried it out */
-    int copies;     /* number of times that it was forwarded */
+    size_t peer; /* leader that has the request, or SIZE_MAX */
+    JobCopies copies;
     struct PendingRequest *next;
 } PendingRequest;
 
@@ -120,11 +121,11 @@
     if (msg->status >= 300) {
         Slog_Begin(SLOG_FAILURE, "caller_answered");
         Slog_AddText("id", request->id);
-        Slog_AddInt("sequence", (int64_t)request->sequence);
+        Slog_AddInt("sequence", (int64_t)msg->sequence);
         Slog_AddInt("status", msg->status);
         Slog_AddInt("took_ms", Loop_NowMs() - request->received_ms);
-        Slog_AddInt("passed_on", request->forwarded);
-        Slog_AddInt("copies", request->copies);
+        Slog_AddInt("passed_on", request->copies.sent > 0);
+        Slog_AddInt("copies", (int64_t)request->copies.sent);
         Slog_AddText("replier", get_peer_name(entry, replier));
         Slog_AddInt("term", (int64_t)entry->leader_term);
         Slog_AddInt("leader_age_ms", Loop_NowMs() - entry->leader_heard_ms);
@@ -143,7 +144,7 @@
         .kind = kind, .reason = reason, .retry_ms = RETRY_DELAY_MS};
     Buf body = BUF_INIT;
     int status = entry->wire->encode_reply(request->kind, &reply, &body);
-    JobReplyMsg msg = {request->sequence, status,
+    JobReplyMsg msg = {0, status,
                        kind == JOB_REPLY_UNAVAILABLE ? RETRY_DELAY_MS : 0,
                        body.data, body.len};
 
@@ -151,6 +152,33 @@
     Buf_Free(&body);
 }
 
+/* Fails a request for one of two reasons, depending on whether it may have
+ * been carried out. */
+static void
+fail_request(JobEntry *entry, PendingRequest *request,
+             const char *refused_reason, const char *unknown_reason)
+{
+    bool may_be_done = JobCopies_MayBeDone(&request->copies);
+
+    reply_and_finish(entry, request,
+                     may_be_done ? JOB_REPLY_UNKNOWN : JOB_REPLY_UNAVAILABLE,
+                     may_be_done ? unknown_reason : refused_reason);
+}
+
+static void
+log_resent_request(const JobEntry *entry, const PendingRequest *request,
+                   uint64_t sequence)
+{
+    Slog_Begin(SLOG_CHANGE, "request_resent");
+    Slog_AddText("id", request->id);
+    Slog_AddInt("sequence", (int64_t)sequence);
+    Slog_AddInt("copies", (int64_t)request->copies.sent);
+    Slog_AddText("leader", get_peer_name(entry, entry->leader));
+    Slog_AddInt("term", (int64_t)entry->leader_term);
+    Slog_AddInt("age_ms", Loop_NowMs() - request->received_ms);
+    Slog_End();
+}
+
 static void
 forward_request(JobEntry *entry, PendingRequest *request)
 {
@@ -160,12 +188,13 @@
     const char *path = HttpRequest_GetPath(request->http);
     size_t len;
     const char *body = HttpRequest_GetBody(request->http, &len);
+    uint64_t sequence = entry->next_sequence++;
 
     host = host != NULL ? host : "";
     msgpack_packer_init(&packer, &frame, Buf_MsgpackWrite);
     msgpack_pack_array(&packer, 6);
     msgpack_pack_int(&packer, PEER_JOB_REQUEST);
-    msgpack_pack_uint64(&packer, request->sequence);
+    msgpack_pack_uint64(&packer, sequence);
     MpPack_Text(&packer, HttpRequest_GetMethod(request->http));
     msgpack_pack_bin_with_body(&packer, host, strcspn(host, ":"));
     MpPack_Text(&packer, path);
@@ -173,17 +202,9 @@
     Peers_Send(entry->peers, entry->leader, frame.data, frame.len);
     Buf_Free(&frame);
     request->peer = entry->leader;
-    request->forwarded = true;
-    request->copies++;
-    if (request->copies > 1) {
-        Slog_Begin(SLOG_CHANGE, "request_resent");
-        Slog_AddText("id", request->id);
-        Slog_AddInt("sequence", (int64_t)request->sequence);
-        Slog_AddInt("copies", request->copies);
-        Slog_AddText("leader", get_peer_name(entry, entry->leader));
-        Slog_AddInt("term", (int64_t)entry->leader_term);
-        Slog_AddInt("age_ms", Loop_NowMs() - request->received_ms);
-        Slog_End();
+    JobCopies_Add(&request->copies, sequence, entry->leader);
+    if (request->copies.sent > 1) {
+        log_resent_request(entry, request, sequence);
     }
 }
 
@@ -206,7 +227,6 @@
     const char *path = HttpRequest_GetPath(http);
     const char *id = strrchr(path, '/');
 
-    request->sequence = entry->next_sequence++;
     request->http = http;
     request->kind = get_request_kind(HttpRequest_GetMethod(http));
     request->received_ms = Loop_NowMs();
@@ -269,6 +289,20 @@
     }
 }
 
+static void
+lose_copies(JobEntry *entry, size_t peer)
+{
+    PendingRequest *request = entry->requests;
+
+    while (request != NULL) {
+        PendingRequest *next = request->next;
+        if (JobCopies_LosePeer(&request->copies, peer) == JOB_COPIES_UNKNOWN) {
+            fail_request(entry, request, "", UNKNOWN_REASON);
+        }
+        request = next;
+    }
+}
+
 static void
 on_peer_down(void *arg, size_t peer)
 {
@@ -281,6 +315,7 @@
     if (peer == entry->leader) {
         clear_leader(entry);
     }
+    lose_copies(entry, peer);
 }
 
 static void
@@ -341,6 +376,30 @@
     Slog_End();
 }
 
+static void
+log_withheld_reply(const JobEntry *entry, const PendingRequest *request,
+                   size_t peer, const JobReplyMsg *msg)
+{
+    Slog_Begin(SLOG_CHANGE, "reply_withheld");
+    Slog_AddText("id", request->id);
+    Slog_AddInt("sequence", (int64_t)msg->sequence);
+    Slog_AddInt("status", msg->status);
+    Slog_AddText("replier", get_peer_name(entry, peer));
+    Slog_AddInt("copies", (int64_t)request->copies.sent);
+    Slog_End();
+}
+
+static PendingRequest *
+find_request(const JobEntry *entry, uint64_t sequence)
+{
+    PendingRequest *request = entry->requests;
+
+    while (request != NULL && !JobCopies_Has(&request->copies, sequence)) {
+        request = request->next;
+    }
+    return request;
+}
+
 static void
 handle_reply(JobEntry *entry, size_t peer, const msgpack_object_array *message)
 {
@@ -350,13 +409,26 @@
     if (!JobReplyMsg_Decode(message, &msg)) {
         return;
     }
-    for (request = entry->requests; request != NULL; request = request->next) {
-        if (request->sequence == msg.sequence) {
-            finish_request(entry, request, &msg, peer);
-            return;
-        }
+    request = find_request(entry, msg.sequence);
+    if (request == NULL) {
+        log_unmatched_reply(entry, peer, &msg);
+        return;
+    }
+    switch (JobCopies_Settle(&request->copies, request->kind, msg.sequence,
+                             msg.status, peer == entry->leader)) {
+    case JOB_COPIES_ANSWER:
+        finish_request(entry, request, &msg, peer);
+        return;
+    case JOB_COPIES_UNKNOWN:
+        fail_request(entry, request, "", UNKNOWN_REASON);
+        return;
+    case JOB_COPIES_RESEND:
+        request->peer = SIZE_MAX;
+        break;
+    case JOB_COPIES_WAIT:
+        break;
     }
-    log_unmatched_reply(entry, peer, &msg);
+    log_withheld_reply(entry, request, peer, &msg);
 }
 
 static void
@@ -375,18 +447,6 @@
 
 /* --- timers and the event loop --- */
 
-/* Fails a request for one of two reasons, depending on whether it was
- * forwarded. */
-static void
-fail_request(JobEntry *entry, PendingRequest *request,
-             const char *unsent_reason, const char *forwarded_reason)
-{
-    reply_and_finish(entry, request,
-                     request->forwarded ? JOB_REPLY_UNKNOWN
-                                        : JOB_REPLY_UNAVAILABLE,
-                     request->forwarded ? forwarded_reason : unsent_reason);
-}
-
 static void
 expire_requests(JobEntry *entry, int64_t now)
 {
@@ -398,8 +458,7 @@
             (request->peer == SIZE_MAX &&
              now - request->received_ms >= LEADER_WAIT_MS &&
              now - entry->leader_lost_ms >= ELECTION_WAIT_MS)) {
-            fail_request(entry, request, "no leader is known",
-                         "the leader did not answer in time; ask again");
+            fail_request(entry, request, "no leader is known", UNKNOWN_REASON);
         }
         request = next;
     }
--- a/src/jobentry.h
+++ b/src/jobentry.h
@@ -8,7 +8,8 @@
  *     that arrives while no leader is known waits a short time for a leader.
  *     If none appears, the reply says that the request was not carried out. If
  *     the leader does not reply to a forwarded request, the reply says that
- *     the outcome is unknown.
+ *     the outcome is unknown. A pending request is sent again to the next
+ *     leader; see jobcopies for what the caller is then told.
  *
  *     The node is ready while it receives messages of a leader that serves.
  */
--- a/tests/test_jobentry.c
+++ b/tests/test_jobentry.c
@@ -507,7 +507,7 @@
       {STEP_LEAD, 1, 2},
       {STEP_COPY, 1, 0},
       {STEP_REPLY, 1, 429},
-      {STEP_ANSWER, 0, 504}}},
+      {STEP_PROMPT, 0, 504}}},
     {"404 for the second copy, then the first is accepted",
      {{STEP_LEAD, 0, 1},
       {STEP_SUBMIT, 0, 0},
