Number an entry VM's requests from a random start

A reply to a request of an entry VM's earlier incarnation could answer another caller: requests were numbered from 1 at each start, and the leader sends a reply to the node that has the address now. A 503 could so refuse a job that runs, a 200 accept one that was never stored.

--- a/src/jobentry.c
+++ b/src/jobentry.c
@@ -15,6 +15,7 @@
 #include "mem.h"
 #include "mppack.h"
 #include "peer.h"
+#include "rng.h"
 #include "signals.h"
 #include "slog.h"
 
@@ -604,7 +605,8 @@
     entry->settings_file = file;
     entry->wire = wire;
     entry->leader = SIZE_MAX;
-    entry->next_sequence = 1;
+    /* Replies to an earlier incarnation must not match. */
+    entry->next_sequence = Rng_SystemSeed() >> 1;
     status = open_all(entry, err);
     if (status != ST_OK) {
         JobEntry_Free(entry);
