Send requests again when the link to the leader breaks

A caller could wait for its whole deadline and get 504 while the leader was up: an entry VM's link to the leader broke (a reset, or a connection that went silent) with a request on it, and nothing noticed, since only the incoming link says whether a peer is up. A request that arrived before the link was dialled again was dropped in Peers_Send and met the same end.

Peers reports the loss of an outgoing link (on_link_lost) and whether there is one (Peers_HasLink). The entry VM then sends the pending requests again as new copies, and holds new ones until there is a link.

--- a/src/jobentry.c
+++ b/src/jobentry.c
@@ -35,6 +35,8 @@
 /* Timeout of a request that has no earlier deadline. */
 #define REPLY_TIMEOUT_MS 2700
 #define RETRY_DELAY_MS 1000
+/* Delay before a leader that did not know the outcome is asked again. */
+#define COPY_DELAY_MS 200
 /* Time for which a node accepts requests after the start of a planned stop, so
  * that the load balancer notices that the node is not ready. */
 #define STOP_ACCEPT_MS 3000
@@ -51,7 +53,8 @@
     char id[64]; /* last segment of the path, for log lines */
     int64_t received_ms;
     int64_t due_ms;
-    size_t peer; /* leader that has the request, or SIZE_MAX */
+    size_t peer;          /* leader that has the request, or SIZE_MAX */
+    int64_t next_copy_ms; /* earliest time of the next copy */
     JobCopies copies;
     struct PendingRequest *next;
 } PendingRequest;
@@ -86,6 +89,12 @@
            Loop_NowMs() - entry->leader_heard_ms < LEADER_TIMEOUT_MS;
 }
 
+static bool
+can_forward(const JobEntry *entry)
+{
+    return has_leader(entry) && Peers_HasLink(entry->peers, entry->leader);
+}
+
 static JobRequestKind
 get_request_kind(const char *method)
 {
@@ -200,10 +209,10 @@
     msgpack_pack_bin_with_body(&packer, host, strcspn(host, ":"));
     MpPack_Text(&packer, path);
     msgpack_pack_bin_with_body(&packer, body, len);
-    Peers_Send(entry->peers, entry->leader, frame.data, frame.len);
-    Buf_Free(&frame);
     request->peer = entry->leader;
     JobCopies_Add(&request->copies, sequence, entry->leader);
+    Peers_Send(entry->peers, entry->leader, frame.data, frame.len);
+    Buf_Free(&frame);
     if (request->copies.sent > 1) {
         log_resent_request(entry, request, sequence);
     }
@@ -236,10 +245,11 @@
     snprintf(request->id, sizeof(request->id), "%s", id != NULL ? id + 1 : "");
     request->next = entry->requests;
     entry->requests = request;
-    if (has_leader(entry)) {
+    if (can_forward(entry)) {
         forward_request(entry, request);
     }
-    else if (request->received_ms - entry->leader_lost_ms > ELECTION_WAIT_MS) {
+    else if (!has_leader(entry) &&
+             request->received_ms - entry->leader_lost_ms > ELECTION_WAIT_MS) {
         reply_and_finish(entry, request, JOB_REPLY_UNAVAILABLE,
                          "no leader is known");
     }
@@ -319,14 +329,29 @@
     lose_copies(entry, peer);
 }
 
+/* The leader may have received the requests that were sent on the link, so
+ * their copies stay open. */
+static void
+on_link_lost(void *arg, size_t peer)
+{
+    JobEntry *entry = arg;
+    PendingRequest *request;
+
+    for (request = entry->requests; request != NULL; request = request->next) {
+        if (request->peer == peer) {
+            request->peer = SIZE_MAX;
+        }
+    }
+}
+
 static void
-forward_waiting_requests(JobEntry *entry)
+forward_waiting_requests(JobEntry *entry, int64_t now)
 {
     PendingRequest *request;
 
-    for (request = entry->requests; request != NULL && has_leader(entry);
+    for (request = entry->requests; request != NULL && can_forward(entry);
          request = request->next) {
-        if (request->peer == SIZE_MAX) {
+        if (request->peer == SIZE_MAX && now >= request->next_copy_ms) {
             forward_request(entry, request);
         }
     }
@@ -364,7 +389,7 @@
     entry->leader_term = msg.term;
     entry->leader = peer;
     entry->leader_heard_ms = Loop_NowMs();
-    forward_waiting_requests(entry);
+    forward_waiting_requests(entry, entry->leader_heard_ms);
 }
 
 static void
@@ -425,6 +450,7 @@
         return;
     case JOB_COPIES_RESEND:
         request->peer = SIZE_MAX;
+        request->next_copy_ms = Loop_NowMs() + COPY_DELAY_MS;
         break;
     case JOB_COPIES_WAIT:
         break;
@@ -456,7 +482,7 @@
     while (request != NULL) {
         PendingRequest *next = request->next;
         if (now >= request->due_ms ||
-            (request->peer == SIZE_MAX &&
+            (request->peer == SIZE_MAX && !has_leader(entry) &&
              now - request->received_ms >= LEADER_WAIT_MS &&
              now - entry->leader_lost_ms >= ELECTION_WAIT_MS)) {
             fail_request(entry, request, "no leader is known", UNKNOWN_REASON);
@@ -506,6 +532,7 @@
         Slog_AddInt("term", (int64_t)entry->leader_term);
         Slog_End();
     }
+    forward_waiting_requests(entry, now);
     expire_requests(entry, now);
     continue_stop(entry, now);
 }
@@ -576,6 +603,7 @@
                           .arg = entry,
                           .on_up = on_peer_up,
                           .on_down = on_peer_down,
+                          .on_link_lost = on_link_lost,
                           .on_message = on_message};
 
     entry->loop = Loop_New(err);
--- a/src/peer.c
+++ b/src/peer.c
@@ -100,6 +100,18 @@
     free(link);
 }
 
+static void
+close_outgoing_link(Link *link)
+{
+    Peers *peers = link->peers;
+    size_t peer = link->peer;
+
+    close_link(link);
+    if (peers->options.on_link_lost != NULL) {
+        peers->options.on_link_lost(peers->options.arg, peer);
+    }
+}
+
 static bool
 flush_link(Link *link)
 {
@@ -499,6 +511,10 @@
     size_t peer = link->peer;
     bool was_receiving = !link->outgoing && peer != PEER_NONE;
 
+    if (link->outgoing) {
+        close_outgoing_link(link);
+        return;
+    }
     close_link(link);
     if (was_receiving && peers->slots[peer].up &&
         !has_accepted_link(peers, peer)) {
@@ -624,7 +640,7 @@
                 now - slot->last_answer_ms > get_silence_timeout_ms(peers);
     }
     if (stuck) {
-        close_link(link);
+        close_outgoing_link(link);
     }
     else if (peers->options.open_membership && !link->connecting) {
         send_probe(peers, peer, now);
@@ -746,7 +762,7 @@
                  "Closed the link to %s: %zu bytes "
                  "are queued.",
                  peers->slots[peer].address.host, link->out.len);
-        close_link(link);
+        close_outgoing_link(link);
         return;
     }
     Frame_Encode(&link->out, body, len);
@@ -827,6 +843,12 @@
     return peers->slots[peer].up;
 }
 
+bool
+Peers_HasLink(const Peers *peers, size_t peer)
+{
+    return peers->slots[peer].outgoing != NULL;
+}
+
 const PeerHello *
 Peers_Hello(const Peers *peers, size_t peer)
 {
--- a/src/peer.h
+++ b/src/peer.h
@@ -15,7 +15,7 @@
  *     With open_membership, peers are also added at run time: by Peers_Add,
  *     and whenever an unknown node sends a hello, which contains the address
  *     on which that node listens. In this mode a sender also probes its links,
- * since an open connection may stop passing bytes without an error.
+ *     since an open connection may stop passing bytes without an error.
  */
 #ifndef COLTSFOOT_PEER_H
 #define COLTSFOOT_PEER_H
@@ -80,6 +80,9 @@
     void *arg;
     void (*on_up)(void *arg, size_t peer, const PeerHello *hello);
     void (*on_down)(void *arg, size_t peer);
+    /* Called after the outgoing link to a peer was closed. Messages sent on it
+     * may be lost, while the peer remains up. May be NULL. */
+    void (*on_link_lost)(void *arg, size_t peer);
     /* message is the whole array, including the type as its first item. It is
      * valid only during the call. */
     void (*on_message)(void *arg, size_t peer, PeerMessageType type,
@@ -125,6 +128,10 @@
  * timeout. */
 bool Peers_IsUp(const Peers *peers, size_t peer);
 
+/* Returns whether there is an outgoing link to the peer, though perhaps not
+ * yet connected. Without one, messages to the peer are dropped. */
+bool Peers_HasLink(const Peers *peers, size_t peer);
+
 /* Returns the last hello of a peer; its name is empty before the first one. */
 const PeerHello *Peers_Hello(const Peers *peers, size_t peer);
 
--- a/tests/test_jobentry.c
+++ b/tests/test_jobentry.c
@@ -1,3 +1,4 @@
+#include <arpa/inet.h>
 #include <check.h>
 #include <netinet/in.h>
 #include <signal.h>
@@ -22,6 +23,7 @@
 #define CONTROL_COUNT 2
 #define MAX_CALLS 2
 #define MAX_COPIES 16
+#define MAX_DESCRIPTORS 256
 #define STEP_INTERVAL_MS 5
 #define FLEET_INTERVAL_MS 100
 #define STEP_TIMEOUT_MS 10000
@@ -35,6 +37,7 @@
     STEP_LEAD,    /* control VM at says that it leads in term value */
     STEP_RESIGN,  /* control VM at says that it does not lead */
     STEP_CRASH,   /* control VM at closes its links */
+    STEP_CUT,     /* the link from the entry VM to control VM at breaks */
     STEP_SUBMIT,  /* caller at submits a job */
     STEP_CANCEL,  /* caller at cancels it */
     STEP_COPY,    /* a copy reaches control VM at */
@@ -247,6 +250,26 @@
     control->entry = SIZE_MAX;
 }
 
+/* Shuts down the connections that a control VM has accepted. */
+static void
+cut_incoming_link(const ControlVm *control)
+{
+    int fd;
+
+    for (fd = 3; fd < MAX_DESCRIPTORS; fd++) {
+        struct sockaddr_in local;
+        struct sockaddr_in remote;
+        socklen_t size = sizeof(local);
+        socklen_t remote_size = sizeof(remote);
+        if (getsockname(fd, (struct sockaddr *)&local, &size) == 0 &&
+            getpeername(fd, (struct sockaddr *)&remote, &remote_size) == 0 &&
+            ntohs(local.sin_port) == control->settings.peer.port &&
+            local.sin_addr.s_addr == inet_addr(control->settings.peer.host)) {
+            shutdown(fd, SHUT_RDWR);
+        }
+    }
+}
+
 static void
 send_fleet_msg(ControlVm *control)
 {
@@ -357,6 +380,9 @@
     case STEP_CRASH:
         close_control(control);
         return true;
+    case STEP_CUT:
+        cut_incoming_link(control);
+        return true;
     case STEP_SUBMIT:
         call_entry(world, &world->callers[step->at], "POST");
         return true;
@@ -574,6 +600,21 @@
 }
 END_TEST
 
+static const Script link_script = {"link to the leader breaks",
+                                   {{STEP_LEAD, 0, 1},
+                                    {STEP_SUBMIT, 0, 0},
+                                    {STEP_COPY, 0, 0},
+                                    {STEP_CUT, 0, 0},
+                                    {STEP_COPY, 0, 0},
+                                    {STEP_REPLY, 0, 200},
+                                    {STEP_PROMPT, 0, 200}}};
+
+START_TEST(request_on_a_broken_link_is_sent_again)
+{
+    check_script(&link_script);
+}
+END_TEST
+
 static const Script incarnation_script = {"reply to an earlier incarnation",
                                           {{STEP_LEAD, 0, 1},
                                            {STEP_SUBMIT, 0, 0},
@@ -605,6 +646,7 @@
     tcase_add_loop_test(
         tcase, certain_refusal_is_passed_on_at_once, 0,
         (int)(sizeof(single_scripts) / sizeof(single_scripts[0])));
+    tcase_add_test(tcase, request_on_a_broken_link_is_sent_again);
     tcase_add_test(tcase, reply_to_earlier_incarnation_answers_nobody);
     suite_add_tcase(suite, tcase);
     return suite;
