Answer at once when a refused request has copies on a broken link

A caller waited for its deadline (2.8 s) for a 504 that was certain at once: the leader had refused the copy on the new link, and the copy on the broken one still counted as open, though no reply to it was expected.

The copies on a lost link now count as lost. Since that may end requests, a link that exceeds its queue limit is closed by the next tick of Peers instead of inside Peers_Send, which a request's sender calls.

--- a/src/jobcopies.h
+++ b/src/jobcopies.h
@@ -62,8 +62,8 @@
                                   uint64_t sequence, int status,
                                   bool from_leader);
 
-/* Handles the loss of a peer: replies to its open copies are not expected any
- * more. Returns JOB_COPIES_UNKNOWN or JOB_COPIES_WAIT. */
+/* Handles the loss of a peer or of the link to it: replies to its open copies
+ * are not expected any more. Returns JOB_COPIES_UNKNOWN or JOB_COPIES_WAIT. */
 JobCopiesVerdict JobCopies_LosePeer(JobCopies *copies, size_t peer);
 
 #endif
--- a/src/jobentry.c
+++ b/src/jobentry.c
@@ -329,8 +329,7 @@
     lose_copies(entry, peer);
 }
 
-/* The leader may have received the requests that were sent on the link, so
- * their copies stay open. */
+/* Pending requests are sent again on the next link. */
 static void
 on_link_lost(void *arg, size_t peer)
 {
@@ -342,6 +341,7 @@
             request->peer = SIZE_MAX;
         }
     }
+    lose_copies(entry, peer);
 }
 
 static void
--- a/src/peer.c
+++ b/src/peer.c
@@ -29,6 +29,7 @@
     size_t peer; /* PEER_NONE on an accepted link before its hello */
     bool outgoing;
     bool connecting;
+    bool overfull; /* PEER_MAX_QUEUED_BYTES was exceeded */
     apr_pool_t *pool;
     apr_socket_t *socket;
     LoopWatch *watch;
@@ -633,8 +634,14 @@
     if (link == NULL) {
         return;
     }
-    stuck = (link->connecting || link->out.len > 0) &&
-            now - link->last_progress_ms > get_silence_timeout_ms(peers);
+    if (link->overfull) {
+        Diag_Log(DIAG_WARNING, PEER_LOG_PREFIX,
+                 "Closed the link to %s: %zu bytes are queued.",
+                 slot->address.host, link->out.len);
+    }
+    stuck = link->overfull ||
+            ((link->connecting || link->out.len > 0) &&
+             now - link->last_progress_ms > get_silence_timeout_ms(peers));
     if (peers->options.open_membership && !link->connecting) {
         stuck = stuck ||
                 now - slot->last_answer_ms > get_silence_timeout_ms(peers);
@@ -758,11 +765,9 @@
         return;
     }
     if (link->out.len + len > PEER_MAX_QUEUED_BYTES) {
-        Diag_Log(DIAG_WARNING, PEER_LOG_PREFIX,
-                 "Closed the link to %s: %zu bytes "
-                 "are queued.",
-                 peers->slots[peer].address.host, link->out.len);
-        close_outgoing_link(link);
+        link->overfull = true;
+    }
+    if (link->overfull) {
         return;
     }
     Frame_Encode(&link->out, body, len);
--- a/src/peer.h
+++ b/src/peer.h
@@ -32,7 +32,8 @@
 #include "status.h"
 
 #define PEER_PROTOCOL_VERSION 2
-/* Limit of the bytes queued for one peer; a link that exceeds it is closed. */
+/* Limit of the bytes queued for one peer. A link that exceeds it drops further
+ * messages and is closed by the next tick. */
 #define PEER_MAX_QUEUED_BYTES (16 * 1024 * 1024)
 /* Default time without messages after which a peer counts as down. */
 #define PEER_SILENCE_TIMEOUT_MS 3000
--- a/tests/test_jobentry.c
+++ b/tests/test_jobentry.c
@@ -600,18 +600,28 @@
 }
 END_TEST
 
-static const Script link_script = {"link to the leader breaks",
-                                   {{STEP_LEAD, 0, 1},
-                                    {STEP_SUBMIT, 0, 0},
-                                    {STEP_COPY, 0, 0},
-                                    {STEP_CUT, 0, 0},
-                                    {STEP_COPY, 0, 0},
-                                    {STEP_REPLY, 0, 200},
-                                    {STEP_PROMPT, 0, 200}}};
+static const Script link_scripts[] = {
+    {"accepted on the next link",
+     {{STEP_LEAD, 0, 1},
+      {STEP_SUBMIT, 0, 0},
+      {STEP_COPY, 0, 0},
+      {STEP_CUT, 0, 0},
+      {STEP_COPY, 0, 0},
+      {STEP_REPLY, 0, 200},
+      {STEP_PROMPT, 0, 200}}},
+    {"refused on the next link",
+     {{STEP_LEAD, 0, 1},
+      {STEP_SUBMIT, 0, 0},
+      {STEP_COPY, 0, 0},
+      {STEP_CUT, 0, 0},
+      {STEP_COPY, 0, 0},
+      {STEP_REPLY, 0, 429},
+      {STEP_PROMPT, 0, 504}}},
+};
 
 START_TEST(request_on_a_broken_link_is_sent_again)
 {
-    check_script(&link_script);
+    check_script(&link_scripts[_i]);
 }
 END_TEST
 
@@ -646,7 +656,8 @@
     tcase_add_loop_test(
         tcase, certain_refusal_is_passed_on_at_once, 0,
         (int)(sizeof(single_scripts) / sizeof(single_scripts[0])));
-    tcase_add_test(tcase, request_on_a_broken_link_is_sent_again);
+    tcase_add_loop_test(tcase, request_on_a_broken_link_is_sent_again, 0,
+                        (int)(sizeof(link_scripts) / sizeof(link_scripts[0])));
     tcase_add_test(tcase, reply_to_earlier_incarnation_answers_nobody);
     suite_add_tcase(suite, tcase);
     return suite;
