Decide a request as soon as no reply to a copy is awaited

A caller could wait for its deadline (2.7 s) though its request was decided: the leader had refused one copy, and then a former leader reported an unknown outcome for the other. A 503 of the leader beside a lost copy ended the request with 504, although the leader finds the lost copy milliseconds later if it was committed.

JobCopies now judges a request after every event in one place. While a copy is open it waits; else a further copy is due unless the leader has refused. A refusal by an earlier leader does not bind the next one. States of copies and verdicts have clearer names. Found by review.

--- a/src/jobcopies.c
+++ b/src/jobcopies.c
@@ -29,17 +29,16 @@
     return is_change(kind) ? REPLY_REFUSAL : REPLY_FINAL;
 }
 
-static JobCopy *
-find_copy(JobCopies *copies, uint64_t sequence)
+/* Returns the index of a copy, or the number of copies if there is none. */
+static size_t
+find_copy(const JobCopies *copies, uint64_t sequence)
 {
-    size_t i;
+    size_t i = 0;
 
-    for (i = 0; i < copies->count; i++) {
-        if (copies->list[i].sequence == sequence) {
-            return &copies->list[i];
-        }
+    while (i < copies->count && copies->list[i].sequence != sequence) {
+        i++;
     }
-    return NULL;
+    return i;
 }
 
 static bool
@@ -67,19 +66,13 @@
     }
     copies->list[copies->count++] = (JobCopy){sequence, peer, JOB_COPY_OPEN};
     copies->sent++;
+    copies->leader_refusal = 0;
 }
 
 bool
 JobCopies_Has(const JobCopies *copies, uint64_t sequence)
 {
-    size_t i;
-
-    for (i = 0; i < copies->count; i++) {
-        if (copies->list[i].sequence == sequence) {
-            return true;
-        }
-    }
-    return false;
+    return find_copy(copies, sequence) < copies->count;
 }
 
 bool
@@ -95,36 +88,43 @@
     return copies->dropped;
 }
 
+/* Judges a request without a final reply. */
 static JobCopiesVerdict
-judge_refusal(const JobCopies *copies)
+judge(const JobCopies *copies)
 {
-    if (!copies->leader_refused || has_open_copy(copies)) {
+    if (has_open_copy(copies)) {
         return JOB_COPIES_WAIT;
     }
-    return JobCopies_MayBeDone(copies) ? JOB_COPIES_UNKNOWN
-                                       : JOB_COPIES_ANSWER;
+    if (copies->leader_refusal == 0) {
+        return JOB_COPIES_RESEND;
+    }
+    if (!JobCopies_MayBeDone(copies)) {
+        return JOB_COPIES_ANSWER;
+    }
+    /* A leader that is only unavailable may still find the request. */
+    return copies->leader_refusal == 503 ? JOB_COPIES_RESEND
+                                         : JOB_COPIES_UNKNOWN;
 }
 
 JobCopiesVerdict
 JobCopies_Settle(JobCopies *copies, JobRequestKind kind, uint64_t sequence,
                  int status, bool from_leader)
 {
-    JobCopy *copy = find_copy(copies, sequence);
+    size_t i = find_copy(copies, sequence);
     ReplyClass class = classify_reply(kind, status);
 
-    if (copy == NULL) {
+    if (i == copies->count) {
         return JOB_COPIES_WAIT;
     }
     if (class == REPLY_FINAL || (from_leader && !is_change(kind))) {
         return JOB_COPIES_ANSWER;
     }
-    if (class == REPLY_UNKNOWN) {
-        copy->state = JOB_COPY_LOST;
-        return from_leader ? JOB_COPIES_RESEND : JOB_COPIES_WAIT;
+    copies->list[i].state =
+        class == REPLY_REFUSAL ? JOB_COPY_REFUSED : JOB_COPY_UNKNOWN;
+    if (class == REPLY_REFUSAL && from_leader) {
+        copies->leader_refusal = status;
     }
-    copy->state = JOB_COPY_REFUSED;
-    copies->leader_refused = copies->leader_refused || from_leader;
-    return judge_refusal(copies);
+    return judge(copies);
 }
 
 JobCopiesVerdict
@@ -135,10 +135,8 @@
     for (i = 0; i < copies->count; i++) {
         if (copies->list[i].peer == peer &&
             copies->list[i].state == JOB_COPY_OPEN) {
-            copies->list[i].state = JOB_COPY_LOST;
+            copies->list[i].state = JOB_COPY_UNKNOWN;
         }
     }
-    return copies->leader_refused && !has_open_copy(copies)
-               ? JOB_COPIES_UNKNOWN
-               : JOB_COPIES_WAIT;
+    return judge(copies);
 }
--- a/src/jobentry.c
+++ b/src/jobentry.c
@@ -35,7 +35,7 @@
 /* Timeout of a request that has no earlier deadline. */
 #define REPLY_TIMEOUT_MS 2700
 #define RETRY_DELAY_MS 1000
-/* Delay before a leader that did not know the outcome is asked again. */
+/* Delay before the same leader is asked again. */
 #define COPY_DELAY_MS 200
 /* Time for which a node accepts requests after the start of a planned stop, so
  * that the load balancer notices that the node is not ready. */
@@ -162,17 +162,17 @@
     Buf_Free(&body);
 }
 
-/* Fails a request for one of two reasons, depending on whether it may have
- * been carried out. */
+/* Tells the caller that the outcome is unknown, or, if every copy was refused
+ * or none was sent, that the request is refused for a reason. */
 static void
-fail_request(JobEntry *entry, PendingRequest *request,
-             const char *refused_reason, const char *unknown_reason)
+fail_request(JobEntry *entry, PendingRequest *request, const char *reason)
 {
-    bool may_be_done = JobCopies_MayBeDone(&request->copies);
-
-    reply_and_finish(entry, request,
-                     may_be_done ? JOB_REPLY_UNKNOWN : JOB_REPLY_UNAVAILABLE,
-                     may_be_done ? unknown_reason : refused_reason);
+    if (JobCopies_MayBeDone(&request->copies)) {
+        reply_and_finish(entry, request, JOB_REPLY_UNKNOWN, UNKNOWN_REASON);
+    }
+    else {
+        reply_and_finish(entry, request, JOB_REPLY_UNAVAILABLE, reason);
+    }
 }
 
 static void
@@ -307,8 +307,13 @@
 
     while (request != NULL) {
         PendingRequest *next = request->next;
-        if (JobCopies_LosePeer(&request->copies, peer) == JOB_COPIES_UNKNOWN) {
-            fail_request(entry, request, "", UNKNOWN_REASON);
+        JobCopiesVerdict verdict = JobCopies_LosePeer(&request->copies, peer);
+        if (verdict == JOB_COPIES_UNKNOWN) {
+            reply_and_finish(entry, request, JOB_REPLY_UNKNOWN,
+                             UNKNOWN_REASON);
+        }
+        else if (verdict == JOB_COPIES_RESEND) {
+            request->peer = SIZE_MAX;
         }
         request = next;
     }
@@ -446,16 +451,18 @@
         finish_request(entry, request, &msg, peer);
         return;
     case JOB_COPIES_UNKNOWN:
-        fail_request(entry, request, "", UNKNOWN_REASON);
+        reply_and_finish(entry, request, JOB_REPLY_UNKNOWN, UNKNOWN_REASON);
         return;
     case JOB_COPIES_RESEND:
         request->peer = SIZE_MAX;
-        request->next_copy_ms = Loop_NowMs() + COPY_DELAY_MS;
+        request->next_copy_ms =
+            Loop_NowMs() + (peer == entry->leader ? COPY_DELAY_MS : 0);
         break;
     case JOB_COPIES_WAIT:
         break;
     }
     log_withheld_reply(entry, request, peer, &msg);
+    forward_waiting_requests(entry, Loop_NowMs());
 }
 
 static void
@@ -485,7 +492,7 @@
             (request->peer == SIZE_MAX && !has_leader(entry) &&
              now - request->received_ms >= LEADER_WAIT_MS &&
              now - entry->leader_lost_ms >= ELECTION_WAIT_MS)) {
-            fail_request(entry, request, "no leader is known", UNKNOWN_REASON);
+            fail_request(entry, request, "no leader is known");
         }
         request = next;
     }
@@ -503,8 +510,7 @@
     }
     while (entry->requests != NULL &&
            elapsed_ms > entry->settings->shutdown_grace_ms) {
-        fail_request(entry, entry->requests, "stopping",
-                     "stopping; ask again");
+        fail_request(entry, entry->requests, "stopping");
     }
     if (entry->requests != NULL) {
         entry->idle_since_ms = 0;
--- a/tests/test_jobentry.c
+++ b/tests/test_jobentry.c
@@ -39,6 +39,7 @@
     STEP_CRASH,   /* control VM at closes its links */
     STEP_CUT,     /* the link from the entry VM to control VM at breaks */
     STEP_SUBMIT,  /* caller at submits a job */
+    STEP_STATE,   /* caller at reads its state */
     STEP_CANCEL,  /* caller at cancels it */
     STEP_COPY,    /* a copy reaches control VM at */
     STEP_REPLY,   /* control VM at replies to its last copy with value */
@@ -290,6 +291,9 @@
     JobReplyMsg msg = {sequence, status, 1000, "{}", 2};
     Buf body = BUF_INIT;
 
+    if (control->peers == NULL || control->entry == SIZE_MAX) {
+        return;
+    }
     JobReplyMsg_Encode(&msg, &body);
     Peers_Send(control->peers, control->entry, body.data, body.len);
     Buf_Free(&body);
@@ -386,6 +390,9 @@
     case STEP_SUBMIT:
         call_entry(world, &world->callers[step->at], "POST");
         return true;
+    case STEP_STATE:
+        call_entry(world, &world->callers[step->at], "GET");
+        return true;
     case STEP_CANCEL:
         call_entry(world, &world->callers[step->at], "DELETE");
         return true;
@@ -554,6 +561,26 @@
       {STEP_COPY, 0, 0},
       {STEP_REPLY, 0, 503},
       {STEP_ANSWER, 0, 504}}},
+    {"503 for the second copy, then the leader finds the first",
+     {{STEP_LEAD, 0, 1},
+      {STEP_SUBMIT, 0, 0},
+      {STEP_COPY, 0, 0},
+      {STEP_CRASH, 0, 0},
+      {STEP_LEAD, 1, 2},
+      {STEP_COPY, 1, 0},
+      {STEP_REPLY, 1, 503},
+      {STEP_COPY, 1, 0},
+      {STEP_REPLY, 1, 200},
+      {STEP_PROMPT, 0, 200}}},
+    {"429 for the second copy, then 504 for the first",
+     {{STEP_LEAD, 0, 1},
+      {STEP_SUBMIT, 0, 0},
+      {STEP_COPY, 0, 0},
+      {STEP_LEAD, 1, 2},
+      {STEP_COPY, 1, 0},
+      {STEP_REPLY, 1, 429},
+      {STEP_REPLY, 0, 504},
+      {STEP_PROMPT, 0, 504}}},
     {"503 for the second copy of a cancel, nothing of the first",
      {{STEP_LEAD, 0, 1},
       {STEP_CANCEL, 0, 0},
@@ -570,6 +597,47 @@
 }
 END_TEST
 
+static const Script next_leader_scripts[] = {
+    {"504 by a leader that resigns",
+     {{STEP_LEAD, 0, 1},
+      {STEP_SUBMIT, 0, 0},
+      {STEP_COPY, 0, 0},
+      {STEP_REPLY, 0, 504},
+      {STEP_RESIGN, 0, 0},
+      {STEP_LEAD, 1, 2},
+      {STEP_COPY, 1, 0},
+      {STEP_REPLY, 1, 200},
+      {STEP_ANSWER, 0, 200}}},
+    {"503 by a former leader",
+     {{STEP_LEAD, 0, 1},
+      {STEP_SUBMIT, 0, 0},
+      {STEP_COPY, 0, 0},
+      {STEP_RESIGN, 0, 0},
+      {STEP_PAUSE, 0, 0},
+      {STEP_REPLY, 0, 503},
+      {STEP_LEAD, 1, 2},
+      {STEP_COPY, 1, 0},
+      {STEP_REPLY, 1, 200},
+      {STEP_ANSWER, 0, 200}}},
+    {"state read at a former leader",
+     {{STEP_LEAD, 0, 1},
+      {STEP_STATE, 0, 0},
+      {STEP_COPY, 0, 0},
+      {STEP_RESIGN, 0, 0},
+      {STEP_PAUSE, 0, 0},
+      {STEP_REPLY, 0, 503},
+      {STEP_LEAD, 1, 2},
+      {STEP_COPY, 1, 0},
+      {STEP_REPLY, 1, 410},
+      {STEP_ANSWER, 0, 410}}},
+};
+
+START_TEST(request_of_a_former_leader_goes_to_the_next)
+{
+    check_script(&next_leader_scripts[_i]);
+}
+END_TEST
+
 static const Script single_scripts[] = {
     {"503 by the leader",
      {{STEP_LEAD, 0, 1},
@@ -653,6 +721,9 @@
     tcase_add_loop_test(tcase, refusal_of_one_copy_is_not_a_refusal_of_the_job,
                         0,
                         (int)(sizeof(copy_scripts) / sizeof(copy_scripts[0])));
+    tcase_add_loop_test(
+        tcase, request_of_a_former_leader_goes_to_the_next, 0,
+        (int)(sizeof(next_leader_scripts) / sizeof(next_leader_scripts[0])));
     tcase_add_loop_test(
         tcase, certain_refusal_is_passed_on_at_once, 0,
         (int)(sizeof(single_scripts) / sizeof(single_scripts[0])));
