Count a request that libcurl resent as sent

A caller of the request service could get 503 'not run' for work that ran: a repeatable request went out on a reused connection, the target read it, ran it and crashed, libcurl resent it by itself on a new connection, which was refused, and HttpClient reported HTTP_CALL_NOT_SENT for the whole call. Found by review.

--- a/src/httpclient.c
+++ b/src/httpclient.c
@@ -79,30 +79,38 @@
     free(call);
 }
 
+/* Returns whether any byte of the request was sent. After libcurl has resent
+ * the request on a new connection, the last error says nothing of the first.
+ */
+static bool
+was_sent(const HttpCall *call)
+{
+    long request_bytes = 0;
+    curl_off_t body_bytes = 0;
+
+    curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+    curl_easy_getinfo(call->easy, CURLINFO_SIZE_UPLOAD_T, &body_bytes);
+    return request_bytes > 0 || body_bytes > 0;
+}
+
 static HttpCallStatus
 get_call_status(const HttpCall *call, CURLcode code)
 {
-    curl_off_t sent = 0;
-
     if (code == CURLE_OK) {
         return HTTP_CALL_ANSWERED;
     }
     if (call->too_large) {
         return HTTP_CALL_TOO_LARGE;
     }
-    if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST) {
-        return HTTP_CALL_NOT_SENT;
+    if (code != CURLE_COULDNT_CONNECT && code != CURLE_COULDNT_RESOLVE_HOST &&
+        code != CURLE_OPERATION_TIMEDOUT) {
+        return HTTP_CALL_LOST;
     }
-    if (code == CURLE_OPERATION_TIMEDOUT) {
-        long request_bytes = 0;
-        curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
-        curl_easy_getinfo(call->easy, CURLINFO_SIZE_UPLOAD_T, &sent);
-        if (request_bytes == 0 && sent == 0) {
-            return HTTP_CALL_NOT_SENT;
-        }
-        return HTTP_CALL_TIMED_OUT;
+    if (!was_sent(call)) {
+        return HTTP_CALL_NOT_SENT;
     }
-    return HTTP_CALL_LOST;
+    return code == CURLE_OPERATION_TIMEDOUT ? HTTP_CALL_TIMED_OUT
+                                            : HTTP_CALL_LOST;
 }
 
 static void
