--- a/src/control.c
+++ b/src/control.c
@@ -403,8 +403,8 @@
     control->targets = StrMap_New();
     control->journal = Journal_New(CONTROL_JOURNAL_ENTRIES);
     Control_OpenSparePlanner(control);
-    control->proposals =
-        Table_New(sizeof(ControlProposal), CONTROL_MAX_PROPOSALS);
+    control->proposals = Table_NewSeeded(
+        sizeof(ControlProposal), CONTROL_MAX_PROPOSALS, Rng_SystemSeed());
     control->peer_states =
         calloc(control->settings->peer_count + 1, sizeof(ControlPeer));
     status = Control_OpenLog(control, err);
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -6,6 +6,7 @@
 
 #include "diag.h"
 #include "mem.h"
+#include "rng.h"
 
 #define GATEWAY_TICK_MS 20
 #define GATEWAY_IDLE_TIMEOUT_S 120
@@ -85,7 +86,8 @@
     gateway->once = Once_New(&once);
     gateway->registry = Registry_New(GATEWAY_MAX_REQUESTS);
     gateway->burn = Burn_New(&BURN_OPTIONS_DEFAULT);
-    gateway->requests = Table_New(sizeof(GwRequest *), GATEWAY_MAX_REQUESTS);
+    gateway->requests = Table_NewSeeded(
+        sizeof(GwRequest *), GATEWAY_MAX_REQUESTS, Rng_SystemSeed());
     gateway->thread_count = (size_t)settings->traffic_threads;
     gateway->threads = calloc(gateway->thread_count, sizeof(GwThread));
     if (gateway->traffic == NULL || gateway->once == NULL ||
--- a/src/jobctl_agent.c
+++ b/src/jobctl_agent.c
@@ -6,6 +6,7 @@
 
 #include "mem.h"
 #include "mppack.h"
+#include "rng.h"
 
 #define MAX_DELEGATED_CALLS 16384
 #define MAX_FORWARDED_REQUESTS 2048
@@ -36,8 +37,8 @@
     control->agents = JobAgents_New();
     control->delegated_calls =
         Table_New(sizeof(DelegatedCall), MAX_DELEGATED_CALLS);
-    control->forwarded_requests =
-        Table_New(sizeof(ForwardedRequest), MAX_FORWARDED_REQUESTS);
+    control->forwarded_requests = Table_NewSeeded(
+        sizeof(ForwardedRequest), MAX_FORWARDED_REQUESTS, Rng_SystemSeed());
 }
 
 void
--- a/src/table.c
+++ b/src/table.c
@@ -11,10 +11,11 @@
 struct Table {
     size_t row_bytes;
     uint32_t max_rows;
-    uint32_t used;      /* slots used at least once */
-    uint32_t count;     /* rows in use */
-    uint32_t capacity;  /* slots allocated */
-    uint32_t free_head; /* first free slot, or TABLE_NO_SLOT */
+    uint32_t used;             /* slots used at least once */
+    uint32_t count;            /* rows in use */
+    uint32_t capacity;         /* slots allocated */
+    uint32_t free_head;        /* first free slot, or TABLE_NO_SLOT */
+    uint32_t first_generation; /* of a new slot; even */
     Slot *slots;
     char *rows;
 };
@@ -34,6 +35,17 @@
     return table;
 }
 
+Table *
+Table_NewSeeded(size_t row_bytes, uint32_t max_rows, uint64_t seed)
+{
+    Table *table = Table_New(row_bytes, max_rows);
+
+    if (table != NULL) {
+        table->first_generation = (uint32_t)seed & ~1U;
+    }
+    return table;
+}
+
 void
 Table_Free(Table *table)
 {
@@ -85,7 +97,7 @@
             return HANDLE_NONE;
         }
         handle.index = table->used++;
-        table->slots[handle.index].generation = 0;
+        table->slots[handle.index].generation = table->first_generation;
     }
     table->slots[handle.index].generation++;
     handle.generation = table->slots[handle.index].generation;
--- a/src/table.h
+++ b/src/table.h
@@ -27,6 +27,11 @@
 /* Returns an empty table of at most max_rows rows of row_bytes each, or NULL
  * when memory is exhausted. */
 Table *Table_New(size_t row_bytes, uint32_t max_rows);
+
+/* Like Table_New, with handles whose generations start from the seed. For
+ * handles that are sent to other processes: a late answer to an earlier
+ * incarnation of this process then finds no row. */
+Table *Table_NewSeeded(size_t row_bytes, uint32_t max_rows, uint64_t seed);
 void Table_Free(Table *table);
 
 /* Returns a handle to a zeroed row, or HANDLE_NONE when the table is full or
--- a/tests/test_table.c
+++ b/tests/test_table.c
@@ -20,6 +20,20 @@
 }
 END_TEST
 
+START_TEST(handle_of_earlier_incarnation_is_stale)
+{
+    Table *earlier = Table_NewSeeded(sizeof(int), 4, 0x100000001);
+    Table *table = Table_NewSeeded(sizeof(int), 4, 0xfffffffe00000007);
+    Handle handle = Table_Add(earlier);
+
+    ck_assert(!Handle_IsNone(Table_Add(table)));
+    ck_assert(Table_Get(earlier, handle) != NULL);
+    ck_assert(Table_Get(table, handle) == NULL);
+    Table_Free(earlier);
+    Table_Free(table);
+}
+END_TEST
+
 /* Guards against a table that grows beyond its maximum. */
 START_TEST(full_table_rejects_rows)
 {
@@ -46,6 +60,7 @@
     TCase *tcase = tcase_create("handles");
 
     tcase_add_test(tcase, stale_handle_is_detected);
+    tcase_add_test(tcase, handle_of_earlier_incarnation_is_stale);
     tcase_add_test(tcase, full_table_rejects_rows);
     suite_add_tcase(suite, tcase);
     return suite;
