Settle a start only by an accepted stop

A target that refused a stop (429, 503 or 400) ended the question whether an earlier start without an answer would still be carried out: the next list without the run counted as its end, and the next attempt started beside a start that could arrive seconds later (two runs of a task at once). Same class: a negative answer to one call taken for the fate of another.

--- a/src/jobsched_call.c
+++ b/src/jobsched_call.c
@@ -110,6 +110,8 @@
         if (task->sched_state.calling ||
             task->sched_state.since_ms >= call->sent_ms ||
             task->sched_state.phase < JOB_SCHED_RUNNING ||
+            (task->sched_state.phase == JOB_SCHED_STOPPING &&
+             !task->sched_state.stop_accepted) ||
             answer->end_count >= SCHED_MAX_LISTED_ENDS ||
             is_listed_end(answer, &ref, task->attempt)) {
             continue;
--- a/tests/test_jobsched.c
+++ b/tests/test_jobsched.c
@@ -10,7 +10,9 @@
 static JobState *state;
 static JobSched *sched;
 static int64_t now;
-static JobAction calls[64];
+#define MAX_CALLS 64
+
+static JobAction calls[MAX_CALLS];
 static size_t call_count;
 
 static void
@@ -44,7 +46,7 @@
             JobTest_Apply(state, &action.command);
             JobSched_HandleProposal(sched, now, action.cookie, ST_OK);
         }
-        else if (call_count < 64) {
+        else if (call_count < MAX_CALLS) {
             calls[call_count++] = action;
         }
     }
@@ -278,6 +280,44 @@
 }
 END_TEST
 
+/* A start without an answer may be carried out later than a refused stop. */
+START_TEST(refused_stop_does_not_settle_a_start)
+{
+    size_t round;
+
+    announce("t1", "vm1", 10);
+    announce("t2", "vm2", 10);
+    JobTest_Submit(state, "a", 1, 1, 500);
+    tick(50);
+    ck_assert_uint_eq(count_calls(JOB_ACTION_START), 1);
+    answer_all(JOB_CALL_NO_ANSWER);
+    for (round = 0; round < 40; round++) {
+        JobAction answered[MAX_CALLS];
+        size_t count = call_count;
+        size_t i;
+        memcpy(answered, calls, sizeof(answered));
+        call_count = 0;
+        for (i = 0; i < count; i++) {
+            JobCallAnswer answer = {.outcome =
+                                        answered[i].kind == JOB_ACTION_HOLD
+                                            ? JOB_CALL_OK
+                                            : JOB_CALL_UNHEALTHY,
+                                    .clock_ms = now - 90000};
+            JobSched_HandleAnswer(sched, now, &answered[i], &answer);
+            process_actions();
+        }
+        tick(50);
+        for (i = 0; i < call_count; i++) {
+            ck_assert_msg(calls[i].kind != JOB_ACTION_START ||
+                              calls[i].attempt == 1,
+                          "round %zu: attempt %u starts before the first is "
+                          "settled",
+                          round, calls[i].attempt);
+        }
+    }
+}
+END_TEST
+
 typedef struct WaitCase {
     uint32_t busy_targets;
     int64_t lease_ms;
@@ -503,6 +543,7 @@
     tcase_add_test(tcase, demand_is_recorded_after_restore);
     tcase_add_loop_test(tcase, holds_wait_less_for_short_tasks, 0, 2);
     tcase_add_test(tcase, cancelled_tasks_are_stopped);
+    tcase_add_test(tcase, refused_stop_does_not_settle_a_start);
     tcase_add_loop_test(tcase, large_fleets_are_polled_less_often, 0,
                         (int)(sizeof(wait_cases) / sizeof(wait_cases[0])));
     suite_add_tcase(suite, tcase);
