Report a peer as down when another incarnation of it says hello

A caller waited for its deadline (2.7 s) after the leader had refused its request: a control VM came back, at another address or before its earlier links had ended, so on_down was never called, and its earlier incarnation's copy still counted as open. A change of the address closed the outgoing link without on_link_lost. Found by review.

--- a/src/peer.c
+++ b/src/peer.c
@@ -275,7 +275,7 @@
             !is_same_address(&slot->address, &hello->address)) {
             slot->address = hello->address;
             if (slot->outgoing != NULL) {
-                close_link(slot->outgoing);
+                close_outgoing_link(slot->outgoing);
             }
         }
         return i;
@@ -383,8 +383,13 @@
         send_refusal(link, "the node is not in the settings of this one");
         return false;
     }
-    link->peer = peer;
     slot = &peers->slots[peer];
+    if (slot->up && slot->hello.incarnation != hello.incarnation) {
+        /* The peer restarted and its earlier links have not ended yet. */
+        slot->up = false;
+        peers->options.on_down(peers->options.arg, peer);
+    }
+    link->peer = peer;
     slot->hello = hello;
     slot->last_received_ms = Loop_NowMs();
     slot->up = true;
--- a/tests/test_jobentry.c
+++ b/tests/test_jobentry.c
@@ -37,6 +37,8 @@
     STEP_LEAD,    /* control VM at says that it leads in term value */
     STEP_RESIGN,  /* control VM at says that it does not lead */
     STEP_CRASH,   /* control VM at closes its links */
+    STEP_REPLACE, /* control VM at returns at another address, its links open
+                   */
     STEP_CUT,     /* the link from the entry VM to control VM at breaks */
     STEP_SUBMIT,  /* caller at submits a job */
     STEP_STATE,   /* caller at reads its state */
@@ -60,7 +62,8 @@
     struct World *world;
     Settings settings;
     Peers *peers;
-    size_t entry; /* index as a peer, or SIZE_MAX */
+    Peers *former; /* links of the earlier incarnation, or NULL */
+    size_t entry;  /* index as a peer, or SIZE_MAX */
     uint64_t term;
     bool leads;
     uint64_t sequences[MAX_COPIES];
@@ -102,6 +105,7 @@
 }
 
 #define ENTRY_HOST "127.0.0.8"
+#define REPLACEMENT_HOST "127.0.0.9"
 
 static void
 set_address(SettingsAddress *address, const char *host, int port)
@@ -219,12 +223,11 @@
 }
 
 static void
-open_control(World *world, size_t i)
+open_peers(ControlVm *control, uint64_t incarnation)
 {
-    ControlVm *control = &world->controls[i];
     PeersOptions options = {.settings = &control->settings,
-                            .identity = i + 1,
-                            .incarnation = 1,
+                            .identity = 1,
+                            .incarnation = incarnation,
                             .open_membership = true,
                             .arg = control,
                             .on_up = on_up,
@@ -232,21 +235,43 @@
                             .on_message = on_message};
     ErrCtx err;
 
-    control->world = world;
     control->entry = SIZE_MAX;
+    control->peers = Peers_New(control->world->loop, &options, &err);
+    ck_assert_ptr_nonnull(control->peers);
+}
+
+static void
+open_control(World *world, size_t i)
+{
+    ControlVm *control = &world->controls[i];
+
+    control->world = world;
     snprintf(control->settings.name, sizeof(control->settings.name),
              "core-%zu", i + 1);
     strcpy(control->settings.cluster, "test");
     strcpy(control->settings.data_centre, "north");
     set_address(&control->settings.peer, control_host(i), world->port);
-    control->peers = Peers_New(world->loop, &options, &err);
-    ck_assert_ptr_nonnull(control->peers);
+    open_peers(control, 1);
+}
+
+static void
+replace_control(World *world, ControlVm *control)
+{
+    SettingsAddress entry;
+
+    control->former = control->peers;
+    set_address(&control->settings.peer, REPLACEMENT_HOST, world->port);
+    open_peers(control, 2);
+    set_address(&entry, ENTRY_HOST, world->port);
+    Peers_Add(control->peers, &entry);
 }
 
 static void
 close_control(ControlVm *control)
 {
+    Peers_Free(control->former);
     Peers_Free(control->peers);
+    control->former = NULL;
     control->peers = NULL;
     control->entry = SIZE_MAX;
 }
@@ -384,6 +409,9 @@
     case STEP_CRASH:
         close_control(control);
         return true;
+    case STEP_REPLACE:
+        replace_control(world, control);
+        return true;
     case STEP_CUT:
         cut_incoming_link(control);
         return true;
@@ -597,6 +625,23 @@
 }
 END_TEST
 
+static const Script replaced_script = {
+    "control VM returns before its earlier links end",
+    {{STEP_LEAD, 0, 1},
+     {STEP_SUBMIT, 0, 0},
+     {STEP_COPY, 0, 0},
+     {STEP_REPLACE, 0, 0},
+     {STEP_LEAD, 0, 2},
+     {STEP_COPY, 0, 0},
+     {STEP_REPLY, 0, 429},
+     {STEP_PROMPT, 0, 504}}};
+
+START_TEST(no_reply_is_awaited_from_an_earlier_incarnation)
+{
+    check_script(&replaced_script);
+}
+END_TEST
+
 static const Script next_leader_scripts[] = {
     {"504 by a leader that resigns",
      {{STEP_LEAD, 0, 1},
@@ -729,6 +774,7 @@
         (int)(sizeof(single_scripts) / sizeof(single_scripts[0])));
     tcase_add_loop_test(tcase, request_on_a_broken_link_is_sent_again, 0,
                         (int)(sizeof(link_scripts) / sizeof(link_scripts[0])));
+    tcase_add_test(tcase, no_reply_is_awaited_from_an_earlier_incarnation);
     tcase_add_test(tcase, reply_to_earlier_incarnation_answers_nobody);
     suite_add_tcase(suite, tcase);
     return suite;
