--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -27,6 +27,7 @@
     int64_t down_until_ms;
     int64_t frozen_until_ms;
     int64_t sync_due_ms; /* end of the asynchronous sync; 0 if there is none */
+    bool sync_stalled;   /* the asynchronous sync does not end */
     /* State of the machine: index of the last command and hash of all
      * commands. */
     uint64_t index;
@@ -67,6 +68,8 @@
     uint64_t cookie_count;
     uint64_t min_read_index[MAX_COOKIES];
     uint64_t read_count;
+    bool read_answered[MAX_COOKIES];
+    size_t reads_answered;
     size_t acks;
     size_t reads_done;
     size_t wipes;
@@ -208,11 +211,15 @@
 on_read_ready(void *arg, uint64_t cookie, Status status, uint64_t index)
 {
     Node *node = arg;
+    Cluster *cluster = node->cluster;
 
+    ck_assert(!cluster->read_answered[cookie]);
+    cluster->read_answered[cookie] = true;
+    cluster->reads_answered++;
     if (status == ST_OK) {
-        ck_assert_uint_ge(index, node->cluster->min_read_index[cookie]);
+        ck_assert_uint_ge(index, cluster->min_read_index[cookie]);
         ck_assert_uint_ge(Replica_GetAppliedIndex(node->replica), index);
-        node->cluster->reads_done++;
+        cluster->reads_done++;
     }
 }
 
@@ -232,7 +239,8 @@
     ErrCtx err = {ST_OK, ""};
     Status status;
 
-    if (node->sync_due_ms > 0 && node->sync_due_ms <= node->cluster->time_ms) {
+    if (node->sync_due_ms > 0 && !node->sync_stalled &&
+        node->sync_due_ms <= node->cluster->time_ms) {
         node->sync_due_ms = 0;
         status = Storage_Sync(MemStorage_GetStorage(node->disk), "log", &err);
         Replica_FinishSync(node->replica, status, &err);
@@ -678,6 +686,28 @@
     }
 }
 
+/* Checks that no proposal or read is left without an answer. */
+static void
+check_answers(Cluster *cluster, uint64_t seed)
+{
+    uint64_t cookie;
+    int i;
+
+    cluster->proposals_disabled = true;
+    for (i = 0; i < 100; i++) {
+        run_step(cluster);
+    }
+    for (cookie = 0; cookie < cluster->cookie_count; cookie++) {
+        ck_assert_msg(cluster->outcome[cookie] != -1,
+                      "seed %llu: proposal %llu has no outcome",
+                      (unsigned long long)seed, (unsigned long long)cookie);
+    }
+    ck_assert_msg(cluster->reads_answered == cluster->read_count,
+                  "seed %llu: %zu of %llu reads were answered",
+                  (unsigned long long)seed, cluster->reads_answered,
+                  (unsigned long long)cluster->read_count);
+}
+
 /* Guards against lost acknowledged entries, different entries at one index,
  * applied state that goes back, stale reads, missing or repeated callbacks,
  * and a cluster that does not recover, with all kinds of faults combined. */
@@ -697,6 +727,7 @@
         run_step(cluster);
     }
     heal_and_converge(cluster, seed);
+    check_answers(cluster, seed);
     check_history(cluster);
     acks += cluster->acks;
     reads += cluster->reads_done;
@@ -841,6 +872,48 @@
 }
 END_TEST
 
+/* Guards against a leader that keeps its role while its own sync hangs, but
+ * commits nothing. */
+START_TEST(stalled_sync_of_the_leader_delays_no_commit)
+{
+    const int64_t max_ack_ms = 1000;
+    Cluster *cluster = create_cluster(6, 3, 3, true, true);
+    Node *leader;
+    uint64_t first;
+    uint64_t checked;
+    int64_t begun_ms;
+
+    cluster->faults_disabled = true;
+    cluster->proposals_disabled = true;
+    heal_and_converge(cluster, 6);
+    leader = find_leader(cluster);
+    leader->sync_stalled = true;
+    cluster->proposals_disabled = false;
+    first = checked = cluster->cookie_count;
+    begun_ms = cluster->time_ms;
+    while (cluster->time_ms - begun_ms < 10 * max_ack_ms) {
+        uint64_t proposed = cluster->cookie_count;
+        int64_t until_ms = cluster->time_ms + max_ack_ms;
+
+        while (cluster->time_ms < until_ms) {
+            run_step(cluster);
+        }
+        for (; checked < proposed; checked++) {
+            ck_assert_msg(cluster->outcome[checked] == (int)ST_OK,
+                          "proposal %llu: outcome %d",
+                          (unsigned long long)(checked - first),
+                          cluster->outcome[checked]);
+        }
+    }
+    ck_assert_ptr_eq(find_leader(cluster), leader);
+    ck_assert_uint_gt(checked - first, 500);
+    leader->sync_stalled = false;
+    heal_and_converge(cluster, 6);
+    check_answers(cluster, 6);
+    free_cluster(cluster);
+}
+END_TEST
+
 /* Guards against a snapshot of several chunks that never arrives, and against
  * a leader that stops serving while it sends one. */
 START_TEST(large_snapshot_reaches_a_new_node)
@@ -946,6 +1019,7 @@
     tcase_add_test(tcase, only_init_starts_a_cluster);
     tcase_add_test(tcase, vote_survives_a_crash);
     tcase_add_test(tcase, failed_sync_stops_a_replica);
+    tcase_add_test(tcase, stalled_sync_of_the_leader_delays_no_commit);
     tcase_add_test(tcase, large_snapshot_reaches_a_new_node);
     tcase_add_test(tcase, lost_voter_is_replaced);
     tcase_add_test(tcase, idle_traffic_is_bounded);
