Answer 413 to a change that is too large for the log

An operator who sent a configuration of 4,000 routes (3,400 still passed) got 503 "this node does not lead" from every control VM, for ever: JobControl_Propose reported every refusal of Replica_Propose as ST_NOT_LEADER. A full table of proposals had the same text.

The completion now gets ST_INVALID (too long) and ST_FULL apart, and the replies are 413 with the reason and 503 "too many changes are pending". The limit itself, 1 MiB for an entry, stays: it keeps an entry below a frame between nodes (4 MiB).

--- a/src/jobctl_internal.h
+++ b/src/jobctl_internal.h
@@ -32,8 +32,10 @@
 
 #define JOBCTL_LOG_PREFIX "jobctl"
 
-/* Called exactly once: with ST_OK and the result, with ST_NOT_LEADER if the
- * command was certainly not accepted, or with ST_AGAIN if that is unknown. */
+/* Called exactly once: with ST_OK and the result, or with ST_AGAIN if the
+ * outcome is unknown. The command was certainly not accepted with
+ * ST_NOT_LEADER, ST_FULL if too many others are pending, or ST_INVALID if it
+ * is too long for an entry of the log. */
 typedef void (*JobCompletionFn)(void *arg, Status status, JobResult result);
 
 /* A command that was proposed to the log and is still pending. */
--- a/src/jobctl_log.c
+++ b/src/jobctl_log.c
@@ -137,7 +137,9 @@
         Slog_AddInt("status", status);
         Slog_AddInt("bytes", (int64_t)command->len);
         Slog_End();
-        fn(arg, ST_NOT_LEADER, JOB_RESULT_IGNORED);
+        fn(arg,
+           status == ST_FULL || status == ST_INVALID ? status : ST_NOT_LEADER,
+           JOB_RESULT_IGNORED);
     }
 }
 
--- a/src/jobctl_request.c
+++ b/src/jobctl_request.c
@@ -111,11 +111,23 @@
     if (status == ST_OK) {
         return false;
     }
-    if (status == ST_NOT_LEADER) {
+    switch (status) {
+    case ST_NOT_LEADER:
         reply_unavailable(pending, "this node does not lead");
-        return true;
+        break;
+    case ST_FULL:
+        reply_unavailable(pending, "too many changes are pending");
+        break;
+    case ST_INVALID:
+        reply = (JobReply){.kind = JOB_REPLY_TOO_LARGE,
+                           .reason = "the change is larger than an entry of "
+                                     "the log"};
+        send_reply(pending, &reply);
+        break;
+    default:
+        send_reply(pending, &reply);
+        break;
     }
-    send_reply(pending, &reply);
     return true;
 }
 
--- a/src/jobwire.h
+++ b/src/jobwire.h
@@ -70,6 +70,7 @@
     JOB_REPLY_NOT_FOUND, /* no such queue or resource, with reason */
     JOB_REPLY_GONE,      /* no such job, with reason */
     JOB_REPLY_INVALID,   /* invalid request, with reason */
+    JOB_REPLY_TOO_LARGE, /* request exceeds a limit, with reason */
     JOB_REPLY_REJECTED,  /* certainly not accepted, with reason and retry_ms */
     JOB_REPLY_UNAVAILABLE, /* certainly not done, with reason and retry_ms */
     JOB_REPLY_UNKNOWN      /* perhaps carried out; sender may ask or retry */
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -271,7 +271,7 @@
         {JOB_REPLY_OK, 200},       {JOB_REPLY_NOT_FOUND, 404},
         {JOB_REPLY_GONE, 410},     {JOB_REPLY_INVALID, 400},
         {JOB_REPLY_REJECTED, 429}, {JOB_REPLY_UNAVAILABLE, 503},
-        {JOB_REPLY_UNKNOWN, 504},
+        {JOB_REPLY_UNKNOWN, 504},  {JOB_REPLY_TOO_LARGE, 413},
     };
     size_t i;
 
