End a control VM whose log has failed

A control VM that met a full disk or a failed write stayed up for good without its log: operators, targets and entry VMs that called it got 503 "no leader is known" long after the disk had room again, and it no longer counted towards a majority. A second such VM left every order without an acknowledgement, with all processes and links up. Nothing asked Replica_GetFailure, and OPERATIONS.md promised that the VM stops.

It now logs log_failed, sends the replies that are due, and ends with status 1 one tick (50 ms) later. Started again it truncates the torn record and catches up, or ends again while the disk is full.

proc_job_orders: the leader gets a limit of 256 KiB for a file; four configurations of 500 routes are acknowledged by the others, the leader ends, is started again without the limit and shows the newest version.

--- a/src/coltsfootd.c
+++ b/src/coltsfootd.c
@@ -64,13 +64,13 @@
         JobEntry_Free(entry);
     }
     else {
-        JobControl_Run(control);
+        status = JobControl_Run(control);
         JobControl_Free(control);
     }
     Slog_Begin(SLOG_CHANGE, "stopped");
     Slog_End();
     Slog_Close();
-    return EXIT_SUCCESS;
+    return status == ST_OK ? EXIT_SUCCESS : EXIT_FAILURE;
 }
 
 static int
--- a/src/jobctl.c
+++ b/src/jobctl.c
@@ -511,10 +511,11 @@
     return ST_OK;
 }
 
-void
+Status
 JobControl_Run(JobControl *control)
 {
     Loop_Run(control->loop);
+    return Replica_GetFailure(control->replica, NULL);
 }
 
 void
--- a/src/jobctl.h
+++ b/src/jobctl.h
@@ -26,7 +26,11 @@
  * reload. */
 Status JobControl_New(const Settings *settings, const char *file,
                       const JobWire *wire, JobControl **out, ErrCtx *err);
-void JobControl_Run(JobControl *control);
+
+/* Runs until SIGTERM or until the log fails. Returns ST_OK, or the error of
+ * the log, after which the process should end and be started again: recovery
+ * repairs the files once the disk can be written to. */
+Status JobControl_Run(JobControl *control);
 
 void JobControl_Free(JobControl *control);
 
--- a/src/jobctl_internal.h
+++ b/src/jobctl_internal.h
@@ -73,6 +73,7 @@
     Status log_sync_status; /* result of the last sync */
     ErrCtx log_sync_err;
     Replica *replica;
+    bool log_failed; /* the failure of the replica was logged */
     JobState *state;
     JobSched *sched;
     JobFleet *fleet;
--- a/src/jobctl_log.c
+++ b/src/jobctl_log.c
@@ -306,10 +306,32 @@
     Slog_End();
 }
 
+/* Ends the node if its log has failed, since it can neither follow nor say who
+ * leads. It does so one tick late, so that replies to pending requests are
+ * sent first. */
+static void
+end_after_log_failure(JobControl *control)
+{
+    const char *reason;
+
+    if (Replica_GetFailure(control->replica, &reason) == ST_OK) {
+        return;
+    }
+    if (control->log_failed) {
+        Loop_Stop(control->loop);
+        return;
+    }
+    control->log_failed = true;
+    Slog_Begin(SLOG_FAILURE, "log_failed");
+    Slog_AddText("reason", reason);
+    Slog_End();
+}
+
 void
 JobControl_TickLog(JobControl *control, int64_t now)
 {
     Replica_Tick(control->replica, now);
+    end_after_log_failure(control);
     expire_reads(&control->queued_reads, now);
     expire_reads(&control->sent_reads, now);
     log_late_proposals(control, now);
