Store every configuration that is acknowledged

A configuration with more than 4,096 services was answered 200 and lost: its entry was committed, JobCodec_ReadConfig refused the row count on every node, and on_stored replied without looking at the result. A read then showed the older version.

The limit on rows is now one that no entry of 1 MiB can reach, and a change that cannot be applied is answered 400 with a reason instead of 200.

--- a/src/jobcodec.c
+++ b/src/jobcodec.c
@@ -6,8 +6,9 @@
 #include "mem.h"
 #include "mppack.h"
 
-#define MAX_QUEUES 65536
-#define MAX_POOLS 4096
+/* Limits the memory for a corrupt row count. More rows do not fit into an
+ * entry of the log together with the text that they were decoded from. */
+#define MAX_CONFIG_ROWS 65536
 
 /* The type of one item in an encoded row. FIELD_DOUBLE is stored as an integer
  * in thousandths. */
@@ -335,7 +336,7 @@
     memset(config, 0, sizeof(*config));
     if (!MpRead_Array(reader, &items) || items != 4 ||
         !MpRead_U64(reader, &config->version) ||
-        !allocate_rows(reader, MAX_QUEUES, sizeof(JobQueue),
+        !allocate_rows(reader, MAX_CONFIG_ROWS, sizeof(JobQueue),
                        (void **)&config->queues, &count)) {
         return false;
     }
@@ -346,7 +347,7 @@
             return false;
         }
     }
-    if (!allocate_rows(reader, MAX_POOLS, sizeof(JobPool),
+    if (!allocate_rows(reader, MAX_CONFIG_ROWS, sizeof(JobPool),
                        (void **)&config->pools, &count)) {
         return false;
     }
--- a/src/jobctl_request.c
+++ b/src/jobctl_request.c
@@ -305,10 +305,14 @@
     PendingRequest *pending = arg;
     JobReply reply = {.kind = JOB_REPLY_OK};
 
-    (void)result;
-    if (!reply_if_failed(pending, status)) {
-        send_reply(pending, &reply);
+    if (reply_if_failed(pending, status)) {
+        return;
     }
+    if (result == JOB_RESULT_CORRUPT) {
+        reply = (JobReply){.kind = JOB_REPLY_INVALID,
+                           .reason = "the change cannot be stored"};
+    }
+    send_reply(pending, &reply);
 }
 
 static void
--- a/tests/proc_job_orders.sh
+++ b/tests/proc_job_orders.sh
@@ -35,6 +35,23 @@
     done
 }
 
+# check_many_services COUNT: an acknowledged configuration must be stored.
+check_many_services() {
+    local status
+    VERSION=$((VERSION + 1))
+    awk -v version="$VERSION" -v count="$1" 'BEGIN {
+        printf "{\"version\":%d,\"routes\":[],\"services\":[", version
+        for (i = 0; i < count; i++) {
+            printf "%s{\"name\":\"s%d\"}", i ? "," : "", i
+        }
+        print "]}"
+    }' >"$WORK/config"
+    status=$(put_config core-1 "$WORK/config")
+    [ "$status" = 200 ] || fail "$1 services: $status"
+    shows_version core-2 "$VERSION" ||
+        fail "$1 services: acknowledged, but not stored"
+}
+
 # start_with_small_disk NODE: starts a control VM whose writes fail once a file
 # has 256 KiB.
 start_with_small_disk() {
@@ -94,6 +111,7 @@
 check_disk_failure_of_leader
 check_config_size 500 200
 check_config_size 3000 200
+check_many_services 5000
 check_config_size 8000 413
 grep -q 'larger than' "$WORK/body" || fail "413 without a reason"
 check_config_size 8 200
--- a/tests/test_jobstate.c
+++ b/tests/test_jobstate.c
@@ -1,8 +1,10 @@
 #include <check.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "jobcodec.h"
+#include "raft_msg.h"
 #include "rng.h"
 #include "support.h"
 #include "support_job.h"
@@ -46,6 +48,32 @@
 }
 END_TEST
 
+/* Guards against a configuration that the log accepts, but no node can
+ * apply. */
+START_TEST(stores_configuration_with_many_pools)
+{
+    enum { POOLS = 37000 };
+    JobPool *pools = calloc(POOLS, sizeof(*pools));
+    Buf text = BUF_INIT;
+    Buf command = BUF_INIT;
+    JobConfig config = {9, NULL, 0, pools, POOLS, NULL, 0};
+    size_t i;
+
+    for (i = 0; i < POOLS; i++) {
+        snprintf(pools[i].name, sizeof(pools[i].name), "%zx", i);
+        Buf_Printf(&text, "{\"name\":\"%zx\"},", i);
+    }
+    config.text = text.data;
+    config.text_len = text.len;
+    JobCmd_EncodeConfig(&command, &config);
+    ck_assert_uint_le(command.len, RAFT_MAX_COMMAND_BYTES);
+    ck_assert_int_eq(JobTest_Apply(state, &command), JOB_RESULT_OK);
+    ck_assert_uint_eq(JobState_GetConfig(state)->pool_count, POOLS);
+    Buf_Free(&text);
+    free(pools);
+}
+END_TEST
+
 START_TEST(ignores_resubmitted_job)
 {
     ck_assert_int_eq(JobTest_Submit(state, "a", 2, 3, 500), JOB_RESULT_OK);
@@ -358,6 +386,7 @@
 
     tcase_add_checked_fixture(tcase, setup, teardown);
     tcase_add_test(tcase, ignores_config_versions_not_newer);
+    tcase_add_test(tcase, stores_configuration_with_many_pools);
     tcase_add_test(tcase, ignores_resubmitted_job);
     tcase_add_test(tcase, step_is_ready_after_its_dependencies);
     tcase_add_loop_test(tcase, applies_only_ends_of_current_run, 0,
