Accept every configuration that the protocol calls valid

A configuration was answered 400 "routes[0]: cannot be read", which ends the operator's call, for reasons that the protocol does not have: a number written as 3000.0 or 3e3 or with a fraction, one beyond 32 bits, max-attempts of 0, a host, path prefix or health check path of more than 71 bytes, a version written as 7.0. The reason named neither the member nor the limit.

Numbers are rounded (never to 0) and saturate, 0 attempts counts as 1 as if the member were omitted, host and paths may have 255 bytes. Names of routes and services keep 71 bytes, version 0 stays refused.

--- a/src/job.h
+++ b/src/job.h
@@ -21,6 +21,8 @@
 #define JOB_ID_BYTES 40
 #define JOB_NAME_BYTES 72
 #define JOB_LABEL_BYTES 40
+#define JOB_HOST_BYTES 256 /* a DNS name has at most 253 */
+#define JOB_PATH_BYTES 256
 #define JOB_ADDRESS_BYTES 80
 #define JOB_MAX_STEPS 32
 #define JOB_MAX_LABELS 8
@@ -67,8 +69,8 @@
  * run time. */
 typedef struct JobQueue {
     char name[JOB_NAME_BYTES];
-    char host[JOB_NAME_BYTES];
-    char prefix[JOB_NAME_BYTES];
+    char host[JOB_HOST_BYTES];
+    char prefix[JOB_PATH_BYTES];
     char pool[JOB_NAME_BYTES];
     uint32_t timeout_ms;
     uint32_t objective_ms;
@@ -81,7 +83,7 @@
 
 typedef struct JobPool {
     char name[JOB_NAME_BYTES];
-    char health_path[JOB_NAME_BYTES];
+    char health_path[JOB_PATH_BYTES];
     bool enforces_capacity; /* its targets refuse tasks that do not fit */
     bool standby;           /* its VMs are powered off and cost nothing */
 } JobPool;
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -92,6 +92,109 @@
 }
 END_TEST
 
+#define ROUTE(members)                                                        \
+    "{\"version\":3,\"routes\":[{" members "}],"                              \
+    "\"services\":[{\"name\":\"p\",\"health-check\":\"/healthz\"}]}"
+#define NAMES                                                                 \
+    "\"name\":\"q\",\"host\":\"a.example\",\"path-prefix\":\"/q/\","          \
+    "\"service\":\"p\","
+#define BYTES_50 "12345678901234567890123456789012345678901234567890"
+#define BYTES_200 BYTES_50 BYTES_50 BYTES_50 BYTES_50
+
+typedef struct ConfigCase {
+    const char *name;
+    const char *body;
+    uint32_t timeout_ms; /* expected values of the first queue */
+    uint32_t max_attempts;
+    const char *reason; /* part of the reason, or NULL if it is accepted */
+} ConfigCase;
+
+static const ConfigCase config_cases[] = {
+    {"a route", ROUTE(NAMES "\"timeout-ms\":3000,\"max-attempts\":4"), 3000, 4,
+     NULL},
+    {"no number of attempts", ROUTE(NAMES "\"timeout-ms\":3000"), 3000, 1,
+     NULL},
+    {"0 attempts, which protocol encoders may omit",
+     ROUTE(NAMES "\"timeout-ms\":3000,\"max-attempts\":0"), 3000, 1, NULL},
+    {"a whole number with a fraction part",
+     ROUTE(NAMES "\"timeout-ms\":3000.0,\"max-attempts\":4"), 3000, 4, NULL},
+    {"a number with an exponent",
+     ROUTE(NAMES "\"timeout-ms\":3e3,\"max-attempts\":4"), 3000, 4, NULL},
+    {"a fraction of a millisecond",
+     ROUTE(NAMES "\"timeout-ms\":2999.6,\"max-attempts\":4"), 3000, 4, NULL},
+    {"a fraction that must not become 0",
+     ROUTE(NAMES "\"timeout-ms\":0.2,\"max-attempts\":4"), 1, 4, NULL},
+    {"a number beyond 32 bits",
+     ROUTE(NAMES "\"timeout-ms\":5000000000,\"max-attempts\":4"), UINT32_MAX,
+     4, NULL},
+    {"an advisor with fractions",
+     ROUTE(NAMES "\"timeout-ms\":3000,\"max-attempts\":4,\"advisor\":"
+                 "{\"decision-ms\":0.5,\"validity-ms\":1500.0}"),
+     3000, 4, NULL},
+    {"a long host and a long prefix",
+     ROUTE("\"name\":\"q\",\"host\":\"" BYTES_200 ".example\","
+           "\"path-prefix\":\"/" BYTES_200 "/\",\"service\":\"p\","
+           "\"timeout-ms\":3000,\"max-attempts\":4"),
+     3000, 4, NULL},
+    {"a long path of the health check",
+     "{\"version\":3,\"routes\":[{" NAMES "\"timeout-ms\":3000,"
+     "\"max-attempts\":4}],"
+     "\"services\":[{\"name\":\"p\",\"health-check\":\"/" BYTES_200 "\"}]}",
+     3000, 4, NULL},
+    {"a version with a fraction part",
+     "{\"version\":3.0,\"routes\":[{" NAMES "\"timeout-ms\":3000,"
+     "\"max-attempts\":4}],\"services\":[{\"name\":\"p\"}]}",
+     3000, 4, NULL},
+    {"a version that is no whole number",
+     "{\"version\":3.5,\"routes\":[],\"services\":[]}", 0, 0, "version: "},
+    {"a negative number", ROUTE(NAMES "\"timeout-ms\":-1"), 0, 0,
+     "routes[0].timeout-ms: "},
+    {"a number of another type", ROUTE(NAMES "\"timeout-ms\":\"3000\""), 0, 0,
+     "routes[0].timeout-ms: "},
+    {"no host",
+     ROUTE("\"name\":\"q\",\"path-prefix\":\"/q/\","
+           "\"service\":\"p\",\"timeout-ms\":3000"),
+     0, 0, "routes[0].host: "},
+    {"a name that is too long",
+     ROUTE("\"name\":\"" BYTES_200 "\",\"host\":\"h\",\"path-prefix\":"
+           "\"/q/\",\"service\":\"p\",\"timeout-ms\":3000"),
+     0, 0, "routes[0].name: must be a text of 1 to 71 bytes"},
+    {"a route that is no object",
+     "{\"version\":3,\"routes\":[7],\"services\":[]}", 0, 0,
+     "routes[0]: must be an object"},
+    {"a flag of another type",
+     "{\"version\":3,\"routes\":[],\"services\":[{\"name\":\"p\","
+     "\"standby\":\"no\"}]}",
+     0, 0, "services[0].standby: "},
+};
+
+/* Guards against a 400 for a configuration that the protocol allows, and
+ * against one without the member and the reason. */
+START_TEST(configurations_are_decoded)
+{
+    const ConfigCase *row = &config_cases[_i];
+    JobRequest request;
+
+    decode_control_request("PUT", "/api/config", row->body, &request);
+    if (row->reason != NULL) {
+        ck_assert_msg(request.error == JOB_ERROR_MALFORMED, "%s: accepted",
+                      row->name);
+        ck_assert_msg(strstr(request.reason, row->reason) != NULL, "%s: %s",
+                      row->name, request.reason);
+    }
+    else {
+        ck_assert_msg(request.error == JOB_ERROR_NONE, "%s: %s", row->name,
+                      request.reason);
+        ck_assert_uint_eq(request.config.version, 3);
+        ck_assert_uint_eq(request.config.queues[0].timeout_ms,
+                          row->timeout_ms);
+        ck_assert_uint_eq(request.config.queues[0].max_attempts,
+                          row->max_attempts);
+    }
+    JobRequest_Free(&request);
+}
+END_TEST
+
 START_TEST(heartbeat_is_decoded_whole)
 {
     JobRequest request;
@@ -294,6 +397,8 @@
     tcase_add_checked_fixture(tcase, setup, NULL);
     tcase_add_loop_test(tcase, control_requests_are_decoded, 0,
                         sizeof(control_cases) / sizeof(control_cases[0]));
+    tcase_add_loop_test(tcase, configurations_are_decoded, 0,
+                        sizeof(config_cases) / sizeof(config_cases[0]));
     tcase_add_test(tcase, heartbeat_is_decoded_whole);
     tcase_add_loop_test(tcase, caller_requests_are_decoded, 0,
                         sizeof(caller_cases) / sizeof(caller_cases[0]));
