Wait for a killed control VM before it is started again

proc_job_soak failed now and then on a busy disk: "Cannot start: another process uses this data folder", then kill: no such process. Two of its faults start a node right after SIGKILL; a process inside fsync (state D) ends only when that returns, and until then it holds the lock of its folder. Stops took 0.3 to 1.2 s here with a load of 14, and the test allowed 0.3 s.

The faults are the same; the test now waits for the end of the process before it starts the next one, as the fault that kills one node did.

--- a/tests/proc_job_soak.sh
+++ b/tests/proc_job_soak.sh
@@ -95,6 +95,7 @@
         done
         sleep 0.3
         for other in "${CONTROL_NODES[@]}"; do
+            wait_for_end "$other"
             start_control_node "$other" false
         done
         ;;
@@ -110,6 +111,7 @@
         kill -TERM "${PID[$node]}"
         sleep 0.3
         kill -KILL "${PID[$node]}" 2>/dev/null || true
+        wait_for_end "$node"
         start_control_node "$node" false
         ;;
     esac
--- a/tests/support_control.sh
+++ b/tests/support_control.sh
@@ -49,9 +49,14 @@
     start_node "$1"
 }
 
+# Waits until a node has ended, and with that has left its data folder.
+wait_for_end() {
+    while kill -0 "${PID[$1]}" 2>/dev/null; do sleep 0.05; done
+}
+
 kill_node() {
     kill -KILL "${PID[$1]}"
-    while kill -0 "${PID[$1]}" 2>/dev/null; do sleep 0.05; done
+    wait_for_end "$1"
 }
 
 # send_request ARGS...: prints the HTTP status, or 000 without an answer, and
