Answer requests that wait when an HTTP server is freed

A control VM that was stopped while it held a target's announcement for the leader ended with SIGABRT: JobControl_CloseAgents drops the forwarded requests without a reply, and libmicrohttpd aborts if a connection is suspended when its daemon stops. Replies given while the log closes (the orders then pending) were not sent either, since nothing ran the daemon again.

HttpServer keeps a list of the requests that wait. HttpServer_Free answers them 504, as their outcome is not known, and runs the daemon so that replies are sent. New requests get 503 and do not reach the handler.

--- a/src/httpserver.c
+++ b/src/httpserver.c
@@ -22,7 +22,9 @@
     Loop *loop;
     LoopWatch *watch;
     HttpServerOptions options;
-    bool resumed; /* true if MHD_run() is due for a resumed connection */
+    HttpRequest *waiting; /* requests whose connections are suspended */
+    bool stopping; /* true once the handler must not be called any more */
+    bool resumed;  /* true if MHD_run() is due for a resumed connection */
 };
 
 struct HttpRequest {
@@ -34,6 +36,8 @@
     bool too_large;
     bool started;   /* true once handle_request() was called */
     bool suspended; /* true while the connection waits for a reply */
+    HttpRequest *next_waiting;
+    HttpRequest *previous_waiting;
     struct MHD_Response *response;
     unsigned int status;
 };
@@ -74,6 +78,39 @@
     Buf_Append(&request->body, data, len);
 }
 
+static void
+suspend_request(HttpRequest *request)
+{
+    HttpServer *server = request->server;
+
+    request->suspended = true;
+    request->next_waiting = server->waiting;
+    if (server->waiting != NULL) {
+        server->waiting->previous_waiting = request;
+    }
+    server->waiting = request;
+    MHD_suspend_connection(request->connection);
+}
+
+static void
+resume_request(HttpRequest *request)
+{
+    HttpServer *server = request->server;
+
+    request->suspended = false;
+    if (request->previous_waiting != NULL) {
+        request->previous_waiting->next_waiting = request->next_waiting;
+    }
+    else {
+        server->waiting = request->next_waiting;
+    }
+    if (request->next_waiting != NULL) {
+        request->next_waiting->previous_waiting = request->previous_waiting;
+    }
+    server->resumed = true;
+    MHD_resume_connection(request->connection);
+}
+
 static enum MHD_Result
 handle_request(HttpRequest *request)
 {
@@ -84,14 +121,17 @@
         HttpRequest_ReplyText(request, 413, "text/plain",
                               "the body is larger than the limit\n");
     }
+    else if (server->stopping) {
+        HttpRequest_ReplyText(request, 503, "text/plain",
+                              "the server stops\n");
+    }
     else {
         server->options.handler(server->options.arg, request);
     }
     if (request->response != NULL) {
         return send_response(request);
     }
-    request->suspended = true;
-    MHD_suspend_connection(request->connection);
+    suspend_request(request);
     return MHD_YES;
 }
 
@@ -221,6 +261,13 @@
 HttpServer_Free(HttpServer *server)
 {
     if (server != NULL) {
+        server->stopping = true;
+        /* MHD_stop_daemon() aborts if a connection is suspended. */
+        while (server->waiting != NULL) {
+            HttpRequest_ReplyText(server->waiting, 504, "text/plain",
+                                  "the server stops\n");
+        }
+        run_pending(server);
         Loop_Unwatch(server->watch);
         MHD_stop_daemon(server->daemon);
         free(server);
@@ -285,9 +332,7 @@
     request->response = response;
     request->status = (unsigned int)reply->status;
     if (request->suspended) {
-        request->suspended = false;
-        request->server->resumed = true;
-        MHD_resume_connection(request->connection);
+        resume_request(request);
     }
 }
 
--- a/src/httpserver.h
+++ b/src/httpserver.h
@@ -52,6 +52,8 @@
 /* Closes the listening socket. Open connections remain usable. */
 void HttpServer_StopListening(HttpServer *server);
 
+/* Sends the replies that are due and answers requests that still wait for one
+ * with 504. The handler's owner must not reply to them afterwards. */
 void HttpServer_Free(HttpServer *server);
 
 const char *HttpRequest_GetMethod(const HttpRequest *request);
