--- a/src/replica.c
+++ b/src/replica.c
@@ -18,8 +18,8 @@
         options->machine_ops == NULL || options->send == NULL ||
         options->applied == NULL || options->proposed == NULL ||
         options->read_ready == NULL || options->snapshot_entries == 0 ||
-        options->max_pending == 0 || options->voters == 0 ||
-        options->voters > RAFT_MAX_MEMBERS) {
+        options->snapshot_bytes == 0 || options->max_pending == 0 ||
+        options->voters == 0 || options->voters > RAFT_MAX_MEMBERS) {
         return Err_Set(err, ST_INVALID, "replica options out of bounds");
     }
     return ST_OK;
--- a/src/replica.h
+++ b/src/replica.h
@@ -62,7 +62,9 @@
     int64_t now_ms;
     int64_t election_ms;       /* shortest election timeout */
     int64_t heartbeat_ms;      /* at most half of election_ms */
-    uint64_t snapshot_entries; /* entries applied between two snapshots */
+    uint64_t snapshot_entries; /* entries applied between two snapshots, at
+                                * most */
+    size_t snapshot_bytes;     /* bytes of commands between them, at most */
     size_t voters;             /* wanted number of voters */
     size_t max_pending;        /* limit on proposals in progress */
     const ReplicaMachineOps *machine_ops;
@@ -102,7 +104,7 @@
 #define REPLICA_OPTIONS_DEFAULT                                               \
     {                                                                         \
         .election_ms = 1500, .heartbeat_ms = 300, .snapshot_entries = 8192,   \
-        .voters = 3, .max_pending = 4096                                      \
+        .snapshot_bytes = 16 * 1024 * 1024, .voters = 3, .max_pending = 4096  \
     }
 
 typedef struct Replica Replica;
--- a/src/replica_core.h
+++ b/src/replica_core.h
@@ -26,6 +26,7 @@
     Wal *wal;
     Raft *raft;
     uint64_t applied_index;
+    size_t bytes_since_snapshot; /* of the commands applied since then */
     bool caught_up;
     /* true from the sync callback until Replica_FinishSync */
     bool sync_in_progress;
--- a/src/replica_flush.c
+++ b/src/replica_flush.c
@@ -87,6 +87,7 @@
                        index);
     }
     replica->applied_index = index;
+    replica->bytes_since_snapshot = 0;
     Raft_MarkApplied(replica->raft, index);
     Diag_Log(DIAG_NOTICE, REPLICA_LOG_PREFIX,
              "Installed a snapshot up to entry %" PRIu64 ".", index);
@@ -143,6 +144,7 @@
                                     entry->data, entry->len, &replica->result);
     }
     replica->applied_index = entry->index;
+    replica->bytes_since_snapshot += entry->len;
     Raft_MarkApplied(replica->raft, entry->index);
     if (entry->kind == RAFT_ENTRY_COMMAND) {
         options->applied(options->arg, entry->index, entry->data, entry->len,
@@ -187,7 +189,29 @@
 
     Raft_GetSnapshot(replica->raft, &len, &snapshot_index, &term);
     return replica->applied_index - snapshot_index >=
-           replica->options.snapshot_entries;
+               replica->options.snapshot_entries ||
+           replica->bytes_since_snapshot >= replica->options.snapshot_bytes;
+}
+
+/* Returns the first entry that a snapshot at index leaves in the log. Some are
+ * left, so that slightly lagging members need no snapshot. */
+static uint64_t
+choose_first_kept(const Replica *replica, uint64_t index)
+{
+    uint64_t oldest = Raft_GetFirstIndex(replica->raft);
+    uint64_t max_count = replica->options.snapshot_entries / 2;
+    size_t max_bytes = replica->options.snapshot_bytes / 2;
+    uint64_t first = index + 1;
+    size_t bytes = 0;
+
+    while (first > oldest && index + 1 - first < max_count) {
+        bytes += Raft_GetEntry(replica->raft, first - 1)->len;
+        if (bytes > max_bytes) {
+            break;
+        }
+        first--;
+    }
+    return first;
 }
 
 static Status
@@ -195,7 +219,6 @@
 {
     const ReplicaOptions *options = &replica->options;
     uint64_t index = replica->applied_index;
-    uint64_t kept_count = options->snapshot_entries / 2;
     uint64_t keep_from;
     RaftMembers members;
     Buf bytes = BUF_INIT;
@@ -204,12 +227,7 @@
     if (!is_snapshot_due(replica)) {
         return ST_OK;
     }
-    /* Keeps some entries, so that slightly lagging members need no
-     * snapshot. */
-    keep_from = index > kept_count ? index - kept_count + 1 : 1;
-    if (keep_from < Raft_GetFirstIndex(replica->raft)) {
-        keep_from = Raft_GetFirstIndex(replica->raft);
-    }
+    keep_from = choose_first_kept(replica, index);
     options->machine_ops->snapshot(options->machine, &bytes);
     Raft_GetMembersAt(replica->raft, index, &members);
     status =
@@ -217,6 +235,7 @@
                     &members, bytes.data, bytes.len, keep_from, err);
     if (status == ST_OK) {
         Raft_Compact(replica->raft, index, keep_from, &bytes);
+        replica->bytes_since_snapshot = 0;
     }
     Buf_Free(&bytes);
     return status;
