Copy no bytes of an empty address in a fleet message

In a build with sanitizers every control VM ended at its first fleet message, which names no leader yet: memcpy from the null pointer of an empty msgpack text. Plain builds copy 0 bytes and go on.

--- a/src/jobfleetmsg.c
+++ b/src/jobfleetmsg.c
@@ -35,7 +35,9 @@
         items[1].via.u64 > UINT16_MAX) {
         return false;
     }
-    memcpy(address->host, items[0].via.str.ptr, items[0].via.str.size);
+    if (items[0].via.str.size > 0) { /* an empty text has no pointer */
+        memcpy(address->host, items[0].via.str.ptr, items[0].via.str.size);
+    }
     address->host[items[0].via.str.size] = '\0';
     address->port = (int)items[1].via.u64;
     return true;
