--- a/src/jobctl_request.c
+++ b/src/jobctl_request.c
@@ -111,11 +111,23 @@
     if (status == ST_OK) {
         return false;
     }
-    if (status == ST_NOT_LEADER) {
+    switch (status) {
+    case ST_NOT_LEADER:
         reply_unavailable(pending, "this node does not lead");
-        return true;
+        break;
+    case ST_FULL:
+        reply_unavailable(pending, "too many changes are pending");
+        break;
+    case ST_INVALID:
+        reply = (JobReply){.kind = JOB_REPLY_TOO_LARGE,
+                           .reason = "the change is larger than an entry of "
+                                     "the log"};
+        send_reply(pending, &reply);
+        break;
+    default:
+        send_reply(pending, &reply);
+        break;
     }
-    send_reply(pending, &reply);
     return true;
 }
 
@@ -293,10 +305,14 @@
     PendingRequest *pending = arg;
     JobReply reply = {.kind = JOB_REPLY_OK};
 
-    (void)result;
-    if (!reply_if_failed(pending, status)) {
-        send_reply(pending, &reply);
+    if (reply_if_failed(pending, status)) {
+        return;
+    }
+    if (result == JOB_RESULT_CORRUPT) {
+        reply = (JobReply){.kind = JOB_REPLY_INVALID,
+                           .reason = "the change cannot be stored"};
     }
+    send_reply(pending, &reply);
 }
 
 static void
