Say at once that a leader has stopped serving

Callers got 503 at the moment at which a leader lost its majority, though their requests could have waited at the entry VM for the next leader. Two causes: the leader told its peers only with the next fleet message, up to 400 ms later, and entry VMs sent it requests until then; and its pending reads failed before the loss was reported, so their 503 overtook even a message sent at once.

stop_serving sends the fleet message, and the replica reports its role before it fails the reads. Both go out on the link on which the replies follow, so an entry VM knows that the sender does not lead when it sees a refusal, and keeps the request for the next leader (Settle with from_leader false).

--- a/src/jobctl_log.c
+++ b/src/jobctl_log.c
@@ -252,12 +252,17 @@
 static void
 stop_serving(JobControl *control)
 {
-    if (control->serving_term != 0) {
+    bool served = control->serving_term != 0;
+
+    if (served) {
         Slog_Begin(SLOG_CHANGE, "leader_lost");
         Slog_AddInt("term", (int64_t)control->serving_term);
         Slog_End();
     }
     control->serving_term = 0;
+    if (served) {
+        JobControl_BroadcastFleetMsg(control);
+    }
     JobSched_Resign(control->sched);
     JobControl_DropDelegatedCalls(control);
     JobFleet_Resign(control->fleet);
--- a/src/replica.h
+++ b/src/replica.h
@@ -93,8 +93,8 @@
     /* Called after a received snapshot has replaced the state of the machine.
      * May be NULL. */
     void (*restored)(void *arg, uint64_t index);
-    /* Called after the role, the term or the known leader has changed. May be
-     * NULL. */
+    /* Called after the role, the term or the known leader has changed, and
+     * before read_ready of the reads that fail with it. May be NULL. */
     void (*role_changed)(void *arg, RaftRole role, uint64_t term,
                          uint64_t leader);
 } ReplicaOptions;
--- a/src/replica_flush.c
+++ b/src/replica_flush.c
@@ -277,8 +277,9 @@
     return sent_any;
 }
 
-/* Applies committed entries and completes reads. Returns whether there were
- * any. */
+/* Applies committed entries, reports the role and completes reads, which fail
+ * after the loss of leadership. Returns whether there were any entries or
+ * reads. */
 static bool
 apply_and_complete_reads(Replica *replica, const RaftReady *ready)
 {
@@ -288,6 +289,7 @@
     size_t i;
 
     apply_committed(replica, ready->commit_index);
+    report_role(replica);
     for (i = 0; i < ready->read_count; i++) {
         options->read_ready(options->arg, ready->reads[i].cookie,
                             ready->reads[i].ok ? ST_OK : ST_AGAIN,
@@ -316,7 +318,6 @@
     send_messages(replica, ready->messages, ready->message_count, true);
     apply_and_complete_reads(replica, ready);
     Raft_DropOutput(replica->raft);
-    report_role(replica);
     return compact_log(replica, err);
 }
 
@@ -334,7 +335,6 @@
         send_messages(replica, ready->messages, ready->message_count, false);
     did_work = apply_and_complete_reads(replica, ready) || did_work;
     Raft_DropReads(replica->raft);
-    report_role(replica);
     return did_work;
 }
 
