Hand over the leadership in a planned stop of the leader

On SIGTERM a leader ended its loop at once. Pending submissions and orders of operators were cut off, entry VMs kept forwarding until the link closed, and the cluster had no leader until an election timeout had passed.

A leader that serves now says that it does not, answers what is pending, asks the voter that was heard last, of those that hold the whole log, to take over (RAFT_MSG_TIMEOUT_NOW, Ongaro 2014, 3.10) and ends once another node leads, after 2 s without a successor, or with its grace. The election needs no timeout and no pre-vote, and voters that hear the leader grant it, since the vote request says that the leader asked.

test_raft: a handover goes to a voter with the whole log, an asked election starts at once and gets votes, a single voter has no successor.

--- a/src/jobctl.c
+++ b/src/jobctl.c
@@ -24,6 +24,11 @@
  * waits again. */
 #define MAX_PLACEMENT_ROUNDS 4
 #define CONFIRM_INTERVAL_MS 250
+/* Time after which a stopping leader does not wait for a successor. */
+#define HANDOVER_TIMEOUT_MS 2000
+/* Time for which the event loop continues after the last reply, to write it to
+ * the socket. */
+#define STOP_FLUSH_MS 150
 #define SLOW_ITERATION_US 100000
 /* Minimum interval between placements. Jobs and run ends that arrive within it
  * are handled by one placement. */
@@ -247,6 +252,48 @@
     }
 }
 
+/* --- planned stop --- */
+
+static bool
+has_pending_work(const JobControl *control)
+{
+    return control->proposals != NULL || control->queued_reads != NULL ||
+           control->sent_reads != NULL;
+}
+
+/* Answers what is pending, hands over the leadership and stops the event
+ * loop. */
+static void
+continue_stop(JobControl *control, int64_t now)
+{
+    int64_t elapsed_ms = now - control->stop_begun_ms;
+    bool leads = Replica_GetRole(control->replica) == RAFT_LEADER;
+    bool may_end = !leads && Replica_GetLeader(control->replica) != 0;
+
+    if (control->stop_begun_ms == 0) {
+        return;
+    }
+    if (elapsed_ms > control->settings->shutdown_grace_ms) {
+        Loop_Stop(control->loop);
+        return;
+    }
+    if (leads && has_pending_work(control)) {
+        return;
+    }
+    if (leads) {
+        may_end = Replica_TransferLeadership(control->replica) == ST_NOT_FOUND;
+    }
+    if (!may_end && elapsed_ms < HANDOVER_TIMEOUT_MS) {
+        return;
+    }
+    if (control->idle_since_ms == 0) {
+        control->idle_since_ms = now;
+    }
+    else if (now - control->idle_since_ms >= STOP_FLUSH_MS) {
+        Loop_Stop(control->loop);
+    }
+}
+
 /* --- timers and the event loop --- */
 
 typedef struct Confirmation {
@@ -300,6 +347,7 @@
     JobControl_TickAgents(control, now);
     confirm_leadership(control, now);
     JobFleet_Tick(control->fleet, now, wall_ms);
+    continue_stop(control, now);
     control->placement_due = true;
 }
 
@@ -381,10 +429,18 @@
 {
     JobControl *control = arg;
 
+    if (control->stop_begun_ms != 0) {
+        return;
+    }
     Slog_Begin(SLOG_CHANGE, "stopping");
     Slog_AddInt("serves", JobControl_IsServing(control));
     Slog_End();
-    Loop_Stop(control->loop);
+    if (!JobControl_IsServing(control)) {
+        Loop_Stop(control->loop);
+        return;
+    }
+    control->stop_begun_ms = Loop_NowMs();
+    JobControl_StopServing(control);
 }
 
 static void
--- a/src/jobctl_internal.h
+++ b/src/jobctl_internal.h
@@ -100,6 +100,10 @@
     uint64_t serving_term;    /* term in which this node serves, or 0 */
     int64_t next_confirm_ms;  /* time of the next leadership confirmation */
     int64_t iteration_end_us; /* end of the last event loop iteration */
+    int64_t stop_begun_ms;    /* start of the planned stop, or 0 */
+    int64_t idle_since_ms;    /* during a planned stop, time since which
+                               * nothing is pending and another node may
+                               * lead, or 0 */
     LoopLag tick_lag;
     int64_t next_node_update_ms; /* earliest time of the next node update */
     bool placement_due;
@@ -135,6 +139,9 @@
 void JobControl_ConfirmRead(JobControl *control, JobCompletionFn fn,
                             void *arg);
 void JobControl_TickLog(JobControl *control, int64_t now);
+/* Stops serving and tells the peers. Requests that are pending are still
+ * answered. */
+void JobControl_StopServing(JobControl *control);
 
 /* jobctl_request.c */
 void JobControl_HandleHttp(void *arg, HttpRequest *http);
--- a/src/jobctl_log.c
+++ b/src/jobctl_log.c
@@ -249,8 +249,8 @@
     Slog_End();
 }
 
-static void
-stop_serving(JobControl *control)
+void
+JobControl_StopServing(JobControl *control)
 {
     bool served = control->serving_term != 0;
 
@@ -279,7 +279,7 @@
     Slog_AddInt("leader_known", leader != 0);
     Slog_End();
     if (role != RAFT_LEADER || term != control->serving_term) {
-        stop_serving(control);
+        JobControl_StopServing(control);
     }
 }
 
@@ -292,7 +292,7 @@
     (void)result;
     control->taking_over = false;
     if (status != ST_OK || Replica_GetRole(control->replica) != RAFT_LEADER ||
-        control->serving_term != 0) {
+        control->serving_term != 0 || control->stop_begun_ms != 0) {
         return;
     }
     control->serving_term = Replica_GetTerm(control->replica);
@@ -317,7 +317,8 @@
     expire_reads(&control->sent_reads, now);
     log_late_proposals(control, now);
     if (Replica_GetRole(control->replica) == RAFT_LEADER &&
-        control->serving_term == 0 && !control->taking_over) {
+        control->serving_term == 0 && !control->taking_over &&
+        control->stop_begun_ms == 0) {
         control->taking_over = true;
         JobControl_ConfirmRead(control, on_takeover_read, control);
     }
--- a/src/raft.c
+++ b/src/raft.c
@@ -234,6 +234,34 @@
     RaftCore_BecomeFollower(raft, raft->term, 0);
 }
 
+Status
+Raft_TransferLeadership(Raft *raft)
+{
+    const RaftPeer *best = NULL;
+    bool has_voter = false;
+    size_t i;
+
+    if (raft->role != RAFT_LEADER) {
+        return ST_NOT_LEADER;
+    }
+    for (i = 0; i < raft->peer_count; i++) {
+        const RaftPeer *peer = &raft->peers[i];
+        has_voter = has_voter || peer->voter;
+        if (peer->voter &&
+            peer->match_index == RaftLog_GetLastIndex(&raft->log) &&
+            (best == NULL || peer->last_contact_ms > best->last_contact_ms)) {
+            best = peer;
+        }
+    }
+    if (best == NULL) {
+        return has_voter ? ST_AGAIN : ST_NOT_FOUND;
+    }
+    RaftCore_QueueMessage(
+        raft,
+        RaftCore_InitMessage(raft, RAFT_MSG_TIMEOUT_NOW, best->identity));
+    return ST_OK;
+}
+
 void
 Raft_Tick(Raft *raft, int64_t now_ms)
 {
@@ -305,6 +333,9 @@
     case RAFT_MSG_SNAPSHOT_REPLY:
         RaftCore_HandleSnapshotReply(raft, msg);
         return ST_OK;
+    case RAFT_MSG_TIMEOUT_NOW:
+        RaftCore_HandleTimeoutNow(raft, msg);
+        return ST_OK;
     }
     return ST_UNSUPPORTED;
 }
@@ -345,7 +376,9 @@
         return ST_STALE;
     }
     if (msg->term > raft->term) {
-        if (is_vote_request && RaftCore_HasLeader(raft)) {
+        bool asked = msg->type == RAFT_MSG_REQUEST_VOTE && msg->context == 1;
+
+        if (is_vote_request && !asked && RaftCore_HasLeader(raft)) {
             return ST_OK;
         }
         /* A pre-vote request or grant carries a term that has not started. */
--- a/src/raft.h
+++ b/src/raft.h
@@ -119,6 +119,13 @@
 /* Becomes a follower and fails pending reads, before shutdown. */
 void Raft_StepDown(Raft *raft);
 
+/* Asks the voter that was heard last, of those that hold the whole log, to
+ * take over. Returns ST_NOT_LEADER, ST_AGAIN if no voter holds the whole log
+ * yet, or ST_NOT_FOUND if there is no other voter. The message may be lost.
+ * See Ongaro, "Consensus: Bridging Theory and Practice", 2014, section 3.10.
+ */
+Status Raft_TransferLeadership(Raft *raft);
+
 /* Advances the clock: starts elections as a follower or candidate; sends
  * heartbeats and checks the quorum as the leader. */
 void Raft_Tick(Raft *raft, int64_t now_ms);
--- a/src/raft_core.h
+++ b/src/raft_core.h
@@ -121,6 +121,7 @@
 void RaftCore_StartPreVote(Raft *raft);
 void RaftCore_HandleVoteRequest(Raft *raft, const RaftMsg *msg);
 void RaftCore_HandleVoteReply(Raft *raft, const RaftMsg *msg);
+void RaftCore_HandleTimeoutNow(Raft *raft, const RaftMsg *msg);
 
 /* Returns whether this node leads or has received a message from a leader
  * within the minimum election timeout. Vote requests for a newer term are then
--- a/src/raft_elect.c
+++ b/src/raft_elect.c
@@ -20,7 +20,7 @@
 }
 
 static void
-request_votes(Raft *raft, RaftMsgType type, uint64_t term)
+request_votes(Raft *raft, RaftMsgType type, uint64_t term, bool asked)
 {
     size_t i;
 
@@ -36,12 +36,13 @@
         msg->term = term;
         msg->index = RaftLog_GetLastIndex(&raft->log);
         msg->log_term = RaftLog_GetTerm(&raft->log, msg->index);
+        msg->context = asked;
         RaftCore_QueueMessage(raft, msg);
     }
 }
 
 static void
-become_candidate(Raft *raft)
+become_candidate(Raft *raft, bool asked)
 {
     raft->role = RAFT_CANDIDATE;
     raft->leader = 0;
@@ -51,7 +52,7 @@
     raft->leader_match_index = raft->commit_index;
     raft->confirmed_commit_index = 0;
     RaftCore_ResetElectionTimer(raft);
-    request_votes(raft, RAFT_MSG_REQUEST_VOTE, raft->term);
+    request_votes(raft, RAFT_MSG_REQUEST_VOTE, raft->term, asked);
     if (RaftCore_GetQuorum(raft) == 1) {
         RaftCore_BecomeLeader(raft);
     }
@@ -64,10 +65,19 @@
     raft->leader = 0;
     RaftCore_ResetElectionTimer(raft);
     if (RaftCore_GetQuorum(raft) == 1) {
-        become_candidate(raft);
+        become_candidate(raft, false);
         return;
     }
-    request_votes(raft, RAFT_MSG_REQUEST_PREVOTE, raft->term + 1);
+    request_votes(raft, RAFT_MSG_REQUEST_PREVOTE, raft->term + 1, false);
+}
+
+void
+RaftCore_HandleTimeoutNow(Raft *raft, const RaftMsg *msg)
+{
+    if (raft->role == RAFT_FOLLOWER && raft->self_is_voter &&
+        raft->leader == msg->from) {
+        become_candidate(raft, true);
+    }
 }
 
 static bool
@@ -132,7 +142,7 @@
     }
     if (granted >= RaftCore_GetQuorum(raft)) {
         if (is_prevote) {
-            become_candidate(raft);
+            become_candidate(raft, false);
         }
         else {
             RaftCore_BecomeLeader(raft);
--- a/src/raft_msg.c
+++ b/src/raft_msg.c
@@ -285,7 +285,7 @@
     msg->log_term = Reader_Unsigned(&reader);
     msg->commit_index = Reader_Unsigned(&reader);
     msg->context = Reader_Unsigned(&reader);
-    if (type < RAFT_MSG_REQUEST_PREVOTE || type > RAFT_MSG_SNAPSHOT_REPLY ||
+    if (type < RAFT_MSG_REQUEST_PREVOTE || type > RAFT_MSG_TIMEOUT_NOW ||
         msg->from == 0 || msg->to == 0 || msg->index >= UINT64_MAX / 2 ||
         msg->term >= UINT64_MAX / 2) {
         Reader_Fail(&reader);
--- a/src/raft_msg.h
+++ b/src/raft_msg.h
@@ -62,7 +62,8 @@
     RAFT_MSG_HEARTBEAT,
     RAFT_MSG_HEARTBEAT_REPLY,
     RAFT_MSG_INSTALL_SNAPSHOT,
-    RAFT_MSG_SNAPSHOT_REPLY
+    RAFT_MSG_SNAPSHOT_REPLY,
+    RAFT_MSG_TIMEOUT_NOW /* the leader asks a voter to become its successor */
 } RaftMsgType;
 
 typedef struct RaftMsg {
@@ -80,7 +81,8 @@
     uint64_t log_term; /* term of the entry at index */
     uint64_t commit_index;
     /* Heartbeat and its reply: the read round. InstallSnapshot reply: the
-     * offset of the next chunk. */
+     * offset of the next chunk. RequestVote: 1 if the leader asked for the
+     * election. */
     uint64_t context;
     bool reject;
     uint64_t hint_index; /* AppendEntries rejection: last possible match */
--- a/src/replica.c
+++ b/src/replica.c
@@ -257,6 +257,15 @@
     return status;
 }
 
+Status
+Replica_TransferLeadership(Replica *replica)
+{
+    if (replica->failure.status != ST_OK) {
+        return replica->failure.status;
+    }
+    return Raft_TransferLeadership(replica->raft);
+}
+
 Status
 Replica_ReadIndex(Replica *replica, int64_t now_ms, uint64_t cookie)
 {
--- a/src/replica.h
+++ b/src/replica.h
@@ -143,6 +143,10 @@
  * until the leader has committed an entry of its own term. */
 Status Replica_ReadIndex(Replica *replica, int64_t now_ms, uint64_t cookie);
 
+/* Asks an up-to-date voter to take over, for a planned stop of the leader. As
+ * Raft_TransferLeadership. */
+Status Replica_TransferLeadership(Replica *replica);
+
 /* Proposes to add a learner. Returns ST_NOT_LEADER, ST_EXISTS, ST_INVALID for
  * an incomplete member, ST_FULL, or ST_AGAIN while another change is in
  * progress. */
--- a/tests/proc_leader_loss.sh
+++ b/tests/proc_leader_loss.sh
@@ -78,7 +78,9 @@
     grep -c '"event":"leader_lost"' "$WORK/$1.out" || true
 }
 
-setup_run "${1:-build}"
+# In memory, since a slow disk would delay the elections.
+[ ! -w /dev/shm ] || MEMORY=/dev/shm
+TMPDIR=${MEMORY:-${TMPDIR:-/tmp}} setup_run "${1:-build}"
 choose_base_port 5
 for node in "${CONTROL_NODES[@]}"; do
     write_settings "$node" control "$(host_of "$node")"
--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -551,7 +551,7 @@
         message->from = 0;
         break;
     case UNKNOWN_TYPE:
-        message->type = (RaftMsgType)11;
+        message->type = (RaftMsgType)(RAFT_MSG_TIMEOUT_NOW + 1);
         break;
     case DUPLICATE_MEMBER:
         second->identity = message->members.list[0].identity;
@@ -763,6 +763,91 @@
 }
 END_TEST
 
+/* Guards against a planned stop of a leader that leaves the cluster without
+ * one for an election timeout. */
+START_TEST(leader_hands_over_to_voter_with_whole_log)
+{
+    RaftMembers members = make_members(3, 1);
+    int64_t now;
+    Raft *raft = create_leader(&members, &now);
+
+    ck_assert_int_eq(Raft_TransferLeadership(raft), ST_AGAIN);
+    make_message(RAFT_MSG_APPEND_REPLY, 4, 2)->index = 6;
+    Raft_HandleMessage(raft, now, &msg);
+    ck_assert_int_eq(Raft_TransferLeadership(raft), ST_AGAIN);
+    make_message(RAFT_MSG_APPEND_REPLY, 3, 2)->index = 6;
+    Raft_HandleMessage(raft, now, &msg);
+    ck_assert_int_eq(Raft_TransferLeadership(raft), ST_OK);
+    ck_assert_uint_eq(take_messages(raft, RAFT_MSG_TIMEOUT_NOW), 1);
+    ck_assert_uint_eq(msg.to, 3);
+    ck_assert_uint_eq(msg.term, 2);
+    Raft_Free(raft);
+}
+END_TEST
+
+START_TEST(timeout_now_starts_election_at_once)
+{
+    static const struct {
+        uint64_t from;
+        uint64_t term;
+        RaftRole role;
+    } cases[] = {
+        {2, 3, RAFT_FOLLOWER},  /* not from the leader */
+        {3, 2, RAFT_FOLLOWER},  /* of an older term */
+        {3, 3, RAFT_CANDIDATE}, /* from the leader */
+    };
+    RaftMembers members = make_members(3, 0);
+    Raft *raft = create_raft(&members);
+    size_t i;
+
+    Raft_HandleMessage(raft, 100, make_message(RAFT_MSG_HEARTBEAT, 3, 3));
+    for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        take_messages(raft, RAFT_MSG_REQUEST_VOTE);
+        Raft_HandleMessage(
+            raft, 110,
+            make_message(RAFT_MSG_TIMEOUT_NOW, cases[i].from, cases[i].term));
+        ck_assert_msg(Raft_GetRole(raft) == cases[i].role, "case %zu", i);
+    }
+    ck_assert_uint_eq(take_messages(raft, RAFT_MSG_REQUEST_VOTE), 2);
+    ck_assert_uint_eq(msg.term, 4);
+    ck_assert_uint_eq(msg.context, 1);
+    Raft_Free(raft);
+}
+END_TEST
+
+START_TEST(election_that_leader_asked_for_gets_votes)
+{
+    RaftMembers members = make_members(3, 0);
+    Raft *raft = create_raft(&members);
+    uint64_t context;
+
+    Raft_HandleMessage(raft, 100, make_message(RAFT_MSG_HEARTBEAT, 3, 3));
+    for (context = 0; context < 2; context++) {
+        take_messages(raft, RAFT_MSG_VOTE_REPLY);
+        make_message(RAFT_MSG_REQUEST_VOTE, 2, 4)->index = 50;
+        msg.log_term = 3;
+        msg.context = context;
+        Raft_HandleMessage(raft, 110, &msg);
+        ck_assert_uint_eq(take_messages(raft, RAFT_MSG_VOTE_REPLY), context);
+    }
+    ck_assert(!msg.reject);
+    Raft_Free(raft);
+}
+END_TEST
+
+START_TEST(single_voter_has_no_successor)
+{
+    RaftMembers members = make_members(1, 1);
+    Raft *raft = create_raft(&members);
+
+    ck_assert_int_eq(Raft_TransferLeadership(raft), ST_NOT_LEADER);
+    Raft_Tick(raft, 4000);
+    ck_assert_int_eq(Raft_GetRole(raft), RAFT_LEADER);
+    ck_assert_int_eq(Raft_TransferLeadership(raft), ST_NOT_FOUND);
+    Raft_Free(raft);
+}
+END_TEST
+
 Suite *
 Test_Suite(void)
 {
@@ -773,6 +858,10 @@
     tcase_add_test(tcase, vote_requests_follow_raft_rules);
     tcase_add_loop_test(tcase, read_index_needs_new_heartbeat_round, 0, 2);
     tcase_add_test(tcase, older_terms_commit_with_current_term);
+    tcase_add_test(tcase, leader_hands_over_to_voter_with_whole_log);
+    tcase_add_test(tcase, timeout_now_starts_election_at_once);
+    tcase_add_test(tcase, election_that_leader_asked_for_gets_votes);
+    tcase_add_test(tcase, single_voter_has_no_successor);
     tcase_add_test(tcase, member_changes_are_serialized);
     tcase_add_test(tcase, truncated_member_change_is_reverted);
     tcase_add_test(tcase, messages_in_flight_are_bounded);
