Let requests wait for the first leader after the start of an entry VM

After a restart of the whole fleet callers got 503 at once for about a second, though a leader was being elected: an entry VM waits ELECTION_WAIT_MS after the loss of a leader, and that time was 0 until the first loss, so that a VM that had just started took the election for long over. It now counts from the start.

--- a/src/jobentry.c
+++ b/src/jobentry.c
@@ -74,7 +74,8 @@
     uint64_t leader_term;
     size_t leader; /* index as a peer, or SIZE_MAX */
     int64_t leader_heard_ms;
-    int64_t leader_lost_ms; /* time of the loss of the last leader */
+    int64_t leader_lost_ms; /* time of the start, or of the loss of the last
+                             * leader */
     bool was_ready;
     int64_t stop_begun_ms; /* start of the planned stop, or 0 */
     int64_t idle_since_ms; /* during a planned stop, time since which no
@@ -633,6 +634,7 @@
     entry->settings_file = file;
     entry->wire = wire;
     entry->leader = SIZE_MAX;
+    entry->leader_lost_ms = Loop_NowMs();
     /* Replies to an earlier incarnation must not match. */
     entry->next_sequence = Rng_SystemSeed() >> 1;
     status = open_all(entry, err);
--- a/tests/test_jobentry.c
+++ b/tests/test_jobentry.c
@@ -34,6 +34,7 @@
 
 typedef enum StepKind {
     STEP_END,
+    STEP_LISTEN,  /* the entry VM answers readiness checks */
     STEP_LEAD,    /* control VM at says that it leads in term value */
     STEP_RESIGN,  /* control VM at says that it does not lead */
     STEP_CRASH,   /* control VM at closes its links */
@@ -83,6 +84,7 @@
     int port;
     pid_t entry;
     bool entry_ready;
+    bool entry_answers;
     bool asking;
     ControlVm controls[CONTROL_COUNT];
     Caller callers[MAX_CALLS];
@@ -174,6 +176,7 @@
         posix_spawn(&world->entry, program, &actions, NULL, argv, environ), 0);
     posix_spawn_file_actions_destroy(&actions);
     world->entry_ready = false;
+    world->entry_answers = false;
 }
 
 static void
@@ -330,6 +333,7 @@
     World *world = arg;
 
     world->asking = false;
+    world->entry_answers = result->status == HTTP_CALL_ANSWERED;
     world->entry_ready =
         result->status == HTTP_CALL_ANSWERED && result->http_status == 200;
 }
@@ -368,6 +372,9 @@
     bool waited = Loop_NowMs() - world->step_begun_ms >= PAUSE_MS;
 
     switch (step->kind) {
+    case STEP_LISTEN:
+        check_readiness(world);
+        return world->entry_answers;
     case STEP_LEAD:
         control->term = (uint64_t)step->value;
         control->leads = true;
@@ -615,6 +622,21 @@
 }
 END_TEST
 
+static const Script start_script = {"no leader yet",
+                                    {{STEP_LISTEN, 0, 0},
+                                     {STEP_SUBMIT, 0, 0},
+                                     {STEP_PAUSE, 0, 0},
+                                     {STEP_LEAD, 0, 1},
+                                     {STEP_COPY, 0, 0},
+                                     {STEP_REPLY, 0, 200},
+                                     {STEP_ANSWER, 0, 200}}};
+
+START_TEST(request_after_start_waits_for_first_leader)
+{
+    check_script(&start_script);
+}
+END_TEST
+
 static const Script incarnation_script = {"reply to an earlier incarnation",
                                           {{STEP_LEAD, 0, 1},
                                            {STEP_SUBMIT, 0, 0},
@@ -647,6 +669,7 @@
         tcase, certain_refusal_is_passed_on_at_once, 0,
         (int)(sizeof(single_scripts) / sizeof(single_scripts[0])));
     tcase_add_test(tcase, request_on_a_broken_link_is_sent_again);
+    tcase_add_test(tcase, request_after_start_waits_for_first_leader);
     tcase_add_test(tcase, reply_to_earlier_incarnation_answers_nobody);
     suite_add_tcase(suite, tcase);
     return suite;
