--- a/src/jobctl_log.c
+++ b/src/jobctl_log.c
@@ -251,15 +251,20 @@
     Slog_End();
 }
 
-static void
-stop_serving(JobControl *control)
+void
+JobControl_StopServing(JobControl *control)
 {
-    if (control->serving_term != 0) {
+    bool served = control->serving_term != 0;
+
+    if (served) {
         Slog_Begin(SLOG_CHANGE, "leader_lost");
         Slog_AddInt("term", (int64_t)control->serving_term);
         Slog_End();
     }
     control->serving_term = 0;
+    if (served) {
+        JobControl_BroadcastFleetMsg(control);
+    }
     JobSched_Resign(control->sched);
     JobControl_DropDelegatedCalls(control);
     JobFleet_Resign(control->fleet);
@@ -276,7 +281,7 @@
     Slog_AddInt("leader_known", leader != 0);
     Slog_End();
     if (role != RAFT_LEADER || term != control->serving_term) {
-        stop_serving(control);
+        JobControl_StopServing(control);
     }
 }
 
@@ -289,7 +294,7 @@
     (void)result;
     control->taking_over = false;
     if (status != ST_OK || Replica_GetRole(control->replica) != RAFT_LEADER ||
-        control->serving_term != 0) {
+        control->serving_term != 0 || control->stop_begun_ms != 0) {
         return;
     }
     control->serving_term = Replica_GetTerm(control->replica);
@@ -336,7 +341,8 @@
     expire_reads(&control->sent_reads, now);
     log_late_proposals(control, now);
     if (Replica_GetRole(control->replica) == RAFT_LEADER &&
-        control->serving_term == 0 && !control->taking_over) {
+        control->serving_term == 0 && !control->taking_over &&
+        control->stop_begun_ms == 0) {
         control->taking_over = true;
         JobControl_ConfirmRead(control, on_takeover_read, control);
     }
--- a/src/replica.h
+++ b/src/replica.h
@@ -95,8 +95,8 @@
     /* Called after a received snapshot has replaced the state of the machine.
      * May be NULL. */
     void (*restored)(void *arg, uint64_t index);
-    /* Called after the role, the term or the known leader has changed. May be
-     * NULL. */
+    /* Called after the role, the term or the known leader has changed, and
+     * before read_ready of the reads that fail with it. May be NULL. */
     void (*role_changed)(void *arg, RaftRole role, uint64_t term,
                          uint64_t leader);
 } ReplicaOptions;
@@ -145,6 +145,10 @@
  * until the leader has committed an entry of its own term. */
 Status Replica_ReadIndex(Replica *replica, int64_t now_ms, uint64_t cookie);
 
+/* Asks an up-to-date voter to take over, for a planned stop of the leader. As
+ * Raft_TransferLeadership. */
+Status Replica_TransferLeadership(Replica *replica);
+
 /* Proposes to add a learner. Returns ST_NOT_LEADER, ST_EXISTS, ST_INVALID for
  * an incomplete member, ST_FULL, or ST_AGAIN while another change is in
  * progress. */
