Tell a peer who leads as soon as it connects

A caller got 503 from an entry VM that was connected to the leader, up to 400 ms after the link came up: the leader named itself only with its next broadcast. It now sends the message to each peer that connects.

--- a/src/jobctl.c
+++ b/src/jobctl.c
@@ -79,11 +79,11 @@
     JobControl_BroadcastFleetMsg(arg);
 }
 
-void
-JobControl_BroadcastFleetMsg(JobControl *control)
+/* Appends the message of this node to body. */
+static void
+encode_fleet_msg(const JobControl *control, Buf *body)
 {
     JobFleetMsg msg = {.term = Replica_GetTerm(control->replica)};
-    Buf body = BUF_INIT;
     size_t i;
     size_t leader = JobControl_FindLeaderPeer(control);
 
@@ -100,13 +100,34 @@
         Settings_ParseAddress(JobState_NodeAt(control->state, i)->peer,
                               &msg.nodes[msg.node_count++]);
     }
-    JobFleetMsg_Encode(&msg, &body);
+    JobFleetMsg_Encode(&msg, body);
+}
+
+void
+JobControl_BroadcastFleetMsg(JobControl *control)
+{
+    Buf body = BUF_INIT;
+    size_t i;
+
+    encode_fleet_msg(control, &body);
     for (i = 0; i < Peers_Count(control->peers); i++) {
         Peers_Send(control->peers, i, body.data, body.len);
     }
     Buf_Free(&body);
 }
 
+/* Tells a peer that has connected who leads, without waiting for the next
+ * broadcast. */
+static void
+send_fleet_msg(JobControl *control, size_t peer)
+{
+    Buf body = BUF_INIT;
+
+    encode_fleet_msg(control, &body);
+    Peers_Send(control->peers, peer, body.data, body.len);
+    Buf_Free(&body);
+}
+
 static void
 on_peer_up(void *arg, size_t peer, const PeerHello *hello)
 {
@@ -118,6 +139,7 @@
     Slog_AddText("address", hello->address.host);
     Slog_AddInt("disk", hello->identity != 0);
     Slog_End();
+    send_fleet_msg(control, peer);
     if (hello->identity != 0) {
         snprintf(member.name, sizeof(member.name), "%s", hello->name);
         snprintf(member.data_centre, sizeof(member.data_centre), "%s",
--- a/tests/proc_job_soak.sh
+++ b/tests/proc_job_soak.sh
@@ -33,6 +33,11 @@
         [ "$(leader_metric coltsfoot_peers_up)" = 3 ]
 }
 
+entry_is_ready() {
+    curl -sf --noproxy '*' -m 1 -o /dev/null \
+        "http://127.0.0.5:$((BASE_PORT + 3))$PLATFORM_READY_PATH"
+}
+
 random_control_node() {
     echo "${CONTROL_NODES[$((RANDOM % 3))]}"
 }
@@ -147,6 +152,7 @@
 wait_for "three voters without old identities" has_full_redundancy
 wait_for "the configuration of a control node" \
     check_config "$(random_control_node)"
+wait_for "readiness of the entry VM" entry_is_ready
 for id in "${JOBS[@]}"; do
     status=$(send_request -H 'Host: a.example' \
         "http://127.0.0.5:$((BASE_PORT + 2))/jobs/$id")
