Refuse requests that arrive after the shutdown grace at once

A caller whose connection outlived the grace of a stopping entry VM got 504 (the outcome is unknown) for a request that had just arrived: it was forwarded, and the next tick failed every pending request. It is now refused with 503 and Retry-After without being forwarded, which is certain.

--- a/src/jobentry.c
+++ b/src/jobentry.c
@@ -230,6 +230,14 @@
     return limit > 0 && limit < REPLY_TIMEOUT_MS ? limit : REPLY_TIMEOUT_MS;
 }
 
+/* Returns whether a planned stop has lasted longer than its grace. */
+static bool
+is_grace_over(const JobEntry *entry)
+{
+    return entry->stop_begun_ms != 0 && Loop_NowMs() - entry->stop_begun_ms >
+                                            entry->settings->shutdown_grace_ms;
+}
+
 static void
 handle_request(void *arg, HttpRequest *http)
 {
@@ -246,7 +254,10 @@
     snprintf(request->id, sizeof(request->id), "%s", id != NULL ? id + 1 : "");
     request->next = entry->requests;
     entry->requests = request;
-    if (can_forward(entry)) {
+    if (is_grace_over(entry)) {
+        reply_and_finish(entry, request, JOB_REPLY_UNAVAILABLE, "stopping");
+    }
+    else if (can_forward(entry)) {
         forward_request(entry, request);
     }
     else if (!has_leader(entry) &&
@@ -509,8 +520,7 @@
     if (entry->stop_begun_ms == 0 || elapsed_ms <= STOP_ACCEPT_MS) {
         return;
     }
-    while (entry->requests != NULL &&
-           elapsed_ms > entry->settings->shutdown_grace_ms) {
+    while (entry->requests != NULL && is_grace_over(entry)) {
         fail_request(entry, entry->requests, "stopping");
     }
     if (entry->requests != NULL) {
--- a/tests/test_jobentry.c
+++ b/tests/test_jobentry.c
@@ -47,6 +47,8 @@
     STEP_COPY,    /* a copy reaches control VM at */
     STEP_REPLY,   /* control VM at replies to its last copy with value */
     STEP_STALE,   /* control VM at replies to its first copy with value */
+    STEP_TERM,    /* the entry VM gets SIGTERM */
+    STEP_WAIT,    /* value ms pass */
     STEP_RESTART, /* the entry VM is killed and started again */
     STEP_PAUSE,
     STEP_PROMPT, /* caller at gets value within PROMPT_ANSWER_MS */
@@ -158,7 +160,8 @@
     fprintf(file,
             "name: edge-1\ncluster: test\ndata_centre: north\nregion: west\n"
             "role: entry\nwire: platform\npeer: %s:%d\ntraffic: %s:%d\n"
-            "ready: %s:%d\nseeds: [\"%s:%d\", \"%s:%d\"]\n",
+            "ready: %s:%d\nshutdown_grace_ms: 3200\nseeds: [\"%s:%d\", "
+            "\"%s:%d\"]\n",
             ENTRY_HOST, world->port, ENTRY_HOST, world->port + 1, ENTRY_HOST,
             world->port + 2, control_host(0), world->port + 1, control_host(1),
             world->port + 1);
@@ -448,6 +451,11 @@
         kill_entry(world);
         start_entry(world);
         return true;
+    case STEP_TERM:
+        kill(world->entry, SIGTERM);
+        return true;
+    case STEP_WAIT:
+        return Loop_NowMs() - world->step_begun_ms >= step->value;
     case STEP_PAUSE:
         return waited;
     default:
@@ -760,6 +768,22 @@
 }
 END_TEST
 
+static const Script stop_script = {"request after the shutdown grace",
+                                   {{STEP_LEAD, 0, 1},
+                                    {STEP_TERM, 0, 0},
+                                    {STEP_WAIT, 0, 2700},
+                                    {STEP_SUBMIT, 0, 0},
+                                    {STEP_COPY, 0, 0},
+                                    {STEP_ANSWER, 0, 504},
+                                    {STEP_SUBMIT, 1, 0},
+                                    {STEP_PROMPT, 1, 503}}};
+
+START_TEST(request_after_the_grace_is_refused_unsent)
+{
+    check_script(&stop_script);
+}
+END_TEST
+
 static const Script incarnation_script = {"reply to an earlier incarnation",
                                           {{STEP_LEAD, 0, 1},
                                            {STEP_SUBMIT, 0, 0},
@@ -798,6 +822,7 @@
                         (int)(sizeof(link_scripts) / sizeof(link_scripts[0])));
     tcase_add_test(tcase, no_reply_is_awaited_from_an_earlier_incarnation);
     tcase_add_test(tcase, request_after_start_waits_for_first_leader);
+    tcase_add_test(tcase, request_after_the_grace_is_refused_unsent);
     tcase_add_test(tcase, reply_to_earlier_incarnation_answers_nobody);
     suite_add_tcase(suite, tcase);
     return suite;
