Hold a reload back until the process can take it

A process of the job service could end by itself: SIGHUP that arrived before the handlers were installed had its default action. It is now blocked at the begin of main and delivered once there is a loop.

--- a/src/coltsfootd.c
+++ b/src/coltsfootd.c
@@ -12,6 +12,7 @@
 #include "jobentry.h"
 #include "platform_wire.h"
 #include "settings.h"
+#include "signals.h"
 #include "slog.h"
 
 #define EXIT_FINDINGS 2
@@ -113,9 +114,11 @@
     struct arg_end *end = arg_end(8);
     void *table[] = {help, version, file, check, init, end};
     static Settings settings;
-    int errors = arg_parse(argc, argv, table);
+    int errors;
     int status;
 
+    Signals_HoldReload();
+    errors = arg_parse(argc, argv, table);
     apr_initialize();
     curl_global_init(CURL_GLOBAL_ALL);
     if (help->count > 0) {
--- a/src/signals.c
+++ b/src/signals.c
@@ -46,6 +46,23 @@
     }
 }
 
+/* Blocks or unblocks SIGHUP in the calling thread. */
+static void
+mask_reload(int how)
+{
+    sigset_t set;
+
+    sigemptyset(&set);
+    sigaddset(&set, SIGHUP);
+    sigprocmask(how, &set, NULL);
+}
+
+void
+Signals_HoldReload(void)
+{
+    mask_reload(SIG_BLOCK);
+}
+
 Signals *
 Signals_New(Loop *loop, LoopFn stop, LoopFn reload, void *arg, ErrCtx *err)
 {
@@ -73,6 +90,7 @@
     if (reload != NULL) {
         sigaction(SIGHUP, &action, NULL);
     }
+    mask_reload(SIG_UNBLOCK);
     action.sa_handler = SIG_IGN;
     sigaction(SIGPIPE, &action, NULL);
     return signals;
--- a/src/signals.h
+++ b/src/signals.h
@@ -10,6 +10,10 @@
 
 typedef struct Signals Signals;
 
+/* Holds SIGHUP back until Signals_New, which a process calls only once its
+ * loop exists. */
+void Signals_HoldReload(void);
+
 /* Calls stop on SIGTERM and SIGINT, and reload on SIGHUP, on the loop's
  * thread. If reload is NULL, SIGHUP keeps its default action. Ignores SIGPIPE.
  * A process may have one Signals at a time. */
