proc_jobs_soak: stop all processes after a failed run

Cause: the exit handler ran under set -e, so a run that failed ended in it and left its processes behind (43 after ten failed runs), and ctest waited for them.

Change: the handler of the soak switches set -e off and passes the status on. Restarts of targets with new ids follow the drawn numbers instead of the time.

--- a/tests/proc_jobs_soak.sh
+++ b/tests/proc_jobs_soak.sh
@@ -33,7 +33,8 @@
 WIPED_DISKS=0
 # A signal before a process has installed its handlers ends it.
 START_TIME=500
-declare -A FAULT_KIND=() FAULT_BEGIN=() FAULT_END=() NAME_OF=() STARTED=()
+declare -A FAULT_KIND=() FAULT_BEGIN=() FAULT_END=() FAULT_ORDER=()
+declare -A NAME_OF=() STARTED=()
 # What the settings of a node list as seeds: an order of the control nodes.
 declare -A SEEDS_OF=()
 
@@ -321,6 +322,7 @@
     echo "$NOW $KIND $NODE $LENGTH" >>"$WORK/faults.out"
     FAULT_KIND[$NODE]=$KIND
     FAULT_BEGIN[$NODE]=$NOW
+    FAULT_ORDER[$NODE]=$ORDER
     FAULT_END[$NODE]=$((NOW + LENGTH))
     if [ "$NODE" != core-all ] && ! is_alive "$NODE"; then
         broken "process: $NODE ended by itself before $NOW"
@@ -356,8 +358,8 @@
     herd) for each in "${CONTROL_NODES[@]}"; do start_any "$each"; done ;;
     *)
         kill_any "$node"
-        # Every other restart of targets uses new ids.
-        if [[ $node == target-* ]] && [ $((FAULT_BEGIN[$node] % 2)) = 0 ]; then
+        # About every other restart of targets uses new ids.
+        if [[ $node == target-* ]] && [ $((FAULT_ORDER[$node] % 2)) = 0 ]; then
             NAME_OF[$node]=$node-$((++GENERATION))
         fi
         start_any "$node"
@@ -435,15 +437,17 @@
     done
 }
 
-# Keeps the files of a failed run and returns its status.
-keep_files() {
+# Keeps the files of a failed run and stops everything.
+finish_run() {
     local status=$?
+    set +e
     if [ $status -ne 0 ] && [ -n "${KEEP:-}" ]; then
         mkdir -p "$KEEP"
         cp -r "$WORK"/*.out "$WORK"/*.log "$WORK"/events-* "$WORK"/faults \
-            "$WORK"/broken "$KEEP"/ || true
+            "$WORK"/broken "$KEEP"/
     fi
-    return $status
+    (exit $status)
+    cleanup_run
 }
 
 is_entry_ready() {
@@ -452,7 +456,7 @@
 }
 
 setup_run "${1:-build}"
-trap 'keep_files; cleanup_run' EXIT
+trap finish_run EXIT
 RANDOM=$SEED
 choose_base_port 100
 RANDOM=$SEED
