standin-jobs-target: start the clock anew with each incarnation

Cause: the clock of a stand-in target went on over a restart under the same id. Targets start it anew, and the leader tells a restart by it.

Change: the clock counts from the start.

--- a/standin/standin_jobs_target.c
+++ b/standin/standin_jobs_target.c
@@ -71,7 +71,7 @@
     bool calling;
     Buf body;
     double clock_rate;
-    int64_t clock_offset_ms;
+    int64_t begin_ms; /* its clock starts anew with each incarnation */
     uint64_t fence;
     int64_t lease_ms; /* on its own clock; 0: none yet */
     Run runs[MAX_RUNS];
@@ -104,8 +104,8 @@
 static int64_t
 clock_of(const Target *target)
 {
-    return target->clock_offset_ms +
-           (int64_t)((double)Loop_NowMs() * target->clock_rate);
+    return 1 + (int64_t)((double)(Loop_NowMs() - target->begin_ms) *
+                         target->clock_rate);
 }
 
 static int64_t
@@ -585,7 +585,7 @@
     target->address.port += (int)number;
     target->highest = Keymap_New();
     target->clock_rate = 0.98 + Rng_Unit(&service->rng) * 0.02;
-    target->clock_offset_ms = 1 + Rng_Below(&service->rng, 1000000);
+    target->begin_ms = Loop_NowMs();
     target->next = Rng_Below(&service->rng, (uint32_t)service->control_count);
     snprintf(self->id, sizeof(self->id), "%s-%zu", name, number);
     snprintf(self->vm, sizeof(self->vm), "vm-%s-%zu", name, number);
