Answer a read of a dropped queue with 404

A caller that asked for the state of an accepted job got 410 (no such job) once the configuration had dropped the job's queue: a request without a queue has no id, and the read that confirms the missing queue went on to reply_state.

--- a/src/jobctl_request.c
+++ b/src/jobctl_request.c
@@ -177,6 +177,12 @@
     const JobConfig *config = JobState_GetConfig(control->state);
     JobReply reply = {.kind = JOB_REPLY_PENDING};
 
+    if (pending->request.error == JOB_ERROR_NO_QUEUE) {
+        reply =
+            (JobReply){.kind = JOB_REPLY_NOT_FOUND, .reason = "no such queue"};
+        send_reply(pending, &reply);
+        return;
+    }
     switch (pending->request.kind) {
     case JOB_REQUEST_STATE:
         reply_state(pending);
