Share the nodes and calls of the job service's process tests

The soak with callers and targets is called proc_promise_soak, since proc_jobs_soak was mistaken for proc_job_soak.

--- a/tests/proc_job_soak.sh
+++ b/tests/proc_job_soak.sh
@@ -33,11 +33,6 @@
         [ "$(leader_metric coltsfoot_peers_up)" = 3 ]
 }
 
-entry_is_ready() {
-    curl -sf --noproxy '*' -m 1 -o /dev/null \
-        "http://127.0.0.5:$((BASE_PORT + 3))$PLATFORM_READY_PATH"
-}
-
 random_control_node() {
     echo "${CONTROL_NODES[$((RANDOM % 3))]}"
 }
@@ -57,8 +52,7 @@
     for ((i = 0; i < 3; i++)); do
         id=$(printf '%016x' $((${#JOBS[@]} * 4096 + RANDOM % 4096)))
         status=$(send_request -X POST -H 'Host: a.example' \
-            -d "$(platform_job 2)" \
-            "http://127.0.0.5:$((BASE_PORT + 2))/jobs/$id")
+            -d "$(platform_job 2)" "$(entry_url "/jobs/$id")")
         [ "$status" = 200 ] && JOBS+=("$id")
     done
     return 0
@@ -126,19 +120,7 @@
 choose_base_port 5
 RANDOM=$SEED
 for node in "${CONTROL_NODES[@]}"; do start_control_node "$node" true; done
-cat >"$WORK/edge-1.yaml" <<END
-name: edge-1
-cluster: soak
-data_centre: north
-region: west
-role: entry
-wire: platform
-peer: 127.0.0.5:$BASE_PORT
-traffic: 127.0.0.5:$((BASE_PORT + 2))
-ready: 127.0.0.5:$((BASE_PORT + 3))
-seeds: ["127.0.0.2:$((BASE_PORT + 1))", "127.0.0.3:$((BASE_PORT + 1))", "127.0.0.4:$((BASE_PORT + 1))"]
-END
-start_node edge-1
+start_entry_node
 wait_for "three voters without old identities" has_full_redundancy
 send_config
 for ((round = 0; round < ROUNDS; round++)); do
@@ -155,7 +137,7 @@
 wait_for "readiness of the entry VM" entry_is_ready
 for id in "${JOBS[@]}"; do
     status=$(send_request -H 'Host: a.example' \
-        "http://127.0.0.5:$((BASE_PORT + 2))/jobs/$id")
+        "$(entry_url "/jobs/$id")")
     [ "$status" = 200 ] ||
         fail "seed $SEED: accepted job $id now has status $status"
 done
--- a/tests/proc_jobs_soak.sh
+++ b/tests/proc_promise_soak.sh
@@ -4,7 +4,7 @@
 # stopped, reloaded or restarted with an empty disk, in series and overlapping,
 # under load. Then the faults end, and what callers and the operator were told
 # is compared with what the targets ran.
-# Usage: proc_jobs_soak.sh [BUILD]; SEED selects the sequence of faults, FAULTS
+# Usage: proc_promise_soak.sh [BUILD]; SEED selects the sequence of faults, FAULTS
 # their number, ENTRIES_COUNT and TARGETS the processes; KEEP is a folder for
 # the files of a failed run.
 cd "$(dirname "$0")/.."
@@ -452,7 +452,7 @@
 
 is_entry_ready() {
     host_of "$1"
-    curl -sf --noproxy '*' -m 1 "http://$HOST:$((BASE_PORT + 3))/api/readyz"
+    curl -sf --noproxy '*' -m 1 "http://$HOST:$((BASE_PORT + 3))$PLATFORM_READY_PATH"
 }
 
 setup_run "${1:-build}"
--- a/tests/support_control.sh
+++ b/tests/support_control.sh
@@ -1,5 +1,6 @@
 # Functions of the process tests of the job service: three control VMs, core-1
-# to core-3, on loopback addresses of their own. Source support_proc.sh first.
+# to core-3, and an entry VM, edge-1, on loopback addresses of their own. Source
+# support_proc.sh and platform/request.sh first.
 # shellcheck shell=bash
 
 CONTROL_NODES=(core-1 core-2 core-3)
@@ -36,12 +37,14 @@
 END
 }
 
+# start_node NAME: starts a node. Its exit status is available to wait only if
+# WAITABLE is set; otherwise the shell reports no killed nodes.
 start_node() {
     mkdir -p "$WORK/$1"
     "$BUILD/coltsfootd" --settings "$WORK/$1.yaml" >>"$WORK/$1.out" \
         2>>"$WORK/$1.log" &
     PID[$1]=$!
-    disown
+    [ -n "${WAITABLE:-}" ] || disown
 }
 
 start_control_node() {
@@ -80,3 +83,81 @@
         fi
     done
 }
+
+# Writes the settings of the entry VM and starts it.
+start_entry_node() {
+    cat >"$WORK/edge-1.yaml" <<END
+name: edge-1
+cluster: soak
+data_centre: north
+region: west
+role: entry
+wire: platform
+peer: 127.0.0.5:$BASE_PORT
+traffic: 127.0.0.5:$((BASE_PORT + 2))
+ready: 127.0.0.5:$((BASE_PORT + 3))
+seeds: ["127.0.0.2:$((BASE_PORT + 1))", "127.0.0.3:$((BASE_PORT + 1))", "127.0.0.4:$((BASE_PORT + 1))"]
+END
+    start_node edge-1
+}
+
+# entry_url PATH: prints the URL of a path at the entry VM's traffic address.
+entry_url() {
+    echo "http://127.0.0.5:$((BASE_PORT + 2))$1"
+}
+
+entry_is_ready() {
+    curl -sf --noproxy '*' -m 1 -o /dev/null \
+        "http://127.0.0.5:$((BASE_PORT + 3))$PLATFORM_READY_PATH"
+}
+
+# find_leader: sets LEADER to the node that serves with three voters and all
+# peers up.
+find_leader() {
+    local node
+    for node in "${CONTROL_NODES[@]}"; do
+        curl -s --noproxy '*' -m 1 \
+            "http://$(host_of "$node"):$((BASE_PORT + 4))/metrics" \
+            >"$WORK/metrics" || continue
+        if grep -q '^coltsfoot_leader 1' "$WORK/metrics" &&
+            grep -q '^coltsfoot_voters 3' "$WORK/metrics" &&
+            grep -q '^coltsfoot_peers_up 3' "$WORK/metrics"; then
+            LEADER=$node
+            return 0
+        fi
+    done
+    return 1
+}
+
+# start_job_request NUMBER: submits a job, or asks for its state, without
+# waiting for the answer. Appends the process to CALLERS and later the status
+# to $WORK/statuses.
+start_job_request() {
+    local url
+    url=$(entry_url "/jobs/$(printf '%016x' $(($1 / 2)))")
+    if [ $(($1 % 2)) -eq 0 ]; then
+        curl -s --noproxy '*' -m 5 -o /dev/null -w '%{http_code}\n' \
+            -X POST -H 'Host: a.example' -d "$(platform_job 1)" \
+            "$url" >>"$WORK/statuses" &
+    else
+        curl -s --noproxy '*' -m 5 -o /dev/null -w '%{http_code}\n' \
+            -H 'Host: a.example' "$url" >>"$WORK/statuses" &
+    fi
+    CALLERS+=($!)
+}
+
+# Starts all nodes, with data in memory if possible since a slow disk would
+# delay elections, and stores a configuration with one queue.
+start_nodes_in_memory() {
+    local node memory=${TMPDIR:-/tmp}
+    [ ! -w /dev/shm ] || memory=/dev/shm
+    TMPDIR=$memory setup_run "$1"
+    choose_base_port 5
+    for node in "${CONTROL_NODES[@]}"; do start_control_node "$node" true; done
+    start_entry_node
+    wait_for "leader of three voters" find_leader
+    wait_for "leader at the entry VM" entry_is_ready
+    [ "$(send_request -X PUT -d "$(platform_config 1 a.example /jobs/)" \
+        "$(control_url "$LEADER" "$PLATFORM_CONFIG_PATH")")" = 200 ] ||
+        fail "the configuration was not stored"
+}
