--- a/tests/test_httpclient.c
+++ b/tests/test_httpclient.c
@@ -1,16 +1,15 @@
+#include <arpa/inet.h>
 #include <check.h>
+#include <netinet/in.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "httpclient.h"
 #include "loop.h"
 #include "support.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #define SECOND_CALL_DELAY_MS 50
 
 /* A target that answers its first request, and closes its listener and the
@@ -100,6 +99,20 @@
     }
 }
 
+static void
+set_options(Calls *calls, int port)
+{
+    calls->options = (HttpCallOptions){.method = "POST",
+                                       .path = "/run",
+                                       .body = "work",
+                                       .body_len = 4,
+                                       .timeout_ms = 3000,
+                                       .max_answer_bytes = 4096};
+    snprintf(calls->options.address.host, sizeof(calls->options.address.host),
+             "127.0.0.1");
+    calls->options.address.port = port;
+}
+
 static void
 start_call(void *arg)
 {
@@ -116,15 +129,7 @@
     Calls calls = {.loop = loop, .client = HttpClient_New(loop, 4)};
 
     open_target(&target, loop);
-    calls.options = (HttpCallOptions){.method = "POST",
-                                      .path = "/run",
-                                      .body = "work",
-                                      .body_len = 4,
-                                      .timeout_ms = 3000,
-                                      .max_answer_bytes = 4096};
-    snprintf(calls.options.address.host, sizeof(calls.options.address.host),
-             "127.0.0.1");
-    calls.options.address.port = target.port;
+    set_options(&calls, target.port);
     calls.timer = Loop_NewTimer(loop, start_call, &calls);
     start_call(&calls);
     Loop_Run(loop);
@@ -147,11 +152,7 @@
     open_target(&target, loop);
     Loop_Unwatch(target.watch);
     close(target.listener);
-    calls.options = (HttpCallOptions){
-        .method = "POST", .path = "/run", .timeout_ms = 3000};
-    snprintf(calls.options.address.host, sizeof(calls.options.address.host),
-             "127.0.0.1");
-    calls.options.address.port = target.port;
+    set_options(&calls, target.port);
     calls.timer = Loop_NewTimer(loop, start_call, &calls);
     start_call(&calls);
     Loop_Run(loop);
--- a/tests/test_jobsched.c
+++ b/tests/test_jobsched.c
@@ -7,11 +7,11 @@
 #include "support.h"
 #include "support_job.h"
 
+#define MAX_CALLS 64
+
 static JobState *state;
 static JobSched *sched;
 static int64_t now;
-#define MAX_CALLS 64
-
 static JobAction calls[MAX_CALLS];
 static size_t call_count;
 
