--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 JOBS ?= 6
 FUZZ_SECONDS ?= 20
 FUZZ_RUNS ?= 2000
-# Known failing tests, which CI skips and prints.
+# Known failing tests ("test:" in KNOWN-RED.txt), which CI skips and prints.
 KNOWN_RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | \
 	paste -sd '|' -)
 SKIP_KNOWN_RED := $(if $(KNOWN_RED),-E '^($(KNOWN_RED))$$')
