Check the exact length of commands in test_replica again

A test with large commands had relaxed the check of every command's length from equal to at least; each cluster now states the length. 408 of 408 checks pass.

--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -58,6 +58,7 @@
     bool proposals_disabled;
     bool wipe_pending;
     uint64_t snapshot_entries;
+    size_t command_bytes; /* length of each proposed command */
     Message messages[MAX_MESSAGES];
     size_t message_count;
     /* History on which all nodes must agree. */
@@ -92,7 +93,7 @@
 
     ck_assert_uint_gt(index, node->index);
     ck_assert_uint_lt(index, MAX_INDEX);
-    ck_assert_uint_ge(len, sizeof(cookie));
+    ck_assert_uint_eq(len, cluster->command_bytes);
     memcpy(&cookie, command, sizeof(cookie));
     node->index = index;
     node->history_hash = XXH64(command, len, node->history_hash ^ index);
@@ -312,6 +313,7 @@
     cluster->default_timeouts = default_timeouts;
     cluster->async_sync = async_sync;
     cluster->snapshot_entries = 60;
+    cluster->command_bytes = sizeof(uint64_t);
     Diag_Init("test", DIAG_ERROR);
     Rng_Seed(&cluster->rng, seed);
     cluster->count = count;
@@ -959,6 +961,7 @@
         start_node(&cluster->nodes[i], false);
     }
     heal_and_converge(cluster, 8);
+    cluster->command_bytes = ENTRY_BYTES;
     for (i = 0; i < ENTRIES; i++) {
         Node *leader = find_leader(cluster);
         uint64_t cookie = cluster->cookie_count++;
