test_raft: initialize the health of the planned members

Cause: the test set active and caught_up of each member and left `lost`, a field that came later, to whatever the stack held. A voter that happened to be lost makes the planner promote the learner in its place.

The array is zeroed now. No expectation changed. Fails 40 of 40 before, passes after.

--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -728,7 +728,7 @@
     RaftMembers members = {0};
     RaftMembers next;
     RaftMember changed;
-    ReplicaHealth health[7];
+    ReplicaHealth health[7] = {{0}};
     ReplicaNode nodes[3] = {{{0}, 0}};
     ReplicaPlanInput input = {&members, health, nodes, 0, 1, plan->voters};
     const char *reason;
