slog: write whole lines, and the last ones at the end

Captured logs held parts of lines (about 800 of 2.2 million), and whether the log or its capture tore them was open. The log does: while a pipe is nearly full, Slog_Flush wrote as many bytes as fitted, up to the whole ring. A line of another module or process in the same pipe then follows half a line, and so does the first line of the next start if the process is killed. Slog_Close gave up at the first full pipe and lost the lines that say why the process ends.

A write of at most PIPE_BUF bytes to a non-blocking pipe is atomic, so the log writes complete lines in chunks of at most that length, limits a line to it, and waits up to 500 ms for a slow reader when it is closed.

Not shown: that the 800 lines arose in this way; their capture was not kept.

--- a/src/slog.c
+++ b/src/slog.c
@@ -1,16 +1,27 @@
 #include "slog.h"
 
 #include <fcntl.h>
+#include <limits.h>
+#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
 #include "buf.h"
+#include "loop.h"
 #include "mem.h"
 
 #define MAX_EVENT_KINDS 96
 #define RATE_WINDOW_MS 1000
+/* A write of at most PIPE_BUF bytes to a pipe is atomic: no other writer's
+ * line and no end of the process cuts a line of at most this length. */
+#define MAX_LINE_BYTES PIPE_BUF
+/* Part of a line that is kept free for the fields after long texts. */
+#define LINE_RESERVE_BYTES 512
+#define MAX_TEXT_BYTES 2048
+/* Maximum time for which Slog_Close waits for the reader. */
+#define CLOSE_TIMEOUT_MS 500
 
 typedef struct EventKind {
     const char *event;
@@ -53,11 +64,28 @@
     slog.open = true;
 }
 
+/* Writes the buffered lines, waiting for a reader that is slow. */
+static void
+drain_ring(void)
+{
+    struct pollfd pollfd = {.fd = slog.options.fd, .events = POLLOUT};
+    int64_t deadline_ms = Loop_NowMs() + CLOSE_TIMEOUT_MS;
+
+    while (Slog_Flush()) {
+        int64_t left_ms = deadline_ms - Loop_NowMs();
+
+        if (left_ms <= 0 || poll(&pollfd, 1, (int)left_ms) <= 0 ||
+            (pollfd.revents & POLLOUT) == 0) {
+            return;
+        }
+    }
+}
+
 void
 Slog_Close(void)
 {
     if (slog.open) {
-        Slog_Flush();
+        drain_ring();
         free(slog.ring);
         Buf_Free(&slog.line);
         memset(&slog, 0, sizeof(slog));
@@ -134,12 +162,16 @@
 Slog_AddText(const char *key, const char *value)
 {
     const unsigned char *at = (const unsigned char *)value;
+    size_t end = slog.line.len + MAX_TEXT_BYTES;
 
     if (!slog.open || slog.is_skipping) {
         return;
     }
+    if (end > MAX_LINE_BYTES - LINE_RESERVE_BYTES) {
+        end = MAX_LINE_BYTES - LINE_RESERVE_BYTES;
+    }
     Buf_Printf(&slog.line, ",\"%s\":\"", key);
-    for (; *at != '\0'; at++) {
+    for (; *at != '\0' && slog.line.len < end; at++) {
         if (*at == '"' || *at == '\\') {
             Buf_Printf(&slog.line, "\\%c", *at);
         }
@@ -195,7 +227,8 @@
         return;
     }
     Buf_Append(&slog.line, "}\n", 2);
-    if (!append_to_ring(slog.line.data, slog.line.len)) {
+    if (slog.line.len > MAX_LINE_BYTES ||
+        !append_to_ring(slog.line.data, slog.line.len)) {
         slog.dropped++;
     }
 }
@@ -219,22 +252,38 @@
     }
 }
 
+/* Copies as many complete lines from the start of the ring as one atomic write
+ * takes. Returns their length. */
+static size_t
+copy_lines(char *chunk)
+{
+    size_t size = slog.options.ring_bytes;
+    size_t len = slog.used < MAX_LINE_BYTES ? slog.used : MAX_LINE_BYTES;
+    size_t first = len < size - slog.start ? len : size - slog.start;
+
+    memcpy(chunk, slog.ring + slog.start, first);
+    memcpy(chunk + first, slog.ring, len - first);
+    while (chunk[len - 1] != '\n') {
+        len--;
+    }
+    return len;
+}
+
 bool
 Slog_Flush(void)
 {
+    char chunk[MAX_LINE_BYTES];
+
     if (!slog.open) {
         return false;
     }
     while (slog.used > 0) {
-        size_t size = slog.options.ring_bytes;
-        size_t chunk_len =
-            slog.used < size - slog.start ? slog.used : size - slog.start;
-        ssize_t written =
-            write(slog.options.fd, slog.ring + slog.start, chunk_len);
+        size_t len = copy_lines(chunk);
+        ssize_t written = write(slog.options.fd, chunk, len);
         if (written <= 0) {
             return true;
         }
-        slog.start = (slog.start + (size_t)written) % size;
+        slog.start = (slog.start + (size_t)written) % slog.options.ring_bytes;
         slog.used -= (size_t)written;
     }
     report_dropped();
--- a/src/slog.h
+++ b/src/slog.h
@@ -10,6 +10,10 @@
  *     the ring is empty. Each event also has a rate limit, which is lower for
  *     SLOG_ROUTINE than for lines that report a change or a failure.
  *
+ *     Lines are written whole, also if the reader is slow, other modules write
+ *     to the same pipe or the process is killed. For this a line is limited to
+ *     PIPE_BUF bytes; long texts are cut.
+ *
  *     Values are escaped as JSON. Lines must not contain secrets or bodies.
  *     Only one thread may use the log. Calls before Slog_Open have no effect.
  */
@@ -41,6 +45,9 @@
     }
 
 void Slog_Open(const SlogOptions *options);
+
+/* Writes the buffered lines and closes the log. Waits at most half a second
+ * for the reader. */
 void Slog_Close(void);
 
 /* Sets the wall clock time that lines carry and the monotonic time that rate
--- /dev/null
+++ b/tests/test_slog.c
@@ -0,0 +1,257 @@
+#include <fcntl.h>
+#include <limits.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "buf.h"
+#include "rng.h"
+#include "slog.h"
+#include "support.h"
+
+#define OTHER_WRITER_LINE "<4>coltsfootd: jobctl: A line on standard error.\n"
+
+typedef struct Pipe {
+    int read_fd;
+    int write_fd;
+} Pipe;
+
+static Pipe
+open_pipe(void)
+{
+    int fds[2];
+
+    ck_assert_int_eq(pipe(fds), 0);
+    return (Pipe){fds[0], fds[1]};
+}
+
+static void
+open_log(int fd, size_t ring_bytes)
+{
+    SlogOptions options = SLOG_OPTIONS_DEFAULT;
+
+    options.fd = fd;
+    options.node = "node-1";
+    options.ring_bytes = ring_bytes;
+    Slog_Open(&options);
+    Slog_SetTime(1000, 1000);
+}
+
+static void
+log_line(SlogLevel level, const char *event, int64_t number)
+{
+    Slog_Begin(level, event);
+    Slog_AddInt("number", number);
+    Slog_End();
+}
+
+static size_t
+count_text(Buf *text, const char *wanted)
+{
+    const char *at = Buf_Text(text);
+    size_t count = 0;
+
+    for (; (at = strstr(at, wanted)) != NULL; at += strlen(wanted)) {
+        count++;
+    }
+    return count;
+}
+
+static void
+read_to_end(int fd, Buf *text)
+{
+    char chunk[4096];
+    ssize_t len;
+
+    while ((len = read(fd, chunk, sizeof(chunk))) > 0) {
+        Buf_Append(text, chunk, (size_t)len);
+    }
+}
+
+/* Fails unless text consists of complete lines of the log and of
+ * OTHER_WRITER_LINE. */
+static void
+check_whole_lines(Buf *text)
+{
+    const char *at = Buf_Text(text);
+    const char *end;
+
+    for (; *at != '\0'; at = end + 1) {
+        end = strchr(at, '\n');
+        ck_assert_msg(end != NULL, "no end of line: %.80s", at);
+        if (strncmp(at, OTHER_WRITER_LINE, strlen(OTHER_WRITER_LINE)) != 0) {
+            ck_assert_msg(strncmp(at, "{\"t\":", 5) == 0 && end[-1] == '}' &&
+                              memchr(at, '<', (size_t)(end - at)) == NULL,
+                          "torn line: %.*s", (int)(end - at), at);
+        }
+    }
+}
+
+/* Logs without a limit of rate until the parent process stops reading, and is
+ * then killed. Another module writes to the same pipe. */
+static void
+log_until_killed(int fd, uint64_t seed)
+{
+    static const char filler[] = "a value that makes the line longer, of text";
+    Rng rng;
+    int64_t i;
+
+    Rng_Seed(&rng, seed);
+    open_log(fd, 64 * 1024);
+    for (i = 0;; i++) {
+        struct timespec pause = {0, 200000};
+
+        Slog_SetTime(i, i * 1000);
+        Slog_Begin(SLOG_CHANGE, "event");
+        Slog_AddInt("number", i);
+        Slog_AddText("filler", filler + Rng_Below(&rng, sizeof(filler)));
+        Slog_End();
+        if (Rng_Below(&rng, 20) == 0 && Slog_Flush()) {
+            nanosleep(&pause, NULL);
+        }
+        if (Rng_Below(&rng, 50) == 0 &&
+            write(fd, OTHER_WRITER_LINE, strlen(OTHER_WRITER_LINE)) < 0) {
+            nanosleep(&pause, NULL);
+        }
+    }
+}
+
+/* Guards against parts of lines in a captured log. */
+START_TEST(killed_process_leaves_no_part_of_a_line)
+{
+    Pipe log = open_pipe();
+    Buf text = BUF_INIT;
+    Rng rng;
+    pid_t child;
+    int i;
+
+    child = fork();
+    if (child == 0) {
+        close(log.read_fd);
+        log_until_killed(log.write_fd, (uint64_t)_i);
+    }
+    ck_assert_int_gt(child, 0);
+    close(log.write_fd);
+    Rng_Seed(&rng, (uint64_t)_i);
+    for (i = 0; i < 60; i++) {
+        struct timespec pause = {0, 1000000};
+        char chunk[8192];
+        ssize_t len =
+            read(log.read_fd, chunk, 1 + Rng_Below(&rng, sizeof(chunk)));
+
+        ck_assert_int_gt(len, 0);
+        Buf_Append(&text, chunk, (size_t)len);
+        if (Rng_Below(&rng, 3) == 0) {
+            nanosleep(&pause, NULL);
+        }
+    }
+    nanosleep(&(struct timespec){0, 20000000}, NULL);
+    kill(child, SIGKILL);
+    waitpid(child, NULL, 0);
+    read_to_end(log.read_fd, &text);
+    check_whole_lines(&text);
+    ck_assert_uint_gt(count_text(&text, "\"event\":\"event\""), 100);
+    ck_assert_uint_gt(count_text(&text, OTHER_WRITER_LINE), 0);
+    Buf_Free(&text);
+    close(log.read_fd);
+}
+END_TEST
+
+/* Guards against the loss of the lines that say why a process ends. */
+START_TEST(last_lines_are_written_when_the_reader_is_slow)
+{
+    enum { LINES = 2500 };
+    Pipe log = open_pipe();
+    Buf text = BUF_INIT;
+    pid_t child = fork();
+    int status;
+    int i;
+
+    if (child == 0) {
+        close(log.read_fd);
+        open_log(log.write_fd, 1024 * 1024);
+        for (i = 0; i < LINES; i++) {
+            Slog_SetTime(i, i * 1000);
+            log_line(SLOG_CHANGE, "event", i);
+        }
+        Slog_Flush();
+        Slog_Close();
+        _exit(0);
+    }
+    ck_assert_int_gt(child, 0);
+    close(log.write_fd);
+    nanosleep(&(struct timespec){0, 50000000}, NULL);
+    read_to_end(log.read_fd, &text);
+    waitpid(child, &status, 0);
+    check_whole_lines(&text);
+    ck_assert_uint_eq(count_text(&text, "\"event\":\"event\""), LINES);
+    Buf_Free(&text);
+    close(log.read_fd);
+}
+END_TEST
+
+/* Guards against a process that does not end because nobody reads its log. */
+START_TEST(close_does_not_wait_for_a_reader_that_stopped)
+{
+    Pipe log = open_pipe();
+    struct timespec begun;
+    struct timespec ended;
+    int i;
+
+    open_log(log.write_fd, 1024 * 1024);
+    for (i = 0; i < 2500; i++) {
+        Slog_SetTime(i, i * 1000);
+        log_line(SLOG_CHANGE, "event", i);
+    }
+    clock_gettime(CLOCK_MONOTONIC, &begun);
+    Slog_Close();
+    clock_gettime(CLOCK_MONOTONIC, &ended);
+    ck_assert_int_le(ended.tv_sec - begun.tv_sec, 2);
+    close(log.read_fd);
+    close(log.write_fd);
+}
+END_TEST
+
+START_TEST(long_line_stays_a_complete_line)
+{
+    Pipe log = open_pipe();
+    Buf text = BUF_INIT;
+    char *value = malloc(3 * PIPE_BUF);
+
+    memset(value, '"', 3 * PIPE_BUF - 1);
+    value[3 * PIPE_BUF - 1] = '\0';
+    open_log(log.write_fd, 64 * 1024);
+    Slog_Begin(SLOG_FAILURE, "event");
+    Slog_AddText("reason", value);
+    Slog_AddText("id", "j1");
+    Slog_AddInt("took_ms", 7);
+    Slog_End();
+    Slog_Close();
+    close(log.write_fd);
+    read_to_end(log.read_fd, &text);
+    check_whole_lines(&text);
+    ck_assert_uint_le(text.len, PIPE_BUF);
+    ck_assert_uint_eq(count_text(&text, "\"id\":\"j1\",\"took_ms\":7}"), 1);
+    free(value);
+    Buf_Free(&text);
+    close(log.read_fd);
+}
+END_TEST
+
+Suite *
+Test_Suite(void)
+{
+    Suite *suite = suite_create("slog");
+    TCase *tcase = tcase_create("slog");
+
+    tcase_add_loop_test(tcase, killed_process_leaves_no_part_of_a_line, 0, 12);
+    tcase_add_test(tcase, last_lines_are_written_when_the_reader_is_slow);
+    tcase_add_test(tcase, close_does_not_wait_for_a_reader_that_stopped);
+    tcase_add_test(tcase, long_line_stays_a_complete_line);
+    suite_add_tcase(suite, tcase);
+    return suite;
+}
