slog: keep rare and failed requests in a flood of others

An order of the operator without acknowledgement could not be traced on a busy control VM: `request_answered` and `request_redirected` of orders share the limit of 100 routine lines a second with submissions, announcements and reads, and left-out lines give no kind. Failures were left out as well: a failure counted against one counter with all successes of its event, so that with more than 200 submissions a second none of the second's later refusals was logged.

Each event now has one window for routine lines, one for changes and failures and one for lines begun with Slog_BeginRare.

failure_is_logged_after_a_burst_of_successes failed on the old code (0 lines of the failure after 500 successes); the flood test needs the new function.

--- a/src/slog.c
+++ b/src/slog.c
@@ -23,11 +23,23 @@
 /* Maximum time for which Slog_Close waits for the reader. */
 #define CLOSE_TIMEOUT_MS 500
 
+/* Lines of one event that share a rate limit. */
+typedef enum RateClass {
+    RATE_ROUTINE,
+    RATE_OTHER,
+    RATE_RARE,
+    RATE_CLASS_COUNT
+} RateClass;
+
+typedef struct RateWindow {
+    int64_t start_ms;
+    uint32_t lines; /* lines since start_ms */
+} RateWindow;
+
 typedef struct EventKind {
     const char *event;
-    int64_t window_start_ms;
-    uint32_t window_lines; /* lines since window_start_ms */
-    uint64_t skipped;      /* lines over the rate limit since the last line */
+    RateWindow windows[RATE_CLASS_COUNT];
+    uint64_t skipped; /* lines over a rate limit since the last line */
 } EventKind;
 
 typedef struct Slog {
@@ -118,20 +130,21 @@
 }
 
 static bool
-exceeds_rate(EventKind *kind, SlogLevel level)
+exceeds_rate(EventKind *kind, RateClass class)
 {
-    uint32_t limit = level == SLOG_ROUTINE ? slog.options.routine_per_s
+    uint32_t limit = class == RATE_ROUTINE ? slog.options.routine_per_s
                                            : slog.options.failure_per_s;
+    RateWindow *window = &kind->windows[class];
 
-    if (slog.now_ms - kind->window_start_ms >= RATE_WINDOW_MS) {
-        kind->window_start_ms = slog.now_ms;
-        kind->window_lines = 0;
+    if (slog.now_ms - window->start_ms >= RATE_WINDOW_MS) {
+        window->start_ms = slog.now_ms;
+        window->lines = 0;
     }
-    return kind->window_lines++ >= limit;
+    return window->lines++ >= limit;
 }
 
-void
-Slog_Begin(SlogLevel level, const char *event)
+static void
+begin_line(SlogLevel level, const char *event, RateClass class)
 {
     static const char *const levels[] = {"info", "change", "failure"};
     EventKind *kind;
@@ -140,7 +153,7 @@
         return;
     }
     kind = find_event_kind(event);
-    slog.is_skipping = exceeds_rate(kind, level);
+    slog.is_skipping = exceeds_rate(kind, class);
     if (slog.is_skipping) {
         kind->skipped++;
         slog.dropped++;
@@ -158,6 +171,19 @@
     }
 }
 
+void
+Slog_Begin(SlogLevel level, const char *event)
+{
+    begin_line(level, event,
+               level == SLOG_ROUTINE ? RATE_ROUTINE : RATE_OTHER);
+}
+
+void
+Slog_BeginRare(SlogLevel level, const char *event)
+{
+    begin_line(level, event, RATE_RARE);
+}
+
 void
 Slog_AddText(const char *key, const char *value)
 {
--- a/src/slog.h
+++ b/src/slog.h
@@ -7,8 +7,9 @@
  *     change of state that the process observes. Lines are buffered in a
  *     bounded ring and written by Slog_Flush without blocking. If the reader
  *     is too slow, lines are dropped and counted, and the count is logged once
- *     the ring is empty. Each event also has a rate limit, which is lower for
- *     SLOG_ROUTINE than for lines that report a change or a failure.
+ *     the ring is empty. Each event also has rate limits of its own: one for
+ *     SLOG_ROUTINE, a higher one for lines that report a change or a failure,
+ *     and one for the lines of Slog_BeginRare.
  *
  *     Lines are written whole, also if the reader is slow, other modules write
  *     to the same pipe or the process is killed. For this a line is limited to
@@ -35,7 +36,8 @@
     const char *node; /* name of the node, written in each line */
     size_t ring_bytes;
     uint32_t routine_per_s; /* limit for SLOG_ROUTINE lines of one event */
-    uint32_t failure_per_s; /* limit for all other lines of one event */
+    uint32_t failure_per_s; /* limit for the other lines of one event, and for
+                             * its rare lines */
 } SlogOptions;
 
 #define SLOG_OPTIONS_DEFAULT                                                  \
@@ -57,6 +59,10 @@
 /* Begins a line. event must be a string literal, since its pointer is kept.
  * docs/OPERATIONS.md lists all events. */
 void Slog_Begin(SlogLevel level, const char *event);
+
+/* Begins a line about a rare request, such as a change of the configuration,
+ * which frequent lines of the same event do not displace. */
+void Slog_BeginRare(SlogLevel level, const char *event);
 void Slog_AddText(const char *key, const char *value);
 void Slog_AddInt(const char *key, int64_t value);
 void Slog_AddTask(const char *job, uint32_t occurrence, uint32_t step,
--- a/tests/test_slog.c
+++ b/tests/test_slog.c
@@ -242,6 +242,59 @@
 }
 END_TEST
 
+/* Guards against successes that use up the rate limit of failures. */
+START_TEST(failure_is_logged_after_a_burst_of_successes)
+{
+    Pipe log = open_pipe();
+    Buf text = BUF_INIT;
+    int i;
+
+    open_log(log.write_fd, 64 * 1024);
+    for (i = 0; i < 500; i++) {
+        log_line(SLOG_ROUTINE, "request_answered", i);
+        Slog_Flush();
+    }
+    log_line(SLOG_FAILURE, "request_answered", 7777);
+    Slog_Close();
+    close(log.write_fd);
+    read_to_end(log.read_fd, &text);
+    ck_assert_uint_eq(count_text(&text, "\"number\":7777"), 1);
+    ck_assert_uint_eq(count_text(&text, "\"left_out\":400,"), 1);
+    ck_assert_uint_eq(count_text(&text, "\"request_answered\""), 101);
+    Buf_Free(&text);
+    close(log.read_fd);
+}
+END_TEST
+
+/* Guards against orders of the operator that a flood of other requests leaves
+ * out of the log. */
+START_TEST(rare_line_is_logged_in_a_flood_of_the_same_event)
+{
+    Pipe log = open_pipe();
+    Buf text = BUF_INIT;
+    int i;
+
+    open_log(log.write_fd, 64 * 1024);
+    for (i = 0; i < 500; i++) {
+        log_line(_i == 0 ? SLOG_ROUTINE : SLOG_FAILURE, "request_answered", i);
+        Slog_Flush();
+    }
+    for (i = 0; i < 300; i++) {
+        Slog_BeginRare(SLOG_ROUTINE, "request_answered");
+        Slog_AddInt("order", i);
+        Slog_End();
+        Slog_Flush();
+    }
+    Slog_Close();
+    close(log.write_fd);
+    read_to_end(log.read_fd, &text);
+    ck_assert_uint_eq(count_text(&text, "\"order\":"), 200);
+    ck_assert_uint_eq(count_text(&text, "\"order\":0}"), 1);
+    Buf_Free(&text);
+    close(log.read_fd);
+}
+END_TEST
+
 Suite *
 Test_Suite(void)
 {
@@ -252,6 +305,9 @@
     tcase_add_test(tcase, last_lines_are_written_when_the_reader_is_slow);
     tcase_add_test(tcase, close_does_not_wait_for_a_reader_that_stopped);
     tcase_add_test(tcase, long_line_stays_a_complete_line);
+    tcase_add_test(tcase, failure_is_logged_after_a_burst_of_successes);
+    tcase_add_loop_test(
+        tcase, rare_line_is_logged_in_a_flood_of_the_same_event, 0, 2);
     suite_add_tcase(suite, tcase);
     return suite;
 }
