jobctl: log lines with the time of their event

The time of log lines was set by a timer of 50 ms: the lines before its first firing (`started`, `log_opened`, the first `peer_up`) had t 0, so that a restart could not be placed in an incident, and events of the network carried a time up to 50 ms old, before that of the lines of other nodes that caused them.

The event loop has a hook after its wait now, which sets the time before the callbacks of an iteration run; the time is also set when the log is opened. The entry VM keeps its timer.

A wrong time after a suspension was suspected and not seen there: 3 of 3 requests found by a suspended VM had the right time.

--- a/src/coltsfootd.c
+++ b/src/coltsfootd.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 
 #include <apr_general.h>
+#include <apr_time.h>
 #include <argtable2.h>
 #include <curl/curl.h>
 
@@ -10,6 +11,7 @@
 #include "findings.h"
 #include "jobctl.h"
 #include "jobentry.h"
+#include "loop.h"
 #include "platform_wire.h"
 #include "settings.h"
 #include "signals.h"
@@ -45,6 +47,7 @@
 
     log.node = settings->name;
     Slog_Open(&log);
+    Slog_SetTime(apr_time_as_msec(apr_time_now()), Loop_NowMs());
     Slog_Begin(SLOG_CHANGE, "started");
     Slog_AddText("role",
                  settings->role == SETTINGS_ROLE_ENTRY ? "entry" : "control");
--- a/src/jobctl.c
+++ b/src/jobctl.c
@@ -353,6 +353,14 @@
     JobControl_ConfirmRead(control, on_confirmed, confirmation);
 }
 
+/* Sets the time of the lines about the events of this iteration. */
+static void
+on_wake(void *arg)
+{
+    (void)arg;
+    Slog_SetTime(apr_time_as_msec(apr_time_now()), Loop_NowMs());
+}
+
 static void
 on_tick(void *arg)
 {
@@ -361,7 +369,6 @@
     int64_t wall_ms = apr_time_as_msec(apr_time_now());
 
     LoopLag_RecordFiring(&control->tick_lag, now);
-    Slog_SetTime(wall_ms, now);
     JobState_SetNow(control->state, now);
     JobControl_TickLog(control, now);
     update_nodes(control, now);
@@ -585,6 +592,7 @@
     Loop_Arm(control->fleet_msg_timer, FLEET_MSG_INTERVAL_MS,
              FLEET_MSG_INTERVAL_MS);
     Loop_AddPrepareHook(control->loop, run_iteration, control);
+    Loop_AddWakeHook(control->loop, on_wake, control);
     *out = control;
     return ST_OK;
 }
--- a/src/loop.c
+++ b/src/loop.c
@@ -11,7 +11,7 @@
 #include "mem.h"
 
 #define LOOP_MAX_DESCRIPTORS 8192
-#define LOOP_MAX_PREPARE_HOOKS 8
+#define LOOP_MAX_HOOKS 8 /* of each kind */
 #define LOOP_MAX_WAIT_MS 1000
 
 struct LoopWatch {
@@ -50,9 +50,12 @@
     bool stopping;
     LoopTimer *timers;
     LoopWatch *removed_watches;
-    LoopPrepareFn prepare_fns[LOOP_MAX_PREPARE_HOOKS];
-    void *prepare_args[LOOP_MAX_PREPARE_HOOKS];
+    LoopPrepareFn prepare_fns[LOOP_MAX_HOOKS];
+    void *prepare_args[LOOP_MAX_HOOKS];
     int prepare_count;
+    LoopFn wake_fns[LOOP_MAX_HOOKS];
+    void *wake_args[LOOP_MAX_HOOKS];
+    int wake_count;
 };
 
 int64_t
@@ -273,7 +276,7 @@
 void
 Loop_AddPrepareHook(Loop *loop, LoopPrepareFn fn, void *arg)
 {
-    if (loop->prepare_count == LOOP_MAX_PREPARE_HOOKS) {
+    if (loop->prepare_count == LOOP_MAX_HOOKS) {
         abort();
     }
     loop->prepare_fns[loop->prepare_count] = fn;
@@ -281,6 +284,17 @@
     loop->prepare_count++;
 }
 
+void
+Loop_AddWakeHook(Loop *loop, LoopFn fn, void *arg)
+{
+    if (loop->wake_count == LOOP_MAX_HOOKS) {
+        abort();
+    }
+    loop->wake_fns[loop->wake_count] = fn;
+    loop->wake_args[loop->wake_count] = arg;
+    loop->wake_count++;
+}
+
 static void
 run_posts(Loop *loop)
 {
@@ -341,6 +355,16 @@
     return more;
 }
 
+static void
+run_wake_hooks(Loop *loop)
+{
+    int i;
+
+    for (i = 0; i < loop->wake_count; i++) {
+        loop->wake_fns[i](loop->wake_args[i]);
+    }
+}
+
 static void
 dispatch_events(const apr_pollfd_t *ready, apr_int32_t count)
 {
@@ -383,9 +407,11 @@
         const apr_pollfd_t *ready = NULL;
         apr_int32_t count = 0;
         int64_t wait = run_prepare_hooks(loop) ? 0 : compute_wait_ms(loop);
+        apr_status_t polled =
+            apr_pollset_poll(loop->pollset, wait * 1000, &count, &ready);
 
-        if (apr_pollset_poll(loop->pollset, wait * 1000, &count, &ready) ==
-            APR_SUCCESS) {
+        run_wake_hooks(loop);
+        if (polled == APR_SUCCESS) {
             dispatch_events(ready, count);
         }
         run_posts(loop);
--- a/src/loop.h
+++ b/src/loop.h
@@ -63,4 +63,8 @@
 typedef bool (*LoopPrepareFn)(void *arg);
 void Loop_AddPrepareHook(Loop *loop, LoopPrepareFn fn, void *arg);
 
+/* Adds a function that runs in each event loop iteration after the wait and
+ * before the callbacks of its events. */
+void Loop_AddWakeHook(Loop *loop, LoopFn fn, void *arg);
+
 #endif
