Trace an order without acknowledgement to its cause

An order of the operator (configuration or wave) without acknowledgement could not be followed: its lines had no number, a redirect did not say what it redirected, a received order had no line until its answer, redirects were not counted, and a suspended VM left no trace but `turn_slow`, without the requests that it found in its sockets.

* `request_answered` and `request_redirected` of an order carry `order`, the version or the number of the wave, and are rate limited on their own; `order_received` is written by the node that serves it.
* `stall_ended` and two metrics give the time for which a control VM did not run, and how many requests it received just after.
* `coltsfoot_answers_total` counts redirects as 3xx.

An order costs one line more. Whether an answer reached the operator is not visible to the server: a later attempt with the same `order` shows it.

--- a/src/jobctl.c
+++ b/src/jobctl.c
@@ -353,6 +353,22 @@
     JobControl_ConfirmRead(control, on_confirmed, confirmation);
 }
 
+static void
+log_stall(JobControl *control)
+{
+    LoopStallReport report;
+
+    if (!LoopStall_Report(&control->stall, Loop_NowUs(), control->requests,
+                          &report)) {
+        return;
+    }
+    Slog_Begin(SLOG_FAILURE, "stall_ended");
+    Slog_AddInt("stalled_ms", report.stalled_ms);
+    Slog_AddInt("ago_ms", report.ago_ms);
+    Slog_AddInt("requests", (int64_t)report.requests);
+    Slog_End();
+}
+
 /* Sets the time of the lines about the events of this iteration. */
 static void
 on_wake(void *arg)
@@ -377,6 +393,7 @@
     confirm_leadership(control, now);
     JobFleet_Tick(control->fleet, now, wall_ms);
     continue_stop(control, now);
+    log_stall(control);
     control->placement_due = true;
 }
 
@@ -419,6 +436,7 @@
     int64_t flush_us = 0;
     int round;
 
+    LoopStall_BeginIteration(&control->stall, begun_us);
     for (round = 0; round < MAX_PLACEMENT_ROUNDS; round++) {
         int64_t at_us = Loop_NowUs();
         if (control->placement_due &&
@@ -450,6 +468,8 @@
     }
     log_slow_iteration(control, begun_us, place_us, flush_us);
     control->iteration_end_us = Loop_NowUs();
+    LoopStall_EndIteration(&control->stall, control->iteration_end_us,
+                           control->requests);
     return false;
 }
 
--- a/src/jobctl_internal.h
+++ b/src/jobctl_internal.h
@@ -20,6 +20,7 @@
 #include "jobstate.h"
 #include "loop.h"
 #include "looplag.h"
+#include "loopstall.h"
 #include "peer.h"
 #include "replica.h"
 #include "signals.h"
@@ -103,11 +104,13 @@
     uint64_t serving_term;    /* term in which this node serves, or 0 */
     int64_t next_confirm_ms;  /* time of the next leadership confirmation */
     int64_t iteration_end_us; /* end of the last event loop iteration */
+    uint64_t requests;        /* requests received */
     int64_t stop_begun_ms;    /* start of the planned stop, or 0 */
     int64_t idle_since_ms;    /* during a planned stop, time since which
                                * nothing is pending and another node may
                                * lead, or 0 */
     LoopLag tick_lag;
+    LoopStall stall;
     int64_t next_node_update_ms; /* earliest time of the next node update */
     bool placement_due;
     bool node_update_due; /* stored nodes must be compared with the peers */
--- a/src/jobctl_metrics.c
+++ b/src/jobctl_metrics.c
@@ -74,6 +74,9 @@
     values[JOB_METRIC_HOLDS] = (double)counts->holds;
     values[JOB_METRIC_CALLS_UNANSWERED] = (double)counts->unanswered;
     values[JOB_METRIC_LOG_LINES_DROPPED] = (double)Slog_CountDropped();
+    values[JOB_METRIC_LOOP_STALLS] = (double)control->stall.count;
+    values[JOB_METRIC_LOOP_STALLED_SECONDS] =
+        (double)control->stall.total_us / 1e6;
     count_targets(control, values);
     sum_waiting_cores(control, values);
 }
--- a/src/jobctl_request.c
+++ b/src/jobctl_request.c
@@ -34,6 +34,34 @@
     Buf_Free(&frame);
 }
 
+static bool
+is_order(const JobRequest *request)
+{
+    return request->kind == JOB_REQUEST_PUT_CONFIG ||
+           request->kind == JOB_REQUEST_PUT_WAVE;
+}
+
+/* Begins a line about a request with its kind and, for an order of the
+ * operator, its number: the version of the configuration or the number of the
+ * wave. */
+static void
+begin_request_line(SlogLevel level, const char *event,
+                   const JobRequest *request)
+{
+    if (is_order(request)) {
+        Slog_BeginRare(level, event);
+    }
+    else {
+        Slog_Begin(level, event);
+    }
+    Slog_AddText("kind", JobMetrics_GetKindName(request->kind));
+    if (is_order(request)) {
+        Slog_AddInt("order", (int64_t)(request->kind == JOB_REQUEST_PUT_CONFIG
+                                           ? request->config.version
+                                           : request->wave.number));
+    }
+}
+
 static void
 log_reply(const PendingRequest *pending, int status, const JobReply *reply)
 {
@@ -44,8 +72,8 @@
                     pending->request.kind == JOB_REQUEST_PENDING)) {
         return;
     }
-    Slog_Begin(failed ? SLOG_FAILURE : SLOG_ROUTINE, "request_answered");
-    Slog_AddText("kind", JobMetrics_GetKindName(pending->request.kind));
+    begin_request_line(failed ? SLOG_FAILURE : SLOG_ROUTINE,
+                       "request_answered", &pending->request);
     Slog_AddText("id", pending->request.id);
     Slog_AddText("queue", pending->request.queue);
     if (pending->http == NULL) {
@@ -62,6 +90,13 @@
     Slog_End();
 }
 
+static void
+free_pending_request(PendingRequest *pending)
+{
+    JobRequest_Free(&pending->request);
+    free(pending);
+}
+
 /* Sends the reply and frees the pending request. */
 static void
 send_reply(PendingRequest *pending, const JobReply *reply)
@@ -86,8 +121,7 @@
         send_peer_reply(pending, &msg);
     }
     Buf_Free(&body);
-    JobRequest_Free(&pending->request);
-    free(pending);
+    free_pending_request(pending);
 }
 
 static void
@@ -422,6 +456,10 @@
 {
     JobControl *control = pending->control;
 
+    if (is_order(&pending->request)) {
+        begin_request_line(SLOG_ROUTINE, "order_received", &pending->request);
+        Slog_End();
+    }
     if (pending->request.error == JOB_ERROR_NO_QUEUE) {
         if (JobState_GetConfig(control->state)->version == 0) {
             reply_unavailable(pending, "there is no configuration yet");
@@ -464,6 +502,7 @@
 {
     PendingRequest *pending = Mem_New(1, sizeof(*pending));
 
+    control->requests++;
     pending->control = control;
     pending->received_us = Loop_NowUs();
     pending->received_ms = pending->received_us / 1000;
@@ -471,25 +510,29 @@
 }
 
 static void
-redirect_to_leader(const JobControl *control, HttpRequest *http,
-                   const char *leader)
+redirect_to_leader(const PendingRequest *pending, const char *leader)
 {
+    const JobControl *control = pending->control;
+    const char *path = HttpRequest_GetPath(pending->http);
     char location[JOB_ADDRESS_BYTES + 200];
     HttpReply reply = {.status = 307, .content_type = "application/json"};
 
-    Slog_Begin(SLOG_ROUTINE, "request_redirected");
-    Slog_AddText("method", HttpRequest_GetMethod(http));
-    Slog_AddText("path", HttpRequest_GetPath(http));
+    begin_request_line(SLOG_ROUTINE, "request_redirected", &pending->request);
+    Slog_AddText("method", HttpRequest_GetMethod(pending->http));
+    Slog_AddText("path", path);
     Slog_AddText("leader", leader);
     Slog_AddInt("leads", Replica_GetRole(control->replica) == RAFT_LEADER);
     Slog_End();
-    snprintf(location, sizeof(location), "http://%s%.190s", leader,
-             HttpRequest_GetPath(http));
+    if (control->metrics != NULL) {
+        JobMetrics_CountAnswer(control->metrics, pending->request.kind,
+                               reply.status);
+    }
+    snprintf(location, sizeof(location), "http://%s%.190s", leader, path);
     reply.body = "{}";
     reply.body_len = 2;
     reply.headers[0] = (HttpHeader){"Location", location};
     reply.header_count = 1;
-    HttpRequest_Reply(http, &reply);
+    HttpRequest_Reply(pending->http, &reply);
 }
 
 static bool
@@ -512,27 +555,22 @@
     control->wire->decode_control_request(&raw, request);
 }
 
-/* Forwards an announcement or a notice of departure to the leader if the fleet
- * uses agents. Returns whether it was forwarded. */
-static bool
-forward_if_announcement(JobControl *control, HttpRequest *http)
+/* Lets the leader answer the request: forwards an announcement or a notice of
+ * departure if the fleet uses agents, and redirects any other request. */
+static void
+pass_to_leader(const PendingRequest *pending, const char *leader)
 {
-    JobRequest *request;
-    bool forwarded;
+    JobControl *control = pending->control;
 
-    if (!JobControl_UsesAgents(control)) {
-        return false;
+    if (JobControl_UsesAgents(control) &&
+        is_announcement_or_departure(&pending->request)) {
+        JobControl_ForwardAnnouncement(control,
+                                       JobControl_FindLeaderPeer(control),
+                                       pending->http, &pending->request);
     }
-    request = Mem_New(1, sizeof(*request));
-    decode_request(control, http, request);
-    forwarded = is_announcement_or_departure(request);
-    if (forwarded) {
-        JobControl_ForwardAnnouncement(
-            control, JobControl_FindLeaderPeer(control), http, request);
+    else {
+        redirect_to_leader(pending, leader);
     }
-    JobRequest_Free(request);
-    free(request);
-    return forwarded;
 }
 
 void
@@ -540,18 +578,16 @@
 {
     JobControl *control = arg;
     char leader[JOB_ADDRESS_BYTES];
-    PendingRequest *pending;
+    PendingRequest *pending = new_pending_request(control);
 
+    pending->http = http;
+    decode_request(control, http, &pending->request);
     if (!JobControl_IsServing(control) &&
         JobControl_GetLeaderAddress(control, leader, sizeof(leader)) != NULL) {
-        if (!forward_if_announcement(control, http)) {
-            redirect_to_leader(control, http, leader);
-        }
+        pass_to_leader(pending, leader);
+        free_pending_request(pending);
         return;
     }
-    pending = new_pending_request(control);
-    pending->http = http;
-    decode_request(control, http, &pending->request);
     if (!JobControl_IsServing(control)) {
         reply_unavailable(pending, "no leader is known");
         return;
--- a/src/jobmetrics.c
+++ b/src/jobmetrics.c
@@ -54,6 +54,12 @@
                                      "calls to targets without an answer"},
     [JOB_METRIC_LOG_LINES_DROPPED] = {PREFIX "log_lines_dropped_total",
                                       "counter", "log lines left out"},
+    [JOB_METRIC_LOOP_STALLS] = {PREFIX "loop_stalls_total", "counter",
+                                "times that the process did not run for "
+                                "200 ms or more"},
+    [JOB_METRIC_LOOP_STALLED_SECONDS] =
+        {PREFIX "loop_stalled_seconds_total", "counter",
+         "time for which the process did not run"},
 };
 
 static const char *const kind_names[JOB_METRICS_KIND_COUNT] = {
@@ -66,18 +72,27 @@
     return kind < JOB_METRICS_KIND_COUNT ? kind_names[kind] : "none";
 }
 
+static size_t
+limit_kind(size_t kind)
+{
+    return kind < JOB_METRICS_KIND_COUNT ? kind : 0;
+}
+
 void
-JobMetrics_RecordAnswer(JobMetrics *metrics, size_t kind, int status,
-                        int64_t took_us)
+JobMetrics_CountAnswer(JobMetrics *metrics, size_t kind, int status)
 {
     size_t class = status >= 100 && status < 600 ? (size_t)status / 100 : 0;
 
-    if (kind >= JOB_METRICS_KIND_COUNT) {
-        kind = 0;
-    }
-    metrics->answers[kind][class]++;
-    Hist_Record(&metrics->answer_us[kind], took_us > 0 ? (uint64_t)took_us : 0,
-                1);
+    metrics->answers[limit_kind(kind)][class]++;
+}
+
+void
+JobMetrics_RecordAnswer(JobMetrics *metrics, size_t kind, int status,
+                        int64_t took_us)
+{
+    JobMetrics_CountAnswer(metrics, kind, status);
+    Hist_Record(&metrics->answer_us[limit_kind(kind)],
+                took_us > 0 ? (uint64_t)took_us : 0, 1);
 }
 
 static void
--- a/src/jobmetrics.h
+++ b/src/jobmetrics.h
@@ -39,6 +39,8 @@
     JOB_METRIC_HOLDS,
     JOB_METRIC_CALLS_UNANSWERED,
     JOB_METRIC_LOG_LINES_DROPPED,
+    JOB_METRIC_LOOP_STALLS,
+    JOB_METRIC_LOOP_STALLED_SECONDS,
     JOB_METRIC_COUNT
 } JobMetric;
 
@@ -54,6 +56,9 @@
 void JobMetrics_RecordAnswer(JobMetrics *metrics, size_t kind, int status,
                              int64_t took_us);
 
+/* Counts the answer to a request that this node did not serve itself. */
+void JobMetrics_CountAnswer(JobMetrics *metrics, size_t kind, int status);
+
 /* Returns the label of a JobRequestKind. */
 const char *JobMetrics_GetKindName(size_t kind);
 
