--- a/src/jobctl.c
+++ b/src/jobctl.c
@@ -353,6 +353,30 @@
     JobControl_ConfirmRead(control, on_confirmed, confirmation);
 }
 
+static void
+log_stall(JobControl *control)
+{
+    LoopStallReport report;
+
+    if (!LoopStall_Report(&control->stall, Loop_NowUs(), control->requests,
+                          &report)) {
+        return;
+    }
+    Slog_Begin(SLOG_FAILURE, "stall_ended");
+    Slog_AddInt("stalled_ms", report.stalled_ms);
+    Slog_AddInt("ago_ms", report.ago_ms);
+    Slog_AddInt("requests", (int64_t)report.requests);
+    Slog_End();
+}
+
+/* Sets the time of the lines about the events of this iteration. */
+static void
+on_wake(void *arg)
+{
+    (void)arg;
+    Slog_SetTime(apr_time_as_msec(apr_time_now()), Loop_NowMs());
+}
+
 static void
 on_tick(void *arg)
 {
@@ -361,7 +385,6 @@
     int64_t wall_ms = apr_time_as_msec(apr_time_now());
 
     LoopLag_RecordFiring(&control->tick_lag, now);
-    Slog_SetTime(wall_ms, now);
     JobState_SetNow(control->state, now);
     JobControl_TickLog(control, now);
     update_nodes(control, now);
@@ -370,6 +393,7 @@
     confirm_leadership(control, now);
     JobFleet_Tick(control->fleet, now, wall_ms);
     continue_stop(control, now);
+    log_stall(control);
     control->placement_due = true;
 }
 
@@ -412,6 +436,7 @@
     int64_t flush_us = 0;
     int round;
 
+    LoopStall_BeginIteration(&control->stall, begun_us);
     for (round = 0; round < MAX_PLACEMENT_ROUNDS; round++) {
         int64_t at_us = Loop_NowUs();
         if (control->placement_due &&
@@ -443,6 +468,8 @@
     }
     log_slow_iteration(control, begun_us, place_us, flush_us);
     control->iteration_end_us = Loop_NowUs();
+    LoopStall_EndIteration(&control->stall, control->iteration_end_us,
+                           control->requests);
     return false;
 }
 
@@ -585,6 +612,7 @@
     Loop_Arm(control->fleet_msg_timer, FLEET_MSG_INTERVAL_MS,
              FLEET_MSG_INTERVAL_MS);
     Loop_AddPrepareHook(control->loop, run_iteration, control);
+    Loop_AddWakeHook(control->loop, on_wake, control);
     *out = control;
     return ST_OK;
 }
--- a/src/slog.c
+++ b/src/slog.c
@@ -1,22 +1,45 @@
 #include "slog.h"
 
 #include <fcntl.h>
+#include <limits.h>
+#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
 #include "buf.h"
+#include "loop.h"
 #include "mem.h"
 
 #define MAX_EVENT_KINDS 96
 #define RATE_WINDOW_MS 1000
+/* A write of at most PIPE_BUF bytes to a pipe is atomic: no other writer's
+ * line and no end of the process cuts a line of at most this length. */
+#define MAX_LINE_BYTES PIPE_BUF
+/* Part of a line that is kept free for the fields after long texts. */
+#define LINE_RESERVE_BYTES 512
+#define MAX_TEXT_BYTES 2048
+/* Maximum time for which Slog_Close waits for the reader. */
+#define CLOSE_TIMEOUT_MS 500
+
+/* Lines of one event that share a rate limit. */
+typedef enum RateClass {
+    RATE_ROUTINE,
+    RATE_OTHER,
+    RATE_RARE,
+    RATE_CLASS_COUNT
+} RateClass;
+
+typedef struct RateWindow {
+    int64_t start_ms;
+    uint32_t lines; /* lines since start_ms */
+} RateWindow;
 
 typedef struct EventKind {
     const char *event;
-    int64_t window_start_ms;
-    uint32_t window_lines; /* lines since window_start_ms */
-    uint64_t skipped;      /* lines over the rate limit since the last line */
+    RateWindow windows[RATE_CLASS_COUNT];
+    uint64_t skipped; /* lines over a rate limit since the last line */
 } EventKind;
 
 typedef struct Slog {
@@ -53,11 +76,28 @@
     slog.open = true;
 }
 
+/* Writes the buffered lines, waiting for a reader that is slow. */
+static void
+drain_ring(void)
+{
+    struct pollfd pollfd = {.fd = slog.options.fd, .events = POLLOUT};
+    int64_t deadline_ms = Loop_NowMs() + CLOSE_TIMEOUT_MS;
+
+    while (Slog_Flush()) {
+        int64_t left_ms = deadline_ms - Loop_NowMs();
+
+        if (left_ms <= 0 || poll(&pollfd, 1, (int)left_ms) <= 0 ||
+            (pollfd.revents & POLLOUT) == 0) {
+            return;
+        }
+    }
+}
+
 void
 Slog_Close(void)
 {
     if (slog.open) {
-        Slog_Flush();
+        drain_ring();
         free(slog.ring);
         Buf_Free(&slog.line);
         memset(&slog, 0, sizeof(slog));
@@ -90,20 +130,21 @@
 }
 
 static bool
-exceeds_rate(EventKind *kind, SlogLevel level)
+exceeds_rate(EventKind *kind, RateClass class)
 {
-    uint32_t limit = level == SLOG_ROUTINE ? slog.options.routine_per_s
+    uint32_t limit = class == RATE_ROUTINE ? slog.options.routine_per_s
                                            : slog.options.failure_per_s;
+    RateWindow *window = &kind->windows[class];
 
-    if (slog.now_ms - kind->window_start_ms >= RATE_WINDOW_MS) {
-        kind->window_start_ms = slog.now_ms;
-        kind->window_lines = 0;
+    if (slog.now_ms - window->start_ms >= RATE_WINDOW_MS) {
+        window->start_ms = slog.now_ms;
+        window->lines = 0;
     }
-    return kind->window_lines++ >= limit;
+    return window->lines++ >= limit;
 }
 
-void
-Slog_Begin(SlogLevel level, const char *event)
+static void
+begin_line(SlogLevel level, const char *event, RateClass class)
 {
     static const char *const levels[] = {"info", "change", "failure"};
     EventKind *kind;
@@ -112,7 +153,7 @@
         return;
     }
     kind = find_event_kind(event);
-    slog.is_skipping = exceeds_rate(kind, level);
+    slog.is_skipping = exceeds_rate(kind, class);
     if (slog.is_skipping) {
         kind->skipped++;
         slog.dropped++;
@@ -130,16 +171,33 @@
     }
 }
 
+void
+Slog_Begin(SlogLevel level, const char *event)
+{
+    begin_line(level, event,
+               level == SLOG_ROUTINE ? RATE_ROUTINE : RATE_OTHER);
+}
+
+void
+Slog_BeginRare(SlogLevel level, const char *event)
+{
+    begin_line(level, event, RATE_RARE);
+}
+
 void
 Slog_AddText(const char *key, const char *value)
 {
     const unsigned char *at = (const unsigned char *)value;
+    size_t end = slog.line.len + MAX_TEXT_BYTES;
 
     if (!slog.open || slog.is_skipping) {
         return;
     }
+    if (end > MAX_LINE_BYTES - LINE_RESERVE_BYTES) {
+        end = MAX_LINE_BYTES - LINE_RESERVE_BYTES;
+    }
     Buf_Printf(&slog.line, ",\"%s\":\"", key);
-    for (; *at != '\0'; at++) {
+    for (; *at != '\0' && slog.line.len < end; at++) {
         if (*at == '"' || *at == '\\') {
             Buf_Printf(&slog.line, "\\%c", *at);
         }
@@ -195,7 +253,8 @@
         return;
     }
     Buf_Append(&slog.line, "}\n", 2);
-    if (!append_to_ring(slog.line.data, slog.line.len)) {
+    if (slog.line.len > MAX_LINE_BYTES ||
+        !append_to_ring(slog.line.data, slog.line.len)) {
         slog.dropped++;
     }
 }
@@ -219,22 +278,38 @@
     }
 }
 
+/* Copies as many complete lines from the start of the ring as one atomic write
+ * takes. Returns their length. */
+static size_t
+copy_lines(char *chunk)
+{
+    size_t size = slog.options.ring_bytes;
+    size_t len = slog.used < MAX_LINE_BYTES ? slog.used : MAX_LINE_BYTES;
+    size_t first = len < size - slog.start ? len : size - slog.start;
+
+    memcpy(chunk, slog.ring + slog.start, first);
+    memcpy(chunk + first, slog.ring, len - first);
+    while (chunk[len - 1] != '\n') {
+        len--;
+    }
+    return len;
+}
+
 bool
 Slog_Flush(void)
 {
+    char chunk[MAX_LINE_BYTES];
+
     if (!slog.open) {
         return false;
     }
     while (slog.used > 0) {
-        size_t size = slog.options.ring_bytes;
-        size_t chunk_len =
-            slog.used < size - slog.start ? slog.used : size - slog.start;
-        ssize_t written =
-            write(slog.options.fd, slog.ring + slog.start, chunk_len);
+        size_t len = copy_lines(chunk);
+        ssize_t written = write(slog.options.fd, chunk, len);
         if (written <= 0) {
             return true;
         }
-        slog.start = (slog.start + (size_t)written) % size;
+        slog.start = (slog.start + (size_t)written) % slog.options.ring_bytes;
         slog.used -= (size_t)written;
     }
     report_dropped();
