Keep cancellations of jobs that are not submitted yet

Callers: a cancellation was answered 410, "no such job", and the job ran all the same. The submission was on its way: in the sockets of a frozen entry VM, at another entry VM, or as a further copy for the next leader.

Cause: a negative given on the evidence of one moment. The cancellation goes through the log, but applied to an unknown job it left no trace, so nothing ordered it before a submission that came later.

Fix: the state keeps the cancellation, for as long as it keeps ended jobs, and at most 1,024 of them, the oldest giving way. A submission that it names is accepted and cancelled at once, so both orders of the two requests have the same outcome: 200 for the submission, state "cancelled", nothing runs. The answer to the cancellation stays 410, and so does the state of a job that is never submitted.

--- a/src/jobsched.c
+++ b/src/jobsched.c
@@ -7,7 +7,7 @@
 #include "mem.h"
 #include "slog.h"
 
-/* Interval at which ended jobs are expired. */
+/* Interval at which ended jobs and early cancellations are expired. */
 #define SCHED_EXPIRE_INTERVAL_MS 5000
 /* Silence after which an idle target is removed; it has certainly ended. */
 #define SCHED_SILENT_REMOVAL_MS 20000
@@ -525,7 +525,8 @@
     if (now >= sched->next_expire_ms) {
         Buf command = BUF_INIT;
         sched->next_expire_ms = now + SCHED_EXPIRE_INTERVAL_MS;
-        if (JobState_JobCount(sched->state) > 0) {
+        if (JobState_JobCount(sched->state) > 0 ||
+            JobState_EarlyCancelCount(sched->state) > 0) {
             JobCmd_EncodeExpire(&command,
                                 wall_ms - sched->options.status_retention_ms);
             SchedImpl_Propose(sched, SCHED_OTHER, &command, JOB_NO_TARGET, 0);
--- a/src/jobstate.c
+++ b/src/jobstate.c
@@ -45,6 +45,12 @@
     return StrMap_Count(state->jobs);
 }
 
+size_t
+JobState_EarlyCancelCount(const JobState *state)
+{
+    return state->early_cancel_count;
+}
+
 uint32_t
 JobState_TargetRows(const JobState *state)
 {
@@ -164,6 +170,7 @@
     }
     free(state->waves);
     free(state->vm_orders);
+    free(state->early_cancels);
     memset(state, 0, sizeof(*state));
 }
 
--- a/src/jobstate.h
+++ b/src/jobstate.h
@@ -25,6 +25,9 @@
 #include "strmap.h"
 
 #define JOB_NO_TARGET UINT32_MAX
+/* The oldest cancellation of an unknown job gives way to one beyond this
+ * number. */
+#define JOB_MAX_EARLY_CANCELS 1024
 
 typedef enum JobPhase {
     JOB_QUEUED = 0,
@@ -203,6 +206,8 @@
 Job *JobState_FindJob(const JobState *state, const char *id);
 Job *JobState_FirstActive(const JobState *state);
 size_t JobState_JobCount(const JobState *state);
+/* Returns the number of cancellations of jobs that were not submitted yet. */
+size_t JobState_EarlyCancelCount(const JobState *state);
 uint32_t JobState_TargetRows(const JobState *state);
 /* Returns the target, or NULL if the row is free. */
 JobTarget *JobState_TargetAt(const JobState *state, uint32_t row);
@@ -241,6 +246,9 @@
 void JobCmd_EncodeConfig(Buf *out, const JobConfig *config);
 void JobCmd_EncodeSubmit(Buf *out, const char *id, const char *queue,
                          int64_t wall_ms, const JobSpec *spec);
+/* Cancels a job. The cancellation of an unknown job is kept until it expires
+ * and ends the job as soon as it is submitted, since a copy of the submission
+ * may arrive after the cancellation. */
 void JobCmd_EncodeCancel(Buf *out, const char *id, int64_t wall_ms);
 
 typedef struct JobAssignment {
@@ -262,7 +270,8 @@
 void JobCmd_EncodeWave(Buf *out, const JobWave *wave);
 void JobCmd_EncodeWaveVm(Buf *out, uint64_t number, const char *vm, bool done);
 void JobCmd_EncodeVmOrder(Buf *out, const JobVmOrder *order);
-/* Removes jobs that ended before wall_ms. */
+/* Removes jobs that ended, and early cancellations that were made, before
+ * wall_ms. */
 void JobCmd_EncodeExpire(Buf *out, int64_t wall_ms);
 
 #endif
--- a/src/jobstate_apply.c
+++ b/src/jobstate_apply.c
@@ -30,6 +30,45 @@
     return JOB_RESULT_OK;
 }
 
+/* Returns the index of an early cancellation, or their number if there is
+ * none. */
+static size_t
+find_early_cancel(const JobState *state, const char *id)
+{
+    size_t i = 0;
+
+    while (i < state->early_cancel_count &&
+           strcmp(state->early_cancels[i].id, id) != 0) {
+        i++;
+    }
+    return i;
+}
+
+static void
+remove_early_cancel(JobState *state, size_t at)
+{
+    JobEarlyCancel *row = &state->early_cancels[at];
+
+    state->early_cancel_count--;
+    memmove(row, row + 1, (state->early_cancel_count - at) * sizeof(*row));
+}
+
+void
+JobStateImpl_AddEarlyCancel(JobState *state, const char *id, int64_t wall_ms)
+{
+    JobEarlyCancel *row;
+
+    if (state->early_cancel_count == JOB_MAX_EARLY_CANCELS) {
+        remove_early_cancel(state, 0);
+    }
+    state->early_cancels = Mem_Resize(
+        state->early_cancels, (state->early_cancel_count + 1) * sizeof(*row));
+    row = &state->early_cancels[state->early_cancel_count++];
+    memset(row, 0, sizeof(*row));
+    snprintf(row->id, sizeof(row->id), "%s", id);
+    row->wall_ms = wall_ms;
+}
+
 static JobResult
 apply_submit(JobState *state, MpRead *reader)
 {
@@ -38,6 +77,7 @@
     int64_t wall_ms;
     JobSpec spec;
     const JobQueue *row;
+    size_t cancel;
     Job *job;
 
     if (!MpRead_Text(reader, id, sizeof(id)) ||
@@ -60,6 +100,12 @@
     snprintf(job->pool, sizeof(job->pool), "%s", row->pool);
     job->accepted_ms = wall_ms;
     JobStateImpl_SetSpec(job, &spec);
+    cancel = find_early_cancel(state, id);
+    if (cancel < state->early_cancel_count) {
+        remove_early_cancel(state, cancel);
+        JobStateImpl_EndJob(state, job, JOB_CANCELLED, wall_ms);
+        return JOB_RESULT_OK;
+    }
     JobStateImpl_ActivateJob(state, job);
     if (state->caught_up && state->observer.on_job_accepted != NULL) {
         state->observer.on_job_accepted(state->observer.arg, state->now_ms,
@@ -81,6 +127,9 @@
     }
     job = StrMap_Get(state->jobs, id);
     if (job == NULL) {
+        if (find_early_cancel(state, id) == state->early_cancel_count) {
+            JobStateImpl_AddEarlyCancel(state, id, wall_ms);
+        }
         return JOB_RESULT_UNKNOWN;
     }
     if (job->phase >= JOB_COMPLETED) {
@@ -511,6 +560,11 @@
         StrMap_Remove(state->jobs, job->id);
         JobStateImpl_FreeJob(job);
     }
+    for (i = state->early_cancel_count; i-- > 0;) {
+        if (state->early_cancels[i].wall_ms < wall_ms) {
+            remove_early_cancel(state, i);
+        }
+    }
     return JOB_RESULT_OK;
 }
 
--- a/src/jobstate_impl.h
+++ b/src/jobstate_impl.h
@@ -8,6 +8,12 @@
 #include "jobcodec.h"
 #include "jobstate.h"
 
+/* The cancellation of a job that was not submitted yet. */
+typedef struct JobEarlyCancel {
+    char id[JOB_ID_BYTES];
+    int64_t wall_ms;
+} JobEarlyCancel;
+
 struct JobState {
     JobConfig config;
     StrMap *jobs;
@@ -24,6 +30,8 @@
     size_t wave_count;
     JobVmOrder *vm_orders;
     size_t vm_order_count;
+    JobEarlyCancel *early_cancels; /* in the order in which they are applied */
+    size_t early_cancel_count;
     int64_t now_ms;
     bool caught_up;
     JobStateObserver observer;
@@ -42,6 +50,9 @@
 /* Adds the node or replaces the one of the same name. */
 void JobStateImpl_SetNode(JobState *state, const JobNode *node);
 void JobStateImpl_SetVmOrder(JobState *state, const JobVmOrder *order);
+/* Adds the cancellation of a job that was not submitted yet. */
+void JobStateImpl_AddEarlyCancel(JobState *state, const char *id,
+                                 int64_t wall_ms);
 /* Adds a wave with the fields of head and allocates its VMs. */
 JobWave *JobStateImpl_AddWave(JobState *state, const JobWave *head);
 void JobStateImpl_AddRun(JobTarget *target, const JobRun *run);
--- a/src/jobstate_snapshot.c
+++ b/src/jobstate_snapshot.c
@@ -6,7 +6,10 @@
 
 #include "mppack.h"
 
-#define SNAPSHOT_FORMAT 1
+#define SNAPSHOT_FORMAT 2
+/* The first format had no early cancellations. Snapshots on disk may have
+ * it. */
+#define FIRST_SNAPSHOT_FORMAT 1
 
 static void
 pack_task(msgpack_packer *packer, const JobTask *task)
@@ -100,7 +103,7 @@
     size_t i;
 
     msgpack_packer_init(&packer, out, Buf_MsgpackWrite);
-    msgpack_pack_array(&packer, 8);
+    msgpack_pack_array(&packer, 9);
     msgpack_pack_int(&packer, SNAPSHOT_FORMAT);
     JobCodec_PackConfig(&packer, &state->config);
     msgpack_pack_uint64(&packer, state->next_serial);
@@ -128,6 +131,12 @@
         msgpack_pack_array(&packer, 3);
         JobStateImpl_PackVmOrder(&packer, &state->vm_orders[i]);
     }
+    msgpack_pack_array(&packer, state->early_cancel_count);
+    for (i = 0; i < state->early_cancel_count; i++) {
+        msgpack_pack_array(&packer, 2);
+        MpPack_Text(&packer, state->early_cancels[i].id);
+        msgpack_pack_int64(&packer, state->early_cancels[i].wall_ms);
+    }
 }
 
 static bool
@@ -314,6 +323,20 @@
            JobStateImpl_ReadVmOrder(state, reader);
 }
 
+static bool
+read_early_cancel(JobState *state, MpRead *reader)
+{
+    char id[JOB_ID_BYTES];
+    int64_t wall_ms;
+
+    if (!MpRead_ArrayOf(reader, 2) || !MpRead_Text(reader, id, sizeof(id)) ||
+        !MpRead_I64(reader, &wall_ms)) {
+        return false;
+    }
+    JobStateImpl_AddEarlyCancel(state, id, wall_ms);
+    return true;
+}
+
 static bool
 read_rows(JobState *state, MpRead *reader,
           bool (*read)(JobState *state, MpRead *reader))
@@ -332,6 +355,16 @@
     return true;
 }
 
+static bool
+read_format(MpRead *reader, uint64_t *format)
+{
+    uint32_t items;
+
+    return MpRead_Array(reader, &items) && MpRead_U64(reader, format) &&
+           ((*format == SNAPSHOT_FORMAT && items == 9) ||
+            (*format == FIRST_SNAPSHOT_FORMAT && items == 8));
+}
+
 Status
 JobState_Restore(JobState *state, const char *bytes, size_t len, ErrCtx *err)
 {
@@ -344,15 +377,17 @@
     fresh->caught_up = state->caught_up;
     fresh->observer = state->observer;
     MpRead_Init(&reader, bytes, len);
-    if (!MpRead_ArrayOf(&reader, 8) || !MpRead_U64(&reader, &format) ||
-        format != SNAPSHOT_FORMAT ||
+    if (!read_format(&reader, &format) ||
         !JobCodec_ReadConfig(&reader, &fresh->config) ||
         !MpRead_U64(&reader, &fresh->next_serial) ||
         !read_rows(fresh, &reader, read_target) ||
         !read_rows(fresh, &reader, read_job) ||
         !read_rows(fresh, &reader, read_node) ||
         !read_rows(fresh, &reader, read_wave) ||
-        !read_rows(fresh, &reader, read_vm_order) || !MpRead_Done(&reader)) {
+        !read_rows(fresh, &reader, read_vm_order) ||
+        (format != FIRST_SNAPSHOT_FORMAT &&
+         !read_rows(fresh, &reader, read_early_cancel)) ||
+        !MpRead_Done(&reader)) {
         size_t offset = MpRead_Offset(&reader);
         JobState_Free(fresh);
         return Err_Set(err, ST_CORRUPT,
--- a/tests/test_jobstate.c
+++ b/tests/test_jobstate.c
@@ -203,6 +203,103 @@
 }
 END_TEST
 
+static JobResult
+cancel_job(const char *id, int64_t wall_ms)
+{
+    Buf command = BUF_INIT;
+
+    JobCmd_EncodeCancel(&command, id, wall_ms);
+    return JobTest_Apply(state, &command);
+}
+
+static void
+expire(int64_t wall_ms)
+{
+    Buf command = BUF_INIT;
+
+    JobCmd_EncodeExpire(&command, wall_ms);
+    JobTest_Apply(state, &command);
+}
+
+/* Replaces the state with one restored from its snapshot. */
+static void
+restore_from_snapshot(void)
+{
+    JobState *copy = JobState_New();
+    Buf bytes = BUF_INIT;
+    ErrCtx err;
+
+    JobState_Snapshot(state, &bytes);
+    ck_assert_int_eq(JobState_Restore(copy, bytes.data, bytes.len, &err),
+                     ST_OK);
+    Buf_Free(&bytes);
+    JobState_Free(state);
+    state = copy;
+}
+
+static const struct {
+    const char *name;
+    const char *cancelled;
+    int64_t cancelled_ms;
+    int64_t expired_ms; /* ends and cancellations before this time expire */
+    bool restored;
+    JobPhase expected; /* of job "a", submitted afterwards */
+} early_cancel_cases[] = {
+    {"cancelled", "a", 1500, 1500, false, JOB_CANCELLED},
+    {"cancelled, then a snapshot", "a", 1500, 1500, true, JOB_CANCELLED},
+    {"another job cancelled", "b", 1500, 1500, false, JOB_QUEUED},
+    {"cancellation expired", "a", 1500, 1501, false, JOB_QUEUED},
+};
+
+/* Guards against a job that runs after its caller was told at its cancellation
+ * that it does not exist. */
+START_TEST(cancellation_ends_job_that_is_submitted_later)
+{
+    const Job *job;
+
+    ck_assert_int_eq(cancel_job(early_cancel_cases[_i].cancelled,
+                                early_cancel_cases[_i].cancelled_ms),
+                     JOB_RESULT_UNKNOWN);
+    ck_assert_ptr_null(JobState_FindJob(state, "a"));
+    expire(early_cancel_cases[_i].expired_ms);
+    if (early_cancel_cases[_i].restored) {
+        restore_from_snapshot();
+    }
+    ck_assert_int_eq(JobTest_Submit(state, "a", 1, 1, 500), JOB_RESULT_OK);
+    job = JobState_FindJob(state, "a");
+    ck_assert_msg(job->phase == early_cancel_cases[_i].expected, "%s",
+                  early_cancel_cases[_i].name);
+    ck_assert_int_eq(job->active, job->phase == JOB_QUEUED);
+    JobTest_Assign(state, "a", 0, 0, 1, "t1");
+    ck_assert_uint_eq(JobState_FindTarget(state, "t1")->run_count,
+                      job->active ? 1 : 0);
+    ck_assert_int_eq(cancel_job("a", 1600),
+                     job->active ? JOB_RESULT_OK : JOB_RESULT_EXISTS);
+}
+END_TEST
+
+START_TEST(early_cancellations_are_bounded)
+{
+    char id[JOB_ID_BYTES];
+    uint32_t i;
+
+    for (i = 0; i <= JOB_MAX_EARLY_CANCELS; i++) {
+        snprintf(id, sizeof(id), "j%u", i);
+        ck_assert_int_eq(cancel_job(id, 1500), JOB_RESULT_UNKNOWN);
+        ck_assert_int_eq(cancel_job(id, 1500), JOB_RESULT_UNKNOWN);
+    }
+    ck_assert_uint_eq(JobState_EarlyCancelCount(state), JOB_MAX_EARLY_CANCELS);
+    JobTest_Submit(state, "j0", 1, 1, 500); /* the oldest has given way */
+    ck_assert_int_eq(JobState_FindJob(state, "j0")->phase, JOB_QUEUED);
+    JobTest_Submit(state, "j1", 1, 1, 500);
+    ck_assert_int_eq(JobState_FindJob(state, "j1")->phase, JOB_CANCELLED);
+    JobTest_Submit(state, id, 1, 1, 500);
+    ck_assert_int_eq(JobState_FindJob(state, id)->phase, JOB_CANCELLED);
+    ck_assert_uint_eq(JobState_EarlyCancelCount(state),
+                      JOB_MAX_EARLY_CANCELS - 2);
+}
+END_TEST
+
 START_TEST(new_incarnation_ends_previous_runs)
 {
     uint64_t serial = JobState_FindTarget(state, "t1")->serial;
@@ -253,6 +350,7 @@
     JobTest_Apply(state, &command);
     JobCmd_EncodeVmOrder(&command, &order);
     JobTest_Apply(state, &command);
+    cancel_job("d", 1500);
     JobState_Snapshot(state, &first);
     ck_assert_int_eq(JobState_Restore(copy, first.data, first.len, &err),
                      ST_OK);
@@ -263,12 +361,35 @@
     ck_assert_uint_eq(JobState_FindWave(copy, 3)->done, 1);
     ck_assert_int_eq(JobState_FindJob(copy, "b")->phase, JOB_COMPLETED);
     ck_assert_uint_eq(JobState_FindVmOrder(copy, "vm1")->fence, 77);
+    ck_assert_uint_eq(JobState_EarlyCancelCount(copy), 1);
     JobState_Free(copy);
     Buf_Free(&first);
     Buf_Free(&second);
 }
 END_TEST
 
+/* Guards against a node that cannot read its snapshot after an upgrade. */
+START_TEST(snapshots_of_first_format_are_restored)
+{
+    JobState *copy = JobState_New();
+    Buf bytes = BUF_INIT;
+    ErrCtx err;
+
+    JobTest_Submit(state, "a", 2, 3, 500);
+    JobState_Snapshot(state, &bytes);
+    /* The first format is the second one without its last, empty array. */
+    ck_assert_mem_eq(bytes.data, "\x99\x02", 2);
+    ck_assert_mem_eq(bytes.data + bytes.len - 1, "\x90", 1);
+    bytes.data[0] = (char)0x98;
+    bytes.data[1] = 1;
+    ck_assert_int_eq(JobState_Restore(copy, bytes.data, bytes.len - 1, &err),
+                     ST_OK);
+    ck_assert_ptr_nonnull(JobState_FindJob(copy, "a"));
+    JobState_Free(copy);
+    Buf_Free(&bytes);
+}
+END_TEST
+
 /* A truncated snapshot is rejected and leaves the state unchanged; a corrupted
  * byte may not crash the decoder. */
 START_TEST(damaged_snapshots_are_rejected)
@@ -395,9 +516,14 @@
     tcase_add_test(tcase, lasting_task_waits_again_after_any_end);
     tcase_add_test(tcase, late_done_end_completes_waiting_task);
     tcase_add_test(tcase, cancelled_job_ignores_assignments);
+    tcase_add_loop_test(
+        tcase, cancellation_ends_job_that_is_submitted_later, 0,
+        sizeof(early_cancel_cases) / sizeof(early_cancel_cases[0]));
+    tcase_add_test(tcase, early_cancellations_are_bounded);
     tcase_add_test(tcase, new_incarnation_ends_previous_runs);
     tcase_add_test(tcase, finds_latest_target_of_vm);
     tcase_add_test(tcase, snapshot_restores_whole_state);
+    tcase_add_test(tcase, snapshots_of_first_format_are_restored);
     tcase_add_test(tcase, damaged_snapshots_are_rejected);
     tcase_add_test(tcase, ended_jobs_expire);
     tcase_add_loop_test(tcase, config_check_reports_all_faults, 0,
