Remove a target only on an answer from its current address

Callers: none saw it; found by reading. A task could run twice. A call that was sent before its target announced another address reaches the target that has the old address by then, which answers "another instance" (421). The leader took that as the end of the called target and assigned its tasks again, while they still ran at the new address.

Cause: a definite negative on the evidence of one attempt. The answer says that the target isn't where the call went, not that it is gone.

Fix: the answer removes the target only if the call went to the address that the target has now and no announcement is being stored. Otherwise the next call, to the new address, tells. A target whose address was really taken is removed as before, by the first answer.

The platform describes no change of address within one life of a target; the scheduler stores such a change from an announcement, so the case is reachable from the wire, but no run of processes showed it.

--- a/src/jobsched_call.c
+++ b/src/jobsched_call.c
@@ -325,6 +325,14 @@
                live->clock_ms;
 }
 
+/* Returns whether a call went to the address that its target has now. */
+static bool
+is_at_current_address(const JobTarget *target, const JobAction *call)
+{
+    return strcmp(call->address, target->announcement.address) == 0 &&
+           !SchedImpl_FindLive(target)->announcement_pending;
+}
+
 void
 JobSched_HandleAnswer(JobSched *sched, int64_t now, const JobAction *call,
                       const JobCallAnswer *answer)
@@ -352,9 +360,11 @@
         sched->counts.unanswered++;
     }
     else if (answer->outcome == JOB_CALL_OTHER_INSTANCE) {
-        SchedImpl_ProposeRemoval(sched, target,
-                                 "another target has its address");
-        return;
+        if (is_at_current_address(target, call)) {
+            SchedImpl_ProposeRemoval(sched, target,
+                                     "another target has its address");
+            return;
+        }
     }
     else {
         live->unanswered = 0;
--- a/tests/test_jobsched.c
+++ b/tests/test_jobsched.c
@@ -53,7 +53,7 @@
 }
 
 static void
-announce(const char *id, const char *vm, uint64_t born)
+announce_at(const char *id, const char *vm, uint64_t born, const char *address)
 {
     JobAnnouncement announcement = {.room = {16000, 32000, 0}, .born = born};
     static uint64_t order;
@@ -61,11 +61,17 @@
     snprintf(announcement.id, sizeof(announcement.id), "%s", id);
     snprintf(announcement.vm, sizeof(announcement.vm), "%s", vm);
     snprintf(announcement.pool, sizeof(announcement.pool), "p");
-    snprintf(announcement.address, sizeof(announcement.address),
-             "10.0.0.1:80");
+    snprintf(announcement.address, sizeof(announcement.address), "%s",
+             address);
     announcement.clock_ms = now - 90000;
     announcement.order = ++order;
     JobSched_HandleAnnouncement(sched, now, &announcement);
+}
+
+static void
+announce(const char *id, const char *vm, uint64_t born)
+{
+    announce_at(id, vm, born, "10.0.0.1:80");
     process_actions();
 }
 
@@ -281,6 +287,42 @@
 END_TEST
 
 /* A start without an answer may be carried out later than a refused stop. */
+static const struct {
+    const char *name;
+    const char *next_address; /* announced while the call is in flight */
+    bool stored;              /* before the answer */
+    bool expected;            /* the target keeps its run */
+} other_instance_cases[] = {
+    {"another target has the address", "10.0.0.1:80", true, false},
+    {"address has changed", "10.0.0.2:80", true, true},
+    {"new address is being stored", "10.0.0.2:80", false, true},
+};
+
+/* Guards against a second run of a task that still runs at the target's new
+ * address. */
+START_TEST(answer_from_former_address_removes_no_target)
+{
+    JobCallAnswer answer = {.outcome = JOB_CALL_OTHER_INSTANCE,
+                            .clock_ms = -1};
+    const JobTarget *target;
+
+    announce("t1", "vm1", 10);
+    JobTest_Submit(state, "a", 1, 1, 500);
+    tick(50);
+    ck_assert_uint_gt(call_count, 0);
+    announce_at("t1", "vm1", 10, other_instance_cases[_i].next_address);
+    if (other_instance_cases[_i].stored) {
+        process_actions();
+    }
+    JobSched_HandleAnswer(sched, now, &calls[0], &answer);
+    process_actions();
+    target = JobState_FindTarget(state, "t1");
+    ck_assert_msg((target != NULL && target->run_count == 1) ==
+                      other_instance_cases[_i].expected,
+                  "%s", other_instance_cases[_i].name);
+}
+END_TEST
+
 START_TEST(refused_stop_does_not_settle_a_start)
 {
     size_t round;
@@ -543,6 +585,9 @@
     tcase_add_test(tcase, demand_is_recorded_after_restore);
     tcase_add_loop_test(tcase, holds_wait_less_for_short_tasks, 0, 2);
     tcase_add_test(tcase, cancelled_tasks_are_stopped);
+    tcase_add_loop_test(tcase, answer_from_former_address_removes_no_target, 0,
+                        sizeof(other_instance_cases) /
+                            sizeof(other_instance_cases[0]));
     tcase_add_test(tcase, refused_stop_does_not_settle_a_start);
     tcase_add_loop_test(tcase, large_fleets_are_polled_less_often, 0,
                         (int)(sizeof(wait_cases) / sizeof(wait_cases[0])));
