Keep the order of a VM whose unanswered call may be carried out

Callers: none saw it; found by reading. More VMs could be under maintenance at a time than the wave's cap allows, and a VM could move although its order had been dropped and it had new tasks.

Cause: a definite negative on the evidence of one attempt. An order is sent again until it has an answer. "Busy" for the second call dropped the order, which is true of that call only: the first one, without an answer, may have made the VM busy, or may be carried out once the VM is up again. The VM took part in the scheduling again, and it left the count of the wave if the list of VMs, which may be older or show it as down, did not show it as busy.

Fix: "busy" drops an order only if no call of it lacks a clear answer, or the lease of the holder has passed since that answer was missed, which is the time after which a new leader counts on the orders of an earlier one as well. Until then the order is sent again. "Invalid" still drops it at once: the VM, its wave and its kind of pool do not change between two calls.

Evidence: test_jobfleet, down_vm_keeps_order_of_unanswered_call, failed in its cases "no answer, then busy" and "no clear answer, then busy": the wave with a cap of 1 ordered the other VM.

--- a/src/jobfleet.c
+++ b/src/jobfleet.c
@@ -345,6 +345,14 @@
     }
 }
 
+static void
+drop_refused_order(JobFleet *fleet, int64_t now, FleetVm *vm)
+{
+    vm->call_sent = false;
+    clear_order(fleet, vm);
+    vm->cooldown_start_ms = now;
+}
+
 static void
 handle_order_answer(JobFleet *fleet, int64_t now, const JobVmCall *call,
                     const JobVmAnswer *answer)
@@ -371,14 +379,18 @@
         fleet->lead_start_ms = now;
         break;
     case JOB_VM_BUSY:
+        fleet->list_due_ms = now;
+        if (now >= vm->unsettled_until_ms) {
+            drop_refused_order(fleet, now, vm);
+        }
+        break;
     case JOB_VM_INVALID:
-        vm->call_sent = false;
-        clear_order(fleet, vm);
-        vm->cooldown_start_ms = now;
         fleet->list_due_ms = now;
+        drop_refused_order(fleet, now, vm);
+        break;
+    default: /* the order is sent again until its outcome is known */
+        vm->unsettled_until_ms = now + fleet->options.vm_lease_ms;
         break;
-    default:
-        break; /* the order is sent again until its outcome is known */
     }
 }
 
@@ -460,6 +472,7 @@
     vm->order_ms = now;
     vm->next_call_ms = now;
     vm->next_store_ms = now;
+    vm->unsettled_until_ms = 0;
     vm->accepted = false;
     vm->call_sent = false;
     snprintf(vm->pool, sizeof(vm->pool), "%s", pool);
--- a/src/jobfleet_impl.h
+++ b/src/jobfleet_impl.h
@@ -34,12 +34,14 @@
     char ended_target[JOB_NAME_BYTES]; /* target that the order ends */
     uint64_t fence;                    /* fencing token of the order */
     uint64_t wave;
-    int64_t order_ms;          /* creation time of the order */
-    int64_t next_call_ms;      /* earliest time of the next call */
-    int64_t next_store_ms;     /* earliest time to propose storing the order */
-    int64_t accepted_ms;       /* time of acceptance by the VM service */
-    int64_t cooldown_start_ms; /* time of the last order that was accepted,
-                                  refused or not drained in time */
+    int64_t order_ms;      /* creation time of the order */
+    int64_t next_call_ms;  /* earliest time of the next call */
+    int64_t next_store_ms; /* earliest time to propose storing the order */
+    int64_t unsettled_until_ms; /* until when a call of the order without a
+                                   clear answer may be carried out */
+    int64_t accepted_ms;        /* time of acceptance by the VM service */
+    int64_t cooldown_start_ms;  /* time of the last order that was accepted,
+                                   refused or not drained in time */
     bool call_in_flight;
     bool call_sent; /* a call was sent; the order may have been carried out */
     bool accepted;  /* the VM service has accepted the order */
--- a/tests/test_jobfleet.c
+++ b/tests/test_jobfleet.c
@@ -159,6 +159,58 @@
 }
 END_TEST
 
+static const struct {
+    const char *name;
+    JobVmOutcome outcomes[2]; /* of the calls of one order */
+    size_t outcome_count;
+    bool kept; /* the order is sent again, and no other VM gets one */
+} down_vm_cases[] = {
+    {"busy", {JOB_VM_BUSY}, 1, false},
+    {"no answer, then busy", {JOB_VM_NO_ANSWER, JOB_VM_BUSY}, 2, true},
+    {"no clear answer, then busy", {JOB_VM_AGAIN, JOB_VM_BUSY}, 2, true},
+    {"no answer, then invalid", {JOB_VM_NO_ANSWER, JOB_VM_INVALID}, 2, false},
+};
+
+/* Guards against maintenance of more VMs at a time than a wave allows: an
+ * unanswered call may be carried out later. */
+START_TEST(down_vm_keeps_order_of_unanswered_call)
+{
+    JobVm rows[2];
+    JobVmCall calls[8];
+    char vm[JOB_NAME_BYTES];
+    size_t count = make_idle_vms(rows, 2);
+    size_t i;
+
+    become_leader(1);
+    start_wave(1, 2);
+    advance_time(100);
+    answer_lists(rows, count, calls, 8);
+    advance_time(600);
+    ck_assert_uint_eq(answer_lists(rows, count, calls, 8), 1);
+    snprintf(vm, sizeof(vm), "%s", calls[0].vm);
+    rows[strcmp(vm, rows[0].name) == 0 ? 0 : 1].up = false;
+    advance_time(2100);
+    answer_lists(rows, count, NULL, 0);
+    for (i = 0; i < down_vm_cases[_i].outcome_count; i++) {
+        JobVmAnswer answer = {.outcome = down_vm_cases[_i].outcomes[i]};
+        ck_assert_str_eq(calls[0].vm, vm);
+        JobFleet_HandleAnswer(fleet, now, &calls[0], &answer);
+        advance_time(1100);
+        ck_assert_uint_eq(answer_lists(rows, count, calls, 8), 1);
+    }
+    ck_assert_msg((strcmp(calls[0].vm, vm) == 0) == down_vm_cases[_i].kept,
+                  "%s", down_vm_cases[_i].name);
+    if (down_vm_cases[_i].kept) {
+        JobVmAnswer busy = {.outcome = JOB_VM_BUSY};
+        advance_time(HOLDER_LEASE_MS);
+        JobFleet_HandleAnswer(fleet, now, &calls[0], &busy);
+        advance_time(1100);
+        ck_assert_uint_eq(answer_lists(rows, count, calls, 8), 1);
+        ck_assert_str_ne(calls[0].vm, vm);
+    }
+}
+END_TEST
+
 START_TEST(new_leader_counts_orders_of_earlier_leader)
 {
     JobVm rows[6];
@@ -313,6 +365,8 @@
 
     tcase_add_checked_fixture(tcase, setup, teardown);
     tcase_add_test(tcase, wave_respects_cap);
+    tcase_add_loop_test(tcase, down_vm_keeps_order_of_unanswered_call, 0,
+                        sizeof(down_vm_cases) / sizeof(down_vm_cases[0]));
     tcase_add_test(tcase, new_leader_counts_orders_of_earlier_leader);
     tcase_add_test(tcase, no_order_without_confirmed_leader);
     tcase_add_test(tcase, unlisted_vm_is_not_done_at_once);
