Fail each read that waits for a majority beyond its timeout

Callers: a read (configuration, state, a queue or job that does not exist) could wait for its deadline at a leader without a majority instead of getting 503 after 800 ms, while other reads kept coming. The operator gives a node one second.

Cause: the timeout looked at the newest read of a list only and, once that one was old, failed the whole list. Reads that wait for the next confirmation are added to the list all the time, so that its newest one stays young.

Fix: each read counts by its own time. The lists are ordered, so the part from the first late read on is cut off.

Evidence: proc_read_timeout freezes the followers of a leader with an election timeout of 5 s and sends it 50 reads in 2 s.

--- a/src/jobctl_log.c
+++ b/src/jobctl_log.c
@@ -198,16 +198,20 @@
     start_read(control);
 }
 
-/* Fails reads that no majority confirmed within READ_TIMEOUT_MS. */
+/* Fails reads that no majority confirmed within READ_TIMEOUT_MS. Lists of
+ * reads begin with the newest one. */
 static void
 expire_reads(JobReadRequest **requests, int64_t now)
 {
-    JobReadRequest *request = *requests;
+    JobReadRequest *expired;
 
-    if (request != NULL && now - request->requested_ms > READ_TIMEOUT_MS) {
-        *requests = NULL;
-        complete_reads(request, ST_AGAIN);
+    while (*requests != NULL &&
+           now - (*requests)->requested_ms <= READ_TIMEOUT_MS) {
+        requests = &(*requests)->next;
     }
+    expired = *requests;
+    *requests = NULL;
+    complete_reads(expired, ST_AGAIN);
 }
 
 /* Logs that proposals wait for longer than LATE_PROPOSAL_MS, with what tells a
