Keep the sent order of a VM that one list lacks

More VMs could be under maintenance at a time than the wave's cap allows.

Cause: a definite negative on the evidence of one moment. A list of VMs comes in pages and may lack a VM that is there. The planner then forgot the VM with its order, unless a call was in flight at that moment, though the order had been accepted or a call without an answer could still be carried out. It was not counted any more, and the next VM of the wave got an order.

Fix: a VM with a sent order stays until the order has a clear answer, and one whose order was accepted until lists have lacked it for 6 s, the time after which a wave takes a VM for gone already. The VM service answers "invalid" for a VM that has left, so neither stays for ever.

--- a/src/jobfleet.c
+++ b/src/jobfleet.c
@@ -141,6 +141,7 @@
     }
     vm->listed = *listed;
     vm->last_list_number = fleet->list_number;
+    vm->listed_ms = fleet->list_sent_ms;
     if (vm->accepted && vm->accepted_ms < fleet->list_sent_ms && listed->up &&
         !listed->busy) {
         Slog_Begin(SLOG_CHANGE, "vm_back");
@@ -152,6 +153,16 @@
     }
 }
 
+/* Returns whether a VM that the list does not contain must be kept because its
+ * order may be carried out. */
+static bool
+is_order_open(const JobFleet *fleet, const FleetVm *vm)
+{
+    return vm->call_in_flight || vm->call_sent ||
+           (vm->accepted &&
+            fleet->list_sent_ms - vm->listed_ms < FLEET_ABSENT_MS);
+}
+
 /* Handles the end of a VM list. Removes VMs that it does not contain, as they
  * may have left the platform. */
 static void
@@ -161,7 +172,7 @@
 
     while (i < fleet->vm_count) {
         if (fleet->vms[i].last_list_number == fleet->list_number ||
-            fleet->vms[i].call_in_flight) {
+            is_order_open(fleet, &fleet->vms[i])) {
             i++;
             continue;
         }
--- a/src/jobfleet_impl.h
+++ b/src/jobfleet_impl.h
@@ -13,6 +13,8 @@
 #define FLEET_FENCE_BITS 20
 #define FLEET_MAX_CALLS 64
 #define FLEET_MAX_COMMANDS 64
+/* A VM missing from the VM list for this time has left the platform. */
+#define FLEET_ABSENT_MS 6000
 /* A move is cancelled if the VM is not drained after this time. */
 #define FLEET_MOVE_DRAIN_TIMEOUT_MS 4000
 /* Maintenance interrupts short tasks that still run after this time. */
@@ -29,6 +31,7 @@
 typedef struct FleetVm {
     JobVm listed; /* latest entry of the VM list */
     uint64_t last_list_number;
+    int64_t listed_ms; /* request time of the last list that contained it */
     FleetOrderKind order;
     char pool[JOB_NAME_BYTES];         /* destination of the order */
     char ended_target[JOB_NAME_BYTES]; /* target that the order ends */
--- a/src/jobfleet_wave.c
+++ b/src/jobfleet_wave.c
@@ -5,8 +5,6 @@
 
 #include "jobcodec.h"
 
-/* A VM missing from the VM list for this time has left the platform. */
-#define WAVE_ABSENT_MS 6000
 /* Time to drain, maintain and bring back one VM, with some margin. */
 #define WAVE_ROUND_MS 6000
 
@@ -86,7 +84,7 @@
 }
 
 /* Marks VMs of a wave that have left the platform as done. A VM list may be
- * older than the VM, so the VM must be missing for WAVE_ABSENT_MS first. */
+ * older than the VM, so the VM must be missing for FLEET_ABSENT_MS first. */
 static void
 mark_removed_vms(JobFleet *fleet, int64_t now, JobWave *wave)
 {
@@ -101,7 +99,7 @@
         }
         vm->absent_since_ms =
             vm->absent_since_ms == 0 ? now : vm->absent_since_ms;
-        if (fleet->list_sent_ms - vm->absent_since_ms < WAVE_ABSENT_MS) {
+        if (fleet->list_sent_ms - vm->absent_since_ms < FLEET_ABSENT_MS) {
             continue;
         }
         JobCmd_EncodeWaveVm(&command, wave->number, wave->vms[i].vm, true);
--- a/tests/test_jobfleet.c
+++ b/tests/test_jobfleet.c
@@ -271,6 +271,53 @@
 }
 END_TEST
 
+/* Answers lists with one VM for a time and each other call with answer.
+ * Returns the number of calls for that VM. */
+static size_t
+list_one_vm(JobVm *row, int64_t ms, const JobVmAnswer *answer)
+{
+    JobVmCall calls[8];
+    int64_t until = now + ms;
+    size_t found = 0;
+
+    while (now < until) {
+        size_t count;
+        advance_time(100);
+        count = answer_lists(row, 1, calls, 8);
+        while (count-- > 0) {
+            found += strcmp(calls[count].vm, row->name) == 0;
+            JobFleet_HandleAnswer(fleet, now, &calls[count], answer);
+        }
+    }
+    return found;
+}
+
+/* Guards against maintenance of more VMs at a time than a wave allows: a list
+ * may lack a VM whose order was sent. */
+START_TEST(unlisted_vm_keeps_sent_order)
+{
+    static const JobVmAnswer answers[] = {{.outcome = JOB_VM_OK},
+                                          {.outcome = JOB_VM_NO_ANSWER}};
+    static const JobVmAnswer invalid = {.outcome = JOB_VM_INVALID};
+    JobVm rows[2];
+    JobVmCall calls[8];
+    JobVm *other;
+    size_t count = make_idle_vms(rows, 2);
+
+    become_leader(1);
+    start_wave(1, 2);
+    advance_time(100);
+    answer_lists(rows, count, calls, 8);
+    advance_time(600);
+    ck_assert_uint_eq(answer_lists(rows, count, calls, 8), 1);
+    other = strcmp(calls[0].vm, rows[0].name) == 0 ? &rows[1] : &rows[0];
+    JobFleet_HandleAnswer(fleet, now, &calls[0], &answers[_i]);
+    ck_assert_uint_eq(list_one_vm(other, 5000, &answers[_i]), 0);
+    /* The VM has left the platform. */
+    ck_assert_uint_gt(list_one_vm(other, 5000, &invalid), 0);
+}
+END_TEST
+
 START_TEST(repeated_move_keeps_next_target)
 {
     JobVm rows[4];
@@ -370,6 +417,7 @@
     tcase_add_test(tcase, new_leader_counts_orders_of_earlier_leader);
     tcase_add_test(tcase, no_order_without_confirmed_leader);
     tcase_add_test(tcase, unlisted_vm_is_not_done_at_once);
+    tcase_add_loop_test(tcase, unlisted_vm_keeps_sent_order, 0, 2);
     tcase_add_test(tcase, repeated_move_keeps_next_target);
     tcase_add_test(tcase, repeated_maintenance_keeps_runs);
     tcase_add_test(tcase, standby_vms_move_to_rising_demand);
