End the drain of a VM that a list lacks

Callers: none saw it; found by reading. A target could get no more work until the leader changed or its VM got another order.

Cause: a VM that a list lacks is forgotten with its unsent order, but its target stayed cordoned for that order. When the next list has the VM again, it has no order, and nothing lifts the cordon.

Fix: a VM is forgotten only after its order is cleared, which lifts the cordon.

Evidence: test_jobfleet, unlisted_vm_ends_its_drain, failed: the target was not usable after the list.

--- a/src/jobfleet.c
+++ b/src/jobfleet.c
@@ -176,6 +176,7 @@
             i++;
             continue;
         }
+        clear_order(fleet, &fleet->vms[i]);
         fleet->vms[i] = fleet->vms[--fleet->vm_count];
     }
     fleet->list_complete = true;
--- a/tests/test_jobfleet.c
+++ b/tests/test_jobfleet.c
@@ -318,6 +318,43 @@
 }
 END_TEST
 
+/* Guards against a target that gets no more work because a list lacked its VM
+ * while it was drained for an order. */
+START_TEST(unlisted_vm_ends_its_drain)
+{
+    JobVm rows[2];
+    JobVmCall calls[8];
+    JobVmAnswer ok = {.outcome = JOB_VM_OK};
+    JobAnnouncement announcement = {.room = {16000, 32000, 0}, .born = 5};
+    const JobTarget *target;
+
+    rows[0] = make_vm("vm0", "p");
+    rows[1] = make_vm("vm1", "idle");
+    become_leader(1);
+    snprintf(announcement.id, sizeof(announcement.id), "t0");
+    snprintf(announcement.vm, sizeof(announcement.vm), "vm0");
+    snprintf(announcement.pool, sizeof(announcement.pool), "p");
+    snprintf(announcement.address, sizeof(announcement.address),
+             "10.0.0.1:80");
+    announcement.clock_ms = 1000;
+    JobSched_HandleAnnouncement(sched, now, &announcement);
+    apply_commands();
+    target = JobState_FindTarget(state, "t0");
+    JobTest_Submit(state, "a", 1, 1, 500);
+    JobTest_Assign(state, "a", 0, 0, 1, "t0");
+    start_wave(1, 1);
+    advance_time(100);
+    answer_lists(rows, 1, calls, 8);
+    advance_time(600);
+    ck_assert_uint_eq(answer_lists(rows, 1, calls, 8), 0);
+    ck_assert(!JobSched_IsUsable(sched, target, now));
+    list_one_vm(&rows[1], 1700, &ok);
+    announcement.order = 1;
+    JobSched_HandleAnnouncement(sched, now, &announcement);
+    ck_assert(JobSched_IsUsable(sched, target, now));
+}
+END_TEST
+
 START_TEST(repeated_move_keeps_next_target)
 {
     JobVm rows[4];
@@ -418,6 +455,7 @@
     tcase_add_test(tcase, no_order_without_confirmed_leader);
     tcase_add_test(tcase, unlisted_vm_is_not_done_at_once);
     tcase_add_loop_test(tcase, unlisted_vm_keeps_sent_order, 0, 2);
+    tcase_add_test(tcase, unlisted_vm_ends_its_drain);
     tcase_add_test(tcase, repeated_move_keeps_next_target);
     tcase_add_test(tcase, repeated_maintenance_keeps_runs);
     tcase_add_test(tcase, standby_vms_move_to_rising_demand);
