--- a/src/jobfleet.c
+++ b/src/jobfleet.c
@@ -141,6 +141,7 @@
     }
     vm->listed = *listed;
     vm->last_list_number = fleet->list_number;
+    vm->listed_ms = fleet->list_sent_ms;
     if (vm->accepted && vm->accepted_ms < fleet->list_sent_ms && listed->up &&
         !listed->busy) {
         Slog_Begin(SLOG_CHANGE, "vm_back");
@@ -152,6 +153,16 @@
     }
 }
 
+/* Returns whether a VM that the list does not contain must be kept because its
+ * order may be carried out. */
+static bool
+is_order_open(const JobFleet *fleet, const FleetVm *vm)
+{
+    return vm->call_in_flight || vm->call_sent ||
+           (vm->accepted &&
+            fleet->list_sent_ms - vm->listed_ms < FLEET_ABSENT_MS);
+}
+
 /* Handles the end of a VM list. Removes VMs that it does not contain, as they
  * may have left the platform. */
 static void
@@ -161,10 +172,11 @@
 
     while (i < fleet->vm_count) {
         if (fleet->vms[i].last_list_number == fleet->list_number ||
-            fleet->vms[i].call_in_flight) {
+            is_order_open(fleet, &fleet->vms[i])) {
             i++;
             continue;
         }
+        clear_order(fleet, &fleet->vms[i]);
         fleet->vms[i] = fleet->vms[--fleet->vm_count];
     }
     fleet->list_complete = true;
@@ -345,6 +357,14 @@
     }
 }
 
+static void
+drop_refused_order(JobFleet *fleet, int64_t now, FleetVm *vm)
+{
+    vm->call_sent = false;
+    clear_order(fleet, vm);
+    vm->cooldown_start_ms = now;
+}
+
 static void
 handle_order_answer(JobFleet *fleet, int64_t now, const JobVmCall *call,
                     const JobVmAnswer *answer)
@@ -371,14 +391,18 @@
         fleet->lead_start_ms = now;
         break;
     case JOB_VM_BUSY:
+        fleet->list_due_ms = now;
+        if (now >= vm->unsettled_until_ms) {
+            drop_refused_order(fleet, now, vm);
+        }
+        break;
     case JOB_VM_INVALID:
-        vm->call_sent = false;
-        clear_order(fleet, vm);
-        vm->cooldown_start_ms = now;
         fleet->list_due_ms = now;
+        drop_refused_order(fleet, now, vm);
+        break;
+    default: /* the order is sent again until its outcome is known */
+        vm->unsettled_until_ms = now + fleet->options.vm_lease_ms;
         break;
-    default:
-        break; /* the order is sent again until its outcome is known */
     }
 }
 
@@ -460,6 +484,7 @@
     vm->order_ms = now;
     vm->next_call_ms = now;
     vm->next_store_ms = now;
+    vm->unsettled_until_ms = 0;
     vm->accepted = false;
     vm->call_sent = false;
     snprintf(vm->pool, sizeof(vm->pool), "%s", pool);
--- a/src/jobfleet_impl.h
+++ b/src/jobfleet_impl.h
@@ -13,6 +13,8 @@
 #define FLEET_FENCE_BITS 20
 #define FLEET_MAX_CALLS 64
 #define FLEET_MAX_COMMANDS 64
+/* A VM missing from the VM list for this time has left the platform. */
+#define FLEET_ABSENT_MS 6000
 /* A move is cancelled if the VM is not drained after this time. */
 #define FLEET_MOVE_DRAIN_TIMEOUT_MS 4000
 /* Maintenance interrupts short tasks that still run after this time. */
@@ -29,17 +31,20 @@
 typedef struct FleetVm {
     JobVm listed; /* latest entry of the VM list */
     uint64_t last_list_number;
+    int64_t listed_ms; /* request time of the last list that contained it */
     FleetOrderKind order;
     char pool[JOB_NAME_BYTES];         /* destination of the order */
     char ended_target[JOB_NAME_BYTES]; /* target that the order ends */
     uint64_t fence;                    /* fencing token of the order */
     uint64_t wave;
-    int64_t order_ms;          /* creation time of the order */
-    int64_t next_call_ms;      /* earliest time of the next call */
-    int64_t next_store_ms;     /* earliest time to propose storing the order */
-    int64_t accepted_ms;       /* time of acceptance by the VM service */
-    int64_t cooldown_start_ms; /* time of the last order that was accepted,
-                                  refused or not drained in time */
+    int64_t order_ms;      /* creation time of the order */
+    int64_t next_call_ms;  /* earliest time of the next call */
+    int64_t next_store_ms; /* earliest time to propose storing the order */
+    int64_t unsettled_until_ms; /* until when a call of the order without a
+                                   clear answer may be carried out */
+    int64_t accepted_ms;        /* time of acceptance by the VM service */
+    int64_t cooldown_start_ms;  /* time of the last order that was accepted,
+                                   refused or not drained in time */
     bool call_in_flight;
     bool call_sent; /* a call was sent; the order may have been carried out */
     bool accepted;  /* the VM service has accepted the order */
--- a/tests/test_jobfleet.c
+++ b/tests/test_jobfleet.c
@@ -159,6 +159,58 @@
 }
 END_TEST
 
+static const struct {
+    const char *name;
+    JobVmOutcome outcomes[2]; /* of the calls of one order */
+    size_t outcome_count;
+    bool kept; /* the order is sent again, and no other VM gets one */
+} down_vm_cases[] = {
+    {"busy", {JOB_VM_BUSY}, 1, false},
+    {"no answer, then busy", {JOB_VM_NO_ANSWER, JOB_VM_BUSY}, 2, true},
+    {"no clear answer, then busy", {JOB_VM_AGAIN, JOB_VM_BUSY}, 2, true},
+    {"no answer, then invalid", {JOB_VM_NO_ANSWER, JOB_VM_INVALID}, 2, false},
+};
+
+/* Guards against maintenance of more VMs at a time than a wave allows: an
+ * unanswered call may be carried out later. */
+START_TEST(down_vm_keeps_order_of_unanswered_call)
+{
+    JobVm rows[2];
+    JobVmCall calls[8];
+    char vm[JOB_NAME_BYTES];
+    size_t count = make_idle_vms(rows, 2);
+    size_t i;
+
+    become_leader(1);
+    start_wave(1, 2);
+    advance_time(100);
+    answer_lists(rows, count, calls, 8);
+    advance_time(600);
+    ck_assert_uint_eq(answer_lists(rows, count, calls, 8), 1);
+    snprintf(vm, sizeof(vm), "%s", calls[0].vm);
+    rows[strcmp(vm, rows[0].name) == 0 ? 0 : 1].up = false;
+    advance_time(2100);
+    answer_lists(rows, count, NULL, 0);
+    for (i = 0; i < down_vm_cases[_i].outcome_count; i++) {
+        JobVmAnswer answer = {.outcome = down_vm_cases[_i].outcomes[i]};
+        ck_assert_str_eq(calls[0].vm, vm);
+        JobFleet_HandleAnswer(fleet, now, &calls[0], &answer);
+        advance_time(1100);
+        ck_assert_uint_eq(answer_lists(rows, count, calls, 8), 1);
+    }
+    ck_assert_msg((strcmp(calls[0].vm, vm) == 0) == down_vm_cases[_i].kept,
+                  "%s", down_vm_cases[_i].name);
+    if (down_vm_cases[_i].kept) {
+        JobVmAnswer busy = {.outcome = JOB_VM_BUSY};
+        advance_time(HOLDER_LEASE_MS);
+        JobFleet_HandleAnswer(fleet, now, &calls[0], &busy);
+        advance_time(1100);
+        ck_assert_uint_eq(answer_lists(rows, count, calls, 8), 1);
+        ck_assert_str_ne(calls[0].vm, vm);
+    }
+}
+END_TEST
+
 START_TEST(new_leader_counts_orders_of_earlier_leader)
 {
     JobVm rows[6];
@@ -219,6 +271,90 @@
 }
 END_TEST
 
+/* Answers lists with one VM for a time and each other call with answer.
+ * Returns the number of calls for that VM. */
+static size_t
+list_one_vm(JobVm *row, int64_t ms, const JobVmAnswer *answer)
+{
+    JobVmCall calls[8];
+    int64_t until = now + ms;
+    size_t found = 0;
+
+    while (now < until) {
+        size_t count;
+        advance_time(100);
+        count = answer_lists(row, 1, calls, 8);
+        while (count-- > 0) {
+            found += strcmp(calls[count].vm, row->name) == 0;
+            JobFleet_HandleAnswer(fleet, now, &calls[count], answer);
+        }
+    }
+    return found;
+}
+
+/* Guards against maintenance of more VMs at a time than a wave allows: a list
+ * may lack a VM whose order was sent. */
+START_TEST(unlisted_vm_keeps_sent_order)
+{
+    static const JobVmAnswer answers[] = {{.outcome = JOB_VM_OK},
+                                          {.outcome = JOB_VM_NO_ANSWER}};
+    static const JobVmAnswer invalid = {.outcome = JOB_VM_INVALID};
+    JobVm rows[2];
+    JobVmCall calls[8];
+    JobVm *other;
+    size_t count = make_idle_vms(rows, 2);
+
+    become_leader(1);
+    start_wave(1, 2);
+    advance_time(100);
+    answer_lists(rows, count, calls, 8);
+    advance_time(600);
+    ck_assert_uint_eq(answer_lists(rows, count, calls, 8), 1);
+    other = strcmp(calls[0].vm, rows[0].name) == 0 ? &rows[1] : &rows[0];
+    JobFleet_HandleAnswer(fleet, now, &calls[0], &answers[_i]);
+    ck_assert_uint_eq(list_one_vm(other, 5000, &answers[_i]), 0);
+    /* The VM has left the platform. */
+    ck_assert_uint_gt(list_one_vm(other, 5000, &invalid), 0);
+}
+END_TEST
+
+/* Guards against a target that gets no more work because a list lacked its VM
+ * while it was drained for an order. */
+START_TEST(unlisted_vm_ends_its_drain)
+{
+    JobVm rows[2];
+    JobVmCall calls[8];
+    JobVmAnswer ok = {.outcome = JOB_VM_OK};
+    JobAnnouncement announcement = {.room = {16000, 32000, 0}, .born = 5};
+    const JobTarget *target;
+
+    rows[0] = make_vm("vm0", "p");
+    rows[1] = make_vm("vm1", "idle");
+    become_leader(1);
+    snprintf(announcement.id, sizeof(announcement.id), "t0");
+    snprintf(announcement.vm, sizeof(announcement.vm), "vm0");
+    snprintf(announcement.pool, sizeof(announcement.pool), "p");
+    snprintf(announcement.address, sizeof(announcement.address),
+             "10.0.0.1:80");
+    announcement.clock_ms = 1000;
+    JobSched_HandleAnnouncement(sched, now, &announcement);
+    apply_commands();
+    target = JobState_FindTarget(state, "t0");
+    JobTest_Submit(state, "a", 1, 1, 500);
+    JobTest_Assign(state, "a", 0, 0, 1, "t0");
+    start_wave(1, 1);
+    advance_time(100);
+    answer_lists(rows, 1, calls, 8);
+    advance_time(600);
+    ck_assert_uint_eq(answer_lists(rows, 1, calls, 8), 0);
+    ck_assert(!JobSched_IsUsable(sched, target, now));
+    list_one_vm(&rows[1], 1700, &ok);
+    announcement.order = 1;
+    JobSched_HandleAnnouncement(sched, now, &announcement);
+    ck_assert(JobSched_IsUsable(sched, target, now));
+}
+END_TEST
+
 START_TEST(repeated_move_keeps_next_target)
 {
     JobVm rows[4];
@@ -313,9 +449,13 @@
 
     tcase_add_checked_fixture(tcase, setup, teardown);
     tcase_add_test(tcase, wave_respects_cap);
+    tcase_add_loop_test(tcase, down_vm_keeps_order_of_unanswered_call, 0,
+                        sizeof(down_vm_cases) / sizeof(down_vm_cases[0]));
     tcase_add_test(tcase, new_leader_counts_orders_of_earlier_leader);
     tcase_add_test(tcase, no_order_without_confirmed_leader);
     tcase_add_test(tcase, unlisted_vm_is_not_done_at_once);
+    tcase_add_loop_test(tcase, unlisted_vm_keeps_sent_order, 0, 2);
+    tcase_add_test(tcase, unlisted_vm_ends_its_drain);
     tcase_add_test(tcase, repeated_move_keeps_next_target);
     tcase_add_test(tcase, repeated_maintenance_keeps_runs);
     tcase_add_test(tcase, standby_vms_move_to_rising_demand);
