wal: rewrite the records that recovery has read but nobody has synced

After a failed sync a control VM ends and recovers at its restart. Recovery read the log back from the page cache and synced the file: but the pages of a failed sync are clean, so that the second sync succeeds and writes nothing. The node then acknowledged these entries to the leader, or as leader to callers, and a later power loss took them: acknowledged jobs and configurations could be lost, and a log that went on after the gap could no longer be opened.

Recovery now writes the records after the last index known to be synced, which the vote file holds, once more in place, and syncs them. The same bytes are written, so that a crash during it damages nothing, and a file system that writes in place needs no new room for it on a full disk.

The storage of the tests keeps the bytes of a failed sync readable until the next crash and loses them then, and the faults of test_replica end a process without a power loss, too. Shown with the storage of the tests, not with a real disk.

--- a/src/storage.c
+++ b/src/storage.c
@@ -34,6 +34,13 @@
     return storage->ops->truncate(storage, name, size, err);
 }
 
+Status
+Storage_Rewrite(Storage *storage, const char *name, uint64_t offset,
+                const void *data, size_t len, ErrCtx *err)
+{
+    return storage->ops->rewrite(storage, name, offset, data, len, err);
+}
+
 Status
 Storage_Replace(Storage *storage, const char *name, const void *data,
                 size_t len, ErrCtx *err)
--- a/src/storage.h
+++ b/src/storage.h
@@ -6,8 +6,8 @@
  *     A small vtable over named files in one flat folder, so that tests can
  *     replace the disk and inject faults. Names are plain file names without a
  *     slash. Appended bytes are durable only after Storage_Sync returns ST_OK;
- *     the effects of Storage_Truncate, Storage_Replace and Storage_Remove are
- *     durable on return. Not thread-safe.
+ *     the effects of the other functions that write are durable on return. Not
+ * thread-safe.
  *
  * ERRORS
  *     ST_NOT_FOUND  the file does not exist
@@ -37,6 +37,8 @@
     Status (*read)(Storage *storage, const char *name, Buf *out, ErrCtx *err);
     Status (*truncate)(Storage *storage, const char *name, uint64_t size,
                        ErrCtx *err);
+    Status (*rewrite)(Storage *storage, const char *name, uint64_t offset,
+                      const void *data, size_t len, ErrCtx *err);
     Status (*replace)(Storage *storage, const char *name, const void *data,
                       size_t len, ErrCtx *err);
     Status (*list)(Storage *storage, StorageVisitor visit, void *arg,
@@ -71,6 +73,12 @@
 Status Storage_Truncate(Storage *storage, const char *name, uint64_t size,
                         ErrCtx *err);
 
+/* Writes the bytes that the file has at offset once more, durably. After a
+ * failed sync, bytes that were read back may exist in the page cache only, and
+ * a later sync does not write them. */
+Status Storage_Rewrite(Storage *storage, const char *name, uint64_t offset,
+                       const void *data, size_t len, ErrCtx *err);
+
 /* Replaces the content of the file, durably and atomically: after a crash the
  * file has either the old or the new content. */
 Status Storage_Replace(Storage *storage, const char *name, const void *data,
--- a/src/storage_file.c
+++ b/src/storage_file.c
@@ -215,6 +215,54 @@
     return ST_OK;
 }
 
+static int
+write_all_at(int fd, const char *data, size_t len, off_t offset)
+{
+    while (len > 0) {
+        ssize_t written = pwrite(fd, data, len, offset);
+
+        if (written < 0) {
+            if (errno == EINTR) {
+                continue;
+            }
+            return -1;
+        }
+        data += written;
+        offset += written;
+        len -= (size_t)written;
+    }
+    return 0;
+}
+
+static Status
+file_rewrite(Storage *storage, const char *name, uint64_t offset,
+             const void *data, size_t len, ErrCtx *err)
+{
+    FileStorage *self = (FileStorage *)storage;
+    Status status = check_name(self, name, err);
+    int fd;
+
+    if (status != ST_OK) {
+        return status;
+    }
+    /* pwrite(2) appends to a file that is open with O_APPEND. */
+    fd = openat(self->folder_fd, name, O_WRONLY | O_CLOEXEC);
+    if (fd < 0) {
+        return set_error_from_errno(self, name, "open", err);
+    }
+    if (write_all_at(fd, data, len, (off_t)offset) != 0) {
+        status = set_error_from_errno(self, name, "write", err);
+    }
+    else if (fsync(fd) != 0) {
+        status = set_error_from_errno(self, name, "sync", err);
+    }
+    else if (fsync(self->folder_fd) != 0) {
+        status = set_error_from_errno(self, ".", "sync", err);
+    }
+    close(fd);
+    return status;
+}
+
 static Status
 file_replace(Storage *storage, const char *name, const void *data, size_t len,
              ErrCtx *err)
@@ -320,8 +368,8 @@
 }
 
 static const StorageOps file_ops = {file_append,   file_sync,    file_read,
-                                    file_truncate, file_replace, file_list,
-                                    file_remove,   file_close};
+                                    file_truncate, file_rewrite, file_replace,
+                                    file_list,     file_remove,  file_close};
 
 static Status
 lock_folder(FileStorage *self, ErrCtx *err)
--- a/src/wal.c
+++ b/src/wal.c
@@ -374,6 +374,24 @@
     return status;
 }
 
+/* Writes the records that are not known to be synced once more. An earlier
+ * process may have read them back or written them and failed to sync them. */
+static Status
+rewrite_unsynced_records(Wal *wal, const Buf *log, ErrCtx *err)
+{
+    uint64_t synced = wal->vote.min_synced_index;
+    size_t first =
+        synced > wal->base_index ? (size_t)(synced - wal->base_index) : 0;
+    uint64_t offset;
+
+    if (first >= wal->count) {
+        return ST_OK;
+    }
+    offset = wal->positions[first].offset;
+    return Storage_Rewrite(wal->storage, WAL_LOG, offset, log->data + offset,
+                           (size_t)(wal->log_bytes - offset), err);
+}
+
 static Status
 recover_log(Wal *wal, WalRecovery *recovery, ErrCtx *err)
 {
@@ -394,7 +412,9 @@
     if (status == ST_OK) {
         status = reconcile_snapshot(wal, recovery, err);
     }
-    /* A complete record may not have been synced before the restart. */
+    if (status == ST_OK) {
+        status = rewrite_unsynced_records(wal, &recovery->log, err);
+    }
     if (status == ST_OK) {
         status = Storage_Sync(wal->storage, WAL_LOG, err);
     }
--- a/src/wal.h
+++ b/src/wal.h
@@ -22,7 +22,8 @@
  *     A failed write or sync is permanent: every later call returns the same
  *     error. After a failed fsync the page cache may hold clean pages that
  *     never reached the disk, so a successful retry does not show that the
- *     data is durable.
+ *     data is durable. For the same reason recovery writes the records after
+ *     the last index known to be synced once more before it trusts them.
  *
  * ERRORS
  *     ST_CORRUPT      damaged files; the message names file and offset
--- a/tests/support_storage.c
+++ b/tests/support_storage.c
@@ -12,6 +12,10 @@
     char name[NAME_BYTES];
     Buf data;
     size_t synced_len;
+    /* Bytes that a failed sync left in the page cache only. Later syncs do not
+     * write them. */
+    size_t clean_start;
+    size_t clean_end; /* clean_start if there are none */
 } MemFile;
 
 struct MemStorage {
@@ -53,6 +57,28 @@
     return file;
 }
 
+/* Marks the unsynced bytes as clean, as the page cache does. */
+static void
+fail_sync(MemFile *file)
+{
+    if (file->clean_end == file->clean_start) {
+        file->clean_start = file->synced_len;
+    }
+    file->clean_end = file->data.len;
+    file->synced_len = file->data.len;
+}
+
+static void
+truncate_clean_bytes(MemFile *file, size_t len)
+{
+    if (file->clean_end > len) {
+        file->clean_end = len;
+    }
+    if (file->clean_start > file->clean_end) {
+        file->clean_start = file->clean_end;
+    }
+}
+
 /* Returns true if the call must fail. Counts down to the injected fault. */
 static bool
 should_fail(const MemStorage *disk, int *countdown)
@@ -90,6 +116,9 @@
 
     disk->sync_count++;
     if (should_fail(disk, &disk->syncs_before_failure)) {
+        if (!disk->offline) {
+            fail_sync(file);
+        }
         return Err_Set(err, ST_IO, "%s: sync failed", name);
     }
     file->synced_len = file->data.len;
@@ -119,11 +148,37 @@
     }
     if (size < file->data.len) {
         file->data.len = (size_t)size;
+        truncate_clean_bytes(file, (size_t)size);
     }
     file->synced_len = file->data.len;
     return ST_OK;
 }
 
+static Status
+mem_rewrite(Storage *storage, const char *name, uint64_t offset,
+            const void *data, size_t len, ErrCtx *err)
+{
+    MemStorage *disk = (MemStorage *)storage;
+    MemFile *file = find_or_add_file(disk, name);
+    size_t end = (size_t)offset + len;
+
+    if (end > file->data.len) {
+        return Err_Set(err, ST_INVALID, "%s: rewrite past the end", name);
+    }
+    disk->sync_count++;
+    if (should_fail(disk, &disk->syncs_before_failure)) {
+        return Err_Set(err, ST_IO, "%s: sync failed", name);
+    }
+    memcpy(file->data.data + offset, data, len);
+    if (offset <= file->clean_start && end >= file->clean_end) {
+        file->clean_end = file->clean_start;
+    }
+    if (end > file->synced_len) {
+        file->synced_len = end;
+    }
+    return ST_OK;
+}
+
 static Status
 mem_replace(Storage *storage, const char *name, const void *data, size_t len,
             ErrCtx *err)
@@ -142,6 +197,7 @@
     Buf_Clear(&file->data);
     Buf_Append(&file->data, data, len);
     file->synced_len = len;
+    truncate_clean_bytes(file, 0);
     return ST_OK;
 }
 
@@ -179,8 +235,8 @@
 }
 
 static const StorageOps mem_ops = {mem_append,   mem_sync,    mem_read,
-                                   mem_truncate, mem_replace, mem_list,
-                                   mem_remove,   mem_close};
+                                   mem_truncate, mem_rewrite, mem_replace,
+                                   mem_list,     mem_remove,  mem_close};
 
 MemStorage *
 MemStorage_New(void)
@@ -241,6 +297,25 @@
     }
 }
 
+/* Drops the clean bytes: they read as zeros, or are treated as unsynced ones
+ * if the file ends with them. */
+static void
+lose_clean_bytes(MemFile *file, Rng *rng)
+{
+    size_t len = file->clean_end - file->clean_start;
+
+    if (len == 0) {
+        return;
+    }
+    if (file->clean_end == file->data.len && Rng_Below(rng, 2) == 0) {
+        file->synced_len = file->clean_start;
+    }
+    else {
+        memset(file->data.data + file->clean_start, 0, len);
+    }
+    file->clean_end = file->clean_start;
+}
+
 void
 MemStorage_Crash(MemStorage *disk, Rng *rng)
 {
@@ -248,9 +323,12 @@
 
     for (i = 0; i < disk->file_count; i++) {
         MemFile *file = &disk->files[i];
-        size_t unsynced = file->data.len - file->synced_len;
+        size_t unsynced;
         size_t kept;
 
+        lose_clean_bytes(file, rng);
+        unsynced = file->data.len - file->synced_len;
+
         if (unsynced == 0) {
             continue;
         }
--- a/tests/support_storage.h
+++ b/tests/support_storage.h
@@ -19,7 +19,8 @@
 
 /* Lets the given number of syncs or writes succeed and fails the next one,
  * a sync with ST_IO and a write with ST_FULL. A negative number disables the
- * fault. */
+ * fault. As with a real page cache, the bytes of a failed sync can be read
+ * until the next crash, and later syncs do not write them. */
 void MemStorage_FailSync(MemStorage *disk, int successes);
 void MemStorage_FailWrite(MemStorage *disk, int successes);
 
--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -288,8 +288,9 @@
     ck_assert_msg(status == ST_OK, "%s: %s", node->name, err.message);
 }
 
+/* Kills the process. The page cache of its disk stays. */
 static void
-crash_node(Node *node, int64_t down_ms)
+kill_node(Node *node, int64_t down_ms)
 {
     Cluster *cluster = node->cluster;
 
@@ -298,11 +299,32 @@
     node->replica = NULL;
     node->sync_due_ms = 0;
     MemStorage_SetOffline(node->disk, false);
-    MemStorage_Crash(node->disk, &cluster->rng);
+    MemStorage_FailSync(node->disk, -1);
     node->down_until_ms = cluster->time_ms + down_ms;
+}
+
+static void
+crash_node(Node *node, int64_t down_ms)
+{
+    Cluster *cluster = node->cluster;
+
+    kill_node(node, down_ms);
+    MemStorage_Crash(node->disk, &cluster->rng);
     cluster->crashes++;
 }
 
+/* Kills the process or cuts the power. */
+static void
+kill_or_crash_node(Node *node, int64_t down_ms)
+{
+    if (Rng_Below(&node->cluster->rng, 2) == 0) {
+        kill_node(node, down_ms);
+    }
+    else {
+        crash_node(node, down_ms);
+    }
+}
+
 static Cluster *
 create_cluster(uint64_t seed, size_t count, size_t voters,
                bool default_timeouts, bool async_sync)
@@ -490,7 +512,7 @@
     }
     switch (Rng_Below(&cluster->rng, 5)) {
     case 0:
-        crash_node(node, Rng_Below(&cluster->rng, 600));
+        kill_or_crash_node(node, Rng_Below(&cluster->rng, 600));
         break;
     case 1:
         node->frozen_until_ms =
@@ -549,7 +571,7 @@
     before = Replica_GetAppliedIndex(node->replica);
     finish_sync(node);
     if (Replica_Tick(node->replica, cluster->time_ms) != ST_OK) {
-        crash_node(node, Rng_Below(&cluster->rng, 300));
+        kill_or_crash_node(node, Rng_Below(&cluster->rng, 300));
         return;
     }
     ck_assert_uint_ge(Replica_GetAppliedIndex(node->replica), before);
--- a/tests/test_wal.c
+++ b/tests/test_wal.c
@@ -359,6 +359,56 @@
 }
 END_TEST
 
+/* Ends the process without a chance to write. */
+static void
+kill_wal(MemStorage *disk, Wal *wal)
+{
+    MemStorage_SetOffline(disk, true);
+    Wal_Close(wal);
+    MemStorage_SetOffline(disk, false);
+}
+
+/* Guards against an entry that is acknowledged after a restart though the
+ * sync before the restart failed and the disk never got it. */
+START_TEST(entry_recovered_after_failed_sync_survives_power_loss)
+{
+    MemStorage *disk = MemStorage_New();
+    Storage *storage = MemStorage_GetStorage(disk);
+    WalRecovery recovery;
+    Wal *wal = NULL;
+    ErrCtx err;
+    Rng rng;
+    RaftEntry entry = make_entry(3, 1, "not on the disk");
+    uint64_t last;
+
+    Rng_Seed(&rng, (uint64_t)_i);
+    create_log(storage, 2);
+    ck_assert_int_eq(Wal_Open(storage, &recovery, &wal, &err), ST_OK);
+    WalRecovery_Free(&recovery);
+    MemStorage_FailSync(disk, 0);
+    ck_assert_int_eq(Wal_Append(wal, &entry, 1, &err), ST_OK);
+    ck_assert_int_eq(Wal_Sync(wal, &err), ST_IO);
+    Wal_Close(wal);
+
+    ck_assert_int_eq(Wal_Open(storage, &recovery, &wal, &err), ST_OK);
+    WalRecovery_Free(&recovery);
+    last = Wal_GetLastIndex(wal);
+    if (_i % 2 == 0) {
+        entry = make_entry(++last, 1, "acknowledged");
+        ck_assert_int_eq(Wal_Append(wal, &entry, 1, &err), ST_OK);
+        ck_assert_int_eq(Wal_Sync(wal, &err), ST_OK);
+    }
+    kill_wal(disk, wal);
+    MemStorage_Crash(disk, &rng);
+
+    ck_assert_int_eq(Wal_Open(storage, &recovery, &wal, &err), ST_OK);
+    ck_assert_uint_eq(Wal_GetLastIndex(wal), last);
+    WalRecovery_Free(&recovery);
+    Wal_Close(wal);
+    MemStorage_Free(disk);
+}
+END_TEST
+
 /* Guards against faults of the storage in real files: writes to the old file
  * through an open descriptor after a replacement, and names outside the
  * folder. */
@@ -381,6 +431,9 @@
     ck_assert_int_eq(Storage_Append(storage, "f", "67", 2, &err), ST_OK);
     ck_assert_int_eq(Storage_Truncate(storage, "f", 6, &err), ST_OK);
     ck_assert_int_eq(Storage_Append(storage, "f", "x", 1, &err), ST_OK);
+    ck_assert_int_eq(Storage_Rewrite(storage, "f", 2, "3456", 4, &err), ST_OK);
+    ck_assert_int_eq(Storage_Rewrite(storage, "g", 0, "1", 1, &err),
+                     ST_NOT_FOUND);
     ck_assert_int_eq(Storage_Read(storage, "f", &read, &err), ST_OK);
     ck_assert_str_eq(Buf_Text(&read), "123456x");
     ck_assert_int_eq(Storage_Read(storage, "g", &read, &err), ST_NOT_FOUND);
@@ -408,6 +461,8 @@
     tcase_add_test(tcase, entries_survive_compaction_and_truncation);
     tcase_add_test(tcase, interrupted_install_is_completed);
     tcase_add_loop_test(tcase, failure_is_permanent, 0, 2);
+    tcase_add_loop_test(
+        tcase, entry_recovered_after_failed_sync_survives_power_loss, 0, 10);
     tcase_add_test(tcase, file_storage_operations);
     suite_add_tcase(suite, tcase);
     return suite;
