rng: end the process if the system gives no random numbers

The result of the random source was ignored: if it failed, each start used the seed 0, that is the same first sequence numbers of requests, generations of tables and election timeouts as the start before, so that a reply to an earlier incarnation could answer another caller again. Rng_SystemSeed, which is called during a start only, now logs the error and ends the process.

Found by reading; the source in use, getrandom(2), was not seen to fail.

--- a/src/rng.c
+++ b/src/rng.c
@@ -1,7 +1,12 @@
 #include "rng.h"
 
+#include <stdlib.h>
+
+#include <apr_errno.h>
 #include <apr_general.h>
 
+#include "diag.h"
+
 void
 Rng_Seed(Rng *rng, uint64_t seed)
 {
@@ -34,7 +39,15 @@
 Rng_SystemSeed(void)
 {
     uint64_t seed = 0;
-
-    apr_generate_random_bytes((unsigned char *)&seed, sizeof(seed));
+    apr_status_t status =
+        apr_generate_random_bytes((unsigned char *)&seed, sizeof(seed));
+    char reason[120];
+
+    if (status != APR_SUCCESS) {
+        Diag_Log(DIAG_ERROR, "rng",
+                 "The system gives no random numbers: %s. Ending.",
+                 apr_strerror(status, reason, sizeof(reason)));
+        exit(EXIT_FAILURE);
+    }
     return seed;
 }
--- a/src/rng.h
+++ b/src/rng.h
@@ -24,7 +24,9 @@
 /* Returns a number in [0, 1). */
 double Rng_Unit(Rng *rng);
 
-/* Returns a seed from the system's entropy source. */
+/* Returns a seed from the system's entropy source. If it fails, logs the error
+ * and ends the process, since ids and first sequence numbers would repeat
+ * those of an earlier start. */
 uint64_t Rng_SystemSeed(void);
 
 #endif
