oncelog: make recovered records durable before they answer

A record that the last process had failed to sync, or had no time to sync, answered callers after the restart and was gone after a power loss: an unrepeatable request could run again.

The last file's records are written once more and synced. Earlier files need none of it, since each was the last one at some start.

--- a/src/oncelog.c
+++ b/src/oncelog.c
@@ -78,8 +78,10 @@
     return (left->number > right->number) - (left->number < right->number);
 }
 
+/* Recovers the records of a file. Those of the last file are written once
+ * more, since the last process may not have synced them. */
 static Status
-recover_file(OnceLog *log, const LogFile *file, ErrCtx *err)
+recover_file(OnceLog *log, const LogFile *file, bool is_last, ErrCtx *err)
 {
     const OnceLogOptions *options = &log->options;
     char name[ONCELOG_FILE_NAME_BYTES];
@@ -100,6 +102,10 @@
                  valid_bytes, name);
         status = Storage_Truncate(options->storage, name, valid_bytes, err);
     }
+    if (status == ST_OK && is_last && valid_bytes > 0) {
+        status = Storage_Rewrite(options->storage, name, 0, bytes.data,
+                                 valid_bytes, err);
+    }
     Buf_Free(&bytes);
     return status;
 }
@@ -113,7 +119,8 @@
 
     qsort(log->files, log->file_count, sizeof(log->files[0]), compare_files);
     for (i = 0; status == ST_OK && i < log->file_count; i++) {
-        status = recover_file(log, &log->files[i], err);
+        status =
+            recover_file(log, &log->files[i], i + 1 == log->file_count, err);
         next = log->files[i].number + 1;
     }
     if (status == ST_OK && log->file_count == ONCELOG_MAX_FILES) {
