--- a/src/control.c
+++ b/src/control.c
@@ -135,6 +135,7 @@
     case PEER_PROBE: /* handled by the peer module */
     case PEER_FLEET:
     case PEER_JOB_REQUEST:
+    case PEER_JOB_CONTROL_REQUEST:
     case PEER_JOB_REPLY:
     case PEER_JOB_CALLS:
     case PEER_JOB_ANSWERS:
--- a/src/jobctl.c
+++ b/src/jobctl.c
@@ -191,8 +191,8 @@
     else if (type == PEER_FLEET) {
         handle_fleet_msg(control, message);
     }
-    else if (type == PEER_JOB_REQUEST) {
-        JobControl_HandleJobRequest(control, peer, message);
+    else if (type == PEER_JOB_REQUEST || type == PEER_JOB_CONTROL_REQUEST) {
+        JobControl_HandleJobRequest(control, peer, type, message);
     }
     else if (type == PEER_JOB_CALLS) {
         JobControl_HandleDelegatedCalls(control, peer, message);
--- a/src/jobctl_internal.h
+++ b/src/jobctl_internal.h
@@ -148,7 +148,10 @@
 
 /* jobctl_request.c */
 void JobControl_HandleHttp(void *arg, HttpRequest *http);
+/* Serves the request that an entry VM forwarded: a caller's, or one of an
+ * operator or a target with PEER_JOB_CONTROL_REQUEST. */
 void JobControl_HandleJobRequest(JobControl *control, size_t peer,
+                                 PeerMessageType type,
                                  const msgpack_object_array *message);
 /* Serves a request that a peer forwarded. Takes ownership of the request's
  * contents and clears it. */
--- a/src/jobctl_request.c
+++ b/src/jobctl_request.c
@@ -368,6 +368,15 @@
     Buf_Free(&command);
 }
 
+/* Returns whether a control node, which can be an agent, forwarded the
+ * request. */
+static bool
+is_from_agent(const PendingRequest *pending)
+{
+    return pending->http == NULL &&
+           Peers_Hello(pending->control->peers, pending->peer)->identity != 0;
+}
+
 static void
 handle_announcement(PendingRequest *pending)
 {
@@ -376,7 +385,7 @@
     JobReply reply = {.kind = JOB_REPLY_ANNOUNCED};
 
     reply.text = JobControl_GetAnnounceAddress(
-        control, pending->http != NULL ? JOB_AGENT_NONE : pending->peer,
+        control, is_from_agent(pending) ? pending->peer : JOB_AGENT_NONE,
         &pending->request.announcement, address, sizeof(address));
     if (!JobSched_HandleAnnouncement(control->sched, Loop_NowMs(),
                                      &pending->request.announcement) &&
@@ -474,22 +483,13 @@
 redirect_to_leader(const JobControl *control, HttpRequest *http,
                    const char *leader)
 {
-    char location[JOB_ADDRESS_BYTES + 200];
-    HttpReply reply = {.status = 307, .content_type = "application/json"};
-
     Slog_Begin(SLOG_ROUTINE, "request_redirected");
     Slog_AddText("method", HttpRequest_GetMethod(http));
     Slog_AddText("path", HttpRequest_GetPath(http));
     Slog_AddText("leader", leader);
     Slog_AddInt("leads", Replica_GetRole(control->replica) == RAFT_LEADER);
     Slog_End();
-    snprintf(location, sizeof(location), "http://%s%.190s", leader,
-             HttpRequest_GetPath(http));
-    reply.body = "{}";
-    reply.body_len = 2;
-    reply.headers[0] = (HttpHeader){"Location", location};
-    reply.header_count = 1;
-    HttpRequest_Reply(http, &reply);
+    JobReplyMsg_RedirectHttp(http, leader);
 }
 
 static bool
@@ -591,6 +591,7 @@
 /* The message is [type, sequence, method, host, path, body]. */
 void
 JobControl_HandleJobRequest(JobControl *control, size_t peer,
+                            PeerMessageType type,
                             const msgpack_object_array *message)
 {
     const msgpack_object *items = message->ptr;
@@ -616,8 +617,13 @@
     pending = new_pending_request(control);
     pending->peer = peer;
     pending->sequence = items[1].via.u64;
-    control->wire->decode_caller_request(
-        &raw, JobState_GetConfig(control->state), &pending->request);
+    if (type == PEER_JOB_CONTROL_REQUEST) {
+        control->wire->decode_control_request(&raw, &pending->request);
+    }
+    else {
+        control->wire->decode_caller_request(
+            &raw, JobState_GetConfig(control->state), &pending->request);
+    }
     if (!JobControl_IsServing(control)) {
         reply_unavailable(pending, "this node does not lead");
     }
--- a/src/jobentry.c
+++ b/src/jobentry.c
@@ -35,6 +35,13 @@
 /* Timeout of a request that has no earlier deadline. */
 #define REPLY_TIMEOUT_MS 2700
 #define RETRY_DELAY_MS 1000
+/* Timeout of an operator's or a target's request. They ask another node after
+ * a second. */
+#define CONTROL_TIMEOUT_MS 900
+#define CONTROL_MAX_BODY_BYTES (4 * 1024 * 1024)
+/* Larger documents are redirected to the leader, so that they pass the link of
+ * the entry VM only once. */
+#define FORWARD_MAX_BODY_BYTES (64 * 1024)
 /* Delay before the same leader is asked again. */
 #define COPY_DELAY_MS 200
 /* Time for which a node accepts requests after the start of a planned stop, so
@@ -46,9 +53,10 @@
 
 #define UNKNOWN_REASON "the outcome is not known; ask again"
 
-/* A caller's request that has no reply yet. */
+/* A request that has no reply yet. */
 typedef struct PendingRequest {
     HttpRequest *http;
+    PeerMessageType type; /* type of the message that forwards it */
     JobRequestKind kind;
     char id[64]; /* last segment of the path, for log lines */
     int64_t received_ms;
@@ -65,8 +73,9 @@
     const char *settings_file;
     Loop *loop;
     Peers *peers;
-    HttpServer *traffic;
+    HttpServer *traffic; /* NULL if the settings have no such address */
     HttpServer *ready;
+    HttpServer *control;
     Signals *signals;
     LoopTimer *tick;
     PendingRequest *requests;
@@ -204,7 +213,7 @@
     host = host != NULL ? host : "";
     msgpack_packer_init(&packer, &frame, Buf_MsgpackWrite);
     msgpack_pack_array(&packer, 6);
-    msgpack_pack_int(&packer, PEER_JOB_REQUEST);
+    msgpack_pack_int(&packer, (int)request->type);
     msgpack_pack_uint64(&packer, sequence);
     MpPack_Text(&packer, HttpRequest_GetMethod(request->http));
     msgpack_pack_bin_with_body(&packer, host, strcspn(host, ":"));
@@ -238,18 +247,20 @@
                                             entry->settings->shutdown_grace_ms;
 }
 
+/* Forwards a request to the leader, or lets it wait for one. */
 static void
-handle_request(void *arg, HttpRequest *http)
+accept_request(JobEntry *entry, HttpRequest *http, PeerMessageType type,
+               JobRequestKind kind, int64_t timeout_ms)
 {
-    JobEntry *entry = arg;
     PendingRequest *request = Mem_New(1, sizeof(*request));
     const char *path = HttpRequest_GetPath(http);
     const char *id = strrchr(path, '/');
 
     request->http = http;
-    request->kind = get_request_kind(HttpRequest_GetMethod(http));
+    request->type = type;
+    request->kind = kind;
     request->received_ms = Loop_NowMs();
-    request->due_ms = request->received_ms + get_timeout_ms(http);
+    request->due_ms = request->received_ms + timeout_ms;
     request->peer = SIZE_MAX;
     snprintf(request->id, sizeof(request->id), "%s", id != NULL ? id + 1 : "");
     request->next = entry->requests;
@@ -267,6 +278,49 @@
     }
 }
 
+static void
+handle_request(void *arg, HttpRequest *http)
+{
+    accept_request(arg, http, PEER_JOB_REQUEST,
+                   get_request_kind(HttpRequest_GetMethod(http)),
+                   get_timeout_ms(http));
+}
+
+static void
+redirect_to_leader(const JobEntry *entry, HttpRequest *http)
+{
+    char leader[JOB_ADDRESS_BYTES];
+
+    snprintf(leader, sizeof(leader), "%s:%d",
+             Peers_Hello(entry->peers, entry->leader)->address.host,
+             entry->settings->control.port);
+    Slog_Begin(SLOG_ROUTINE, "request_redirected");
+    Slog_AddText("method", HttpRequest_GetMethod(http));
+    Slog_AddText("path", HttpRequest_GetPath(http));
+    Slog_AddText("leader", leader);
+    Slog_AddInt("leads", 0);
+    Slog_End();
+    JobReplyMsg_RedirectHttp(http, leader);
+}
+
+static void
+handle_control_request(void *arg, HttpRequest *http)
+{
+    JobEntry *entry = arg;
+    JobRequestKind kind = entry->wire->get_control_kind(
+        HttpRequest_GetMethod(http), HttpRequest_GetPath(http));
+    size_t len;
+
+    HttpRequest_GetBody(http, &len);
+    if (has_leader(entry) &&
+        (kind == JOB_REQUEST_GET_CONFIG || len > FORWARD_MAX_BODY_BYTES)) {
+        redirect_to_leader(entry, http);
+        return;
+    }
+    accept_request(entry, http, PEER_JOB_CONTROL_REQUEST, kind,
+                   CONTROL_TIMEOUT_MS);
+}
+
 static bool
 is_ready(const JobEntry *entry)
 {
@@ -288,11 +342,34 @@
 
 /* --- peers --- */
 
+/* Sends the addresses of the control nodes to a peer, so that a node whose
+ * seeds are entry VMs finds them. */
+static void
+send_control_nodes(JobEntry *entry, size_t peer)
+{
+    JobFleetMsg msg = {.term = entry->leader_term};
+    Buf body = BUF_INIT;
+    size_t i;
+
+    for (i = 0;
+         i < Peers_Count(entry->peers) && msg.node_count < JOB_FLEET_MAX_NODES;
+         i++) {
+        const PeerHello *hello = Peers_Hello(entry->peers, i);
+        if (hello->identity != 0 && Peers_IsUp(entry->peers, i)) {
+            msg.nodes[msg.node_count++] = hello->address;
+        }
+    }
+    JobFleetMsg_Encode(&msg, &body);
+    Peers_Send(entry->peers, peer, body.data, body.len);
+    Buf_Free(&body);
+}
+
 static void
 on_peer_up(void *arg, size_t peer, const PeerHello *hello)
 {
-    (void)arg;
-    (void)peer;
+    JobEntry *entry = arg;
+
+    send_control_nodes(entry, peer);
     Slog_Begin(SLOG_CHANGE, "peer_up");
     Slog_AddText("peer", hello->name);
     Slog_End();
@@ -586,6 +663,18 @@
 
 /* --- start and stop --- */
 
+/* Opens a server unless the settings have no address for it. */
+static Status
+open_server(JobEntry *entry, const HttpServerOptions *options,
+            HttpServer **server, ErrCtx *err)
+{
+    if (options->address.port == 0) {
+        return ST_OK;
+    }
+    *server = HttpServer_New(entry->loop, options, err);
+    return *server != NULL ? ST_OK : ST_IO;
+}
+
 static Status
 open_servers(JobEntry *entry, ErrCtx *err)
 {
@@ -600,13 +689,20 @@
                                .idle_timeout_s = HTTP_IDLE_TIMEOUT_S,
                                .handler = handle_readiness_check,
                                .arg = entry};
+    HttpServerOptions control = {.address = entry->settings->control,
+                                 .max_body_bytes = CONTROL_MAX_BODY_BYTES,
+                                 .idle_timeout_s = HTTP_IDLE_TIMEOUT_S,
+                                 .handler = handle_control_request,
+                                 .arg = entry};
+    Status status = open_server(entry, &traffic, &entry->traffic, err);
 
-    entry->traffic = HttpServer_New(entry->loop, &traffic, err);
-    if (entry->traffic == NULL) {
-        return ST_IO;
+    if (status == ST_OK) {
+        status = open_server(entry, &ready, &entry->ready, err);
+    }
+    if (status == ST_OK) {
+        status = open_server(entry, &control, &entry->control, err);
     }
-    entry->ready = HttpServer_New(entry->loop, &ready, err);
-    return entry->ready != NULL ? ST_OK : ST_IO;
+    return status;
 }
 
 static Status
@@ -683,6 +779,7 @@
     }
     HttpServer_Free(entry->traffic);
     HttpServer_Free(entry->ready);
+    HttpServer_Free(entry->control);
     Peers_Free(entry->peers);
     Signals_Free(entry->signals);
     Loop_Free(entry->loop);
--- a/src/jobentry.h
+++ b/src/jobentry.h
@@ -3,14 +3,19 @@
  *     jobentry - an entry VM of the job service
  *
  * DESCRIPTION
- *     Forwards callers' requests to the leader of the control nodes and
- *     returns the leader's replies. It keeps no job state. A request
+ *     Forwards requests to the leader of the control nodes and returns the
+ *     leader's replies: those of callers at the address traffic, those of
+ *     operators and targets at the address control. Either address may be
+ *     missing. It keeps no job state. A request
  *     that arrives while no leader is known waits a short time for a leader.
  *     If none appears, the reply says that the request was not carried out. If
  *     the leader does not reply to a forwarded request, the reply says that
  *     the outcome is unknown. A pending request is sent again to the next
  *     leader; see jobcopies for what the caller is then told.
  *
+ *     Reads of the configuration and bodies over 64 KiB that arrive at the
+ *     address control are redirected to the leader.
+ *
  *     The node is ready while it receives messages of a leader that serves.
  */
 #ifndef COLTSFOOT_JOBENTRY_H
--- a/src/jobreplymsg.c
+++ b/src/jobreplymsg.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "job.h"
 #include "peer.h"
 
 void
@@ -39,6 +40,22 @@
     return true;
 }
 
+void
+JobReplyMsg_RedirectHttp(HttpRequest *http, const char *address)
+{
+    char location[JOB_ADDRESS_BYTES + 200];
+    HttpReply reply = {.status = 307,
+                       .content_type = "application/json",
+                       .headers = {{"Location", location}},
+                       .header_count = 1,
+                       .body = "{}",
+                       .body_len = 2};
+
+    snprintf(location, sizeof(location), "http://%s%.190s", address,
+             HttpRequest_GetPath(http));
+    HttpRequest_Reply(http, &reply);
+}
+
 void
 JobReplyMsg_SendHttp(const JobReplyMsg *msg, HttpRequest *http)
 {
--- a/src/jobreplymsg.h
+++ b/src/jobreplymsg.h
@@ -26,6 +26,10 @@
 /* The decoded body points into the message. */
 bool JobReplyMsg_Decode(const msgpack_object_array *message, JobReplyMsg *msg);
 
+/* Answers an HTTP request with a redirect of the same path to address, which
+ * is HOST:PORT. */
+void JobReplyMsg_RedirectHttp(HttpRequest *http, const char *address);
+
 /* Sends the reply as the response to an HTTP request. */
 void JobReplyMsg_SendHttp(const JobReplyMsg *msg, HttpRequest *http);
 
--- a/src/jobwire.h
+++ b/src/jobwire.h
@@ -158,6 +158,9 @@
     void (*decode_caller_request)(const JobHttpRequest *http,
                                   const JobConfig *config,
                                   JobRequest *request);
+    /* Returns the kind of an operator's or a target's request without reading
+     * its body. */
+    JobRequestKind (*get_control_kind)(const char *method, const char *path);
     /* Decodes an operator's or a target's request. */
     void (*decode_control_request)(const JobHttpRequest *http,
                                    JobRequest *request);
--- a/src/peer.c
+++ b/src/peer.c
@@ -817,7 +817,9 @@
 
     for (i = 0; i < settings->seed_count; i++) {
         SettingsAddress seed = settings->seeds[i];
-        seed.port = peers->options.settings->peer.port;
+        seed.port = settings->seed_peer_port != 0
+                        ? (int)settings->seed_peer_port
+                        : peers->options.settings->peer.port;
         Peers_Add(peers, &seed);
     }
 }
--- a/src/peer.h
+++ b/src/peer.h
@@ -59,8 +59,10 @@
     PEER_JOB_REPLY = 18,
     PEER_JOB_CALLS = 19, /* calls to targets, leader to other node */
     PEER_JOB_ANSWERS = 20,
-    PEER_JOB_ANNOUNCED = 21, /* a target's announcement, to the leader */
-    PEER_TYPE_MAX = 21
+    PEER_JOB_ANNOUNCED = 21,       /* a target's announcement, to the leader */
+    PEER_JOB_CONTROL_REQUEST = 22, /* an operator's or target's request, entry
+                                    * VM to leader */
+    PEER_TYPE_MAX = 22
 } PeerMessageType;
 
 typedef struct PeerHello {
@@ -100,7 +102,8 @@
  * own address and when the maximum number of peers is reached. */
 size_t Peers_Add(Peers *peers, const SettingsAddress *address);
 
-/* Adds the seeds of settings. All nodes use the same port for peers. */
+/* Adds the seeds of settings. Their port for peers is seed_peer_port, or that
+ * of this node if it is 0. */
 void Peers_AddSeeds(Peers *peers, const Settings *settings);
 
 size_t Peers_Count(const Peers *peers);
--- a/src/settings.c
+++ b/src/settings.c
@@ -68,6 +68,8 @@
           "one node alone orders moves of VMs for so long"),
     ENTRY(disk_losses, "disks", 1, 0, 2,
           "disks that may be lost at once without losing what was accepted"),
+    ENTRY(seed_peer_port, "port", 0, 0, 65535,
+          "port for peers of the seeds; 0 is that of this node"),
 };
 
 #define SETTINGS_ENTRY_COUNT                                                  \
@@ -400,8 +402,7 @@
         {"data_centre", {true, true, true}},
         {"peer", {true, true, true}},
         {"control", {true, false, true}},
-        {"traffic", {true, true, false}},
-        {"ready", {false, true, false}},
+        {"traffic", {true, false, false}},
         {"data_folder", {false, false, true}},
         {"seeds", {false, true, true}},
     };
@@ -441,9 +442,26 @@
     }
 }
 
+/* An entry VM serves callers, operators and targets, or both. */
+static void
+check_entry_addresses(const Settings *settings, Findings *findings)
+{
+    if (settings->role != SETTINGS_ROLE_ENTRY) {
+        return;
+    }
+    if (settings->traffic.port == 0 && settings->control.port == 0) {
+        Findings_Add(findings, 1, "traffic",
+                     "is missing; an entry VM needs traffic or control");
+    }
+    if ((settings->traffic.port == 0) != (settings->ready.port == 0)) {
+        Findings_Add(findings, 1, "ready", "must be given with traffic");
+    }
+}
+
 static void
 check_relations(const Settings *settings, Findings *findings)
 {
+    check_entry_addresses(settings, findings);
     if (settings->heartbeat_ms * 3 > settings->election_ms) {
         Findings_Add(findings, 0, "heartbeat_ms",
                      "must be at most a third of election_ms");
--- a/src/settings.h
+++ b/src/settings.h
@@ -38,7 +38,7 @@
 
 typedef enum SettingsRole {
     SETTINGS_ROLE_MEMBER, /* serves callers; voter if it has a data folder */
-    SETTINGS_ROLE_ENTRY,  /* job service: accepts callers' requests */
+    SETTINGS_ROLE_ENTRY,  /* job service: accepts requests for the leader */
     SETTINGS_ROLE_CONTROL /* job service: stores the log and schedules */
 } SettingsRole;
 
@@ -89,6 +89,7 @@
     long long announce_ms;
     long long job_status_s;
     long long job_early_ms;
+    long long seed_peer_port; /* 0: the port of peer */
     long long holder_lease_ms;
     long long disk_losses;
 } Settings;
--- a/tests/test_jobentry.c
+++ b/tests/test_jobentry.c
@@ -44,6 +44,9 @@
     STEP_SUBMIT,  /* caller at submits a job */
     STEP_STATE,   /* caller at reads its state */
     STEP_CANCEL,  /* caller at cancels it */
+    STEP_ORDER,   /* operator at sends a configuration of value KiB */
+    STEP_READ,    /* operator at reads the configuration */
+    STEP_BEAT,    /* target at announces itself */
     STEP_COPY,    /* a copy reaches control VM at */
     STEP_REPLY,   /* control VM at replies to its last copy with value */
     STEP_STALE,   /* control VM at replies to its first copy with value */
@@ -134,13 +137,14 @@
     return ok;
 }
 
-/* Returns the first of three free ports below those of the process tests. */
+/* Returns the first of four free ports below those of the process tests. */
 static int
 choose_port(void)
 {
     int port = 8000 + (int)(getpid() % 400) * 10;
 
-    while (!is_free(port) || !is_free(port + 1) || !is_free(port + 2)) {
+    while (!is_free(port) || !is_free(port + 1) || !is_free(port + 2) ||
+           !is_free(port + 3)) {
         port = port < 11990 ? port + 10 : 8000;
     }
     return port;
@@ -160,11 +164,11 @@
     fprintf(file,
             "name: edge-1\ncluster: test\ndata_centre: north\nregion: west\n"
             "role: entry\nwire: platform\npeer: %s:%d\ntraffic: %s:%d\n"
-            "ready: %s:%d\nshutdown_grace_ms: 3200\nseeds: [\"%s:%d\", "
-            "\"%s:%d\"]\n",
+            "ready: %s:%d\ncontrol: %s:%d\nshutdown_grace_ms: 3200\n"
+            "seeds: [\"%s:%d\", \"%s:%d\"]\n",
             ENTRY_HOST, world->port, ENTRY_HOST, world->port + 1, ENTRY_HOST,
-            world->port + 2, control_host(0), world->port + 1, control_host(1),
-            world->port + 1);
+            world->port + 2, ENTRY_HOST, world->port + 3, control_host(0),
+            world->port + 3, control_host(1), world->port + 3);
     fclose(file);
 }
 
@@ -223,7 +227,8 @@
     ControlVm *control = arg;
 
     (void)peer;
-    if (type == PEER_JOB_REQUEST && control->copies < MAX_COPIES) {
+    if ((type == PEER_JOB_REQUEST || type == PEER_JOB_CONTROL_REQUEST) &&
+        control->copies < MAX_COPIES) {
         control->sequences[control->copies++] = message->ptr[1].via.u64;
     }
 }
@@ -343,6 +348,26 @@
     caller->took_ms = Loop_NowMs() - caller->sent_ms;
 }
 
+/* Sends a request with body_len bytes to the entry VM's control address. */
+static void
+call_control(World *world, Caller *caller, const char *method,
+             const char *path, size_t body_len)
+{
+    static char body[128 * 1024];
+    HttpCallOptions options = {.method = method,
+                               .path = path,
+                               .body = body,
+                               .body_len = body_len,
+                               .timeout_ms = CALL_TIMEOUT_MS,
+                               .max_answer_bytes = 4096,
+                               .fresh_connection = true};
+
+    memset(body, ' ', sizeof(body));
+    set_address(&options.address, ENTRY_HOST, world->port + 3);
+    *caller = (Caller){.sent_ms = Loop_NowMs()};
+    HttpClient_StartCall(world->client, &options, on_answer, caller);
+}
+
 static void
 call_entry(World *world, Caller *caller, const char *method)
 {
@@ -434,6 +459,18 @@
     case STEP_CANCEL:
         call_entry(world, &world->callers[step->at], "DELETE");
         return true;
+    case STEP_ORDER:
+        call_control(world, &world->callers[step->at], "PUT", "/api/config",
+                     (size_t)step->value * 1024);
+        return true;
+    case STEP_READ:
+        call_control(world, &world->callers[step->at], "GET", "/api/config",
+                     0);
+        return true;
+    case STEP_BEAT:
+        call_control(world, &world->callers[step->at], "PUT",
+                     "/api/instances/i-1", 2);
+        return true;
     case STEP_COPY:
         if (control->copies == control->copies_awaited) {
             return false;
@@ -803,6 +840,52 @@
 }
 END_TEST
 
+static const Script order_scripts[] = {
+    {"order acknowledged",
+     {{STEP_LEAD, 0, 1},
+      {STEP_ORDER, 0, 1},
+      {STEP_COPY, 0, 0},
+      {STEP_REPLY, 0, 200},
+      {STEP_PROMPT, 0, 200}}},
+    {"the leader stands still and the next one acknowledges",
+     {{STEP_LEAD, 0, 1},
+      {STEP_ORDER, 0, 1},
+      {STEP_COPY, 0, 0},
+      {STEP_LEAD, 1, 2},
+      {STEP_COPY, 1, 0},
+      {STEP_REPLY, 1, 200},
+      {STEP_PROMPT, 0, 200}}},
+    {"the leader does not answer while the operator waits",
+     {{STEP_LEAD, 0, 1},
+      {STEP_ORDER, 0, 1},
+      {STEP_COPY, 0, 0},
+      {STEP_PROMPT, 0, 503}}},
+    {"invalid order",
+     {{STEP_LEAD, 0, 1},
+      {STEP_ORDER, 0, 1},
+      {STEP_COPY, 0, 0},
+      {STEP_REPLY, 0, 400},
+      {STEP_PROMPT, 0, 400}}},
+    {"no leader",
+     {{STEP_LISTEN, 0, 0}, {STEP_ORDER, 0, 1}, {STEP_PROMPT, 0, 503}}},
+    {"target announced",
+     {{STEP_LEAD, 0, 1},
+      {STEP_BEAT, 0, 0},
+      {STEP_COPY, 0, 0},
+      {STEP_REPLY, 0, 200},
+      {STEP_PROMPT, 0, 200}}},
+    {"long order goes to the leader",
+     {{STEP_LEAD, 0, 1}, {STEP_ORDER, 0, 65}, {STEP_PROMPT, 0, 307}}},
+    {"read goes to the leader",
+     {{STEP_LEAD, 0, 1}, {STEP_READ, 0, 0}, {STEP_PROMPT, 0, 307}}},
+};
+
+START_TEST(order_is_answered_while_a_control_vm_stands_still)
+{
+    check_script(&order_scripts[_i]);
+}
+END_TEST
+
 Suite *
 Test_Suite(void)
 {
@@ -820,6 +903,9 @@
         (int)(sizeof(single_scripts) / sizeof(single_scripts[0])));
     tcase_add_loop_test(tcase, request_on_a_broken_link_is_sent_again, 0,
                         (int)(sizeof(link_scripts) / sizeof(link_scripts[0])));
+    tcase_add_loop_test(
+        tcase, order_is_answered_while_a_control_vm_stands_still, 0,
+        (int)(sizeof(order_scripts) / sizeof(order_scripts[0])));
     tcase_add_test(tcase, no_reply_is_awaited_from_an_earlier_incarnation);
     tcase_add_test(tcase, request_after_start_waits_for_first_leader);
     tcase_add_test(tcase, request_after_the_grace_is_refused_unsent);
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -23,6 +23,10 @@
     Expected findings[8]; /* terminated by a NULL path */
 } InvalidFile;
 
+#define ENTRY_HEAD                                                            \
+    "name: a\ncluster: c\ndata_centre: n\nrole: entry\n"                      \
+    "peer: 127.0.0.1:1\nseeds: ['127.0.0.1:9']\n"
+
 static const InvalidFile invalid_files[] = {
     {"", {{1, "", "must be a map"}}},
     {"- a\n", {{1, "", "must be a map"}}},
@@ -65,6 +69,11 @@
     {"name: a\ncluster: c\ndata_centre: n\npeer: 127.0.0.1\n"
      "control: '127.0.0.1:'\ntraffic: '127.0.0.1:1x'\n",
      {{4, "peer", "IPv4"}, {5, "control", "IPv4"}, {6, "traffic", "IPv4"}}},
+    {ENTRY_HEAD, {{1, "traffic", "needs traffic or control"}}},
+    {ENTRY_HEAD "traffic: 127.0.0.1:2\n",
+     {{1, "ready", "must be given with traffic"}}},
+    {ENTRY_HEAD "control: 127.0.0.1:2\nready: 127.0.0.1:3\n",
+     {{1, "ready", "must be given with traffic"}}},
 };
 
 static size_t
@@ -170,6 +179,27 @@
 }
 END_TEST
 
+static const char *const entry_files[] = {
+    ENTRY_HEAD "control: 127.0.0.1:2\nseed_peer_port: 4\n",
+    ENTRY_HEAD "traffic: 127.0.0.1:2\nready: 127.0.0.1:3\n",
+    ENTRY_HEAD "traffic: 127.0.0.1:2\nready: 127.0.0.1:3\n"
+               "control: 127.0.0.1:4\n",
+};
+
+/* Guards against an entry VM that must serve both callers and operators. */
+START_TEST(entry_vm_serves_callers_or_operators)
+{
+    const char *text = entry_files[_i];
+    Settings *settings = malloc(sizeof(*settings));
+    Findings *findings = Findings_New("s.yaml");
+
+    ck_assert_int_eq(Settings_Parse(text, strlen(text), settings, findings),
+                     ST_OK);
+    Findings_Free(findings);
+    free(settings);
+}
+END_TEST
+
 /* Guards against a reference page or manual page that differs from the table
  * of settings. */
 START_TEST(pages_match_entries)
@@ -233,6 +263,8 @@
                         sizeof(invalid_files) / sizeof(invalid_files[0]));
     tcase_add_test(tcase, bounds_are_inclusive);
     tcase_add_test(tcase, valid_file_is_parsed);
+    tcase_add_loop_test(tcase, entry_vm_serves_callers_or_operators, 0,
+                        sizeof(entry_files) / sizeof(entry_files[0]));
     tcase_add_test(tcase, pages_match_entries);
     suite_add_tcase(suite, tcase);
     return suite;
