Entry VM: no burst of copies after a pause

An ended link brings its hello and its last message, in which the control VM leads, and then its end, which marks the copy just sent as lost.

The leader that got the last copy is asked again only after COPY_DELAY_MS. A next leader still gets a copy at once.

Test: thawed_entry_vm_sends_no_burst_of_copies, an entry VM that is stopped while a control VM connects five times.

--- a/src/jobentry.c
+++ b/src/jobentry.c
@@ -62,6 +62,8 @@
     int64_t received_ms;
     int64_t due_ms;
     size_t peer;          /* leader that has the request, or SIZE_MAX */
+    size_t last_peer;     /* receiver of the last copy */
+    int64_t last_copy_ms; /* time of the last copy */
     int64_t next_copy_ms; /* earliest time of the next copy */
     JobCopies copies;
     struct PendingRequest *next;
@@ -220,6 +222,8 @@
     MpPack_Text(&packer, path);
     msgpack_pack_bin_with_body(&packer, body, len);
     request->peer = entry->leader;
+    request->last_peer = entry->leader;
+    request->last_copy_ms = Loop_NowMs();
     JobCopies_Add(&request->copies, sequence, entry->leader);
     Peers_Send(entry->peers, entry->leader, frame.data, frame.len);
     Buf_Free(&frame);
@@ -438,6 +442,17 @@
     lose_copies(entry, peer);
 }
 
+/* Returns whether the next copy of a request is to be sent now. An entry VM
+ * that resumes after a pause finds links that have ended since; without the
+ * delay, each would cost a copy of each request. */
+static bool
+is_copy_due(const JobEntry *entry, const PendingRequest *request, int64_t now)
+{
+    return request->peer == SIZE_MAX && now >= request->next_copy_ms &&
+           (request->copies.sent == 0 || request->last_peer != entry->leader ||
+            now >= request->last_copy_ms + COPY_DELAY_MS);
+}
+
 static void
 forward_waiting_requests(JobEntry *entry, int64_t now)
 {
@@ -445,7 +460,7 @@
 
     for (request = entry->requests; request != NULL && can_forward(entry);
          request = request->next) {
-        if (request->peer == SIZE_MAX && now >= request->next_copy_ms) {
+        if (is_copy_due(entry, request, now)) {
             forward_request(entry, request);
         }
     }
--- a/tests/test_jobentry.c
+++ b/tests/test_jobentry.c
@@ -29,6 +29,7 @@
 #define STEP_TIMEOUT_MS 10000
 #define CALL_TIMEOUT_MS 8000
 #define PAUSE_MS 300
+#define RECONNECT_MS 150
 /* An answer that needs no waiting arrives within this time. */
 #define PROMPT_ANSWER_MS 1000
 
@@ -41,18 +42,23 @@
     STEP_REPLACE, /* control VM at returns at another address, its links open
                    */
     STEP_CUT,     /* the link from the entry VM to control VM at breaks */
-    STEP_SUBMIT,  /* caller at submits a job */
-    STEP_STATE,   /* caller at reads its state */
-    STEP_CANCEL,  /* caller at cancels it */
-    STEP_ORDER,   /* operator at sends a configuration of value KiB */
-    STEP_READ,    /* operator at reads the configuration */
-    STEP_BEAT,    /* target at announces itself */
-    STEP_COPY,    /* a copy reaches control VM at */
-    STEP_REPLY,   /* control VM at replies to its last copy with value */
-    STEP_STALE,   /* control VM at replies to its first copy with value */
-    STEP_TERM,    /* the entry VM gets SIGTERM */
-    STEP_WAIT,    /* value ms pass */
-    STEP_RESTART, /* the entry VM is killed and started again */
+    STEP_FREEZE,  /* the entry VM stands still */
+    STEP_THAW,
+    STEP_RECONNECT, /* control VM at, which leads, ends its link and connects
+                     * again, value times */
+    STEP_COPIES,    /* at most value copies reached control VM at */
+    STEP_SUBMIT,    /* caller at submits a job */
+    STEP_STATE,     /* caller at reads its state */
+    STEP_CANCEL,    /* caller at cancels it */
+    STEP_ORDER,     /* operator at sends a configuration of value KiB */
+    STEP_READ,      /* operator at reads the configuration */
+    STEP_BEAT,      /* target at announces itself */
+    STEP_COPY,      /* a copy reaches control VM at */
+    STEP_REPLY,     /* control VM at replies to its last copy with value */
+    STEP_STALE,     /* control VM at replies to its first copy with value */
+    STEP_TERM,      /* the entry VM gets SIGTERM */
+    STEP_WAIT,      /* value ms pass */
+    STEP_RESTART,   /* the entry VM is killed and started again */
     STEP_PAUSE,
     STEP_PROMPT, /* caller at gets value within PROMPT_ANSWER_MS */
     STEP_ANSWER  /* caller at gets value */
@@ -72,6 +78,7 @@
     size_t entry;  /* index as a peer, or SIZE_MAX */
     uint64_t term;
     bool leads;
+    int reconnects;
     uint64_t sequences[MAX_COPIES];
     size_t copies;
     size_t copies_awaited;
@@ -277,6 +284,28 @@
     Peers_Add(control->peers, &entry);
 }
 
+static void close_control(ControlVm *control);
+
+/* Ends the link of a control VM and opens the next one, every RECONNECT_MS.
+ * Returns whether it has done so count times. */
+static bool
+reconnect(World *world, ControlVm *control, int count)
+{
+    int64_t elapsed_ms = Loop_NowMs() - world->step_begun_ms;
+    SettingsAddress entry;
+
+    if (control->reconnects < count &&
+        elapsed_ms >= (int64_t)control->reconnects * RECONNECT_MS) {
+        close_control(control);
+        open_peers(control, 1);
+        set_address(&entry, ENTRY_HOST, world->port);
+        control->entry = Peers_Add(control->peers, &entry);
+        control->leads = true;
+        control->reconnects++;
+    }
+    return elapsed_ms >= (int64_t)count * RECONNECT_MS;
+}
+
 static void
 close_control(ControlVm *control)
 {
@@ -450,6 +479,16 @@
     case STEP_CUT:
         cut_incoming_link(control);
         return true;
+    case STEP_FREEZE:
+        kill(world->entry, SIGSTOP);
+        return true;
+    case STEP_THAW:
+        kill(world->entry, SIGCONT);
+        return true;
+    case STEP_RECONNECT:
+        return reconnect(world, control, step->value);
+    case STEP_COPIES:
+        return control->copies <= (size_t)step->value;
     case STEP_SUBMIT:
         call_entry(world, &world->callers[step->at], "POST");
         return true;
@@ -790,6 +829,27 @@
 }
 END_TEST
 
+static const Script thaw_script = {"links that ended meanwhile",
+                                   {{STEP_LEAD, 0, 1},
+                                    {STEP_RESIGN, 0, 0},
+                                    {STEP_PAUSE, 0, 0},
+                                    {STEP_SUBMIT, 0, 0},
+                                    {STEP_PAUSE, 0, 0},
+                                    {STEP_FREEZE, 0, 0},
+                                    {STEP_RECONNECT, 0, 5},
+                                    {STEP_THAW, 0, 0},
+                                    {STEP_COPY, 0, 0},
+                                    {STEP_WAIT, 0, 150},
+                                    {STEP_COPIES, 0, 1},
+                                    {STEP_REPLY, 0, 200},
+                                    {STEP_ANSWER, 0, 200}}};
+
+START_TEST(thawed_entry_vm_sends_no_burst_of_copies)
+{
+    check_script(&thaw_script);
+}
+END_TEST
+
 static const Script start_script = {"no leader yet",
                                     {{STEP_LISTEN, 0, 0},
                                      {STEP_SUBMIT, 0, 0},
@@ -907,6 +967,7 @@
         tcase, order_is_answered_while_a_control_vm_stands_still, 0,
         (int)(sizeof(order_scripts) / sizeof(order_scripts[0])));
     tcase_add_test(tcase, no_reply_is_awaited_from_an_earlier_incarnation);
+    tcase_add_test(tcase, thawed_entry_vm_sends_no_burst_of_copies);
     tcase_add_test(tcase, request_after_start_waits_for_first_leader);
     tcase_add_test(tcase, request_after_the_grace_is_refused_unsent);
     tcase_add_test(tcase, reply_to_earlier_incarnation_answers_nobody);
