Entry VM: redirect reads and long orders that waited for a leader

A read of the configuration, or an order over 64 KiB, that arrived at the control address before a leader was known was forwarded once there was one, over the link that the redirect is meant to spare, while one that arrived a moment later was redirected.

Test: two cases of order_is_answered_while_a_control_vm_stands_still.

--- a/src/jobentry.c
+++ b/src/jobentry.c
@@ -39,8 +39,7 @@
  * a second. */
 #define CONTROL_TIMEOUT_MS 900
 #define CONTROL_MAX_BODY_BYTES (4 * 1024 * 1024)
-/* Larger documents are redirected to the leader, so that they pass the link of
- * the entry VM only once. */
+/* Longer documents are redirected to the leader. */
 #define FORWARD_MAX_BODY_BYTES (64 * 1024)
 /* Delay before the same leader is asked again. */
 #define COPY_DELAY_MS 200
@@ -232,6 +231,57 @@
     }
 }
 
+/* Answers a request with a redirect to the leader. */
+static void
+redirect_request(JobEntry *entry, PendingRequest *request)
+{
+    char leader[JOB_ADDRESS_BYTES];
+
+    snprintf(leader, sizeof(leader), "%s:%d",
+             Peers_Hello(entry->peers, entry->leader)->address.host,
+             entry->settings->control.port);
+    Slog_Begin(SLOG_ROUTINE, "request_redirected");
+    Slog_AddText("method", HttpRequest_GetMethod(request->http));
+    Slog_AddText("path", HttpRequest_GetPath(request->http));
+    Slog_AddText("leader", leader);
+    Slog_AddInt("leads", 0);
+    Slog_End();
+    JobReplyMsg_RedirectHttp(request->http, leader);
+    unlink_request(entry, request);
+    free(request);
+}
+
+/* Returns whether a request is redirected instead of forwarded, so that a long
+ * document passes the link of the entry VM only once. */
+static bool
+is_redirected(const PendingRequest *request)
+{
+    size_t len;
+
+    HttpRequest_GetBody(request->http, &len);
+    return request->type == PEER_JOB_CONTROL_REQUEST &&
+           (request->kind == JOB_REQUEST_GET_CONFIG ||
+            len > FORWARD_MAX_BODY_BYTES);
+}
+
+/* A redirect needs no link to the leader. */
+static bool
+can_pass_to_leader(const JobEntry *entry, const PendingRequest *request)
+{
+    return is_redirected(request) ? has_leader(entry) : can_forward(entry);
+}
+
+static void
+pass_to_leader(JobEntry *entry, PendingRequest *request)
+{
+    if (is_redirected(request)) {
+        redirect_request(entry, request);
+    }
+    else {
+        forward_request(entry, request);
+    }
+}
+
 /* Returns the timeout of a caller's request: nine tenths of its deadline, at
  * most REPLY_TIMEOUT_MS. */
 static int64_t
@@ -272,8 +322,8 @@
     if (is_grace_over(entry)) {
         reply_and_finish(entry, request, JOB_REPLY_UNAVAILABLE, "stopping");
     }
-    else if (can_forward(entry)) {
-        forward_request(entry, request);
+    else if (can_pass_to_leader(entry, request)) {
+        pass_to_leader(entry, request);
     }
     else if (!has_leader(entry) &&
              request->received_ms - entry->leader_lost_ms > ELECTION_WAIT_MS) {
@@ -290,37 +340,13 @@
                    get_timeout_ms(http));
 }
 
-static void
-redirect_to_leader(const JobEntry *entry, HttpRequest *http)
-{
-    char leader[JOB_ADDRESS_BYTES];
-
-    snprintf(leader, sizeof(leader), "%s:%d",
-             Peers_Hello(entry->peers, entry->leader)->address.host,
-             entry->settings->control.port);
-    Slog_Begin(SLOG_ROUTINE, "request_redirected");
-    Slog_AddText("method", HttpRequest_GetMethod(http));
-    Slog_AddText("path", HttpRequest_GetPath(http));
-    Slog_AddText("leader", leader);
-    Slog_AddInt("leads", 0);
-    Slog_End();
-    JobReplyMsg_RedirectHttp(http, leader);
-}
-
 static void
 handle_control_request(void *arg, HttpRequest *http)
 {
     JobEntry *entry = arg;
     JobRequestKind kind = entry->wire->get_control_kind(
         HttpRequest_GetMethod(http), HttpRequest_GetPath(http));
-    size_t len;
 
-    HttpRequest_GetBody(http, &len);
-    if (has_leader(entry) &&
-        (kind == JOB_REQUEST_GET_CONFIG || len > FORWARD_MAX_BODY_BYTES)) {
-        redirect_to_leader(entry, http);
-        return;
-    }
     accept_request(entry, http, PEER_JOB_CONTROL_REQUEST, kind,
                    CONTROL_TIMEOUT_MS);
 }
@@ -456,13 +482,15 @@
 static void
 forward_waiting_requests(JobEntry *entry, int64_t now)
 {
-    PendingRequest *request;
+    PendingRequest *request = entry->requests;
 
-    for (request = entry->requests; request != NULL && can_forward(entry);
-         request = request->next) {
-        if (is_copy_due(entry, request, now)) {
-            forward_request(entry, request);
+    while (request != NULL) {
+        PendingRequest *next = request->next;
+        if (is_copy_due(entry, request, now) &&
+            can_pass_to_leader(entry, request)) {
+            pass_to_leader(entry, request);
         }
+        request = next;
     }
 }
 
