Founding passes over seeds that are entry VMs

With entry VMs that serve operators, a seed at the first start may be an entry VM. If its address sorted first, nobody founded: each control VM waited for it. Besides, a control VM that is no seed but sorts before all of them founded a second cluster beside that of the first seed.

The founder is now the control VM among the seeds whose address sorts first (JobFounder_). The first seed founds without any message, as before. A later one founds only once each seed before it has said hello without an identity, that is, as an entry VM; a control VM always has one, so two seeds never both found. Replica_Found creates the cluster in the folder of a node that already waits to be added to one; it keeps its identity. It removes the identity file first and writes it last, so that a crash leaves a new folder or a founded one. If every seed is an entry VM, no control VM founds, since none can tell how many there are; founder_missing says so.

--- a/src/jobctl_internal.h
+++ b/src/jobctl_internal.h
@@ -73,7 +73,8 @@
     Status log_sync_status; /* result of the last sync */
     ErrCtx log_sync_err;
     Replica *replica;
-    bool log_failed; /* the failure of the replica was logged */
+    bool log_failed;      /* the failure of the replica was logged */
+    bool founder_missing; /* that no seed can found was logged */
     JobState *state;
     JobSched *sched;
     JobFleet *fleet;
--- a/src/jobctl_log.c
+++ b/src/jobctl_log.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "diag.h"
+#include "jobfounder.h"
 #include "mem.h"
 #include "rng.h"
 
@@ -332,9 +333,78 @@
     Slog_End();
 }
 
+static void
+log_opening(const JobControl *control, bool founder)
+{
+    Slog_Begin(SLOG_CHANGE, "log_opened");
+    Slog_AddInt("founder", founder);
+    Slog_AddInt("last", (int64_t)Replica_GetLastIndex(control->replica));
+    Slog_AddInt("applied", (int64_t)Replica_GetAppliedIndex(control->replica));
+    Slog_End();
+}
+
+/* Returns whether a seed has said hello as an entry VM. */
+static bool
+is_entry_seed(const JobControl *control, size_t seed)
+{
+    size_t peer = control->peers != NULL
+                      ? Peers_FindSeed(control->peers, control->settings, seed)
+                      : SIZE_MAX;
+    const PeerHello *hello;
+
+    if (peer == SIZE_MAX) {
+        return false;
+    }
+    hello = Peers_Hello(control->peers, peer);
+    return hello->name[0] != '\0' && hello->identity == 0;
+}
+
+static JobFounder
+choose_founder(const JobControl *control)
+{
+    const Settings *settings = control->settings;
+    bool is_entry[SETTINGS_MAX_SEEDS];
+    size_t i;
+
+    if (!settings->may_bootstrap) {
+        return JOB_FOUNDER_OTHER;
+    }
+    for (i = 0; i < settings->seed_count; i++) {
+        is_entry[i] = is_entry_seed(control, i);
+    }
+    return JobFounder_Choose(settings->seeds, is_entry, settings->seed_count,
+                             &settings->control);
+}
+
+/* Founds the cluster at the first start if the seeds before this node turn out
+ * to be entry VMs. */
+static void
+found_if_passed_on(JobControl *control, int64_t now)
+{
+    ErrCtx err = {ST_OK, ""};
+    JobFounder founder;
+
+    if (Replica_GetCluster(control->replica) != 0) {
+        return;
+    }
+    founder = choose_founder(control);
+    if (founder == JOB_FOUNDER_SELF &&
+        Replica_Found(control->replica, control->storage, now, &err) ==
+            ST_OK) {
+        log_opening(control, true);
+    }
+    else if (founder == JOB_FOUNDER_NOBODY && !control->founder_missing) {
+        control->founder_missing = true;
+        Slog_Begin(SLOG_FAILURE, "founder_missing");
+        Slog_AddInt("seeds", (int64_t)control->settings->seed_count);
+        Slog_End();
+    }
+}
+
 void
 JobControl_TickLog(JobControl *control, int64_t now)
 {
+    found_if_passed_on(control, now);
     Replica_Tick(control->replica, now);
     end_after_log_failure(control);
     expire_reads(&control->queued_reads, now);
@@ -349,29 +419,6 @@
     start_read(control);
 }
 
-/* Returns whether this node bootstraps the cluster. Only the node whose
- * address sorts first does, so that there is one founder in whatever order
- * nodes start. */
-static bool
-is_founder(const JobControl *control)
-{
-    const Settings *settings = control->settings;
-    size_t i;
-
-    if (!settings->may_bootstrap) {
-        return false;
-    }
-    for (i = 0; i < settings->seed_count; i++) {
-        int order = strcmp(settings->seeds[i].host, settings->control.host);
-        if (order < 0 ||
-            (order == 0 && settings->seeds[i].port < settings->control.port)) {
-            return false;
-        }
-    }
-    return settings->seed_count > 0 &&
-           strcmp(settings->seeds[0].host, "") != 0;
-}
-
 static void
 start_sync(void *arg)
 {
@@ -444,7 +491,7 @@
         return status;
     }
     fill_options(control, &options);
-    options.init = is_founder(control);
+    options.init = choose_founder(control) == JOB_FOUNDER_SELF;
     status = Replica_Open(&options, control->storage, &control->replica, err);
     if (status == ST_EXISTS) {
         options.init = false;
@@ -454,11 +501,7 @@
     if (status != ST_OK) {
         return status;
     }
-    Slog_Begin(SLOG_CHANGE, "log_opened");
-    Slog_AddInt("founder", options.init);
-    Slog_AddInt("last", (int64_t)Replica_GetLastIndex(control->replica));
-    Slog_AddInt("applied", (int64_t)Replica_GetAppliedIndex(control->replica));
-    Slog_End();
+    log_opening(control, options.init);
     return ST_OK;
 }
 
--- a/src/jobentry.h
+++ b/src/jobentry.h
@@ -16,6 +16,9 @@
  *     Reads of the configuration and bodies over 64 KiB that arrive at the
  *     address control are redirected to the leader.
  *
+ *     Each peer that connects is told the control nodes that are up, so that
+ * an entry VM may be a seed of others.
+ *
  *     The node is ready while it receives messages of a leader that serves.
  */
 #ifndef COLTSFOOT_JOBENTRY_H
--- a/src/peer.c
+++ b/src/peer.c
@@ -810,16 +810,38 @@
     }
 }
 
+/* Returns the address of a seed for peers. */
+static SettingsAddress
+get_seed_address(const Peers *peers, const Settings *settings, size_t i)
+{
+    SettingsAddress seed = settings->seeds[i];
+
+    seed.port = settings->seed_peer_port != 0
+                    ? (int)settings->seed_peer_port
+                    : peers->options.settings->peer.port;
+    return seed;
+}
+
+size_t
+Peers_FindSeed(const Peers *peers, const Settings *settings, size_t i)
+{
+    SettingsAddress seed = get_seed_address(peers, settings, i);
+    size_t peer = 0;
+
+    while (peer < peers->count &&
+           !is_same_address(&peers->slots[peer].address, &seed)) {
+        peer++;
+    }
+    return peer < peers->count ? peer : PEER_NONE;
+}
+
 void
 Peers_AddSeeds(Peers *peers, const Settings *settings)
 {
     size_t i;
 
     for (i = 0; i < settings->seed_count; i++) {
-        SettingsAddress seed = settings->seeds[i];
-        seed.port = settings->seed_peer_port != 0
-                        ? (int)settings->seed_peer_port
-                        : peers->options.settings->peer.port;
+        SettingsAddress seed = get_seed_address(peers, settings, i);
         Peers_Add(peers, &seed);
     }
 }
--- a/src/peer.h
+++ b/src/peer.h
@@ -106,6 +106,10 @@
  * of this node if it is 0. */
 void Peers_AddSeeds(Peers *peers, const Settings *settings);
 
+/* Returns the index of the peer that is seed i of settings, or SIZE_MAX if
+ * there is none, as for this node's own address. */
+size_t Peers_FindSeed(const Peers *peers, const Settings *settings, size_t i);
+
 size_t Peers_Count(const Peers *peers);
 
 /* Returns the index of the peer whose last hello has this identity, or
--- a/src/replica.c
+++ b/src/replica.c
@@ -36,18 +36,22 @@
     return id;
 }
 
+/* Creates the files of a node that has this identity, or a new one if it is
+ * 0. */
 static Status
-create_folder(const ReplicaOptions *options, Storage *storage, ErrCtx *err)
+create_folder(const ReplicaOptions *options, uint64_t identity,
+              Storage *storage, ErrCtx *err)
 {
     Rng rng;
     RaftMembers members = {.count = 1};
     RaftMember *self = &members.list[0];
-    uint64_t identity;
+    uint64_t new_identity;
     uint64_t cluster;
 
     Rng_Seed(&rng, options->seed);
-    identity = generate_id(&rng);
+    new_identity = generate_id(&rng);
     cluster = generate_id(&rng);
+    identity = identity != 0 ? identity : new_identity;
     self->identity = identity;
     snprintf(self->name, sizeof(self->name), "%s", options->name);
     snprintf(self->data_centre, sizeof(self->data_centre), "%s",
@@ -110,7 +114,7 @@
     }
     status = Wal_Open(storage, recovery, &replica->wal, err);
     if (status == ST_NOT_FOUND) {
-        status = create_folder(&replica->options, storage, err);
+        status = create_folder(&replica->options, 0, storage, err);
         if (status == ST_OK) {
             status = Wal_Open(storage, recovery, &replica->wal, err);
         }
@@ -129,6 +133,64 @@
     return status;
 }
 
+/* Writes the files of a new cluster and opens them. A crash before the
+ * identity is written again leaves a new folder. */
+static Status
+recreate_folder(Replica *replica, Storage *storage, ErrCtx *err)
+{
+    WalRecovery *recovery = calloc(1, sizeof(*recovery));
+    Status status;
+
+    if (recovery == NULL) {
+        return Err_Set(err, ST_NO_MEMORY, "out of memory");
+    }
+    status = Storage_Remove(storage, WAL_IDENTITY, err);
+    if (status == ST_OK) {
+        status =
+            create_folder(&replica->options, replica->identity, storage, err);
+    }
+    if (status == ST_OK) {
+        status = Wal_Open(storage, recovery, &replica->wal, err);
+    }
+    if (status == ST_OK) {
+        status = start_raft(replica, recovery, err);
+        WalRecovery_Free(recovery);
+    }
+    free(recovery);
+    return status;
+}
+
+Status
+Replica_Found(Replica *replica, Storage *storage, int64_t now_ms, ErrCtx *err)
+{
+    Wal *wal = replica->wal;
+    Raft *raft = replica->raft;
+    Status status;
+
+    if (replica->failure.status != ST_OK) {
+        return replica->failure.status;
+    }
+    if (Raft_GetCluster(raft) != 0 || Raft_GetLastIndex(raft) != 0 ||
+        replica->sync_in_progress) {
+        return Err_Set(err, ST_EXISTS, "the node is in a cluster");
+    }
+    replica->options.init = true;
+    replica->options.now_ms = now_ms;
+    replica->wal = NULL;
+    replica->raft = NULL;
+    status = recreate_folder(replica, storage, err);
+    if (status != ST_OK) {
+        Wal_Close(replica->wal);
+        replica->wal = wal;
+        replica->raft = raft;
+        replica->failure = *err;
+        return status;
+    }
+    Raft_Free(raft);
+    Wal_Close(wal);
+    return ST_OK;
+}
+
 static void
 free_replica(Replica *replica)
 {
--- a/src/replica.h
+++ b/src/replica.h
@@ -116,6 +116,13 @@
 Status Replica_Open(const ReplicaOptions *options, Storage *storage,
                     Replica **replica, ErrCtx *err);
 
+/* Starts a new cluster with this node, which waits to be added to one; storage
+ * is that of Replica_Open. Returns ST_EXISTS if the node is in a cluster or is
+ * about to join one. Another error stops the replica, and after the next
+ * start the folder is new or that of the new cluster. */
+Status Replica_Found(Replica *replica, Storage *storage, int64_t now_ms,
+                     ErrCtx *err);
+
 /* Completes all pending proposals and reads with ST_AGAIN and frees the
  * replica. */
 void Replica_Close(Replica *replica);
--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -785,6 +785,77 @@
 }
 END_TEST
 
+/* Starts nodes of which none founds a cluster. */
+static Cluster *
+create_waiting_cluster(uint64_t seed)
+{
+    Cluster *cluster = create_cluster(seed, 3, 3, false, false);
+    Node *node = &cluster->nodes[0];
+
+    cluster->faults_disabled = true;
+    Replica_Close(node->replica);
+    MemStorage_Wipe(node->disk);
+    start_node(node, false);
+    return cluster;
+}
+
+static Status
+found_cluster(Node *node)
+{
+    ErrCtx err = {ST_OK, ""};
+
+    return Replica_Found(node->replica, MemStorage_GetStorage(node->disk),
+                         node->cluster->time_ms, &err);
+}
+
+/* Guards against a node that cannot found once it waits for a leader, and
+ * against one that leaves its cluster for a second one. */
+START_TEST(waiting_node_founds_once)
+{
+    Cluster *cluster = create_waiting_cluster(11);
+    Node *node = &cluster->nodes[0];
+    uint64_t identity = Replica_GetIdentity(node->replica);
+    uint64_t id;
+
+    ck_assert_uint_eq(Replica_GetCluster(node->replica), 0);
+    ck_assert_int_eq(found_cluster(node), ST_OK);
+    ck_assert_uint_eq(Replica_GetIdentity(node->replica), identity);
+    id = Replica_GetCluster(node->replica);
+    ck_assert_uint_ne(id, 0);
+    heal_and_converge(cluster, 11);
+    ck_assert_int_eq(found_cluster(node), ST_EXISTS);
+    ck_assert_int_eq(found_cluster(&cluster->nodes[1]), ST_EXISTS);
+    crash_node(node, 0);
+    start_node(node, false);
+    ck_assert_uint_eq(Replica_GetCluster(node->replica), id);
+    heal_and_converge(cluster, 11);
+    free_cluster(cluster);
+}
+END_TEST
+
+/* Guards against a folder that cannot be opened after a crash while the
+ * cluster is founded; _i writes succeed. */
+START_TEST(crash_while_founding_can_be_repeated)
+{
+    Cluster *cluster = create_waiting_cluster(12);
+    Node *node = &cluster->nodes[0];
+    Status status;
+
+    MemStorage_FailWrite(node->disk, _i);
+    status = found_cluster(node);
+    ck_assert(status == ST_OK ||
+              Replica_GetFailure(node->replica, NULL) == status);
+    crash_node(node, 0);
+    start_node(node, false);
+    if (Replica_GetCluster(node->replica) == 0) {
+        ck_assert_int_ne(status, ST_OK);
+        ck_assert_int_eq(found_cluster(node), ST_OK);
+    }
+    heal_and_converge(cluster, 12);
+    free_cluster(cluster);
+}
+END_TEST
+
 /* Requests the vote of node 0. Returns whether the vote is granted. */
 static bool
 request_vote(Cluster *cluster, uint64_t from)
@@ -1069,6 +1140,8 @@
     TCase *tcase = tcase_create("cluster");
 
     tcase_add_test(tcase, only_init_starts_a_cluster);
+    tcase_add_test(tcase, waiting_node_founds_once);
+    tcase_add_loop_test(tcase, crash_while_founding_can_be_repeated, 0, 6);
     tcase_add_test(tcase, vote_survives_a_crash);
     tcase_add_test(tcase, failed_sync_stops_a_replica);
     tcase_add_test(tcase, stalled_sync_of_the_leader_delays_no_commit);
