--- a/src/jobctl_internal.h
+++ b/src/jobctl_internal.h
@@ -74,7 +74,8 @@
     Status log_sync_status; /* result of the last sync */
     ErrCtx log_sync_err;
     Replica *replica;
-    bool log_failed; /* the failure of the replica was logged */
+    bool log_failed;      /* the failure of the replica was logged */
+    bool founder_missing; /* that no seed can found was logged */
     JobState *state;
     JobSched *sched;
     JobFleet *fleet;
@@ -151,7 +152,10 @@
 
 /* jobctl_request.c */
 void JobControl_HandleHttp(void *arg, HttpRequest *http);
+/* Serves the request that an entry VM forwarded: a caller's, or one of an
+ * operator or a target with PEER_JOB_CONTROL_REQUEST. */
 void JobControl_HandleJobRequest(JobControl *control, size_t peer,
+                                 PeerMessageType type,
                                  const msgpack_object_array *message);
 /* Serves a request that a peer forwarded. Takes ownership of the request's
  * contents and clears it. */
--- a/src/jobctl_request.c
+++ b/src/jobctl_request.c
@@ -402,6 +402,15 @@
     Buf_Free(&command);
 }
 
+/* Returns whether a control node, which can be an agent, forwarded the
+ * request. */
+static bool
+is_from_agent(const PendingRequest *pending)
+{
+    return pending->http == NULL &&
+           Peers_Hello(pending->control->peers, pending->peer)->identity != 0;
+}
+
 static void
 handle_announcement(PendingRequest *pending)
 {
@@ -410,7 +419,7 @@
     JobReply reply = {.kind = JOB_REPLY_ANNOUNCED};
 
     reply.text = JobControl_GetAnnounceAddress(
-        control, pending->http != NULL ? JOB_AGENT_NONE : pending->peer,
+        control, is_from_agent(pending) ? pending->peer : JOB_AGENT_NONE,
         &pending->request.announcement, address, sizeof(address));
     if (!JobSched_HandleAnnouncement(control->sched, Loop_NowMs(),
                                      &pending->request.announcement) &&
@@ -513,26 +522,17 @@
 redirect_to_leader(const PendingRequest *pending, const char *leader)
 {
     const JobControl *control = pending->control;
-    const char *path = HttpRequest_GetPath(pending->http);
-    char location[JOB_ADDRESS_BYTES + 200];
-    HttpReply reply = {.status = 307, .content_type = "application/json"};
 
     begin_request_line(SLOG_ROUTINE, "request_redirected", &pending->request);
     Slog_AddText("method", HttpRequest_GetMethod(pending->http));
-    Slog_AddText("path", path);
+    Slog_AddText("path", HttpRequest_GetPath(pending->http));
     Slog_AddText("leader", leader);
     Slog_AddInt("leads", Replica_GetRole(control->replica) == RAFT_LEADER);
     Slog_End();
     if (control->metrics != NULL) {
-        JobMetrics_CountAnswer(control->metrics, pending->request.kind,
-                               reply.status);
+        JobMetrics_CountAnswer(control->metrics, pending->request.kind, 307);
     }
-    snprintf(location, sizeof(location), "http://%s%.190s", leader, path);
-    reply.body = "{}";
-    reply.body_len = 2;
-    reply.headers[0] = (HttpHeader){"Location", location};
-    reply.header_count = 1;
-    HttpRequest_Reply(pending->http, &reply);
+    JobReplyMsg_RedirectHttp(pending->http, leader);
 }
 
 static bool
@@ -627,6 +627,7 @@
 /* The message is [type, sequence, method, host, path, body]. */
 void
 JobControl_HandleJobRequest(JobControl *control, size_t peer,
+                            PeerMessageType type,
                             const msgpack_object_array *message)
 {
     const msgpack_object *items = message->ptr;
@@ -652,8 +653,13 @@
     pending = new_pending_request(control);
     pending->peer = peer;
     pending->sequence = items[1].via.u64;
-    control->wire->decode_caller_request(
-        &raw, JobState_GetConfig(control->state), &pending->request);
+    if (type == PEER_JOB_CONTROL_REQUEST) {
+        control->wire->decode_control_request(&raw, &pending->request);
+    }
+    else {
+        control->wire->decode_caller_request(
+            &raw, JobState_GetConfig(control->state), &pending->request);
+    }
     if (!JobControl_IsServing(control)) {
         reply_unavailable(pending, "this node does not lead");
     }
