--- a/src/jobentry.c
+++ b/src/jobentry.c
@@ -36,8 +36,8 @@
 #define REPLY_TIMEOUT_MS 2700
 #define RETRY_DELAY_MS 1000
 /* Timeout of an operator's or a target's request. They ask another node after
- * a second. */
-#define CONTROL_TIMEOUT_MS 900
+ * a second, of which a tick and the way back are a part. */
+#define CONTROL_TIMEOUT_MS 700
 #define CONTROL_MAX_BODY_BYTES (4 * 1024 * 1024)
 /* Longer documents are redirected to the leader. */
 #define FORWARD_MAX_BODY_BYTES (64 * 1024)
