standin-jobs-caller: read more last states at the same time

The soak reported accepted jobs as not known and not ended ("kept", "completed") whose last state it had not asked for: 16 reads at a time, 60 ms apart each, are about 3,700 in the 14 s that it has, and longer runs submit more jobs. The service had answered each read that came within 1 ms.

--- a/standin/standin_jobs_caller.c
+++ b/standin/standin_jobs_caller.c
@@ -41,7 +41,7 @@
 #define VISIBLE_MS 3000
 #define CANCEL_MS 3000
 /* Jobs whose last state is asked for at the same time. */
-#define MAX_STATE_READS 16
+#define MAX_STATE_READS 64
 
 typedef struct Request {
     struct Caller *caller;
