--- a/src/jobctl_internal.h
+++ b/src/jobctl_internal.h
@@ -73,6 +73,8 @@
     Worker *log_syncer;     /* syncs the log off the event loop's thread */
     Status log_sync_status; /* result of the last sync */
     ErrCtx log_sync_err;
+    int64_t log_sync_begun_ms; /* when the last sync was requested */
+    int64_t log_sync_disk_ms;  /* how long the disk took for it */
     Replica *replica;
     bool log_failed;      /* the failure of the replica was logged */
     bool founder_missing; /* that no seed can found was logged */
--- a/src/jobctl_log.c
+++ b/src/jobctl_log.c
@@ -13,6 +13,8 @@
 #define READ_TIMEOUT_MS 800
 /* Age from which a pending proposal is logged, and interval of that line. */
 #define LATE_PROPOSAL_MS 1000
+/* Duration from which a sync of the log is logged. */
+#define SLOW_SYNC_MS 500
 /* Proposals beyond this number are refused and have to be retried. */
 #define MAX_PENDING_PROPOSALS 4096
 
@@ -428,6 +430,7 @@
 {
     JobControl *control = arg;
 
+    control->log_sync_begun_ms = Loop_NowMs();
     Worker_Run(control->log_syncer);
 }
 
@@ -436,10 +439,27 @@
 sync_log(void *arg)
 {
     JobControl *control = arg;
+    int64_t begun_us = Loop_NowUs();
 
     control->log_sync_err = (ErrCtx){ST_OK, ""};
     control->log_sync_status =
         Storage_Sync(control->storage, WAL_LOG, &control->log_sync_err);
+    control->log_sync_disk_ms = (Loop_NowUs() - begun_us) / 1000;
+}
+
+/* Tells a slow disk from threads that got no processor time. */
+static void
+log_slow_sync(const JobControl *control)
+{
+    int64_t took_ms = Loop_NowMs() - control->log_sync_begun_ms;
+
+    if (took_ms < SLOW_SYNC_MS) {
+        return;
+    }
+    Slog_Begin(SLOG_FAILURE, "log_sync_slow");
+    Slog_AddInt("took_ms", took_ms);
+    Slog_AddInt("disk_ms", control->log_sync_disk_ms);
+    Slog_End();
 }
 
 static void
@@ -447,6 +467,7 @@
 {
     JobControl *control = arg;
 
+    log_slow_sync(control);
     Replica_FinishSync(control->replica, control->log_sync_status,
                        &control->log_sync_err);
 }
