--- a/tests/test_jobentry.c
+++ b/tests/test_jobentry.c
@@ -568,6 +568,7 @@
     ErrCtx err;
     size_t i;
 
+    signal(SIGPIPE, SIG_IGN);
     world->port = choose_port();
     write_settings(world);
     world->loop = Loop_New(&err);
