--- a/src/jobentry.h
+++ b/src/jobentry.h
@@ -17,7 +17,7 @@
  *     address control are redirected to the leader.
  *
  *     Each peer that connects is told the control nodes that are up, so that
- * an entry VM may be a seed of others.
+ *     an entry VM may be a seed of others.
  *
  *     The node is ready while it receives messages of a leader that serves.
  */
--- a/src/storage.h
+++ b/src/storage.h
@@ -6,8 +6,8 @@
  *     A small vtable over named files in one flat folder, so that tests can
  *     replace the disk and inject faults. Names are plain file names without a
  *     slash. Appended bytes are durable only after Storage_Sync returns ST_OK;
- *     the effects of the other functions that write are durable on return. Not
- * thread-safe.
+ *     the effects of the other functions that write are durable on return.
+ *     Not thread-safe.
  *
  * ERRORS
  *     ST_NOT_FOUND  the file does not exist
--- a/tests/proc_frozen_leader.sh
+++ b/tests/proc_frozen_leader.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Guards against an order of the operator that stays without acknowledgement
-# while the leader is frozen, though a majority and an entry VM run.
+# Guards against an order that a running entry VM leaves without acknowledgement
+# while the leader is frozen.
 # Usage: proc_frozen_leader.sh [BUILD]
 cd "$(dirname "$0")/.."
 # shellcheck source=tests/support_proc.sh
