test_replica: 700 random histories in place of 400

Half of the crashes of survives_faults end a process only since recovery has to cope with the page cache, so that 400 histories had 1,450 to 1,700 power losses where there were 2,350 to 2,600. 700 have at least as many as before.

--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -1171,7 +1171,7 @@
     tcase_add_test(tcase, large_entries_are_compacted);
     tcase_add_test(tcase, lost_voter_is_replaced);
     tcase_add_test(tcase, idle_traffic_is_bounded);
-    tcase_add_loop_test(tcase, survives_faults, 0, 400);
+    tcase_add_loop_test(tcase, survives_faults, 0, 700);
     suite_add_tcase(suite, tcase);
     return suite;
 }
