--- a/tests/test_jobsched.c
+++ b/tests/test_jobsched.c
@@ -286,7 +286,6 @@
 }
 END_TEST
 
-/* A start without an answer may be carried out later than a refused stop. */
 static const struct {
     const char *name;
     const char *next_address; /* announced while the call is in flight */
@@ -323,6 +322,7 @@
 }
 END_TEST
 
+/* A start without an answer may be carried out later than a refused stop. */
 START_TEST(refused_stop_does_not_settle_a_start)
 {
     size_t round;
