Acknowledge the leaving of a restarted target only once it is stored

Callers: none saw it; found by reading. A task could start on a target whose notice of leaving had been acknowledged, and end with it. The notice was lost if the target had restarted and its new start time was not stored yet: with runs of the earlier incarnation nothing was proposed, and the restart check then stored the target as not leaving; without runs the proposal was only queued, so it was lost with the leader.

Cause: update_target returned true ("stored") for every announcement of a new incarnation, and finish_restart_check took the new incarnation for one that isn't leaving whatever it had announced.

Fix: update_target returns false for the notice until the new incarnation is stored as leaving, and the restart check keeps the notice of the incarnation that it verifies. JobSched_MayStore says whether the request may store the notice itself. It may not while the target has runs of the earlier incarnation: storing the new one releases them, and a delayed start could still run beside the next attempt. The request is then answered 503 at once, over HTTP or through an agent, with the reason in its request_answered line. It does not wait, as the check takes until the target answers a hold. The target repeats its notice, which is acknowledged once the check has stored it. A check that gets no answer ends with the lease of the runs; the next notice is then stored at once.

Evidence: test_jobsched, leaving_of_restarted_target_is_stored_before_its_acknowledgement. The test now also covers the end of the check, the acknowledgement after it, and that the target gets no task; its 6 cases fail on the code before with a JobSched_MayStore that always permits. A second test, restart_ends_the_leaving_of_the_earlier_incarnation, holds before and after; it fails if the check keeps the notice of an earlier incarnation. With sanitizers test_jobsched (34 checks), test_jobagents (11), test_jobfleet (14) and test_jobworld (8) pass.

No process test sends a notice during a restart check: the 503 is shown by reading only.

--- a/src/jobctl_request.c
+++ b/src/jobctl_request.c
@@ -417,6 +417,8 @@
     JobControl *control = pending->control;
     char address[JOB_ADDRESS_BYTES];
     JobReply reply = {.kind = JOB_REPLY_ANNOUNCED};
+    bool may_store =
+        JobSched_MayStore(control->sched, &pending->request.announcement);
 
     reply.text = JobControl_GetAnnounceAddress(
         control, is_from_agent(pending) ? pending->peer : JOB_AGENT_NONE,
@@ -427,6 +429,11 @@
         /* The target may rely on the reply to its notice of leaving, so the
          * announcement is stored before the reply is sent. */
         Buf command = BUF_INIT;
+        if (!may_store) {
+            reply_unavailable(pending, "the restart of the target is still "
+                                       "being verified");
+            return;
+        }
         JobCmd_EncodeTarget(&command, &pending->request.announcement);
         JobControl_Propose(control, &command, on_stored, pending);
         Buf_Free(&command);
--- a/src/jobsched.h
+++ b/src/jobsched.h
@@ -144,6 +144,12 @@
 bool JobSched_HandleAnnouncement(JobSched *sched, int64_t now,
                                  const JobAnnouncement *announcement);
 
+/* Returns whether the caller may store an announcement at once. It may not
+ * while the target has runs of an earlier incarnation, as they would be
+ * released before the restart check. */
+bool JobSched_MayStore(const JobSched *sched,
+                       const JobAnnouncement *announcement);
+
 /* Removes a target that has reported its own end. */
 void JobSched_HandleDeparture(JobSched *sched, int64_t now, const char *id);
 
--- a/src/jobsched_call.c
+++ b/src/jobsched_call.c
@@ -177,6 +177,7 @@
 
     if (answer->born > live->checked_born) {
         live->checked_born = answer->born;
+        live->checked_leaving = false;
     }
     if (stop_stray_runs(sched, now, target, answer, true) > 0) {
         live->hold_due_ms = now + sched->options.stop_ms;
@@ -192,8 +193,10 @@
         SchedImpl_ProposeEnds(sched, target, ends, answer->end_count);
         free(ends);
     }
+    announcement.leaving =
+        live->checked_leaving ||
+        (announcement.leaving && announcement.born == live->checked_born);
     announcement.born = live->checked_born;
-    announcement.leaving = false;
     live->checking_restart = false;
     live->announcement_pending = true;
     live->readmitting = true;
--- a/src/jobsched_impl.h
+++ b/src/jobsched_impl.h
@@ -33,6 +33,7 @@
     uint64_t order;      /* sequence number of the last announcement */
     bool checking_restart;     /* a new incarnation is being verified */
     uint64_t checked_born;     /* start time of the incarnation to verify */
+    bool checked_leaving;      /* it has announced that it leaves */
     int64_t restart_seen_ms;   /* when the new incarnation was first seen */
     bool announcement_pending; /* a proposal of an announcement is in flight */
     bool readmitting; /* a proposal that ends the old incarnation's runs is
--- a/src/jobsched_target.c
+++ b/src/jobsched_target.c
@@ -108,6 +108,7 @@
     live->checking_restart = true;
     live->restart_seen_ms = now;
     live->checked_born = born;
+    live->checked_leaving = false;
     live->incarnation = sched->next_incarnation++;
     live->fence = JobSched_NewFence(sched);
     live->fenced = false;
@@ -131,11 +132,15 @@
     if (announcement->born > target->announcement.born) {
         SchedImpl_BeginRestartCheck(sched, now, target, announcement->born);
         live->last_seen_ms = now;
+        if (announcement->leaving &&
+            announcement->born == live->checked_born) {
+            live->checked_leaving = true;
+        }
         if (target->run_count == 0 && !live->announcement_pending) {
             live->announcement_pending = true;
             SchedImpl_ProposeTarget(sched, &next, target);
         }
-        return true;
+        return !announcement->leaving;
     }
     live->order = announcement->order;
     live->last_seen_ms = now;
@@ -181,6 +186,16 @@
     return false;
 }
 
+bool
+JobSched_MayStore(const JobSched *sched, const JobAnnouncement *announcement)
+{
+    const JobTarget *target =
+        JobState_FindTarget(sched->state, announcement->id);
+
+    return target == NULL || target->run_count == 0 ||
+           announcement->born <= target->announcement.born;
+}
+
 void
 JobSched_HandleDeparture(JobSched *sched, int64_t now, const char *id)
 {
--- a/tests/test_jobsched.c
+++ b/tests/test_jobsched.c
@@ -130,6 +130,28 @@
     return count;
 }
 
+/* Answers the queued holds as a new incarnation that runs nothing. */
+static void
+finish_restart_check(uint64_t born)
+{
+    JobCallAnswer answer = {
+        .outcome = JOB_CALL_OK, .clock_ms = 5, .born = born};
+    JobAction answered[MAX_CALLS];
+    size_t count;
+    size_t i;
+
+    tick(50);
+    count = call_count;
+    memcpy(answered, calls, sizeof(answered));
+    call_count = 0;
+    for (i = 0; i < count; i++) {
+        if (answered[i].kind == JOB_ACTION_HOLD) {
+            JobSched_HandleAnswer(sched, now, &answered[i], &answer);
+        }
+    }
+    process_actions();
+}
+
 START_TEST(tasks_are_assigned_before_they_start)
 {
     announce("t1", "vm1", 10);
@@ -322,6 +344,83 @@
 }
 END_TEST
 
+static const struct {
+    const char *name;
+    bool has_runs;          /* of the earlier incarnation */
+    bool announced;         /* before the notice of leaving */
+    uint64_t answered_born; /* 0: the target does not state it */
+} restart_cases[] = {
+    {"idle", false, false, 11},
+    {"with runs", true, false, 11},
+    {"idle, no start time", false, false, 0},
+    {"with runs, no start time", true, false, 0},
+    {"idle, stored before, no start time", false, true, 0},
+    {"with runs, announced before", true, true, 11},
+};
+
+/* Guards against a start on a restarted target whose notice of leaving was
+ * acknowledged but not stored. */
+START_TEST(leaving_of_restarted_target_is_stored_before_its_acknowledgement)
+{
+    JobAnnouncement announcement = {.id = "t1",
+                                    .address = "10.0.0.1:80",
+                                    .pool = "p",
+                                    .vm = "vm1",
+                                    .room = {16000, 32000, 0},
+                                    .born = 11,
+                                    .order = 1000,
+                                    .clock_ms = -1,
+                                    .leaving = true};
+    bool has_runs = restart_cases[_i].has_runs;
+    const JobTarget *target;
+
+    announce("t1", "vm1", 10);
+    if (has_runs) {
+        JobTest_Submit(state, "a", 1, 1, 500);
+        tick(50);
+        ck_assert_uint_eq(JobState_FindTarget(state, "t1")->run_count, 1);
+        call_count = 0;
+    }
+    if (restart_cases[_i].announced) {
+        announce("t1", "vm1", 11);
+    }
+    ck_assert(JobSched_MayStore(sched, &announcement) == !has_runs);
+    ck_assert(!JobSched_HandleAnnouncement(sched, now, &announcement));
+    process_actions();
+    target = JobState_FindTarget(state, "t1");
+    ck_assert_msg(target->announcement.leaving == !has_runs, "%s",
+                  restart_cases[_i].name);
+    finish_restart_check(restart_cases[_i].answered_born);
+    ck_assert_uint_eq(target->announcement.born, 11);
+    ck_assert_msg(target->announcement.leaving, "%s", restart_cases[_i].name);
+    ck_assert(JobSched_HandleAnnouncement(sched, now, &announcement));
+    JobTest_Submit(state, "b", 1, 1, 500);
+    tick(500);
+    answer_all(JOB_CALL_OK);
+    tick(500);
+    ck_assert_msg(!JobSched_IsUsable(sched, target, now), "%s",
+                  restart_cases[_i].name);
+    ck_assert_uint_eq(target->run_count, 0);
+    ck_assert_uint_eq(count_calls(JOB_ACTION_START), 0);
+}
+END_TEST
+
+/* Guards against a target that stays out of use because its earlier
+ * incarnation was leaving. */
+START_TEST(restart_ends_the_leaving_of_the_earlier_incarnation)
+{
+    announce("t1", "vm1", 10);
+    JobTest_Submit(state, "a", 1, 1, 500);
+    tick(50);
+    JobTest_SetTarget(state, "t1", "vm1", "p", 10, true);
+    call_count = 0;
+    announce("t1", "vm1", 11);
+    finish_restart_check(11);
+    ck_assert_uint_eq(JobState_FindTarget(state, "t1")->announcement.born, 11);
+    ck_assert(!JobState_FindTarget(state, "t1")->announcement.leaving);
+}
+END_TEST
+
 /* A start without an answer may be carried out later than a refused stop. */
 START_TEST(refused_stop_does_not_settle_a_start)
 {
@@ -588,6 +687,11 @@
     tcase_add_loop_test(tcase, answer_from_former_address_removes_no_target, 0,
                         sizeof(other_instance_cases) /
                             sizeof(other_instance_cases[0]));
+    tcase_add_loop_test(
+        tcase,
+        leaving_of_restarted_target_is_stored_before_its_acknowledgement, 0,
+        (int)(sizeof(restart_cases) / sizeof(restart_cases[0])));
+    tcase_add_test(tcase, restart_ends_the_leaving_of_the_earlier_incarnation);
     tcase_add_test(tcase, refused_stop_does_not_settle_a_start);
     tcase_add_loop_test(tcase, large_fleets_are_polled_less_often, 0,
                         (int)(sizeof(wait_cases) / sizeof(wait_cases[0])));
