Store a notice of leaving only after a target's earlier announcements

Callers: none saw it; found by reading, beside the notice of a restarted target. A target whose notice of leaving had been acknowledged could be stored as in use again and get tasks.

Cause: the request stores a notice at once, but the scheduler's proposals reach the log only at the end of the event loop iteration. An earlier announcement of the target, or the end of its restart check, that is handled in the same iteration is stored after the notice, and the stored content is the last one.

Fix: JobSched_MayStore also refuses while an announcement without the notice is in flight. The request is answered 503 and the target's next notice is stored. Repeats of a notice are stored as before.

Evidence: test_jobsched, leaving_is_stored_after_earlier_announcements, failed for a known target (1 of 36 checks): acknowledged and then stored as not leaving. Its case of a new target passed before too, as the scheduler proposes the notice there as well. All 36 checks pass now.

--- a/src/jobctl_request.c
+++ b/src/jobctl_request.c
@@ -430,8 +430,8 @@
          * announcement is stored before the reply is sent. */
         Buf command = BUF_INIT;
         if (!may_store) {
-            reply_unavailable(pending, "the restart of the target is still "
-                                       "being verified");
+            reply_unavailable(pending, "an earlier state of the target is "
+                                       "still being verified or stored");
             return;
         }
         JobCmd_EncodeTarget(&command, &pending->request.announcement);
--- a/src/jobsched.h
+++ b/src/jobsched.h
@@ -146,7 +146,8 @@
 
 /* Returns whether the caller may store an announcement at once. It may not
  * while the target has runs of an earlier incarnation, as they would be
- * released before the restart check. */
+ * released before the restart check, or while an earlier announcement that
+ * would replace it is queued. Call it before JobSched_HandleAnnouncement. */
 bool JobSched_MayStore(const JobSched *sched,
                        const JobAnnouncement *announcement);
 
--- a/src/jobsched_impl.h
+++ b/src/jobsched_impl.h
@@ -60,6 +60,7 @@
     JobAssignment *assignments;
     size_t assignment_count;
     char id[JOB_NAME_BYTES]; /* id of a new target, or empty */
+    bool leaving;            /* the announcement is a notice of leaving */
     int64_t clock_ms;
     int64_t clock_at_ms;
     struct SchedProposal *next;
--- a/src/jobsched_target.c
+++ b/src/jobsched_target.c
@@ -44,6 +44,7 @@
     SchedImpl_Propose(sched, SCHED_TARGET, &command,
                       target != NULL ? target->row : JOB_NO_TARGET,
                       target != NULL ? target->serial : 0);
+    sched->proposals->leaving = announcement->leaving;
     if (target == NULL) {
         SchedProposal *proposal = sched->proposals;
         snprintf(proposal->id, sizeof(proposal->id), "%s", announcement->id);
@@ -191,7 +192,16 @@
 {
     const JobTarget *target =
         JobState_FindTarget(sched->state, announcement->id);
+    const SchedProposal *proposal;
 
+    for (proposal = sched->proposals; proposal != NULL;
+         proposal = proposal->next) {
+        if (proposal->kind == SCHED_TARGET && !proposal->leaving &&
+            (target != NULL ? proposal->row == target->row
+                            : strcmp(proposal->id, announcement->id) == 0)) {
+            return false;
+        }
+    }
     return target == NULL || target->run_count == 0 ||
            announcement->born <= target->announcement.born;
 }
--- a/tests/test_jobsched.c
+++ b/tests/test_jobsched.c
@@ -421,6 +421,51 @@
 }
 END_TEST
 
+/* Handles an announcement as a request does: stores it at once if it may.
+ * Returns whether the request is acknowledged. */
+static bool
+request_announcement(const JobAnnouncement *announcement)
+{
+    bool may_store = JobSched_MayStore(sched, announcement);
+    Buf command = BUF_INIT;
+
+    if (JobSched_HandleAnnouncement(sched, now, announcement)) {
+        return true;
+    }
+    if (may_store) {
+        JobCmd_EncodeTarget(&command, announcement);
+        JobTest_Apply(state, &command);
+    }
+    return may_store;
+}
+
+/* Guards against an acknowledged notice of leaving that is revoked by an
+ * earlier announcement, because that is stored after it. */
+START_TEST(leaving_is_stored_after_earlier_announcements)
+{
+    JobAnnouncement announcement = {
+        .id = "t1", .vm = "vm1", .pool = "p", .born = 10};
+    JobAnnouncement notice = announcement;
+    bool is_new = _i == 1;
+    bool acknowledged;
+
+    notice.leaving = true;
+    notice.order = 1000;
+    if (!is_new) {
+        announce("t1", "vm1", 10);
+        announcement.order = 999;
+    }
+    JobSched_HandleAnnouncement(sched, now, &announcement);
+    acknowledged = request_announcement(&notice);
+    process_actions();
+    ck_assert(!acknowledged ||
+              JobState_FindTarget(state, "t1")->announcement.leaving);
+    ck_assert(request_announcement(&notice));
+    process_actions();
+    ck_assert(JobState_FindTarget(state, "t1")->announcement.leaving);
+}
+END_TEST
+
 /* A start without an answer may be carried out later than a refused stop. */
 START_TEST(refused_stop_does_not_settle_a_start)
 {
@@ -692,6 +737,8 @@
         leaving_of_restarted_target_is_stored_before_its_acknowledgement, 0,
         (int)(sizeof(restart_cases) / sizeof(restart_cases[0])));
     tcase_add_test(tcase, restart_ends_the_leaving_of_the_earlier_incarnation);
+    tcase_add_loop_test(tcase, leaving_is_stored_after_earlier_announcements,
+                        0, 2);
     tcase_add_test(tcase, refused_stop_does_not_settle_a_start);
     tcase_add_loop_test(tcase, large_fleets_are_polled_less_often, 0,
                         (int)(sizeof(wait_cases) / sizeof(wait_cases[0])));
