Number the announcements of a new incarnation from its own first one

Callers: none saw it; found by reading. A restarted target whose announcements count from 1 again was taken for silent, and its notice of leaving was acknowledged and not stored, until its numbers passed those of the earlier incarnation.

Cause: the order of the last announcement was kept when a new incarnation was stored, so that the announcements of the new one counted as late.

Fix: it is reset with the rest of what ends with an incarnation. The platform says only that the number increases with each call, not that it continues after a crash; the simulation of test_jobworld begins again from 1.

Evidence: test_jobsched, new_incarnation_numbers_its_announcements_anew, failed before (1 of 37 checks). test_jobsched (37 checks), test_jobagents (11), test_jobfleet (14) and test_jobworld (8) pass, with sanitizers too.

--- a/src/jobsched.c
+++ b/src/jobsched.c
@@ -172,8 +172,10 @@
         live->last_seen_ms = sched->now_ms;
     }
     if (live->serial != target->serial) {
-        /* A new incarnation does not continue the clock of the old one. */
+        /* A new incarnation continues neither the clock nor the numbers of the
+         * old one. */
         live->serial = target->serial;
+        live->order = 0;
         live->clock_known = false;
         live->granted_until_ms = 0;
         live->failures = 0;
--- a/tests/test_jobsched.c
+++ b/tests/test_jobsched.c
@@ -466,6 +466,28 @@
 }
 END_TEST
 
+/* Guards against a restarted target whose announcements, its notice of leaving
+ * too, are taken for late ones because their numbers begin again. */
+START_TEST(new_incarnation_numbers_its_announcements_anew)
+{
+    JobAnnouncement announcement = {
+        .id = "t1", .vm = "vm1", .pool = "p", .born = 10, .order = 1000};
+
+    JobSched_HandleAnnouncement(sched, now, &announcement);
+    process_actions();
+    JobSched_HandleAnnouncement(sched, now, &announcement);
+    announcement.born = 11;
+    announcement.order = 1;
+    JobSched_HandleAnnouncement(sched, now, &announcement);
+    process_actions();
+    announcement.order = 2;
+    announcement.leaving = true;
+    ck_assert(!JobSched_HandleAnnouncement(sched, now, &announcement));
+    process_actions();
+    ck_assert(JobState_FindTarget(state, "t1")->announcement.leaving);
+}
+END_TEST
+
 /* A start without an answer may be carried out later than a refused stop. */
 START_TEST(refused_stop_does_not_settle_a_start)
 {
@@ -739,6 +761,7 @@
     tcase_add_test(tcase, restart_ends_the_leaving_of_the_earlier_incarnation);
     tcase_add_loop_test(tcase, leaving_is_stored_after_earlier_announcements,
                         0, 2);
+    tcase_add_test(tcase, new_incarnation_numbers_its_announcements_anew);
     tcase_add_test(tcase, refused_stop_does_not_settle_a_start);
     tcase_add_loop_test(tcase, large_fleets_are_polled_less_often, 0,
                         (int)(sizeof(wait_cases) / sizeof(wait_cases[0])));
