--- a/src/jobsched_impl.h
+++ b/src/jobsched_impl.h
@@ -33,6 +33,7 @@
     uint64_t order;      /* sequence number of the last announcement */
     bool checking_restart;     /* a new incarnation is being verified */
     uint64_t checked_born;     /* start time of the incarnation to verify */
+    bool checked_leaving;      /* it has announced that it leaves */
     int64_t restart_seen_ms;   /* when the new incarnation was first seen */
     bool announcement_pending; /* a proposal of an announcement is in flight */
     bool readmitting; /* a proposal that ends the old incarnation's runs is
@@ -59,6 +60,7 @@
     JobAssignment *assignments;
     size_t assignment_count;
     char id[JOB_NAME_BYTES]; /* id of a new target, or empty */
+    bool leaving;            /* the announcement is a notice of leaving */
     int64_t clock_ms;
     int64_t clock_at_ms;
     struct SchedProposal *next;
--- a/src/jobsched_target.c
+++ b/src/jobsched_target.c
@@ -44,6 +44,7 @@
     SchedImpl_Propose(sched, SCHED_TARGET, &command,
                       target != NULL ? target->row : JOB_NO_TARGET,
                       target != NULL ? target->serial : 0);
+    sched->proposals->leaving = announcement->leaving;
     if (target == NULL) {
         SchedProposal *proposal = sched->proposals;
         snprintf(proposal->id, sizeof(proposal->id), "%s", announcement->id);
@@ -108,6 +109,7 @@
     live->checking_restart = true;
     live->restart_seen_ms = now;
     live->checked_born = born;
+    live->checked_leaving = false;
     live->incarnation = sched->next_incarnation++;
     live->fence = JobSched_NewFence(sched);
     live->fenced = false;
@@ -131,11 +133,15 @@
     if (announcement->born > target->announcement.born) {
         SchedImpl_BeginRestartCheck(sched, now, target, announcement->born);
         live->last_seen_ms = now;
+        if (announcement->leaving &&
+            announcement->born == live->checked_born) {
+            live->checked_leaving = true;
+        }
         if (target->run_count == 0 && !live->announcement_pending) {
             live->announcement_pending = true;
             SchedImpl_ProposeTarget(sched, &next, target);
         }
-        return true;
+        return !announcement->leaving;
     }
     live->order = announcement->order;
     live->last_seen_ms = now;
@@ -181,6 +187,25 @@
     return false;
 }
 
+bool
+JobSched_MayStore(const JobSched *sched, const JobAnnouncement *announcement)
+{
+    const JobTarget *target =
+        JobState_FindTarget(sched->state, announcement->id);
+    const SchedProposal *proposal;
+
+    for (proposal = sched->proposals; proposal != NULL;
+         proposal = proposal->next) {
+        if (proposal->kind == SCHED_TARGET && !proposal->leaving &&
+            (target != NULL ? proposal->row == target->row
+                            : strcmp(proposal->id, announcement->id) == 0)) {
+            return false;
+        }
+    }
+    return target == NULL || target->run_count == 0 ||
+           announcement->born <= target->announcement.born;
+}
+
 void
 JobSched_HandleDeparture(JobSched *sched, int64_t now, const char *id)
 {
