test_jobentry: lock the ports of a run

Each script chose four ports that were free and bound them later. The ports of the script before are in TIME_WAIT, so the next one moves on by a group and soon into the groups of another copy, whose process id is near; both then found the same group free.

How the copies met is inferred from the code, not traced.

A script now holds a lock on its group of ports until it has ended, as the process tests do, and goes on to the next group if another run holds it. A bind that fails still fails the test, now with its reason. The search ends after all groups.

--- a/tests/test_jobentry.c
+++ b/tests/test_jobentry.c
@@ -1,11 +1,14 @@
 #include <arpa/inet.h>
 #include <check.h>
+#include <errno.h>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <signal.h>
 #include <spawn.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/file.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -98,6 +101,7 @@
     char folder[64];
     char file[96];
     int port;
+    int port_lock; /* descriptor that keeps other runs from the ports */
     pid_t entry;
     bool entry_ready;
     bool entry_answers;
@@ -144,17 +148,47 @@
     return ok;
 }
 
-/* Returns the first of four free ports below those of the process tests. */
+/* Locks a group of ports. Returns a descriptor that holds the lock until it is
+ * closed, or -1 if another run uses the group. */
 static int
-choose_port(void)
+lock_ports(int port)
 {
-    int port = 8000 + (int)(getpid() % 400) * 10;
+    const char *folder = getenv("TMPDIR");
+    char file[256];
+    int fd;
+
+    snprintf(file, sizeof(file), "%s/coltsfoot-ports-%d",
+             folder != NULL ? folder : "/tmp", port);
+    fd = open(file, O_RDWR | O_CREAT | O_CLOEXEC, 0666);
+    ck_assert_msg(fd >= 0, "open of %s failed: %s", file, strerror(errno));
+    if (flock(fd, LOCK_EX | LOCK_NB) != 0) {
+        close(fd);
+        return -1;
+    }
+    return fd;
+}
 
-    while (!is_free(port) || !is_free(port + 1) || !is_free(port + 2) ||
-           !is_free(port + 3)) {
+/* Locks and sets the first of four free ports below those of the process
+ * tests. */
+static void
+choose_port(World *world)
+{
+    int port = 8000 + (int)(getpid() % 400) * 10;
+    int tries;
+
+    for (tries = 0; tries < 400; tries++) {
+        world->port_lock = lock_ports(port);
+        if (world->port_lock >= 0) {
+            if (is_free(port) && is_free(port + 1) && is_free(port + 2) &&
+                is_free(port + 3)) {
+                world->port = port;
+                return;
+            }
+            close(world->port_lock);
+        }
         port = port < 11990 ? port + 10 : 8000;
     }
-    return port;
+    ck_abort_msg("no free group of ports found");
 }
 
 static void
@@ -251,11 +285,11 @@
                             .on_up = on_up,
                             .on_down = on_down,
                             .on_message = on_message};
-    ErrCtx err;
+    ErrCtx err = {ST_OK, ""};
 
     control->entry = SIZE_MAX;
     control->peers = Peers_New(control->world->loop, &options, &err);
-    ck_assert_ptr_nonnull(control->peers);
+    ck_assert_msg(control->peers != NULL, "%s", err.message);
 }
 
 static void
@@ -569,7 +603,7 @@
     size_t i;
 
     signal(SIGPIPE, SIG_IGN);
-    world->port = choose_port();
+    choose_port(world);
     write_settings(world);
     world->loop = Loop_New(&err);
     ck_assert_ptr_nonnull(world->loop);
@@ -592,6 +626,7 @@
     }
     HttpClient_Free(world->client);
     Loop_Free(world->loop);
+    close(world->port_lock);
     unlink(world->file);
     rmdir(world->folder);
 }
