Answer a read without a majority after 600 ms

Callers try another node after a second. A read that no majority confirmed was answered after 800 ms and up to one tick, 0.85 s in all, so that a leader that was held up for 0.2 s answered too late. With a majority a read needs one exchange; 600 ms are more than two heartbeats of the default 250 ms.

--- a/src/jobctl_log.c
+++ b/src/jobctl_log.c
@@ -10,7 +10,7 @@
 #include "rng.h"
 
 /* Timeout of a majority's confirmation of a read. */
-#define READ_TIMEOUT_MS 800
+#define READ_TIMEOUT_MS 600
 /* Age from which a pending proposal is logged, and interval of that line. */
 #define LATE_PROPOSAL_MS 1000
 /* Duration from which a sync of the log is logged. */
