Call a restarted target again after an unanswered hold

Callers: tasks waited for ever, lasting ones too, though their pool had room: its targets announced themselves and got no call.

Cause: a target that restarts while it is idle is called at once to verify the restart, and its announcement is stored at the same time. An answer that comes after the announcement is stored, such as the time-out of that call, names the earlier serial and is dropped; hold_in_flight then stayed set, and without a hold the restart check never ended. If all targets of a pool restart so, nothing is placed in it until the leader changes.

A new serial now clears hold_in_flight, since no answer to a call of the earlier one is accepted. unanswered_hold_of_earlier_incarnation_does_not_block_target failed before (no hold within 1 s) and passes; test_jobsched 38 of 38, test_jobworld pass.

--- a/src/jobsched.c
+++ b/src/jobsched.c
@@ -173,11 +173,12 @@
     }
     if (live->serial != target->serial) {
         /* A new incarnation continues neither the clock nor the numbers of the
-         * old one. */
+         * old one. Answers to calls that name the old one are dropped. */
         live->serial = target->serial;
         live->order = 0;
         live->clock_known = false;
         live->granted_until_ms = 0;
+        live->hold_in_flight = false;
         live->failures = 0;
         live->quarantine_end_ms = 0;
     }
--- a/tests/test_jobsched.c
+++ b/tests/test_jobsched.c
@@ -264,6 +264,24 @@
 }
 END_TEST
 
+/* The hold is sent while the announcement of the restart is not stored. */
+START_TEST(unanswered_hold_of_earlier_incarnation_does_not_block_target)
+{
+    announce("t1", "vm1", 10);
+    announce_at("t1", "vm1", 20, "10.0.0.1:80");
+    now += 50;
+    JobSched_Tick(sched, now, now);
+    process_actions();
+    ck_assert_uint_eq(count_calls(JOB_ACTION_HOLD), 1);
+    ck_assert_uint_eq(JobState_FindTarget(state, "t1")->announcement.born, 20);
+    answer_all(JOB_CALL_NO_ANSWER);
+    tick(1000);
+    ck_assert_uint_eq(count_calls(JOB_ACTION_HOLD), 1);
+    finish_restart_check(20);
+    ck_assert(JobSched_IsUsable(sched, JobState_FindTarget(state, "t1"), now));
+}
+END_TEST
+
 START_TEST(targets_with_same_start_time_are_distinct)
 {
     JobAnnouncement announcement = {.room = {16000, 32000, 0}, .born = 10};
@@ -741,6 +759,8 @@
     tcase_add_test(tcase, tasks_of_silent_target_are_unavailable);
     tcase_add_test(tcase, evacuation_respects_max_unavailable);
     tcase_add_test(tcase, idle_target_is_polled_when_announced_again);
+    tcase_add_test(
+        tcase, unanswered_hold_of_earlier_incarnation_does_not_block_target);
     tcase_add_test(tcase, targets_with_same_start_time_are_distinct);
     tcase_add_test(tcase, leaving_target_gets_no_work);
     tcase_add_test(tcase, tasks_of_job_share_targets);
