raft: record elections and answers to vote requests

Why a cluster has no leader could not be told: neither the voters of an election nor the reason of a refused vote left the core.

The core records each election attempt of the node with its voters and their votes, and each vote request with the verdict and what the node knew, as events that the replica passes to its caller. The ring of events is bounded. No decision changes: the verdict is derived from the conditions that granted a vote before.

test_raft and test_replica pass, with a case for each verdict and outcome.

--- a/src/raft.c
+++ b/src/raft.c
@@ -86,6 +86,7 @@
     if (raft->role == RAFT_LEADER) {
         RaftCore_FailReads(raft);
     }
+    RaftCore_RecordElectionEnd(raft, RAFT_ELECTION_SUPERSEDED);
     if (term != raft->term) {
         raft->term = term;
         raft->vote = 0;
@@ -300,6 +301,9 @@
     else {
         return;
     }
+    if (reply->type != RAFT_MSG_APPEND_REPLY) {
+        RaftCore_RecordVoteAnswer(raft, msg, RAFT_VERDICT_STALE_TERM);
+    }
     reply->reject = true;
     reply->index = msg->index;
     RaftCore_QueueMessage(raft, reply);
@@ -379,6 +383,7 @@
         bool asked = msg->type == RAFT_MSG_REQUEST_VOTE && msg->context == 1;
 
         if (is_vote_request && !asked && RaftCore_HasLeader(raft)) {
+            RaftCore_RecordVoteAnswer(raft, msg, RAFT_VERDICT_KNOWS_LEADER);
             return ST_OK;
         }
         /* A pre-vote request or grant carries a term that has not started. */
--- a/src/raft.h
+++ b/src/raft.h
@@ -22,6 +22,9 @@
  *
  *     Votes and acknowledgements count only from identities that are voters
  *     in the current member list. Not thread-safe.
+ *
+ *     Elections and the answers to vote requests are recorded as events
+ *     (Raft_TakeEvent), which explain why a cluster has no leader.
  */
 #ifndef COLTSFOOT_RAFT_H
 #define COLTSFOOT_RAFT_H
@@ -111,6 +114,72 @@
     uint64_t commit_index;
 } RaftReady;
 
+/* Limit for events that were not taken; older ones are dropped. */
+#define RAFT_MAX_EVENTS 32
+
+typedef enum RaftEventKind {
+    RAFT_EVENT_ELECTION_STARTED, /* this node has asked for votes */
+    RAFT_EVENT_ELECTION_ENDED,
+    RAFT_EVENT_VOTE_ANSWERED, /* a vote request was received */
+    RAFT_EVENT_VOTE_IGNORED   /* a vote of a node that is not a voter */
+} RaftEventKind;
+
+typedef enum RaftVerdict {
+    RAFT_VERDICT_GRANTED,
+    RAFT_VERDICT_LOG_BEHIND,    /* the candidate's log is behind this one */
+    RAFT_VERDICT_ALREADY_VOTED, /* for another candidate in this term */
+    RAFT_VERDICT_KNOWS_LEADER,
+    RAFT_VERDICT_STALE_TERM,
+    RAFT_VERDICT_COUNT
+} RaftVerdict;
+
+typedef enum RaftElectionOutcome {
+    RAFT_ELECTION_WON,
+    RAFT_ELECTION_REFUSED, /* by a majority */
+    RAFT_ELECTION_TIMED_OUT,
+    RAFT_ELECTION_SUPERSEDED, /* by a newer term, a leader or new members */
+    RAFT_ELECTION_OUTCOME_COUNT
+} RaftElectionOutcome;
+
+typedef enum RaftBallotState {
+    RAFT_BALLOT_SILENT,
+    RAFT_BALLOT_GRANTED,
+    RAFT_BALLOT_REFUSED
+} RaftBallotState;
+
+typedef struct RaftBallot {
+    uint64_t identity;
+    RaftBallotState state;
+} RaftBallot;
+
+typedef struct RaftEvent {
+    RaftEventKind kind;
+    uint64_t dropped; /* number of events dropped before this one */
+    bool prevote;
+    uint64_t term; /* term of the election */
+    /* Log of the candidate. */
+    uint64_t candidate_index;
+    uint64_t candidate_log_term;
+    /* Elections of this node: its voters in force, itself included. */
+    RaftElectionOutcome outcome;
+    bool asked; /* the leader asked this node to take over */
+    size_t quorum;
+    size_t ballot_count;
+    RaftBallot ballots[RAFT_MAX_MEMBERS];
+    /* Vote requests: the candidate and what this node knew. Ignored votes: the
+     * sender. */
+    uint64_t peer;
+    bool granted;
+    RaftVerdict verdict; /* vote requests only */
+    bool peer_is_voter;
+    bool self_is_voter;
+    uint64_t own_term;
+    uint64_t own_index;
+    uint64_t own_log_term;
+    uint64_t vote;   /* candidate that has this node's vote, or 0 */
+    uint64_t leader; /* leader known to this node, or 0 */
+} RaftEvent;
+
 typedef struct Raft Raft;
 
 Status Raft_New(const RaftOptions *options, Raft **raft, ErrCtx *err);
@@ -223,6 +292,9 @@
                              uint64_t *term);
 const RaftMembers *Raft_GetSnapshotMembers(const Raft *raft);
 
+/* Takes the oldest event. Returns false if there is none. */
+bool Raft_TakeEvent(Raft *raft, RaftEvent *event);
+
 /* Returns the memory held by the log and the snapshots. */
 size_t Raft_GetMemoryBytes(const Raft *raft);
 
--- a/src/raft_core.h
+++ b/src/raft_core.h
@@ -100,6 +100,12 @@
     size_t ready_message_count; /* messages in the last RaftReady */
     size_t ready_read_count;    /* reads in the last RaftReady */
     RaftMsg scratch_message;
+    bool election_in_progress; /* its start was recorded, its end not yet */
+    bool election_asked;
+    RaftEvent events[RAFT_MAX_EVENTS]; /* ring */
+    size_t event_first;
+    size_t event_count;
+    uint64_t dropped_events; /* since the last event that was taken */
 };
 
 /* raft.c */
@@ -128,6 +134,14 @@
  * ignored, as no election is needed. */
 bool RaftCore_HasLeader(const Raft *raft);
 
+/* raft_event.c */
+void RaftCore_RecordElectionStart(Raft *raft, bool asked);
+/* Does nothing if no election of this node is in progress. */
+void RaftCore_RecordElectionEnd(Raft *raft, RaftElectionOutcome outcome);
+void RaftCore_RecordVoteAnswer(Raft *raft, const RaftMsg *request,
+                               RaftVerdict verdict);
+void RaftCore_RecordIgnoredVote(Raft *raft, const RaftMsg *reply);
+
 /* raft_follow.c */
 Status RaftCore_HandleAppendEntries(Raft *raft, const RaftMsg *msg);
 void RaftCore_HandleHeartbeat(Raft *raft, const RaftMsg *msg);
--- a/src/raft_elect.c
+++ b/src/raft_elect.c
@@ -39,11 +39,13 @@
         msg->context = asked;
         RaftCore_QueueMessage(raft, msg);
     }
+    RaftCore_RecordElectionStart(raft, asked);
 }
 
 static void
 become_candidate(Raft *raft, bool asked)
 {
+    RaftCore_RecordElectionEnd(raft, RAFT_ELECTION_WON);
     raft->role = RAFT_CANDIDATE;
     raft->leader = 0;
     raft->term++;
@@ -61,6 +63,7 @@
 void
 RaftCore_StartPreVote(Raft *raft)
 {
+    RaftCore_RecordElectionEnd(raft, RAFT_ELECTION_TIMED_OUT);
     raft->role = RAFT_PRECANDIDATE;
     raft->leader = 0;
     RaftCore_ResetElectionTimer(raft);
@@ -90,22 +93,37 @@
            (msg->log_term == term && msg->index >= last);
 }
 
+static RaftVerdict
+judge_request(const Raft *raft, const RaftMsg *msg)
+{
+    if (!is_log_up_to_date(raft, msg)) {
+        return RAFT_VERDICT_LOG_BEHIND;
+    }
+    if (msg->type == RAFT_MSG_REQUEST_PREVOTE) {
+        return msg->term > raft->term ? RAFT_VERDICT_GRANTED
+                                      : RAFT_VERDICT_STALE_TERM;
+    }
+    if (raft->vote == msg->from) {
+        return RAFT_VERDICT_GRANTED;
+    }
+    if (raft->vote != 0) {
+        return RAFT_VERDICT_ALREADY_VOTED;
+    }
+    return raft->leader == 0 ? RAFT_VERDICT_GRANTED
+                             : RAFT_VERDICT_KNOWS_LEADER;
+}
+
 void
 RaftCore_HandleVoteRequest(Raft *raft, const RaftMsg *msg)
 {
     bool is_prevote = msg->type == RAFT_MSG_REQUEST_PREVOTE;
+    RaftVerdict verdict = judge_request(raft, msg);
+    bool grant = verdict == RAFT_VERDICT_GRANTED;
     RaftMsg *reply = RaftCore_InitMessage(
         raft, is_prevote ? RAFT_MSG_PREVOTE_REPLY : RAFT_MSG_VOTE_REPLY,
         msg->from);
-    bool grant = is_log_up_to_date(raft, msg);
 
-    if (is_prevote) {
-        grant = grant && msg->term > raft->term;
-    }
-    else {
-        grant = grant && (raft->vote == msg->from ||
-                          (raft->vote == 0 && raft->leader == 0));
-    }
+    RaftCore_RecordVoteAnswer(raft, msg, verdict);
     if (grant && is_prevote) {
         reply->term = msg->term;
     }
@@ -130,10 +148,13 @@
     size_t i;
 
     if (raft->role != (is_prevote ? RAFT_PRECANDIDATE : RAFT_CANDIDATE) ||
-        peer == NULL || !peer->voter ||
         (is_prevote && !msg->reject && msg->term != raft->term + 1)) {
         return;
     }
+    if (peer == NULL || !peer->voter) {
+        RaftCore_RecordIgnoredVote(raft, msg);
+        return;
+    }
     peer->vote_granted = !msg->reject;
     peer->vote_rejected = msg->reject;
     for (i = 0; i < raft->peer_count; i++) {
@@ -149,6 +170,7 @@
         }
     }
     else if (rejected >= RaftCore_GetQuorum(raft)) {
+        RaftCore_RecordElectionEnd(raft, RAFT_ELECTION_REFUSED);
         RaftCore_BecomeFollower(raft, raft->term, 0);
     }
 }
--- a/src/raft_lead.c
+++ b/src/raft_lead.c
@@ -15,6 +15,7 @@
     uint64_t last = RaftLog_GetLastIndex(&raft->log);
     size_t i;
 
+    RaftCore_RecordElectionEnd(raft, RAFT_ELECTION_WON);
     raft->role = RAFT_LEADER;
     raft->leader = raft->options.identity;
     raft->heartbeat_due_ms = raft->now_ms;
--- a/src/replica.h
+++ b/src/replica.h
@@ -99,6 +99,9 @@
      * before read_ready of the reads that fail with it. May be NULL. */
     void (*role_changed)(void *arg, RaftRole role, uint64_t term,
                          uint64_t leader);
+    /* Called for each election of this node and each answer to a vote request,
+     * before role_changed. May be NULL. */
+    void (*election_event)(void *arg, const RaftEvent *event);
 } ReplicaOptions;
 
 #define REPLICA_OPTIONS_DEFAULT                                               \
--- a/src/replica_flush.c
+++ b/src/replica_flush.c
@@ -241,6 +241,18 @@
     return status;
 }
 
+static void
+report_events(Replica *replica)
+{
+    RaftEvent event;
+
+    while (Raft_TakeEvent(replica->raft, &event)) {
+        if (replica->options.election_event != NULL) {
+            replica->options.election_event(replica->options.arg, &event);
+        }
+    }
+}
+
 static void
 report_role(Replica *replica)
 {
@@ -248,6 +260,7 @@
     uint64_t term = Raft_GetTerm(replica->raft);
     uint64_t leader = Raft_GetLeader(replica->raft);
 
+    report_events(replica);
     if (replica->role == RAFT_LEADER &&
         (role != RAFT_LEADER || term != replica->term)) {
         cancel_proposals(replica);
--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -848,6 +848,168 @@
 }
 END_TEST
 
+static RaftEvent
+take_event(Raft *raft, RaftEventKind kind)
+{
+    RaftEvent event;
+
+    ck_assert(Raft_TakeEvent(raft, &event));
+    ck_assert_int_eq(event.kind, kind);
+    return event;
+}
+
+START_TEST(each_vote_answer_tells_its_reason)
+{
+    static const struct {
+        RaftMsgType type;
+        uint64_t from;
+        uint64_t term;
+        uint64_t index;
+        uint64_t log_term;
+        RaftVerdict verdict;
+        bool is_voter;
+    } cases[] = {
+        {RAFT_MSG_REQUEST_PREVOTE, 2, 2, 4, 1, RAFT_VERDICT_LOG_BEHIND, true},
+        {RAFT_MSG_REQUEST_PREVOTE, 2, 2, 5, 1, RAFT_VERDICT_GRANTED, true},
+        {RAFT_MSG_REQUEST_PREVOTE, 2, 1, 5, 1, RAFT_VERDICT_STALE_TERM, true},
+        {RAFT_MSG_REQUEST_PREVOTE, 77, 2, 5, 1, RAFT_VERDICT_GRANTED, false},
+        {RAFT_MSG_REQUEST_PREVOTE, 4, 2, 5, 1, RAFT_VERDICT_GRANTED, false},
+        {RAFT_MSG_REQUEST_VOTE, 2, 2, 9, 0, RAFT_VERDICT_LOG_BEHIND, true},
+        {RAFT_MSG_REQUEST_VOTE, 2, 2, 5, 1, RAFT_VERDICT_GRANTED, true},
+        {RAFT_MSG_REQUEST_VOTE, 3, 2, 5, 1, RAFT_VERDICT_ALREADY_VOTED, true},
+        {RAFT_MSG_REQUEST_VOTE, 3, 1, 5, 1, RAFT_VERDICT_STALE_TERM, true},
+        {RAFT_MSG_HEARTBEAT, 3, 3, 0, 0, RAFT_VERDICT_COUNT, true},
+        {RAFT_MSG_REQUEST_VOTE, 2, 3, 5, 1, RAFT_VERDICT_KNOWS_LEADER, true},
+        {RAFT_MSG_REQUEST_VOTE, 2, 9, 5, 1, RAFT_VERDICT_KNOWS_LEADER, true},
+    };
+    RaftMembers members = make_members(3, 1);
+    Raft *raft = create_raft(&members);
+    RaftEvent event;
+    size_t i;
+
+    for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        RaftMsg *request =
+            make_message(cases[i].type, cases[i].from, cases[i].term);
+
+        request->index = cases[i].index;
+        request->log_term = cases[i].log_term;
+        Raft_HandleMessage(raft, 100, request);
+        if (cases[i].verdict != RAFT_VERDICT_COUNT) {
+            event = take_event(raft, RAFT_EVENT_VOTE_ANSWERED);
+            ck_assert_msg(event.verdict == cases[i].verdict, "case %zu", i);
+            ck_assert_uint_eq(event.peer, cases[i].from);
+            ck_assert_uint_eq(event.term, cases[i].term);
+            ck_assert_uint_eq(event.candidate_index, cases[i].index);
+            ck_assert_uint_eq(event.own_index, 5);
+            ck_assert_int_eq(event.peer_is_voter, cases[i].is_voter);
+            ck_assert(event.self_is_voter);
+            ck_assert_int_eq(event.prevote,
+                             cases[i].type == RAFT_MSG_REQUEST_PREVOTE);
+        }
+        ck_assert(!Raft_TakeEvent(raft, &event));
+    }
+    ck_assert_uint_eq(event.leader, 3);
+    ck_assert_uint_eq(event.vote, 0);
+    Raft_Free(raft);
+}
+END_TEST
+
+START_TEST(each_election_tells_its_voters_and_their_votes)
+{
+    RaftMembers members = make_members(5, 1);
+    Raft *raft = create_raft(&members);
+    RaftEvent event;
+    size_t i;
+
+    Raft_Tick(raft, 4000);
+    event = take_event(raft, RAFT_EVENT_ELECTION_STARTED);
+    ck_assert(event.prevote);
+    ck_assert_uint_eq(event.term, 2);
+    ck_assert_uint_eq(event.candidate_index, 5);
+    ck_assert_uint_eq(event.quorum, 3);
+    ck_assert_uint_eq(event.ballot_count, 5);
+    ck_assert_uint_eq(event.ballots[0].identity, SELF);
+    for (i = 0; i < event.ballot_count; i++) {
+        ck_assert_int_eq(event.ballots[i].state,
+                         i == 0 ? RAFT_BALLOT_GRANTED : RAFT_BALLOT_SILENT);
+    }
+    Raft_HandleMessage(raft, 4000, make_message(RAFT_MSG_PREVOTE_REPLY, 6, 2));
+    event = take_event(raft, RAFT_EVENT_VOTE_IGNORED);
+    ck_assert_uint_eq(event.peer, 6);
+    ck_assert(event.granted);
+    make_message(RAFT_MSG_PREVOTE_REPLY, 2, 1)->reject = true;
+    Raft_HandleMessage(raft, 4000, &msg);
+    Raft_HandleMessage(raft, 4000, make_message(RAFT_MSG_PREVOTE_REPLY, 4, 2));
+
+    Raft_Tick(raft, 8000);
+    event = take_event(raft, RAFT_EVENT_ELECTION_ENDED);
+    ck_assert_int_eq(event.outcome, RAFT_ELECTION_TIMED_OUT);
+    ck_assert_int_eq(event.ballots[1].state, RAFT_BALLOT_REFUSED);
+    ck_assert_int_eq(event.ballots[2].state, RAFT_BALLOT_SILENT);
+    ck_assert_int_eq(event.ballots[3].state, RAFT_BALLOT_GRANTED);
+    take_event(raft, RAFT_EVENT_ELECTION_STARTED);
+    for (i = 2; i <= 4; i++) {
+        make_message(RAFT_MSG_PREVOTE_REPLY, i, 1)->reject = true;
+        Raft_HandleMessage(raft, 8000, &msg);
+    }
+    event = take_event(raft, RAFT_EVENT_ELECTION_ENDED);
+    ck_assert_int_eq(event.outcome, RAFT_ELECTION_REFUSED);
+
+    Raft_Tick(raft, 12000);
+    take_event(raft, RAFT_EVENT_ELECTION_STARTED);
+    Raft_HandleMessage(raft, 12000, make_message(RAFT_MSG_HEARTBEAT, 3, 2));
+    event = take_event(raft, RAFT_EVENT_ELECTION_ENDED);
+    ck_assert_int_eq(event.outcome, RAFT_ELECTION_SUPERSEDED);
+    ck_assert_uint_eq(event.term, 2);
+    ck_assert(!Raft_TakeEvent(raft, &event));
+    Raft_Free(raft);
+}
+END_TEST
+
+START_TEST(won_election_is_recorded_with_its_voters)
+{
+    RaftMembers members = make_members(3, 0);
+    int64_t now;
+    Raft *raft = create_leader(&members, &now);
+    RaftEvent event;
+    int prevote;
+
+    for (prevote = 1; prevote >= 0; prevote--) {
+        event = take_event(raft, RAFT_EVENT_ELECTION_STARTED);
+        ck_assert_int_eq(event.prevote, prevote);
+        event = take_event(raft, RAFT_EVENT_ELECTION_ENDED);
+        ck_assert_int_eq(event.prevote, prevote);
+        ck_assert_int_eq(event.outcome, RAFT_ELECTION_WON);
+        ck_assert_uint_eq(event.term, 2);
+        ck_assert_uint_eq(event.ballot_count, 3);
+        ck_assert_int_eq(event.ballots[1].state, RAFT_BALLOT_GRANTED);
+        ck_assert_int_eq(event.ballots[2].state, RAFT_BALLOT_SILENT);
+    }
+    ck_assert(!Raft_TakeEvent(raft, &event));
+    Raft_Free(raft);
+}
+END_TEST
+
+START_TEST(events_that_nobody_takes_are_bounded)
+{
+    RaftMembers members = make_members(3, 0);
+    Raft *raft = create_raft(&members);
+    RaftEvent event;
+    uint64_t i;
+
+    for (i = 0; i < RAFT_MAX_EVENTS + 3; i++) {
+        make_message(RAFT_MSG_REQUEST_PREVOTE, 2, 2)->index = i;
+        Raft_HandleMessage(raft, 100, &msg);
+    }
+    for (i = 0; Raft_TakeEvent(raft, &event); i++) {
+        ck_assert_uint_eq(event.candidate_index, i + 3);
+        ck_assert_uint_eq(event.dropped, i == 0 ? 3 : 0);
+    }
+    ck_assert_uint_eq(i, RAFT_MAX_EVENTS);
+    Raft_Free(raft);
+}
+END_TEST
+
 Suite *
 Test_Suite(void)
 {
@@ -862,6 +1024,10 @@
     tcase_add_test(tcase, timeout_now_starts_election_at_once);
     tcase_add_test(tcase, election_that_leader_asked_for_gets_votes);
     tcase_add_test(tcase, single_voter_has_no_successor);
+    tcase_add_test(tcase, each_vote_answer_tells_its_reason);
+    tcase_add_test(tcase, each_election_tells_its_voters_and_their_votes);
+    tcase_add_test(tcase, won_election_is_recorded_with_its_voters);
+    tcase_add_test(tcase, events_that_nobody_takes_are_bounded);
     tcase_add_test(tcase, member_changes_are_serialized);
     tcase_add_test(tcase, truncated_member_change_is_reverted);
     tcase_add_test(tcase, messages_in_flight_are_bounded);
--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -78,6 +78,8 @@
     size_t crashes;
     size_t restores;
     size_t sent_bytes[MAX_NODES];
+    size_t votes_granted[MAX_NODES];
+    size_t elections_won[MAX_NODES];
 };
 
 /* Padding of each snapshot; a test may raise it above the size of a chunk. */
@@ -225,6 +227,20 @@
     }
 }
 
+static void
+on_election_event(void *arg, const RaftEvent *event)
+{
+    Node *node = arg;
+    Cluster *cluster = node->cluster;
+
+    cluster->votes_granted[node->slot] +=
+        event->kind == RAFT_EVENT_VOTE_ANSWERED && !event->prevote &&
+        event->verdict == RAFT_VERDICT_GRANTED;
+    cluster->elections_won[node->slot] +=
+        event->kind == RAFT_EVENT_ELECTION_ENDED && !event->prevote &&
+        event->outcome == RAFT_ELECTION_WON;
+}
+
 static void
 on_sync(void *arg)
 {
@@ -273,6 +289,7 @@
     options.applied = on_applied;
     options.proposed = on_proposed;
     options.read_ready = on_read_ready;
+    options.election_event = on_election_event;
     node->index = 0;
     node->history_hash = 0;
     return Replica_Open(&options, MemStorage_GetStorage(node->disk),
@@ -1011,6 +1028,37 @@
 }
 END_TEST
 
+START_TEST(election_after_loss_of_the_leader_is_reported)
+{
+    Cluster *cluster = create_cluster(7, 3, 3, false, false);
+    Node *old;
+    Node *leader = NULL;
+    size_t votes = 0;
+    size_t won[MAX_NODES];
+    int i;
+
+    cluster->faults_disabled = true;
+    heal_and_converge(cluster, 7);
+    old = find_leader(cluster);
+    memcpy(won, cluster->elections_won, sizeof(won));
+    memset(cluster->votes_granted, 0, sizeof(cluster->votes_granted));
+    kill_node(old, 5000);
+    for (i = 0; i < 400 && leader == NULL; i++) {
+        run_step(cluster);
+        leader = find_leader(cluster);
+    }
+    ck_assert_ptr_nonnull(leader);
+    for (i = 0; i < (int)cluster->count; i++) {
+        votes += cluster->votes_granted[i];
+        ck_assert_uint_eq(cluster->elections_won[i] - won[i],
+                          leader == &cluster->nodes[i]);
+    }
+    ck_assert_uint_ge(votes, 1);
+    ck_assert_uint_eq(cluster->votes_granted[leader->slot], 0);
+    free_cluster(cluster);
+}
+END_TEST
+
 /* Guards against a snapshot of several chunks that never arrives, and against
  * a leader that stops serving while it sends one. */
 START_TEST(large_snapshot_reaches_a_new_node)
@@ -1167,6 +1215,7 @@
     tcase_add_test(tcase, vote_survives_a_crash);
     tcase_add_test(tcase, failed_sync_stops_a_replica);
     tcase_add_test(tcase, stalled_sync_of_the_leader_delays_no_commit);
+    tcase_add_test(tcase, election_after_loss_of_the_leader_is_reported);
     tcase_add_test(tcase, large_snapshot_reaches_a_new_node);
     tcase_add_test(tcase, large_entries_are_compacted);
     tcase_add_test(tcase, lost_voter_is_replaced);
