jobctl: log elections, votes and the voters in force

A control VM said neither which voters it asked nor who refused and why, so that a cluster without a leader could not be told from one whose voters are gone.

election_started lists the voters of the configuration in force and whether each is up, down or has returned without its disk; election_ended the votes by name and identity; vote_answered the verdict and its reason at the node asked; vote_ignored a vote of a node that is no voter. log_opened and peer_up name the identity. Metrics count elections by outcome and vote requests by verdict and give the voters that are up. One line is written for each attempt and each answer, none for heartbeats or entries.

--- a/src/jobctl.c
+++ b/src/jobctl.c
@@ -138,6 +138,7 @@
     Slog_AddText("peer", hello->name);
     Slog_AddText("address", hello->address.host);
     Slog_AddInt("disk", hello->identity != 0);
+    Slog_AddHex("identity", hello->identity);
     Slog_End();
     send_fleet_msg(control, peer);
     if (hello->identity != 0) {
--- a/src/jobctl_internal.h
+++ b/src/jobctl_internal.h
@@ -152,6 +152,15 @@
  * answered. */
 void JobControl_StopServing(JobControl *control);
 
+/* jobctl_voters.c */
+/* Logs an event of the replica; arg is the JobControl. */
+void JobControl_LogElectionEvent(void *arg, const RaftEvent *event);
+/* Adds the voters of the current member list to the current log line. */
+void JobControl_LogVoters(const JobControl *control);
+/* Returns the number of voters that are connected, this node included. */
+size_t JobControl_CountVotersUp(const JobControl *control);
+bool JobControl_IsVoter(const JobControl *control);
+
 /* jobctl_request.c */
 void JobControl_HandleHttp(void *arg, HttpRequest *http);
 /* Serves the request that an entry VM forwarded: a caller's, or one of an
--- a/src/jobctl_log.c
+++ b/src/jobctl_log.c
@@ -344,6 +344,8 @@
 {
     Slog_Begin(SLOG_CHANGE, "log_opened");
     Slog_AddInt("founder", founder);
+    Slog_AddHex("identity", Replica_GetIdentity(control->replica));
+    Slog_AddInt("voter", JobControl_IsVoter(control));
     Slog_AddInt("last", (int64_t)Replica_GetLastIndex(control->replica));
     Slog_AddInt("applied", (int64_t)Replica_GetAppliedIndex(control->replica));
     Slog_End();
@@ -498,6 +500,7 @@
     options->read_ready = on_read;
     options->restored = on_restored;
     options->role_changed = on_role_changed;
+    options->election_event = JobControl_LogElectionEvent;
 }
 
 Status
--- a/src/jobctl_metrics.c
+++ b/src/jobctl_metrics.c
@@ -62,6 +62,8 @@
     }
     values[JOB_METRIC_VOTERS] =
         (double)RaftMembers_CountVoters(Replica_GetMembers(control->replica));
+    values[JOB_METRIC_VOTERS_UP] = (double)JobControl_CountVotersUp(control);
+    values[JOB_METRIC_IS_VOTER] = JobControl_IsVoter(control);
     values[JOB_METRIC_JOBS] = (double)JobState_JobCount(control->state);
     values[JOB_METRIC_LOG_BYTES] =
         (double)Replica_GetMemoryBytes(control->replica);
--- a/src/jobmetrics.c
+++ b/src/jobmetrics.c
@@ -3,6 +3,8 @@
 #define PREFIX "coltsfoot_"
 #define ANSWERS_METRIC PREFIX "answers_total"
 #define ANSWER_SECONDS_METRIC PREFIX "answer_seconds"
+#define ELECTIONS_METRIC PREFIX "elections_total"
+#define VOTE_REQUESTS_METRIC PREFIX "vote_requests_total"
 
 typedef struct MetricInfo {
     const char *name;
@@ -20,6 +22,11 @@
                              "nodes heard within the silence limit"},
     [JOB_METRIC_VOTERS] = {PREFIX "voters", "gauge",
                            "voters in the member list"},
+    [JOB_METRIC_VOTERS_UP] = {PREFIX "voters_up", "gauge",
+                              "voters that are connected to this node, "
+                              "itself included"},
+    [JOB_METRIC_IS_VOTER] = {PREFIX "voter", "gauge",
+                             "1 while this node is a voter"},
     [JOB_METRIC_JOBS] = {PREFIX "jobs", "gauge",
                          "jobs whose state is remembered"},
     [JOB_METRIC_TARGETS_USABLE] = {PREFIX "targets_usable", "gauge",
@@ -70,6 +77,53 @@
     "none",       "submit",   "state", "cancel",   "pending", "put_config",
     "get_config", "announce", "leave", "put_wave", "get_wave"};
 
+static const char *const outcome_names[RAFT_ELECTION_OUTCOME_COUNT] = {
+    [RAFT_ELECTION_WON] = "won",
+    [RAFT_ELECTION_REFUSED] = "refused",
+    [RAFT_ELECTION_TIMED_OUT] = "timed_out",
+    [RAFT_ELECTION_SUPERSEDED] = "superseded",
+};
+
+static const char *const verdict_names[RAFT_VERDICT_COUNT] = {
+    [RAFT_VERDICT_GRANTED] = "granted",
+    [RAFT_VERDICT_LOG_BEHIND] = "log_behind",
+    [RAFT_VERDICT_ALREADY_VOTED] = "already_voted",
+    [RAFT_VERDICT_KNOWS_LEADER] = "knows_leader",
+    [RAFT_VERDICT_STALE_TERM] = "stale_term",
+};
+
+const char *
+JobMetrics_GetPhaseName(bool prevote)
+{
+    return prevote ? "prevote" : "vote";
+}
+
+const char *
+JobMetrics_GetOutcomeName(RaftElectionOutcome outcome)
+{
+    return outcome_names[outcome];
+}
+
+const char *
+JobMetrics_GetVerdictName(RaftVerdict verdict)
+{
+    return verdict_names[verdict];
+}
+
+void
+JobMetrics_CountElection(JobMetrics *metrics, bool prevote,
+                         RaftElectionOutcome outcome)
+{
+    metrics->elections[prevote][outcome]++;
+}
+
+void
+JobMetrics_CountVoteRequest(JobMetrics *metrics, bool prevote,
+                            RaftVerdict verdict)
+{
+    metrics->vote_requests[prevote][verdict]++;
+}
+
 const char *
 JobMetrics_GetKindName(size_t kind)
 {
@@ -150,6 +204,41 @@
     }
 }
 
+static void
+write_phase_counts(Buf *out, const char *name, const char *label, bool prevote,
+                   const char *const *labels, const uint64_t *counts,
+                   size_t count)
+{
+    size_t i;
+
+    for (i = 0; i < count; i++) {
+        Buf_Printf(out, "%s{phase=\"%s\",%s=\"%s\"} %llu\n", name,
+                   JobMetrics_GetPhaseName(prevote), label, labels[i],
+                   (unsigned long long)counts[i]);
+    }
+}
+
+static void
+write_election_counts(const JobMetrics *metrics, Buf *out)
+{
+    int prevote;
+
+    write_header(out, ELECTIONS_METRIC, "counter",
+                 "elections of this node that have ended");
+    for (prevote = 0; prevote < 2; prevote++) {
+        write_phase_counts(out, ELECTIONS_METRIC, "outcome", prevote,
+                           outcome_names, metrics->elections[prevote],
+                           RAFT_ELECTION_OUTCOME_COUNT);
+    }
+    write_header(out, VOTE_REQUESTS_METRIC, "counter",
+                 "vote requests received, by verdict");
+    for (prevote = 0; prevote < 2; prevote++) {
+        write_phase_counts(out, VOTE_REQUESTS_METRIC, "verdict", prevote,
+                           verdict_names, metrics->vote_requests[prevote],
+                           RAFT_VERDICT_COUNT);
+    }
+}
+
 void
 JobMetrics_WritePage(const JobMetrics *metrics, Buf *out)
 {
@@ -163,15 +252,19 @@
     }
     write_answer_counts(metrics, out);
     write_answer_durations(metrics, out);
+    write_election_counts(metrics, out);
 }
 
 const char *
 JobMetrics_GetName(size_t i)
 {
+    static const char *const labelled[] = {
+        ANSWERS_METRIC, ANSWER_SECONDS_METRIC, ELECTIONS_METRIC,
+        VOTE_REQUESTS_METRIC};
+
     if (i < JOB_METRIC_COUNT) {
         return metric_infos[i].name;
     }
-    return i == JOB_METRIC_COUNT       ? ANSWERS_METRIC
-           : i == JOB_METRIC_COUNT + 1 ? ANSWER_SECONDS_METRIC
-                                       : NULL;
+    i -= JOB_METRIC_COUNT;
+    return i < sizeof(labelled) / sizeof(labelled[0]) ? labelled[i] : NULL;
 }
--- a/src/jobmetrics.h
+++ b/src/jobmetrics.h
@@ -14,6 +14,7 @@
 
 #include "buf.h"
 #include "hist.h"
+#include "raft.h"
 
 #define JOB_METRICS_KIND_COUNT 11 /* number of JobRequestKind values */
 
@@ -23,6 +24,8 @@
     JOB_METRIC_CONFIG_VERSION,
     JOB_METRIC_PEERS_UP,
     JOB_METRIC_VOTERS,
+    JOB_METRIC_VOTERS_UP,
+    JOB_METRIC_IS_VOTER,
     JOB_METRIC_JOBS,
     JOB_METRIC_TARGETS_USABLE,
     JOB_METRIC_TARGETS_UNUSABLE,
@@ -50,6 +53,9 @@
     /* Number of answers by kind of request and first digit of the status. */
     uint64_t answers[JOB_METRICS_KIND_COUNT][6];
     Hist answer_us[JOB_METRICS_KIND_COUNT];
+    /* The first index is 1 for pre-votes and 0 for votes. */
+    uint64_t elections[2][RAFT_ELECTION_OUTCOME_COUNT];
+    uint64_t vote_requests[2][RAFT_VERDICT_COUNT];
 } JobMetrics;
 
 /* Counts the answer to a request and records its duration. kind is a
@@ -60,6 +66,19 @@
 /* Counts the answer to a request that this node did not serve itself. */
 void JobMetrics_CountAnswer(JobMetrics *metrics, size_t kind, int status);
 
+/* Counts an election of this node that has ended. */
+void JobMetrics_CountElection(JobMetrics *metrics, bool prevote,
+                              RaftElectionOutcome outcome);
+
+/* Counts a vote request that this node has answered or ignored. */
+void JobMetrics_CountVoteRequest(JobMetrics *metrics, bool prevote,
+                                 RaftVerdict verdict);
+
+/* Return the labels of elections and vote requests. */
+const char *JobMetrics_GetPhaseName(bool prevote);
+const char *JobMetrics_GetOutcomeName(RaftElectionOutcome outcome);
+const char *JobMetrics_GetVerdictName(RaftVerdict verdict);
+
 /* Returns the label of a JobRequestKind. */
 const char *JobMetrics_GetKindName(size_t kind);
 
--- /dev/null
+++ b/src/jobvoters.c
@@ -0,0 +1,89 @@
+#include "jobvoters.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+static const char *const state_names[] = {"up", "down", "replaced", "absent"};
+static const char *const ballot_names[] = {"silent", "granted", "refused"};
+
+JobVoterState
+JobVoters_GetState(const RaftMember *voter, const JobVoterNode *nodes,
+                   size_t count)
+{
+    JobVoterState state = JOB_VOTER_ABSENT;
+    size_t i;
+
+    for (i = 0; i < count; i++) {
+        if (nodes[i].identity == voter->identity) {
+            return nodes[i].up ? JOB_VOTER_UP : JOB_VOTER_DOWN;
+        }
+        if (nodes[i].identity != 0 &&
+            strcmp(nodes[i].name, voter->name) == 0) {
+            state = JOB_VOTER_REPLACED;
+        }
+    }
+    return state;
+}
+
+size_t
+JobVoters_CountUp(const RaftMembers *members, const JobVoterNode *nodes,
+                  size_t count)
+{
+    size_t up = 0;
+    size_t i;
+
+    for (i = 0; i < members->count; i++) {
+        up += members->list[i].voter &&
+              JobVoters_GetState(&members->list[i], nodes, count) ==
+                  JOB_VOTER_UP;
+    }
+    return up;
+}
+
+const char *
+JobVoters_GetName(const RaftMembers *members, uint64_t identity)
+{
+    const RaftMember *member = RaftMembers_Find(members, identity);
+
+    if (identity == 0) {
+        return "";
+    }
+    return member != NULL ? member->name : "?";
+}
+
+static void
+append_item(Buf *out, const char *name, uint64_t identity, const char *state)
+{
+    Buf_Printf(out, "%s%s/%016" PRIx64 "=%s", out->len > 0 ? " " : "", name,
+               identity, state);
+}
+
+void
+JobVoters_Describe(const RaftMembers *members, const JobVoterNode *nodes,
+                   size_t count, Buf *out)
+{
+    size_t i;
+
+    for (i = 0; i < members->count; i++) {
+        const RaftMember *member = &members->list[i];
+
+        if (member->voter) {
+            append_item(out, member->name, member->identity,
+                        state_names[JobVoters_GetState(member, nodes, count)]);
+        }
+    }
+}
+
+void
+JobVoters_DescribeBallots(const RaftEvent *event, const RaftMembers *members,
+                          Buf *out)
+{
+    size_t i;
+
+    for (i = 0; i < event->ballot_count; i++) {
+        const RaftBallot *ballot = &event->ballots[i];
+
+        append_item(out, JobVoters_GetName(members, ballot->identity),
+                    ballot->identity, ballot_names[ballot->state]);
+    }
+}
--- a/src/slog.c
+++ b/src/slog.c
@@ -12,7 +12,7 @@
 #include "loop.h"
 #include "mem.h"
 
-#define MAX_EVENT_KINDS 96
+#define MAX_EVENT_KINDS 128
 #define RATE_WINDOW_MS 1000
 /* A write of at most PIPE_BUF bytes to a pipe is atomic: no other writer's
  * line and no end of the process cuts a line of at most this length. */
@@ -220,6 +220,15 @@
     }
 }
 
+void
+Slog_AddHex(const char *key, uint64_t value)
+{
+    if (slog.open && !slog.is_skipping) {
+        Buf_Printf(&slog.line, ",\"%s\":\"%016llx\"", key,
+                   (unsigned long long)value);
+    }
+}
+
 void
 Slog_AddTask(const char *job, uint32_t occurrence, uint32_t step,
              uint32_t index)
--- a/src/slog.h
+++ b/src/slog.h
@@ -65,6 +65,8 @@
 void Slog_BeginRare(SlogLevel level, const char *event);
 void Slog_AddText(const char *key, const char *value);
 void Slog_AddInt(const char *key, int64_t value);
+/* Adds an identity as a text of 16 hexadecimal digits. */
+void Slog_AddHex(const char *key, uint64_t value);
 void Slog_AddTask(const char *job, uint32_t occurrence, uint32_t step,
                   uint32_t index);
 void Slog_End(void);
--- a/tests/test_jobmetrics.c
+++ b/tests/test_jobmetrics.c
@@ -55,6 +55,8 @@
 
     JobMetrics_RecordAnswer(metrics, 1, 200, 12000);
     JobMetrics_RecordAnswer(metrics, 1, 503, 900);
+    JobMetrics_CountElection(metrics, true, RAFT_ELECTION_TIMED_OUT);
+    JobMetrics_CountVoteRequest(metrics, false, RAFT_VERDICT_LOG_BEHIND);
     JobMetrics_WritePage(metrics, &page);
     for (at = Buf_Text(&page); *at != '\0'; at = end + 1) {
         end = strchr(at, '\n');
@@ -66,6 +68,12 @@
     ck_assert_ptr_nonnull(
         strstr(Buf_Text(&page),
                "coltsfoot_answers_total{kind=\"submit\",status=\"5xx\"} 1"));
+    ck_assert_ptr_nonnull(strstr(Buf_Text(&page),
+                                 "coltsfoot_elections_total{phase=\"prevote\","
+                                 "outcome=\"timed_out\"} 1"));
+    ck_assert_ptr_nonnull(
+        strstr(Buf_Text(&page), "coltsfoot_vote_requests_total{phase=\"vote\","
+                                "verdict=\"log_behind\"} 1"));
     Buf_Free(&page);
     free(metrics);
 }
--- a/tests/test_slog.c
+++ b/tests/test_slog.c
@@ -282,6 +282,25 @@
 }
 END_TEST
 
+START_TEST(identity_is_logged_with_all_its_digits)
+{
+    Pipe log = open_pipe();
+    Buf text = BUF_INIT;
+
+    open_log(log.write_fd, 64 * 1024);
+    Slog_Begin(SLOG_CHANGE, "vote_answered");
+    Slog_AddHex("identity", 0x00ab0000000000cdULL);
+    Slog_End();
+    Slog_Close();
+    close(log.write_fd);
+    read_to_end(log.read_fd, &text);
+    ck_assert_uint_eq(
+        count_text(&text, ",\"identity\":\"00ab0000000000cd\"}\n"), 1);
+    Buf_Free(&text);
+    close(log.read_fd);
+}
+END_TEST
+
 /* Guards against successes that use up the rate limit of failures. */
 START_TEST(failure_is_logged_after_a_burst_of_successes)
 {
@@ -346,6 +365,7 @@
     tcase_add_test(tcase, last_lines_are_written_when_the_reader_is_slow);
     tcase_add_test(tcase, close_does_not_wait_for_a_reader_that_stopped);
     tcase_add_test(tcase, long_line_stays_a_complete_line);
+    tcase_add_test(tcase, identity_is_logged_with_all_its_digits);
     tcase_add_test(tcase, failure_is_logged_after_a_burst_of_successes);
     tcase_add_loop_test(
         tcase, rare_line_is_logged_in_a_flood_of_the_same_event, 0, 2);
