jobctl: log that no leader is known

A control VM without a known leader was silent until its next change of role.

leader_unknown is written from 2 s on and then each 5 s, with the voters in force and their states, and leader_known once at the end; a gauge gives the time. condition decides when a condition that lasts is due for a line.

--- a/src/jobctl_internal.h
+++ b/src/jobctl_internal.h
@@ -7,6 +7,7 @@
 
 #include <msgpack.h>
 
+#include "condition.h"
 #include "httpclient.h"
 #include "httpserver.h"
 #include "jobagents.h"
@@ -112,6 +113,7 @@
     int64_t idle_since_ms;    /* during a planned stop, time since which
                                * nothing is pending and another node may
                                * lead, or 0 */
+    Condition leader_unknown;
     LoopLag tick_lag;
     LoopStall stall;
     int64_t next_node_update_ms; /* earliest time of the next node update */
@@ -161,6 +163,10 @@
 size_t JobControl_CountVotersUp(const JobControl *control);
 bool JobControl_IsVoter(const JobControl *control);
 
+/* jobctl_watch.c */
+/* Logs conditions that keep this node from serving or from placing tasks. */
+void JobControl_WatchConditions(JobControl *control, int64_t now);
+
 /* jobctl_request.c */
 void JobControl_HandleHttp(void *arg, HttpRequest *http);
 /* Serves the request that an entry VM forwarded: a caller's, or one of an
--- a/src/jobctl_metrics.c
+++ b/src/jobctl_metrics.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #define METRICS_IDLE_TIMEOUT_S 30
+#define MS_PER_S 1000.0
 #define CPU_UNITS_PER_CORE 1000.0 /* cpu is in thousandths of a core */
 
 static void
@@ -64,6 +65,9 @@
         (double)RaftMembers_CountVoters(Replica_GetMembers(control->replica));
     values[JOB_METRIC_VOTERS_UP] = (double)JobControl_CountVotersUp(control);
     values[JOB_METRIC_IS_VOTER] = JobControl_IsVoter(control);
+    values[JOB_METRIC_LEADER_UNKNOWN_SECONDS] =
+        (double)Condition_GetAgeMs(&control->leader_unknown, Loop_NowMs()) /
+        MS_PER_S;
     values[JOB_METRIC_JOBS] = (double)JobState_JobCount(control->state);
     values[JOB_METRIC_LOG_BYTES] =
         (double)Replica_GetMemoryBytes(control->replica);
--- a/src/jobmetrics.c
+++ b/src/jobmetrics.c
@@ -27,6 +27,9 @@
                               "itself included"},
     [JOB_METRIC_IS_VOTER] = {PREFIX "voter", "gauge",
                              "1 while this node is a voter"},
+    [JOB_METRIC_LEADER_UNKNOWN_SECONDS] =
+        {PREFIX "leader_unknown_seconds", "gauge",
+         "time for which this node has known no leader"},
     [JOB_METRIC_JOBS] = {PREFIX "jobs", "gauge",
                          "jobs whose state is remembered"},
     [JOB_METRIC_TARGETS_USABLE] = {PREFIX "targets_usable", "gauge",
--- a/tests/proc_lost_voters.sh
+++ b/tests/proc_lost_voters.sh
@@ -57,6 +57,10 @@
     "\"event\":\"election_started\".*\"voters\":\".*$wiped_voter=down" "$from"
 has_line "$left" "\"votes\":\".*$old_voter=silent" "$from" ||
     fail "no line tells that $old_voter is silent"
+wait_for "the time without a leader" has_line "$left" \
+    "\"event\":\"leader_unknown\".*\"voter\":1.*$old_voter=down" "$from"
+[ "$(metric "$left" coltsfoot_leader_unknown_seconds | cut -d. -f1)" -ge 2 ] ||
+    fail "no metric tells the time without a leader"
 wait_for "one voter up" metric_is "$left" coltsfoot_voters_up 1
 metric_is "$left" coltsfoot_voters 3 || fail "$left does not know 3 voters"
 metric_is "$left" coltsfoot_voter 1 || fail "$left is no voter"
@@ -76,6 +80,10 @@
 wait_for "a granted vote" grep -hq \
     '"event":"vote_answered","phase":"vote".*"verdict":"granted"' \
     "$WORK/$left.out" "$WORK/$old.out"
+wait_for "the end of the time without a leader" has_line "$left" \
+    '"event":"leader_known"' "$from"
+metric_is "$left" coltsfoot_leader_unknown_seconds 0 ||
+    fail "the metric of the time without a leader does not end"
 [ "$(identity_of "$wiped")" != "${wiped_voter#*/}" ] ||
     fail "$wiped kept its identity without its disk"
 echo "$left explained its elections without $old and $wiped"
