jobctl: log that a leader commits nothing

A leader whose log does not move keeps its role as long as a majority answers its heartbeats, and only proposals of its own told so; the first entry of its term was not covered.

The core gives the age of the leader's oldest uncommitted entry, kept as one mark and compared once a tick. commit_stalled is written when the age has been 500 ms or more for 2 s, then each 5 s, with the last synced entry and the last reply of each voter, and commit_resumed once at the end; a gauge gives the age.

test_raft, test_replica (voters whose syncs stall for 3 s), test_jobvoters and test_jobmetrics pass (one run each).

--- a/src/jobctl_internal.h
+++ b/src/jobctl_internal.h
@@ -114,6 +114,7 @@
                                * nothing is pending and another node may
                                * lead, or 0 */
     Condition leader_unknown;
+    Condition commit_stalled;
     LoopLag tick_lag;
     LoopStall stall;
     int64_t next_node_update_ms; /* earliest time of the next node update */
@@ -159,6 +160,8 @@
 void JobControl_LogElectionEvent(void *arg, const RaftEvent *event);
 /* Adds the voters of the current member list to the current log line. */
 void JobControl_LogVoters(const JobControl *control);
+/* Adds what the leader knows of the voters' logs to the current log line. */
+void JobControl_LogVoterLogs(const JobControl *control, int64_t now);
 /* Returns the number of voters that are connected, this node included. */
 size_t JobControl_CountVotersUp(const JobControl *control);
 bool JobControl_IsVoter(const JobControl *control);
--- a/src/jobctl_metrics.c
+++ b/src/jobctl_metrics.c
@@ -68,6 +68,9 @@
     values[JOB_METRIC_LEADER_UNKNOWN_SECONDS] =
         (double)Condition_GetAgeMs(&control->leader_unknown, Loop_NowMs()) /
         MS_PER_S;
+    values[JOB_METRIC_UNCOMMITTED_SECONDS] =
+        (double)Replica_GetUncommittedAgeMs(control->replica, Loop_NowMs()) /
+        MS_PER_S;
     values[JOB_METRIC_JOBS] = (double)JobState_JobCount(control->state);
     values[JOB_METRIC_LOG_BYTES] =
         (double)Replica_GetMemoryBytes(control->replica);
--- a/src/jobctl_voters.c
+++ b/src/jobctl_voters.c
@@ -62,6 +62,29 @@
     free(nodes);
 }
 
+void
+JobControl_LogVoterLogs(const JobControl *control, int64_t now)
+{
+    const RaftMembers *members = Replica_GetMembers(control->replica);
+    JobVoterLog logs[RAFT_MAX_MEMBERS];
+    Buf text = BUF_INIT;
+    size_t count = 0;
+    size_t i;
+
+    for (i = 0; i < members->count; i++) {
+        uint64_t identity = members->list[i].identity;
+
+        if (members->list[i].voter) {
+            logs[count++] = (JobVoterLog){
+                identity, Replica_GetMatchIndex(control->replica, identity),
+                Replica_GetContactAgeMs(control->replica, now, identity)};
+        }
+    }
+    JobVoters_DescribeLogs(members, logs, count, &text);
+    Slog_AddText("logs", Buf_Text(&text));
+    Buf_Free(&text);
+}
+
 static void
 log_election(JobControl *control, const RaftEvent *event)
 {
--- a/src/jobctl_watch.c
+++ b/src/jobctl_watch.c
@@ -1,5 +1,9 @@
 #include "jobctl_internal.h"
 
+/* Age of the oldest uncommitted entry from which the log counts as stalled. It
+ * is logged CONDITION_FIRST_MS later. */
+#define STALLED_COMMIT_MS 500
+
 /* Begins the line of a condition that is due for a report. Returns false if it
  * is not. */
 static bool
@@ -38,8 +42,29 @@
     Slog_End();
 }
 
+/* Distinguishes a leader whose log does not move from one without work. */
+static void
+watch_commits(JobControl *control, int64_t now)
+{
+    int64_t age_ms = Replica_GetUncommittedAgeMs(control->replica, now);
+
+    if (!begin_report(control, &control->commit_stalled, now,
+                      age_ms >= STALLED_COMMIT_MS, "commit_stalled",
+                      "commit_resumed")) {
+        return;
+    }
+    Slog_AddInt("oldest_ms", age_ms);
+    Slog_AddInt("serves", JobControl_IsServing(control));
+    Slog_AddInt("last", (int64_t)Replica_GetLastIndex(control->replica));
+    Slog_AddInt("committed",
+                (int64_t)Replica_GetCommitIndex(control->replica));
+    JobControl_LogVoterLogs(control, now);
+    Slog_End();
+}
+
 void
 JobControl_WatchConditions(JobControl *control, int64_t now)
 {
     watch_leader(control, now);
+    watch_commits(control, now);
 }
--- a/src/jobvoters.c
+++ b/src/jobvoters.c
@@ -1,6 +1,7 @@
 #include "jobvoters.h"
 
 #include <inttypes.h>
+#include <stdio.h>
 #include <string.h>
 
 static const char *const state_names[] = {"up", "down", "replaced", "absent"};
@@ -74,6 +75,21 @@
     }
 }
 
+void
+JobVoters_DescribeLogs(const RaftMembers *members, const JobVoterLog *logs,
+                       size_t count, Buf *out)
+{
+    char text[48];
+    size_t i;
+
+    for (i = 0; i < count; i++) {
+        snprintf(text, sizeof(text), "%" PRIu64 "@%" PRId64, logs[i].match,
+                 logs[i].contact_age_ms);
+        append_item(out, JobVoters_GetName(members, logs[i].identity),
+                    logs[i].identity, text);
+    }
+}
+
 void
 JobVoters_DescribeBallots(const RaftEvent *event, const RaftMembers *members,
                           Buf *out)
--- a/src/jobvoters.h
+++ b/src/jobvoters.h
@@ -47,6 +47,18 @@
 void JobVoters_DescribeBallots(const RaftEvent *event,
                                const RaftMembers *members, Buf *out);
 
+/* What the leader knows of a voter's log. */
+typedef struct JobVoterLog {
+    uint64_t identity;
+    uint64_t match;         /* last entry known to be synced there */
+    int64_t contact_age_ms; /* time since its last reply */
+} JobVoterLog;
+
+/* Appends the voters of logs with their last entries and the ages of their
+ * last replies: MATCH@MS. */
+void JobVoters_DescribeLogs(const RaftMembers *members,
+                            const JobVoterLog *logs, size_t count, Buf *out);
+
 /* Returns the name of a member, "" for identity 0, or "?". */
 const char *JobVoters_GetName(const RaftMembers *members, uint64_t identity);
 
--- a/src/raft.h
+++ b/src/raft.h
@@ -282,6 +282,12 @@
  * election_ms. Always true for this node itself. */
 bool Raft_IsActive(const Raft *raft, int64_t now_ms, uint64_t identity);
 
+/* Returns for how long the leader's oldest uncommitted entry has at least been
+ * in its log; 0 if all are committed or this node is not the leader. Less than
+ * its age by at most the time between two calls of Raft_Tick and the time that
+ * the entries before it took. */
+int64_t Raft_GetUncommittedAgeMs(const Raft *raft, int64_t now_ms);
+
 /* Returns the highest commit index that the leader of the current term has
  * announced and that covers an entry of that term, or 0 if there is none. */
 uint64_t Raft_GetConfirmedCommit(const Raft *raft);
--- a/src/raft_core.h
+++ b/src/raft_core.h
@@ -78,6 +78,9 @@
     uint64_t leader_match_index;
     uint64_t confirmed_commit_index; /* see Raft_GetConfirmedCommit */
     uint64_t term_start_index;       /* first entry of this leader's term */
+    /* last entry when the previous mark was committed, and the time of it */
+    uint64_t age_mark_index;
+    int64_t age_mark_ms;
     RaftMembers members;
     uint64_t members_index;
     bool self_is_voter;
--- a/src/raft_lead.c
+++ b/src/raft_lead.c
@@ -37,6 +37,8 @@
     noop.index = last + 1;
     raft->term_start_index = noop.index;
     RaftLog_Append(&raft->log, &noop);
+    raft->age_mark_index = noop.index;
+    raft->age_mark_ms = raft->now_ms;
 }
 
 static int
@@ -48,6 +50,17 @@
     return (*x < *y) - (*x > *y);
 }
 
+/* The entries up to the mark were in the log when it was set. Until the mark
+ * is committed, the oldest uncommitted entry is thus at least as old. */
+static void
+update_age_mark(Raft *raft)
+{
+    if (raft->age_mark_index <= raft->commit_index) {
+        raft->age_mark_index = RaftLog_GetLastIndex(&raft->log);
+        raft->age_mark_ms = raft->now_ms;
+    }
+}
+
 void
 RaftCore_AdvanceCommit(Raft *raft)
 {
@@ -75,6 +88,7 @@
     if (index > raft->commit_index &&
         RaftLog_GetTerm(&raft->log, index) == raft->term) {
         raft->commit_index = index;
+        update_age_mark(raft);
     }
     if (raft->commit_index >= raft->term_start_index) {
         raft->confirmed_commit_index = raft->commit_index;
@@ -108,6 +122,7 @@
     size_t active = raft->self_is_voter;
     size_t i;
 
+    update_age_mark(raft);
     for (i = 0; i < raft->peer_count; i++) {
         active += raft->peers[i].voter &&
                   raft->now_ms - raft->peers[i].last_contact_ms <
--- a/src/raft_query.c
+++ b/src/raft_query.c
@@ -129,6 +129,15 @@
            now_ms - peer->last_contact_ms < raft->options.election_ms;
 }
 
+int64_t
+Raft_GetUncommittedAgeMs(const Raft *raft, int64_t now_ms)
+{
+    return raft->role == RAFT_LEADER &&
+                   raft->age_mark_index > raft->commit_index
+               ? now_ms - raft->age_mark_ms
+               : 0;
+}
+
 uint64_t
 Raft_GetConfirmedCommit(const Raft *raft)
 {
--- a/src/replica.h
+++ b/src/replica.h
@@ -206,6 +206,13 @@
  * unknown or when this node is not the leader. */
 uint64_t Replica_GetMatchIndex(const Replica *replica, uint64_t identity);
 
+/* As Raft_GetUncommittedAgeMs. */
+int64_t Replica_GetUncommittedAgeMs(const Replica *replica, int64_t now_ms);
+
+/* As Raft_GetContactAgeMs. */
+int64_t Replica_GetContactAgeMs(const Replica *replica, int64_t now_ms,
+                                uint64_t identity);
+
 /* Returns the number of bytes of log and snapshot held in memory. */
 size_t Replica_GetMemoryBytes(const Replica *replica);
 
--- a/src/replica_query.c
+++ b/src/replica_query.c
@@ -72,6 +72,19 @@
     return Raft_GetMatchIndex(replica->raft, identity);
 }
 
+int64_t
+Replica_GetUncommittedAgeMs(const Replica *replica, int64_t now_ms)
+{
+    return Raft_GetUncommittedAgeMs(replica->raft, now_ms);
+}
+
+int64_t
+Replica_GetContactAgeMs(const Replica *replica, int64_t now_ms,
+                        uint64_t identity)
+{
+    return Raft_GetContactAgeMs(replica->raft, now_ms, identity);
+}
+
 size_t
 Replica_GetMemoryBytes(const Replica *replica)
 {
--- a/tests/test_jobvoters.c
+++ b/tests/test_jobvoters.c
@@ -88,6 +88,19 @@
 }
 END_TEST
 
+START_TEST(logs_of_voters_are_listed)
+{
+    RaftMembers members = make_members();
+    const JobVoterLog logs[] = {{0xa1, 812, 0}, {0xb1, 790, 1450}};
+    Buf text = BUF_INIT;
+
+    JobVoters_DescribeLogs(&members, logs, 2, &text);
+    ck_assert_str_eq(Buf_Text(&text), "core-a/00000000000000a1=812@0 "
+                                      "core-b/00000000000000b1=790@1450");
+    Buf_Free(&text);
+}
+END_TEST
+
 Suite *
 Test_Suite(void)
 {
@@ -99,6 +112,7 @@
                         0, CASE_COUNT);
     tcase_add_test(tcase, only_voters_are_listed_and_counted);
     tcase_add_test(tcase, ballots_name_their_voters);
+    tcase_add_test(tcase, logs_of_voters_are_listed);
     suite_add_tcase(suite, tcase);
     return suite;
 }
--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -990,6 +990,53 @@
 }
 END_TEST
 
+START_TEST(age_of_uncommitted_entries_is_known)
+{
+    static const struct {
+        int64_t at_ms;
+        uint64_t proposals;
+        uint64_t synced_by_2; /* last entry, 0: no reply */
+        int64_t age_ms;
+    } steps[] = {
+        {0, 0, 0, 0},     {200, 3, 0, 200}, {300, 0, 6, 0},
+        {400, 0, 0, 100}, {500, 2, 8, 200}, {600, 0, 9, 0},
+        {700, 0, 0, 100}, {800, 0, 11, 0},  {900, 0, 0, 0},
+        {1000, 1, 0, 0},  {1050, 0, 0, 0},  {1150, 0, 0, 100},
+        {1200, 0, 12, 0},
+    };
+    RaftMembers members = make_members(3, 0);
+    int64_t now;
+    Raft *raft = create_leader(&members, &now);
+    uint64_t index;
+    uint64_t term;
+    size_t i;
+
+    ck_assert_int_eq(Raft_GetUncommittedAgeMs(raft, now), 0);
+    for (i = 0; i < sizeof(steps) / sizeof(steps[0]); i++) {
+        int64_t at_ms = now + steps[i].at_ms;
+        uint64_t k;
+
+        Raft_Tick(raft, at_ms);
+        for (k = 0; k < steps[i].proposals; k++) {
+            ck_assert_int_eq(Raft_Propose(raft, at_ms, "x", 1, &index, &term),
+                             ST_OK);
+        }
+        take_messages(raft, RAFT_MSG_APPEND_ENTRIES);
+        if (steps[i].synced_by_2 != 0) {
+            make_message(RAFT_MSG_APPEND_REPLY, 2, 2)->index =
+                steps[i].synced_by_2;
+            Raft_HandleMessage(raft, at_ms, &msg);
+        }
+        ck_assert_msg(Raft_GetUncommittedAgeMs(raft, at_ms) == steps[i].age_ms,
+                      "step %zu: %lld", i,
+                      (long long)Raft_GetUncommittedAgeMs(raft, at_ms));
+    }
+    Raft_StepDown(raft);
+    ck_assert_int_eq(Raft_GetUncommittedAgeMs(raft, now + 9000), 0);
+    Raft_Free(raft);
+}
+END_TEST
+
 START_TEST(events_that_nobody_takes_are_bounded)
 {
     RaftMembers members = make_members(3, 0);
@@ -1027,6 +1074,7 @@
     tcase_add_test(tcase, each_vote_answer_tells_its_reason);
     tcase_add_test(tcase, each_election_tells_its_voters_and_their_votes);
     tcase_add_test(tcase, won_election_is_recorded_with_its_voters);
+    tcase_add_test(tcase, age_of_uncommitted_entries_is_known);
     tcase_add_test(tcase, events_that_nobody_takes_are_bounded);
     tcase_add_test(tcase, member_changes_are_serialized);
     tcase_add_test(tcase, truncated_member_change_is_reverted);
--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -1028,6 +1028,49 @@
 }
 END_TEST
 
+/* Guards against a leader that keeps its role while no other voter syncs its
+ * log, and does not tell that it commits nothing. */
+START_TEST(age_of_uncommitted_entries_grows_while_voters_do_not_sync)
+{
+    const int64_t stalled_ms = 3000;
+    const int64_t usual_ms = 500;
+    Cluster *cluster = create_cluster(8, 3, 3, true, true);
+    Node *leader;
+    int64_t until_ms;
+    size_t i;
+
+    cluster->faults_disabled = true;
+    cluster->proposals_disabled = true;
+    heal_and_converge(cluster, 8);
+    leader = find_leader(cluster);
+    ck_assert_int_eq(
+        Replica_GetUncommittedAgeMs(leader->replica, cluster->time_ms), 0);
+    for (i = 0; i < cluster->count; i++) {
+        cluster->nodes[i].sync_stalled = &cluster->nodes[i] != leader;
+    }
+    cluster->proposals_disabled = false;
+    until_ms = cluster->time_ms + stalled_ms;
+    while (cluster->time_ms < until_ms) {
+        run_step(cluster);
+    }
+    ck_assert_ptr_eq(find_leader(cluster), leader);
+    ck_assert_int_gt(
+        Replica_GetUncommittedAgeMs(leader->replica, cluster->time_ms),
+        stalled_ms - usual_ms);
+    for (i = 0; i < cluster->count; i++) {
+        cluster->nodes[i].sync_stalled = false;
+    }
+    until_ms = cluster->time_ms + stalled_ms;
+    while (cluster->time_ms < until_ms) {
+        run_step(cluster);
+    }
+    ck_assert_int_lt(
+        Replica_GetUncommittedAgeMs(leader->replica, cluster->time_ms),
+        usual_ms);
+    free_cluster(cluster);
+}
+END_TEST
+
 START_TEST(election_after_loss_of_the_leader_is_reported)
 {
     Cluster *cluster = create_cluster(7, 3, 3, false, false);
@@ -1215,6 +1258,8 @@
     tcase_add_test(tcase, vote_survives_a_crash);
     tcase_add_test(tcase, failed_sync_stops_a_replica);
     tcase_add_test(tcase, stalled_sync_of_the_leader_delays_no_commit);
+    tcase_add_test(tcase,
+                   age_of_uncommitted_entries_grows_while_voters_do_not_sync);
     tcase_add_test(tcase, election_after_loss_of_the_leader_is_reported);
     tcase_add_test(tcase, large_snapshot_reaches_a_new_node);
     tcase_add_test(tcase, large_entries_are_compacted);
