jobctl: log that a leader does not serve yet

A leader whose takeover read is not confirmed answers 503 to all and wrote nothing about it.

takeover_pending is written from 2 s on in which a node leads and does not serve, then each 5 s, with the reads begun and whether an entry of its term is committed, and takeover_ended once at the end; a gauge gives the time. The conditions are decided in jobwatch, a core of its own, which a table of cases tests.

test_jobwatch, test_condition, test_jobmetrics and proc_lost_voters pass (one run each). No process test holds up a takeover, since that takes a disk that hangs.

--- a/src/jobctl_internal.h
+++ b/src/jobctl_internal.h
@@ -7,7 +7,6 @@
 
 #include <msgpack.h>
 
-#include "condition.h"
 #include "httpclient.h"
 #include "httpserver.h"
 #include "jobagents.h"
@@ -19,6 +18,7 @@
 #include "jobreplymsg.h"
 #include "jobsched.h"
 #include "jobstate.h"
+#include "jobwatch.h"
 #include "loop.h"
 #include "looplag.h"
 #include "loopstall.h"
@@ -113,8 +113,8 @@
     int64_t idle_since_ms;    /* during a planned stop, time since which
                                * nothing is pending and another node may
                                * lead, or 0 */
-    Condition leader_unknown;
-    Condition commit_stalled;
+    JobWatch watch;
+    uint64_t takeover_reads; /* reads begun to confirm the state */
     LoopLag tick_lag;
     LoopStall stall;
     int64_t next_node_update_ms; /* earliest time of the next node update */
@@ -167,7 +167,7 @@
 bool JobControl_IsVoter(const JobControl *control);
 
 /* jobctl_watch.c */
-/* Logs conditions that keep this node from serving or from placing tasks. */
+/* Logs conditions that keep this node from its work. */
 void JobControl_WatchConditions(JobControl *control, int64_t now);
 
 /* jobctl_request.c */
--- a/src/jobctl_log.c
+++ b/src/jobctl_log.c
@@ -288,6 +288,7 @@
     Slog_AddInt("leader_known", leader != 0);
     Slog_End();
     if (role != RAFT_LEADER || term != control->serving_term) {
+        control->takeover_reads = 0;
         JobControl_StopServing(control);
     }
 }
@@ -315,6 +316,7 @@
     Slog_AddInt("jobs", (int64_t)JobState_JobCount(control->state));
     Slog_AddInt("version",
                 (int64_t)JobState_GetConfig(control->state)->version);
+    Slog_AddInt("reads", (int64_t)control->takeover_reads);
     Slog_End();
 }
 
@@ -422,6 +424,7 @@
         control->serving_term == 0 && !control->taking_over &&
         control->stop_begun_ms == 0) {
         control->taking_over = true;
+        control->takeover_reads++;
         JobControl_ConfirmRead(control, on_takeover_read, control);
     }
     start_read(control);
--- a/src/jobctl_metrics.c
+++ b/src/jobctl_metrics.c
@@ -65,9 +65,10 @@
         (double)RaftMembers_CountVoters(Replica_GetMembers(control->replica));
     values[JOB_METRIC_VOTERS_UP] = (double)JobControl_CountVotersUp(control);
     values[JOB_METRIC_IS_VOTER] = JobControl_IsVoter(control);
-    values[JOB_METRIC_LEADER_UNKNOWN_SECONDS] =
-        (double)Condition_GetAgeMs(&control->leader_unknown, Loop_NowMs()) /
-        MS_PER_S;
+    values[JOB_METRIC_LEADER_UNKNOWN_SECONDS] = JobWatch_GetSeconds(
+        &control->watch, JOB_WATCH_LEADER_UNKNOWN, Loop_NowMs());
+    values[JOB_METRIC_TAKEOVER_SECONDS] = JobWatch_GetSeconds(
+        &control->watch, JOB_WATCH_TAKEOVER_PENDING, Loop_NowMs());
     values[JOB_METRIC_UNCOMMITTED_SECONDS] =
         (double)Replica_GetUncommittedAgeMs(control->replica, Loop_NowMs()) /
         MS_PER_S;
--- a/src/jobmetrics.c
+++ b/src/jobmetrics.c
@@ -33,6 +33,9 @@
     [JOB_METRIC_UNCOMMITTED_SECONDS] =
         {PREFIX "uncommitted_seconds", "gauge",
          "age of the leader's oldest uncommitted entry"},
+    [JOB_METRIC_TAKEOVER_SECONDS] =
+        {PREFIX "takeover_seconds", "gauge",
+         "time for which this node has led without serving"},
     [JOB_METRIC_JOBS] = {PREFIX "jobs", "gauge",
                          "jobs whose state is remembered"},
     [JOB_METRIC_TARGETS_USABLE] = {PREFIX "targets_usable", "gauge",
