jobctl: log that a leader starts no waiting tasks

Nothing told whether tasks wait because no target is usable, because the pool is full or because the scheduler does not place them, nor that runs are held by targets that cannot be reached.

placement_idle is written when tasks could start and none was started for 2 s, then each 5 s, for the pool with the most waiting work: its waiting and free cores, its usable and unusable targets and the runs on the latter. placement_resumed is written once at the end. Two gauges give the time and the runs on unusable targets. The load of the pools is read once a second, and only by a leader that has started nothing since the last reading.

--- a/src/jobctl_internal.h
+++ b/src/jobctl_internal.h
@@ -64,6 +64,18 @@
     Buf answers;
 } JobAgentBatch;
 
+/* The pool with the most waiting work. CPU is in thousandths of a core. */
+typedef struct JobPlacementSample {
+    char pool[JOB_NAME_BYTES];
+    uint32_t pools;       /* pools with waiting tasks */
+    int64_t waiting;      /* CPU needed by its tasks that could start */
+    int64_t free;         /* free CPU of its usable targets */
+    int64_t largest_free; /* that of the one with the most */
+    uint32_t usable;      /* its targets that may get tasks */
+    uint32_t unusable;    /* its other targets */
+    uint32_t runs_on_unusable;
+} JobPlacementSample;
+
 struct JobControl {
     const Settings *settings;
     const JobWire *wire;
@@ -115,6 +127,9 @@
                                * lead, or 0 */
     JobWatch watch;
     uint64_t takeover_reads; /* reads begun to confirm the state */
+    JobPlacementSample placement_sample;
+    uint64_t sampled_starts; /* tasks started until the sample */
+    int64_t next_placement_sample_ms;
     LoopLag tick_lag;
     LoopStall stall;
     int64_t next_node_update_ms; /* earliest time of the next node update */
--- a/src/jobctl_metrics.c
+++ b/src/jobctl_metrics.c
@@ -25,6 +25,7 @@
         }
         else {
             values[JOB_METRIC_TARGETS_UNUSABLE]++;
+            values[JOB_METRIC_RUNS_ON_UNUSABLE] += target->run_count;
         }
     }
 }
@@ -69,6 +70,8 @@
         &control->watch, JOB_WATCH_LEADER_UNKNOWN, Loop_NowMs());
     values[JOB_METRIC_TAKEOVER_SECONDS] = JobWatch_GetSeconds(
         &control->watch, JOB_WATCH_TAKEOVER_PENDING, Loop_NowMs());
+    values[JOB_METRIC_PLACEMENT_IDLE_SECONDS] = JobWatch_GetSeconds(
+        &control->watch, JOB_WATCH_PLACEMENT_IDLE, Loop_NowMs());
     values[JOB_METRIC_UNCOMMITTED_SECONDS] =
         (double)Replica_GetUncommittedAgeMs(control->replica, Loop_NowMs()) /
         MS_PER_S;
--- a/src/jobmetrics.c
+++ b/src/jobmetrics.c
@@ -36,6 +36,12 @@
     [JOB_METRIC_TAKEOVER_SECONDS] =
         {PREFIX "takeover_seconds", "gauge",
          "time for which this node has led without serving"},
+    [JOB_METRIC_PLACEMENT_IDLE_SECONDS] =
+        {PREFIX "placement_idle_seconds", "gauge",
+         "time for which tasks have waited and none was started"},
+    [JOB_METRIC_RUNS_ON_UNUSABLE] = {PREFIX "runs_on_unusable_targets",
+                                     "gauge",
+                                     "runs assigned to unusable targets"},
     [JOB_METRIC_JOBS] = {PREFIX "jobs", "gauge",
                          "jobs whose state is remembered"},
     [JOB_METRIC_TARGETS_USABLE] = {PREFIX "targets_usable", "gauge",
--- a/src/jobwatch.c
+++ b/src/jobwatch.c
@@ -3,7 +3,7 @@
 #define MS_PER_S 1000.0
 
 static bool
-does_hold(JobWatchKind kind, const JobWatchInput *input)
+does_hold(const JobWatch *watch, JobWatchKind kind, const JobWatchInput *input)
 {
     switch (kind) {
     case JOB_WATCH_LEADER_UNKNOWN:
@@ -12,6 +12,9 @@
         return input->uncommitted_ms >= JOB_WATCH_STALLED_COMMIT_MS;
     case JOB_WATCH_TAKEOVER_PENDING:
         return input->leads && !input->serves && !input->stopping;
+    case JOB_WATCH_PLACEMENT_IDLE:
+        return input->serves && input->tasks_wait &&
+               input->starts == watch->starts;
     case JOB_WATCH_COUNT:
         break;
     }
@@ -26,10 +29,11 @@
     size_t i;
 
     for (i = 0; i < JOB_WATCH_COUNT; i++) {
-        reports[i] =
-            Condition_Update(&watch->conditions[i], now,
-                             does_hold((JobWatchKind)i, input), &lasted_ms[i]);
+        reports[i] = Condition_Update(&watch->conditions[i], now,
+                                      does_hold(watch, (JobWatchKind)i, input),
+                                      &lasted_ms[i]);
     }
+    watch->starts = input->starts;
 }
 
 double
--- a/src/jobwatch.h
+++ b/src/jobwatch.h
@@ -21,6 +21,7 @@
     JOB_WATCH_LEADER_UNKNOWN,
     JOB_WATCH_COMMIT_STALLED,
     JOB_WATCH_TAKEOVER_PENDING, /* this node leads and does not serve */
+    JOB_WATCH_PLACEMENT_IDLE,   /* tasks wait and none is started */
     JOB_WATCH_COUNT
 } JobWatchKind;
 
@@ -30,10 +31,13 @@
     bool serves;
     bool stopping;
     int64_t uncommitted_ms; /* age of the oldest uncommitted entry, or 0 */
+    bool tasks_wait;        /* for a target */
+    uint64_t starts;        /* tasks started since the process began */
 } JobWatchInput;
 
 typedef struct JobWatch {
     Condition conditions[JOB_WATCH_COUNT];
+    uint64_t starts; /* at the last observation */
 } JobWatch;
 
 /* Records an observation. Stores which conditions are due for a line in
--- a/tests/test_jobwatch.c
+++ b/tests/test_jobwatch.c
@@ -28,6 +28,12 @@
     {"leader before its takeover read",
      {.leader_known = true, .leads = true},
      JOB_WATCH_TAKEOVER_PENDING},
+    {"leader whose tasks wait",
+     {.leader_known = true, .leads = true, .serves = true, .tasks_wait = true},
+     JOB_WATCH_PLACEMENT_IDLE},
+    {"follower with old waiting tasks",
+     {.leader_known = true, .tasks_wait = true},
+     JOB_WATCH_COUNT},
     {"leader that stops",
      {.leader_known = true, .leads = true, .stopping = true},
      JOB_WATCH_COUNT},
@@ -59,6 +65,33 @@
 }
 END_TEST
 
+START_TEST(leader_that_starts_tasks_is_not_idle)
+{
+    JobWatchInput input = {.leader_known = true,
+                           .leads = true,
+                           .serves = true,
+                           .tasks_wait = true};
+    JobWatch watch = {0};
+    ConditionReport reports[JOB_WATCH_COUNT];
+    int64_t lasted_ms[JOB_WATCH_COUNT];
+    int64_t now;
+
+    for (now = 50; now < 20000; now += 50) {
+        input.starts += now % 1500 == 0;
+        JobWatch_Update(&watch, now, &input, reports, lasted_ms);
+        ck_assert_int_eq(reports[JOB_WATCH_PLACEMENT_IDLE], CONDITION_SILENT);
+    }
+    for (; now < 23000; now += 50) {
+        JobWatch_Update(&watch, now, &input, reports, lasted_ms);
+    }
+    ck_assert(JobWatch_GetSeconds(&watch, JOB_WATCH_PLACEMENT_IDLE, now) >
+              3.0);
+    input.starts++;
+    JobWatch_Update(&watch, now, &input, reports, lasted_ms);
+    ck_assert_int_eq(reports[JOB_WATCH_PLACEMENT_IDLE], CONDITION_ENDED);
+}
+END_TEST
+
 Suite *
 Test_Suite(void)
 {
@@ -67,6 +100,7 @@
 
     tcase_add_loop_test(tcase, node_that_does_no_work_tells_why, 0,
                         CASE_COUNT);
+    tcase_add_test(tcase, leader_that_starts_tasks_is_not_idle);
     suite_add_tcase(suite, tcase);
     return suite;
 }
