jobctl: log each change of the voters

Only the leader told of changes of the members, on standard error. Each control VM now writes voters_changed at its start and whenever the configuration in force has other voters, with their identities and states.

test_jobvoters and proc_lost_voters pass (one run each).

--- a/src/jobctl.c
+++ b/src/jobctl.c
@@ -395,6 +395,7 @@
     JobFleet_Tick(control->fleet, now, wall_ms);
     continue_stop(control, now);
     log_stall(control);
+    JobControl_WatchVoters(control);
     JobControl_WatchConditions(control, now);
     control->placement_due = true;
 }
--- a/src/jobctl_internal.h
+++ b/src/jobctl_internal.h
@@ -125,6 +125,7 @@
     int64_t idle_since_ms;    /* during a planned stop, time since which
                                * nothing is pending and another node may
                                * lead, or 0 */
+    RaftMembers logged_members; /* whose voters were logged last */
     JobWatch watch;
     uint64_t takeover_reads; /* reads begun to confirm the state */
     JobPlacementSample placement_sample;
@@ -173,6 +174,8 @@
 /* jobctl_voters.c */
 /* Logs an event of the replica; arg is the JobControl. */
 void JobControl_LogElectionEvent(void *arg, const RaftEvent *event);
+/* Logs the voters if they have changed since the last call. */
+void JobControl_WatchVoters(JobControl *control);
 /* Adds the voters of the current member list to the current log line. */
 void JobControl_LogVoters(const JobControl *control);
 /* Adds what the leader knows of the voters' logs to the current log line. */
--- a/src/jobctl_voters.c
+++ b/src/jobctl_voters.c
@@ -62,6 +62,25 @@
     free(nodes);
 }
 
+void
+JobControl_WatchVoters(JobControl *control)
+{
+    const RaftMembers *members = Replica_GetMembers(control->replica);
+
+    if (JobVoters_AreEqual(members, &control->logged_members)) {
+        return;
+    }
+    control->logged_members = *members;
+    Slog_Begin(SLOG_CHANGE, "voters_changed");
+    Slog_AddInt("term", (int64_t)Replica_GetTerm(control->replica));
+    Slog_AddInt("last", (int64_t)Replica_GetLastIndex(control->replica));
+    Slog_AddInt("committed",
+                (int64_t)Replica_GetCommitIndex(control->replica));
+    Slog_AddInt("members", (int64_t)members->count);
+    JobControl_LogVoters(control);
+    Slog_End();
+}
+
 void
 JobControl_LogVoterLogs(const JobControl *control, int64_t now)
 {
--- a/src/jobvoters.c
+++ b/src/jobvoters.c
@@ -41,6 +41,32 @@
     return up;
 }
 
+/* Returns the index of the first voter from i on, or the number of members. */
+static size_t
+skip_learners(const RaftMembers *members, size_t i)
+{
+    while (i < members->count && !members->list[i].voter) {
+        i++;
+    }
+    return i;
+}
+
+bool
+JobVoters_AreEqual(const RaftMembers *a, const RaftMembers *b)
+{
+    size_t i = skip_learners(a, 0);
+    size_t k = skip_learners(b, 0);
+
+    while (i < a->count && k < b->count) {
+        if (a->list[i].identity != b->list[k].identity) {
+            return false;
+        }
+        i = skip_learners(a, i + 1);
+        k = skip_learners(b, k + 1);
+    }
+    return i == a->count && k == b->count;
+}
+
 const char *
 JobVoters_GetName(const RaftMembers *members, uint64_t identity)
 {
--- a/src/jobvoters.h
+++ b/src/jobvoters.h
@@ -38,6 +38,10 @@
 size_t JobVoters_CountUp(const RaftMembers *members, const JobVoterNode *nodes,
                          size_t count);
 
+/* Returns whether two member lists, sorted by identity, have the same
+ * voters. */
+bool JobVoters_AreEqual(const RaftMembers *a, const RaftMembers *b);
+
 /* Appends the voters with their states: up, down, replaced or absent. */
 void JobVoters_Describe(const RaftMembers *members, const JobVoterNode *nodes,
                         size_t count, Buf *out);
--- a/tests/proc_lost_voters.sh
+++ b/tests/proc_lost_voters.sh
@@ -86,4 +86,7 @@
     fail "the metric of the time without a leader does not end"
 [ "$(identity_of "$wiped")" != "${wiped_voter#*/}" ] ||
     fail "$wiped kept its identity without its disk"
+new_voter=$wiped/$(identity_of "$wiped")
+wait_for "the new identity among the voters" has_line "$left" \
+    "\"event\":\"voters_changed\".*\"voters\":\".*$new_voter=" "$from"
 echo "$left explained its elections without $old and $wiped"
--- a/tests/test_jobvoters.c
+++ b/tests/test_jobvoters.c
@@ -70,6 +70,42 @@
 }
 END_TEST
 
+START_TEST(change_of_a_voter_is_told_from_one_of_a_learner)
+{
+    static const struct {
+        size_t member;
+        bool remove;
+        uint64_t identity; /* 0: unchanged */
+        bool voter;
+        bool equal;
+    } changes[] = {
+        {0, false, 0, true, true},     {4, true, 0, false, true},
+        {4, false, 0xfe, false, true}, {4, false, 0, true, false},
+        {3, false, 0, false, false},   {3, true, 0, false, false},
+        {0, true, 0, false, false},    {3, false, 0xd2, true, false},
+    };
+    size_t i;
+
+    for (i = 0; i < sizeof(changes) / sizeof(changes[0]); i++) {
+        RaftMembers before = make_members();
+        RaftMembers after = before;
+        RaftMember *member = &after.list[changes[i].member];
+
+        member->voter = changes[i].voter;
+        if (changes[i].identity != 0) {
+            member->identity = changes[i].identity;
+        }
+        if (changes[i].remove) {
+            ck_assert(RaftMembers_Remove(&after, member->identity));
+        }
+        ck_assert_msg(JobVoters_AreEqual(&before, &after) == changes[i].equal,
+                      "change %zu", i);
+        ck_assert_msg(JobVoters_AreEqual(&after, &before) == changes[i].equal,
+                      "change %zu", i);
+    }
+}
+END_TEST
+
 START_TEST(ballots_name_their_voters)
 {
     RaftMembers members = make_members();
@@ -111,6 +147,7 @@
                         voter_that_lost_its_disk_is_told_from_one_that_is_down,
                         0, CASE_COUNT);
     tcase_add_test(tcase, only_voters_are_listed_and_counted);
+    tcase_add_test(tcase, change_of_a_voter_is_told_from_one_of_a_learner);
     tcase_add_test(tcase, ballots_name_their_voters);
     tcase_add_test(tcase, logs_of_voters_are_listed);
     suite_add_tcase(suite, tcase);
