jobctl: read no pool's load while no task may wait

The sample of waiting tasks read the load of each pool once a second also at a leader without waiting tasks. It now first looks for a job with the hint.

proc_placement_idle, proc_leader_stop, proc_founder, proc_leader_loss, proc_frozen_leader and proc_order_trace pass (one run each).

--- a/src/jobctl_watch.c
+++ b/src/jobctl_watch.c
@@ -32,6 +32,17 @@
     }
 }
 
+static bool
+may_have_waiting_tasks(const JobState *state)
+{
+    const Job *job = JobState_FirstActive(state);
+
+    while (job != NULL && !job->has_waiting) {
+        job = job->next;
+    }
+    return job != NULL;
+}
+
 static void
 sample_placement(const JobControl *control, int64_t now,
                  JobPlacementSample *sample)
@@ -40,6 +51,9 @@
     uint32_t i;
 
     memset(sample, 0, sizeof(*sample));
+    if (!may_have_waiting_tasks(control->state)) {
+        return;
+    }
     for (i = 0; i < config->pool_count; i++) {
         JobPoolLoad load;
 
