jobctl: tell the cluster of a node and count refused log messages

Messages of another cluster or to an earlier identity were dropped without a trace, so that a second cluster founded by a node without its disk looked like a cut. log_opened and voters_changed now give the cluster, and a counter the messages refused.

No test founds a second cluster.

--- a/src/jobctl.c
+++ b/src/jobctl.c
@@ -184,10 +184,12 @@
 
     if (type == PEER_RAFT && message->size == 2 &&
         message->ptr[1].type == MSGPACK_OBJECT_BIN) {
-        Replica_HandleMessage(control->replica, Loop_NowMs(),
-                              Peers_Hello(control->peers, peer)->identity,
-                              message->ptr[1].via.bin.ptr,
-                              message->ptr[1].via.bin.size);
+        Status status = Replica_HandleMessage(
+            control->replica, Loop_NowMs(),
+            Peers_Hello(control->peers, peer)->identity,
+            message->ptr[1].via.bin.ptr, message->ptr[1].via.bin.size);
+
+        control->refused_messages += status != ST_OK;
     }
     else if (type == PEER_FLEET) {
         handle_fleet_msg(control, message);
--- a/src/jobctl_internal.h
+++ b/src/jobctl_internal.h
@@ -125,6 +125,7 @@
     int64_t idle_since_ms;    /* during a planned stop, time since which
                                * nothing is pending and another node may
                                * lead, or 0 */
+    uint64_t refused_messages;  /* of the log, from peers */
     RaftMembers logged_members; /* whose voters were logged last */
     JobWatch watch;
     uint64_t takeover_reads; /* reads begun to confirm the state */
--- a/src/jobctl_log.c
+++ b/src/jobctl_log.c
@@ -347,6 +347,7 @@
     Slog_Begin(SLOG_CHANGE, "log_opened");
     Slog_AddInt("founder", founder);
     Slog_AddHex("identity", Replica_GetIdentity(control->replica));
+    Slog_AddHex("cluster", Replica_GetCluster(control->replica));
     Slog_AddInt("voter", JobControl_IsVoter(control));
     Slog_AddInt("last", (int64_t)Replica_GetLastIndex(control->replica));
     Slog_AddInt("applied", (int64_t)Replica_GetAppliedIndex(control->replica));
--- a/src/jobctl_voters.c
+++ b/src/jobctl_voters.c
@@ -77,6 +77,7 @@
     Slog_AddInt("committed",
                 (int64_t)Replica_GetCommitIndex(control->replica));
     Slog_AddInt("members", (int64_t)members->count);
+    Slog_AddHex("cluster", Replica_GetCluster(control->replica));
     JobControl_LogVoters(control);
     Slog_End();
 }
--- a/src/jobmetrics.c
+++ b/src/jobmetrics.c
@@ -42,6 +42,9 @@
     [JOB_METRIC_RUNS_ON_UNUSABLE] = {PREFIX "runs_on_unusable_targets",
                                      "gauge",
                                      "runs assigned to unusable targets"},
+    [JOB_METRIC_LOG_MESSAGES_REFUSED] =
+        {PREFIX "log_messages_refused_total", "counter",
+         "messages of the log from another cluster or to another identity"},
     [JOB_METRIC_JOBS] = {PREFIX "jobs", "gauge",
                          "jobs whose state is remembered"},
     [JOB_METRIC_TARGETS_USABLE] = {PREFIX "targets_usable", "gauge",
--- a/tests/proc_lost_voters.sh
+++ b/tests/proc_lost_voters.sh
@@ -89,4 +89,7 @@
 new_voter=$wiped/$(identity_of "$wiped")
 wait_for "the new identity among the voters" has_line "$left" \
     "\"event\":\"voters_changed\".*\"voters\":\".*$new_voter=" "$from"
+[ "$(grep -h '"event":"voters_changed"' "$WORK"/core-*.out |
+    grep -o '"cluster":"[0-9a-f]*"' | sort -u | wc -l)" = 1 ] ||
+    fail "the lines name several clusters"
 echo "$left explained its elections without $old and $wiped"
