--- a/src/jobctl_voters.c
+++ b/src/jobctl_voters.c
@@ -105,6 +105,14 @@
     Buf_Free(&text);
 }
 
+static void
+add_dropped(const RaftEvent *event)
+{
+    if (event->dropped > 0) {
+        Slog_AddInt("dropped", (int64_t)event->dropped);
+    }
+}
+
 static void
 log_election(JobControl *control, const RaftEvent *event)
 {
@@ -128,7 +136,7 @@
         Slog_AddInt("last_term", (int64_t)event->candidate_log_term);
         JobControl_LogVoters(control);
     }
-    Slog_AddInt("dropped", (int64_t)event->dropped);
+    add_dropped(event);
     Slog_End();
     if (ended && control->metrics != NULL) {
         JobMetrics_CountElection(control->metrics, event->prevote,
@@ -156,7 +164,7 @@
     Slog_AddInt("last_term", (int64_t)event->own_log_term);
     Slog_AddText("voted_for", JobVoters_GetName(members, event->vote));
     Slog_AddText("leader", JobVoters_GetName(members, event->leader));
-    Slog_AddInt("dropped", (int64_t)event->dropped);
+    add_dropped(event);
     Slog_End();
     if (control->metrics != NULL) {
         JobMetrics_CountVoteRequest(control->metrics, event->prevote,
