--- a/src/jobctl.c
+++ b/src/jobctl.c
@@ -138,6 +138,7 @@
     Slog_AddText("peer", hello->name);
     Slog_AddText("address", hello->address.host);
     Slog_AddInt("disk", hello->identity != 0);
+    Slog_AddHex("identity", hello->identity);
     Slog_End();
     send_fleet_msg(control, peer);
     if (hello->identity != 0) {
@@ -183,10 +184,12 @@
 
     if (type == PEER_RAFT && message->size == 2 &&
         message->ptr[1].type == MSGPACK_OBJECT_BIN) {
-        Replica_HandleMessage(control->replica, Loop_NowMs(),
-                              Peers_Hello(control->peers, peer)->identity,
-                              message->ptr[1].via.bin.ptr,
-                              message->ptr[1].via.bin.size);
+        Status status = Replica_HandleMessage(
+            control->replica, Loop_NowMs(),
+            Peers_Hello(control->peers, peer)->identity,
+            message->ptr[1].via.bin.ptr, message->ptr[1].via.bin.size);
+
+        control->refused_messages += status != ST_OK;
     }
     else if (type == PEER_FLEET) {
         handle_fleet_msg(control, message);
@@ -394,6 +397,8 @@
     JobFleet_Tick(control->fleet, now, wall_ms);
     continue_stop(control, now);
     log_stall(control);
+    JobControl_WatchVoters(control);
+    JobControl_WatchConditions(control, now);
     control->placement_due = true;
 }
 
--- a/src/jobctl_internal.h
+++ b/src/jobctl_internal.h
@@ -18,6 +18,7 @@
 #include "jobreplymsg.h"
 #include "jobsched.h"
 #include "jobstate.h"
+#include "jobwatch.h"
 #include "loop.h"
 #include "looplag.h"
 #include "loopstall.h"
@@ -63,6 +64,18 @@
     Buf answers;
 } JobAgentBatch;
 
+/* The pool with the most waiting work. CPU is in thousandths of a core. */
+typedef struct JobPlacementSample {
+    char pool[JOB_NAME_BYTES];
+    uint32_t pools;       /* pools with waiting tasks */
+    int64_t waiting;      /* CPU needed by its tasks that could start */
+    int64_t free;         /* free CPU of its usable targets */
+    int64_t largest_free; /* that of the one with the most */
+    uint32_t usable;      /* its targets that may get tasks */
+    uint32_t unusable;    /* its other targets */
+    uint32_t runs_on_unusable;
+} JobPlacementSample;
+
 struct JobControl {
     const Settings *settings;
     const JobWire *wire;
@@ -112,6 +125,13 @@
     int64_t idle_since_ms;    /* during a planned stop, time since which
                                * nothing is pending and another node may
                                * lead, or 0 */
+    uint64_t refused_messages;  /* of the log, from peers */
+    RaftMembers logged_members; /* whose voters were logged last */
+    JobWatch watch;
+    uint64_t takeover_reads; /* reads begun to confirm the state */
+    JobPlacementSample placement_sample;
+    uint64_t sampled_starts; /* tasks started until the sample */
+    int64_t next_placement_sample_ms;
     LoopLag tick_lag;
     LoopStall stall;
     int64_t next_node_update_ms; /* earliest time of the next node update */
@@ -152,6 +172,23 @@
  * answered. */
 void JobControl_StopServing(JobControl *control);
 
+/* jobctl_voters.c */
+/* Logs an event of the replica; arg is the JobControl. */
+void JobControl_LogElectionEvent(void *arg, const RaftEvent *event);
+/* Logs the voters if they have changed since the last call. */
+void JobControl_WatchVoters(JobControl *control);
+/* Adds the voters of the current member list to the current log line. */
+void JobControl_LogVoters(const JobControl *control);
+/* Adds what the leader knows of the voters' logs to the current log line. */
+void JobControl_LogVoterLogs(const JobControl *control, int64_t now);
+/* Returns the number of voters that are connected, this node included. */
+size_t JobControl_CountVotersUp(const JobControl *control);
+bool JobControl_IsVoter(const JobControl *control);
+
+/* jobctl_watch.c */
+/* Logs conditions that keep this node from its work. */
+void JobControl_WatchConditions(JobControl *control, int64_t now);
+
 /* jobctl_request.c */
 void JobControl_HandleHttp(void *arg, HttpRequest *http);
 /* Serves the request that an entry VM forwarded: a caller's, or one of an
--- a/src/jobctl_log.c
+++ b/src/jobctl_log.c
@@ -288,6 +288,7 @@
     Slog_AddInt("leader_known", leader != 0);
     Slog_End();
     if (role != RAFT_LEADER || term != control->serving_term) {
+        control->takeover_reads = 0;
         JobControl_StopServing(control);
     }
 }
@@ -315,6 +316,7 @@
     Slog_AddInt("jobs", (int64_t)JobState_JobCount(control->state));
     Slog_AddInt("version",
                 (int64_t)JobState_GetConfig(control->state)->version);
+    Slog_AddInt("reads", (int64_t)control->takeover_reads);
     Slog_End();
 }
 
@@ -344,6 +346,9 @@
 {
     Slog_Begin(SLOG_CHANGE, "log_opened");
     Slog_AddInt("founder", founder);
+    Slog_AddHex("identity", Replica_GetIdentity(control->replica));
+    Slog_AddHex("cluster", Replica_GetCluster(control->replica));
+    Slog_AddInt("voter", JobControl_IsVoter(control));
     Slog_AddInt("last", (int64_t)Replica_GetLastIndex(control->replica));
     Slog_AddInt("applied", (int64_t)Replica_GetAppliedIndex(control->replica));
     Slog_End();
@@ -420,6 +425,7 @@
         control->serving_term == 0 && !control->taking_over &&
         control->stop_begun_ms == 0) {
         control->taking_over = true;
+        control->takeover_reads++;
         JobControl_ConfirmRead(control, on_takeover_read, control);
     }
     start_read(control);
@@ -498,6 +504,7 @@
     options->read_ready = on_read;
     options->restored = on_restored;
     options->role_changed = on_role_changed;
+    options->election_event = JobControl_LogElectionEvent;
 }
 
 Status
--- a/src/jobctl_metrics.c
+++ b/src/jobctl_metrics.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #define METRICS_IDLE_TIMEOUT_S 30
+#define MS_PER_S 1000.0
 #define CPU_UNITS_PER_CORE 1000.0 /* cpu is in thousandths of a core */
 
 static void
@@ -24,6 +25,7 @@
         }
         else {
             values[JOB_METRIC_TARGETS_UNUSABLE]++;
+            values[JOB_METRIC_RUNS_ON_UNUSABLE] += target->run_count;
         }
     }
 }
@@ -62,6 +64,19 @@
     }
     values[JOB_METRIC_VOTERS] =
         (double)RaftMembers_CountVoters(Replica_GetMembers(control->replica));
+    values[JOB_METRIC_VOTERS_UP] = (double)JobControl_CountVotersUp(control);
+    values[JOB_METRIC_IS_VOTER] = JobControl_IsVoter(control);
+    values[JOB_METRIC_LEADER_UNKNOWN_SECONDS] = JobWatch_GetSeconds(
+        &control->watch, JOB_WATCH_LEADER_UNKNOWN, Loop_NowMs());
+    values[JOB_METRIC_TAKEOVER_SECONDS] = JobWatch_GetSeconds(
+        &control->watch, JOB_WATCH_TAKEOVER_PENDING, Loop_NowMs());
+    values[JOB_METRIC_PLACEMENT_IDLE_SECONDS] = JobWatch_GetSeconds(
+        &control->watch, JOB_WATCH_PLACEMENT_IDLE, Loop_NowMs());
+    values[JOB_METRIC_LOG_MESSAGES_REFUSED] =
+        (double)control->refused_messages;
+    values[JOB_METRIC_UNCOMMITTED_SECONDS] =
+        (double)Replica_GetUncommittedAgeMs(control->replica, Loop_NowMs()) /
+        MS_PER_S;
     values[JOB_METRIC_JOBS] = (double)JobState_JobCount(control->state);
     values[JOB_METRIC_LOG_BYTES] =
         (double)Replica_GetMemoryBytes(control->replica);
--- a/src/replica.h
+++ b/src/replica.h
@@ -99,6 +99,9 @@
      * before read_ready of the reads that fail with it. May be NULL. */
     void (*role_changed)(void *arg, RaftRole role, uint64_t term,
                          uint64_t leader);
+    /* Called for each election of this node and each answer to a vote request,
+     * before role_changed. May be NULL. */
+    void (*election_event)(void *arg, const RaftEvent *event);
 } ReplicaOptions;
 
 #define REPLICA_OPTIONS_DEFAULT                                               \
@@ -203,6 +206,13 @@
  * unknown or when this node is not the leader. */
 uint64_t Replica_GetMatchIndex(const Replica *replica, uint64_t identity);
 
+/* As Raft_GetUncommittedAgeMs. */
+int64_t Replica_GetUncommittedAgeMs(const Replica *replica, int64_t now_ms);
+
+/* As Raft_GetContactAgeMs. */
+int64_t Replica_GetContactAgeMs(const Replica *replica, int64_t now_ms,
+                                uint64_t identity);
+
 /* Returns the number of bytes of log and snapshot held in memory. */
 size_t Replica_GetMemoryBytes(const Replica *replica);
 
