End a control VM that cannot open its log

A control VM that could not open its log (full disk, damaged file) logged "Cannot start", but didn't end: no port open, the data folder locked, no vote. Whoever watches the process sees it running, so nothing starts it again, and a second such VM of three leaves the cluster without a majority although the disks have room.

JobControl_Free stopped the thread that syncs the log only if the log had been opened. The thread went on waiting on a condition in freed memory; main then waited for it in pthread_cond_destroy, called by apr_terminate, or the process crashed. JobControl_CloseLog copes with a log that isn't open and is now always called.

--- a/src/jobctl.c
+++ b/src/jobctl.c
@@ -631,9 +631,7 @@
         return;
     }
     HttpClient_Free(control->client);
-    if (control->replica != NULL) {
-        JobControl_CloseLog(control);
-    }
+    JobControl_CloseLog(control);
     JobControl_CloseAgents(control);
     HttpServer_Free(control->server);
     HttpServer_Free(control->metrics_server);
