Test: a leader serves soon after faults of disks

The random histories of test_replica ended a node at a failed sync and started it again, but had no disk that stays full while the node is started again, no stalled sync that overlaps other faults, no power loss of all nodes and no four voters.

--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -28,6 +28,8 @@
     int64_t frozen_until_ms;
     int64_t sync_due_ms; /* end of the asynchronous sync; 0 if there is none */
     bool sync_stalled;   /* the asynchronous sync does not end */
+    int64_t stalled_until_ms;
+    int64_t full_until_ms; /* until then writes to the disk fail */
     /* State of the machine: index of the last command and hash of all
      * commands. */
     uint64_t index;
@@ -77,6 +79,7 @@
     size_t wipes;
     size_t crashes;
     size_t restores;
+    size_t ended; /* nodes whose log failed */
     size_t sent_bytes[MAX_NODES];
 };
 
@@ -288,6 +291,22 @@
     ck_assert_msg(status == ST_OK, "%s: %s", node->name, err.message);
 }
 
+/* Starts a node, or tries again later if its disk is full. */
+static void
+restart_node(Node *node)
+{
+    ErrCtx err = {ST_OK, ""};
+    Status status = open_node(node, false, &err);
+
+    ck_assert_msg(status == ST_OK ||
+                      (status == ST_FULL && node->full_until_ms > 0),
+                  "%s: %s", node->name, err.message);
+    if (status != ST_OK) {
+        node->replica = NULL;
+        node->down_until_ms = node->cluster->time_ms + 500;
+    }
+}
+
 /* Kills the process. The page cache of its disk stays. */
 static void
 kill_node(Node *node, int64_t down_ms)
@@ -553,15 +572,36 @@
     }
 }
 
+/* Lets writes to a full disk fail, and ends faults of the disk that are over.
+ */
+static void
+update_disk(Node *node)
+{
+    int64_t now_ms = node->cluster->time_ms;
+
+    if (node->full_until_ms > now_ms) {
+        MemStorage_FailWrite(node->disk, 0);
+    }
+    else if (node->full_until_ms > 0) {
+        MemStorage_FailWrite(node->disk, -1);
+        node->full_until_ms = 0;
+    }
+    if (node->stalled_until_ms > 0 && node->stalled_until_ms <= now_ms) {
+        node->sync_stalled = false;
+        node->stalled_until_ms = 0;
+    }
+}
+
 static void
 run_node(Node *node)
 {
     Cluster *cluster = node->cluster;
     uint64_t before;
 
+    update_disk(node);
     if (node->replica == NULL) {
         if (node->down_until_ms <= cluster->time_ms) {
-            start_node(node, false);
+            restart_node(node);
         }
         return;
     }
@@ -571,6 +611,7 @@
     before = Replica_GetAppliedIndex(node->replica);
     finish_sync(node);
     if (Replica_Tick(node->replica, cluster->time_ms) != ST_OK) {
+        cluster->ended++;
         kill_or_crash_node(node, Rng_Below(&cluster->rng, 300));
         return;
     }
@@ -1011,6 +1052,134 @@
 }
 END_TEST
 
+static bool
+has_fault(const Cluster *cluster)
+{
+    size_t i;
+
+    for (i = 0; i < cluster->count; i++) {
+        const Node *node = &cluster->nodes[i];
+
+        if (node->replica == NULL || node->full_until_ms > 0 ||
+            node->stalled_until_ms > 0 ||
+            node->frozen_until_ms > cluster->time_ms) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Injects a fault of a disk, a kill or a power loss, often at the leader. */
+static void
+inject_disk_fault(Cluster *cluster)
+{
+    Rng *rng = &cluster->rng;
+    Node *leader = find_leader(cluster);
+    Node *node = &cluster->nodes[Rng_Below(rng, (uint32_t)cluster->count)];
+    int64_t duration_ms = 200 + Rng_Below(rng, 6000);
+    size_t i;
+
+    if (leader != NULL && Rng_Below(rng, 2) == 0) {
+        node = leader;
+    }
+    switch (Rng_Below(rng, 6)) {
+    case 0:
+    case 1:
+        node->full_until_ms = cluster->time_ms + duration_ms;
+        break;
+    case 2:
+        node->sync_stalled = true;
+        node->stalled_until_ms = cluster->time_ms + duration_ms;
+        break;
+    case 3:
+        /* The stalled disk blocks the thread of the replica, too. */
+        node->frozen_until_ms = cluster->time_ms + duration_ms;
+        break;
+    case 4:
+        if (node->replica != NULL) {
+            kill_or_crash_node(node, Rng_Below(rng, 3000));
+        }
+        cluster->wipe_pending = Rng_Below(rng, 2) == 0;
+        break;
+    default:
+        for (i = 0; i < cluster->count; i++) {
+            if (cluster->nodes[i].replica != NULL) {
+                crash_node(&cluster->nodes[i], Rng_Below(rng, 3000));
+            }
+        }
+        break;
+    }
+}
+
+/* Guards against a cluster that has no leader any more after faults of disks,
+ * kills and power losses, although all nodes are back. */
+START_TEST(serves_soon_after_faults_of_disks)
+{
+    const int64_t max_ms = 12000;
+    static int64_t longest_ms;
+    static size_t ended;
+    static size_t wipes;
+    uint64_t seed = (uint64_t)_i + 1;
+    size_t voters = 3 + (size_t)_i % 2;
+    size_t spares = (size_t)_i % 3 == 0;
+    Cluster *cluster =
+        create_cluster(seed, voters + spares, voters, true, true);
+    uint64_t first;
+    int64_t begun_ms;
+    int faults;
+    int i;
+
+    cluster->faults_disabled = true;
+    heal_and_converge(cluster, seed);
+    cluster->proposals_disabled = false;
+    for (faults = 1 + (int)Rng_Below(&cluster->rng, 8); faults > 0; faults--) {
+        inject_disk_fault(cluster);
+        for (i = 20 + (int)Rng_Below(&cluster->rng, 300); i > 0; i--) {
+            run_step(cluster);
+            wipe_disk(cluster);
+        }
+    }
+    cluster->wipe_pending = false;
+    while (has_fault(cluster)) {
+        run_step(cluster);
+    }
+    first = cluster->cookie_count;
+    begun_ms = cluster->time_ms;
+    for (i = 0; i < (int)(max_ms / STEP_MS) &&
+                (cluster->cookie_count == first ||
+                 cluster->outcome[first] != (int)ST_OK);
+         i++) {
+        if (cluster->cookie_count > first && cluster->outcome[first] > 0) {
+            first = cluster->cookie_count;
+        }
+        run_step(cluster);
+    }
+    if (cluster->time_ms - begun_ms >= max_ms) {
+        print_cluster(cluster);
+    }
+    ck_assert_msg(cluster->time_ms - begun_ms < max_ms,
+                  "seed %llu: nothing is acknowledged %lld ms after the last "
+                  "fault",
+                  (unsigned long long)seed, (long long)max_ms);
+    if (cluster->time_ms - begun_ms > longest_ms) {
+        longest_ms = cluster->time_ms - begun_ms;
+    }
+    heal_and_converge(cluster, seed);
+    check_answers(cluster, seed);
+    check_history(cluster);
+    ended += cluster->ended;
+    wipes += cluster->wipes;
+    free_cluster(cluster);
+    if (_i % 400 == 399) {
+        /* The seeds must cause enough faults of each kind. */
+        printf("ended by their disks %zu, wipes %zu, longest %lld ms\n", ended,
+               wipes, (long long)longest_ms);
+        ck_assert_uint_gt(ended, 400);
+        ck_assert_uint_gt(wipes, 50);
+    }
+}
+END_TEST
+
 /* Guards against a snapshot of several chunks that never arrives, and against
  * a leader that stops serving while it sends one. */
 START_TEST(large_snapshot_reaches_a_new_node)
@@ -1173,5 +1342,8 @@
     tcase_add_test(tcase, idle_traffic_is_bounded);
     tcase_add_loop_test(tcase, survives_faults, 0, 700);
     suite_add_tcase(suite, tcase);
+    tcase = tcase_create("disks");
+    tcase_add_loop_test(tcase, serves_soon_after_faults_of_disks, 0, 400);
+    suite_add_tcase(suite, tcase);
     return suite;
 }
