End an entry VM whose log has failed

An entry VM with a log that met a full disk or a failed write stayed up for good: it answered reads with the version at which it had stopped, so that patches sent on the basis of that version were refused as conflicts, acknowledged no close of a VM, and had no vote long after the disk had room again. A second such VM of three left the cluster without a leader. Commit ended the control VMs of the job service in this case; run_member is another path to the same replica, on which nothing asked Replica_GetFailure.

A failure of the log now begins a planned stop: the VM is not ready, requests in flight are finished within shutdown_grace_ms, and the process ends with status 1. Started again it truncates a torn record and catches up, or ends again while the disk is full.

--- a/src/coltsfootd.c
+++ b/src/coltsfootd.c
@@ -24,14 +24,15 @@
 {
     ErrCtx err = {0};
     Control *control;
+    Status status;
 
     if (Control_New(settings, &control, &err) != ST_OK) {
         Diag_Log(DIAG_ERROR, "main", "Cannot start: %s.", err.message);
         return EXIT_FAILURE;
     }
-    Control_Run(control);
+    status = Control_Run(control);
     Control_Free(control);
-    return EXIT_SUCCESS;
+    return status == ST_OK ? EXIT_SUCCESS : EXIT_FAILURE;
 }
 
 /* Runs a node of the job service. */
--- a/src/control.c
+++ b/src/control.c
@@ -285,6 +285,34 @@
     }
 }
 
+static void
+on_stop(void *arg)
+{
+    Control *control = arg;
+
+    if (control->stop_start_ms != 0) {
+        return;
+    }
+    control->stop_start_ms = Loop_NowMs();
+    Diag_Log(DIAG_NOTICE, CONTROL_LOG_PREFIX, "Planned stop started.");
+    update_ready(control);
+    Gateway_BeginShutdown(control->gateway);
+}
+
+/* Stops a node whose log has failed, since its state never changes again. */
+static void
+stop_after_log_failure(Control *control)
+{
+    const char *reason;
+
+    if (control->stop_start_ms == 0 &&
+        Replica_GetFailure(control->replica, &reason) != ST_OK) {
+        Diag_Log(DIAG_ERROR, CONTROL_LOG_PREFIX, "The log has failed: %s.",
+                 reason);
+        on_stop(control);
+    }
+}
+
 static void
 on_tick(void *arg)
 {
@@ -293,6 +321,7 @@
 
     if (control->replica != NULL) {
         Replica_Tick(control->replica, now);
+        stop_after_log_failure(control);
     }
     if (control->feed != NULL) {
         Feed_Tick(control->feed, now);
@@ -323,20 +352,6 @@
 
 /* --- lifecycle --- */
 
-static void
-on_stop(void *arg)
-{
-    Control *control = arg;
-
-    if (control->stop_start_ms != 0) {
-        return;
-    }
-    control->stop_start_ms = Loop_NowMs();
-    Diag_Log(DIAG_NOTICE, CONTROL_LOG_PREFIX, "Planned stop started.");
-    update_ready(control);
-    Gateway_BeginShutdown(control->gateway);
-}
-
 static Status
 open_gateway(Control *control, uint64_t seed, ErrCtx *err)
 {
@@ -451,10 +466,13 @@
     return ST_OK;
 }
 
-void
+Status
 Control_Run(Control *control)
 {
     Loop_Run(control->loop);
+    return control->replica != NULL
+               ? Replica_GetFailure(control->replica, NULL)
+               : ST_OK;
 }
 
 void
--- a/src/control.h
+++ b/src/control.h
@@ -19,8 +19,11 @@
  * and SIGINT begin a planned stop. The settings must outlive the control. */
 Status Control_New(const Settings *settings, Control **control, ErrCtx *err);
 
-/* Runs the event loop until a planned stop is complete. */
-void Control_Run(Control *control);
+/* Runs the event loop until a planned stop is complete, which a failure of the
+ * log begins, too. Returns ST_OK, or the error of the log, after which the
+ * process should be started again: recovery repairs the files once the disk
+ * can be written to. */
+Status Control_Run(Control *control);
 
 void Control_Free(Control *control);
 
