End an entry VM whose record log has failed

An entry VM whose log of unrepeatable requests met a full disk or a failed write logged "no more records are written" and stayed up. From then on each record had only the copy in the memory of one peer, long after the disk had room again; with that peer's end the answer to a resent request was lost. OnceLog_Append's callers fall back to the peer, and nothing else looked at the failure.

proc_record_log_failure limits the size of the files of one entry VM to 128 KiB under 300 unrepeatable requests a second: the record log fails, the log of the configuration doesn't, and the process must end with status 1 and return.

--- a/src/control.c
+++ b/src/control.c
@@ -299,16 +299,26 @@
     Gateway_BeginShutdown(control->gateway);
 }
 
-/* Stops a node whose log has failed, since its state never changes again. */
+/* Returns ST_OK, or the error of the first log that has failed. */
+static Status
+get_log_failure(const Control *control)
+{
+    Status status = control->replica != NULL
+                        ? Replica_GetFailure(control->replica, NULL)
+                        : ST_OK;
+
+    return status == ST_OK && control->once_log != NULL
+               ? OnceLog_GetFailure(control->once_log)
+               : status;
+}
+
+/* Stops a node of which a log has failed, since it stays so until the next
+ * start. */
 static void
 stop_after_log_failure(Control *control)
 {
-    const char *reason;
-
-    if (control->stop_start_ms == 0 &&
-        Replica_GetFailure(control->replica, &reason) != ST_OK) {
-        Diag_Log(DIAG_ERROR, CONTROL_LOG_PREFIX, "The log has failed: %s.",
-                 reason);
+    if (control->stop_start_ms == 0 && get_log_failure(control) != ST_OK) {
+        Diag_Log(DIAG_ERROR, CONTROL_LOG_PREFIX, "A log has failed.");
         on_stop(control);
     }
 }
@@ -321,8 +331,8 @@
 
     if (control->replica != NULL) {
         Replica_Tick(control->replica, now);
-        stop_after_log_failure(control);
     }
+    stop_after_log_failure(control);
     if (control->feed != NULL) {
         Feed_Tick(control->feed, now);
     }
@@ -470,9 +480,7 @@
 Control_Run(Control *control)
 {
     Loop_Run(control->loop);
-    return control->replica != NULL
-               ? Replica_GetFailure(control->replica, NULL)
-               : ST_OK;
+    return get_log_failure(control);
 }
 
 void
--- a/src/oncelog.c
+++ b/src/oncelog.c
@@ -321,6 +321,17 @@
     return ST_OK;
 }
 
+Status
+OnceLog_GetFailure(OnceLog *log)
+{
+    bool failed;
+
+    apr_thread_mutex_lock(log->mutex);
+    failed = log->failed;
+    apr_thread_mutex_unlock(log->mutex);
+    return failed ? ST_IO : ST_OK;
+}
+
 void
 OnceLog_Free(OnceLog *log)
 {
--- a/src/oncelog.h
+++ b/src/oncelog.h
@@ -49,6 +49,10 @@
 Status OnceLog_Append(OnceLog *log, uint64_t cookie, const char *record,
                       size_t len);
 
+/* Returns ST_OK, or ST_IO after a failed append or sync. May be called from
+ * any thread. */
+Status OnceLog_GetFailure(OnceLog *log);
+
 /* Writes and syncs the queued records, stops the thread and closes the
  * storage. */
 void OnceLog_Free(OnceLog *log);
