--- a/src/control.c
+++ b/src/control.c
@@ -285,6 +285,44 @@
     }
 }
 
+static void
+on_stop(void *arg)
+{
+    Control *control = arg;
+
+    if (control->stop_start_ms != 0) {
+        return;
+    }
+    control->stop_start_ms = Loop_NowMs();
+    Diag_Log(DIAG_NOTICE, CONTROL_LOG_PREFIX, "Planned stop started.");
+    update_ready(control);
+    Gateway_BeginShutdown(control->gateway);
+}
+
+/* Returns ST_OK, or the error of the first log that has failed. */
+static Status
+get_log_failure(const Control *control)
+{
+    Status status = control->replica != NULL
+                        ? Replica_GetFailure(control->replica, NULL)
+                        : ST_OK;
+
+    return status == ST_OK && control->once_log != NULL
+               ? OnceLog_GetFailure(control->once_log)
+               : status;
+}
+
+/* Stops a node of which a log has failed, since it stays so until the next
+ * start. */
+static void
+stop_after_log_failure(Control *control)
+{
+    if (control->stop_start_ms == 0 && get_log_failure(control) != ST_OK) {
+        Diag_Log(DIAG_ERROR, CONTROL_LOG_PREFIX, "A log has failed.");
+        on_stop(control);
+    }
+}
+
 static void
 on_tick(void *arg)
 {
@@ -294,6 +332,7 @@
     if (control->replica != NULL) {
         Replica_Tick(control->replica, now);
     }
+    stop_after_log_failure(control);
     if (control->feed != NULL) {
         Feed_Tick(control->feed, now);
     }
@@ -323,20 +362,6 @@
 
 /* --- lifecycle --- */
 
-static void
-on_stop(void *arg)
-{
-    Control *control = arg;
-
-    if (control->stop_start_ms != 0) {
-        return;
-    }
-    control->stop_start_ms = Loop_NowMs();
-    Diag_Log(DIAG_NOTICE, CONTROL_LOG_PREFIX, "Planned stop started.");
-    update_ready(control);
-    Gateway_BeginShutdown(control->gateway);
-}
-
 static Status
 open_gateway(Control *control, uint64_t seed, ErrCtx *err)
 {
@@ -451,10 +476,11 @@
     return ST_OK;
 }
 
-void
+Status
 Control_Run(Control *control)
 {
     Loop_Run(control->loop);
+    return get_log_failure(control);
 }
 
 void
