Job simulation: tasks that crash the targets that start them

No test covered it: in the simulation, targets crashed only without any task's fault.

The simulation gets deadly tasks, single ones or whole steps, of jobs that end and of jobs that last, which crash their target 5 to 50 ms or up to 3 s after the start; crashes that last longer than a lease; and crashes of whole pools or half pools, one or in series. The oracle reports the third start of a deadly task by the current leader after the task has crashed three targets, a job that is shown as failed without cause, and a job with a deadly task that doesn't end. A cause is MAX_ATTEMPTS listed failed ends of one task, or a deadly task of the job under which two targets have crashed. Starts that the network delayed or an earlier leader sent aren't counted.

--- a/tests/support_jobsim.c
+++ b/tests/support_jobsim.c
@@ -19,6 +19,12 @@
 #define CALL_TIMEOUT_MS 1000
 #define MAX_RUNS 64
 #define MAX_ATTEMPTS 3
+/* A deadly task may be started MAX_STARTS_AFTER_CRASHES times after it has
+ * crashed CRASHES_BEFORE_BUDGET targets. Its job may be failed after
+ * MIN_CRASHES_TO_FAIL crashes. */
+#define CRASHES_BEFORE_BUDGET 3
+#define MAX_STARTS_AFTER_CRASHES 2
+#define MIN_CRASHES_TO_FAIL 2
 
 typedef enum EventKind {
     EV_COMMIT,
@@ -33,6 +39,9 @@
     EV_PARTITION,
     EV_HEAL,
     EV_CRASH,
+    EV_DEADLY_CRASH, /* a deadly run crashes its target */
+    EV_POOL_CRASH,
+    EV_POOL_TARGET_CRASH,
     EV_RESTART,
     EV_LEADER_CHANGE,
     EV_HOLD_TIMEOUT
@@ -68,6 +77,7 @@
     int64_t *ended_ms; /* simulated time of each end */
     size_t end_count;
     uint64_t acked; /* number of acknowledged ends */
+    size_t listed;  /* number of ends that were listed in an answer */
     StaleAttempt *stale_attempts;
     size_t stale_attempt_count;
     JobAction pending_hold; /* hold that waits for an end */
@@ -82,16 +92,32 @@
     bool done;
     bool done_acked; /* the end was acknowledged before the lease expired */
     uint32_t failures_acked;
+    uint32_t failures_listed;
+    uint32_t crashes;        /* of targets that ran the task */
+    uint32_t crashes_caused; /* by the task */
+    uint32_t starts;
+    uint32_t starts_after_crashes; /* see CRASHES_BEFORE_BUDGET */
 } TaskRecord;
 
+typedef struct JobRecord {
+    const Job *job;
+    bool ended;
+    bool deadly;
+    bool late_crash;
+    uint32_t deadly_step;
+    uint32_t deadly_index; /* UINT32_MAX: all tasks of the step */
+} JobRecord;
+
 typedef struct Event {
     int64_t at_ms;
     uint64_t sequence; /* order of events at the same time */
     EventKind kind;
     uint32_t target_index;
     uint64_t incarnation;
-    uint64_t id; /* run or hold; for EV_DELIVER: 1 if the answer arrives */
+    uint64_t id; /* run or hold; for EV_DELIVER: 1 if the answer arrives; for
+                    EV_POOL_CRASH: number of crashes left */
     uint64_t sender_term; /* term of the leader that sent the action */
+    bool late;            /* EV_DELIVER: delayed by the network */
     JobAction action;
     JobCallAnswer answer;
     JobRunning *running;
@@ -115,6 +141,9 @@
     uint64_t next_id;
     uint64_t next_job;
     StrMap *task_records;
+    JobRecord *job_records; /* by job number */
+    uint64_t job_record_capacity;
+    uint64_t first_open_job; /* jobs with a lower number have ended */
     JobSimReport *report;
     int64_t total_ms;
     int64_t last_commit_ms; /* commits take effect in proposal order */
@@ -257,6 +286,103 @@
     return record;
 }
 
+static JobRecord *
+get_job_record(const JobSim *sim, const char *id)
+{
+    uint64_t number = strtoull(id, NULL, 16);
+
+    return number < sim->next_job ? &sim->job_records[number] : NULL;
+}
+
+static bool
+is_deadly_task(const JobSim *sim, const JobTaskRef *task)
+{
+    const JobRecord *record = get_job_record(sim, task->job);
+
+    return record != NULL && record->deadly &&
+           record->deadly_step == task->step &&
+           (record->deadly_index == UINT32_MAX ||
+            record->deadly_index == task->index);
+}
+
+/* Checks a start of a deadly task. Starts that the network delayed and those
+ * sent by an earlier leader are not held against the current leader. */
+static void
+check_deadly_start(JobSim *sim, const JobTaskRef *task, bool counted)
+{
+    TaskRecord *record = get_task_record(sim, task);
+
+    record->starts++;
+    if (record->starts > sim->report->max_deadly_starts) {
+        sim->report->max_deadly_starts = record->starts;
+    }
+    if (!counted || record->crashes_caused < CRASHES_BEFORE_BUDGET) {
+        return;
+    }
+    record->starts_after_crashes++;
+    if (record->starts_after_crashes > MAX_STARTS_AFTER_CRASHES) {
+        report_violation(
+            sim, "%s: start %u after it crashed %u targets, start %u in all",
+            record->key, record->starts_after_crashes, record->crashes_caused,
+            record->starts);
+    }
+}
+
+/* Returns whether a task explains why its job was shown as failed. */
+static bool
+is_cause_of_failure(JobSim *sim, const JobTaskRef *task, bool lasting)
+{
+    const TaskRecord *record = get_task_record(sim, task);
+
+    return (!lasting && record->failures_listed >= MAX_ATTEMPTS) ||
+           (is_deadly_task(sim, task) &&
+            record->crashes >= MIN_CRASHES_TO_FAIL);
+}
+
+static void
+check_ended_job(JobSim *sim, const JobRecord *record)
+{
+    const Job *job = record->job;
+    JobTaskRef task = {{0}, 0, 0, 0};
+    bool explained = false;
+
+    snprintf(task.job, sizeof(task.job), "%s", job->id);
+    for (task.step = 0; task.step < job->spec.step_count; task.step++) {
+        const JobStep *step = &job->spec.steps[task.step];
+        for (task.index = 0; task.index < step->count; task.index++) {
+            explained |= is_cause_of_failure(sim, &task, step->lasting);
+        }
+    }
+    if (job->phase == JOB_FAILED && !explained) {
+        report_violation(sim, "job %s is shown as failed without cause%s",
+                         job->id, record->deadly ? ", deadly" : "");
+    }
+    if (job->phase == JOB_COMPLETED && record->deadly) {
+        report_violation(sim,
+                         "job %s is shown as completed, but its deadly task "
+                         "never ends",
+                         job->id);
+    }
+}
+
+/* Checks the jobs that have ended since the last call. */
+static void
+check_ended_jobs(JobSim *sim)
+{
+    uint64_t number;
+
+    for (number = sim->first_open_job; number < sim->next_job; number++) {
+        JobRecord *record = &sim->job_records[number];
+        if (!record->ended && record->job->phase >= JOB_COMPLETED) {
+            check_ended_job(sim, record);
+            record->ended = true;
+        }
+        if (record->ended && number == sim->first_open_job) {
+            sim->first_open_job++;
+        }
+    }
+}
+
 static void
 check_start(JobSim *sim, const SimTarget *target, const JobTaskRef *task)
 {
@@ -437,7 +563,8 @@
 }
 
 static JobCallOutcome
-start_run(JobSim *sim, uint32_t target_index, const JobAction *call)
+start_run(JobSim *sim, uint32_t target_index, const JobAction *call,
+          bool counted)
 {
     SimTarget *target = &sim->targets[target_index];
     const Job *job = JobState_FindJob(sim->state, call->task.job);
@@ -470,9 +597,18 @@
     *run =
         (Run){call->task, call->attempt, sim->next_id++, step->lasting, false};
     get_task_record(sim, &call->task)->running++;
-    if (!step->lasting) {
+    event = NULL;
+    if (is_deadly_task(sim, &call->task)) {
+        bool late = get_job_record(sim, call->task.job)->late_crash;
+        check_deadly_start(sim, &call->task, counted);
+        event = schedule_event(sim, draw_between(sim, 5, late ? 3000 : 50),
+                               EV_DEADLY_CRASH);
+    }
+    else if (!step->lasting) {
         event =
             schedule_event(sim, draw_between(sim, 200, 1500), EV_RUN_FINISHED);
+    }
+    if (event != NULL) {
         event->target_index = target_index;
         event->incarnation = target->incarnation;
         event->id = run->id;
@@ -552,6 +688,11 @@
     event->answer.running_count = target->run_count;
     event->answer.ends = event->ends;
     event->answer.end_count = target->end_count - first_unacked;
+    for (; target->listed < target->end_count; target->listed++) {
+        const JobEnd *end = &target->ends[target->listed];
+        get_task_record(sim, &end->task)->failures_listed +=
+            end->kind == JOB_END_FAILED;
+    }
 }
 
 static void
@@ -618,12 +759,15 @@
     event->id = target->hold_id;
 }
 
-/* Delivers a call to a target. Its answer reaches the caller only if
- * answer_arrives is set. */
+/* Delivers the call of an event to its target. The answer reaches the caller
+ * only if event->id is set. */
 static void
-deliver_call(JobSim *sim, uint32_t target_index, const JobAction *call,
-             uint64_t term, bool answer_arrives)
+deliver_call(JobSim *sim, const Event *event)
 {
+    uint32_t target_index = event->target_index;
+    const JobAction *call = &event->action;
+    uint64_t term = event->sender_term;
+    bool answer_arrives = event->id != 0;
     SimTarget *target = &sim->targets[target_index];
     JobCallAnswer answer = {.outcome = JOB_CALL_OK};
 
@@ -643,7 +787,8 @@
         target->fence = call->fence;
         end_expired_runs(sim, target_index);
         if (call->kind == JOB_ACTION_START) {
-            answer.outcome = start_run(sim, target_index, call);
+            answer.outcome = start_run(sim, target_index, call,
+                                       !event->late && term == sim->term);
         }
         else if (call->kind == JOB_ACTION_STOP) {
             stop_run(sim, target_index, call);
@@ -711,6 +856,7 @@
     event->incarnation = target->incarnation;
     event->action = *call;
     event->id = answer_arrives;
+    event->late = delay_ms > NETWORK_DELAY_MS;
 }
 
 static void
@@ -776,6 +922,7 @@
         }
         next->sender_term = 0; /* commit_proposal ignores it */
     }
+    check_ended_jobs(sim);
     sim->term++;
     JobSched_Lead(sim->sched, sim->now, sim->term);
 }
@@ -793,21 +940,91 @@
 }
 
 static void
-crash_target(JobSim *sim, uint32_t target_index)
+crash_target(JobSim *sim, uint32_t target_index, int64_t min_outage_ms,
+             int64_t max_outage_ms)
 {
     SimTarget *target = &sim->targets[target_index];
     Event *event;
 
+    if (sim->options.long_outage_share > 0 &&
+        draw_bool(sim, sim->options.long_outage_share)) {
+        min_outage_ms = 5000;
+        max_outage_ms = 8000;
+    }
     while (target->run_count > 0) {
-        get_task_record(sim, &target->runs[0].task)->running--;
+        TaskRecord *record = get_task_record(sim, &target->runs[0].task);
+        record->running--;
+        record->crashes++;
         target->runs[0] = target->runs[--target->run_count];
     }
     target->up = false;
     answer_hold(sim, target_index);
-    event = schedule_event(sim, draw_between(sim, 300, 4000), EV_RESTART);
+    event = schedule_event(
+        sim, draw_between(sim, min_outage_ms, max_outage_ms), EV_RESTART);
     event->target_index = target_index;
 }
 
+/* Crashes a target if its deadly run has not ended yet. */
+static void
+crash_by_deadly_run(JobSim *sim, const Event *event)
+{
+    SimTarget *target = &sim->targets[event->target_index];
+    const Run *run = NULL;
+    uint32_t innocent = 0;
+    size_t i;
+
+    if (!target->up || target->incarnation != event->incarnation) {
+        return;
+    }
+    end_expired_runs(sim, event->target_index);
+    for (i = 0; i < target->run_count; i++) {
+        if (target->runs[i].id == event->id) {
+            run = &target->runs[i];
+        }
+        innocent += !is_deadly_task(sim, &target->runs[i].task);
+    }
+    if (run != NULL) {
+        get_task_record(sim, &run->task)->crashes_caused++;
+        sim->report->deadly_crashes++;
+        sim->report->innocent_runs_lost += innocent;
+        crash_target(sim, event->target_index, 2000, 5000);
+    }
+}
+
+/* Crashes a whole pool or the first half of it. */
+static void
+crash_pool(JobSim *sim, const Event *event)
+{
+    uint32_t count = sim->options.targets_per_pool;
+    uint32_t pool = Rng_Below(&sim->rng, sim->options.pools);
+    uint32_t first = event->id > 0 ? event->target_index : pool * count;
+    uint64_t crashes_left = event->id;
+    uint32_t i;
+
+    if (!is_active_phase(sim)) {
+        return;
+    }
+    if (event->id == 0) {
+        crashes_left =
+            draw_bool(sim, 0.5) ? (uint64_t)draw_between(sim, 3, 5) : 1;
+        schedule_random_event(sim, EV_POOL_CRASH,
+                              sim->options.pool_crashes_per_s);
+    }
+    if (draw_bool(sim, 0.5)) {
+        count = (count + 1) / 2;
+    }
+    for (i = first; i < first + count; i++) {
+        schedule_event(sim, draw_between(sim, 0, 100), EV_POOL_TARGET_CRASH)
+            ->target_index = i;
+    }
+    if (crashes_left > 1) {
+        Event *next =
+            schedule_event(sim, draw_between(sim, 2000, 6000), EV_POOL_CRASH);
+        next->target_index = first;
+        next->id = crashes_left - 1;
+    }
+}
+
 static void
 restart_target(JobSim *sim, uint32_t target_index)
 {
@@ -826,6 +1043,7 @@
     target->end_count = 0;
     target->stale_attempt_count = 0;
     target->acked = 0;
+    target->listed = 0;
     target->fence = 0;
     target->deadline_ms = 0;
     target->start_ms = sim->now;
@@ -861,23 +1079,66 @@
     }
 }
 
+static JobRecord *
+add_job_record(JobSim *sim)
+{
+    uint64_t number = sim->next_job++;
+
+    if (sim->next_job > sim->job_record_capacity) {
+        sim->job_record_capacity = sim->next_job * 2;
+        sim->job_records =
+            realloc(sim->job_records,
+                    sim->job_record_capacity * sizeof(*sim->job_records));
+        if (sim->job_records == NULL) {
+            abort();
+        }
+    }
+    sim->job_records[number] = (JobRecord){0};
+    return &sim->job_records[number];
+}
+
+static void
+choose_deadly_task(JobSim *sim, const JobSpec *spec, bool lasting,
+                   JobRecord *record)
+{
+    double share = lasting ? sim->options.deadly_lasting_share
+                           : sim->options.deadly_job_share;
+
+    if (share <= 0 || !draw_bool(sim, share)) {
+        return;
+    }
+    record->deadly = true;
+    record->deadly_step = Rng_Below(&sim->rng, spec->step_count);
+    record->deadly_index =
+        Rng_Below(&sim->rng, spec->steps[record->deadly_step].count);
+    if (draw_bool(sim, sim->options.deadly_step_share)) {
+        record->deadly_index = UINT32_MAX;
+    }
+    record->late_crash = draw_bool(sim, sim->options.late_crash_share);
+    sim->report->deadly_jobs++;
+}
+
 static void
 submit_job(JobSim *sim, uint32_t pool, bool lasting)
 {
     char id[JOB_ID_BYTES];
     char queue[JOB_NAME_BYTES];
+    JobRecord *record;
     JobSpec spec;
     Buf command = BUF_INIT;
     Buf result = BUF_INIT;
 
-    snprintf(id, sizeof(id), "%016llx", (unsigned long long)sim->next_job++);
+    snprintf(id, sizeof(id), "%016llx", (unsigned long long)sim->next_job);
     snprintf(queue, sizeof(queue), "q%u", pool);
     generate_spec(sim, &spec, lasting);
+    record = add_job_record(sim);
+    choose_deadly_task(sim, &spec, lasting, record);
     JobCmd_EncodeSubmit(&command, id, queue, sim->now, &spec);
     JobSpec_Free(&spec);
     JobState_Apply(sim->state, command.data, command.len, &result);
     Buf_Free(&command);
     Buf_Free(&result);
+    record->job = JobState_FindJob(sim->state, id);
     sim->report->jobs++;
     if (!lasting && draw_bool(sim, sim->options.cancel_share)) {
         Event *event =
@@ -1019,6 +1280,7 @@
                    event->action.command.len, &result);
     Buf_Free(&result);
     JobSched_HandleProposal(sim->sched, sim->now, event->action.cookie, ST_OK);
+    check_ended_jobs(sim);
 }
 
 static void
@@ -1041,7 +1303,7 @@
     }
     else if (event->kind == EV_CRASH) {
         if (target->up) {
-            crash_target(sim, target_index);
+            crash_target(sim, target_index, 300, 4000);
         }
         schedule_random_event(sim, EV_CRASH, options->crashes_per_s);
     }
@@ -1064,8 +1326,7 @@
     case EV_DELIVER:
         /* A delayed call is lost when the target restarts. */
         if (event->incarnation == target->incarnation) {
-            deliver_call(sim, event->target_index, &event->action,
-                         event->sender_term, event->id != 0);
+            deliver_call(sim, event);
         }
         else if (event->id != 0) {
             schedule_call_timeout(sim, event->target_index, &event->action,
@@ -1114,6 +1375,17 @@
             answer_hold(sim, event->target_index);
         }
         break;
+    case EV_DEADLY_CRASH:
+        crash_by_deadly_run(sim, event);
+        break;
+    case EV_POOL_CRASH:
+        crash_pool(sim, event);
+        break;
+    case EV_POOL_TARGET_CRASH:
+        if (target->up) {
+            crash_target(sim, event->target_index, 300, 4000);
+        }
+        break;
     case EV_PARTITION:
     case EV_CRASH:
     case EV_LEADER_CHANGE:
@@ -1143,6 +1415,7 @@
     uint64_t completed = 0;
     int64_t total_ms = 0;
 
+    check_ended_jobs(sim);
     for (job_number = 1; job_number < sim->next_job; job_number++) {
         char id[JOB_ID_BYTES];
         const Job *job;
@@ -1152,7 +1425,12 @@
             continue;
         }
         if (job->spec.steps[0].lasting) {
-            count_lasting_tasks(sim, job);
+            if (sim->job_records[job_number].deadly) {
+                report->unfinished += job->phase < JOB_COMPLETED;
+            }
+            else {
+                count_lasting_tasks(sim, job);
+            }
             continue;
         }
         report->completed += job->phase == JOB_COMPLETED;
@@ -1194,6 +1472,7 @@
         free(sim->targets[i].stale_attempts);
     }
     free(sim->targets);
+    free(sim->job_records);
     for (j = 0; j < StrMap_Count(sim->task_records); j++) {
         free(StrMap_At(sim->task_records, j));
     }
@@ -1210,6 +1489,7 @@
                   .term = 1,
                   .next_id = 1,
                   .next_job = 1,
+                  .first_open_job = 1,
                   .report = report};
     uint32_t i;
 
@@ -1233,6 +1513,7 @@
     schedule_random_event(&sim, EV_CRASH, options->crashes_per_s);
     schedule_random_event(&sim, EV_LEADER_CHANGE,
                           options->leader_changes_per_s);
+    schedule_random_event(&sim, EV_POOL_CRASH, options->pool_crashes_per_s);
     while (sim.heap_count > 0 &&
            sim.heap[0]->at_ms < options->active_ms + options->settle_ms &&
            report->violation[0] == '\0') {
--- a/tests/support_jobsim.h
+++ b/tests/support_jobsim.h
@@ -7,8 +7,10 @@
  *     against simulated targets and a simulated log. The targets have slow
  *     clocks, leases, fencing tokens and lists of ends. Calls are lost or
  *     delayed, targets are partitioned, crash and restart under the same id,
- *     and the leader changes while proposals are in flight. An oracle checks
- *     every start that takes effect. The same seed gives the same run.
+ *     and the leader changes while proposals are in flight. Deadly tasks crash
+ *     each target that starts them. An oracle checks every start that takes
+ *     effect and every job that ends as failed. The same seed gives the same
+ *     run.
  */
 #ifndef COLTSFOOT_SUPPORT_JOBSIM_H
 #define COLTSFOOT_SUPPORT_JOBSIM_H
@@ -43,6 +45,20 @@
     double leader_changes_per_s;
     double cancel_share;     /* share of jobs that are cancelled */
     double failed_run_share; /* share of runs that end with JOB_END_FAILED */
+    /* share of jobs with a deadly task, which crashes its target 5 to 50 ms
+     * after each start, for 2 to 5 s */
+    double deadly_job_share;
+    double deadly_lasting_share; /* the same share of lasting jobs */
+    double deadly_step_share;    /* share of these jobs in which all tasks of a
+                                    step are deadly */
+    double late_crash_share;  /* share of these jobs whose tasks crash a target
+                                 up to 3 s after the start */
+    double long_outage_share; /* share of crashes that last 5 to 8 s, longer
+                                 than any lease */
+    double pool_crashes_per_s; /* rate at which all targets of a pool, or half
+                                  of them, crash within 100 ms; every second
+                                  time again, 3 to 5 times in all, 2 to 6 s
+                                  apart */
 } JobSimOptions;
 
 #define JOBSIM_OPTIONS_DEFAULT                                                \
@@ -57,12 +73,18 @@
     uint64_t completed;
     uint64_t failed;
     uint64_t cancelled;
-    uint64_t unfinished; /* jobs that had not ended when time was up */
+    uint64_t unfinished; /* jobs that had not ended when time was up, and
+                            lasting jobs with a deadly task */
     uint64_t starts;
     uint64_t holds;
     uint64_t lasting_not_running; /* lasting tasks not running at the end */
     uint64_t on_time;           /* completed jobs, see JOBSIM_ON_TIME_FACTOR */
-    int64_t mean_completion_ms; /* mean time from submission to completion */
+    int64_t mean_completion_ms; /* mean time from submission to completion;
+                                   no job with a deadly task completes */
+    uint64_t deadly_jobs;
+    uint64_t deadly_crashes;     /* crashes caused by deadly tasks */
+    uint32_t max_deadly_starts;  /* most starts of one deadly task */
+    uint64_t innocent_runs_lost; /* other runs that these crashes ended */
     char violation[256]; /* first violation found by the oracle, or empty */
 } JobSimReport;
 
