--- a/tests/support_jobsim.c
+++ b/tests/support_jobsim.c
@@ -131,6 +131,7 @@
     int64_t now; /* simulated time in ms */
     uint64_t term;
     JobState *state;
+    JobSchedOptions sched_options;
     JobSched *sched;
     SimTarget *targets;
     uint32_t target_count;
@@ -890,6 +891,31 @@
     perform_actions(sim);
 }
 
+/* Replaces the scheduler and its state by those of a node that has received a
+ * snapshot. */
+static void
+restore_state(JobSim *sim)
+{
+    JobState *state = JobState_New();
+    Buf snapshot = BUF_INIT;
+    ErrCtx err;
+    uint64_t number;
+
+    JobState_Snapshot(sim->state, &snapshot);
+    if (JobState_Restore(state, snapshot.data, snapshot.len, &err) != ST_OK) {
+        report_violation(sim, "a snapshot cannot be restored");
+    }
+    Buf_Free(&snapshot);
+    JobSched_Free(sim->sched);
+    for (number = 1; number < sim->next_job; number++) {
+        JobRecord *record = &sim->job_records[number];
+        record->job = JobState_FindJob(state, record->job->id);
+    }
+    JobState_Free(sim->state);
+    sim->state = state;
+    sim->sched = JobSched_New(&sim->sched_options, state);
+}
+
 /* Starts a new term. Of the proposals in flight, those before a random point
  * are committed and the others are lost. */
 static void
@@ -923,6 +949,10 @@
         next->sender_term = 0; /* commit_proposal ignores it */
     }
     check_ended_jobs(sim);
+    if (sim->options.restored_leader_share > 0 &&
+        draw_bool(sim, sim->options.restored_leader_share)) {
+        restore_state(sim);
+    }
     sim->term++;
     JobSched_Lead(sim->sched, sim->now, sim->term);
 }
@@ -1484,7 +1514,7 @@
 void
 JobSim_Run(const JobSimOptions *options, JobSimReport *report)
 {
-    JobSchedOptions sched = JOBSCHED_OPTIONS_DEFAULT;
+    const JobSchedOptions sched = JOBSCHED_OPTIONS_DEFAULT;
     JobSim sim = {.options = *options,
                   .term = 1,
                   .next_id = 1,
@@ -1494,11 +1524,12 @@
     uint32_t i;
 
     memset(report, 0, sizeof(*report));
-    sched.stop_ms = MAX_STOP_MS;
-    sched.status_retention_ms = INT32_MAX;
+    sim.sched_options = sched;
+    sim.sched_options.stop_ms = MAX_STOP_MS;
+    sim.sched_options.status_retention_ms = INT32_MAX;
     Rng_Seed(&sim.rng, options->seed);
     sim.state = JobState_New();
-    sim.sched = JobSched_New(&sched, sim.state);
+    sim.sched = JobSched_New(&sim.sched_options, sim.state);
     sim.task_records = StrMap_New();
     sim.now = 1;
     configure_pools(&sim);
