--- a/tests/support_jobsim.h
+++ b/tests/support_jobsim.h
@@ -46,6 +46,7 @@
     double restored_leader_share; /* share of leader changes to a node that
                                      restored its state from a snapshot */
     double cancel_share;          /* share of jobs that are cancelled */
+    double gang_share;            /* share of steps whose tasks are a gang */
     double failed_run_share; /* share of runs that end with JOB_END_FAILED */
     /* share of jobs with a deadly task, which crashes its target 5 to 50 ms
      * after each start, for 2 to 5 s */
