Log crashes of targets and the runs that they end

A target that restarted, or whose VM or address had a later one, left target_gone or target_reborn with a number of runs; which tasks were on it, and for how long, could not be told, so a task that crashes each target that starts it looked like targets that crash by themselves.

target_crashed gives the span in which a target ended, run_crashed each run that it ended; coltsfoot_targets_crashed_total counts them. A target that has announced that it leaves, or whose VM was ordered to move, has not crashed. A restart that only a clock suggests counts once its start time has confirmed it.

No decision changes. test_jobs*, test_jobworld pass.

--- a/src/jobctl_metrics.c
+++ b/src/jobctl_metrics.c
@@ -84,6 +84,7 @@
     values[JOB_METRIC_ENDS_DONE] = (double)counts->done;
     values[JOB_METRIC_ENDS_FAILED] = (double)counts->failed;
     values[JOB_METRIC_ENDS_LOST] = (double)counts->lost;
+    values[JOB_METRIC_TARGETS_CRASHED] = (double)counts->crashed_targets;
     values[JOB_METRIC_STARTS_REFUSED] = (double)counts->refused;
     values[JOB_METRIC_CALLS] = (double)counts->calls;
     values[JOB_METRIC_HOLDS] = (double)counts->holds;
--- a/src/jobmetrics.c
+++ b/src/jobmetrics.c
@@ -68,6 +68,8 @@
                                 "runs that ended failed"},
     [JOB_METRIC_ENDS_LOST] = {PREFIX "ends_lost_total", "counter",
                               "runs given up with their target"},
+    [JOB_METRIC_TARGETS_CRASHED] = {PREFIX "targets_crashed_total", "counter",
+                                    "targets that ended without notice"},
     [JOB_METRIC_STARTS_REFUSED] = {PREFIX "starts_refused_total", "counter",
                                    "starts that never took effect"},
     [JOB_METRIC_CALLS] = {PREFIX "calls_total", "counter",
--- a/src/jobsched.c
+++ b/src/jobsched.c
@@ -181,6 +181,8 @@
         live->hold_in_flight = false;
         live->failures = 0;
         live->quarantine_end_ms = 0;
+        live->known_since_ms = sched->now_ms;
+        live->crash_recorded = false;
     }
     return live;
 }
--- a/src/jobsched.h
+++ b/src/jobsched.h
@@ -115,6 +115,7 @@
     uint64_t done;
     uint64_t failed;
     uint64_t lost;
+    uint64_t crashed_targets;
     uint64_t refused;
     uint64_t calls;
     uint64_t holds;
--- a/src/jobsched_call.c
+++ b/src/jobsched_call.c
@@ -80,6 +80,10 @@
 static void
 record_running(JobTask *task, const JobRunning *running, int64_t now)
 {
+    if (task->sched_state.phase == JOB_SCHED_RUNNING &&
+        now - task->sched_state.since_ms >= SCHED_PROBATION_MS) {
+        task->sched_state.proven = true;
+    }
     if (task->sched_state.phase != JOB_SCHED_STOPPING &&
         task->sched_state.phase != JOB_SCHED_RUNNING) {
         task->sched_state.phase = JOB_SCHED_RUNNING;
@@ -193,6 +197,7 @@
         SchedImpl_ProposeEnds(sched, target, ends, answer->end_count);
         free(ends);
     }
+    SchedImpl_RecordCrash(sched, now, target);
     announcement.leaving =
         live->checked_leaving ||
         (announcement.leaving && announcement.born == live->checked_born);
@@ -210,10 +215,6 @@
     SchedTarget *live = SchedImpl_FindLive(target);
 
     live->fenced = true;
-    if (answer->born > target->announcement.born && !live->checking_restart) {
-        SchedImpl_BeginRestartCheck(sched, now, target, answer->born);
-        return;
-    }
     if (live->checking_restart && answer->born == target->announcement.born) {
         live->checking_restart = false; /* a wrong clock reading, no restart */
     }
@@ -328,6 +329,29 @@
                live->clock_ms;
 }
 
+/* Begins a restart check if an answer shows that the target has restarted, by
+ * its start time or by a clock that went back. */
+static bool
+check_restart(JobSched *sched, int64_t now, JobTarget *target,
+              const JobAction *call, const JobCallAnswer *answer)
+{
+    const SchedTarget *live = SchedImpl_FindLive(target);
+
+    if (call->kind == JOB_ACTION_HOLD && answer->outcome == JOB_CALL_OK &&
+        answer->born > target->announcement.born && !live->checking_restart) {
+        SchedImpl_RecordCrash(sched, now, target);
+        SchedImpl_BeginRestartCheck(sched, now, target, answer->born);
+        return true;
+    }
+    if (is_restarted(live, now, call, answer)) {
+        /* The next hold returns the actual start time. */
+        SchedImpl_BeginRestartCheck(sched, now, target,
+                                    target->announcement.born + 1);
+        return true;
+    }
+    return false;
+}
+
 /* Returns whether a call went to the address that its target has now. */
 static bool
 is_at_current_address(const JobTarget *target, const JobAction *call)
@@ -356,6 +380,9 @@
         live->hold_due_ms = now + SCHED_HOLD_RETRY_MS;
     }
     if (answer->outcome == JOB_CALL_NO_ANSWER) {
+        if (live->unanswered == 0) {
+            live->silent_since_ms = now;
+        }
         live->unanswered++;
         sched->counts.unanswered++;
     }
@@ -364,19 +391,18 @@
     }
     else if (answer->outcome == JOB_CALL_OTHER_INSTANCE) {
         if (is_at_current_address(target, call)) {
+            SchedImpl_RecordCrash(sched, now, target);
             SchedImpl_ProposeRemoval(sched, target,
                                      "another target has its address");
             return;
         }
     }
     else {
+        bool restarted = check_restart(sched, now, target, call, answer);
         live->unanswered = 0;
         live->last_seen_ms = now;
         live->last_answer_ms = now;
-        if (is_restarted(live, now, call, answer)) {
-            /* The next hold returns the actual start time. */
-            SchedImpl_BeginRestartCheck(sched, now, target,
-                                        target->announcement.born + 1);
+        if (restarted) {
             return;
         }
         SchedImpl_RecordClock(sched, live, now, answer->clock_ms);
--- a/src/jobsched_impl.h
+++ b/src/jobsched_impl.h
@@ -10,9 +10,21 @@
 #include "jobest.h"
 #include "jobsched.h"
 
+/* Run time from which on a crash is not attributed to a task. */
+#define SCHED_PROBATION_MS 5000
 /* Bits of a fencing token below the term. */
 #define SCHED_FENCE_BITS 20
 
+/* The time span in which a target crashed. */
+typedef struct SchedCrash {
+    char pool[JOB_NAME_BYTES];
+    int64_t from_ms; /* last sign of life */
+    int64_t to_ms;   /* first call without an answer */
+} SchedCrash;
+
+/* Number of the latest crashes that are remembered. */
+#define SCHED_CRASHES 64
+
 /* The leader's unreplicated state of one target. */
 typedef struct SchedTarget {
     uint64_t serial;
@@ -42,6 +54,10 @@
     uint32_t reserved_count;
     uint32_t failures;         /* consecutive runs that ended as failed */
     int64_t quarantine_end_ms; /* end of the quarantine after failures */
+    int64_t known_since_ms;  /* when this leader learned of the incarnation */
+    int64_t silent_since_ms; /* first of the consecutive unanswered calls */
+    bool crash_recorded;     /* SchedImpl_RecordCrash has been called */
+    SchedCrash restart;      /* when it restarted, if checking_restart */
     bool cordoned; /* no new tasks, because of a move or maintenance */
 } SchedTarget;
 
@@ -89,6 +105,8 @@
     size_t batch_capacity;
     JobEst *est;
     JobDemand *demand;
+    SchedCrash crashes[SCHED_CRASHES]; /* ring */
+    size_t crash_count;                /* number of crashes ever recorded */
     JobSchedCounts counts;
 };
 
@@ -136,6 +154,14 @@
 /* Proposes that all runs of a target end as lost. */
 void SchedImpl_LoseRuns(JobSched *sched, JobTarget *target);
 
+/* jobsched_crash.c: crashes of targets */
+/* Returns the time span in which a target that is silent, or of which a later
+ * incarnation was seen, ended. Call it before that sign of life is noted. */
+SchedCrash SchedImpl_GetCrashSpan(const JobTarget *target, int64_t now);
+/* Records that a target has ended without notice. Call it before its runs are
+ * released; further calls for the same incarnation do nothing. */
+void SchedImpl_RecordCrash(JobSched *sched, int64_t now, JobTarget *target);
+
 /* jobsched_target.c: announcements */
 void SchedImpl_ProposeTarget(JobSched *sched,
                              const JobAnnouncement *announcement,
--- a/src/jobsched_target.c
+++ b/src/jobsched_target.c
@@ -84,6 +84,7 @@
             strcmp(other->announcement.vm, announcement->vm) == 0 &&
             strcmp(other->announcement.id, announcement->id) != 0 &&
             other->announcement.born < announcement->born) {
+            SchedImpl_RecordCrash(sched, sched->now_ms, other);
             SchedImpl_ProposeRemoval(sched, other,
                                      "its VM runs a later target");
         }
@@ -101,6 +102,9 @@
     if (live->checking_restart && live->checked_born >= born) {
         return;
     }
+    if (!live->checking_restart) {
+        live->restart = SchedImpl_GetCrashSpan(target, now);
+    }
     Slog_Begin(SLOG_CHANGE, "target_reborn");
     Slog_AddText("target", target->announcement.id);
     Slog_AddInt("born", (int64_t)born);
@@ -131,6 +135,7 @@
         return true; /* a newer announcement arrived first */
     }
     if (announcement->born > target->announcement.born) {
+        SchedImpl_RecordCrash(sched, now, target);
         SchedImpl_BeginRestartCheck(sched, now, target, announcement->born);
         live->last_seen_ms = now;
         if (announcement->leaving &&
--- a/src/jobstate.h
+++ b/src/jobstate.h
@@ -59,6 +59,7 @@
     bool calling;       /* a start or stop call has no answer yet */
     bool must_stop;     /* to be stopped for a move, a wave or a preemption */
     bool stop_accepted; /* the target has accepted the stop */
+    bool proven; /* it has run long enough not to cause a crash */
 } JobTaskSchedState;
 
 typedef struct JobTask {
