--- a/src/jobcmd.c
+++ b/src/jobcmd.c
@@ -83,6 +83,24 @@
     }
 }
 
+void
+JobCmd_EncodeCrashes(Buf *out, int64_t wall_ms, const JobCrash *rows,
+                     size_t count)
+{
+    msgpack_packer packer;
+    size_t i;
+
+    begin_command(&packer, out, JOB_CMD_CRASHES, 2);
+    msgpack_pack_int64(&packer, wall_ms);
+    msgpack_pack_array(&packer, count);
+    for (i = 0; i < count; i++) {
+        msgpack_pack_array(&packer, 3);
+        JobCodec_PackTaskRef(&packer, &rows[i].task);
+        msgpack_pack_uint32(&packer, rows[i].attempt);
+        msgpack_pack_int(&packer, (int)rows[i].evidence);
+    }
+}
+
 void
 JobCmd_EncodeTarget(Buf *out, const JobAnnouncement *announcement)
 {
--- a/src/jobsched.c
+++ b/src/jobsched.c
@@ -70,6 +70,8 @@
     sched->action_count = 0;
     drop_proposals(sched);
     JobState_ClearSchedState(sched->state);
+    sched->lost_run_count = 0;
+    sched->crash_count = 0;
     sched->leads = false;
 }
 
@@ -80,6 +82,7 @@
         JobSched_Resign(sched);
         free(sched->actions);
         free(sched->batch);
+        free(sched->lost_runs);
         JobEst_Free(sched->est);
         JobDemand_Free(sched->demand);
         free(sched);
@@ -183,6 +186,7 @@
         live->quarantine_end_ms = 0;
         live->known_since_ms = sched->now_ms;
         live->crash_recorded = false;
+        live->isolated_until_ms = 0;
     }
     return live;
 }
@@ -354,6 +358,9 @@
         record_announced_clock(sched, proposal);
     }
     target = JobState_TargetAt(sched->state, proposal->row);
+    if (proposal->kind == SCHED_CRASHES) {
+        SchedImpl_ForgetCountedRuns(sched, cookie);
+    }
     if (sched->leads && proposal->kind == SCHED_ASSIGN) {
         finish_assignments(sched, now, proposal);
     }
@@ -388,7 +395,9 @@
     for (i = 0; i < JobState_TargetRows(sched->state); i++) {
         JobTarget *target = JobState_TargetAt(sched->state, i);
         if (target != NULL) {
-            SchedImpl_EnsureLive(sched, target);
+            SchedTarget *live = SchedImpl_EnsureLive(sched, target);
+            live->isolated_until_ms = now;
+            SchedImpl_UpdateIsolation(target, now);
         }
     }
 }
@@ -522,6 +531,7 @@
         JobTarget *target = JobState_TargetAt(sched->state, i);
         if (target != NULL) {
             advance_target(sched, now, target);
+            SchedImpl_UpdateIsolation(target, now);
             busy_targets += target->run_count > 0;
         }
     }
--- a/src/jobsched_call.c
+++ b/src/jobsched_call.c
@@ -78,11 +78,18 @@
 }
 
 static void
-record_running(JobTask *task, const JobRunning *running, int64_t now)
+record_running(JobSched *sched, const JobRun *run, const JobRunning *running,
+               int64_t now)
 {
+    JobTask *task = JobRun_GetTask(run);
+
     if (task->sched_state.phase == JOB_SCHED_RUNNING &&
+        !task->sched_state.proven &&
         now - task->sched_state.since_ms >= SCHED_PROBATION_MS) {
         task->sched_state.proven = true;
+        if (task->crash_score > 0) {
+            SchedImpl_ClearCrashes(sched, run);
+        }
     }
     if (task->sched_state.phase != JOB_SCHED_STOPPING &&
         task->sched_state.phase != JOB_SCHED_RUNNING) {
@@ -108,7 +115,7 @@
         JobTaskRef ref = JobRun_GetTaskRef(run);
         const JobRunning *running = find_running(answer, &ref, task->attempt);
         if (running != NULL) {
-            record_running(task, running, now);
+            record_running(sched, run, running, now);
             continue;
         }
         if (task->sched_state.calling ||
@@ -405,6 +412,9 @@
         if (restarted) {
             return;
         }
+        if (!live->checking_restart) {
+            SchedImpl_ForgetLostRuns(sched, target);
+        }
         SchedImpl_RecordClock(sched, live, now, answer->clock_ms);
     }
     switch (call->kind) {
--- a/src/jobsched_crash.c
+++ b/src/jobsched_crash.c
@@ -1,9 +1,28 @@
 #include "jobsched_impl.h"
 
+#include <stdlib.h>
 #include <string.h>
 
+#include "mem.h"
 #include "slog.h"
 
+/* How long a task that may have crashed a target waits for evidence of the
+ * next crash, and how long lost runs are remembered for it. */
+#define SCHED_EVIDENCE_WAIT_MS 4000
+#define SCHED_LOST_RUN_KEPT_MS 20000
+
+/* Probation of a run that this leader has not seen yet. */
+#define SCHED_UNSEEN_PROBATION_MS 15000
+/* Age of a run up to which a crash is likely its own. */
+#define SCHED_SOON_MS 500
+
+/* The runs of a crashed target that may have caused the crash. */
+typedef struct SuspectList {
+    JobCrash *rows;
+    size_t count;
+    bool single; /* all of them are of one task or one gang */
+} SuspectList;
+
 /* Returns whether the end of a target is no crash: it has announced that it
  * leaves, or this service has moved its VM or taken it into maintenance. */
 static bool
@@ -46,6 +65,298 @@
     Slog_End();
 }
 
+static bool
+is_overlapping(const SchedCrash *a, const SchedCrash *b)
+{
+    return a->from_ms <= b->to_ms && b->from_ms <= a->to_ms;
+}
+
+/* Returns whether a third or more of a pool may have crashed at the same time,
+ * so that none of their tasks is likely to be the cause. */
+static bool
+is_pool_failure(const JobSched *sched, const JobTarget *target,
+                const SchedCrash *span, int64_t now)
+{
+    size_t recorded = sched->crash_count < SCHED_MAX_CRASHES
+                          ? sched->crash_count
+                          : SCHED_MAX_CRASHES;
+    uint32_t crashed = 0;
+    uint32_t alive = 0;
+    uint32_t unknown = 0;
+    uint32_t i;
+
+    for (i = 0; i < recorded; i++) {
+        crashed += strcmp(sched->crashes[i].pool, span->pool) == 0 &&
+                   is_overlapping(&sched->crashes[i], span);
+    }
+    for (i = 0; i < JobState_TargetRows(sched->state); i++) {
+        const JobTarget *other = JobState_TargetAt(sched->state, i);
+        const SchedTarget *live = SchedImpl_FindLive(other);
+        SchedCrash silence;
+        if (live == NULL || other == target || live->crash_recorded ||
+            live->known_since_ms > span->from_ms ||
+            strcmp(other->announcement.pool, span->pool) != 0) {
+            continue;
+        }
+        silence = SchedImpl_GetCrashSpan(other, now);
+        if (live->unanswered > 0 && is_overlapping(&silence, span)) {
+            crashed++;
+        }
+        else if (live->last_seen_ms > span->to_ms) {
+            alive++;
+        }
+        else {
+            unknown++;
+        }
+    }
+    return crashed >= 2 && crashed * 2 >= alive + unknown;
+}
+
+/* Returns whether two tasks are the same or members of one gang. */
+static bool
+is_same_unit(const JobSched *sched, const JobTaskRef *a, const JobTaskRef *b)
+{
+    const Job *job = JobState_FindJob(sched->state, a->job);
+
+    return JobTaskRef_IsSame(a, b) ||
+           (strcmp(a->job, b->job) == 0 && a->occurrence == b->occurrence &&
+            a->step == b->step && job != NULL &&
+            job->spec.steps[a->step].gang);
+}
+
+static void
+add_suspect(const JobSched *sched, SuspectList *list, const JobCrash *crash)
+{
+    list->single = list->count == 0 ||
+                   (list->single &&
+                    is_same_unit(sched, &list->rows[0].task, &crash->task));
+    list->rows[list->count++] = *crash;
+}
+
+/* Returns what a crash says about a run, if it is the only suspect. A target
+ * that was silent already when the start was sent has crashed before it. */
+static JobCrashEvidence
+get_own_evidence(const JobTask *task, const SchedCrash *span)
+{
+    if (task->sched_state.phase == JOB_SCHED_NONE) {
+        return JOB_CRASH_LATE;
+    }
+    if (task->sched_state.phase < JOB_SCHED_RUNNING) {
+        return span->to_ms <= task->sched_state.sent_ms ? JOB_CRASH_SHARED
+                                                        : JOB_CRASH_UNSURE;
+    }
+    return span->to_ms - task->sched_state.since_ms <= SCHED_SOON_MS
+               ? JOB_CRASH_SOON
+               : JOB_CRASH_LATE;
+}
+
+/* Returns whether a run has outlived its probation. What an earlier leader has
+ * learned of a run is unknown, so its assignment has to be long ago. */
+static bool
+is_proven(const JobTask *task, const SchedCrash *span)
+{
+    return task->sched_state.proven ||
+           (task->sched_state.phase == JOB_SCHED_NONE &&
+            task->assigned_ms > 0 &&
+            span->to_ms - task->assigned_ms >= SCHED_UNSEEN_PROBATION_MS);
+}
+
+static bool
+is_lost_run_of(const SchedLostRun *lost, const JobTarget *target)
+{
+    return lost->row == target->row && lost->serial == target->serial &&
+           lost->cookie == 0;
+}
+
+static SuspectList
+list_suspects(const JobSched *sched, const JobTarget *target,
+              const SchedCrash *span)
+{
+    SuspectList list = {NULL, 0, false};
+    size_t i;
+
+    list.rows = Mem_New(target->run_count + sched->lost_run_count + 1,
+                        sizeof(*list.rows));
+    for (i = 0; i < target->run_count; i++) {
+        const JobRun *run = &target->runs[i];
+        const JobTask *task = JobRun_GetTask(run);
+        if (!is_proven(task, span)) {
+            add_suspect(sched, &list,
+                        &(JobCrash){JobRun_GetTaskRef(run), task->attempt,
+                                    get_own_evidence(task, span)});
+        }
+    }
+    for (i = 0; i < sched->lost_run_count; i++) {
+        const SchedLostRun *lost = &sched->lost_runs[i];
+        if (is_lost_run_of(lost, target)) {
+            add_suspect(sched, &list, &lost->crash);
+        }
+    }
+    return list;
+}
+
+/* Limits the evidence against a suspect to what the circumstances allow.
+ * Returns false if the crash is not to be counted. */
+static bool
+weigh_evidence(JobSched *sched, JobCrash *crash, bool single,
+               bool pool_failure)
+{
+    Job *job;
+    const JobTask *task = JobState_FindTask(sched->state, &crash->task, &job);
+    bool is_gang;
+
+    if (task == NULL) {
+        return false;
+    }
+    is_gang = job->spec.steps[crash->task.step].gang;
+    if (is_gang && crash->evidence == JOB_CRASH_SHARED) {
+        return false;
+    }
+    if (!single && !(is_gang && crash->evidence == JOB_CRASH_UNSURE)) {
+        crash->evidence = JOB_CRASH_SHARED;
+    }
+    else if (pool_failure && crash->evidence > JOB_CRASH_POOL) {
+        crash->evidence = JOB_CRASH_POOL;
+    }
+    Slog_Begin(SLOG_FAILURE, "crash_counted");
+    Slog_AddTask(crash->task.job, crash->task.occurrence, crash->task.step,
+                 crash->task.index);
+    Slog_AddInt("attempt", crash->attempt);
+    Slog_AddInt("evidence", crash->evidence);
+    Slog_AddInt("score_before", task->crash_score);
+    Slog_End();
+    return true;
+}
+
+/* Counts the crash of a target against its suspects. */
+static void
+count_crash(JobSched *sched, const JobTarget *target, const SchedCrash *span,
+            bool pool_failure)
+{
+    SuspectList list = list_suspects(sched, target, span);
+    Buf command = BUF_INIT;
+    uint64_t cookie = 0;
+    size_t counted = 0;
+    size_t i;
+
+    for (i = 0; i < list.count; i++) {
+        if (weigh_evidence(sched, &list.rows[i], list.single, pool_failure)) {
+            list.rows[counted++] = list.rows[i];
+        }
+    }
+    if (counted > 0) {
+        JobCmd_EncodeCrashes(&command, sched->wall_ms, list.rows, counted);
+        SchedImpl_Propose(sched, SCHED_CRASHES, &command, JOB_NO_TARGET, 0);
+        cookie = sched->proposals->cookie;
+    }
+    free(list.rows);
+    for (i = 0; i < sched->lost_run_count; i++) {
+        if (is_lost_run_of(&sched->lost_runs[i], target)) {
+            sched->lost_runs[i].cookie = cookie;
+        }
+    }
+}
+
+static void
+drop_old_lost_runs(JobSched *sched, int64_t now)
+{
+    size_t kept = 0;
+    size_t i;
+
+    for (i = 0; i < sched->lost_run_count; i++) {
+        if (now - sched->lost_runs[i].lost_ms < SCHED_LOST_RUN_KEPT_MS) {
+            sched->lost_runs[kept++] = sched->lost_runs[i];
+        }
+    }
+    sched->lost_run_count = kept;
+}
+
+void
+SchedImpl_RememberLostRuns(JobSched *sched, int64_t now,
+                           const JobTarget *target)
+{
+    SchedCrash span = SchedImpl_GetCrashSpan(target, now);
+    size_t needed;
+    uint32_t i;
+
+    drop_old_lost_runs(sched, now);
+    needed = sched->lost_run_count + target->run_count;
+    if (needed > sched->lost_run_capacity) {
+        sched->lost_run_capacity = 2 * needed;
+        sched->lost_runs =
+            Mem_Resize(sched->lost_runs,
+                       sched->lost_run_capacity * sizeof(*sched->lost_runs));
+    }
+    for (i = 0; i < target->run_count; i++) {
+        const JobTask *task = JobRun_GetTask(&target->runs[i]);
+        if (!task->sched_state.proven) {
+            sched->lost_runs[sched->lost_run_count++] =
+                (SchedLostRun){target->row,
+                               target->serial,
+                               {JobRun_GetTaskRef(&target->runs[i]),
+                                task->attempt, get_own_evidence(task, &span)},
+                               0,
+                               now};
+        }
+    }
+}
+
+void
+SchedImpl_ForgetLostRuns(JobSched *sched, const JobTarget *target)
+{
+    size_t i = 0;
+
+    while (i < sched->lost_run_count) {
+        if (is_lost_run_of(&sched->lost_runs[i], target)) {
+            sched->lost_runs[i] = sched->lost_runs[--sched->lost_run_count];
+        }
+        else {
+            i++;
+        }
+    }
+}
+
+void
+SchedImpl_ForgetCountedRuns(JobSched *sched, uint64_t cookie)
+{
+    size_t i = 0;
+
+    while (i < sched->lost_run_count) {
+        if (sched->lost_runs[i].cookie == cookie) {
+            sched->lost_runs[i] = sched->lost_runs[--sched->lost_run_count];
+        }
+        else {
+            i++;
+        }
+    }
+}
+
+void
+SchedImpl_ClearCrashes(JobSched *sched, const JobRun *run)
+{
+    Buf command = BUF_INIT;
+    JobCrash row = {JobRun_GetTaskRef(run), JobRun_GetTask(run)->attempt,
+                    JOB_CRASH_CLEARED};
+
+    JobCmd_EncodeCrashes(&command, sched->wall_ms, &row, 1);
+    SchedImpl_Propose(sched, SCHED_OTHER, &command, JOB_NO_TARGET, 0);
+}
+
+bool
+SchedImpl_AwaitsCrashEvidence(const JobSched *sched, int64_t now,
+                              const JobTask *task, const JobTaskRef *ref)
+{
+    size_t i;
+
+    for (i = 0; task->crash_score > 0 && i < sched->lost_run_count; i++) {
+        if (now - sched->lost_runs[i].lost_ms < SCHED_EVIDENCE_WAIT_MS &&
+            JobTaskRef_IsSame(&sched->lost_runs[i].crash.task, ref)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 SchedImpl_RecordCrash(JobSched *sched, int64_t now, JobTarget *target)
 {
@@ -53,23 +364,28 @@
     SchedCrash span = live->checking_restart
                           ? live->restart
                           : SchedImpl_GetCrashSpan(target, now);
+    bool pool_failure;
     uint32_t i;
 
     if (live->crash_recorded || is_end_expected(sched, target)) {
         return;
     }
     live->crash_recorded = true;
+    pool_failure = is_pool_failure(sched, target, &span, now);
     sched->counts.crashed_targets++;
     Slog_Begin(SLOG_FAILURE, "target_crashed");
     Slog_AddText("target", target->announcement.id);
     Slog_AddText("vm", target->announcement.vm);
     Slog_AddText("pool", target->announcement.pool);
     Slog_AddInt("runs", target->run_count);
+    Slog_AddInt("pool_failure", pool_failure);
     Slog_AddInt("earliest_ms", span.from_ms - now);
     Slog_AddInt("latest_ms", span.to_ms - now);
     Slog_End();
     for (i = 0; i < target->run_count; i++) {
         log_run_of_crashed_target(target, &target->runs[i], now);
     }
-    sched->crashes[sched->crash_count++ % SCHED_CRASHES] = span;
+    count_crash(sched, target, &span, pool_failure);
+    SchedImpl_ForgetLostRuns(sched, target);
+    sched->crashes[sched->crash_count++ % SCHED_MAX_CRASHES] = span;
 }
--- a/src/jobsched_impl.h
+++ b/src/jobsched_impl.h
@@ -11,7 +11,7 @@
 #include "jobsched.h"
 
 /* Run time from which on a crash is not attributed to a task. */
-#define SCHED_PROBATION_MS 5000
+#define SCHED_PROBATION_MS 3500
 /* Bits of a fencing token below the term. */
 #define SCHED_FENCE_BITS 20
 
@@ -23,7 +23,7 @@
 } SchedCrash;
 
 /* Number of the latest crashes that are remembered. */
-#define SCHED_CRASHES 64
+#define SCHED_MAX_CRASHES 64
 
 /* The leader's unreplicated state of one target. */
 typedef struct SchedTarget {
@@ -32,39 +32,51 @@
     uint64_t fence;       /* fencing token of calls to the target */
     int64_t clock_ms;     /* last reading of the target's clock */
     int64_t clock_at_ms;  /* time of the last clock reading */
-    bool clock_known;
     int64_t granted_until_ms; /* highest deadline sent, in target time */
     int64_t last_seen_ms;     /* time of the last announcement or answer */
     int64_t last_answer_ms;
     int64_t hold_due_ms;
-    bool hold_in_flight;
-    bool fenced;         /* a hold with this fencing token was answered */
-    bool ends_pending;   /* a proposal of ends is in flight */
-    bool ack_due;        /* an acknowledgement of ends has not been sent yet */
-    uint32_t unanswered; /* consecutive calls without an answer */
-    uint64_t order;      /* sequence number of the last announcement */
-    bool checking_restart;     /* a new incarnation is being verified */
+    uint64_t order;            /* sequence number of the last announcement */
     uint64_t checked_born;     /* start time of the incarnation to verify */
-    bool checked_leaving;      /* it has announced that it leaves */
     int64_t restart_seen_ms;   /* when the new incarnation was first seen */
-    bool announcement_pending; /* a proposal of an announcement is in flight */
-    bool readmitting; /* a proposal that ends the old incarnation's runs is
-                         in flight */
-    JobResources reserved; /* room taken by assignments in flight */
-    uint32_t reserved_count;
-    uint32_t failures;         /* consecutive runs that ended as failed */
     int64_t quarantine_end_ms; /* end of the quarantine after failures */
     int64_t known_since_ms;  /* when this leader learned of the incarnation */
     int64_t silent_since_ms; /* first of the consecutive unanswered calls */
-    bool crash_recorded;     /* SchedImpl_RecordCrash has been called */
     SchedCrash restart;      /* when it restarted, if checking_restart */
-    bool cordoned; /* no new tasks, because of a move or maintenance */
+    int64_t isolated_until_ms; /* until then only suspects are placed on it */
+    uint32_t unanswered;       /* consecutive calls without an answer */
+    JobResources reserved;     /* room taken by assignments in flight */
+    uint32_t reserved_count;
+    uint32_t failures; /* consecutive runs that ended as failed */
+    bool clock_known;
+    bool hold_in_flight;
+    bool fenced;       /* a hold with this fencing token was answered */
+    bool ends_pending; /* a proposal of ends is in flight */
+    bool ack_due;      /* an acknowledgement of ends has not been sent yet */
+    bool checking_restart;     /* a new incarnation is being verified */
+    bool checked_leaving;      /* it has announced that it leaves */
+    bool announcement_pending; /* a proposal of an announcement is in flight */
+    bool readmitting;    /* a proposal that ends the old incarnation's runs is
+                            in flight */
+    bool crash_recorded; /* SchedImpl_RecordCrash has been called */
+    bool cordoned;       /* no new tasks, because of a move or maintenance */
 } SchedTarget;
 
+/* A run that was given up when the lease of its target expired, while it is
+ * not known whether the target has crashed. */
+typedef struct SchedLostRun {
+    uint32_t row; /* the target */
+    uint64_t serial;
+    JobCrash crash;  /* what a crash of the target would say about it */
+    uint64_t cookie; /* of the proposal that counts the crash; 0: none */
+    int64_t lost_ms;
+} SchedLostRun;
+
 typedef enum SchedProposalKind {
     SCHED_ASSIGN,
     SCHED_ENDS,
     SCHED_TARGET,
+    SCHED_CRASHES,
     SCHED_OTHER
 } SchedProposalKind;
 
@@ -105,8 +117,11 @@
     size_t batch_capacity;
     JobEst *est;
     JobDemand *demand;
-    SchedCrash crashes[SCHED_CRASHES]; /* ring */
-    size_t crash_count;                /* number of crashes ever recorded */
+    SchedCrash crashes[SCHED_MAX_CRASHES]; /* ring */
+    size_t crash_count; /* number of crashes ever recorded */
+    SchedLostRun *lost_runs;
+    size_t lost_run_count;
+    size_t lost_run_capacity;
     JobSchedCounts counts;
 };
 
@@ -136,7 +151,12 @@
 int64_t SchedImpl_LeaseExpiryMs(const JobSched *sched,
                                 const SchedTarget *live);
 
-/* jobsched_place.c: room reserved while an assignment is in flight */
+/* jobsched_place.c */
+bool SchedImpl_HasLabel(const JobTarget *target, const char *label);
+/* Returns the number of tasks of a step that are assigned to a target. */
+uint32_t SchedImpl_CountAssigned(const Job *job, uint32_t occurrence,
+                                 uint32_t step, const JobTarget *target);
+/* Room reserved while an assignment is in flight */
 void SchedImpl_ReserveRoom(SchedTarget *live, const JobStep *step);
 void SchedImpl_ReleaseRoom(SchedTarget *live, const JobStep *step);
 
@@ -158,9 +178,39 @@
 /* Returns the time span in which a target that is silent, or of which a later
  * incarnation was seen, ended. Call it before that sign of life is noted. */
 SchedCrash SchedImpl_GetCrashSpan(const JobTarget *target, int64_t now);
-/* Records that a target has ended without notice. Call it before its runs are
- * released; further calls for the same incarnation do nothing. */
+/* Records that a target has ended without notice, and counts the crash against
+ * the tasks that may have caused it. Call it before its runs are released;
+ * further calls for the same incarnation do nothing. */
 void SchedImpl_RecordCrash(JobSched *sched, int64_t now, JobTarget *target);
+/* Remembers the runs of a target whose lease has expired until it is known
+ * whether the target has crashed. */
+void SchedImpl_RememberLostRuns(JobSched *sched, int64_t now,
+                                const JobTarget *target);
+/* Forgets the lost runs of a target that has answered, and so did not crash.
+ */
+void SchedImpl_ForgetLostRuns(JobSched *sched, const JobTarget *target);
+/* Forgets the lost runs whose crash a proposal has counted. */
+void SchedImpl_ForgetCountedRuns(JobSched *sched, uint64_t cookie);
+/* Clears the crashes of a task that has outlived its probation. */
+void SchedImpl_ClearCrashes(JobSched *sched, const JobRun *run);
+/* Returns whether a task has to wait until it is known whether its last target
+ * has crashed. */
+bool SchedImpl_AwaitsCrashEvidence(const JobSched *sched, int64_t now,
+                                   const JobTask *task, const JobTaskRef *ref);
+
+/* jobsched_isolate.c: suspects run alone, so that a crash of their target
+ * blames no other task */
+bool SchedImpl_IsSuspect(const JobTask *task, const JobStep *step);
+/* Returns whether a target is kept free of tasks that are no suspects. */
+bool SchedImpl_IsIsolated(const SchedTarget *live, int64_t now);
+/* Returns whether a target has a suspect that is still on probation. */
+bool SchedImpl_HasSuspect(const JobTarget *target);
+/* Extends the isolation of a target while it runs a suspect on probation. */
+void SchedImpl_UpdateIsolation(const JobTarget *target, int64_t now);
+/* Returns the target of those given on which a suspect can run alone now, or
+ * NULL. If there is none, it may keep one free for the suspect. */
+JobTarget *SchedImpl_IsolateTarget(JobTarget *const *targets, size_t count,
+                                   const JobRun *run, int64_t now);
 
 /* jobsched_target.c: announcements */
 void SchedImpl_ProposeTarget(JobSched *sched,
--- /dev/null
+++ b/src/jobsched_isolate.c
@@ -0,0 +1,161 @@
+#include "jobsched_impl.h"
+
+#include "slog.h"
+
+/* Shares of a pool's targets that may be isolated at a time, since suspects
+ * can keep that many of them down: while this needs targets that have other
+ * work, and while idle ones are left. */
+#define SCHED_MAX_ISOLATED_PERCENT 25
+#define SCHED_MAX_IDLE_ISOLATED_PERCENT 50
+/* An isolation ends this long after it was last needed. */
+#define SCHED_ISOLATION_MS 500
+
+bool
+SchedImpl_IsSuspect(const JobTask *task, const JobStep *step)
+{
+    return task->crash_score >= JOB_SUSPECT_SCORE && !step->gang;
+}
+
+bool
+SchedImpl_IsIsolated(const SchedTarget *live, int64_t now)
+{
+    return now < live->isolated_until_ms;
+}
+
+bool
+SchedImpl_HasSuspect(const JobTarget *target)
+{
+    uint32_t i;
+
+    for (i = 0; i < target->run_count; i++) {
+        const JobTask *task = JobRun_GetTask(&target->runs[i]);
+        if (!task->sched_state.proven &&
+            SchedImpl_IsSuspect(task, JobRun_GetStep(&target->runs[i]))) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+SchedImpl_UpdateIsolation(const JobTarget *target, int64_t now)
+{
+    SchedTarget *live = SchedImpl_FindLive(target);
+
+    if (live->isolated_until_ms != 0 && SchedImpl_HasSuspect(target)) {
+        live->isolated_until_ms = now + SCHED_ISOLATION_MS;
+    }
+}
+
+/* Returns the number of runs that a crash of the target could be attributed
+ * to, including assignments in flight. */
+static uint32_t
+count_unproven(const JobTarget *target)
+{
+    uint32_t count = SchedImpl_FindLive(target)->reserved_count;
+    uint32_t i;
+
+    for (i = 0; i < target->run_count; i++) {
+        count += !JobRun_GetTask(&target->runs[i])->sched_state.proven;
+    }
+    return count;
+}
+
+/* Returns whether a task fits beside the proven runs of a target. */
+static bool
+can_hold(const JobTarget *target, const JobRun *run)
+{
+    const JobStep *step = JobRun_GetStep(run);
+    const JobResources *room = &target->announcement.room;
+    uint64_t cpu = step->best_effort ? 0 : step->need.cpu;
+    uint64_t memory = step->need.memory_mb;
+    uint64_t accelerators = step->need.accelerators;
+    uint32_t i;
+
+    for (i = 0; i < target->run_count; i++) {
+        const JobStep *other = JobRun_GetStep(&target->runs[i]);
+        if (!JobRun_GetTask(&target->runs[i])->sched_state.proven) {
+            continue;
+        }
+        cpu += other->best_effort ? 0 : other->need.cpu;
+        memory += other->need.memory_mb;
+        accelerators += other->need.accelerators;
+    }
+    if (step->max_per_target > 0 &&
+        SchedImpl_CountAssigned(run->job, run->occurrence, run->step,
+                                target) >= step->max_per_target) {
+        return false;
+    }
+    return cpu <= room->cpu && memory <= room->memory_mb &&
+           accelerators <= room->accelerators &&
+           (step->label[0] == '\0' || SchedImpl_HasLabel(target, step->label));
+}
+
+/* Returns whether one more target may be isolated. */
+static bool
+may_isolate(const JobTarget *target, size_t isolated, size_t count)
+{
+    bool idle = target->run_count == 0 && count_unproven(target) == 0;
+    size_t limit =
+        count *
+        (idle ? SCHED_MAX_IDLE_ISOLATED_PERCENT : SCHED_MAX_ISOLATED_PERCENT) /
+        100;
+
+    return isolated == 0 || isolated < limit;
+}
+
+/* Returns whether isolating target a lets a suspect start sooner than b, or
+ * puts fewer proven runs at risk. */
+static bool
+is_better(const JobTarget *a, const JobTarget *b, int64_t now)
+{
+    bool a_isolated = SchedImpl_IsIsolated(SchedImpl_FindLive(a), now);
+    bool b_isolated = SchedImpl_IsIsolated(SchedImpl_FindLive(b), now);
+    uint32_t a_wait = count_unproven(a);
+    uint32_t b_wait = count_unproven(b);
+
+    if ((a_wait == 0) != (b_wait == 0)) {
+        return a_wait == 0;
+    }
+    if (a_isolated != b_isolated) {
+        return a_isolated;
+    }
+    return a->run_count < b->run_count;
+}
+
+JobTarget *
+SchedImpl_IsolateTarget(JobTarget *const *targets, size_t count,
+                        const JobRun *run, int64_t now)
+{
+    size_t isolated = 0;
+    JobTarget *best = NULL;
+    SchedTarget *live;
+    size_t i;
+
+    for (i = 0; i < count; i++) {
+        isolated += SchedImpl_IsIsolated(SchedImpl_FindLive(targets[i]), now);
+    }
+    for (i = 0; i < count; i++) {
+        live = SchedImpl_FindLive(targets[i]);
+        if ((!SchedImpl_IsIsolated(live, now) &&
+             !may_isolate(targets[i], isolated, count)) ||
+            SchedImpl_HasSuspect(targets[i]) || !can_hold(targets[i], run)) {
+            continue;
+        }
+        if (best == NULL || is_better(targets[i], best, now)) {
+            best = targets[i];
+        }
+    }
+    if (best == NULL) {
+        return NULL;
+    }
+    live = SchedImpl_FindLive(best);
+    if (!SchedImpl_IsIsolated(live, now)) {
+        Slog_Begin(SLOG_CHANGE, "target_isolated");
+        Slog_AddText("target", best->announcement.id);
+        Slog_AddInt("runs", best->run_count);
+        Slog_End();
+    }
+    live->isolated_until_ms = now + SCHED_ISOLATION_MS;
+    return count_unproven(best) == 0 ? best : NULL;
+}
--- a/src/jobsched_place.c
+++ b/src/jobsched_place.c
@@ -56,8 +56,8 @@
                target->announcement.room.accelerators;
 }
 
-static bool
-has_label(const JobTarget *target, const char *label)
+bool
+SchedImpl_HasLabel(const JobTarget *target, const char *label)
 {
     uint32_t i;
 
@@ -69,10 +69,9 @@
     return false;
 }
 
-/* Returns the number of tasks of a step that are assigned to a target. */
-static uint32_t
-count_assigned_tasks(const Job *job, uint32_t occurrence, uint32_t step,
-                     const JobTarget *target)
+uint32_t
+SchedImpl_CountAssigned(const Job *job, uint32_t occurrence, uint32_t step,
+                        const JobTarget *target)
 {
     uint32_t count = 0;
     uint32_t i;
@@ -146,19 +145,20 @@
     int64_t score = used * 1000 / room; /* best fit */
     uint32_t same_step = 0;
 
-    if (!has_room(target, step) ||
-        (step->label[0] != '\0' && !has_label(target, step->label))) {
+    if (SchedImpl_IsIsolated(live, sched->now_ms) || !has_room(target, step) ||
+        (step->label[0] != '\0' && !SchedImpl_HasLabel(target, step->label))) {
         return -1;
     }
     if (step->max_per_target > 0 || step->lasting) {
-        same_step = count_assigned_tasks(job, occurrence, step_index, target) +
-                    count_proposed_tasks(sched, job, occurrence, step_index,
-                                         target->row);
+        same_step =
+            SchedImpl_CountAssigned(job, occurrence, step_index, target) +
+            count_proposed_tasks(sched, job, occurrence, step_index,
+                                 target->row);
     }
     if (step->max_per_target > 0 && same_step >= step->max_per_target) {
         return -1;
     }
-    if (step->rack[0] != '\0' && has_label(target, step->rack)) {
+    if (step->rack[0] != '\0' && SchedImpl_HasLabel(target, step->rack)) {
         score += 2000;
     }
     if (step->lasting) {
@@ -320,6 +320,30 @@
            task->sched_state.phase == JOB_SCHED_NONE;
 }
 
+/* Returns whether a task is placed apart from others, or not yet, because its
+ * targets have crashed. Assigns it if a target can be had for it alone. */
+static bool
+place_suspect(PlacementPass *pass, const PlacePool *pool, const JobRun *run)
+{
+    const JobTask *task = JobRun_GetTask(run);
+    JobTaskRef ref = JobRun_GetTaskRef(run);
+    JobTarget *target;
+
+    if (SchedImpl_AwaitsCrashEvidence(pass->sched, pass->now, task, &ref)) {
+        return true;
+    }
+    if (!SchedImpl_IsSuspect(task, JobRun_GetStep(run))) {
+        return false;
+    }
+    target =
+        SchedImpl_IsolateTarget(pool->targets, pool->count, run, pass->now);
+    if (target != NULL) {
+        add_assignment(pass->sched, run->job, run->occurrence, run->step,
+                       run->index, task->attempt + 1, target);
+    }
+    return true;
+}
+
 /* Assigns the waiting tasks of a step to targets. Returns whether some remain
  * unplaced. */
 static bool
@@ -331,6 +355,7 @@
         job->occurrences[occurrence].tasks + job->step_first_task[step];
     const JobStep *spec = &job->spec.steps[step];
     size_t first = sched->batch_count;
+    bool waiting = false;
     uint32_t attempt = 0;
     uint32_t i;
 
@@ -346,6 +371,11 @@
         if (!is_placeable(&tasks[i])) {
             continue;
         }
+        if (tasks[i].crash_score > 0 && !spec->gang &&
+            place_suspect(pass, pool, &(JobRun){job, occurrence, step, i})) {
+            waiting = true;
+            continue;
+        }
         target = choose_target(pass, pool, job, occurrence, step);
         if (target == NULL) {
             if (spec->gang) {
@@ -356,7 +386,7 @@
         add_assignment(sched, job, occurrence, step, i,
                        (spec->gang ? attempt : tasks[i].attempt) + 1, target);
     }
-    return false;
+    return waiting;
 }
 
 static bool
--- a/src/jobsched_run.c
+++ b/src/jobsched_run.c
@@ -33,6 +33,9 @@
     action->deadline_ms = SchedImpl_GrantLease(sched, live, now);
     action->text = run->job->spec.text;
     action->checkpoint = task->checkpoint;
+    if (task->sched_state.sent_ms == 0) {
+        task->sched_state.sent_ms = now;
+    }
     task->sched_state.phase = JOB_SCHED_STARTING;
     task->sched_state.since_ms = now;
     task->sched_state.calling = true;
@@ -166,6 +169,7 @@
         ends[i].checkpoint = "";
     }
     sched->counts.lost += target->run_count;
+    SchedImpl_RememberLostRuns(sched, sched->now_ms, target);
     SchedImpl_ProposeEnds(sched, target, ends, target->run_count);
     free(ends);
 }
--- a/src/jobstate.h
+++ b/src/jobstate.h
@@ -28,6 +28,10 @@
 /* The oldest cancellation of an unknown job gives way to one beyond this
  * number. */
 #define JOB_MAX_EARLY_CANCELS 1024
+/* Crash score from which on a task is a suspect, and at which its job fails.
+ */
+#define JOB_SUSPECT_SCORE 4
+#define JOB_MAX_CRASH_SCORE 10
 
 typedef enum JobPhase {
     JOB_QUEUED = 0,
@@ -52,14 +56,14 @@
 } JobTaskSchedPhase;
 
 typedef struct JobTaskSchedState {
-    int64_t since_ms;             /* start of the phase */
-    int64_t unavailable_since_ms; /* for lasting tasks */
+    int64_t since_ms; /* start of the phase */
+    int64_t sent_ms; /* when the start was first sent; 0: not by this leader */
     uint8_t phase;
     uint8_t percent;
     bool calling;       /* a start or stop call has no answer yet */
     bool must_stop;     /* to be stopped for a move, a wave or a preemption */
     bool stop_accepted; /* the target has accepted the stop */
-    bool proven; /* it has run long enough not to cause a crash */
+    bool proven;        /* it has run long enough not to cause a crash */
 } JobTaskSchedState;
 
 typedef struct JobTask {
@@ -67,8 +71,11 @@
     uint32_t target;  /* row of its target while assigned */
     uint8_t state;
     uint8_t failures;
-    char *checkpoint;    /* NULL if there is none */
-    int64_t assigned_ms; /* monotonic time; 0: not known to this node */
+    uint8_t crash_score;     /* see JobCmd_EncodeCrashes */
+    uint32_t crash_attempts; /* bit n: the crash of attempt n modulo 32 is in
+                              * crash_score */
+    char *checkpoint;        /* NULL if there is none */
+    int64_t assigned_ms;     /* monotonic time; 0: not known to this node */
     JobTaskSchedState sched_state;
 } JobTask;
 
@@ -262,6 +269,30 @@
 void JobCmd_EncodeAssign(Buf *out, const JobAssignment *rows, size_t count);
 void JobCmd_EncodeEnds(Buf *out, uint32_t target, uint64_t serial,
                        int64_t wall_ms, const JobEnd *ends, size_t count);
+/* What a crash of a target says about a task that had started there. */
+typedef enum JobCrashEvidence {
+    JOB_CRASH_SHARED = 0, /* another task may have caused it */
+    /* No other task can have caused it, and */
+    JOB_CRASH_UNSURE = 1,  /* the target may have crashed before the start */
+    JOB_CRASH_POOL = 2,    /* a third of the pool crashed at the same time */
+    JOB_CRASH_LATE = 3,    /* the start is long ago */
+    JOB_CRASH_SOON = 4,    /* the start is recent */
+    JOB_CRASH_CLEARED = 5, /* the task has not crashed its target */
+    JOB_CRASH_KINDS
+} JobCrashEvidence;
+
+typedef struct JobCrash {
+    JobTaskRef task;
+    uint32_t attempt;
+    JobCrashEvidence evidence;
+} JobCrash;
+
+/* Adds crashes of targets to the scores of tasks that may have caused them,
+ * once for each attempt, and fails the job of a task that reaches
+ * JOB_MAX_CRASH_SCORE. Shared evidence alone makes a task a suspect but does
+ * not fail its job, unless it is a gang, which is scored on its first task. */
+void JobCmd_EncodeCrashes(Buf *out, int64_t wall_ms, const JobCrash *rows,
+                          size_t count);
 /* Adds or updates a target. A newer incarnation ends all runs of the previous
  * one. */
 void JobCmd_EncodeTarget(Buf *out, const JobAnnouncement *announcement);
--- a/src/jobstate_apply.c
+++ b/src/jobstate_apply.c
@@ -235,23 +235,29 @@
     }
 }
 
-/* Counts a failure and fails the job at the queue's limit. A gang counts its
- * failures on its first task. */
+/* Returns the task on which failures and crashes are counted: of a gang, the
+ * first one. */
+static JobTask *
+get_counted_task(const Job *job, const JobTaskRef *ref, JobTask *task)
+{
+    if (!get_step(job, ref->step)->gang) {
+        return task;
+    }
+    return &job->occurrences[ref->occurrence]
+                .tasks[job->step_first_task[ref->step]];
+}
+
+/* Counts a failure and fails the job at the queue's limit. */
 static void
 count_failure(JobState *state, Job *job, const JobTaskRef *ref, JobTask *task,
               int64_t wall_ms)
 {
     const JobQueue *queue = JobConfig_FindQueue(&state->config, job->queue);
-    const JobStep *step = get_step(job, ref->step);
-    JobTask *counted = task;
+    JobTask *counted = get_counted_task(job, ref, task);
 
-    if (step->lasting) {
+    if (get_step(job, ref->step)->lasting) {
         return;
     }
-    if (step->gang) {
-        counted = &job->occurrences[ref->occurrence]
-                       .tasks[job->step_first_task[ref->step]];
-    }
     if (counted->failures < UINT8_MAX) {
         counted->failures++;
     }
@@ -352,6 +358,84 @@
     return JOB_RESULT_OK;
 }
 
+static void
+apply_crash(JobState *state, const JobCrash *crash, int64_t wall_ms)
+{
+    static const uint8_t weights[JOB_CRASH_KINDS] = {[JOB_CRASH_SHARED] = 2,
+                                                     [JOB_CRASH_UNSURE] = 2,
+                                                     [JOB_CRASH_POOL] = 2,
+                                                     [JOB_CRASH_LATE] = 3,
+                                                     [JOB_CRASH_SOON] = 4};
+    Job *job;
+    JobTask *task = JobState_FindTask(state, &crash->task, &job);
+    uint32_t attempt_bit = (uint32_t)1 << crash->attempt % 32;
+    JobTask *counted;
+    bool is_gang;
+
+    if (task == NULL || task->state == JOB_TASK_DONE) {
+        return;
+    }
+    is_gang = get_step(job, crash->task.step)->gang;
+    counted = get_counted_task(job, &crash->task, task);
+    if (crash->evidence == JOB_CRASH_CLEARED) {
+        if (crash->attempt == task->attempt) {
+            counted->crash_score = 0;
+            counted->crash_attempts = 0;
+        }
+        return;
+    }
+    if ((counted->crash_attempts & attempt_bit) != 0) {
+        return;
+    }
+    counted->crash_attempts |= attempt_bit;
+    if (crash->evidence == JOB_CRASH_SHARED &&
+        counted->crash_score >= JOB_SUSPECT_SCORE && !is_gang) {
+        return;
+    }
+    if (crash->evidence == JOB_CRASH_UNSURE &&
+        counted->crash_score + weights[JOB_CRASH_UNSURE] >=
+            JOB_MAX_CRASH_SCORE) {
+        return;
+    }
+    counted->crash_score =
+        (uint8_t)(counted->crash_score +
+                  (is_gang && crash->evidence == JOB_CRASH_SHARED
+                       ? weights[JOB_CRASH_LATE]
+                       : weights[crash->evidence]));
+    if (counted->crash_score >= JOB_MAX_CRASH_SCORE) {
+        counted->crash_score = JOB_MAX_CRASH_SCORE;
+        if (job->phase < JOB_COMPLETED) {
+            JobStateImpl_EndJob(state, job, JOB_FAILED, wall_ms);
+            JobStateImpl_DeactivateJobIfEnded(state, job);
+        }
+    }
+}
+
+static JobResult
+apply_crashes(JobState *state, MpRead *reader)
+{
+    int64_t wall_ms;
+    uint32_t count;
+    uint32_t i;
+
+    if (!MpRead_I64(reader, &wall_ms) || !MpRead_Array(reader, &count)) {
+        return JOB_RESULT_CORRUPT;
+    }
+    for (i = 0; i < count; i++) {
+        JobCrash crash;
+        uint32_t evidence;
+        if (!MpRead_ArrayOf(reader, 3) ||
+            !JobCodec_ReadTaskRef(reader, &crash.task) ||
+            !MpRead_U32(reader, &crash.attempt) ||
+            !MpRead_U32(reader, &evidence) || evidence >= JOB_CRASH_KINDS) {
+            return JOB_RESULT_CORRUPT;
+        }
+        crash.evidence = (JobCrashEvidence)evidence;
+        apply_crash(state, &crash, wall_ms);
+    }
+    return JOB_RESULT_OK;
+}
+
 static JobResult
 apply_target(JobState *state, MpRead *reader)
 {
@@ -584,12 +668,13 @@
         [JOB_CMD_WAVE_VM] = apply_wave_vm,
         [JOB_CMD_EXPIRE] = apply_expire,
         [JOB_CMD_VM_ORDER] = apply_vm_order,
+        [JOB_CMD_CRASHES] = apply_crashes,
     };
     uint32_t items;
     uint64_t command;
 
     if (!MpRead_Array(reader, &items) || !MpRead_U64(reader, &command) ||
-        command < JOB_CMD_CONFIG || command > JOB_CMD_VM_ORDER) {
+        command < JOB_CMD_CONFIG || command > JOB_CMD_CRASHES) {
         return JOB_RESULT_CORRUPT;
     }
     return functions[command](state, reader);
--- a/src/jobstate_snapshot.c
+++ b/src/jobstate_snapshot.c
@@ -6,20 +6,25 @@
 
 #include "mppack.h"
 
-#define SNAPSHOT_FORMAT 2
-/* The first format had no early cancellations. Snapshots on disk may have
- * it. */
+#define SNAPSHOT_FORMAT 3
+/* Earlier formats, which snapshots on disk may have: without crashes of tasks,
+ * and without early cancellations. */
+#define SECOND_SNAPSHOT_FORMAT 2
 #define FIRST_SNAPSHOT_FORMAT 1
+#define TASK_ITEMS 7
+#define TASK_ITEMS_WITHOUT_CRASHES 5
 
 static void
 pack_task(msgpack_packer *packer, const JobTask *task)
 {
-    msgpack_pack_array(packer, 5);
+    msgpack_pack_array(packer, TASK_ITEMS);
     msgpack_pack_uint32(packer, task->attempt);
     msgpack_pack_uint32(packer, task->target);
     msgpack_pack_uint8(packer, task->state);
     msgpack_pack_uint8(packer, task->failures);
     MpPack_Text(packer, task->checkpoint != NULL ? task->checkpoint : "");
+    msgpack_pack_uint8(packer, task->crash_score);
+    msgpack_pack_uint32(packer, task->crash_attempts);
 }
 
 static void
@@ -145,17 +150,26 @@
     char checkpoint[256];
     uint32_t state = 0;
     uint32_t failures = 0;
+    uint32_t score = 0;
+    uint32_t items = 0;
 
-    if (!MpRead_ArrayOf(reader, 5) || !MpRead_U32(reader, &task->attempt) ||
+    if (!MpRead_Array(reader, &items) ||
+        (items != TASK_ITEMS && items != TASK_ITEMS_WITHOUT_CRASHES) ||
+        !MpRead_U32(reader, &task->attempt) ||
         !MpRead_U32(reader, &task->target) || !MpRead_U32(reader, &state) ||
         !MpRead_U32(reader, &failures) ||
         !MpRead_Text(reader, checkpoint, sizeof(checkpoint)) ||
-        state > JOB_TASK_DONE || failures > UINT8_MAX) {
+        (items == TASK_ITEMS &&
+         (!MpRead_U32(reader, &score) ||
+          !MpRead_U32(reader, &task->crash_attempts))) ||
+        state > JOB_TASK_DONE || failures > UINT8_MAX ||
+        score > JOB_MAX_CRASH_SCORE) {
         reader->failed = true;
         return false;
     }
     task->state = (uint8_t)state;
     task->failures = (uint8_t)failures;
+    task->crash_score = (uint8_t)score;
     task->checkpoint = checkpoint[0] != '\0' ? strdup(checkpoint) : NULL;
     return true;
 }
@@ -361,7 +375,9 @@
     uint32_t items;
 
     return MpRead_Array(reader, &items) && MpRead_U64(reader, format) &&
-           ((*format == SNAPSHOT_FORMAT && items == 9) ||
+           (((*format == SNAPSHOT_FORMAT ||
+              *format == SECOND_SNAPSHOT_FORMAT) &&
+             items == 9) ||
             (*format == FIRST_SNAPSHOT_FORMAT && items == 8));
 }
 
--- a/tests/support_jobsim.c
+++ b/tests/support_jobsim.c
@@ -22,8 +22,8 @@
 #define GANG_TIMEOUT_MS 3000 /* wait of a run for the others of its gang */
 #define GANG_NOTICE_MS 5     /* until the others know that a member ended */
 /* A deadly task may be started MAX_STARTS_AFTER_CRASHES times after it has
- * crashed CRASHES_BEFORE_BUDGET targets. Its job may be failed after
- * MIN_CRASHES_TO_FAIL crashes. */
+ *  crashed CRASHES_BEFORE_BUDGET targets. The job of any task may be failed
+ * after MIN_CRASHES_TO_FAIL crashes under it. */
 #define CRASHES_BEFORE_BUDGET 3
 #define MAX_STARTS_AFTER_CRASHES 2
 #define MIN_CRASHES_TO_FAIL 2
@@ -74,6 +74,7 @@
     int64_t start_ms; /* simulated time of its start, when its clock reads 0 */
     bool up;
     bool partitioned;
+    bool silent;              /* while it is down, its VM is down as well */
     uint64_t fence;           /* highest fencing token received */
     int64_t deadline_ms;      /* lease deadline on its clock */
     int64_t lease_expired_ms; /* simulated time of the last lease expiry */
@@ -342,18 +343,20 @@
     const JobStep *spec = &job->spec.steps[step];
     JobTaskRef task = {{0}, 0, step, 0};
     uint32_t gang_failures = 0;
+    uint32_t gang_crashes = 0;
 
     snprintf(task.job, sizeof(task.job), "%s", job->id);
     for (task.index = 0; task.index < spec->count; task.index++) {
         const TaskRecord *record = get_task_record(sim, &task);
         gang_failures += spec->gang ? record->failures_listed : 0;
+        gang_crashes += spec->gang ? record->crashes : 0;
         if ((!spec->lasting && record->failures_listed >= MAX_ATTEMPTS) ||
-            (is_deadly_task(sim, &task) &&
-             record->crashes >= MIN_CRASHES_TO_FAIL)) {
+            record->crashes >= MIN_CRASHES_TO_FAIL) {
             return true;
         }
     }
-    return gang_failures >= MAX_ATTEMPTS;
+    return gang_failures >= MAX_ATTEMPTS ||
+           gang_crashes >= MIN_CRASHES_TO_FAIL;
 }
 
 static void
@@ -846,12 +849,22 @@
     }
 }
 
+/* Returns whether the VM of a crashed target refuses connections. */
+static bool
+is_refusing(const JobSim *sim, const SimTarget *target)
+{
+    return sim->options.crashes_refuse_calls && !target->up &&
+           !target->partitioned && !target->silent;
+}
+
 static void
 schedule_call_timeout(JobSim *sim, uint32_t target_index,
                       const JobAction *call, uint64_t term)
 {
-    Event *event =
-        schedule_event(sim, CALL_TIMEOUT_MS + call->wait_ms, EV_ANSWER);
+    int64_t delay_ms = is_refusing(sim, &sim->targets[target_index])
+                           ? 2 * NETWORK_DELAY_MS
+                           : CALL_TIMEOUT_MS + call->wait_ms;
+    Event *event = schedule_event(sim, delay_ms, EV_ANSWER);
 
     event->target_index = target_index;
     event->sender_term = term;
@@ -1130,6 +1143,10 @@
         draw_bool(sim, sim->options.long_outage_share)) {
         min_outage_ms = 5000;
         max_outage_ms = 8000;
+        target->silent = true;
+    }
+    else {
+        target->silent = false;
     }
     while (target->run_count > 0) {
         TaskRecord *record = get_task_record(sim, &target->runs[0].task);
@@ -1597,7 +1614,8 @@
 {
     uint32_t i;
 
-    for (i = 0; i < job->tasks_per_occurrence; i++) {
+    for (i = 0; job->phase < JOB_COMPLETED && i < job->tasks_per_occurrence;
+         i++) {
         JobTaskRef task = {{0}, 0, 0, i};
         snprintf(task.job, sizeof(task.job), "%s", job->id);
         sim->report->lasting_not_running +=
@@ -1719,6 +1737,7 @@
         Event *event = pop_event(&sim);
         sim.now = event->at_ms;
         Slog_SetTime(sim.now, sim.now);
+        JobState_SetNow(sim.state, sim.now);
         handle_event(&sim, event);
         free_event(event);
         run_scheduler(&sim);
--- a/tests/support_jobsim.h
+++ b/tests/support_jobsim.h
@@ -58,6 +58,8 @@
                                  up to 3 s after the start */
     double long_outage_share; /* share of crashes that last 5 to 8 s, longer
                                  than any lease */
+    bool crashes_refuse_calls; /* calls to a crashed target fail at once, but
+                                  for those of long_outage_share */
     double pool_crashes_per_s; /* rate at which all targets of a pool, or half
                                   of them, crash within 100 ms; every second
                                   time again, 3 to 5 times in all, 2 to 6 s
--- a/tests/test_jobstate.c
+++ b/tests/test_jobstate.c
@@ -368,21 +368,52 @@
 }
 END_TEST
 
+/* A task in a snapshot that was never assigned. */
+static const char waiting_task[] = "\x97\x00\x00\x00\x00\xa0\x00\x00";
+
+/* Turns a snapshot into one of an earlier format: tasks have no crash score,
+ * which is 0 here, and the first format has no early cancellations either. */
+static void
+downgrade_snapshot(Buf *bytes, char format)
+{
+    Buf old = BUF_INIT;
+    size_t i = 0;
+
+    ck_assert_mem_eq(bytes->data, "\x99\x03", 2);
+    ck_assert_mem_eq(bytes->data + bytes->len - 1, "\x90", 1);
+    while (i < bytes->len) {
+        if (bytes->len - i >= sizeof(waiting_task) - 1 &&
+            memcmp(bytes->data + i, waiting_task, sizeof(waiting_task) - 1) ==
+                0) {
+            Buf_Append(&old, "\x95", 1);
+            Buf_Append(&old, waiting_task + 1, sizeof(waiting_task) - 4);
+            i += sizeof(waiting_task) - 1;
+            continue;
+        }
+        Buf_Append(&old, bytes->data + i++, 1);
+    }
+    ck_assert_uint_eq(bytes->len - old.len, 2 * 6);
+    old.data[0] = format == 1 ? (char)0x98 : (char)0x99;
+    old.data[1] = format;
+    old.len -= format == 1;
+    Buf_Free(bytes);
+    *bytes = old;
+}
+
 /* Guards against a node that cannot read its snapshot after an upgrade. */
-START_TEST(snapshots_of_first_format_are_restored)
+START_TEST(snapshots_of_earlier_formats_are_restored)
 {
     JobState *copy = JobState_New();
     Buf bytes = BUF_INIT;
     ErrCtx err;
+    Job *job;
+    const JobTaskRef task = {"a", 0, 0, 0};
 
     JobTest_Submit(state, "a", 2, 3, 500);
+    JobState_FindTask(state, &task, &job);
     JobState_Snapshot(state, &bytes);
-    /* The first format is the second one without its last, empty array. */
-    ck_assert_mem_eq(bytes.data, "\x99\x02", 2);
-    ck_assert_mem_eq(bytes.data + bytes.len - 1, "\x90", 1);
-    bytes.data[0] = (char)0x98;
-    bytes.data[1] = 1;
-    ck_assert_int_eq(JobState_Restore(copy, bytes.data, bytes.len - 1, &err),
+    downgrade_snapshot(&bytes, (char)(_i + 1));
+    ck_assert_int_eq(JobState_Restore(copy, bytes.data, bytes.len, &err),
                      ST_OK);
     ck_assert_ptr_nonnull(JobState_FindJob(copy, "a"));
     JobState_Free(copy);
@@ -390,6 +421,61 @@
 }
 END_TEST
 
+typedef struct CrashRow {
+    const char *name;
+    JobCrashEvidence evidence[6]; /* of attempts 1, 2, ... */
+    size_t count;
+    bool repeated; /* each crash is counted twice, as by two leaders */
+    bool restored; /* from a snapshot before the last crash */
+    bool fails;
+} CrashRow;
+
+#define SHARED JOB_CRASH_SHARED
+#define UNSURE JOB_CRASH_UNSURE
+#define POOL JOB_CRASH_POOL
+#define LATE JOB_CRASH_LATE
+#define SOON JOB_CRASH_SOON
+#define CLEARED JOB_CRASH_CLEARED
+
+static const CrashRow crash_rows[] = {
+    {"shared", {SHARED, SHARED, SHARED, SHARED, SHARED, SHARED}, 6, 0, 0, 0},
+    {"unsure", {UNSURE, UNSURE, UNSURE, UNSURE, UNSURE, UNSURE}, 6, 0, 0, 0},
+    {"alone", {SOON, SOON, SOON}, 3, 0, 0, 1},
+    {"alone, twice", {SOON, SOON}, 2, 0, 0, 0},
+    {"alone, counted again", {SOON, SOON}, 2, 1, 0, 0},
+    {"shared, then alone", {SHARED, SHARED, LATE, LATE}, 4, 0, 0, 1},
+    {"shared, then alone once", {SHARED, SHARED, SOON}, 3, 0, 0, 0},
+    {"pool", {POOL, POOL, POOL, POOL}, 4, 0, 0, 0},
+    {"cleared", {SOON, SOON, CLEARED, SOON, SOON}, 5, 0, 0, 0},
+    {"before and after a snapshot", {SOON, SOON, SOON}, 3, 0, 1, 1},
+};
+
+START_TEST(task_that_crashes_its_targets_fails_its_job)
+{
+    const CrashRow *row = &crash_rows[_i];
+    size_t i;
+
+    JobTest_Submit(state, "a", 1, 1, 500);
+    for (i = 0; i < row->count; i++) {
+        JobCrash crash = {{"a", 0, 0, 0}, (uint32_t)i + 1, row->evidence[i]};
+        int copies = row->repeated ? 2 : 1;
+        if (row->restored && i + 1 == row->count) {
+            restore_from_snapshot();
+        }
+        JobTest_Assign(state, "a", 0, 0, crash.attempt, "t1");
+        while (copies-- > 0) {
+            Buf command = BUF_INIT;
+            JobCmd_EncodeCrashes(&command, 1000, &crash, 1);
+            JobTest_Apply(state, &command);
+        }
+        JobTest_End(state, "a", 0, 0, crash.attempt, "t1", JOB_END_LOST, 0);
+    }
+    ck_assert_msg((JobState_FindJob(state, "a")->phase == JOB_FAILED) ==
+                      row->fails,
+                  "%s", row->name);
+}
+END_TEST
+
 /* A truncated snapshot is rejected and leaves the state unchanged; a corrupted
  * byte may not crash the decoder. */
 START_TEST(damaged_snapshots_are_rejected)
@@ -523,7 +609,10 @@
     tcase_add_test(tcase, new_incarnation_ends_previous_runs);
     tcase_add_test(tcase, finds_latest_target_of_vm);
     tcase_add_test(tcase, snapshot_restores_whole_state);
-    tcase_add_test(tcase, snapshots_of_first_format_are_restored);
+    tcase_add_loop_test(tcase, snapshots_of_earlier_formats_are_restored, 0,
+                        2);
+    tcase_add_loop_test(tcase, task_that_crashes_its_targets_fails_its_job, 0,
+                        (int)(sizeof(crash_rows) / sizeof(crash_rows[0])));
     tcase_add_test(tcase, damaged_snapshots_are_rejected);
     tcase_add_test(tcase, ended_jobs_expire);
     tcase_add_loop_test(tcase, config_check_reports_all_faults, 0,
