Test: starts that exceed the room of a target that has shrunk

A target may announce less room while it runs, and one in a pool that does not enforce its capacity starts whatever it is told to. The discrete-event model now shrinks rooms to 20 to 80 % for 2 to 12 s, and can lose the announcements of a target, stall the log and leave time between two leaders. Its oracle reports a start that exceeds the room: a smaller one counts after 4.5 s (3 s and one announcement), a larger one at once. A call that was held up is exempt.

--- a/tests/support_jobsim.c
+++ b/tests/support_jobsim.c
@@ -16,6 +16,9 @@
 #define MAX_STOP_MS 200
 #define MAX_LEASE_MS 6000
 #define TARGET_MILLICORES 16000
+#define TARGET_MEMORY_MB 32000
+/* Time after which starts must fit into a room that has shrunk. */
+#define SHRUNK_ROOM_GRACE_MS (3000 + ANNOUNCE_INTERVAL_MS)
 #define CALL_TIMEOUT_MS 1000
 #define MAX_RUNS 64
 #define MAX_ATTEMPTS 3
@@ -35,7 +38,13 @@
     EV_CRASH,
     EV_RESTART,
     EV_LEADER_CHANGE,
-    EV_HOLD_TIMEOUT
+    EV_HOLD_TIMEOUT,
+    EV_SHRINK,
+    EV_GROW,
+    EV_MUTE,
+    EV_UNMUTE,
+    EV_LOG_STALL,
+    EV_ELECTED
 } EventKind;
 
 typedef struct Run {
@@ -73,6 +82,11 @@
     JobAction pending_hold; /* hold that waits for an end */
     uint64_t hold_term;     /* term of the leader that sent the hold */
     uint64_t hold_id;       /* 0: no pending hold */
+    JobResources full_room; /* its room before it shrank */
+    bool shrunk;
+    int64_t shrunk_ms;
+    bool guarded; /* refuses a start that does not fit */
+    bool muted;   /* its announcements are lost */
 } SimTarget;
 
 /* What the oracle knows about a task. */
@@ -422,18 +436,40 @@
     }
 }
 
-static uint32_t
-sum_used_cpu(const JobSim *sim, const SimTarget *target)
+/* Returns whether the runs of a target and another one fit into a room. */
+static bool
+fits_room(const JobSim *sim, const SimTarget *target, const JobStep *step,
+          const JobResources *room)
 {
-    uint32_t cpu = 0;
+    uint64_t cpu = step->need.cpu;
+    uint64_t memory = step->need.memory_mb;
     size_t i;
 
     for (i = 0; i < target->run_count; i++) {
-        const Job *job =
-            JobState_FindJob(sim->state, target->runs[i].task.job);
-        cpu += job->spec.steps[target->runs[i].task.step].need.cpu;
+        const Run *run = &target->runs[i];
+        const Job *job = JobState_FindJob(sim->state, run->task.job);
+        cpu += job->spec.steps[run->task.step].need.cpu;
+        memory += job->spec.steps[run->task.step].need.memory_mb;
+    }
+    return cpu <= room->cpu && memory <= room->memory_mb;
+}
+
+static void
+check_room(JobSim *sim, const SimTarget *target, const JobAction *call,
+           const JobStep *step)
+{
+    bool in_grace =
+        target->shrunk && sim->now - target->shrunk_ms <= SHRUNK_ROOM_GRACE_MS;
+
+    if (sim->now - call->sent_ms <= NETWORK_DELAY_MS &&
+        !fits_room(sim, target, step,
+                   in_grace ? &target->full_room
+                            : &target->announcement.room)) {
+        report_violation(sim, "%s.%u.%u.%u brings %s over its room",
+                         call->task.job, call->task.occurrence,
+                         call->task.step, call->task.index,
+                         target->announcement.id);
     }
-    return cpu;
 }
 
 static JobCallOutcome
@@ -462,9 +498,11 @@
     }
     step = &job->spec.steps[call->task.step];
     if (target->run_count == MAX_RUNS ||
-        sum_used_cpu(sim, target) + step->need.cpu > TARGET_MILLICORES) {
+        (target->guarded &&
+         !fits_room(sim, target, step, &target->announcement.room))) {
         return JOB_CALL_NO_ROOM;
     }
+    check_room(sim, target, call, step);
     sim->report->starts++;
     run = &target->runs[target->run_count++];
     *run =
@@ -777,6 +815,13 @@
         next->sender_term = 0; /* commit_proposal ignores it */
     }
     sim->term++;
+    if (sim->options.max_election_ms > 0) {
+        JobSched_Resign(sim->sched);
+        schedule_event(sim, draw_between(sim, 0, sim->options.max_election_ms),
+                       EV_ELECTED)
+            ->sender_term = sim->term;
+        return;
+    }
     JobSched_Lead(sim->sched, sim->now, sim->term);
 }
 
@@ -853,7 +898,9 @@
         JobStep *step = &spec->steps[i];
         step->count = (uint32_t)draw_between(sim, 1, 6);
         step->need.cpu = (uint32_t)draw_between(sim, 200, 2500);
-        step->need.memory_mb = 100;
+        step->need.memory_mb = sim->options.shrinks_per_s > 0
+                                   ? (uint32_t)draw_between(sim, 100, 5000)
+                                   : 100;
         step->estimate_ms = (uint32_t)draw_between(sim, 200, 2000);
         step->depends_mask = i > 0 ? (uint32_t)1 << (i - 1) : 0;
         step->lasting = lasting;
@@ -919,6 +966,7 @@
         queue->slack = 1.6;
         queue->max_attempts = MAX_ATTEMPTS;
         snprintf(config.pools[i].name, sizeof(config.pools[i].name), "p%u", i);
+        config.pools[i].enforces_capacity = i >= sim->options.unguarded_pools;
     }
     JobCmd_EncodeConfig(&command, &config);
     JobConfig_Free(&config);
@@ -945,7 +993,11 @@
                  i / sim->options.targets_per_pool);
         snprintf(announcement->data_centre, sizeof(announcement->data_centre),
                  "dc");
-        announcement->room = (JobResources){TARGET_MILLICORES, 32000, 0};
+        announcement->room =
+            (JobResources){TARGET_MILLICORES, TARGET_MEMORY_MB, 0};
+        target->full_room = announcement->room;
+        target->guarded =
+            i / sim->options.targets_per_pool >= sim->options.unguarded_pools;
         announcement->born = 1;
         target->up = true;
         target->clock_rate = 1.0 - 0.02 * Rng_Unit(&sim->rng);
@@ -971,7 +1023,8 @@
     target->announcement.order++;
     announcement = target->announcement;
     announcement.clock_ms = get_clock_ms(sim, target);
-    if (!target->partitioned) {
+    if (!target->partitioned && !target->muted &&
+        JobSched_IsLeading(sim->sched)) {
         JobSched_HandleAnnouncement(sim->sched, sim->now, &announcement);
     }
     event = schedule_event(sim, ANNOUNCE_INTERVAL_MS, EV_ANNOUNCE);
@@ -1021,6 +1074,34 @@
     JobSched_HandleProposal(sim->sched, sim->now, event->action.cookie, ST_OK);
 }
 
+static void
+shrink_room(JobSim *sim, uint32_t target_index)
+{
+    SimTarget *target = &sim->targets[target_index];
+    JobResources *room = &target->announcement.room;
+
+    if (target->shrunk) {
+        return;
+    }
+    target->shrunk = true;
+    target->shrunk_ms = sim->now;
+    room->cpu = room->cpu / 100 * (uint32_t)draw_between(sim, 20, 80);
+    room->memory_mb =
+        room->memory_mb / 100 * (uint32_t)draw_between(sim, 20, 80);
+    schedule_event(sim, draw_between(sim, 2000, 12000), EV_GROW)
+        ->target_index = target_index;
+}
+
+static void
+mute_target(JobSim *sim, uint32_t target_index)
+{
+    if (!sim->targets[target_index].muted) {
+        sim->targets[target_index].muted = true;
+        schedule_event(sim, draw_between(sim, 500, 9000), EV_UNMUTE)
+            ->target_index = target_index;
+    }
+}
+
 static void
 inject_fault(JobSim *sim, const Event *event)
 {
@@ -1045,6 +1126,20 @@
         }
         schedule_random_event(sim, EV_CRASH, options->crashes_per_s);
     }
+    else if (event->kind == EV_SHRINK) {
+        shrink_room(sim, target_index);
+        schedule_random_event(sim, EV_SHRINK, options->shrinks_per_s);
+    }
+    else if (event->kind == EV_MUTE) {
+        mute_target(sim, target_index);
+        schedule_random_event(sim, EV_MUTE, options->mutes_per_s);
+    }
+    else if (event->kind == EV_LOG_STALL) {
+        int64_t until_ms = sim->now + draw_between(sim, 1000, 6000);
+        sim->last_commit_ms =
+            until_ms > sim->last_commit_ms ? until_ms : sim->last_commit_ms;
+        schedule_random_event(sim, EV_LOG_STALL, options->log_stalls_per_s);
+    }
     else {
         change_leader(sim);
         schedule_random_event(sim, EV_LEADER_CHANGE,
@@ -1052,6 +1147,38 @@
     }
 }
 
+static void
+end_fault(JobSim *sim, const Event *event)
+{
+    SimTarget *target = &sim->targets[event->target_index];
+
+    if (event->kind == EV_HEAL) {
+        target->partitioned = false;
+    }
+    else if (event->kind == EV_GROW) {
+        target->shrunk = false;
+        target->announcement.room = target->full_room;
+    }
+    else if (event->kind == EV_UNMUTE) {
+        target->muted = false;
+    }
+    else if (event->sender_term == sim->term) {
+        JobSched_Lead(sim->sched, sim->now, sim->term);
+    }
+}
+
+static void
+tick(JobSim *sim)
+{
+    uint32_t i;
+
+    JobSched_Tick(sim->sched, sim->now, sim->now);
+    for (i = 0; i < sim->target_count; i++) {
+        end_expired_runs(sim, i);
+    }
+    schedule_event(sim, TICK_INTERVAL_MS, EV_TICK);
+}
+
 static void
 handle_event(JobSim *sim, Event *event)
 {
@@ -1086,12 +1213,7 @@
         announce_target(sim, event->target_index, event->incarnation);
         break;
     case EV_TICK:
-        JobSched_Tick(sim->sched, sim->now, sim->now);
-        for (event->target_index = 0; event->target_index < sim->target_count;
-             event->target_index++) {
-            end_expired_runs(sim, event->target_index);
-        }
-        schedule_event(sim, TICK_INTERVAL_MS, EV_TICK);
+        tick(sim);
         break;
     case EV_JOB_ARRIVAL:
         if (is_active_phase(sim)) {
@@ -1103,9 +1225,6 @@
     case EV_JOB_CANCEL:
         cancel_job(sim, event->job_id);
         break;
-    case EV_HEAL:
-        target->partitioned = false;
-        break;
     case EV_RESTART:
         restart_target(sim, event->target_index);
         break;
@@ -1117,8 +1236,17 @@
     case EV_PARTITION:
     case EV_CRASH:
     case EV_LEADER_CHANGE:
+    case EV_SHRINK:
+    case EV_MUTE:
+    case EV_LOG_STALL:
         inject_fault(sim, event);
         break;
+    case EV_HEAL:
+    case EV_GROW:
+    case EV_UNMUTE:
+    case EV_ELECTED:
+        end_fault(sim, event);
+        break;
     }
 }
 
@@ -1233,6 +1361,9 @@
     schedule_random_event(&sim, EV_CRASH, options->crashes_per_s);
     schedule_random_event(&sim, EV_LEADER_CHANGE,
                           options->leader_changes_per_s);
+    schedule_random_event(&sim, EV_SHRINK, options->shrinks_per_s);
+    schedule_random_event(&sim, EV_MUTE, options->mutes_per_s);
+    schedule_random_event(&sim, EV_LOG_STALL, options->log_stalls_per_s);
     while (sim.heap_count > 0 &&
            sim.heap[0]->at_ms < options->active_ms + options->settle_ms &&
            report->violation[0] == '\0') {
--- a/tests/support_jobsim.h
+++ b/tests/support_jobsim.h
@@ -7,8 +7,9 @@
  *     against simulated targets and a simulated log. The targets have slow
  *     clocks, leases, fencing tokens and lists of ends. Calls are lost or
  *     delayed, targets are partitioned, crash and restart under the same id,
- *     and the leader changes while proposals are in flight. An oracle checks
- *     every start that takes effect. The same seed gives the same run.
+ *     the room of targets shrinks and grows, and the leader changes while
+ *     proposals are in flight. An oracle checks every start that takes effect.
+ *     The same seed gives the same run.
  */
 #ifndef COLTSFOOT_SUPPORT_JOBSIM_H
 #define COLTSFOOT_SUPPORT_JOBSIM_H
@@ -41,8 +42,16 @@
     double crashes_per_s;      /* rate of target crashes; half of the targets
                                   restart under the same id */
     double leader_changes_per_s;
-    double cancel_share;     /* share of jobs that are cancelled */
-    double failed_run_share; /* share of runs that end with JOB_END_FAILED */
+    double cancel_share;      /* share of jobs that are cancelled */
+    double failed_run_share;  /* share of runs that end with JOB_END_FAILED */
+    uint32_t unguarded_pools; /* number of pools, from the first, whose targets
+                                 start what does not fit */
+    double shrinks_per_s;     /* rate at which the room of a target shrinks to
+                                 20 to 80 % for 2 to 12 s */
+    double mutes_per_s;       /* rate at which the announcements of a target
+                                 are lost for 0.5 to 9 s */
+    double log_stalls_per_s;  /* rate at which commits stop for 1 to 6 s */
+    int64_t max_election_ms;  /* longest time without a leader */
 } JobSimOptions;
 
 #define JOBSIM_OPTIONS_DEFAULT                                                \
