Scheduler: send a start only if its target still has room

Tasks were started on targets that had meanwhile announced less room; one in a pool that does not enforce its capacity carried more work than it could hold.

Cause: room was looked up only when a task was placed, in the announcement that the log held. A start was sent, and sent again, without another look. An announcement that arrived while another one was in flight was dropped, one of a stalled log came into force seconds late, and answers to calls made a target look up to date whose announcements were lost. A new leader took the room that an earlier leader had stored for the present one.

The leader now keeps the room of the latest announcement and its age, which includes the delay that the target's clock shows. Before each start it compares the room with the runs whose start has been sent and whose end is not listed. A run without room whose start was never sent is withdrawn and waits for another target. One whose start may have taken effect is stopped, and its task waits until a hold settles its end; a new leader waits for the first hold before that, so runs that go on in a smaller room are kept. Where it does, the target decides about starts that are sent again.

--- a/src/jobsched.c
+++ b/src/jobsched.c
@@ -177,6 +177,7 @@
         live->serial = target->serial;
         live->order = 0;
         live->clock_known = false;
+        live->room_known = false;
         live->granted_until_ms = 0;
         live->failures = 0;
         live->quarantine_end_ms = 0;
@@ -308,6 +309,7 @@
             task->attempt == assignment->attempt) {
             JobRun run = {job, assignment->task.occurrence,
                           assignment->task.step, assignment->task.index};
+            task->sched_state.unsent = true;
             SchedImpl_AdvanceRun(sched, now, &run);
         }
         else {
@@ -316,10 +318,10 @@
     }
 }
 
-/* Takes the clock of a new target from its announcement, so that the target
- * is usable at once. */
+/* Takes the clock and room of a new target from its announcement, so that the
+ * target is usable at once. */
 static void
-record_announced_clock(JobSched *sched, const SchedProposal *proposal)
+record_first_announcement(JobSched *sched, const SchedProposal *proposal)
 {
     JobTarget *target = JobState_FindTarget(sched->state, proposal->id);
     SchedTarget *live;
@@ -328,6 +330,10 @@
         return;
     }
     live = SchedImpl_EnsureLive(sched, target);
+    if (!live->room_known) {
+        SchedImpl_RecordRoom(live, proposal->clock_at_ms,
+                             &target->announcement);
+    }
     if (!live->clock_known) {
         SchedImpl_RecordClock(sched, live, proposal->clock_at_ms,
                               proposal->clock_ms);
@@ -348,7 +354,7 @@
     }
     sched->now_ms = now;
     if (sched->leads && proposal->id[0] != '\0') {
-        record_announced_clock(sched, proposal);
+        record_first_announcement(sched, proposal);
     }
     target = JobState_TargetAt(sched->state, proposal->row);
     if (sched->leads && proposal->kind == SCHED_ASSIGN) {
--- a/src/jobsched_impl.h
+++ b/src/jobsched_impl.h
@@ -21,6 +21,9 @@
     int64_t clock_ms;     /* last reading of the target's clock */
     int64_t clock_at_ms;  /* time of the last clock reading */
     bool clock_known;
+    bool room_known;    /* the incarnation has announced itself in this term */
+    JobResources room;  /* in its last announcement */
+    int64_t room_at_ms; /* when that announcement was made */
     int64_t granted_until_ms; /* highest deadline sent, in target time */
     int64_t last_seen_ms;     /* time of the last announcement or answer */
     int64_t last_answer_ms;
@@ -122,6 +125,20 @@
 void SchedImpl_ReserveRoom(SchedTarget *live, const JobStep *step);
 void SchedImpl_ReleaseRoom(SchedTarget *live, const JobStep *step);
 
+/* jobsched_room.c: room of targets, which may shrink and grow */
+void SchedImpl_RecordRoom(SchedTarget *live, int64_t now,
+                          const JobAnnouncement *announcement);
+/* Returns the latest room of a target that is known. */
+const JobResources *SchedImpl_GetRoom(const JobTarget *target);
+/* Returns whether a start that fits the known room cannot exceed the actual
+ * one: the last announcement is recent, or the target enforces its capacity.
+ */
+bool SchedImpl_IsRoomCertain(const JobSched *sched, int64_t now,
+                             const JobTarget *target);
+/* Returns whether the start of a run may be sent now. Other runs at its target
+ * use room from when their first start is sent until their end is listed. */
+bool SchedImpl_MayStart(const JobSched *sched, int64_t now, const JobRun *run);
+
 /* jobsched_run.c: calls that start and stop tasks, and ends of runs */
 void SchedImpl_StopTask(JobSched *sched, int64_t now, JobTarget *target,
                         const JobTaskRef *ref, uint32_t attempt);
--- a/src/jobsched_place.c
+++ b/src/jobsched_place.c
@@ -42,18 +42,16 @@
 has_room(const JobTarget *target, const JobStep *step)
 {
     const SchedTarget *live = target->sched_state;
+    const JobResources *room = SchedImpl_GetRoom(target);
     uint64_t cpu = (uint64_t)target->used.cpu + live->reserved.cpu;
     uint64_t memory =
         (uint64_t)target->used.memory_mb + live->reserved.memory_mb;
     uint64_t accelerators =
         (uint64_t)target->used.accelerators + live->reserved.accelerators;
 
-    return cpu + (step->best_effort ? 0 : step->need.cpu) <=
-               target->announcement.room.cpu &&
-           memory + step->need.memory_mb <=
-               target->announcement.room.memory_mb &&
-           accelerators + step->need.accelerators <=
-               target->announcement.room.accelerators;
+    return cpu + (step->best_effort ? 0 : step->need.cpu) <= room->cpu &&
+           memory + step->need.memory_mb <= room->memory_mb &&
+           accelerators + step->need.accelerators <= room->accelerators;
 }
 
 static bool
@@ -212,7 +210,8 @@
     for (i = 0; i < JobState_TargetRows(pass->sched->state); i++) {
         JobTarget *target = JobState_TargetAt(pass->sched->state, i);
         if (target != NULL &&
-            JobSched_IsUsable(pass->sched, target, pass->now)) {
+            JobSched_IsUsable(pass->sched, target, pass->now) &&
+            SchedImpl_IsRoomCertain(pass->sched, pass->now, target)) {
             add_target(pass, target);
         }
     }
--- a/src/jobsched_run.c
+++ b/src/jobsched_run.c
@@ -36,6 +36,7 @@
     task->sched_state.phase = JOB_SCHED_STARTING;
     task->sched_state.since_ms = now;
     task->sched_state.calling = true;
+    task->sched_state.unsent = false;
     sched->counts.calls++;
 }
 
@@ -74,6 +75,32 @@
            JobRun_GetTask(run)->sched_state.must_stop;
 }
 
+/* Gives up a run that has no room at its target. */
+static void
+decline_run(JobSched *sched, int64_t now, const JobRun *run)
+{
+    JobTask *task = JobRun_GetTask(run);
+    JobTarget *target = JobState_TargetAt(sched->state, task->target);
+
+    if (task->sched_state.unsent) {
+        SchedImpl_EndUnlistedRun(sched, target, run, JOB_END_REFUSED);
+        task->sched_state.phase = JOB_SCHED_STOPPING;
+        task->sched_state.since_ms = now;
+        task->sched_state.must_stop = true;
+        task->sched_state.stop_accepted = true;
+    }
+    else if (SchedImpl_EnsureLive(sched, target)->fenced) {
+        /* An earlier start may have taken effect; its end settles that. */
+        Slog_Begin(SLOG_CHANGE, "start_withdrawn");
+        Slog_AddTask(run->job->id, run->occurrence, run->step, run->index);
+        Slog_AddInt("attempt", task->attempt);
+        Slog_AddText("target", target->announcement.id);
+        Slog_End();
+        task->sched_state.must_stop = true;
+        SchedImpl_StopRun(sched, now, run);
+    }
+}
+
 /* Sends the start or stop that a run needs now, if any. */
 void
 SchedImpl_AdvanceRun(JobSched *sched, int64_t now, const JobRun *run)
@@ -97,7 +124,12 @@
     }
     if (task->sched_state.phase == JOB_SCHED_NONE ||
         (task->sched_state.phase == JOB_SCHED_STARTING && due)) {
-        SchedImpl_StartRun(sched, now, run);
+        if (SchedImpl_MayStart(sched, now, run)) {
+            SchedImpl_StartRun(sched, now, run);
+        }
+        else {
+            decline_run(sched, now, run);
+        }
     }
 }
 
--- a/src/jobsched_target.c
+++ b/src/jobsched_target.c
@@ -145,6 +145,7 @@
     }
     live->order = announcement->order;
     live->last_seen_ms = now;
+    SchedImpl_RecordRoom(live, now, announcement);
     if (!live->checking_restart) {
         SchedImpl_RecordClock(sched, live, now, announcement->clock_ms);
     }
--- a/src/jobstate.h
+++ b/src/jobstate.h
@@ -56,8 +56,9 @@
     int64_t unavailable_since_ms; /* for lasting tasks */
     uint8_t phase;
     uint8_t percent;
-    bool calling;       /* a start or stop call has no answer yet */
-    bool must_stop;     /* to be stopped for a move, a wave or a preemption */
+    bool calling;   /* a start or stop call has no answer yet */
+    bool unsent;    /* assigned by this leader, which has sent no start yet */
+    bool must_stop; /* to be stopped for a move, a wave or a preemption */
     bool stop_accepted; /* the target has accepted the stop */
 } JobTaskSchedState;
 
