--- a/src/jobsched_crash.c
+++ b/src/jobsched_crash.c
@@ -150,12 +150,13 @@
                : JOB_CRASH_LATE;
 }
 
-/* Returns whether a run has outlived its probation. What an earlier leader has
- * learned of a run is unknown, so its assignment has to be long ago. */
+/* Returns whether a run has outlived its probation, or never began. What an
+ * earlier leader has learned of a run is unknown, so its assignment has to be
+ * long ago. */
 static bool
-is_proven(const JobTask *task, const SchedCrash *span)
+is_innocent(const JobTask *task, const SchedCrash *span)
 {
-    return task->sched_state.proven ||
+    return task->sched_state.proven || task->sched_state.unsent ||
            (task->sched_state.phase == JOB_SCHED_NONE &&
             task->assigned_ms > 0 &&
             span->to_ms - task->assigned_ms >= SCHED_UNSEEN_PROBATION_MS);
@@ -180,7 +181,7 @@
     for (i = 0; i < target->run_count; i++) {
         const JobRun *run = &target->runs[i];
         const JobTask *task = JobRun_GetTask(run);
-        if (!is_proven(task, span)) {
+        if (!is_innocent(task, span)) {
             add_suspect(sched, &list,
                         &(JobCrash){JobRun_GetTaskRef(run), task->attempt,
                                     get_own_evidence(task, span)});
@@ -289,7 +290,7 @@
     }
     for (i = 0; i < target->run_count; i++) {
         const JobTask *task = JobRun_GetTask(&target->runs[i]);
-        if (!task->sched_state.proven) {
+        if (!is_innocent(task, &span)) {
             sched->lost_runs[sched->lost_run_count++] =
                 (SchedLostRun){target->row,
                                target->serial,
--- a/src/jobsched_impl.h
+++ b/src/jobsched_impl.h
@@ -32,6 +32,7 @@
     uint64_t fence;       /* fencing token of calls to the target */
     int64_t clock_ms;     /* last reading of the target's clock */
     int64_t clock_at_ms;  /* time of the last clock reading */
+    int64_t room_at_ms;   /* when its last announcement was made */
     int64_t granted_until_ms; /* highest deadline sent, in target time */
     int64_t last_seen_ms;     /* time of the last announcement or answer */
     int64_t last_answer_ms;
@@ -45,10 +46,12 @@
     SchedCrash restart;      /* when it restarted, if checking_restart */
     int64_t isolated_until_ms; /* until then only suspects are placed on it */
     uint32_t unanswered;       /* consecutive calls without an answer */
+    JobResources room;         /* in its last announcement */
     JobResources reserved;     /* room taken by assignments in flight */
     uint32_t reserved_count;
     uint32_t failures; /* consecutive runs that ended as failed */
     bool clock_known;
+    bool room_known; /* the incarnation has announced itself in this term */
     bool hold_in_flight;
     bool fenced;       /* a hold with this fencing token was answered */
     bool ends_pending; /* a proposal of ends is in flight */
@@ -160,6 +163,20 @@
 void SchedImpl_ReserveRoom(SchedTarget *live, const JobStep *step);
 void SchedImpl_ReleaseRoom(SchedTarget *live, const JobStep *step);
 
+/* jobsched_room.c: room of targets, which may shrink and grow */
+void SchedImpl_RecordRoom(SchedTarget *live, int64_t now,
+                          const JobAnnouncement *announcement);
+/* Returns the latest room of a target that is known. */
+const JobResources *SchedImpl_GetRoom(const JobTarget *target);
+/* Returns whether a start that fits the known room cannot exceed the actual
+ * one: the last announcement is recent, or the target enforces its capacity.
+ */
+bool SchedImpl_IsRoomCertain(const JobSched *sched, int64_t now,
+                             const JobTarget *target);
+/* Returns whether the start of a run may be sent now. Other runs at its target
+ * use room from when their first start is sent until their end is listed. */
+bool SchedImpl_MayStart(const JobSched *sched, int64_t now, const JobRun *run);
+
 /* jobsched_run.c: calls that start and stop tasks, and ends of runs */
 void SchedImpl_StopTask(JobSched *sched, int64_t now, JobTarget *target,
                         const JobTaskRef *ref, uint32_t attempt);
--- a/src/jobsched_isolate.c
+++ b/src/jobsched_isolate.c
@@ -66,7 +66,7 @@
 can_hold(const JobTarget *target, const JobRun *run)
 {
     const JobStep *step = JobRun_GetStep(run);
-    const JobResources *room = &target->announcement.room;
+    const JobResources *room = SchedImpl_GetRoom(target);
     uint64_t cpu = step->best_effort ? 0 : step->need.cpu;
     uint64_t memory = step->need.memory_mb;
     uint64_t accelerators = step->need.accelerators;
--- a/tests/support_jobsim.h
+++ b/tests/support_jobsim.h
@@ -7,10 +7,10 @@
  *     against simulated targets and a simulated log. The targets have slow
  *     clocks, leases, fencing tokens and lists of ends. Calls are lost or
  *     delayed, targets are partitioned, crash and restart under the same id,
- *     and the leader changes while proposals are in flight. Deadly tasks crash
- *     each target that starts them. An oracle checks every start that takes
- *     effect and every job that ends as failed. The same seed gives the same
- *     run.
+ *     the room of targets shrinks and grows, and the leader changes while
+ *     proposals are in flight. Deadly tasks crash each target that starts
+ *     them. An oracle checks every start that takes effect and every job that
+ *     ends as failed. The same seed gives the same run.
  */
 #ifndef COLTSFOOT_SUPPORT_JOBSIM_H
 #define COLTSFOOT_SUPPORT_JOBSIM_H
@@ -64,6 +64,14 @@
                                   of them, crash within 100 ms; every second
                                   time again, 3 to 5 times in all, 2 to 6 s
                                   apart */
+    uint32_t unguarded_pools; /* number of pools, from the first, whose targets
+                                 start what does not fit */
+    double shrinks_per_s;     /* rate at which the room of a target shrinks to
+                                 20 to 80 % for 2 to 12 s */
+    double mutes_per_s;       /* rate at which the announcements of a target
+                                 are lost for 0.5 to 9 s */
+    double log_stalls_per_s;  /* rate at which commits stop for 1 to 6 s */
+    int64_t max_election_ms;  /* longest time without a leader */
 } JobSimOptions;
 
 #define JOBSIM_OPTIONS_DEFAULT                                                \
