--- a/src/jobsched.c
+++ b/src/jobsched.c
@@ -70,6 +70,8 @@
     sched->action_count = 0;
     drop_proposals(sched);
     JobState_ClearSchedState(sched->state);
+    sched->lost_run_count = 0;
+    sched->crash_count = 0;
     sched->leads = false;
 }
 
@@ -80,6 +82,7 @@
         JobSched_Resign(sched);
         free(sched->actions);
         free(sched->batch);
+        free(sched->lost_runs);
         JobEst_Free(sched->est);
         JobDemand_Free(sched->demand);
         free(sched);
@@ -177,10 +180,14 @@
         live->serial = target->serial;
         live->order = 0;
         live->clock_known = false;
+        live->room_known = false;
         live->granted_until_ms = 0;
         live->hold_in_flight = false;
         live->failures = 0;
         live->quarantine_end_ms = 0;
+        live->known_since_ms = sched->now_ms;
+        live->crash_recorded = false;
+        live->isolated_until_ms = 0;
     }
     return live;
 }
@@ -309,6 +316,7 @@
             task->attempt == assignment->attempt) {
             JobRun run = {job, assignment->task.occurrence,
                           assignment->task.step, assignment->task.index};
+            task->sched_state.unsent = true;
             SchedImpl_AdvanceRun(sched, now, &run);
         }
         else {
@@ -317,10 +325,10 @@
     }
 }
 
-/* Takes the clock of a new target from its announcement, so that the target
- * is usable at once. */
+/* Takes the clock and room of a new target from its announcement, so that the
+ * target is usable at once. */
 static void
-record_announced_clock(JobSched *sched, const SchedProposal *proposal)
+record_first_announcement(JobSched *sched, const SchedProposal *proposal)
 {
     JobTarget *target = JobState_FindTarget(sched->state, proposal->id);
     SchedTarget *live;
@@ -329,6 +337,10 @@
         return;
     }
     live = SchedImpl_EnsureLive(sched, target);
+    if (!live->room_known) {
+        SchedImpl_RecordRoom(live, proposal->clock_at_ms,
+                             &target->announcement);
+    }
     if (!live->clock_known) {
         SchedImpl_RecordClock(sched, live, proposal->clock_at_ms,
                               proposal->clock_ms);
@@ -349,9 +361,12 @@
     }
     sched->now_ms = now;
     if (sched->leads && proposal->id[0] != '\0') {
-        record_announced_clock(sched, proposal);
+        record_first_announcement(sched, proposal);
     }
     target = JobState_TargetAt(sched->state, proposal->row);
+    if (proposal->kind == SCHED_CRASHES) {
+        SchedImpl_ForgetCountedRuns(sched, cookie);
+    }
     if (sched->leads && proposal->kind == SCHED_ASSIGN) {
         finish_assignments(sched, now, proposal);
     }
@@ -386,7 +401,9 @@
     for (i = 0; i < JobState_TargetRows(sched->state); i++) {
         JobTarget *target = JobState_TargetAt(sched->state, i);
         if (target != NULL) {
-            SchedImpl_EnsureLive(sched, target);
+            SchedTarget *live = SchedImpl_EnsureLive(sched, target);
+            live->isolated_until_ms = now;
+            SchedImpl_UpdateIsolation(target, now);
         }
     }
 }
@@ -520,6 +537,7 @@
         JobTarget *target = JobState_TargetAt(sched->state, i);
         if (target != NULL) {
             advance_target(sched, now, target);
+            SchedImpl_UpdateIsolation(target, now);
             busy_targets += target->run_count > 0;
         }
     }
--- a/src/jobsched_place.c
+++ b/src/jobsched_place.c
@@ -42,22 +42,20 @@
 has_room(const JobTarget *target, const JobStep *step)
 {
     const SchedTarget *live = target->sched_state;
+    const JobResources *room = SchedImpl_GetRoom(target);
     uint64_t cpu = (uint64_t)target->used.cpu + live->reserved.cpu;
     uint64_t memory =
         (uint64_t)target->used.memory_mb + live->reserved.memory_mb;
     uint64_t accelerators =
         (uint64_t)target->used.accelerators + live->reserved.accelerators;
 
-    return cpu + (step->best_effort ? 0 : step->need.cpu) <=
-               target->announcement.room.cpu &&
-           memory + step->need.memory_mb <=
-               target->announcement.room.memory_mb &&
-           accelerators + step->need.accelerators <=
-               target->announcement.room.accelerators;
+    return cpu + (step->best_effort ? 0 : step->need.cpu) <= room->cpu &&
+           memory + step->need.memory_mb <= room->memory_mb &&
+           accelerators + step->need.accelerators <= room->accelerators;
 }
 
-static bool
-has_label(const JobTarget *target, const char *label)
+bool
+SchedImpl_HasLabel(const JobTarget *target, const char *label)
 {
     uint32_t i;
 
@@ -69,10 +67,9 @@
     return false;
 }
 
-/* Returns the number of tasks of a step that are assigned to a target. */
-static uint32_t
-count_assigned_tasks(const Job *job, uint32_t occurrence, uint32_t step,
-                     const JobTarget *target)
+uint32_t
+SchedImpl_CountAssigned(const Job *job, uint32_t occurrence, uint32_t step,
+                        const JobTarget *target)
 {
     uint32_t count = 0;
     uint32_t i;
@@ -146,19 +143,20 @@
     int64_t score = used * 1000 / room; /* best fit */
     uint32_t same_step = 0;
 
-    if (!has_room(target, step) ||
-        (step->label[0] != '\0' && !has_label(target, step->label))) {
+    if (SchedImpl_IsIsolated(live, sched->now_ms) || !has_room(target, step) ||
+        (step->label[0] != '\0' && !SchedImpl_HasLabel(target, step->label))) {
         return -1;
     }
     if (step->max_per_target > 0 || step->lasting) {
-        same_step = count_assigned_tasks(job, occurrence, step_index, target) +
-                    count_proposed_tasks(sched, job, occurrence, step_index,
-                                         target->row);
+        same_step =
+            SchedImpl_CountAssigned(job, occurrence, step_index, target) +
+            count_proposed_tasks(sched, job, occurrence, step_index,
+                                 target->row);
     }
     if (step->max_per_target > 0 && same_step >= step->max_per_target) {
         return -1;
     }
-    if (step->rack[0] != '\0' && has_label(target, step->rack)) {
+    if (step->rack[0] != '\0' && SchedImpl_HasLabel(target, step->rack)) {
         score += 2000;
     }
     if (step->lasting) {
@@ -212,7 +210,8 @@
     for (i = 0; i < JobState_TargetRows(pass->sched->state); i++) {
         JobTarget *target = JobState_TargetAt(pass->sched->state, i);
         if (target != NULL &&
-            JobSched_IsUsable(pass->sched, target, pass->now)) {
+            JobSched_IsUsable(pass->sched, target, pass->now) &&
+            SchedImpl_IsRoomCertain(pass->sched, pass->now, target)) {
             add_target(pass, target);
         }
     }
@@ -320,6 +319,30 @@
            task->sched_state.phase == JOB_SCHED_NONE;
 }
 
+/* Returns whether a task is placed apart from others, or not yet, because its
+ * targets have crashed. Assigns it if a target can be had for it alone. */
+static bool
+place_suspect(PlacementPass *pass, const PlacePool *pool, const JobRun *run)
+{
+    const JobTask *task = JobRun_GetTask(run);
+    JobTaskRef ref = JobRun_GetTaskRef(run);
+    JobTarget *target;
+
+    if (SchedImpl_AwaitsCrashEvidence(pass->sched, pass->now, task, &ref)) {
+        return true;
+    }
+    if (!SchedImpl_IsSuspect(task, JobRun_GetStep(run))) {
+        return false;
+    }
+    target =
+        SchedImpl_IsolateTarget(pool->targets, pool->count, run, pass->now);
+    if (target != NULL) {
+        add_assignment(pass->sched, run->job, run->occurrence, run->step,
+                       run->index, task->attempt + 1, target);
+    }
+    return true;
+}
+
 /* Assigns the waiting tasks of a step to targets. Returns whether some remain
  * unplaced. */
 static bool
@@ -331,6 +354,7 @@
         job->occurrences[occurrence].tasks + job->step_first_task[step];
     const JobStep *spec = &job->spec.steps[step];
     size_t first = sched->batch_count;
+    bool waiting = false;
     uint32_t attempt = 0;
     uint32_t i;
 
@@ -346,6 +370,11 @@
         if (!is_placeable(&tasks[i])) {
             continue;
         }
+        if (tasks[i].crash_score > 0 && !spec->gang &&
+            place_suspect(pass, pool, &(JobRun){job, occurrence, step, i})) {
+            waiting = true;
+            continue;
+        }
         target = choose_target(pass, pool, job, occurrence, step);
         if (target == NULL) {
             if (spec->gang) {
@@ -356,7 +385,7 @@
         add_assignment(sched, job, occurrence, step, i,
                        (spec->gang ? attempt : tasks[i].attempt) + 1, target);
     }
-    return false;
+    return waiting;
 }
 
 static bool
--- a/tests/support_jobsim.c
+++ b/tests/support_jobsim.c
@@ -16,9 +16,20 @@
 #define MAX_STOP_MS 200
 #define MAX_LEASE_MS 6000
 #define TARGET_MILLICORES 16000
+#define TARGET_MEMORY_MB 32000
+/* Time after which starts must fit into a room that has shrunk. */
+#define SHRUNK_ROOM_GRACE_MS (3000 + ANNOUNCE_INTERVAL_MS)
 #define CALL_TIMEOUT_MS 1000
 #define MAX_RUNS 64
 #define MAX_ATTEMPTS 3
+#define GANG_TIMEOUT_MS 3000 /* wait of a run for the others of its gang */
+#define GANG_NOTICE_MS 5     /* until the others know that a member ended */
+/* A deadly task may be started MAX_STARTS_AFTER_CRASHES times after it has
+ *  crashed CRASHES_BEFORE_BUDGET targets. The job of any task may be failed
+ * after MIN_CRASHES_TO_FAIL crashes under it. */
+#define CRASHES_BEFORE_BUDGET 3
+#define MAX_STARTS_AFTER_CRASHES 2
+#define MIN_CRASHES_TO_FAIL 2
 
 typedef enum EventKind {
     EV_COMMIT,
@@ -26,6 +37,9 @@
     EV_ANSWER,
     EV_RUN_FINISHED,
     EV_RUN_STOPPED,
+    EV_GANG_FINISHED,
+    EV_GANG_BROKEN,
+    EV_GANG_TIMEOUT,
     EV_ANNOUNCE,
     EV_TICK,
     EV_JOB_ARRIVAL,
@@ -33,9 +47,18 @@
     EV_PARTITION,
     EV_HEAL,
     EV_CRASH,
+    EV_DEADLY_CRASH, /* a deadly run crashes its target */
+    EV_POOL_CRASH,
+    EV_POOL_TARGET_CRASH,
     EV_RESTART,
     EV_LEADER_CHANGE,
-    EV_HOLD_TIMEOUT
+    EV_HOLD_TIMEOUT,
+    EV_SHRINK,
+    EV_GROW,
+    EV_MUTE,
+    EV_UNMUTE,
+    EV_LOG_STALL,
+    EV_ELECTED
 } EventKind;
 
 typedef struct Run {
@@ -43,6 +66,7 @@
     uint32_t attempt;
     uint64_t id; /* unique in the simulation */
     bool lasting;
+    bool gang;
     bool stopping;
 } Run;
 
@@ -59,6 +83,7 @@
     int64_t start_ms; /* simulated time of its start, when its clock reads 0 */
     bool up;
     bool partitioned;
+    bool silent;              /* while it is down, its VM is down as well */
     uint64_t fence;           /* highest fencing token received */
     int64_t deadline_ms;      /* lease deadline on its clock */
     int64_t lease_expired_ms; /* simulated time of the last lease expiry */
@@ -68,11 +93,17 @@
     int64_t *ended_ms; /* simulated time of each end */
     size_t end_count;
     uint64_t acked; /* number of acknowledged ends */
+    size_t listed;  /* number of ends that were listed in an answer */
     StaleAttempt *stale_attempts;
     size_t stale_attempt_count;
     JobAction pending_hold; /* hold that waits for an end */
     uint64_t hold_term;     /* term of the leader that sent the hold */
     uint64_t hold_id;       /* 0: no pending hold */
+    JobResources full_room; /* its room before it shrank */
+    bool shrunk;
+    int64_t shrunk_ms;
+    bool guarded; /* refuses a start that does not fit */
+    bool muted;   /* its announcements are lost */
 } SimTarget;
 
 /* What the oracle knows about a task. */
@@ -82,16 +113,32 @@
     bool done;
     bool done_acked; /* the end was acknowledged before the lease expired */
     uint32_t failures_acked;
+    uint32_t failures_listed;
+    uint32_t crashes;        /* of targets that ran the task */
+    uint32_t crashes_caused; /* by the task */
+    uint32_t starts;
+    uint32_t starts_after_crashes; /* see CRASHES_BEFORE_BUDGET */
 } TaskRecord;
 
+typedef struct JobRecord {
+    const Job *job;
+    bool ended;
+    bool deadly;
+    bool late_crash;
+    uint32_t deadly_step;
+    uint32_t deadly_index; /* UINT32_MAX: all tasks of the step */
+} JobRecord;
+
 typedef struct Event {
     int64_t at_ms;
     uint64_t sequence; /* order of events at the same time */
     EventKind kind;
     uint32_t target_index;
     uint64_t incarnation;
-    uint64_t id; /* run or hold; for EV_DELIVER: 1 if the answer arrives */
+    uint64_t id; /* run or hold; for EV_DELIVER: 1 if the answer arrives; for
+                    EV_POOL_CRASH: number of crashes left */
     uint64_t sender_term; /* term of the leader that sent the action */
+    bool late;            /* EV_DELIVER: delayed by the network */
     JobAction action;
     JobCallAnswer answer;
     JobRunning *running;
@@ -105,6 +152,7 @@
     int64_t now; /* simulated time in ms */
     uint64_t term;
     JobState *state;
+    JobSchedOptions sched_options;
     JobSched *sched;
     SimTarget *targets;
     uint32_t target_count;
@@ -115,6 +163,9 @@
     uint64_t next_id;
     uint64_t next_job;
     StrMap *task_records;
+    JobRecord *job_records; /* by job number */
+    uint64_t job_record_capacity;
+    uint64_t first_open_job; /* jobs with a lower number have ended */
     JobSimReport *report;
     int64_t total_ms;
     int64_t last_commit_ms; /* commits take effect in proposal order */
@@ -257,6 +308,111 @@
     return record;
 }
 
+static JobRecord *
+get_job_record(const JobSim *sim, const char *id)
+{
+    uint64_t number = strtoull(id, NULL, 16);
+
+    return number < sim->next_job ? &sim->job_records[number] : NULL;
+}
+
+static bool
+is_deadly_task(const JobSim *sim, const JobTaskRef *task)
+{
+    const JobRecord *record = get_job_record(sim, task->job);
+
+    return record != NULL && record->deadly &&
+           record->deadly_step == task->step &&
+           (record->deadly_index == UINT32_MAX ||
+            record->deadly_index == task->index);
+}
+
+/* Checks a start of a deadly task. Starts that the network delayed and those
+ * sent by an earlier leader are not held against the current leader. */
+static void
+check_deadly_start(JobSim *sim, const JobTaskRef *task, bool counted)
+{
+    TaskRecord *record = get_task_record(sim, task);
+
+    record->starts++;
+    if (record->starts > sim->report->max_deadly_starts) {
+        sim->report->max_deadly_starts = record->starts;
+    }
+    if (!counted || record->crashes_caused < CRASHES_BEFORE_BUDGET) {
+        return;
+    }
+    record->starts_after_crashes++;
+    if (record->starts_after_crashes > MAX_STARTS_AFTER_CRASHES) {
+        report_violation(
+            sim, "%s: start %u after it crashed %u targets, start %u in all",
+            record->key, record->starts_after_crashes, record->crashes_caused,
+            record->starts);
+    }
+}
+
+/* Returns whether a step explains why its job was shown as failed. */
+static bool
+is_cause_of_failure(JobSim *sim, const Job *job, uint32_t step)
+{
+    const JobStep *spec = &job->spec.steps[step];
+    JobTaskRef task = {{0}, 0, step, 0};
+    uint32_t gang_failures = 0;
+    uint32_t gang_crashes = 0;
+
+    snprintf(task.job, sizeof(task.job), "%s", job->id);
+    for (task.index = 0; task.index < spec->count; task.index++) {
+        const TaskRecord *record = get_task_record(sim, &task);
+        gang_failures += spec->gang ? record->failures_listed : 0;
+        gang_crashes += spec->gang ? record->crashes : 0;
+        if ((!spec->lasting && record->failures_listed >= MAX_ATTEMPTS) ||
+            record->crashes >= MIN_CRASHES_TO_FAIL) {
+            return true;
+        }
+    }
+    return gang_failures >= MAX_ATTEMPTS ||
+           gang_crashes >= MIN_CRASHES_TO_FAIL;
+}
+
+static void
+check_ended_job(JobSim *sim, const JobRecord *record)
+{
+    const Job *job = record->job;
+    bool explained = false;
+    uint32_t step;
+
+    for (step = 0; step < job->spec.step_count; step++) {
+        explained |= is_cause_of_failure(sim, job, step);
+    }
+    if (job->phase == JOB_FAILED && !explained) {
+        report_violation(sim, "job %s is shown as failed without cause%s",
+                         job->id, record->deadly ? ", deadly" : "");
+    }
+    if (job->phase == JOB_COMPLETED && record->deadly) {
+        report_violation(sim,
+                         "job %s is shown as completed, but its deadly task "
+                         "never ends",
+                         job->id);
+    }
+}
+
+/* Checks the jobs that have ended since the last call. */
+static void
+check_ended_jobs(JobSim *sim)
+{
+    uint64_t number;
+
+    for (number = sim->first_open_job; number < sim->next_job; number++) {
+        JobRecord *record = &sim->job_records[number];
+        if (!record->ended && record->job->phase >= JOB_COMPLETED) {
+            check_ended_job(sim, record);
+            record->ended = true;
+        }
+        if (record->ended && number == sim->first_open_job) {
+            sim->first_open_job++;
+        }
+    }
+}
+
 static void
 check_start(JobSim *sim, const SimTarget *target, const JobTaskRef *task)
 {
@@ -358,8 +514,59 @@
     return false;
 }
 
+/* Schedules an event for the gang of a run. */
+static Event *
+schedule_gang_event(JobSim *sim, int64_t delay_ms, EventKind kind,
+                    const Run *run)
+{
+    Event *event = schedule_event(sim, delay_ms, kind);
+
+    event->action.task = run->task;
+    event->action.attempt = run->attempt;
+    return event;
+}
+
+static bool
+is_member_run(const Run *run, const JobAction *gang)
+{
+    return run->gang && !run->stopping && run->attempt == gang->attempt &&
+           run->task.step == gang->task.step &&
+           strcmp(run->task.job, gang->task.job) == 0;
+}
+
+/* Returns the number of runs of a gang that are not being stopped. */
+static uint32_t
+count_member_runs(const JobSim *sim, const JobAction *gang)
+{
+    uint32_t count = 0;
+    uint32_t i;
+    size_t j;
+
+    for (i = 0; i < sim->target_count; i++) {
+        for (j = 0; j < sim->targets[i].run_count; j++) {
+            count += is_member_run(&sim->targets[i].runs[j], gang);
+        }
+    }
+    return count;
+}
+
 static void answer_hold(JobSim *sim, uint32_t target_index);
 
+/* Records that a task is done; a done member of a gang completes all. */
+static void
+record_done(JobSim *sim, const Run *run)
+{
+    const Job *job = JobState_FindJob(sim->state, run->task.job);
+    JobTaskRef member = run->task;
+
+    get_task_record(sim, &run->task)->done = true;
+    for (member.index = 0;
+         run->gang && member.index < job->spec.steps[member.step].count;
+         member.index++) {
+        get_task_record(sim, &member)->done = true;
+    }
+}
+
 static void
 end_run(JobSim *sim, uint32_t target_index, Run *run, JobEndKind kind)
 {
@@ -368,7 +575,9 @@
     size_t i = target->end_count++;
 
     record->running--;
-    record->done |= kind == JOB_END_DONE;
+    if (kind == JOB_END_DONE) {
+        record_done(sim, run);
+    }
     target->ends =
         realloc(target->ends, target->end_count * sizeof(*target->ends));
     target->ended_ms =
@@ -377,10 +586,83 @@
         (JobEnd){run->task, run->attempt, kind, target->end_count, ""};
     target->ended_ms[i] = sim->now;
     record_stale_attempt(target, &run->task, run->attempt);
+    if (run->gang && kind != JOB_END_DONE) {
+        schedule_gang_event(sim, GANG_NOTICE_MS, EV_GANG_BROKEN, run);
+    }
     *run = target->runs[--target->run_count];
     answer_hold(sim, target_index);
 }
 
+/* Ends all runs of a gang. */
+static void
+end_gang(JobSim *sim, const JobAction *gang, JobEndKind kind)
+{
+    uint32_t i;
+    size_t j;
+
+    for (i = 0; i < sim->target_count; i++) {
+        SimTarget *target = &sim->targets[i];
+        for (j = target->run_count; j > 0; j--) {
+            if (is_member_run(&target->runs[j - 1], gang)) {
+                end_run(sim, i, &target->runs[j - 1], kind);
+            }
+        }
+    }
+}
+
+static bool
+is_gang_complete(const JobSim *sim, const JobAction *gang)
+{
+    const Job *job = JobState_FindJob(sim->state, gang->task.job);
+
+    return count_member_runs(sim, gang) ==
+           job->spec.steps[gang->task.step].count;
+}
+
+/* Ends a gang whose work is done. A failed member breaks the others. */
+static void
+finish_gang(JobSim *sim, const Event *event)
+{
+    const JobAction *gang = &event->action;
+    SimTarget *target = &sim->targets[event->target_index];
+    size_t i;
+
+    if (!is_gang_complete(sim, gang)) {
+        return;
+    }
+    if (!draw_bool(sim, sim->options.failed_run_share)) {
+        end_gang(sim, gang, JOB_END_DONE);
+        return;
+    }
+    for (i = 0; i < target->run_count; i++) {
+        if (is_member_run(&target->runs[i], gang)) {
+            end_run(sim, event->target_index, &target->runs[i],
+                    JOB_END_FAILED);
+            return;
+        }
+    }
+}
+
+/* Starts the work of a gang once all of its tasks run. */
+static void
+join_gang(JobSim *sim, uint32_t target_index, const Run *run)
+{
+    JobAction gang = {.task = run->task, .attempt = run->attempt};
+    const JobRecord *record = get_job_record(sim, run->task.job);
+    Event *event;
+
+    event = schedule_gang_event(sim, GANG_TIMEOUT_MS, EV_GANG_TIMEOUT, run);
+    event->target_index = target_index;
+    event->incarnation = sim->targets[target_index].incarnation;
+    event->id = run->id;
+    if (is_gang_complete(sim, &gang) &&
+        !(record->deadly && record->deadly_step == run->task.step)) {
+        schedule_gang_event(sim, draw_between(sim, 200, 1500),
+                            EV_GANG_FINISHED, run)
+            ->target_index = target_index;
+    }
+}
+
 /* Ends all runs of a target if its lease has expired. */
 static void
 end_expired_runs(JobSim *sim, uint32_t target_index)
@@ -422,22 +704,45 @@
     }
 }
 
-static uint32_t
-sum_used_cpu(const JobSim *sim, const SimTarget *target)
+/* Returns whether the runs of a target and another one fit into a room. */
+static bool
+fits_room(const JobSim *sim, const SimTarget *target, const JobStep *step,
+          const JobResources *room)
 {
-    uint32_t cpu = 0;
+    uint64_t cpu = step->need.cpu;
+    uint64_t memory = step->need.memory_mb;
     size_t i;
 
     for (i = 0; i < target->run_count; i++) {
-        const Job *job =
-            JobState_FindJob(sim->state, target->runs[i].task.job);
-        cpu += job->spec.steps[target->runs[i].task.step].need.cpu;
+        const Run *run = &target->runs[i];
+        const Job *job = JobState_FindJob(sim->state, run->task.job);
+        cpu += job->spec.steps[run->task.step].need.cpu;
+        memory += job->spec.steps[run->task.step].need.memory_mb;
+    }
+    return cpu <= room->cpu && memory <= room->memory_mb;
+}
+
+static void
+check_room(JobSim *sim, const SimTarget *target, const JobAction *call,
+           const JobStep *step)
+{
+    bool in_grace =
+        target->shrunk && sim->now - target->shrunk_ms <= SHRUNK_ROOM_GRACE_MS;
+
+    if (sim->now - call->sent_ms <= NETWORK_DELAY_MS &&
+        !fits_room(sim, target, step,
+                   in_grace ? &target->full_room
+                            : &target->announcement.room)) {
+        report_violation(sim, "%s.%u.%u.%u brings %s over its room",
+                         call->task.job, call->task.occurrence,
+                         call->task.step, call->task.index,
+                         target->announcement.id);
     }
-    return cpu;
 }
 
 static JobCallOutcome
-start_run(JobSim *sim, uint32_t target_index, const JobAction *call)
+start_run(JobSim *sim, uint32_t target_index, const JobAction *call,
+          bool counted)
 {
     SimTarget *target = &sim->targets[target_index];
     const Job *job = JobState_FindJob(sim->state, call->task.job);
@@ -462,17 +767,31 @@
     }
     step = &job->spec.steps[call->task.step];
     if (target->run_count == MAX_RUNS ||
-        sum_used_cpu(sim, target) + step->need.cpu > TARGET_MILLICORES) {
+        (target->guarded &&
+         !fits_room(sim, target, step, &target->announcement.room))) {
         return JOB_CALL_NO_ROOM;
     }
+    check_room(sim, target, call, step);
     sim->report->starts++;
     run = &target->runs[target->run_count++];
-    *run =
-        (Run){call->task, call->attempt, sim->next_id++, step->lasting, false};
+    *run = (Run){call->task,    call->attempt, sim->next_id++,
+                 step->lasting, step->gang,    false};
     get_task_record(sim, &call->task)->running++;
-    if (!step->lasting) {
+    event = NULL;
+    if (is_deadly_task(sim, &call->task)) {
+        bool late = get_job_record(sim, call->task.job)->late_crash;
+        check_deadly_start(sim, &call->task, counted);
+        event = schedule_event(sim, draw_between(sim, 5, late ? 3000 : 50),
+                               EV_DEADLY_CRASH);
+    }
+    else if (!step->lasting && !step->gang) {
         event =
             schedule_event(sim, draw_between(sim, 200, 1500), EV_RUN_FINISHED);
+    }
+    if (step->gang) {
+        join_gang(sim, target_index, run);
+    }
+    if (event != NULL) {
         event->target_index = target_index;
         event->incarnation = target->incarnation;
         event->id = run->id;
@@ -499,6 +818,14 @@
     event->id = run->id;
 }
 
+static bool
+is_gang_task(const JobSim *sim, const JobTaskRef *task)
+{
+    return JobState_FindJob(sim->state, task->job)
+        ->spec.steps[task->step]
+        .gang;
+}
+
 static void
 acknowledge_ends(JobSim *sim, SimTarget *target, uint64_t ack)
 {
@@ -509,7 +836,8 @@
         if (target->lease_expired_ms > target->ended_ms[i]) {
             continue;
         }
-        record->done_acked |= target->ends[i].kind == JOB_END_DONE;
+        record->done_acked |= target->ends[i].kind == JOB_END_DONE &&
+                              !is_gang_task(sim, &target->ends[i].task);
         record->failures_acked += target->ends[i].kind == JOB_END_FAILED;
     }
     /* An ack meant for an earlier incarnation may exceed the list. */
@@ -552,14 +880,29 @@
     event->answer.running_count = target->run_count;
     event->answer.ends = event->ends;
     event->answer.end_count = target->end_count - first_unacked;
+    for (; target->listed < target->end_count; target->listed++) {
+        const JobEnd *end = &target->ends[target->listed];
+        get_task_record(sim, &end->task)->failures_listed +=
+            end->kind == JOB_END_FAILED;
+    }
+}
+
+/* Returns whether the VM of a crashed target refuses connections. */
+static bool
+is_refusing(const JobSim *sim, const SimTarget *target)
+{
+    return sim->options.crashes_refuse_calls && !target->up &&
+           !target->partitioned && !target->silent;
 }
 
 static void
 schedule_call_timeout(JobSim *sim, uint32_t target_index,
                       const JobAction *call, uint64_t term)
 {
-    Event *event =
-        schedule_event(sim, CALL_TIMEOUT_MS + call->wait_ms, EV_ANSWER);
+    int64_t delay_ms = is_refusing(sim, &sim->targets[target_index])
+                           ? 2 * NETWORK_DELAY_MS
+                           : CALL_TIMEOUT_MS + call->wait_ms;
+    Event *event = schedule_event(sim, delay_ms, EV_ANSWER);
 
     event->target_index = target_index;
     event->sender_term = term;
@@ -618,12 +961,15 @@
     event->id = target->hold_id;
 }
 
-/* Delivers a call to a target. Its answer reaches the caller only if
- * answer_arrives is set. */
+/* Delivers the call of an event to its target. The answer reaches the caller
+ * only if event->id is set. */
 static void
-deliver_call(JobSim *sim, uint32_t target_index, const JobAction *call,
-             uint64_t term, bool answer_arrives)
+deliver_call(JobSim *sim, const Event *event)
 {
+    uint32_t target_index = event->target_index;
+    const JobAction *call = &event->action;
+    uint64_t term = event->sender_term;
+    bool answer_arrives = event->id != 0;
     SimTarget *target = &sim->targets[target_index];
     JobCallAnswer answer = {.outcome = JOB_CALL_OK};
 
@@ -643,7 +989,8 @@
         target->fence = call->fence;
         end_expired_runs(sim, target_index);
         if (call->kind == JOB_ACTION_START) {
-            answer.outcome = start_run(sim, target_index, call);
+            answer.outcome = start_run(sim, target_index, call,
+                                       !event->late && term == sim->term);
         }
         else if (call->kind == JOB_ACTION_STOP) {
             stop_run(sim, target_index, call);
@@ -711,6 +1058,7 @@
     event->incarnation = target->incarnation;
     event->action = *call;
     event->id = answer_arrives;
+    event->late = delay_ms > NETWORK_DELAY_MS;
 }
 
 static void
@@ -744,6 +1092,31 @@
     perform_actions(sim);
 }
 
+/* Replaces the scheduler and its state by those of a node that has received a
+ * snapshot. */
+static void
+restore_state(JobSim *sim)
+{
+    JobState *state = JobState_New();
+    Buf snapshot = BUF_INIT;
+    ErrCtx err;
+    uint64_t number;
+
+    JobState_Snapshot(sim->state, &snapshot);
+    if (JobState_Restore(state, snapshot.data, snapshot.len, &err) != ST_OK) {
+        report_violation(sim, "a snapshot cannot be restored");
+    }
+    Buf_Free(&snapshot);
+    JobSched_Free(sim->sched);
+    for (number = 1; number < sim->next_job; number++) {
+        JobRecord *record = &sim->job_records[number];
+        record->job = JobState_FindJob(state, record->job->id);
+    }
+    JobState_Free(sim->state);
+    sim->state = state;
+    sim->sched = JobSched_New(&sim->sched_options, state);
+}
+
 /* Starts a new term. Of the proposals in flight, those before a random point
  * are committed and the others are lost. */
 static void
@@ -776,7 +1149,19 @@
         }
         next->sender_term = 0; /* commit_proposal ignores it */
     }
+    check_ended_jobs(sim);
+    if (sim->options.restored_leader_share > 0 &&
+        draw_bool(sim, sim->options.restored_leader_share)) {
+        restore_state(sim);
+    }
     sim->term++;
+    if (sim->options.max_election_ms > 0) {
+        JobSched_Resign(sim->sched);
+        schedule_event(sim, draw_between(sim, 0, sim->options.max_election_ms),
+                       EV_ELECTED)
+            ->sender_term = sim->term;
+        return;
+    }
     JobSched_Lead(sim->sched, sim->now, sim->term);
 }
 
@@ -793,21 +1178,99 @@
 }
 
 static void
-crash_target(JobSim *sim, uint32_t target_index)
+crash_target(JobSim *sim, uint32_t target_index, int64_t min_outage_ms,
+             int64_t max_outage_ms)
 {
     SimTarget *target = &sim->targets[target_index];
     Event *event;
 
+    if (sim->options.long_outage_share > 0 &&
+        draw_bool(sim, sim->options.long_outage_share)) {
+        min_outage_ms = 5000;
+        max_outage_ms = 8000;
+        target->silent = true;
+    }
+    else {
+        target->silent = false;
+    }
     while (target->run_count > 0) {
-        get_task_record(sim, &target->runs[0].task)->running--;
+        TaskRecord *record = get_task_record(sim, &target->runs[0].task);
+        record->running--;
+        record->crashes++;
+        if (target->runs[0].gang) {
+            schedule_gang_event(sim, GANG_NOTICE_MS, EV_GANG_BROKEN,
+                                &target->runs[0]);
+        }
         target->runs[0] = target->runs[--target->run_count];
     }
     target->up = false;
     answer_hold(sim, target_index);
-    event = schedule_event(sim, draw_between(sim, 300, 4000), EV_RESTART);
+    event = schedule_event(
+        sim, draw_between(sim, min_outage_ms, max_outage_ms), EV_RESTART);
     event->target_index = target_index;
 }
 
+/* Crashes a target if its deadly run has not ended yet. */
+static void
+crash_by_deadly_run(JobSim *sim, const Event *event)
+{
+    SimTarget *target = &sim->targets[event->target_index];
+    const Run *run = NULL;
+    uint32_t innocent = 0;
+    size_t i;
+
+    if (!target->up || target->incarnation != event->incarnation) {
+        return;
+    }
+    end_expired_runs(sim, event->target_index);
+    for (i = 0; i < target->run_count; i++) {
+        if (target->runs[i].id == event->id) {
+            run = &target->runs[i];
+        }
+        innocent += !is_deadly_task(sim, &target->runs[i].task);
+    }
+    if (run != NULL) {
+        get_task_record(sim, &run->task)->crashes_caused++;
+        sim->report->deadly_crashes++;
+        sim->report->innocent_runs_lost += innocent;
+        crash_target(sim, event->target_index, 2000, 5000);
+    }
+}
+
+/* Crashes a whole pool or the first half of it. */
+static void
+crash_pool(JobSim *sim, const Event *event)
+{
+    uint32_t count = sim->options.targets_per_pool;
+    uint32_t pool = Rng_Below(&sim->rng, sim->options.pools);
+    uint32_t first = event->id > 0 ? event->target_index : pool * count;
+    uint64_t crashes_left = event->id;
+    uint32_t i;
+
+    if (!is_active_phase(sim)) {
+        return;
+    }
+    if (event->id == 0) {
+        crashes_left =
+            draw_bool(sim, 0.5) ? (uint64_t)draw_between(sim, 3, 5) : 1;
+        schedule_random_event(sim, EV_POOL_CRASH,
+                              sim->options.pool_crashes_per_s);
+    }
+    if (draw_bool(sim, 0.5)) {
+        count = (count + 1) / 2;
+    }
+    for (i = first; i < first + count; i++) {
+        schedule_event(sim, draw_between(sim, 0, 100), EV_POOL_TARGET_CRASH)
+            ->target_index = i;
+    }
+    if (crashes_left > 1) {
+        Event *next =
+            schedule_event(sim, draw_between(sim, 2000, 6000), EV_POOL_CRASH);
+        next->target_index = first;
+        next->id = crashes_left - 1;
+    }
+}
+
 static void
 restart_target(JobSim *sim, uint32_t target_index)
 {
@@ -826,6 +1289,7 @@
     target->end_count = 0;
     target->stale_attempt_count = 0;
     target->acked = 0;
+    target->listed = 0;
     target->fence = 0;
     target->deadline_ms = 0;
     target->start_ms = sim->now;
@@ -853,12 +1317,55 @@
         JobStep *step = &spec->steps[i];
         step->count = (uint32_t)draw_between(sim, 1, 6);
         step->need.cpu = (uint32_t)draw_between(sim, 200, 2500);
-        step->need.memory_mb = 100;
+        step->need.memory_mb = sim->options.shrinks_per_s > 0
+                                   ? (uint32_t)draw_between(sim, 100, 5000)
+                                   : 100;
         step->estimate_ms = (uint32_t)draw_between(sim, 200, 2000);
         step->depends_mask = i > 0 ? (uint32_t)1 << (i - 1) : 0;
         step->lasting = lasting;
         step->max_unavailable = lasting ? 1 : 0;
+        step->gang = !lasting && sim->options.gang_share > 0 &&
+                     draw_bool(sim, sim->options.gang_share);
+    }
+}
+
+static JobRecord *
+add_job_record(JobSim *sim)
+{
+    uint64_t number = sim->next_job++;
+
+    if (sim->next_job > sim->job_record_capacity) {
+        sim->job_record_capacity = sim->next_job * 2;
+        sim->job_records =
+            realloc(sim->job_records,
+                    sim->job_record_capacity * sizeof(*sim->job_records));
+        if (sim->job_records == NULL) {
+            abort();
+        }
     }
+    sim->job_records[number] = (JobRecord){0};
+    return &sim->job_records[number];
+}
+
+static void
+choose_deadly_task(JobSim *sim, const JobSpec *spec, bool lasting,
+                   JobRecord *record)
+{
+    double share = lasting ? sim->options.deadly_lasting_share
+                           : sim->options.deadly_job_share;
+
+    if (share <= 0 || !draw_bool(sim, share)) {
+        return;
+    }
+    record->deadly = true;
+    record->deadly_step = Rng_Below(&sim->rng, spec->step_count);
+    record->deadly_index =
+        Rng_Below(&sim->rng, spec->steps[record->deadly_step].count);
+    if (draw_bool(sim, sim->options.deadly_step_share)) {
+        record->deadly_index = UINT32_MAX;
+    }
+    record->late_crash = draw_bool(sim, sim->options.late_crash_share);
+    sim->report->deadly_jobs++;
 }
 
 static void
@@ -866,18 +1373,22 @@
 {
     char id[JOB_ID_BYTES];
     char queue[JOB_NAME_BYTES];
+    JobRecord *record;
     JobSpec spec;
     Buf command = BUF_INIT;
     Buf result = BUF_INIT;
 
-    snprintf(id, sizeof(id), "%016llx", (unsigned long long)sim->next_job++);
+    snprintf(id, sizeof(id), "%016llx", (unsigned long long)sim->next_job);
     snprintf(queue, sizeof(queue), "q%u", pool);
     generate_spec(sim, &spec, lasting);
+    record = add_job_record(sim);
+    choose_deadly_task(sim, &spec, lasting, record);
     JobCmd_EncodeSubmit(&command, id, queue, sim->now, &spec);
     JobSpec_Free(&spec);
     JobState_Apply(sim->state, command.data, command.len, &result);
     Buf_Free(&command);
     Buf_Free(&result);
+    record->job = JobState_FindJob(sim->state, id);
     sim->report->jobs++;
     if (!lasting && draw_bool(sim, sim->options.cancel_share)) {
         Event *event =
@@ -919,6 +1430,7 @@
         queue->slack = 1.6;
         queue->max_attempts = MAX_ATTEMPTS;
         snprintf(config.pools[i].name, sizeof(config.pools[i].name), "p%u", i);
+        config.pools[i].enforces_capacity = i >= sim->options.unguarded_pools;
     }
     JobCmd_EncodeConfig(&command, &config);
     JobConfig_Free(&config);
@@ -945,7 +1457,11 @@
                  i / sim->options.targets_per_pool);
         snprintf(announcement->data_centre, sizeof(announcement->data_centre),
                  "dc");
-        announcement->room = (JobResources){TARGET_MILLICORES, 32000, 0};
+        announcement->room =
+            (JobResources){TARGET_MILLICORES, TARGET_MEMORY_MB, 0};
+        target->full_room = announcement->room;
+        target->guarded =
+            i / sim->options.targets_per_pool >= sim->options.unguarded_pools;
         announcement->born = 1;
         target->up = true;
         target->clock_rate = 1.0 - 0.02 * Rng_Unit(&sim->rng);
@@ -971,7 +1487,8 @@
     target->announcement.order++;
     announcement = target->announcement;
     announcement.clock_ms = get_clock_ms(sim, target);
-    if (!target->partitioned) {
+    if (!target->partitioned && !target->muted &&
+        JobSched_IsLeading(sim->sched)) {
         JobSched_HandleAnnouncement(sim->sched, sim->now, &announcement);
     }
     event = schedule_event(sim, ANNOUNCE_INTERVAL_MS, EV_ANNOUNCE);
@@ -997,6 +1514,11 @@
         if (event->kind == EV_RUN_STOPPED) {
             end_run(sim, event->target_index, run, JOB_END_STOPPED);
         }
+        else if (event->kind == EV_GANG_TIMEOUT) {
+            if (!run->stopping && !is_gang_complete(sim, &event->action)) {
+                end_run(sim, event->target_index, run, JOB_END_ALONE);
+            }
+        }
         else if (!run->stopping) {
             end_run(sim, event->target_index, run,
                     draw_bool(sim, sim->options.failed_run_share)
@@ -1019,6 +1541,35 @@
                    event->action.command.len, &result);
     Buf_Free(&result);
     JobSched_HandleProposal(sim->sched, sim->now, event->action.cookie, ST_OK);
+    check_ended_jobs(sim);
+}
+
+static void
+shrink_room(JobSim *sim, uint32_t target_index)
+{
+    SimTarget *target = &sim->targets[target_index];
+    JobResources *room = &target->announcement.room;
+
+    if (target->shrunk) {
+        return;
+    }
+    target->shrunk = true;
+    target->shrunk_ms = sim->now;
+    room->cpu = room->cpu / 100 * (uint32_t)draw_between(sim, 20, 80);
+    room->memory_mb =
+        room->memory_mb / 100 * (uint32_t)draw_between(sim, 20, 80);
+    schedule_event(sim, draw_between(sim, 2000, 12000), EV_GROW)
+        ->target_index = target_index;
+}
+
+static void
+mute_target(JobSim *sim, uint32_t target_index)
+{
+    if (!sim->targets[target_index].muted) {
+        sim->targets[target_index].muted = true;
+        schedule_event(sim, draw_between(sim, 500, 9000), EV_UNMUTE)
+            ->target_index = target_index;
+    }
 }
 
 static void
@@ -1041,10 +1592,24 @@
     }
     else if (event->kind == EV_CRASH) {
         if (target->up) {
-            crash_target(sim, target_index);
+            crash_target(sim, target_index, 300, 4000);
         }
         schedule_random_event(sim, EV_CRASH, options->crashes_per_s);
     }
+    else if (event->kind == EV_SHRINK) {
+        shrink_room(sim, target_index);
+        schedule_random_event(sim, EV_SHRINK, options->shrinks_per_s);
+    }
+    else if (event->kind == EV_MUTE) {
+        mute_target(sim, target_index);
+        schedule_random_event(sim, EV_MUTE, options->mutes_per_s);
+    }
+    else if (event->kind == EV_LOG_STALL) {
+        int64_t until_ms = sim->now + draw_between(sim, 1000, 6000);
+        sim->last_commit_ms =
+            until_ms > sim->last_commit_ms ? until_ms : sim->last_commit_ms;
+        schedule_random_event(sim, EV_LOG_STALL, options->log_stalls_per_s);
+    }
     else {
         change_leader(sim);
         schedule_random_event(sim, EV_LEADER_CHANGE,
@@ -1052,6 +1617,38 @@
     }
 }
 
+static void
+end_fault(JobSim *sim, const Event *event)
+{
+    SimTarget *target = &sim->targets[event->target_index];
+
+    if (event->kind == EV_HEAL) {
+        target->partitioned = false;
+    }
+    else if (event->kind == EV_GROW) {
+        target->shrunk = false;
+        target->announcement.room = target->full_room;
+    }
+    else if (event->kind == EV_UNMUTE) {
+        target->muted = false;
+    }
+    else if (event->sender_term == sim->term) {
+        JobSched_Lead(sim->sched, sim->now, sim->term);
+    }
+}
+
+static void
+tick(JobSim *sim)
+{
+    uint32_t i;
+
+    JobSched_Tick(sim->sched, sim->now, sim->now);
+    for (i = 0; i < sim->target_count; i++) {
+        end_expired_runs(sim, i);
+    }
+    schedule_event(sim, TICK_INTERVAL_MS, EV_TICK);
+}
+
 static void
 handle_event(JobSim *sim, Event *event)
 {
@@ -1064,8 +1661,7 @@
     case EV_DELIVER:
         /* A delayed call is lost when the target restarts. */
         if (event->incarnation == target->incarnation) {
-            deliver_call(sim, event->target_index, &event->action,
-                         event->sender_term, event->id != 0);
+            deliver_call(sim, event);
         }
         else if (event->id != 0) {
             schedule_call_timeout(sim, event->target_index, &event->action,
@@ -1078,20 +1674,22 @@
                                   &event->answer);
         }
         break;
+    case EV_GANG_FINISHED:
+        finish_gang(sim, event);
+        break;
+    case EV_GANG_BROKEN:
+        end_gang(sim, &event->action, JOB_END_BROKEN);
+        break;
     case EV_RUN_FINISHED:
     case EV_RUN_STOPPED:
+    case EV_GANG_TIMEOUT:
         finish_run(sim, event);
         break;
     case EV_ANNOUNCE:
         announce_target(sim, event->target_index, event->incarnation);
         break;
     case EV_TICK:
-        JobSched_Tick(sim->sched, sim->now, sim->now);
-        for (event->target_index = 0; event->target_index < sim->target_count;
-             event->target_index++) {
-            end_expired_runs(sim, event->target_index);
-        }
-        schedule_event(sim, TICK_INTERVAL_MS, EV_TICK);
+        tick(sim);
         break;
     case EV_JOB_ARRIVAL:
         if (is_active_phase(sim)) {
@@ -1103,9 +1701,6 @@
     case EV_JOB_CANCEL:
         cancel_job(sim, event->job_id);
         break;
-    case EV_HEAL:
-        target->partitioned = false;
-        break;
     case EV_RESTART:
         restart_target(sim, event->target_index);
         break;
@@ -1114,11 +1709,31 @@
             answer_hold(sim, event->target_index);
         }
         break;
+    case EV_DEADLY_CRASH:
+        crash_by_deadly_run(sim, event);
+        break;
+    case EV_POOL_CRASH:
+        crash_pool(sim, event);
+        break;
+    case EV_POOL_TARGET_CRASH:
+        if (target->up) {
+            crash_target(sim, event->target_index, 300, 4000);
+        }
+        break;
     case EV_PARTITION:
     case EV_CRASH:
     case EV_LEADER_CHANGE:
+    case EV_SHRINK:
+    case EV_MUTE:
+    case EV_LOG_STALL:
         inject_fault(sim, event);
         break;
+    case EV_HEAL:
+    case EV_GROW:
+    case EV_UNMUTE:
+    case EV_ELECTED:
+        end_fault(sim, event);
+        break;
     }
 }
 
@@ -1127,7 +1742,8 @@
 {
     uint32_t i;
 
-    for (i = 0; i < job->tasks_per_occurrence; i++) {
+    for (i = 0; job->phase < JOB_COMPLETED && i < job->tasks_per_occurrence;
+         i++) {
         JobTaskRef task = {{0}, 0, 0, i};
         snprintf(task.job, sizeof(task.job), "%s", job->id);
         sim->report->lasting_not_running +=
@@ -1143,6 +1759,7 @@
     uint64_t completed = 0;
     int64_t total_ms = 0;
 
+    check_ended_jobs(sim);
     for (job_number = 1; job_number < sim->next_job; job_number++) {
         char id[JOB_ID_BYTES];
         const Job *job;
@@ -1152,7 +1769,12 @@
             continue;
         }
         if (job->spec.steps[0].lasting) {
-            count_lasting_tasks(sim, job);
+            if (sim->job_records[job_number].deadly) {
+                report->unfinished += job->phase < JOB_COMPLETED;
+            }
+            else {
+                count_lasting_tasks(sim, job);
+            }
             continue;
         }
         report->completed += job->phase == JOB_COMPLETED;
@@ -1194,6 +1816,7 @@
         free(sim->targets[i].stale_attempts);
     }
     free(sim->targets);
+    free(sim->job_records);
     for (j = 0; j < StrMap_Count(sim->task_records); j++) {
         free(StrMap_At(sim->task_records, j));
     }
@@ -1205,20 +1828,22 @@
 void
 JobSim_Run(const JobSimOptions *options, JobSimReport *report)
 {
-    JobSchedOptions sched = JOBSCHED_OPTIONS_DEFAULT;
+    const JobSchedOptions sched = JOBSCHED_OPTIONS_DEFAULT;
     JobSim sim = {.options = *options,
                   .term = 1,
                   .next_id = 1,
                   .next_job = 1,
+                  .first_open_job = 1,
                   .report = report};
     uint32_t i;
 
     memset(report, 0, sizeof(*report));
-    sched.stop_ms = MAX_STOP_MS;
-    sched.status_retention_ms = INT32_MAX;
+    sim.sched_options = sched;
+    sim.sched_options.stop_ms = MAX_STOP_MS;
+    sim.sched_options.status_retention_ms = INT32_MAX;
     Rng_Seed(&sim.rng, options->seed);
     sim.state = JobState_New();
-    sim.sched = JobSched_New(&sched, sim.state);
+    sim.sched = JobSched_New(&sim.sched_options, sim.state);
     sim.task_records = StrMap_New();
     sim.now = 1;
     configure_pools(&sim);
@@ -1233,12 +1858,17 @@
     schedule_random_event(&sim, EV_CRASH, options->crashes_per_s);
     schedule_random_event(&sim, EV_LEADER_CHANGE,
                           options->leader_changes_per_s);
+    schedule_random_event(&sim, EV_POOL_CRASH, options->pool_crashes_per_s);
+    schedule_random_event(&sim, EV_SHRINK, options->shrinks_per_s);
+    schedule_random_event(&sim, EV_MUTE, options->mutes_per_s);
+    schedule_random_event(&sim, EV_LOG_STALL, options->log_stalls_per_s);
     while (sim.heap_count > 0 &&
            sim.heap[0]->at_ms < options->active_ms + options->settle_ms &&
            report->violation[0] == '\0') {
         Event *event = pop_event(&sim);
         sim.now = event->at_ms;
         Slog_SetTime(sim.now, sim.now);
+        JobState_SetNow(sim.state, sim.now);
         handle_event(&sim, event);
         free_event(event);
         run_scheduler(&sim);
