Release the room of assignments to an earlier incarnation

Callers: a target keeps room for a task that was never assigned to it. Tasks that would fill it wait, and the target never counts as idle, so that its VM is not drained for a move or maintenance, until the leader changes.

Cause: the completion of an assignment releases the reserved room only if the target's serial is still the one it was proposed for. If the log has the announcement of a new incarnation before the assignment, the state ignores the assignment and the scheduler drops its completion, while the counts of the earlier serial stay. It happens if an announcement of other content is in flight when the restart check ends: its commit makes the target usable before the new incarnation is committed.

A new serial now clears the reserved room, since completions for the earlier one release nothing. A reservation is counted on the state of the current serial.

assignment_to_earlier_incarnation_keeps_no_room failed before (the target was not idle after the job was cancelled) and passes; test_jobsched and test_jobworld pass.

--- a/src/jobsched.c
+++ b/src/jobsched.c
@@ -173,12 +173,15 @@
     }
     if (live->serial != target->serial) {
         /* A new incarnation continues neither the clock nor the numbers of the
-         * old one. Answers to calls that name the old one are dropped. */
+         * old one. Answers to calls that name the old one are dropped, and
+         * assignments that name it have no effect. */
         live->serial = target->serial;
         live->order = 0;
         live->clock_known = false;
         live->granted_until_ms = 0;
         live->hold_in_flight = false;
+        live->reserved = (JobResources){0, 0, 0};
+        live->reserved_count = 0;
         live->failures = 0;
         live->quarantine_end_ms = 0;
     }
--- a/src/jobsched_place.c
+++ b/src/jobsched_place.c
@@ -294,7 +294,8 @@
     assignment->serial = target->serial;
     task = JobState_FindTask(sched->state, &assignment->task, &found_job);
     task->sched_state.phase = JOB_SCHED_PROPOSED;
-    SchedImpl_ReserveRoom(target->sched_state, &job->spec.steps[step]);
+    SchedImpl_ReserveRoom(SchedImpl_EnsureLive(sched, target),
+                          &job->spec.steps[step]);
 }
 
 static void
--- a/tests/test_jobsched.c
+++ b/tests/test_jobsched.c
@@ -8,12 +8,15 @@
 #include "support_job.h"
 
 #define MAX_CALLS 64
+#define MAX_IN_FLIGHT 8
 
 static JobState *state;
 static JobSched *sched;
 static int64_t now;
 static JobAction calls[MAX_CALLS];
 static size_t call_count;
+static JobAction in_flight[MAX_IN_FLIGHT];
+static size_t in_flight_count;
 
 static void
 setup(void)
@@ -22,6 +25,7 @@
 
     now = 100000;
     call_count = 0;
+    in_flight_count = 0;
     state = JobState_New();
     JobTest_Configure(state, 1);
     sched = JobSched_New(&options, state);
@@ -52,6 +56,36 @@
     }
 }
 
+/* Appends queued proposals to in_flight and queued calls to calls. */
+static void
+take_actions(void)
+{
+    JobAction action;
+
+    while (JobSched_TakeAction(sched, &action)) {
+        if (action.kind == JOB_ACTION_PROPOSE) {
+            ck_assert_uint_lt(in_flight_count, MAX_IN_FLIGHT);
+            in_flight[in_flight_count++] = action;
+        }
+        else if (call_count < MAX_CALLS) {
+            calls[call_count++] = action;
+        }
+    }
+}
+
+/* Commits the first proposal in flight. */
+static void
+commit_first(void)
+{
+    JobAction action = in_flight[0];
+
+    ck_assert_uint_gt(in_flight_count, 0);
+    in_flight_count--;
+    memmove(in_flight, in_flight + 1, in_flight_count * sizeof(in_flight[0]));
+    JobTest_Apply(state, &action.command);
+    JobSched_HandleProposal(sched, now, action.cookie, ST_OK);
+}
+
 static void
 announce_at(const char *id, const char *vm, uint64_t born, const char *address)
 {
@@ -282,6 +316,27 @@
 }
 END_TEST
 
+/* The restart is committed before the assignment. */
+START_TEST(assignment_to_earlier_incarnation_keeps_no_room)
+{
+    Buf command = BUF_INIT;
+
+    announce("t1", "vm1", 10);
+    JobTest_Submit(state, "a", 1, 1, 500);
+    now += 50;
+    JobSched_PlaceTasks(sched, now, now);
+    take_actions();
+    ck_assert_uint_eq(in_flight_count, 1);
+    JobTest_SetTarget(state, "t1", "vm1", "p", 20, false);
+    commit_first();
+    ck_assert_uint_eq(JobState_FindTarget(state, "t1")->run_count, 0);
+    JobCmd_EncodeCancel(&command, "a", now);
+    JobTest_Apply(state, &command);
+    tick(50);
+    ck_assert(JobSched_IsIdle(sched, JobState_FindTarget(state, "t1")));
+}
+END_TEST
+
 START_TEST(targets_with_same_start_time_are_distinct)
 {
     JobAnnouncement announcement = {.room = {16000, 32000, 0}, .born = 10};
@@ -761,6 +816,7 @@
     tcase_add_test(tcase, idle_target_is_polled_when_announced_again);
     tcase_add_test(
         tcase, unanswered_hold_of_earlier_incarnation_does_not_block_target);
+    tcase_add_test(tcase, assignment_to_earlier_incarnation_keeps_no_room);
     tcase_add_test(tcase, targets_with_same_start_time_are_distinct);
     tcase_add_test(tcase, leaving_target_gets_no_work);
     tcase_add_test(tcase, tasks_of_job_share_targets);
