Readmit a restarted target only when its restart is committed

Callers: a task could be started at a target that has restarted under the same id, while the log already has the entry that ends this run; the task is then assigned again and runs twice until the lease of the first start ends, since an idle target is not held. New tasks assigned in that time have no effect and wait for a further round.

Cause: the flags of an announcement in flight are cleared when any announcement of the target is committed. The restart check ends with an announcement of its own, whether or not one is in flight, such as a change of the room; with a slow log the earlier commit cleared the flag that keeps calls back until the later one.

The flags are now cleared by the last announcement in flight.

task_is_not_started_again_before_its_end_with_a_restart failed before (a start of the ended attempt was sent) and passes; test_jobsched and test_jobworld pass.

--- a/src/jobsched.c
+++ b/src/jobsched.c
@@ -338,6 +338,19 @@
     }
 }
 
+/* Returns whether an announcement of a known target is in flight. */
+static bool
+is_announcement_in_flight(const JobSched *sched, const JobTarget *target)
+{
+    const SchedProposal *proposal = sched->proposals;
+
+    while (proposal != NULL &&
+           (proposal->kind != SCHED_TARGET || proposal->row != target->row)) {
+        proposal = proposal->next;
+    }
+    return proposal != NULL;
+}
+
 void
 JobSched_HandleProposal(JobSched *sched, int64_t now, uint64_t cookie,
                         Status status)
@@ -365,7 +378,8 @@
             live->ack_due = true;
             live->hold_due_ms = now;
         }
-        if (proposal->kind == SCHED_TARGET) {
+        if (proposal->kind == SCHED_TARGET &&
+            !is_announcement_in_flight(sched, target)) {
             live->announcement_pending = false;
             live->readmitting = false;
         }
--- a/tests/test_jobsched.c
+++ b/tests/test_jobsched.c
@@ -337,6 +337,57 @@
 }
 END_TEST
 
+/* The change of room and the restart are committed one after the other. */
+START_TEST(task_is_not_started_again_before_its_end_with_a_restart)
+{
+    JobAnnouncement announcement = {.id = "t1",
+                                    .pool = "p",
+                                    .vm = "vm1",
+                                    .address = "10.0.0.1:80",
+                                    .room = {8000, 32000, 0},
+                                    .born = 10,
+                                    .order = 1000};
+    JobCallAnswer answer = {.outcome = JOB_CALL_OK, .clock_ms = 5, .born = 20};
+    size_t i;
+
+    announce("t1", "vm1", 10);
+    JobTest_Submit(state, "a", 1, 1, 500);
+    tick(50);
+    answer_all(JOB_CALL_NO_ANSWER);
+    announcement.clock_ms = now - 90000;
+    JobSched_HandleAnnouncement(sched, now, &announcement);
+    announcement.born = 20;
+    announcement.clock_ms = 5;
+    JobSched_HandleAnnouncement(sched, now, &announcement);
+    now += 50;
+    JobSched_Tick(sched, now, now);
+    take_actions();
+    for (i = 0; i < call_count; i++) {
+        if (calls[i].kind == JOB_ACTION_HOLD) {
+            JobSched_HandleAnswer(sched, now, &calls[i], &answer);
+        }
+    }
+    take_actions();
+    ck_assert_uint_eq(in_flight_count, 2);
+    call_count = 0;
+    commit_first();
+    now += 200;
+    JobSched_Tick(sched, now, now);
+    take_actions();
+    ck_assert_uint_eq(JobState_FindTarget(state, "t1")->run_count, 1);
+    ck_assert_uint_eq(count_calls(JOB_ACTION_START), 0);
+    ck_assert(
+        !JobSched_IsUsable(sched, JobState_FindTarget(state, "t1"), now));
+    commit_first();
+    ck_assert_uint_eq(JobState_FindTarget(state, "t1")->run_count, 0);
+    now += 50;
+    JobSched_Tick(sched, now, now);
+    process_actions();
+    answer_all(JOB_CALL_OK);
+    ck_assert(JobSched_IsUsable(sched, JobState_FindTarget(state, "t1"), now));
+}
+END_TEST
+
 START_TEST(targets_with_same_start_time_are_distinct)
 {
     JobAnnouncement announcement = {.room = {16000, 32000, 0}, .born = 10};
@@ -817,6 +868,8 @@
     tcase_add_test(
         tcase, unanswered_hold_of_earlier_incarnation_does_not_block_target);
     tcase_add_test(tcase, assignment_to_earlier_incarnation_keeps_no_room);
+    tcase_add_test(tcase,
+                   task_is_not_started_again_before_its_end_with_a_restart);
     tcase_add_test(tcase, targets_with_same_start_time_are_distinct);
     tcase_add_test(tcase, leaving_target_gets_no_work);
     tcase_add_test(tcase, tasks_of_job_share_targets);
