Bound the restart check of a target that keeps restarting

Callers: the tasks of a target that keeps restarting and answers no call, such as one at a new address or behind a link that is down in one direction, were not placed elsewhere as long as it restarted at least every 16 s, though their pool had room.

Cause: each restart seen during a restart check set its beginning anew, and the lease of the runs ends 16 s after that.

The check now keeps its beginning. No start is sent during the check, so that no call that could still start a run is younger than that.

runs_of_target_that_keeps_restarting_are_lost failed before (the run was still assigned after 12 restarts, 60 s) and passes; test_jobsched and test_jobworld pass.

--- a/src/jobsched_target.c
+++ b/src/jobsched_target.c
@@ -106,8 +106,12 @@
     Slog_AddInt("born", (int64_t)born);
     Slog_AddInt("before", (int64_t)target->announcement.born);
     Slog_End();
+    if (!live->checking_restart) {
+        /* No start is sent during the check, so a further restart does not
+         * extend the lease of the runs. */
+        live->restart_seen_ms = now;
+    }
     live->checking_restart = true;
-    live->restart_seen_ms = now;
     live->checked_born = born;
     live->checked_leaving = false;
     live->incarnation = sched->next_incarnation++;
--- a/tests/test_jobsched.c
+++ b/tests/test_jobsched.c
@@ -388,6 +388,25 @@
 }
 END_TEST
 
+START_TEST(runs_of_target_that_keeps_restarting_are_lost)
+{
+    int i;
+
+    announce("t1", "vm1", 10);
+    JobTest_Submit(state, "a", 1, 1, 500);
+    tick(50);
+    for (i = 1; i <= 12; i++) {
+        answer_all(JOB_CALL_NO_ANSWER);
+        announce("t1", "vm1", 10 + (uint64_t)i);
+        tick(5000);
+        if (JobState_FindTarget(state, "t1")->run_count == 0) {
+            break;
+        }
+    }
+    ck_assert_int_le(i, 4);
+}
+END_TEST
+
 START_TEST(targets_with_same_start_time_are_distinct)
 {
     JobAnnouncement announcement = {.room = {16000, 32000, 0}, .born = 10};
@@ -870,6 +889,7 @@
     tcase_add_test(tcase, assignment_to_earlier_incarnation_keeps_no_room);
     tcase_add_test(tcase,
                    task_is_not_started_again_before_its_end_with_a_restart);
+    tcase_add_test(tcase, runs_of_target_that_keeps_restarting_are_lost);
     tcase_add_test(tcase, targets_with_same_start_time_are_distinct);
     tcase_add_test(tcase, leaving_target_gets_no_work);
     tcase_add_test(tcase, tasks_of_job_share_targets);
