Propose a new target once while the log is slow

Callers: while the log commits nothing, each announcement of each target that is not stored yet adds a proposal. They count against the limit of pending proposals, beyond which all changes are refused.

Cause: the search for a proposal in flight compared its serial, which is 0 for a new target, with the start time of the announcement, and so never found one.

It now compares the id.

new_target_is_proposed_once_while_log_is_slow failed before (5 proposals for 5 announcements) and passes; test_jobsched and test_jobworld pass.

--- a/src/jobsched_target.c
+++ b/src/jobsched_target.c
@@ -182,7 +182,7 @@
     for (proposal = sched->proposals; proposal != NULL;
          proposal = proposal->next) {
         if (proposal->kind == SCHED_TARGET && proposal->row == JOB_NO_TARGET &&
-            proposal->serial == announcement->born) {
+            strcmp(proposal->id, announcement->id) == 0) {
             return false; /* its proposal is in flight */
         }
     }
--- a/tests/test_jobsched.c
+++ b/tests/test_jobsched.c
@@ -407,6 +407,22 @@
 }
 END_TEST
 
+START_TEST(new_target_is_proposed_once_while_log_is_slow)
+{
+    int i;
+
+    for (i = 0; i < 5; i++) {
+        announce_at("t1", "vm1", 10, "10.0.0.1:80");
+        now += 1500;
+        JobSched_Tick(sched, now, now);
+        take_actions();
+    }
+    ck_assert_uint_eq(in_flight_count, 1);
+    commit_first();
+    ck_assert_ptr_nonnull(JobState_FindTarget(state, "t1"));
+}
+END_TEST
+
 START_TEST(targets_with_same_start_time_are_distinct)
 {
     JobAnnouncement announcement = {.room = {16000, 32000, 0}, .born = 10};
@@ -890,6 +906,7 @@
     tcase_add_test(tcase,
                    task_is_not_started_again_before_its_end_with_a_restart);
     tcase_add_test(tcase, runs_of_target_that_keeps_restarting_are_lost);
+    tcase_add_test(tcase, new_target_is_proposed_once_while_log_is_slow);
     tcase_add_test(tcase, targets_with_same_start_time_are_distinct);
     tcase_add_test(tcase, leaving_target_gets_no_work);
     tcase_add_test(tcase, tasks_of_job_share_targets);
