Apply the ends of a target in spite of a long checkpoint

Callers: a task whose end carries a checkpoint of 256 bytes or more blocks its target: that end and all later ones are never recorded, their tasks do not go on, and the target has no room left in the end.

Cause: the state reads checkpoints into 256 bytes and refuses the whole command at a longer one. The target lists the same ends again, so the same command is proposed for ever, and a listed end is not given up as lost either.

The command now leaves such a checkpoint out. The log keeps its format, so that nodes of both versions apply the same.

long_checkpoint_does_not_hold_back_ends failed before (no end was applied) and passes; test_jobsched, test_jobstate and test_jobworld pass.

--- a/src/job.h
+++ b/src/job.h
@@ -24,6 +24,7 @@
 #define JOB_HOST_BYTES 256 /* a DNS name has at most 253 */
 #define JOB_PATH_BYTES 256
 #define JOB_ADDRESS_BYTES 80
+#define JOB_CHECKPOINT_BYTES 256
 #define JOB_MAX_STEPS 32
 #define JOB_MAX_LABELS 8
 /* Maximum number of tasks per occurrence, which limits a job's memory. */
--- a/src/jobcmd.c
+++ b/src/jobcmd.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include <msgpack.h>
 
 #include "jobstate_impl.h"
@@ -79,7 +81,9 @@
         msgpack_pack_uint32(&packer, ends[i].attempt);
         msgpack_pack_int(&packer, (int)ends[i].kind);
         msgpack_pack_uint64(&packer, ends[i].number);
-        MpPack_Text(&packer, ends[i].checkpoint);
+        MpPack_Text(&packer, strlen(ends[i].checkpoint) < JOB_CHECKPOINT_BYTES
+                                 ? ends[i].checkpoint
+                                 : "");
     }
 }
 
--- a/src/jobstate.h
+++ b/src/jobstate.h
@@ -259,6 +259,8 @@
 } JobAssignment;
 
 void JobCmd_EncodeAssign(Buf *out, const JobAssignment *rows, size_t count);
+/* Leaves out a checkpoint of JOB_CHECKPOINT_BYTES or more, which no node can
+ * store; its task resumes from the last one that was stored. */
 void JobCmd_EncodeEnds(Buf *out, uint32_t target, uint64_t serial,
                        int64_t wall_ms, const JobEnd *ends, size_t count);
 /* Adds or updates a target. A newer incarnation ends all runs of the previous
--- a/src/jobstate_apply.c
+++ b/src/jobstate_apply.c
@@ -331,7 +331,7 @@
         return JOB_RESULT_IGNORED;
     }
     for (i = 0; i < count; i++) {
-        char checkpoint[256];
+        char checkpoint[JOB_CHECKPOINT_BYTES];
         uint32_t items;
         uint32_t kind;
         JobEnd end;
--- a/src/jobstate_snapshot.c
+++ b/src/jobstate_snapshot.c
@@ -142,7 +142,7 @@
 static bool
 read_task(MpRead *reader, JobTask *task)
 {
-    char checkpoint[256];
+    char checkpoint[JOB_CHECKPOINT_BYTES];
     uint32_t state = 0;
     uint32_t failures = 0;
 
--- a/tests/test_jobsched.c
+++ b/tests/test_jobsched.c
@@ -423,6 +423,40 @@
 }
 END_TEST
 
+START_TEST(long_checkpoint_does_not_hold_back_ends)
+{
+    char checkpoint[1000];
+    JobEnd ends[2];
+    JobCallAnswer answer = {
+        .outcome = JOB_CALL_OK, .born = 10, .ends = ends, .end_count = 2};
+    const JobTarget *target;
+    size_t i;
+
+    memset(checkpoint, 'c', sizeof(checkpoint) - 1);
+    checkpoint[sizeof(checkpoint) - 1] = '\0';
+    announce("t1", "vm1", 10);
+    JobTest_Submit(state, "a", 1, 2, 500);
+    tick(50);
+    answer_all(JOB_CALL_OK);
+    target = JobState_FindTarget(state, "t1");
+    for (i = 0; i < 2; i++) {
+        ends[i] = (JobEnd){JobRun_GetTaskRef(&target->runs[i]), 1,
+                           i == 0 ? JOB_END_STOPPED : JOB_END_DONE, i + 1,
+                           i == 0 ? checkpoint : ""};
+    }
+    tick(50);
+    for (i = 0; i < call_count; i++) {
+        answer.clock_ms = now - 90000;
+        if (calls[i].kind == JOB_ACTION_HOLD) {
+            JobSched_HandleAnswer(sched, now, &calls[i], &answer);
+        }
+    }
+    process_actions();
+    ck_assert_uint_eq(target->last_applied_end, 2);
+    ck_assert_uint_eq(target->run_count, 0);
+}
+END_TEST
+
 START_TEST(targets_with_same_start_time_are_distinct)
 {
     JobAnnouncement announcement = {.room = {16000, 32000, 0}, .born = 10};
@@ -907,6 +941,7 @@
                    task_is_not_started_again_before_its_end_with_a_restart);
     tcase_add_test(tcase, runs_of_target_that_keeps_restarting_are_lost);
     tcase_add_test(tcase, new_target_is_proposed_once_while_log_is_slow);
+    tcase_add_test(tcase, long_checkpoint_does_not_hold_back_ends);
     tcase_add_test(tcase, targets_with_same_start_time_are_distinct);
     tcase_add_test(tcase, leaving_target_gets_no_work);
     tcase_add_test(tcase, tasks_of_job_share_targets);
