--- a/src/jobsched.c
+++ b/src/jobsched.c
@@ -176,13 +176,16 @@
     }
     if (live->serial != target->serial) {
         /* A new incarnation continues neither the clock nor the numbers of the
-         * old one. Answers to calls that name the old one are dropped. */
+         * old one. Answers to calls that name the old one are dropped, and
+         * assignments that name it have no effect. */
         live->serial = target->serial;
         live->order = 0;
         live->clock_known = false;
         live->room_known = false;
         live->granted_until_ms = 0;
         live->hold_in_flight = false;
+        live->reserved = (JobResources){0, 0, 0};
+        live->reserved_count = 0;
         live->failures = 0;
         live->quarantine_end_ms = 0;
         live->known_since_ms = sched->now_ms;
@@ -347,6 +350,19 @@
     }
 }
 
+/* Returns whether an announcement of a known target is in flight. */
+static bool
+is_announcement_in_flight(const JobSched *sched, const JobTarget *target)
+{
+    const SchedProposal *proposal = sched->proposals;
+
+    while (proposal != NULL &&
+           (proposal->kind != SCHED_TARGET || proposal->row != target->row)) {
+        proposal = proposal->next;
+    }
+    return proposal != NULL;
+}
+
 void
 JobSched_HandleProposal(JobSched *sched, int64_t now, uint64_t cookie,
                         Status status)
@@ -377,7 +393,8 @@
             live->ack_due = true;
             live->hold_due_ms = now;
         }
-        if (proposal->kind == SCHED_TARGET) {
+        if (proposal->kind == SCHED_TARGET &&
+            !is_announcement_in_flight(sched, target)) {
             live->announcement_pending = false;
             live->readmitting = false;
         }
--- a/src/jobsched_target.c
+++ b/src/jobsched_target.c
@@ -110,8 +110,12 @@
     Slog_AddInt("born", (int64_t)born);
     Slog_AddInt("before", (int64_t)target->announcement.born);
     Slog_End();
+    if (!live->checking_restart) {
+        /* No start is sent during the check, so a further restart does not
+         * extend the lease of the runs. */
+        live->restart_seen_ms = now;
+    }
     live->checking_restart = true;
-    live->restart_seen_ms = now;
     live->checked_born = born;
     live->checked_leaving = false;
     live->incarnation = sched->next_incarnation++;
@@ -184,7 +188,7 @@
     for (proposal = sched->proposals; proposal != NULL;
          proposal = proposal->next) {
         if (proposal->kind == SCHED_TARGET && proposal->row == JOB_NO_TARGET &&
-            proposal->serial == announcement->born) {
+            strcmp(proposal->id, announcement->id) == 0) {
             return false; /* its proposal is in flight */
         }
     }
--- a/tests/test_jobsched.c
+++ b/tests/test_jobsched.c
@@ -8,12 +8,15 @@
 #include "support_job.h"
 
 #define MAX_CALLS 64
+#define MAX_IN_FLIGHT 8
 
 static JobState *state;
 static JobSched *sched;
 static int64_t now;
 static JobAction calls[MAX_CALLS];
 static size_t call_count;
+static JobAction in_flight[MAX_IN_FLIGHT];
+static size_t in_flight_count;
 
 static void
 setup(void)
@@ -22,6 +25,7 @@
 
     now = 100000;
     call_count = 0;
+    in_flight_count = 0;
     state = JobState_New();
     JobTest_Configure(state, 1);
     sched = JobSched_New(&options, state);
@@ -52,6 +56,36 @@
     }
 }
 
+/* Appends queued proposals to in_flight and queued calls to calls. */
+static void
+take_actions(void)
+{
+    JobAction action;
+
+    while (JobSched_TakeAction(sched, &action)) {
+        if (action.kind == JOB_ACTION_PROPOSE) {
+            ck_assert_uint_lt(in_flight_count, MAX_IN_FLIGHT);
+            in_flight[in_flight_count++] = action;
+        }
+        else if (call_count < MAX_CALLS) {
+            calls[call_count++] = action;
+        }
+    }
+}
+
+/* Commits the first proposal in flight. */
+static void
+commit_first(void)
+{
+    JobAction action = in_flight[0];
+
+    ck_assert_uint_gt(in_flight_count, 0);
+    in_flight_count--;
+    memmove(in_flight, in_flight + 1, in_flight_count * sizeof(in_flight[0]));
+    JobTest_Apply(state, &action.command);
+    JobSched_HandleProposal(sched, now, action.cookie, ST_OK);
+}
+
 static void
 announce_at(const char *id, const char *vm, uint64_t born, const char *address)
 {
@@ -282,6 +316,147 @@
 }
 END_TEST
 
+/* The restart is committed before the assignment. */
+START_TEST(assignment_to_earlier_incarnation_keeps_no_room)
+{
+    Buf command = BUF_INIT;
+
+    announce("t1", "vm1", 10);
+    JobTest_Submit(state, "a", 1, 1, 500);
+    now += 50;
+    JobSched_PlaceTasks(sched, now, now);
+    take_actions();
+    ck_assert_uint_eq(in_flight_count, 1);
+    JobTest_SetTarget(state, "t1", "vm1", "p", 20, false);
+    commit_first();
+    ck_assert_uint_eq(JobState_FindTarget(state, "t1")->run_count, 0);
+    JobCmd_EncodeCancel(&command, "a", now);
+    JobTest_Apply(state, &command);
+    tick(50);
+    ck_assert(JobSched_IsIdle(sched, JobState_FindTarget(state, "t1")));
+}
+END_TEST
+
+/* The change of room and the restart are committed one after the other. */
+START_TEST(task_is_not_started_again_before_its_end_with_a_restart)
+{
+    JobAnnouncement announcement = {.id = "t1",
+                                    .pool = "p",
+                                    .vm = "vm1",
+                                    .address = "10.0.0.1:80",
+                                    .room = {8000, 32000, 0},
+                                    .born = 10,
+                                    .order = 1000};
+    JobCallAnswer answer = {.outcome = JOB_CALL_OK, .clock_ms = 5, .born = 20};
+    size_t i;
+
+    announce("t1", "vm1", 10);
+    JobTest_Submit(state, "a", 1, 1, 500);
+    tick(50);
+    answer_all(JOB_CALL_NO_ANSWER);
+    announcement.clock_ms = now - 90000;
+    JobSched_HandleAnnouncement(sched, now, &announcement);
+    announcement.born = 20;
+    announcement.clock_ms = 5;
+    JobSched_HandleAnnouncement(sched, now, &announcement);
+    now += 50;
+    JobSched_Tick(sched, now, now);
+    take_actions();
+    for (i = 0; i < call_count; i++) {
+        if (calls[i].kind == JOB_ACTION_HOLD) {
+            JobSched_HandleAnswer(sched, now, &calls[i], &answer);
+        }
+    }
+    take_actions();
+    ck_assert_uint_eq(in_flight_count, 2);
+    call_count = 0;
+    commit_first();
+    now += 200;
+    JobSched_Tick(sched, now, now);
+    take_actions();
+    ck_assert_uint_eq(JobState_FindTarget(state, "t1")->run_count, 1);
+    ck_assert_uint_eq(count_calls(JOB_ACTION_START), 0);
+    ck_assert(
+        !JobSched_IsUsable(sched, JobState_FindTarget(state, "t1"), now));
+    commit_first();
+    ck_assert_uint_eq(JobState_FindTarget(state, "t1")->run_count, 0);
+    now += 50;
+    JobSched_Tick(sched, now, now);
+    process_actions();
+    answer_all(JOB_CALL_OK);
+    ck_assert(JobSched_IsUsable(sched, JobState_FindTarget(state, "t1"), now));
+}
+END_TEST
+
+START_TEST(runs_of_target_that_keeps_restarting_are_lost)
+{
+    int i;
+
+    announce("t1", "vm1", 10);
+    JobTest_Submit(state, "a", 1, 1, 500);
+    tick(50);
+    for (i = 1; i <= 12; i++) {
+        answer_all(JOB_CALL_NO_ANSWER);
+        announce("t1", "vm1", 10 + (uint64_t)i);
+        tick(5000);
+        if (JobState_FindTarget(state, "t1")->run_count == 0) {
+            break;
+        }
+    }
+    ck_assert_int_le(i, 4);
+}
+END_TEST
+
+START_TEST(new_target_is_proposed_once_while_log_is_slow)
+{
+    int i;
+
+    for (i = 0; i < 5; i++) {
+        announce_at("t1", "vm1", 10, "10.0.0.1:80");
+        now += 1500;
+        JobSched_Tick(sched, now, now);
+        take_actions();
+    }
+    ck_assert_uint_eq(in_flight_count, 1);
+    commit_first();
+    ck_assert_ptr_nonnull(JobState_FindTarget(state, "t1"));
+}
+END_TEST
+
+START_TEST(long_checkpoint_does_not_hold_back_ends)
+{
+    char checkpoint[1000];
+    JobEnd ends[2];
+    JobCallAnswer answer = {
+        .outcome = JOB_CALL_OK, .born = 10, .ends = ends, .end_count = 2};
+    const JobTarget *target;
+    size_t i;
+
+    memset(checkpoint, 'c', sizeof(checkpoint) - 1);
+    checkpoint[sizeof(checkpoint) - 1] = '\0';
+    announce("t1", "vm1", 10);
+    JobTest_Submit(state, "a", 1, 2, 500);
+    tick(50);
+    answer_all(JOB_CALL_OK);
+    target = JobState_FindTarget(state, "t1");
+    for (i = 0; i < 2; i++) {
+        ends[i] = (JobEnd){JobRun_GetTaskRef(&target->runs[i]), 1,
+                           i == 0 ? JOB_END_STOPPED : JOB_END_DONE, i + 1,
+                           i == 0 ? checkpoint : ""};
+    }
+    tick(50);
+    for (i = 0; i < call_count; i++) {
+        answer.clock_ms = now - 90000;
+        if (calls[i].kind == JOB_ACTION_HOLD) {
+            JobSched_HandleAnswer(sched, now, &calls[i], &answer);
+        }
+    }
+    process_actions();
+    ck_assert_uint_eq(target->last_applied_end, 2);
+    ck_assert_uint_eq(target->run_count, 0);
+}
+END_TEST
+
 START_TEST(targets_with_same_start_time_are_distinct)
 {
     JobAnnouncement announcement = {.room = {16000, 32000, 0}, .born = 10};
@@ -761,6 +936,12 @@
     tcase_add_test(tcase, idle_target_is_polled_when_announced_again);
     tcase_add_test(
         tcase, unanswered_hold_of_earlier_incarnation_does_not_block_target);
+    tcase_add_test(tcase, assignment_to_earlier_incarnation_keeps_no_room);
+    tcase_add_test(tcase,
+                   task_is_not_started_again_before_its_end_with_a_restart);
+    tcase_add_test(tcase, runs_of_target_that_keeps_restarting_are_lost);
+    tcase_add_test(tcase, new_target_is_proposed_once_while_log_is_slow);
+    tcase_add_test(tcase, long_checkpoint_does_not_hold_back_ends);
     tcase_add_test(tcase, targets_with_same_start_time_are_distinct);
     tcase_add_test(tcase, leaving_target_gets_no_work);
     tcase_add_test(tcase, tasks_of_job_share_targets);
