Count crashes of suspects beside starts that came too late

Such starts no longer count as other suspects; and five counted crashes fail a job whatever its score.

--- a/src/jobsched_crash.c
+++ b/src/jobsched_crash.c
@@ -20,7 +20,8 @@
 typedef struct SuspectList {
     JobCrash *rows;
     size_t count;
-    bool single; /* all of them are of one task or one gang */
+    const JobTaskRef *cause; /* first task that can have caused it, or NULL */
+    bool single;             /* those that can have are one task or one gang */
 } SuspectList;
 
 /* Returns whether the end of a target is no crash: it has announced that it
@@ -121,15 +122,20 @@
     return JobTaskRef_IsSame(a, b) ||
            (strcmp(a->job, b->job) == 0 && a->occurrence == b->occurrence &&
             a->step == b->step && job != NULL &&
-            job->spec.steps[a->step].gang);
+            a->step < job->spec.step_count && job->spec.steps[a->step].gang);
 }
 
 static void
 add_suspect(const JobSched *sched, SuspectList *list, const JobCrash *crash)
 {
-    list->single = list->count == 0 ||
-                   (list->single &&
-                    is_same_unit(sched, &list->rows[0].task, &crash->task));
+    if (crash->evidence != JOB_CRASH_SHARED) {
+        list->single =
+            list->cause == NULL ||
+            (list->single && is_same_unit(sched, list->cause, &crash->task));
+        if (list->cause == NULL) {
+            list->cause = &list->rows[list->count].task;
+        }
+    }
     list->rows[list->count++] = *crash;
 }
 
@@ -173,7 +179,7 @@
 list_suspects(const JobSched *sched, const JobTarget *target,
               const SchedCrash *span)
 {
-    SuspectList list = {NULL, 0, false};
+    SuspectList list = {NULL, 0, NULL, false};
     size_t i;
 
     list.rows = Mem_New(target->run_count + sched->lost_run_count + 1,
--- a/src/jobstate.h
+++ b/src/jobstate.h
@@ -32,6 +32,8 @@
  */
 #define JOB_SUSPECT_SCORE 4
 #define JOB_MAX_CRASH_SCORE 10
+/* Number of crashes at which it fails whatever its score. */
+#define JOB_MAX_CRASHES 5
 
 typedef enum JobPhase {
     JOB_QUEUED = 0,
@@ -292,8 +294,9 @@
 
 /* Adds crashes of targets to the scores of tasks that may have caused them,
  * once for each attempt, and fails the job of a task that reaches
- * JOB_MAX_CRASH_SCORE. Shared evidence alone makes a task a suspect but does
- * not fail its job, unless it is a gang, which is scored on its first task. */
+ * JOB_MAX_CRASH_SCORE, or JOB_MAX_CRASHES, which gangs do not have. Shared
+ * evidence counts up to JOB_SUSPECT_SCORE, except for gangs, which are scored
+ * on their first task. */
 void JobCmd_EncodeCrashes(Buf *out, int64_t wall_ms, const JobCrash *rows,
                           size_t count);
 /* Adds or updates a target. A newer incarnation ends all runs of the previous
--- a/src/jobstate_apply.c
+++ b/src/jobstate_apply.c
@@ -358,19 +358,48 @@
     return JOB_RESULT_OK;
 }
 
-static void
-apply_crash(JobState *state, const JobCrash *crash, int64_t wall_ms)
+/* Returns what a crash adds to a score. */
+static uint8_t
+get_crash_weight(const JobTask *task, JobCrashEvidence evidence, bool is_gang)
 {
     static const uint8_t weights[JOB_CRASH_KINDS] = {[JOB_CRASH_SHARED] = 2,
                                                      [JOB_CRASH_UNSURE] = 2,
                                                      [JOB_CRASH_POOL] = 2,
                                                      [JOB_CRASH_LATE] = 3,
                                                      [JOB_CRASH_SOON] = 4};
+
+    if (evidence == JOB_CRASH_SHARED && is_gang) {
+        return weights[JOB_CRASH_LATE];
+    }
+    if ((evidence == JOB_CRASH_SHARED &&
+         task->crash_score >= JOB_SUSPECT_SCORE) ||
+        (evidence == JOB_CRASH_UNSURE &&
+         task->crash_score + weights[evidence] >= JOB_MAX_CRASH_SCORE)) {
+        return 0;
+    }
+    return weights[evidence];
+}
+
+static uint32_t
+count_bits(uint32_t bits)
+{
+    uint32_t count = 0;
+
+    for (; bits != 0; bits &= bits - 1) {
+        count++;
+    }
+    return count;
+}
+
+static void
+apply_crash(JobState *state, const JobCrash *crash, int64_t wall_ms)
+{
     Job *job;
     JobTask *task = JobState_FindTask(state, &crash->task, &job);
     uint32_t attempt_bit = (uint32_t)1 << crash->attempt % 32;
     JobTask *counted;
     bool is_gang;
+    bool is_certain;
 
     if (task == NULL || task->state == JOB_TASK_DONE) {
         return;
@@ -388,26 +417,18 @@
         return;
     }
     counted->crash_attempts |= attempt_bit;
-    if (crash->evidence == JOB_CRASH_SHARED &&
-        counted->crash_score >= JOB_SUSPECT_SCORE && !is_gang) {
-        return;
-    }
-    if (crash->evidence == JOB_CRASH_UNSURE &&
-        counted->crash_score + weights[JOB_CRASH_UNSURE] >=
-            JOB_MAX_CRASH_SCORE) {
-        return;
-    }
     counted->crash_score =
         (uint8_t)(counted->crash_score +
-                  (is_gang && crash->evidence == JOB_CRASH_SHARED
-                       ? weights[JOB_CRASH_LATE]
-                       : weights[crash->evidence]));
-    if (counted->crash_score >= JOB_MAX_CRASH_SCORE) {
+                  get_crash_weight(counted, crash->evidence, is_gang));
+    is_certain = counted->crash_score >= JOB_MAX_CRASH_SCORE ||
+                 (count_bits(counted->crash_attempts) >= JOB_MAX_CRASHES &&
+                  crash->evidence != JOB_CRASH_UNSURE && !is_gang);
+    if (counted->crash_score > JOB_MAX_CRASH_SCORE) {
         counted->crash_score = JOB_MAX_CRASH_SCORE;
-        if (job->phase < JOB_COMPLETED) {
-            JobStateImpl_EndJob(state, job, JOB_FAILED, wall_ms);
-            JobStateImpl_DeactivateJobIfEnded(state, job);
-        }
+    }
+    if (is_certain && job->phase < JOB_COMPLETED) {
+        JobStateImpl_EndJob(state, job, JOB_FAILED, wall_ms);
+        JobStateImpl_DeactivateJobIfEnded(state, job);
     }
 }
 
--- a/tests/test_jobsched.c
+++ b/tests/test_jobsched.c
@@ -368,7 +368,8 @@
         }
     }
     take_actions();
-    ck_assert_uint_eq(in_flight_count, 2);
+    /* The change of room, the crash and the end of the restart check. */
+    ck_assert_uint_eq(in_flight_count, 3);
     call_count = 0;
     commit_first();
     now += 200;
@@ -379,6 +380,8 @@
     ck_assert(
         !JobSched_IsUsable(sched, JobState_FindTarget(state, "t1"), now));
     commit_first();
+    ck_assert_uint_eq(JobState_FindTarget(state, "t1")->run_count, 1);
+    commit_first();
     ck_assert_uint_eq(JobState_FindTarget(state, "t1")->run_count, 0);
     now += 50;
     JobSched_Tick(sched, now, now);
--- a/tests/test_jobstate.c
+++ b/tests/test_jobstate.c
@@ -438,7 +438,13 @@
 #define CLEARED JOB_CRASH_CLEARED
 
 static const CrashRow crash_rows[] = {
-    {"shared", {SHARED, SHARED, SHARED, SHARED, SHARED, SHARED}, 6, 0, 0, 0},
+    {"shared", {SHARED, SHARED, SHARED, SHARED}, 4, 0, 0, 0},
+    {"shared, five times",
+     {SHARED, SHARED, SHARED, SHARED, SHARED},
+     5,
+     0,
+     0,
+     1},
     {"unsure", {UNSURE, UNSURE, UNSURE, UNSURE, UNSURE, UNSURE}, 6, 0, 0, 0},
     {"alone", {SOON, SOON, SOON}, 3, 0, 0, 1},
     {"alone, twice", {SOON, SOON}, 2, 0, 0, 0},
