--- a/src/jobsched_impl.h
+++ b/src/jobsched_impl.h
@@ -159,7 +159,7 @@
 /* Returns the number of tasks of a step that are assigned to a target. */
 uint32_t SchedImpl_CountAssigned(const Job *job, uint32_t occurrence,
                                  uint32_t step, const JobTarget *target);
-/* Room reserved while an assignment is in flight */
+/* Room reserved while an assignment is in flight. */
 void SchedImpl_ReserveRoom(SchedTarget *live, const JobStep *step);
 void SchedImpl_ReleaseRoom(SchedTarget *live, const JobStep *step);
 
