Count the crash under a start that was not answered

Its target had crashed 10 ms after the fourth and fifth start, before the answer was through, and a crash under a start without an answer counted as unsure, which never fails a job.

Gangs keep the unsure weight, as their members do not run alone.

--- a/src/jobsched_crash.c
+++ b/src/jobsched_crash.c
@@ -139,21 +139,30 @@
     list->rows[list->count++] = *crash;
 }
 
-/* Returns what a crash says about a run, if it is the only suspect. A target
- * that was silent already when the start was sent has crashed before it. */
+/* Returns what a crash says about a run, if it is the only suspect. A start
+ * without an answer may have reached its target only if that was alive; of a
+ * gang, whose members do not run alone, it stays unsure. */
 static JobCrashEvidence
-get_own_evidence(const JobTask *task, const SchedCrash *span)
+get_own_evidence(const JobRun *run, const SchedCrash *span)
 {
+    const JobTask *task = JobRun_GetTask(run);
+    int64_t begun_ms = task->sched_state.since_ms;
+
     if (task->sched_state.phase == JOB_SCHED_NONE) {
         return JOB_CRASH_LATE;
     }
     if (task->sched_state.phase < JOB_SCHED_RUNNING) {
-        return span->to_ms <= task->sched_state.sent_ms ? JOB_CRASH_SHARED
-                                                        : JOB_CRASH_UNSURE;
+        begun_ms = task->sched_state.sent_ms;
+        if (span->to_ms <= begun_ms) {
+            return JOB_CRASH_SHARED;
+        }
+        if (begun_ms - span->from_ms > SCHED_SOON_MS ||
+            JobRun_GetStep(run)->gang) {
+            return JOB_CRASH_UNSURE;
+        }
     }
-    return span->to_ms - task->sched_state.since_ms <= SCHED_SOON_MS
-               ? JOB_CRASH_SOON
-               : JOB_CRASH_LATE;
+    return span->to_ms - begun_ms <= SCHED_SOON_MS ? JOB_CRASH_SOON
+                                                   : JOB_CRASH_LATE;
 }
 
 /* Returns whether a run has outlived its probation, or never began. What an
@@ -190,7 +199,7 @@
         if (!is_innocent(task, span)) {
             add_suspect(sched, &list,
                         &(JobCrash){JobRun_GetTaskRef(run), task->attempt,
-                                    get_own_evidence(task, span)});
+                                    get_own_evidence(run, span)});
         }
     }
     for (i = 0; i < sched->lost_run_count; i++) {
@@ -297,13 +306,13 @@
     for (i = 0; i < target->run_count; i++) {
         const JobTask *task = JobRun_GetTask(&target->runs[i]);
         if (!is_innocent(task, &span)) {
-            sched->lost_runs[sched->lost_run_count++] =
-                (SchedLostRun){target->row,
-                               target->serial,
-                               {JobRun_GetTaskRef(&target->runs[i]),
-                                task->attempt, get_own_evidence(task, &span)},
-                               0,
-                               now};
+            sched->lost_runs[sched->lost_run_count++] = (SchedLostRun){
+                target->row,
+                target->serial,
+                {JobRun_GetTaskRef(&target->runs[i]), task->attempt,
+                 get_own_evidence(&target->runs[i], &span)},
+                0,
+                now};
         }
     }
 }
--- a/tests/test_jobsched.c
+++ b/tests/test_jobsched.c
@@ -391,6 +391,34 @@
 }
 END_TEST
 
+typedef struct UnansweredCase {
+    int64_t silence_ms; /* between the announcement and the start */
+    uint32_t score;
+} UnansweredCase;
+
+static const UnansweredCase unanswered_cases[] = {{100, 4}, {1400, 2}};
+
+/* A task that crashes its target before the answer of the start is sent. */
+START_TEST(crash_after_unanswered_start_is_counted)
+{
+    const UnansweredCase *row = &unanswered_cases[_i];
+    const JobTaskRef ref = {"a", 0, 0, 0};
+    Job *job;
+
+    announce("t1", "vm1", 10);
+    tick(row->silence_ms);
+    JobTest_Submit(state, "a", 1, 1, 500);
+    tick(50);
+    ck_assert_uint_eq(count_calls(JOB_ACTION_START), 1);
+    now += 10;
+    answer_all(JOB_CALL_NO_ANSWER);
+    now += 3000;
+    announce("t2", "vm1", 20);
+    ck_assert_uint_eq(JobState_FindTask(state, &ref, &job)->crash_score,
+                      row->score);
+}
+END_TEST
+
 START_TEST(runs_of_target_that_keeps_restarting_are_lost)
 {
     int i;
@@ -945,6 +973,9 @@
     tcase_add_test(tcase, runs_of_target_that_keeps_restarting_are_lost);
     tcase_add_test(tcase, new_target_is_proposed_once_while_log_is_slow);
     tcase_add_test(tcase, long_checkpoint_does_not_hold_back_ends);
+    tcase_add_loop_test(
+        tcase, crash_after_unanswered_start_is_counted, 0,
+        (int)(sizeof(unanswered_cases) / sizeof(unanswered_cases[0])));
     tcase_add_test(tcase, targets_with_same_start_time_are_distinct);
     tcase_add_test(tcase, leaving_target_gets_no_work);
     tcase_add_test(tcase, tasks_of_job_share_targets);
