Exchange the control nodes until every entry VM has a leader

Cause: an entry VM passed the control nodes on only when a link opened. Links between entry VMs that opened before a control VM was met carried an empty list, and nothing repeated it.

Change: a node without a leader sends its list to all peers once a second, and a node that knows more answers with its own (jobnodes). Entry VMs log the condition leader_unknown, serve metrics, and read the settings again while it lasts, since seeds may change without a signal; control nodes do so, too. A row of a control node whose proposal failed is proposed again.

--- a/src/jobctl.c
+++ b/src/jobctl.c
@@ -213,12 +213,16 @@
 
 /* --- control nodes in the replicated state --- */
 
+/* A node whose row was not stored is looked at again by the next update. */
 static void
-ignore_result(void *arg, Status status, JobResult result)
+on_node_stored(void *arg, Status status, JobResult result)
 {
-    (void)arg;
-    (void)status;
+    JobControl *control = arg;
+
     (void)result;
+    if (status != ST_OK) {
+        control->node_update_due = true;
+    }
 }
 
 static void
@@ -242,7 +246,7 @@
         }
     }
     JobCmd_EncodeNode(&command, &node);
-    JobControl_Propose(control, &command, ignore_result, NULL);
+    JobControl_Propose(control, &command, on_node_stored, control);
     Buf_Free(&command);
 }
 
--- a/src/jobctl_watch.c
+++ b/src/jobctl_watch.c
@@ -3,6 +3,8 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "jobreload.h"
+
 #define PLACEMENT_SAMPLE_MS 1000
 
 /* Events of the conditions while they last and at their end. */
@@ -180,5 +182,9 @@
         Slog_AddInt("term", (int64_t)Replica_GetTerm(control->replica));
         add_details(control, (JobWatchKind)i, now);
         Slog_End();
+        if (i == JOB_WATCH_LEADER_UNKNOWN && !ended) {
+            /* The seeds may have changed without a signal. */
+            JobReload_ReloadSettings(control->settings_file, control->peers);
+        }
     }
 }
--- a/src/jobentry.c
+++ b/src/jobentry.c
@@ -6,9 +6,12 @@
 
 #include <apr_time.h>
 
+#include "condition.h"
 #include "httpserver.h"
 #include "jobcopies.h"
 #include "jobfleetmsg.h"
+#include "jobmetrics.h"
+#include "jobnodes.h"
 #include "jobreload.h"
 #include "jobreplymsg.h"
 #include "loop.h"
@@ -35,6 +38,8 @@
 /* Timeout of a request that has no earlier deadline. */
 #define REPLY_TIMEOUT_MS 2700
 #define RETRY_DELAY_MS 1000
+#define METRICS_IDLE_TIMEOUT_S 30
+#define MS_PER_S 1000.0
 /* Timeout of an operator's or a target's request. They ask another node after
  * a second, of which a tick and the way back are a part. */
 #define CONTROL_TIMEOUT_MS 700
@@ -77,6 +82,7 @@
     HttpServer *traffic; /* NULL if the settings have no such address */
     HttpServer *ready;
     HttpServer *control;
+    HttpServer *metrics;
     Signals *signals;
     LoopTimer *tick;
     PendingRequest *requests;
@@ -86,6 +92,8 @@
     int64_t leader_heard_ms;
     int64_t leader_lost_ms; /* time of the start, or of the loss of the last
                              * leader */
+    JobNodes *nodes;
+    Condition leader_unknown;
     bool was_ready;
     int64_t stop_begun_ms; /* start of the planned stop, or 0 */
     int64_t idle_since_ms; /* during a planned stop, time since which no
@@ -372,28 +380,56 @@
 
 /* --- peers --- */
 
-/* Sends the addresses of the control nodes to a peer, so that a node whose
- * seeds are entry VMs finds them. */
+/* Lists the control nodes that are up, and the leader if it is known. */
 static void
-send_control_nodes(JobEntry *entry, size_t peer)
+fill_fleet_msg(const JobEntry *entry, JobFleetMsg *msg)
 {
-    JobFleetMsg msg = {.term = entry->leader_term};
-    Buf body = BUF_INIT;
     size_t i;
 
-    for (i = 0;
-         i < Peers_Count(entry->peers) && msg.node_count < JOB_FLEET_MAX_NODES;
+    memset(msg, 0, sizeof(*msg));
+    msg->term = entry->leader_term;
+    if (has_leader(entry)) {
+        msg->leader = Peers_Hello(entry->peers, entry->leader)->address;
+    }
+    for (i = 0; i < Peers_Count(entry->peers) &&
+                msg->node_count < JOB_FLEET_MAX_NODES;
          i++) {
         const PeerHello *hello = Peers_Hello(entry->peers, i);
         if (hello->identity != 0 && Peers_IsUp(entry->peers, i)) {
-            msg.nodes[msg.node_count++] = hello->address;
+            msg->nodes[msg->node_count++] = hello->address;
         }
     }
+}
+
+/* Sends the addresses of the control nodes to a peer, so that a node whose
+ * seeds are entry VMs finds them. */
+static void
+send_control_nodes(JobEntry *entry, size_t peer)
+{
+    JobFleetMsg msg;
+    Buf body = BUF_INIT;
+
+    fill_fleet_msg(entry, &msg);
     JobFleetMsg_Encode(&msg, &body);
     Peers_Send(entry->peers, peer, body.data, body.len);
     Buf_Free(&body);
 }
 
+static void
+exchange_control_nodes(JobEntry *entry, int64_t now)
+{
+    size_t i;
+
+    if (!JobNodes_BeginRound(entry->nodes, now, has_leader(entry))) {
+        return;
+    }
+    for (i = 0; i < Peers_Count(entry->peers); i++) {
+        if (JobNodes_Take(entry->nodes, i)) {
+            send_control_nodes(entry, i);
+        }
+    }
+}
+
 static void
 on_peer_up(void *arg, size_t peer, const PeerHello *hello)
 {
@@ -499,6 +535,7 @@
                  const msgpack_object_array *message)
 {
     JobFleetMsg msg;
+    JobFleetMsg known;
     size_t i;
 
     if (!JobFleetMsg_Decode(message, &msg)) {
@@ -507,6 +544,10 @@
     for (i = 0; i < msg.node_count; i++) {
         Peers_Add(entry->peers, &msg.nodes[i]);
     }
+    fill_fleet_msg(entry, &known);
+    if (JobNodes_IsQuestion(&msg, &known)) {
+        JobNodes_RecordQuestion(entry->nodes, peer);
+    }
     if (!msg.leader_ready) {
         if (peer == entry->leader) {
             clear_leader(entry);
@@ -654,6 +695,38 @@
     }
 }
 
+static size_t
+count_control_nodes_up(const JobEntry *entry)
+{
+    JobFleetMsg msg;
+
+    fill_fleet_msg(entry, &msg);
+    return msg.node_count;
+}
+
+/* Logs that no leader is known while it lasts, and reads the settings again
+ * then: their seeds may have changed without a signal. */
+static void
+watch_leader(JobEntry *entry, int64_t now)
+{
+    int64_t lasted_ms;
+    ConditionReport report = Condition_Update(&entry->leader_unknown, now,
+                                              !has_leader(entry), &lasted_ms);
+
+    if (report == CONDITION_SILENT) {
+        return;
+    }
+    Slog_Begin(report == CONDITION_ENDED ? SLOG_CHANGE : SLOG_FAILURE,
+               report == CONDITION_ENDED ? "leader_known" : "leader_unknown");
+    Slog_AddInt("lasted_ms", lasted_ms);
+    Slog_AddInt("term", (int64_t)entry->leader_term);
+    Slog_AddInt("control_nodes_up", (int64_t)count_control_nodes_up(entry));
+    Slog_End();
+    if (report == CONDITION_LASTS) {
+        JobReload_ReloadSettings(entry->settings_file, entry->peers);
+    }
+}
+
 static void
 on_tick(void *arg)
 {
@@ -669,6 +742,8 @@
         Slog_AddInt("term", (int64_t)entry->leader_term);
         Slog_End();
     }
+    watch_leader(entry, now);
+    exchange_control_nodes(entry, now);
     forward_waiting_requests(entry, now);
     expire_requests(entry, now);
     continue_stop(entry, now);
@@ -704,6 +779,39 @@
     JobReload_ReloadSettings(entry->settings_file, entry->peers);
 }
 
+/* --- metrics --- */
+
+static void
+handle_scrape(void *arg, HttpRequest *http)
+{
+    static const JobMetric written[] = {
+        JOB_METRIC_READY, JOB_METRIC_TERM, JOB_METRIC_PEERS_UP,
+        JOB_METRIC_LEADER_UNKNOWN_SECONDS, JOB_METRIC_REQUESTS_PENDING};
+    JobEntry *entry = arg;
+    JobMetrics *metrics = Mem_New(1, sizeof(*metrics));
+    const PendingRequest *request;
+    Buf page = BUF_INIT;
+    size_t i;
+
+    metrics->values[JOB_METRIC_READY] = is_ready(entry);
+    metrics->values[JOB_METRIC_TERM] = (double)entry->leader_term;
+    metrics->values[JOB_METRIC_LEADER_UNKNOWN_SECONDS] =
+        (double)Condition_GetAgeMs(&entry->leader_unknown, Loop_NowMs()) /
+        MS_PER_S;
+    for (i = 0; i < Peers_Count(entry->peers); i++) {
+        metrics->values[JOB_METRIC_PEERS_UP] += Peers_IsUp(entry->peers, i);
+    }
+    for (request = entry->requests; request != NULL; request = request->next) {
+        metrics->values[JOB_METRIC_REQUESTS_PENDING]++;
+    }
+    JobMetrics_WriteGauges(metrics, written,
+                           sizeof(written) / sizeof(written[0]), &page);
+    HttpRequest_ReplyText(http, 200, "text/plain; version=0.0.4",
+                          Buf_Text(&page));
+    Buf_Free(&page);
+    free(metrics);
+}
+
 /* --- start and stop --- */
 
 /* Opens a server unless the settings have no address for it. */
@@ -737,6 +845,11 @@
                                  .idle_timeout_s = HTTP_IDLE_TIMEOUT_S,
                                  .handler = handle_control_request,
                                  .arg = entry};
+    HttpServerOptions metrics = {.address = entry->settings->metrics,
+                                 .max_body_bytes = 1024,
+                                 .idle_timeout_s = METRICS_IDLE_TIMEOUT_S,
+                                 .handler = handle_scrape,
+                                 .arg = entry};
     Status status = open_server(entry, &traffic, &entry->traffic, err);
 
     if (status == ST_OK) {
@@ -745,6 +858,9 @@
     if (status == ST_OK) {
         status = open_server(entry, &control, &entry->control, err);
     }
+    if (status == ST_OK) {
+        status = open_server(entry, &metrics, &entry->metrics, err);
+    }
     return status;
 }
 
@@ -788,6 +904,7 @@
     entry->settings = settings;
     entry->settings_file = file;
     entry->wire = wire;
+    entry->nodes = JobNodes_New();
     entry->leader = SIZE_MAX;
     entry->leader_lost_ms = Loop_NowMs();
     /* Replies to an earlier incarnation must not match. */
@@ -823,6 +940,8 @@
     HttpServer_Free(entry->traffic);
     HttpServer_Free(entry->ready);
     HttpServer_Free(entry->control);
+    HttpServer_Free(entry->metrics);
+    JobNodes_Free(entry->nodes);
     Peers_Free(entry->peers);
     Signals_Free(entry->signals);
     Loop_Free(entry->loop);
--- a/src/jobmetrics.c
+++ b/src/jobmetrics.c
@@ -91,6 +91,11 @@
     [JOB_METRIC_LOOP_STALLED_SECONDS] =
         {PREFIX "loop_stalled_seconds_total", "counter",
          "time for which the process did not run"},
+    [JOB_METRIC_READY] = {PREFIX "ready", "gauge",
+                          "1 while this node takes requests of callers"},
+    [JOB_METRIC_REQUESTS_PENDING] =
+        {PREFIX "requests_pending", "gauge",
+         "requests at this node that have no answer yet"},
 };
 
 static const char *const kind_names[JOB_METRICS_KIND_COUNT] = {
@@ -259,16 +264,33 @@
     }
 }
 
+static void
+write_value(const JobMetrics *metrics, JobMetric metric, Buf *out)
+{
+    const MetricInfo *info = &metric_infos[metric];
+
+    write_header(out, info->name, info->type, info->help);
+    Buf_Printf(out, "%s %.15g\n", info->name, metrics->values[metric]);
+}
+
+void
+JobMetrics_WriteGauges(const JobMetrics *metrics, const JobMetric *written,
+                       size_t count, Buf *out)
+{
+    size_t i;
+
+    for (i = 0; i < count; i++) {
+        write_value(metrics, written[i], out);
+    }
+}
+
 void
 JobMetrics_WritePage(const JobMetrics *metrics, Buf *out)
 {
     size_t i;
 
-    for (i = 0; i < JOB_METRIC_COUNT; i++) {
-        write_header(out, metric_infos[i].name, metric_infos[i].type,
-                     metric_infos[i].help);
-        Buf_Printf(out, "%s %.15g\n", metric_infos[i].name,
-                   metrics->values[i]);
+    for (i = 0; i < JOB_METRIC_ENTRY_FIRST; i++) {
+        write_value(metrics, (JobMetric)i, out);
     }
     write_answer_counts(metrics, out);
     write_answer_durations(metrics, out);
--- a/src/jobmetrics.h
+++ b/src/jobmetrics.h
@@ -52,6 +52,9 @@
     JOB_METRIC_LOG_LINES_LEFT_OUT,
     JOB_METRIC_LOOP_STALLS,
     JOB_METRIC_LOOP_STALLED_SECONDS,
+    JOB_METRIC_ENTRY_FIRST, /* from here on, metrics of entry VMs only */
+    JOB_METRIC_READY = JOB_METRIC_ENTRY_FIRST,
+    JOB_METRIC_REQUESTS_PENDING,
     JOB_METRIC_COUNT
 } JobMetric;
 
@@ -89,9 +92,13 @@
 /* Returns the label of a JobRequestKind. */
 const char *JobMetrics_GetKindName(size_t kind);
 
-/* Appends the page of all metrics to out. */
+/* Appends the page of a control node to out. */
 void JobMetrics_WritePage(const JobMetrics *metrics, Buf *out);
 
+/* Appends only the given metrics, for the page of an entry VM. */
+void JobMetrics_WriteGauges(const JobMetrics *metrics,
+                            const JobMetric *written, size_t count, Buf *out);
+
 /* Returns the name of metric i without labels, or NULL past the last one. */
 const char *JobMetrics_GetName(size_t i);
 
