Wait out the longest lease of targets that have just started

Until a target has been fenced, the bound is now the longest lease; the deadlines that a silent target is sent again are kept apart from that bound.

run_on_young_target_is_kept_for_the_longest_lease and target_without_a_lease_gets_no_work failed before.

--- a/src/jobctl.c
+++ b/src/jobctl.c
@@ -556,6 +556,7 @@
                              .list_interval_ms = 2000,
                              .move_ms = 1500};
 
+    sched.max_lease_ms = settings->run_lease_ms;
     if (sched.lease_ms > settings->run_lease_ms) {
         sched.lease_ms = settings->run_lease_ms;
     }
--- a/src/jobsched.c
+++ b/src/jobsched.c
@@ -183,6 +183,7 @@
         live->clock_known = false;
         live->room_known = false;
         live->granted_until_ms = 0;
+        live->sent_until_ms = 0;
         live->hold_in_flight = false;
         live->reserved = (JobResources){0, 0, 0};
         live->reserved_count = 0;
@@ -201,6 +202,20 @@
     return live->clock_ms + (now - live->clock_at_ms);
 }
 
+/* Returns the longest lease that a target may have got before its first answer
+ * to this leader. The clock of a target starts with it, so a delayed call to
+ * an earlier incarnation under its id has a deadline far ahead. */
+static int64_t
+get_earlier_lease_ms(const JobSched *sched, const SchedTarget *live,
+                     int64_t clock_ms)
+{
+    const JobSchedOptions *options = &sched->options;
+    bool is_young = live->restart_seen_ms != 0 ||
+                    clock_ms < SCHED_MAX_CALL_DELAY_MS + options->max_lease_ms;
+
+    return is_young ? options->max_lease_ms : options->lease_ms;
+}
+
 void
 SchedImpl_RecordClock(const JobSched *sched, SchedTarget *live, int64_t now,
                       int64_t clock_ms)
@@ -210,7 +225,9 @@
     }
     if (!live->clock_known) {
         /* A previous leader may have granted a lease a moment ago. */
-        live->granted_until_ms = clock_ms + sched->options.lease_ms;
+        live->granted_until_ms =
+            clock_ms + get_earlier_lease_ms(sched, live, clock_ms);
+        live->sent_until_ms = clock_ms + sched->options.lease_ms;
     }
     live->clock_ms = clock_ms;
     live->clock_at_ms = now;
@@ -224,8 +241,11 @@
 {
     int64_t deadline = clock_now(live, now) + sched->options.lease_ms;
 
-    if (live->unanswered > 0 && live->granted_until_ms > 0) {
-        return live->granted_until_ms;
+    if (live->unanswered > 0 && live->sent_until_ms > 0) {
+        return live->sent_until_ms;
+    }
+    if (deadline > live->sent_until_ms) {
+        live->sent_until_ms = deadline;
     }
     if (deadline > live->granted_until_ms) {
         live->granted_until_ms = deadline;
@@ -241,10 +261,11 @@
 
     if (live->checking_restart) {
         /* A delayed call to the earlier incarnation may still reach the new
-         * one and start a run for a whole lease. */
+         * one. Its deadline on the earlier clock lies far ahead on the new
+         * one, so that the run gets the longest lease. */
         return live->restart_seen_ms + SCHED_MAX_CALL_DELAY_MS +
-               sched->options.lease_ms * (100 + JOBSCHED_CLOCK_DRIFT_PERCENT) /
-                   100;
+               sched->options.max_lease_ms *
+                   (100 + JOBSCHED_CLOCK_DRIFT_PERCENT) / 100;
     }
     if (!live->clock_known) {
         /* Only a previous leader can have granted a lease. */
@@ -432,6 +453,16 @@
            SCHED_MISSED_ANNOUNCEMENTS * sched->options.announce_ms;
 }
 
+/* Returns whether a start would get a lease. That of a target that does not
+ * answer is not extended, so a run assigned to it would be given up at once.
+ */
+static bool
+has_lease_left(const JobSched *sched, const SchedTarget *live, int64_t now)
+{
+    return live->unanswered == 0 || now + sched->options.call_timeout_ms <
+                                        SchedImpl_LeaseExpiryMs(sched, live);
+}
+
 bool
 JobSched_IsUsable(const JobSched *sched, const JobTarget *target, int64_t now)
 {
@@ -440,6 +471,7 @@
     return live != NULL && !target->announcement.leaving &&
            !live->checking_restart && !live->readmitting && !live->cordoned &&
            live->clock_known && live->unanswered < 2 &&
+           has_lease_left(sched, live, now) &&
            now >= live->quarantine_end_ms &&
            is_recently_seen(sched, live, now);
 }
--- a/src/jobsched.h
+++ b/src/jobsched.h
@@ -43,6 +43,7 @@
 
 typedef struct JobSchedOptions {
     int64_t lease_ms;            /* lease granted by each call */
+    int64_t max_lease_ms;        /* longest lease that a target accepts */
     int64_t hold_wait_ms;        /* wait of a hold in a small fleet */
     int64_t short_wait_ms;       /* wait of a hold while a short task runs */
     uint32_t holds_per_s;        /* rate above which holds wait longer */
@@ -55,9 +56,10 @@
 
 #define JOBSCHED_OPTIONS_DEFAULT                                              \
     {                                                                         \
-        .lease_ms = 4000, .hold_wait_ms = 1000, .short_wait_ms = 400,         \
-        .holds_per_s = 200, .call_timeout_ms = 1000, .announce_ms = 1500,     \
-        .stop_ms = 400, .early_start_ms = 0, .status_retention_ms = 180000    \
+        .lease_ms = 4000, .max_lease_ms = 6000, .hold_wait_ms = 1000,         \
+        .short_wait_ms = 400, .holds_per_s = 200, .call_timeout_ms = 1000,    \
+        .announce_ms = 1500, .stop_ms = 400, .early_start_ms = 0,             \
+        .status_retention_ms = 180000                                         \
     }
 
 typedef enum JobActionKind {
--- a/src/jobsched_impl.h
+++ b/src/jobsched_impl.h
@@ -33,7 +33,10 @@
     int64_t clock_ms;     /* last reading of the target's clock */
     int64_t clock_at_ms;  /* time of the last clock reading */
     int64_t room_at_ms;   /* when its last announcement was made */
-    int64_t granted_until_ms; /* highest deadline sent, in target time */
+    /* Highest deadline that the target may have, and that this leader has
+     * sent, in target time. */
+    int64_t granted_until_ms;
+    int64_t sent_until_ms;
     int64_t last_seen_ms;     /* time of the last announcement or answer */
     int64_t last_answer_ms;
     int64_t hold_due_ms;
--- a/tests/test_jobsched.c
+++ b/tests/test_jobsched.c
@@ -238,6 +238,52 @@
 }
 END_TEST
 
+/* A delayed call to an earlier incarnation gives a target that started a
+ * moment ago its longest lease, so its silence is waited out for that long. */
+START_TEST(run_on_young_target_is_kept_for_the_longest_lease)
+{
+    const JobSchedOptions options = JOBSCHED_OPTIONS_DEFAULT;
+    int64_t known_ms = now;
+
+    announce("t1", "vm1", 10);
+    JobTest_Submit(state, "a", 1, 1, 500);
+    tick(50);
+    while (now < known_ms + options.max_lease_ms) {
+        ck_assert_uint_eq(JobState_FindTarget(state, "t1")->run_count, 1);
+        answer_all(JOB_CALL_NO_ANSWER);
+        tick(100);
+    }
+    tick(2000);
+    ck_assert_uint_eq(JobState_FindTarget(state, "t1")->run_count, 0);
+}
+END_TEST
+
+START_TEST(target_without_a_lease_gets_no_work)
+{
+    const JobSchedOptions options = JOBSCHED_OPTIONS_DEFAULT;
+    JobTaskRef task = {"b", 0, 0, 0};
+    int64_t until = now + 2 * options.max_lease_ms;
+    Job *job;
+
+    announce("t1", "vm1", 10);
+    JobTest_Submit(state, "a", 1, 1, 500);
+    tick(50);
+    answer_all(JOB_CALL_NO_ANSWER);
+    while (now < until) {
+        tick(500);
+        announce("t1", "vm1", 10);
+        answer_all(JOB_CALL_AGENT_LOST);
+    }
+    JobTest_Submit(state, "b", 1, 1, 500);
+    for (until = now + 3000; now < until;) {
+        tick(500);
+        announce("t1", "vm1", 10);
+        answer_all(JOB_CALL_AGENT_LOST);
+    }
+    ck_assert_uint_le(JobState_FindTask(state, &task, &job)->attempt, 1);
+}
+END_TEST
+
 START_TEST(tasks_of_silent_target_are_unavailable)
 {
     announce("t1", "vm1", 10);
@@ -962,6 +1008,8 @@
     tcase_add_test(tcase, tasks_are_assigned_before_they_start);
     tcase_add_test(tcase, unanswered_start_is_retried_at_same_target);
     tcase_add_test(tcase, silent_target_lease_is_not_extended);
+    tcase_add_test(tcase, run_on_young_target_is_kept_for_the_longest_lease);
+    tcase_add_test(tcase, target_without_a_lease_gets_no_work);
     tcase_add_test(tcase, tasks_of_silent_target_are_unavailable);
     tcase_add_test(tcase, evacuation_respects_max_unavailable);
     tcase_add_test(tcase, idle_target_is_polled_when_announced_again);
