Serve good tasks beside deadly ones

Causes, each seen in a trace: * A suspect waited for a target of its own, one task at a time, while its pool kept all its VMs for such tasks: 480 cores for 33 in use, and 1,100 wanted by another pool. The need of suspects is now counted in VMs, few of which are kept from other pools. * Best fit put new tasks on the targets that were crashing. A pool with several recent crashes spreads its jobs and keeps the tasks of a job together; suspects of one job share a target, and evidence of a crash counts for the job. * Tasks that crashed a target alone took the targets of those not yet tried. * VMs with little work were not taken for a pool in need, and a backlog got four VMs once nothing arrived, with 20 on standby. * One crash counted once for each attempt that was given up on the target.

--- a/src/jobfleet_move.c
+++ b/src/jobfleet_move.c
@@ -192,6 +192,8 @@
     Slog_AddInt("used", plan->load.used);
     Slog_AddInt("lasting", plan->load.lasting);
     Slog_AddInt("waiting", plan->load.waiting);
+    Slog_AddInt("suspect", plan->load.suspect);
+    Slog_AddInt("suspect_jobs", plan->load.suspect_jobs);
     Slog_AddInt("arriving", plan->load.arriving);
     Slog_AddInt("rising", plan->load.rising);
     Slog_AddInt("forecast", plan->load.forecast);
@@ -227,30 +229,54 @@
     return NULL;
 }
 
-/* Moves a VM to a pool that needs one. Takes VMs of the standby pool first,
- * preferably those with an unsent order to move there, then idle VMs of pools
- * with a surplus. Returns false if there is none. */
+typedef enum FetchKind {
+    FETCH_STANDBY, /* a VM of the standby pool, preferably one with an unsent
+                      order to move there */
+    FETCH_IDLE,    /* an idle VM of a pool with a surplus */
+    FETCH_DRAINED, /* a VM of a pool that has room for its tasks elsewhere */
+    FETCH_COUNT
+} FetchKind;
+
+/* Returns a VM of a pool for another one that needs it, or NULL. */
+static FleetVm *
+find_vm_to_fetch(JobFleet *fleet, int64_t now, const PoolPlan *from,
+                 FetchKind kind)
+{
+    const JobPoolLoad *load = &from->load;
+    int64_t floor_cpu = from->transfer_floor;
+    FleetVm *vm;
+
+    if (kind == FETCH_STANDBY) {
+        if (!from->pool->standby) {
+            return NULL;
+        }
+        vm = pick_incoming_vm(fleet, from->pool->name);
+        return vm != NULL ? vm : pick_vm(fleet, now, from->pool->name, false);
+    }
+    if (kind == FETCH_DRAINED) {
+        floor_cpu += load->used - load->lasting;
+    }
+    return has_surplus(from, floor_cpu)
+               ? pick_vm(fleet, now, from->pool->name, kind == FETCH_DRAINED)
+               : NULL;
+}
+
+/* Moves a VM to a pool that needs one. Returns false if there is none. */
 static bool
 fetch_vm(JobFleet *fleet, int64_t now, PoolPlan *plans, size_t count,
          PoolPlan *to)
 {
     size_t i;
-    int pass;
+    int kind;
 
-    for (pass = 0; pass < 2; pass++) {
+    for (kind = 0; kind < FETCH_COUNT; kind++) {
         for (i = 0; i < count; i++) {
-            PoolPlan *from = &plans[i];
-            FleetVm *vm;
-            if (from == to || from->pool->standby != (pass == 0) ||
-                (pass == 1 && !has_surplus(from, from->transfer_floor))) {
-                continue;
-            }
-            vm = pass == 0 ? pick_incoming_vm(fleet, from->pool->name) : NULL;
-            if (vm == NULL) {
-                vm = pick_vm(fleet, now, from->pool->name, false);
-            }
+            FleetVm *vm =
+                &plans[i] != to
+                    ? find_vm_to_fetch(fleet, now, &plans[i], (FetchKind)kind)
+                    : NULL;
             if (vm != NULL) {
-                move_vm(fleet, now, vm, from, to);
+                move_vm(fleet, now, vm, &plans[i], to);
                 return true;
             }
         }
--- a/src/jobfleet_wave.c
+++ b/src/jobfleet_wave.c
@@ -118,7 +118,7 @@
         return false;
     }
     JobSched_PoolLoad(fleet->sched, now, vm->listed.pool, 0, &load);
-    return load.waiting > vm->listed.cpu;
+    return load.waiting - load.suspect > vm->listed.cpu;
 }
 
 /* Returns whether a wave would end too late if it waited for the backlog of
--- a/src/jobsched.h
+++ b/src/jobsched.h
@@ -178,13 +178,16 @@
 
 /* Load of a pool as input to move planning, in thousandths of a core. */
 typedef struct JobPoolLoad {
-    int64_t lasting;   /* use by lasting tasks */
-    int64_t used;      /* use by all assigned tasks */
-    int64_t waiting;   /* need of tasks that could start now */
-    int64_t arriving;  /* arrival rate of work */
-    int64_t rising;    /* arrival rate extrapolated by its slope */
-    int64_t forecast;  /* highest arrival rate expected soon */
-    int64_t period_ms; /* period of its bursts, 0: unknown */
+    int64_t lasting; /* use by lasting tasks */
+    int64_t used;    /* use by all assigned tasks */
+    int64_t waiting; /* need of tasks that could start now */
+    int64_t backlog; /* its expected use, in thousandths of a core x ms */
+    int64_t suspect; /* part of waiting, not of backlog, that runs apart */
+    uint32_t suspect_jobs; /* jobs with such tasks, waiting or running */
+    int64_t arriving;      /* arrival rate of work */
+    int64_t rising;        /* arrival rate extrapolated by its slope */
+    int64_t forecast;      /* highest arrival rate expected soon */
+    int64_t period_ms;     /* period of its bursts, 0: unknown */
 } JobPoolLoad;
 
 void JobSched_PoolLoad(const JobSched *sched, int64_t now, const char *pool,
--- a/src/jobsched_crash.c
+++ b/src/jobsched_crash.c
@@ -1,5 +1,6 @@
 #include "jobsched_impl.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -15,13 +16,17 @@
 #define SCHED_UNSEEN_PROBATION_MS 15000
 /* Age of a run up to which a crash is likely its own. */
 #define SCHED_SOON_MS 500
+/* A pool counts as crashing after this many crashes within this time. */
+#define SCHED_CRASHING_COUNT 2
+#define SCHED_CRASHING_MS 5000
 
 /* The runs of a crashed target that may have caused the crash. */
 typedef struct SuspectList {
     JobCrash *rows;
     size_t count;
-    const JobTaskRef *cause; /* first task that can have caused it, or NULL */
-    bool single;             /* those that can have are one task or one gang */
+    char
+        job[JOB_ID_BYTES]; /* of the first that can have caused it, or empty */
+    bool single;           /* those that can have are of one job */
 } SuspectList;
 
 /* Returns whether the end of a target is no crash: it has announced that it
@@ -66,6 +71,41 @@
     Slog_End();
 }
 
+bool
+SchedImpl_MayHaveCrashed(const JobTarget *target, int64_t now)
+{
+    const SchedTarget *live = SchedImpl_FindLive(target);
+    uint32_t i;
+
+    if (live->unanswered == 0 ||
+        now - live->silent_since_ms >= SCHED_CRASHING_MS) {
+        return false;
+    }
+    for (i = 0; i < target->run_count; i++) {
+        if (!JobRun_GetTask(&target->runs[i])->sched_state.proven) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+SchedImpl_IsPoolCrashing(const JobSched *sched, const char *pool,
+                         uint32_t silent, int64_t now)
+{
+    size_t recorded = sched->crash_count < SCHED_MAX_CRASHES
+                          ? sched->crash_count
+                          : SCHED_MAX_CRASHES;
+    uint32_t crashes = silent;
+    size_t i;
+
+    for (i = 0; i < recorded; i++) {
+        crashes += now - sched->crashes[i].to_ms < SCHED_CRASHING_MS &&
+                   strcmp(sched->crashes[i].pool, pool) == 0;
+    }
+    return crashes >= SCHED_CRASHING_COUNT;
+}
+
 static bool
 is_overlapping(const SchedCrash *a, const SchedCrash *b)
 {
@@ -113,27 +153,30 @@
     return crashed >= 2 && crashed * 2 >= alive + unknown;
 }
 
-/* Returns whether two tasks are the same or members of one gang. */
-static bool
-is_same_unit(const JobSched *sched, const JobTaskRef *a, const JobTaskRef *b)
-{
-    const Job *job = JobState_FindJob(sched->state, a->job);
-
-    return JobTaskRef_IsSame(a, b) ||
-           (strcmp(a->job, b->job) == 0 && a->occurrence == b->occurrence &&
-            a->step == b->step && job != NULL &&
-            a->step < job->spec.step_count && job->spec.steps[a->step].gang);
-}
-
+/* Adds a suspect. A task whose runs on the target were given up more than once
+ * is a suspect once: the target has crashed only once. */
 static void
-add_suspect(const JobSched *sched, SuspectList *list, const JobCrash *crash)
+add_suspect(SuspectList *list, const JobCrash *crash)
 {
+    size_t i;
+
     if (crash->evidence != JOB_CRASH_SHARED) {
-        list->single =
-            list->cause == NULL ||
-            (list->single && is_same_unit(sched, list->cause, &crash->task));
-        if (list->cause == NULL) {
-            list->cause = &list->rows[list->count].task;
+        if (list->job[0] == '\0') {
+            snprintf(list->job, sizeof(list->job), "%s", crash->task.job);
+            list->single = true;
+        }
+        list->single = list->single && strcmp(list->job, crash->task.job) == 0;
+    }
+    for (i = 0; i < list->count; i++) {
+        JobCrash *known = &list->rows[i];
+        if (JobTaskRef_IsSame(&known->task, &crash->task)) {
+            if (crash->evidence > known->evidence) {
+                known->evidence = crash->evidence;
+            }
+            if (crash->attempt > known->attempt) {
+                known->attempt = crash->attempt;
+            }
+            return;
         }
     }
     list->rows[list->count++] = *crash;
@@ -188,7 +231,7 @@
 list_suspects(const JobSched *sched, const JobTarget *target,
               const SchedCrash *span)
 {
-    SuspectList list = {NULL, 0, NULL, false};
+    SuspectList list = {NULL, 0, "", false};
     size_t i;
 
     list.rows = Mem_New(target->run_count + sched->lost_run_count + 1,
@@ -197,7 +240,7 @@
         const JobRun *run = &target->runs[i];
         const JobTask *task = JobRun_GetTask(run);
         if (!is_innocent(task, span)) {
-            add_suspect(sched, &list,
+            add_suspect(&list,
                         &(JobCrash){JobRun_GetTaskRef(run), task->attempt,
                                     get_own_evidence(run, span)});
         }
@@ -205,7 +248,7 @@
     for (i = 0; i < sched->lost_run_count; i++) {
         const SchedLostRun *lost = &sched->lost_runs[i];
         if (is_lost_run_of(lost, target)) {
-            add_suspect(sched, &list, &lost->crash);
+            add_suspect(&list, &lost->crash);
         }
     }
     return list;
--- a/src/jobsched_impl.h
+++ b/src/jobsched_impl.h
@@ -37,7 +37,7 @@
      * sent, in target time. */
     int64_t granted_until_ms;
     int64_t sent_until_ms;
-    int64_t last_seen_ms;     /* time of the last announcement or answer */
+    int64_t last_seen_ms; /* time of the last announcement or answer */
     int64_t last_answer_ms;
     int64_t hold_due_ms;
     uint64_t order;            /* sequence number of the last announcement */
@@ -48,9 +48,12 @@
     int64_t silent_since_ms; /* first of the consecutive unanswered calls */
     SchedCrash restart;      /* when it restarted, if checking_restart */
     int64_t isolated_until_ms; /* until then only suspects are placed on it */
-    uint32_t unanswered;       /* consecutive calls without an answer */
-    JobResources room;         /* in its last announcement */
-    JobResources reserved;     /* room taken by assignments in flight */
+    char isolated_for[JOB_ID_BYTES]; /* their job, or empty while runs of
+                                        other jobs have to end first */
+    bool isolated_crashed_alone;     /* they have crashed a target alone */
+    uint32_t unanswered;             /* consecutive calls without an answer */
+    JobResources room;               /* in its last announcement */
+    JobResources reserved;           /* room taken by assignments in flight */
     uint32_t reserved_count;
     uint32_t failures; /* consecutive runs that ended as failed */
     bool clock_known;
@@ -100,6 +103,24 @@
     struct SchedProposal *next;
 } SchedProposal;
 
+/* What one placement needs of a pool. */
+typedef struct SchedPool {
+    const char *name;
+    JobTarget **targets; /* the usable ones */
+    size_t count;
+    size_t capacity;
+    /* Targets with suspects, and those whose suspects have crashed one alone.
+     * While other tasks wait, silent ones count, so that a target that
+     * suspects have crashed is not replaced by another one at once. */
+    size_t isolated;
+    size_t crashed_alone;
+    uint32_t silent;    /* targets that may have crashed lately */
+    bool crashing;      /* see SchedImpl_IsPoolCrashing */
+    bool suspects_wait; /* those that have not crashed one alone */
+    bool full;          /* a task with unplaced_need did not fit */
+    JobResources unplaced_need;
+} SchedPool;
+
 struct JobSched {
     JobSchedOptions options;
     int64_t next_hold_wait_ms; /* longest wait of the next holds */
@@ -111,6 +132,7 @@
     int64_t wall_ms; /* wall time of the last tick */
     int64_t now_ms;  /* latest time passed by the caller */
     int64_t next_expire_ms;
+    int64_t full_ms; /* when a task last found no room in its pool; 0: never */
     uint64_t next_cookie;
     uint64_t next_incarnation;
     JobAction *actions; /* entries before action_first are taken */
@@ -160,6 +182,10 @@
 /* jobsched_place.c */
 bool SchedImpl_HasLabel(const JobTarget *target, const char *label);
 /* Returns the number of tasks of a step that are assigned to a target. */
+/* Returns whether a target has room for a task, the label that it requires,
+ * and not too many tasks of its step, including assignments in flight. */
+bool SchedImpl_Fits(const JobSched *sched, const Job *job, uint32_t occurrence,
+                    uint32_t step, const JobTarget *target);
 uint32_t SchedImpl_CountAssigned(const Job *job, uint32_t occurrence,
                                  uint32_t step, const JobTarget *target);
 /* Room reserved while an assignment is in flight. */
@@ -221,16 +247,26 @@
 /* jobsched_isolate.c: suspects run alone, so that a crash of their target
  * blames no other task */
 bool SchedImpl_IsSuspect(const JobTask *task, const JobStep *step);
+/* Returns whether a target has lately become silent with runs on probation. */
+bool SchedImpl_MayHaveCrashed(const JobTarget *target, int64_t now);
+/* Returns whether several targets of a pool have crashed lately, including
+ * those that may have. */
+bool SchedImpl_IsPoolCrashing(const JobSched *sched, const char *pool,
+                              uint32_t silent, int64_t now);
 /* Returns whether a target is kept free of tasks that are no suspects. */
 bool SchedImpl_IsIsolated(const SchedTarget *live, int64_t now);
 /* Returns whether a target has a suspect that is still on probation. */
 bool SchedImpl_HasSuspect(const JobTarget *target);
 /* Extends the isolation of a target while it runs a suspect on probation. */
 void SchedImpl_UpdateIsolation(const JobTarget *target, int64_t now);
-/* Returns the target of those given on which a suspect can run alone now, or
- * NULL. If there is none, it may keep one free for the suspect. */
-JobTarget *SchedImpl_IsolateTarget(JobTarget *const *targets, size_t count,
-                                   const JobRun *run, int64_t now);
+/* Returns whether a suspect has crashed a target that ran nothing else that
+ * may have. */
+bool SchedImpl_HasCrashedAlone(const JobTask *task);
+/* Returns the target of a pool on which a suspect can run now with no others
+ * than suspects of its job, or NULL. If there is none, it may keep one free
+ * for the suspect. */
+JobTarget *SchedImpl_IsolateTarget(const JobSched *sched, SchedPool *pool,
+                                   const JobRun *run);
 
 /* jobsched_target.c: announcements */
 void SchedImpl_ProposeTarget(JobSched *sched,
--- a/src/jobsched_isolate.c
+++ b/src/jobsched_isolate.c
@@ -1,19 +1,31 @@
 #include "jobsched_impl.h"
 
+#include <stdio.h>
+#include <string.h>
+
 #include "slog.h"
 
 /* Shares of a pool's targets that may be isolated at a time, since suspects
  * can keep that many of them down: while this needs targets that have other
  * work, and while idle ones are left. */
 #define SCHED_MAX_ISOLATED_PERCENT 25
-#define SCHED_MAX_IDLE_ISOLATED_PERCENT 50
+#define SCHED_MAX_IDLE_ISOLATED_PERCENT 75
+/* The same share for tasks that have crashed a target alone, which will likely
+ * do so again, while other tasks wait. */
+#define SCHED_MAX_CRASHED_ALONE_PERCENT 12
 /* An isolation ends this long after it was last needed. */
 #define SCHED_ISOLATION_MS 500
 
 bool
 SchedImpl_IsSuspect(const JobTask *task, const JobStep *step)
 {
-    return task->crash_score >= JOB_SUSPECT_SCORE && !step->gang;
+    return task->crash_score > 0 && !step->gang;
+}
+
+bool
+SchedImpl_HasCrashedAlone(const JobTask *task)
+{
+    return task->crash_score > JOB_SUSPECT_SCORE;
 }
 
 bool
@@ -91,17 +103,46 @@
            (step->label[0] == '\0' || SchedImpl_HasLabel(target, step->label));
 }
 
-/* Returns whether one more target may be isolated. */
+/* Returns whether a target holds suspects of this job and nothing else that a
+ * crash could be attributed to. */
 static bool
-may_isolate(const JobTarget *target, size_t isolated, size_t count)
+is_held_for(const JobTarget *target, const Job *job, int64_t now)
+{
+    const SchedTarget *live = SchedImpl_FindLive(target);
+
+    return SchedImpl_IsIsolated(live, now) &&
+           strcmp(live->isolated_for, job->id) == 0;
+}
+
+static size_t
+get_isolation_limit(const SchedPool *pool, const JobTarget *target)
 {
     bool idle = target->run_count == 0 && count_unproven(target) == 0;
-    size_t limit =
-        count *
-        (idle ? SCHED_MAX_IDLE_ISOLATED_PERCENT : SCHED_MAX_ISOLATED_PERCENT) /
-        100;
 
-    return isolated == 0 || isolated < limit;
+    return pool->count *
+           (idle ? SCHED_MAX_IDLE_ISOLATED_PERCENT
+                 : SCHED_MAX_ISOLATED_PERCENT) /
+           100;
+}
+
+/* Returns whether one more target may be isolated for suspects. */
+static bool
+may_isolate(const SchedPool *pool, const JobTarget *target)
+{
+    return pool->isolated == 0 ||
+           pool->isolated < get_isolation_limit(pool, target);
+}
+
+/* Returns whether one more target may be isolated for suspects that have
+ * crashed one alone. */
+static bool
+may_crash_again(const SchedPool *pool, const JobTarget *target)
+{
+    size_t limit = pool->full || pool->suspects_wait
+                       ? pool->count * SCHED_MAX_CRASHED_ALONE_PERCENT / 100
+                       : get_isolation_limit(pool, target);
+
+    return pool->crashed_alone == 0 || pool->crashed_alone < limit;
 }
 
 /* Returns whether isolating target a lets a suspect start sooner than b, or
@@ -123,39 +164,73 @@
     return a->run_count < b->run_count;
 }
 
-JobTarget *
-SchedImpl_IsolateTarget(JobTarget *const *targets, size_t count,
-                        const JobRun *run, int64_t now)
+/* Returns the best target on which a task can be isolated, or NULL. */
+static JobTarget *
+choose_isolation(const JobSched *sched, const SchedPool *pool,
+                 const JobRun *run)
 {
-    size_t isolated = 0;
+    int64_t now = sched->now_ms;
+    bool has_crashed_alone = SchedImpl_HasCrashedAlone(JobRun_GetTask(run));
     JobTarget *best = NULL;
-    SchedTarget *live;
     size_t i;
 
-    for (i = 0; i < count; i++) {
-        isolated += SchedImpl_IsIsolated(SchedImpl_FindLive(targets[i]), now);
-    }
-    for (i = 0; i < count; i++) {
-        live = SchedImpl_FindLive(targets[i]);
-        if ((!SchedImpl_IsIsolated(live, now) &&
-             !may_isolate(targets[i], isolated, count)) ||
-            SchedImpl_HasSuspect(targets[i]) || !can_hold(targets[i], run)) {
+    for (i = 0; i < pool->count; i++) {
+        JobTarget *target = pool->targets[i];
+
+        if (is_held_for(target, run->job, now)) {
+            if (SchedImpl_Fits(sched, run->job, run->occurrence, run->step,
+                               target)) {
+                return target;
+            }
+            continue;
+        }
+        if ((!SchedImpl_IsIsolated(SchedImpl_FindLive(target), now) &&
+             !may_isolate(pool, target)) ||
+            (has_crashed_alone && !may_crash_again(pool, target)) ||
+            SchedImpl_HasSuspect(target) || !can_hold(target, run)) {
             continue;
         }
-        if (best == NULL || is_better(targets[i], best, now)) {
-            best = targets[i];
+        if (best == NULL || is_better(target, best, now)) {
+            best = target;
         }
     }
+    return best;
+}
+
+JobTarget *
+SchedImpl_IsolateTarget(const JobSched *sched, SchedPool *pool,
+                        const JobRun *run)
+{
+    int64_t now = sched->now_ms;
+    JobTarget *best = choose_isolation(sched, pool, run);
+    SchedTarget *live;
+
     if (best == NULL) {
         return NULL;
     }
     live = SchedImpl_FindLive(best);
     if (!SchedImpl_IsIsolated(live, now)) {
+        live->isolated_for[0] = '\0';
+        live->isolated_crashed_alone = false;
+        pool->isolated++;
         Slog_Begin(SLOG_CHANGE, "target_isolated");
         Slog_AddText("target", best->announcement.id);
+        Slog_AddText("job", run->job->id);
         Slog_AddInt("runs", best->run_count);
         Slog_End();
     }
     live->isolated_until_ms = now + SCHED_ISOLATION_MS;
-    return count_unproven(best) == 0 ? best : NULL;
+    if (is_held_for(best, run->job, now)) {
+        return best;
+    }
+    if (count_unproven(best) > 0) {
+        return NULL;
+    }
+    snprintf(live->isolated_for, sizeof(live->isolated_for), "%s",
+             run->job->id);
+    pool->crashed_alone -= live->isolated_crashed_alone;
+    live->isolated_crashed_alone =
+        SchedImpl_HasCrashedAlone(JobRun_GetTask(run));
+    pool->crashed_alone += live->isolated_crashed_alone;
+    return best;
 }
--- a/src/jobsched_place.c
+++ b/src/jobsched_place.c
@@ -13,28 +13,22 @@
  * work can be completed in time. */
 #define ADMIT_MAX_WAIT_PERCENT 150
 
+#define PLACE_MAX_FOREIGN_RUNS 1000
+/* Time for which a pool without room counts as having a backlog. */
+#define PLACE_BACKLOG_MS 1000
+
 typedef struct Candidate {
     Job *job;
     int64_t rank;
 } Candidate;
 
-/* The usable targets of one pool. */
-typedef struct PlacePool {
-    const char *name;
-    JobTarget **targets;
-    size_t count;
-    size_t capacity;
-    bool full; /* a task with unplaced_need did not fit */
-    JobResources unplaced_need;
-} PlacePool;
-
 typedef struct PlacementPass {
     JobSched *sched;
     int64_t now;
     int64_t wall_ms;
     Candidate *candidates;
     size_t count;
-    PlacePool *pools;
+    SchedPool *pools;
     size_t pool_count;
 } PlacementPass;
 
@@ -129,11 +123,67 @@
     return cpu;
 }
 
+bool
+SchedImpl_Fits(const JobSched *sched, const Job *job, uint32_t occurrence,
+               uint32_t step, const JobTarget *target)
+{
+    const JobStep *spec = &job->spec.steps[step];
+
+    return has_room(target, spec) &&
+           (spec->label[0] == '\0' ||
+            SchedImpl_HasLabel(target, spec->label)) &&
+           (spec->max_per_target == 0 ||
+            SchedImpl_CountAssigned(job, occurrence, step, target) +
+                    count_proposed_tasks(sched, job, occurrence, step,
+                                         target->row) <
+                spec->max_per_target);
+}
+
+static uint32_t
+count_of_job(const JobAssignment *list, size_t count, const Job *job,
+             uint32_t row)
+{
+    uint32_t found = 0;
+    size_t i;
+
+    for (i = 0; i < count; i++) {
+        found +=
+            list[i].target == row && strcmp(list[i].task.job, job->id) == 0;
+    }
+    return found;
+}
+
+/* Returns the number of runs of other jobs that a crash of a target would
+ * end, including assignments in flight. */
+static uint32_t
+count_foreign_runs(const JobSched *sched, const JobTarget *target,
+                   const Job *job)
+{
+    const SchedTarget *live = target->sched_state;
+    const SchedProposal *proposal;
+    uint32_t own = 0;
+    uint32_t i;
+
+    for (i = 0; i < target->run_count; i++) {
+        own += target->runs[i].job == job;
+    }
+    if (live->reserved_count > 0) {
+        own +=
+            count_of_job(sched->batch, sched->batch_count, job, target->row);
+        for (proposal = sched->proposals; proposal != NULL;
+             proposal = proposal->next) {
+            own += count_of_job(proposal->assignments,
+                                proposal->assignment_count, job, target->row);
+        }
+    }
+    return target->run_count + live->reserved_count - own;
+}
+
 /* Returns the score of a target for a task, or -1 if the task cannot be placed
  * there. The highest score is best. */
 static int64_t
-score_target(const JobSched *sched, const Job *job, uint32_t occurrence,
-             uint32_t step_index, const JobTarget *target)
+score_target(const JobSched *sched, const SchedPool *pool, const Job *job,
+             uint32_t occurrence, uint32_t step_index, const JobTarget *target)
 {
     const JobStep *step = &job->spec.steps[step_index];
     const SchedTarget *live = target->sched_state;
@@ -143,19 +193,21 @@
     int64_t score = used * 1000 / room; /* best fit */
     uint32_t same_step = 0;
 
-    if (SchedImpl_IsIsolated(live, sched->now_ms) || !has_room(target, step) ||
-        (step->label[0] != '\0' && !SchedImpl_HasLabel(target, step->label))) {
+    if (pool->crashing) {
+        /* Each run of another job weighs more than the fill. */
+        score += 1000 * (PLACE_MAX_FOREIGN_RUNS -
+                         (int64_t)count_foreign_runs(sched, target, job));
+    }
+    if (SchedImpl_IsIsolated(live, sched->now_ms) ||
+        !SchedImpl_Fits(sched, job, occurrence, step_index, target)) {
         return -1;
     }
-    if (step->max_per_target > 0 || step->lasting) {
+    if (step->lasting) {
         same_step =
             SchedImpl_CountAssigned(job, occurrence, step_index, target) +
             count_proposed_tasks(sched, job, occurrence, step_index,
                                  target->row);
     }
-    if (step->max_per_target > 0 && same_step >= step->max_per_target) {
-        return -1;
-    }
     if (step->rack[0] != '\0' && SchedImpl_HasLabel(target, step->rack)) {
         score += 2000;
     }
@@ -169,7 +221,7 @@
     return score > 0 ? score : 0;
 }
 
-static PlacePool *
+static SchedPool *
 find_pool(PlacementPass *pass, const char *name)
 {
     size_t i;
@@ -182,18 +234,24 @@
     return NULL;
 }
 
-static void
-add_target(PlacementPass *pass, JobTarget *target)
+static SchedPool *
+find_or_add_pool(PlacementPass *pass, const char *name)
 {
-    PlacePool *pool = find_pool(pass, target->announcement.pool);
+    SchedPool *pool = find_pool(pass, name);
 
     if (pool == NULL) {
         pass->pools = Mem_Resize(pass->pools, (pass->pool_count + 1) *
                                                   sizeof(*pass->pools));
         pool = &pass->pools[pass->pool_count++];
         memset(pool, 0, sizeof(*pool));
-        pool->name = target->announcement.pool;
+        pool->name = name;
     }
+    return pool;
+}
+
+static void
+add_target(SchedPool *pool, JobTarget *target)
+{
     if (pool->count == pool->capacity) {
         pool->capacity = pool->capacity * 2 + 16;
         pool->targets =
@@ -205,20 +263,39 @@
 static void
 list_targets(PlacementPass *pass)
 {
+    const JobSched *sched = pass->sched;
+    bool has_backlog =
+        sched->full_ms != 0 && pass->now - sched->full_ms < PLACE_BACKLOG_MS;
     uint32_t i;
 
-    for (i = 0; i < JobState_TargetRows(pass->sched->state); i++) {
-        JobTarget *target = JobState_TargetAt(pass->sched->state, i);
-        if (target != NULL &&
-            JobSched_IsUsable(pass->sched, target, pass->now) &&
-            SchedImpl_IsRoomCertain(pass->sched, pass->now, target)) {
-            add_target(pass, target);
+    for (i = 0; i < JobState_TargetRows(sched->state); i++) {
+        JobTarget *target = JobState_TargetAt(sched->state, i);
+        const SchedTarget *live = SchedImpl_FindLive(target);
+        SchedPool *pool;
+        if (live == NULL) {
+            continue;
+        }
+        pool = find_or_add_pool(pass, target->announcement.pool);
+        if (SchedImpl_IsIsolated(live, pass->now) &&
+            (live->unanswered == 0 || has_backlog)) {
+            pool->isolated++;
+            pool->crashed_alone += live->isolated_crashed_alone;
+        }
+        pool->silent += SchedImpl_MayHaveCrashed(target, pass->now);
+        if (JobSched_IsUsable(sched, target, pass->now) &&
+            SchedImpl_IsRoomCertain(sched, pass->now, target)) {
+            add_target(pool, target);
         }
     }
+    for (i = 0; i < pass->pool_count; i++) {
+        SchedPool *pool = &pass->pools[i];
+        pool->crashing = SchedImpl_IsPoolCrashing(sched, pool->name,
+                                                  pool->silent, pass->now);
+    }
 }
 
 static JobTarget *
-choose_target(PlacementPass *pass, PlacePool *pool, const Job *job,
+choose_target(PlacementPass *pass, SchedPool *pool, const Job *job,
               uint32_t occurrence, uint32_t step)
 {
     const JobStep *spec = &job->spec.steps[step];
@@ -235,8 +312,8 @@
         return NULL;
     }
     for (i = 0; i < pool->count; i++) {
-        int64_t score =
-            score_target(pass->sched, job, occurrence, step, pool->targets[i]);
+        int64_t score = score_target(pass->sched, pool, job, occurrence, step,
+                                     pool->targets[i]);
         if (score > best_score) {
             best_score = score;
             best = pool->targets[i];
@@ -246,6 +323,7 @@
         !spec->best_effort) {
         pool->full = true;
         pool->unplaced_need = spec->need;
+        pass->sched->full_ms = pass->now;
     }
     return best;
 }
@@ -323,7 +401,7 @@
 /* Returns whether a task is placed apart from others, or not yet, because its
  * targets have crashed. Assigns it if a target can be had for it alone. */
 static bool
-place_suspect(PlacementPass *pass, const PlacePool *pool, const JobRun *run)
+place_suspect(PlacementPass *pass, SchedPool *pool, const JobRun *run)
 {
     const JobTask *task = JobRun_GetTask(run);
     JobTaskRef ref = JobRun_GetTaskRef(run);
@@ -335,8 +413,13 @@
     if (!SchedImpl_IsSuspect(task, JobRun_GetStep(run))) {
         return false;
     }
-    target =
-        SchedImpl_IsolateTarget(pool->targets, pool->count, run, pass->now);
+    target = SchedImpl_IsolateTarget(pass->sched, pool, run);
+    if (SchedImpl_HasCrashedAlone(task)) {
+        run->job->sched_state.crashed_alone = true;
+    }
+    else if (target == NULL) {
+        pool->suspects_wait = true;
+    }
     if (target != NULL) {
         add_assignment(pass->sched, run->job, run->occurrence, run->step,
                        run->index, task->attempt + 1, target);
@@ -347,7 +430,7 @@
 /* Assigns the waiting tasks of a step to targets. Returns whether some remain
  * unplaced. */
 static bool
-place_step(PlacementPass *pass, Job *job, PlacePool *pool, uint32_t occurrence,
+place_step(PlacementPass *pass, Job *job, SchedPool *pool, uint32_t occurrence,
            uint32_t step)
 {
     JobSched *sched = pass->sched;
@@ -404,11 +487,12 @@
 {
     const JobQueue *queue = JobConfig_FindQueue(
         JobState_GetConfig(pass->sched->state), job->queue);
-    PlacePool *pool = find_pool(pass, queue != NULL ? queue->pool : job->pool);
+    SchedPool *pool = find_pool(pass, queue != NULL ? queue->pool : job->pool);
     bool waiting = false;
     uint32_t occurrence;
     uint32_t step;
 
+    job->sched_state.crashed_alone = false;
     if (pool == NULL) {
         return; /* the pool has no usable target */
     }
@@ -497,7 +581,8 @@
  *   half of the allowed time, since only part of their work remains
  * - other jobs that can still meet their objective, most slack first, because
  *   an overloaded pool would otherwise complete each of them just too late
- * - late jobs, those that have begun first, then by age, newest first */
+ * - late jobs, those that have begun first, then by age, newest first
+ * - jobs with a task that has crashed a target alone */
 static int64_t
 rank_job(const PlacementPass *pass, Job *job)
 {
@@ -519,6 +604,9 @@
                            (double)job->sched_state.critical_path_ms) +
                  (queue != NULL ? queue->objective_ms : 1000);
     slack_ms = allowed_ms - remaining_ms - age_ms;
+    if (job->sched_state.crashed_alone) {
+        return 2 * RANK_LATE_OFFSET + age_ms;
+    }
     begun = job->assigned > 0 || job->sched_state.critical_path_tasks_done > 0;
     if (slack_ms < -(begun ? allowed_ms / 2 : 0)) {
         return RANK_LATE_OFFSET + age_ms - (begun ? RANK_LATE_OFFSET / 2 : 0);
@@ -579,6 +667,7 @@
     if (!sched->leads) {
         return;
     }
+    sched->now_ms = now;
     collect_candidates(&pass);
     if (pass.count > 0) {
         list_targets(&pass);
--- a/src/jobsched_pool.c
+++ b/src/jobsched_pool.c
@@ -24,28 +24,41 @@
     }
 }
 
-static int64_t
-sum_waiting_cpu(const Job *job)
+/* Adds the need of the tasks of a job that could start now. */
+static void
+add_waiting_job(const JobSched *sched, const Job *job, JobPoolLoad *load)
 {
-    int64_t cpu = 0;
     uint32_t occurrence = job->first_incomplete;
+    bool suspect = false;
     uint32_t step;
     uint32_t i;
 
     for (step = 0; step < job->spec.step_count; step++) {
         const JobStep *spec = &job->spec.steps[step];
         const JobTask *tasks = job->occurrences[occurrence].tasks;
+        int64_t clear = 0;
         if (!Job_IsStepReady(job, occurrence, step)) {
             continue;
         }
         for (i = 0; i < spec->count; i++) {
-            if (tasks == NULL || tasks[job->step_first_task[step] + i].state ==
-                                     JOB_TASK_WAITING) {
-                cpu += spec->need.cpu;
+            const JobTask *task =
+                tasks != NULL ? &tasks[job->step_first_task[step] + i] : NULL;
+            if (task != NULL && task->state != JOB_TASK_WAITING) {
+                continue;
+            }
+            load->waiting += spec->need.cpu;
+            if (task != NULL && SchedImpl_IsSuspect(task, spec)) {
+                load->suspect += spec->need.cpu;
+                suspect = true;
+            }
+            else {
+                clear += spec->need.cpu;
             }
         }
+        load->backlog +=
+            clear * JobEst_Predict(sched->est, job->queue, spec->estimate_ms);
     }
-    return cpu;
+    load->suspect_jobs += suspect;
 }
 
 void
@@ -73,7 +86,7 @@
         if (job->has_waiting && job->phase < JOB_COMPLETED &&
             job->first_incomplete < job->occurrence_count &&
             strcmp(job->pool, pool) == 0) {
-            load->waiting += sum_waiting_cpu(job);
+            add_waiting_job(sched, job, load);
         }
     }
     load->arriving = JobDemand_GetRate(sched->demand, now, pool, 1000);
--- a/src/jobstate.h
+++ b/src/jobstate.h
@@ -96,6 +96,8 @@
     int64_t left_ms;             /* expected run time of the remaining steps */
     int64_t critical_path_at_ms; /* when the critical path was computed */
     uint32_t critical_path_tasks_done; /* tasks done when it was computed */
+    bool crashed_alone; /* a waiting task of it has crashed a target that ran
+                           nothing else that may have */
 } JobSchedState;
 
 typedef struct Job {
--- a/tests/test_jobcrash.c
+++ b/tests/test_jobcrash.c
@@ -163,6 +163,52 @@
 }
 END_TEST
 
+/* Good jobs beside deadly ones that arrive for 12 s, at 4 jobs a second. What
+ * a target ends by its crash is lost to all jobs on it, so the share of good
+ * jobs on time shows what deadly tasks cost their neighbours. */
+static const struct {
+    const char *name;
+    double deadly_share;
+    uint32_t targets;
+    double min_on_time;
+} outbreaks[] = {
+    {"no deadly job", 0, 9, 0.95},
+    {"one job in twenty", 0.05, 9, 0.75},
+    {"three jobs in ten, with room for them", 0.3, 30, 0.75},
+};
+
+START_TEST(good_jobs_beside_deadly_ones_are_on_time)
+{
+    uint64_t good = 0;
+    uint64_t on_time = 0;
+    uint64_t seed;
+
+    for (seed = 1; seed <= 20; seed++) {
+        JobSimOptions options = {.seed = seed,
+                                 .pools = 1,
+                                 .targets_per_pool = outbreaks[_i].targets,
+                                 .jobs_per_s = 4,
+                                 .lasting_per_pool = 1,
+                                 .active_ms = 12000,
+                                 .settle_ms = 60000,
+                                 .failed_run_share = 0.01,
+                                 .crashes_refuse_calls = true,
+                                 .deadly_job_share =
+                                     outbreaks[_i].deadly_share};
+        JobSimReport report;
+
+        JobSim_Run(&options, &report);
+        ck_assert_msg(report.violation[0] == '\0', "%s: %s",
+                      outbreaks[_i].name, report.violation);
+        good += report.jobs - options.lasting_per_pool - report.deadly_jobs;
+        on_time += report.on_time;
+    }
+    ck_assert_msg((double)on_time >= outbreaks[_i].min_on_time * (double)good,
+                  "%s: %llu of %llu good jobs on time", outbreaks[_i].name,
+                  (unsigned long long)on_time, (unsigned long long)good);
+}
+END_TEST
+
 Suite *
 Test_Suite(void)
 {
@@ -171,6 +217,8 @@
 
     tcase_add_loop_test(tcase, deadly_tasks_are_given_up_and_other_jobs_end, 0,
                         (int)(sizeof(cases) / sizeof(cases[0])));
+    tcase_add_loop_test(tcase, good_jobs_beside_deadly_ones_are_on_time, 0,
+                        (int)(sizeof(outbreaks) / sizeof(outbreaks[0])));
     suite_add_tcase(suite, tcase);
     return suite;
 }
--- a/tests/test_jobfleet.c
+++ b/tests/test_jobfleet.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "jobfleet.h"
+#include "jobsched_impl.h"
 #include "support.h"
 #include "support_job.h"
 
@@ -441,6 +442,63 @@
 }
 END_TEST
 
+/* Pools "p" and "busy" without a standby VM. */
+static void
+configure_busy_pool(void)
+{
+    JobQueue queue = {.name = "q",
+                      .host = "h",
+                      .prefix = "/q/",
+                      .pool = "p",
+                      .timeout_ms = 3000,
+                      .objective_ms = 600,
+                      .max_attempts = 2,
+                      .slack = 1.6};
+    JobPool pools[3] = {
+        {.name = "p"}, {.name = "busy"}, {.name = "idle", .standby = true}};
+    char text[] = "text";
+    JobConfig config = {2, &queue, 1, pools, 3, text, 4};
+    Buf command = BUF_INIT;
+
+    JobCmd_EncodeConfig(&command, &config);
+    JobTest_Apply(state, &command);
+}
+
+START_TEST(vm_with_little_work_is_drained_for_pool_in_need)
+{
+    JobVm rows[8];
+    JobVmCall calls[8];
+    size_t cordoned = 0;
+    size_t i;
+
+    configure_busy_pool();
+    JobTest_Submit(state, "a", 1, 8, 500);
+    for (i = 0; i < 8; i++) {
+        char vm[16];
+        char target[16];
+        snprintf(vm, sizeof(vm), "vm%zu", i);
+        snprintf(target, sizeof(target), "t%zu", i);
+        rows[i] = make_vm(vm, "busy");
+        JobTest_SetTarget(state, target, vm, "busy", 10, false);
+        JobTest_Assign(state, "a", 0, (uint32_t)i, 1, target);
+    }
+    become_leader(1);
+    JobTest_Submit(state, "b", 1, 40, 2000); /* 80 cores of waiting tasks */
+    advance_time(100);
+    answer_lists(rows, 8, calls, 8);
+    advance_time(600);
+    ck_assert_uint_eq(answer_lists(rows, 8, calls, 8), 0);
+    for (i = 0; i < 8; i++) {
+        char target[16];
+        snprintf(target, sizeof(target), "t%zu", i);
+        cordoned +=
+            SchedImpl_FindLive(JobState_FindTarget(state, target))->cordoned;
+    }
+    ck_assert_uint_gt(cordoned, 0);
+    ck_assert_uint_lt(cordoned, 8);
+}
+END_TEST
+
 Suite *
 Test_Suite(void)
 {
@@ -459,6 +517,7 @@
     tcase_add_test(tcase, repeated_move_keeps_next_target);
     tcase_add_test(tcase, repeated_maintenance_keeps_runs);
     tcase_add_test(tcase, standby_vms_move_to_rising_demand);
+    tcase_add_test(tcase, vm_with_little_work_is_drained_for_pool_in_need);
     suite_add_tcase(suite, tcase);
     return suite;
 }
--- a/tests/test_jobsizing.c
+++ b/tests/test_jobsizing.c
@@ -88,6 +88,60 @@
 }
 END_TEST
 
+/* Work that waits, in VMs and in VM seconds, and jobs whose tasks run apart
+ * because their targets crashed. Guards against VMs that are kept for tasks
+ * that may not use them, and against a backlog that is not done once nothing
+ * arrives. */
+static const struct {
+    const char *name;
+    int64_t waiting;
+    int64_t backlog_s;
+    int64_t suspect;
+    uint32_t suspect_jobs;
+    int64_t min_desired;
+    int64_t max_desired;
+    int64_t max_transfer_floor;
+} waiting_cases[] = {
+    {"nothing waits", 0, 0, 0, 0, 2, 2, 2},
+    {"short backlog", 60, 6, 0, 0, 5, 6, 75},
+    {"backlog of a burst", 60, 60, 0, 0, 18, 24, 75},
+    {"one suspect job", 3, 0, 3, 1, 3, 3, 3},
+    {"suspects beside a small backlog", 62, 1, 60, 100, 18, 40, 7},
+    {"suspects only", 60, 0, 60, 100, 18, 40, 6},
+};
+
+START_TEST(size_follows_work_that_waits)
+{
+    size_t i;
+
+    for (i = 0; i < sizeof(waiting_cases) / sizeof(waiting_cases[0]); i++) {
+        JobPoolLoad load = {.waiting = waiting_cases[i].waiting * VM_CPU,
+                            .backlog =
+                                waiting_cases[i].backlog_s * 1000 * VM_CPU,
+                            .suspect = waiting_cases[i].suspect * VM_CPU,
+                            .suspect_jobs = waiting_cases[i].suspect_jobs};
+        JobPoolSize size;
+
+        setup();
+        size = JobSizing_Plan(&sizing, 0, &load, VM_CPU);
+        ck_assert_msg(size.desired >= waiting_cases[i].min_desired * VM_CPU &&
+                          size.desired <=
+                              waiting_cases[i].max_desired * VM_CPU,
+                      "%s: %lld VMs desired", waiting_cases[i].name,
+                      (long long)size.desired / VM_CPU);
+        ck_assert_msg(size.transfer_floor <=
+                          waiting_cases[i].max_transfer_floor * VM_CPU,
+                      "%s: transfer floor of %lld VMs", waiting_cases[i].name,
+                      (long long)size.transfer_floor / VM_CPU);
+        ck_assert_msg(waiting_cases[i].suspect_jobs == 0 ||
+                          size.standby_floor >=
+                              waiting_cases[i].min_desired * VM_CPU,
+                      "%s: standby floor of %lld VMs", waiting_cases[i].name,
+                      (long long)size.standby_floor / VM_CPU);
+    }
+}
+END_TEST
+
 Suite *
 Test_Suite(void)
 {
@@ -98,6 +152,7 @@
     tcase_add_test(tcase, size_follows_burst);
     tcase_add_test(tcase, need_expires_after_window);
     tcase_add_test(tcase, lasting_tasks_keep_reserve);
+    tcase_add_test(tcase, size_follows_work_that_waits);
     suite_add_tcase(suite, tcase);
     return suite;
 }
