Plan waves with one look at each pool and VMs by name

The leader lost its term, everybody came back at once, and the next one stopped, too.

VMs and their stored orders are found by name in a hash map; a plan looks at each pool once and sorts the VMs of a wave by what their maintenance would disrupt.

--- a/src/jobfleet.c
+++ b/src/jobfleet.c
@@ -31,6 +31,7 @@
     fleet->options = *options;
     fleet->state = state;
     fleet->sched = sched;
+    fleet->vms = StrMap_New();
     return fleet;
 }
 
@@ -44,7 +45,8 @@
     }
     fleet->command_count = 0;
     fleet->call_count = 0;
-    fleet->vm_count = 0;
+    StrMap_FreeAll(fleet->vms);
+    fleet->vms = StrMap_New();
     fleet->sizing_count = 0;
     fleet->page[0] = '\0';
     fleet->list_in_flight = false;
@@ -57,7 +59,7 @@
 {
     if (fleet != NULL) {
         JobFleet_Resign(fleet);
-        free(fleet->vms);
+        StrMap_FreeAll(fleet->vms);
         free(fleet->sizings);
         free(fleet);
     }
@@ -88,14 +90,7 @@
 FleetVm *
 FleetImpl_FindVm(JobFleet *fleet, const char *name)
 {
-    size_t i;
-
-    for (i = 0; i < fleet->vm_count; i++) {
-        if (strcmp(fleet->vms[i].listed.name, name) == 0) {
-            return &fleet->vms[i];
-        }
-    }
-    return NULL;
+    return StrMap_Get(fleet->vms, name);
 }
 
 JobTarget *
@@ -107,13 +102,10 @@
 static FleetVm *
 add_vm(JobFleet *fleet, const JobVm *listed)
 {
-    FleetVm *vm;
+    FleetVm *vm = Mem_New(1, sizeof(*vm));
 
-    fleet->vms =
-        Mem_Resize(fleet->vms, (fleet->vm_count + 1) * sizeof(*fleet->vms));
-    vm = &fleet->vms[fleet->vm_count++];
-    memset(vm, 0, sizeof(*vm));
     vm->listed = *listed;
+    StrMap_Put(fleet->vms, vm->listed.name, vm);
     vm->cooldown_start_ms = fleet->lead_start_ms - FLEET_MOVE_COOLDOWN_MS;
     return vm;
 }
@@ -170,14 +162,15 @@
 {
     size_t i = 0;
 
-    while (i < fleet->vm_count) {
-        if (fleet->vms[i].last_list_number == fleet->list_number ||
-            is_order_open(fleet, &fleet->vms[i])) {
+    while (i < StrMap_Count(fleet->vms)) {
+        FleetVm *vm = StrMap_At(fleet->vms, i);
+        if (vm->last_list_number == fleet->list_number ||
+            is_order_open(fleet, vm)) {
             i++;
             continue;
         }
-        clear_order(fleet, &fleet->vms[i]);
-        fleet->vms[i] = fleet->vms[--fleet->vm_count];
+        clear_order(fleet, vm);
+        free(StrMap_Remove(fleet->vms, vm->listed.name));
     }
     fleet->list_complete = true;
 }
@@ -427,8 +420,9 @@
         return;
     }
     finish_list(fleet);
-    for (i = 0; i < fleet->vm_count; i++) {
-        in_progress = in_progress || fleet->vms[i].accepted;
+    for (i = 0; i < StrMap_Count(fleet->vms); i++) {
+        const FleetVm *vm = StrMap_At(fleet->vms, i);
+        in_progress = in_progress || vm->accepted;
     }
     fleet->list_due_ms = now + (in_progress ? FLEET_LIST_PENDING_INTERVAL_MS
                                             : fleet->options.list_interval_ms);
@@ -574,7 +568,7 @@
         FleetImpl_PlanWaves(fleet, now, wall_ms);
         FleetImpl_PlanMoves(fleet, now);
     }
-    for (i = 0; i < fleet->vm_count; i++) {
-        advance_order(fleet, now, &fleet->vms[i]);
+    for (i = 0; i < StrMap_Count(fleet->vms); i++) {
+        advance_order(fleet, now, StrMap_At(fleet->vms, i));
     }
 }
--- a/src/jobfleet_impl.h
+++ b/src/jobfleet_impl.h
@@ -7,6 +7,7 @@
 
 #include "jobfleet.h"
 #include "jobsizing.h"
+#include "strmap.h"
 
 /* A fencing token for the VM service holds the term above these bits and a
  * counter in them. Tokens for targets are numbered separately. */
@@ -59,8 +60,7 @@
     int64_t wall_ms;
     int64_t confirmed_ms; /* last confirmation by a majority */
     uint64_t fence;       /* last fencing token used */
-    FleetVm *vms;
-    size_t vm_count;
+    StrMap *vms; /* FleetVm by name */
     bool list_complete; /* all pages of the VM list were read once */
     bool list_in_flight;
     int64_t list_due_ms;
--- a/src/jobfleet_move.c
+++ b/src/jobfleet_move.c
@@ -57,8 +57,8 @@
 {
     size_t i;
 
-    for (i = 0; i < fleet->vm_count; i++) {
-        const FleetVm *vm = &fleet->vms[i];
+    for (i = 0; i < StrMap_Count(fleet->vms); i++) {
+        const FleetVm *vm = StrMap_At(fleet->vms, i);
         PoolPlan *plan = find_plan(plans, count, get_planned_pool(vm));
         if (plan == NULL) {
             continue;
@@ -123,8 +123,8 @@
     size_t i;
     uint32_t j;
 
-    for (i = 0; i < fleet->vm_count; i++) {
-        FleetVm *vm = &fleet->vms[i];
+    for (i = 0; i < StrMap_Count(fleet->vms); i++) {
+        FleetVm *vm = StrMap_At(fleet->vms, i);
         const JobTarget *target;
         bool lasting = false;
         uint64_t used;
@@ -219,8 +219,8 @@
 {
     size_t i;
 
-    for (i = 0; i < fleet->vm_count; i++) {
-        FleetVm *vm = &fleet->vms[i];
+    for (i = 0; i < StrMap_Count(fleet->vms); i++) {
+        FleetVm *vm = StrMap_At(fleet->vms, i);
         if (vm->order == FLEET_ORDER_MOVE && !vm->call_sent && !vm->accepted &&
             strcmp(vm->pool, pool) == 0) {
             return vm;
--- a/src/jobfleet_wave.c
+++ b/src/jobfleet_wave.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "jobcodec.h"
+#include "mem.h"
 
 /* Time to drain, maintain and bring back one VM, with some margin. */
 #define WAVE_ROUND_MS 6000
@@ -30,50 +31,80 @@
     return count;
 }
 
-static uint32_t
-count_maintained_in_pool(const JobFleet *fleet, const char *pool)
+/* What a plan has to know of a pool, gathered once for each plan. */
+typedef struct WavePool {
+    const JobPool *pool;
+    uint32_t vms;
+    uint32_t maintained;
+    int64_t waiting; /* need of waiting tasks that may share VMs */
+} WavePool;
+
+/* A VM of a wave that may be maintained next. */
+typedef struct WaveCandidate {
+    FleetVm *vm;
+    WavePool *pool; /* NULL if the configuration has none of this name */
+    uint64_t cost;
+    uint32_t position; /* in the wave */
+} WaveCandidate;
+
+typedef struct WavePlan {
+    JobFleet *fleet;
+    int64_t now;
+    WavePool *pools;
+    size_t pool_count;
+} WavePlan;
+
+static WavePool *
+find_pool(const WavePlan *plan, const char *name)
 {
-    uint32_t count = 0;
     size_t i;
 
-    for (i = 0; i < fleet->vm_count; i++) {
-        count += fleet->vms[i].order == FLEET_ORDER_MAINTAIN &&
-                 strcmp(fleet->vms[i].listed.pool, pool) == 0;
+    for (i = 0; i < plan->pool_count; i++) {
+        if (strcmp(plan->pools[i].pool->name, name) == 0) {
+            return &plan->pools[i];
+        }
     }
-    return count;
+    return NULL;
 }
 
-static uint32_t
-count_vms_in_pool(const JobFleet *fleet, const char *pool)
+static void
+gather_pools(WavePlan *plan)
 {
-    uint32_t count = 0;
+    const JobConfig *config = JobState_GetConfig(plan->fleet->state);
     size_t i;
 
-    for (i = 0; i < fleet->vm_count; i++) {
-        count += strcmp(fleet->vms[i].listed.pool, pool) == 0;
+    plan->pools = Mem_New(config->pool_count + 1, sizeof(*plan->pools));
+    for (i = 0; i < config->pool_count; i++) {
+        WavePool *pool = &plan->pools[plan->pool_count++];
+        JobPoolLoad load;
+        pool->pool = &config->pools[i];
+        if (!pool->pool->standby) {
+            JobSched_PoolLoad(plan->fleet->sched, plan->now, pool->pool->name,
+                              0, &load);
+            pool->waiting = load.waiting - load.suspect;
+        }
+    }
+    for (i = 0; i < StrMap_Count(plan->fleet->vms); i++) {
+        const FleetVm *vm = StrMap_At(plan->fleet->vms, i);
+        WavePool *pool = find_pool(plan, vm->listed.pool);
+        if (pool != NULL) {
+            pool->vms++;
+            pool->maintained += vm->order == FLEET_ORDER_MAINTAIN;
+        }
     }
-    return count;
-}
-
-static bool
-is_standby_pool(const JobFleet *fleet, const char *pool)
-{
-    const JobPool *entry =
-        JobConfig_FindPool(JobState_GetConfig(fleet->state), pool);
-
-    return entry != NULL && entry->standby;
 }
 
 /* Returns a cost for the work that maintenance of a VM would disrupt; VMs of
  * the lowest cost are maintained first. */
 static uint64_t
-compute_disruption(const JobFleet *fleet, const FleetVm *vm)
+compute_disruption(const JobFleet *fleet, const WavePool *pool,
+                   const FleetVm *vm)
 {
     const JobTarget *target = FleetImpl_FindTarget(fleet, vm);
     uint64_t cost = 0;
     uint32_t i;
 
-    if (is_standby_pool(fleet, vm->listed.pool) || target == NULL) {
+    if ((pool != NULL && pool->pool->standby) || target == NULL) {
         return 0;
     }
     cost = 1 + target->used.cpu;
@@ -107,20 +138,6 @@
     }
 }
 
-/* Returns whether the tasks waiting for the pool of a VM need more than the
- * capacity of that VM. */
-static bool
-has_backlog(const JobFleet *fleet, int64_t now, const FleetVm *vm)
-{
-    JobPoolLoad load;
-
-    if (is_standby_pool(fleet, vm->listed.pool)) {
-        return false;
-    }
-    JobSched_PoolLoad(fleet->sched, now, vm->listed.pool, 0, &load);
-    return load.waiting - load.suspect > vm->listed.cpu;
-}
-
 /* Returns whether a wave would end too late if it waited for the backlog of
  * pools to shrink. */
 static bool
@@ -133,56 +150,104 @@
            (rounds + 1) * WAVE_ROUND_MS;
 }
 
-static FleetVm *
-pick_next_vm(JobFleet *fleet, int64_t now, const JobWave *wave, bool urgent)
+static int
+compare_candidates(const void *a, const void *b)
 {
-    FleetVm *best = NULL;
-    uint64_t best_cost = UINT64_MAX;
+    const WaveCandidate *left = a;
+    const WaveCandidate *right = b;
+
+    if (left->cost != right->cost) {
+        return left->cost < right->cost ? -1 : 1;
+    }
+    return left->position < right->position ? -1 : 1;
+}
+
+/* Lists the VMs of a wave that have no order, those with the least work to
+ * disrupt first. */
+static size_t
+list_candidates(const WavePlan *plan, const JobWave *wave,
+                WaveCandidate *candidates)
+{
+    size_t count = 0;
     uint32_t i;
 
     for (i = 0; i < wave->vm_count; i++) {
         FleetVm *vm;
-        uint32_t limit;
-        uint64_t cost;
         if (wave->vms[i].done) {
             continue;
         }
-        vm = FleetImpl_FindVm(fleet, wave->vms[i].vm);
-        if (vm == NULL || vm->order != FLEET_ORDER_NONE || !vm->listed.up ||
-            vm->listed.busy) {
-            continue;
+        vm = FleetImpl_FindVm(plan->fleet, wave->vms[i].vm);
+        if (vm != NULL && vm->order == FLEET_ORDER_NONE && vm->listed.up &&
+            !vm->listed.busy) {
+            WavePool *pool = find_pool(plan, vm->listed.pool);
+            candidates[count++] = (WaveCandidate){
+                vm, pool, compute_disruption(plan->fleet, pool, vm), i};
         }
-        limit = count_vms_in_pool(fleet, vm->listed.pool) / 4 + 1;
-        if (!is_standby_pool(fleet, vm->listed.pool) &&
-            count_maintained_in_pool(fleet, vm->listed.pool) >= limit) {
+    }
+    qsort(candidates, count, sizeof(*candidates), compare_candidates);
+    return count;
+}
+
+/* Returns whether one more VM of its pool may be maintained. A pool whose
+ * waiting tasks need more than the VM keeps it unless the wave is urgent. */
+static bool
+may_maintain(const WaveCandidate *candidate, bool urgent)
+{
+    const WavePool *pool = candidate->pool;
+
+    if (pool == NULL || pool->pool->standby) {
+        return true;
+    }
+    return pool->maintained < pool->vms / 4 + 1 &&
+           (urgent || pool->waiting <= candidate->vm->listed.cpu);
+}
+
+static void
+plan_wave(const WavePlan *plan, JobWave *wave, int64_t wall_ms)
+{
+    bool urgent = is_urgent(wave, wall_ms);
+    uint32_t in_progress;
+    WaveCandidate *candidates;
+    size_t count;
+    size_t i;
+
+    mark_removed_vms(plan->fleet, plan->now, wave);
+    in_progress = count_in_progress(plan->fleet, plan->now, wave);
+    if (in_progress >= wave->cap) {
+        return;
+    }
+    candidates = Mem_New(wave->vm_count + 1, sizeof(*candidates));
+    count = list_candidates(plan, wave, candidates);
+    for (i = 0; i < count && in_progress < wave->cap; i++) {
+        FleetVm *vm = candidates[i].vm;
+        if (!may_maintain(&candidates[i], urgent)) {
             continue;
         }
-        cost = compute_disruption(fleet, vm);
-        if (cost < best_cost && (urgent || !has_backlog(fleet, now, vm))) {
-            best_cost = cost;
-            best = vm;
+        FleetImpl_OrderVm(plan->fleet, plan->now, vm, FLEET_ORDER_MAINTAIN,
+                          vm->listed.pool, wave->number);
+        in_progress++;
+        if (candidates[i].pool != NULL) {
+            candidates[i].pool->maintained++;
         }
     }
-    return best;
+    free(candidates);
 }
 
 void
 FleetImpl_PlanWaves(JobFleet *fleet, int64_t now, int64_t wall_ms)
 {
+    WavePlan plan = {.fleet = fleet, .now = now};
     size_t i;
 
     for (i = 0; i < JobState_WaveCount(fleet->state); i++) {
         JobWave *wave = JobState_WaveAt(fleet->state, i);
-        bool urgent = is_urgent(wave, wall_ms);
-        FleetVm *vm;
         if (wave->done == wave->vm_count) {
             continue;
         }
-        mark_removed_vms(fleet, now, wave);
-        while (count_in_progress(fleet, now, wave) < wave->cap &&
-               (vm = pick_next_vm(fleet, now, wave, urgent)) != NULL) {
-            FleetImpl_OrderVm(fleet, now, vm, FLEET_ORDER_MAINTAIN,
-                              vm->listed.pool, wave->number);
+        if (plan.pools == NULL) {
+            gather_pools(&plan);
         }
+        plan_wave(&plan, wave, wall_ms);
     }
+    free(plan.pools);
 }
--- a/src/jobstate.c
+++ b/src/jobstate.c
@@ -14,6 +14,7 @@
     state->jobs = StrMap_New();
     state->targets_by_id = StrMap_New();
     state->targets_by_vm = StrMap_New();
+    state->vm_orders = StrMap_New();
     state->next_serial = 1;
     state->caught_up = true;
     return state;
@@ -97,14 +98,7 @@
 const JobVmOrder *
 JobState_FindVmOrder(const JobState *state, const char *vm)
 {
-    size_t i;
-
-    for (i = 0; i < state->vm_order_count; i++) {
-        if (strcmp(state->vm_orders[i].vm, vm) == 0) {
-            return &state->vm_orders[i];
-        }
-    }
-    return NULL;
+    return StrMap_Get(state->vm_orders, vm);
 }
 
 size_t
@@ -169,7 +163,7 @@
         free(state->waves[i].vms);
     }
     free(state->waves);
-    free(state->vm_orders);
+    StrMap_FreeAll(state->vm_orders);
     free(state->early_cancels);
     memset(state, 0, sizeof(*state));
 }
--- a/src/jobstate_apply.c
+++ b/src/jobstate_apply.c
@@ -602,23 +602,15 @@
 void
 JobStateImpl_SetVmOrder(JobState *state, const JobVmOrder *order)
 {
-    JobVmOrder *row = NULL;
-    size_t i;
+    JobVmOrder *row = StrMap_Get(state->vm_orders, order->vm);
 
-    for (i = 0; i < state->vm_order_count && row == NULL; i++) {
-        if (strcmp(state->vm_orders[i].vm, order->vm) == 0) {
-            row = &state->vm_orders[i];
-        }
-    }
-    if (row != NULL) {
+    if (row == NULL) {
+        row = Mem_New(1, sizeof(*row));
         *row = *order;
-        row->seen_ms = state->now_ms;
-        return;
+        StrMap_Put(state->vm_orders, row->vm, row);
     }
-    state->vm_orders = Mem_Resize(
-        state->vm_orders, (state->vm_order_count + 1) * sizeof(*order));
-    state->vm_orders[state->vm_order_count] = *order;
-    state->vm_orders[state->vm_order_count++].seen_ms = state->now_ms;
+    *row = *order;
+    row->seen_ms = state->now_ms;
 }
 
 void
--- a/src/jobstate_impl.h
+++ b/src/jobstate_impl.h
@@ -28,8 +28,7 @@
     size_t node_count;
     JobWave *waves;
     size_t wave_count;
-    JobVmOrder *vm_orders;
-    size_t vm_order_count;
+    StrMap *vm_orders; /* JobVmOrder by VM, in the order of addition */
     JobEarlyCancel *early_cancels; /* in the order in which they are applied */
     size_t early_cancel_count;
     int64_t now_ms;
--- a/src/jobstate_snapshot.c
+++ b/src/jobstate_snapshot.c
@@ -131,10 +131,10 @@
     for (i = 0; i < state->wave_count; i++) {
         pack_wave(&packer, &state->waves[i]);
     }
-    msgpack_pack_array(&packer, state->vm_order_count);
-    for (i = 0; i < state->vm_order_count; i++) {
+    msgpack_pack_array(&packer, StrMap_Count(state->vm_orders));
+    for (i = 0; i < StrMap_Count(state->vm_orders); i++) {
         msgpack_pack_array(&packer, 3);
-        JobStateImpl_PackVmOrder(&packer, &state->vm_orders[i]);
+        JobStateImpl_PackVmOrder(&packer, StrMap_At(state->vm_orders, i));
     }
     msgpack_pack_array(&packer, state->early_cancel_count);
     for (i = 0; i < state->early_cancel_count; i++) {
--- a/tests/test_jobfleet.c
+++ b/tests/test_jobfleet.c
@@ -2,8 +2,10 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #include "jobfleet.h"
+#include "jobfleet_impl.h"
 #include "jobsched_impl.h"
 #include "support.h"
 #include "support_job.h"
@@ -499,6 +501,72 @@
 }
 END_TEST
 
+#define WAVE_PLANS 5
+
+/* Returns the shortest processor time, in us, of a plan for a wave of half of
+ * the VMs of a fleet. */
+static double
+measure_wave_plan(uint32_t vms)
+{
+    JobVm *rows = calloc(vms, sizeof(*rows));
+    JobWaveVm *wave_vms = calloc(vms, sizeof(*wave_vms));
+    JobWave wave = {.number = 1,
+                    .duration_ms = 600000,
+                    .cap = vms / 4,
+                    .vms = wave_vms,
+                    .vm_count = vms / 2};
+    JobVmCall calls[1];
+    Buf command = BUF_INIT;
+    double best_us = 1e9;
+    uint32_t i;
+
+    setup();
+    for (i = 0; i < vms; i++) {
+        char name[16];
+        char target[16];
+        snprintf(name, sizeof(name), "vm%u", i);
+        snprintf(target, sizeof(target), "t%u", i);
+        rows[i] = make_vm(name, "p");
+        snprintf(wave_vms[i].vm, sizeof(wave_vms[i].vm), "%s", name);
+        JobTest_SetTarget(state, target, name, "p", 10, false);
+    }
+    for (i = 0; i < vms / 10; i++) {
+        char job[16];
+        snprintf(job, sizeof(job), "j%u", i);
+        JobTest_Submit(state, job, 1, 8, 2000);
+    }
+    become_leader(1);
+    JobFleet_Tick(fleet, now, now);
+    answer_lists(rows, vms, calls, 0);
+    JobCmd_EncodeWave(&command, &wave);
+    JobTest_Apply(state, &command);
+    for (i = 0; i < WAVE_PLANS; i++) {
+        clock_t begun = clock();
+        double took_us;
+
+        FleetImpl_PlanWaves(fleet, now, now);
+        took_us = (double)(clock() - begun) * 1e6 / CLOCKS_PER_SEC;
+        best_us = took_us < best_us ? took_us : best_us;
+    }
+    teardown();
+    free(rows);
+    free(wave_vms);
+    return best_us > 1 ? best_us : 1;
+}
+
+/* Guards against a leader that stops for seconds to plan a large wave. The
+ * bound allows a plan to grow in proportion, and four times as much for
+ * memory that no longer fits the caches. */
+START_TEST(plan_of_wave_grows_in_proportion_to_the_fleet)
+{
+    double small_us = measure_wave_plan(400);
+    double large_us = measure_wave_plan(4000);
+
+    ck_assert_msg(large_us <= 40 * small_us, "%.0f us and %.0f us", small_us,
+                  large_us);
+}
+END_TEST
+
 Suite *
 Test_Suite(void)
 {
@@ -519,5 +587,8 @@
     tcase_add_test(tcase, standby_vms_move_to_rising_demand);
     tcase_add_test(tcase, vm_with_little_work_is_drained_for_pool_in_need);
     suite_add_tcase(suite, tcase);
+    tcase = tcase_create("cost");
+    tcase_add_test(tcase, plan_of_wave_grows_in_proportion_to_the_fleet);
+    suite_add_tcase(suite, tcase);
     return suite;
 }
