--- a/src/jobctl.c
+++ b/src/jobctl.c
@@ -128,11 +128,22 @@
     Buf_Free(&body);
 }
 
+/* Tells the log of a control node that may become a voter. */
+static void
+record_node(JobControl *control, const PeerHello *hello)
+{
+    RaftMember member = {.identity = hello->identity};
+
+    snprintf(member.name, sizeof(member.name), "%s", hello->name);
+    snprintf(member.data_centre, sizeof(member.data_centre), "%s",
+             hello->data_centre);
+    Replica_RecordNode(control->replica, Loop_NowMs(), &member);
+}
+
 static void
 on_peer_up(void *arg, size_t peer, const PeerHello *hello)
 {
     JobControl *control = arg;
-    RaftMember member = {.identity = hello->identity};
 
     Slog_Begin(SLOG_CHANGE, "peer_up");
     Slog_AddText("peer", hello->name);
@@ -142,12 +153,9 @@
     Slog_End();
     send_fleet_msg(control, peer);
     if (hello->identity != 0) {
-        snprintf(member.name, sizeof(member.name), "%s", hello->name);
-        snprintf(member.data_centre, sizeof(member.data_centre), "%s",
-                 hello->data_centre);
-        Replica_RecordNode(control->replica, Loop_NowMs(), &member);
+        record_node(control, hello);
         JobAgents_Put(control->agents, peer, hello->data_centre);
-        control->node_update_due = true;
+        control->next_node_update_ms = 0;
     }
 }
 
@@ -213,16 +221,13 @@
 
 /* --- control nodes in the replicated state --- */
 
-/* A node whose row was not stored is looked at again by the next update. */
+/* A row that was not stored is proposed again by the next update. */
 static void
-on_node_stored(void *arg, Status status, JobResult result)
+ignore_result(void *arg, Status status, JobResult result)
 {
-    JobControl *control = arg;
-
+    (void)arg;
+    (void)status;
     (void)result;
-    if (status != ST_OK) {
-        control->node_update_due = true;
-    }
 }
 
 static void
@@ -246,19 +251,20 @@
         }
     }
     JobCmd_EncodeNode(&command, &node);
-    JobControl_Propose(control, &command, on_node_stored, control);
+    JobControl_Propose(control, &command, ignore_result, NULL);
     Buf_Free(&command);
 }
 
+/* Compares the rows of control nodes with the links of this node, and repairs
+ * either. */
 static void
 update_nodes(JobControl *control, int64_t now)
 {
     size_t i;
 
-    if (!control->node_update_due || now < control->next_node_update_ms) {
+    if (now < control->next_node_update_ms) {
         return;
     }
-    control->node_update_due = false;
     control->next_node_update_ms = now + NODE_UPDATE_INTERVAL_MS;
     for (i = 0; i < JobState_NodeCount(control->state); i++) {
         SettingsAddress address;
@@ -267,14 +273,17 @@
             Peers_Add(control->peers, &address);
         }
     }
-    if (!JobControl_IsServing(control)) {
-        return;
+    if (JobControl_IsServing(control)) {
+        store_node(control, control->settings->name,
+                   control->settings->data_centre, &control->settings->peer);
     }
-    store_node(control, control->settings->name,
-               control->settings->data_centre, &control->settings->peer);
     for (i = 0; i < Peers_Count(control->peers); i++) {
         const PeerHello *hello = Peers_Hello(control->peers, i);
-        if (hello->identity != 0 && Peers_IsUp(control->peers, i)) {
+        if (hello->identity == 0 || !Peers_IsUp(control->peers, i)) {
+            continue;
+        }
+        record_node(control, hello);
+        if (JobControl_IsServing(control)) {
             store_node(control, hello->name, hello->data_centre,
                        &hello->address);
         }
@@ -536,7 +545,6 @@
         return ST_IO;
     }
     Peers_AddSeeds(control->peers, control->settings);
-    control->node_update_due = true;
     control->client =
         HttpClient_New(control->loop, MAX_CONNECTIONS_PER_TARGET);
     control->server = HttpServer_New(control->loop, &server, err);
--- a/src/jobctl_internal.h
+++ b/src/jobctl_internal.h
@@ -136,7 +136,6 @@
     LoopStall stall;
     int64_t next_node_update_ms; /* earliest time of the next node update */
     bool placement_due;
-    bool node_update_due; /* stored nodes must be compared with the peers */
     uint64_t incarnation;
     char control_address[JOB_ADDRESS_BYTES];
 };
--- a/src/jobctl_log.c
+++ b/src/jobctl_log.c
@@ -67,7 +67,6 @@
     (void)len;
     (void)result;
     control->placement_due = true;
-    control->node_update_due = true;
 }
 
 static void
@@ -76,7 +75,7 @@
     JobControl *control = arg;
 
     (void)index;
-    control->node_update_due = true;
+    control->next_node_update_ms = 0;
 }
 
 static JobProposal *
@@ -309,7 +308,7 @@
     JobSched_Lead(control->sched, now, control->serving_term);
     JobFleet_Lead(control->fleet, now, control->serving_term);
     control->placement_due = true;
-    control->node_update_due = true;
+    control->next_node_update_ms = 0;
     JobControl_BroadcastFleetMsg(control);
     Slog_Begin(SLOG_CHANGE, "leader_serves");
     Slog_AddInt("term", (int64_t)control->serving_term);
--- a/tests/proc_entry_seeds.sh
+++ b/tests/proc_entry_seeds.sh
@@ -111,6 +111,17 @@
     start_in_order "${order[@]}"
 done
 
+# Seeds that change without a signal, of an entry VM that nobody knows.
+write_entry_settings entry-5
+sed -i "s/^seeds:.*/seeds: [\"127.0.1.9:$((BASE_PORT + 1))\"]/" \
+    "$WORK/entry-5.yaml"
+start_node entry-5
+sleep 1
+! is_entry_ready entry-5 || fail "entry-5 is ready without a seed"
+write_entry_settings entry-5
+wait_for "readiness of entry-5 after its seeds have changed" \
+    is_entry_ready entry-5
+
 # An entry VM that knows no leader says so.
 for node in "${CONTROL_NODES[@]}"; do kill_node "$node"; done
 names_unknown_leader() {
