--- a/src/jobfleet_impl.h
+++ b/src/jobfleet_impl.h
@@ -60,8 +60,8 @@
     int64_t wall_ms;
     int64_t confirmed_ms; /* last confirmation by a majority */
     uint64_t fence;       /* last fencing token used */
-    StrMap *vms; /* FleetVm by name */
-    bool list_complete; /* all pages of the VM list were read once */
+    StrMap *vms;          /* FleetVm by name */
+    bool list_complete;   /* all pages of the VM list were read once */
     bool list_in_flight;
     int64_t list_due_ms;
     int64_t list_sent_ms; /* time of the last request for the first page */
