Place tasks without a look at every target for each

For each task, the search read every target of the pool. The free room of a pool's targets is now kept together, a step goes on with the target of its last task, and half of the time is left for other work after a long placement. Links are flushed where messages wait, not all of them.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 FUZZ_BUILD ?= build-fuzz
 TSAN_BUILD ?= build-tsan
 JOBS ?= 6
+# Tests that run at a time; a test with processes counts as three.
+TEST_JOBS ?= 8
 FUZZ_SECONDS ?= 20
 FUZZ_RUNS ?= 2000
 # Known failing tests ("test:" in KNOWN-RED.txt), which CI skips and prints.
@@ -31,20 +33,20 @@
 	@bash ./demo.sh $(BUILD)
 
 check: build
-	@ctest --test-dir $(BUILD) --output-on-failure -j 4 $(SKIP_KNOWN_RED)
+	@ctest --test-dir $(BUILD) --output-on-failure -j $(TEST_JOBS) $(SKIP_KNOWN_RED)
 
 san: setup
 	@cmake -S . -B $(SAN_BUILD) -G Ninja -DCOLTSFOOT_SANITIZE=ON \
 		-DCMAKE_C_COMPILER=clang >/dev/null
 	@cmake --build $(SAN_BUILD) -j $(JOBS)
-	@ctest --test-dir $(SAN_BUILD) --output-on-failure -j 4 -R '^test_' \
+	@ctest --test-dir $(SAN_BUILD) --output-on-failure -j $(TEST_JOBS) -R '^test_' \
 		$(SKIP_KNOWN_RED)
 
 tsan: setup
 	@cmake -S . -B $(TSAN_BUILD) -G Ninja -DCOLTSFOOT_TSAN=ON \
 		-DCMAKE_C_COMPILER=clang >/dev/null
 	@cmake --build $(TSAN_BUILD) -j $(JOBS)
-	@ctest --test-dir $(TSAN_BUILD) --output-on-failure -j 4 -R '^test_' \
+	@ctest --test-dir $(TSAN_BUILD) --output-on-failure -j $(TEST_JOBS) -R '^test_' \
 		$(SKIP_KNOWN_RED)
 
 fuzz-build: setup
--- a/src/jobctl.c
+++ b/src/jobctl.c
@@ -31,7 +31,9 @@
 #define STOP_FLUSH_MS 150
 #define SLOW_ITERATION_US 100000
 /* Minimum interval between placements. Jobs and run ends that arrive within it
- * are handled by one placement. */
+ * are handled by one placement. After a placement that took longer, the
+ * interval is as long, which leaves half of the time for calls, ends and the
+ * log. */
 #define PLACE_INTERVAL_US 8000
 
 bool
@@ -452,18 +454,21 @@
     int64_t begun_us = Loop_NowUs();
     int64_t place_us = 0;
     int64_t flush_us = 0;
+    int64_t took_us;
     int round;
 
     LoopStall_BeginIteration(&control->stall, begun_us);
     for (round = 0; round < MAX_PLACEMENT_ROUNDS; round++) {
         int64_t at_us = Loop_NowUs();
-        if (control->placement_due &&
-            at_us - control->placement_end_us >= PLACE_INTERVAL_US) {
+        if (control->placement_due && at_us >= control->next_placement_us) {
             control->placement_due = false;
             JobSched_PlaceTasks(control->sched, at_us / 1000,
                                 apr_time_as_msec(apr_time_now()));
-            control->placement_end_us = Loop_NowUs();
-            place_us += control->placement_end_us - at_us;
+            took_us = Loop_NowUs() - at_us;
+            place_us += took_us;
+            control->next_placement_us =
+                at_us + took_us +
+                (took_us > PLACE_INTERVAL_US ? took_us : PLACE_INTERVAL_US);
         }
         JobControl_ExecuteActions(control);
         at_us = Loop_NowUs();
@@ -473,7 +478,7 @@
         Replica_Flush(control->replica, Loop_NowMs());
         flush_us += Loop_NowUs() - at_us;
         if (!control->placement_due ||
-            Loop_NowUs() - control->placement_end_us < PLACE_INTERVAL_US) {
+            Loop_NowUs() < control->next_placement_us) {
             break;
         }
     }
@@ -482,7 +487,9 @@
     Peers_Flush(control->peers);
     Slog_Flush();
     if (control->placement_due) {
-        Loop_Arm(control->place_timer, PLACE_INTERVAL_US / 1000, 0);
+        int64_t wait_us = control->next_placement_us - Loop_NowUs();
+        Loop_Arm(control->place_timer, wait_us > 0 ? wait_us / 1000 + 1 : 1,
+                 0);
     }
     log_slow_iteration(control, begun_us, place_us, flush_us);
     control->iteration_end_us = Loop_NowUs();
--- a/src/jobctl_internal.h
+++ b/src/jobctl_internal.h
@@ -109,7 +109,7 @@
     LoopTimer *tick_timer;
     LoopTimer *fleet_msg_timer;
     LoopTimer *place_timer;
-    int64_t placement_end_us;       /* end of the last placement */
+    int64_t next_placement_us;      /* earliest time of the next placement */
     JobProposal *proposals;         /* newest first */
     int64_t next_late_proposals_ms; /* earliest time of the next line */
     uint64_t next_cookie;
--- a/src/jobsched_impl.h
+++ b/src/jobsched_impl.h
@@ -55,6 +55,7 @@
     JobResources room;               /* in its last announcement */
     JobResources reserved;           /* room taken by assignments in flight */
     uint32_t reserved_count;
+    uint32_t slot;     /* in the current placement */
     uint32_t failures; /* consecutive runs that ended as failed */
     bool clock_known;
     bool room_known; /* the incarnation has announced itself in this term */
@@ -103,10 +104,20 @@
     struct SchedProposal *next;
 } SchedProposal;
 
+/* The room of one target, kept together with those of its pool, so that a
+ * search for room reads little memory. */
+typedef struct SchedSlot {
+    uint32_t cpu; /* free */
+    uint32_t memory_mb;
+    uint32_t accelerators;
+    uint32_t fill; /* used share of its processors, in thousandths */
+} SchedSlot;
+
 /* What one placement needs of a pool. */
 typedef struct SchedPool {
     const char *name;
     JobTarget **targets; /* the usable ones */
+    SchedSlot *slots;    /* in the same order */
     size_t count;
     size_t capacity;
     /* Targets with suspects, and those whose suspects have crashed one alone.
--- a/src/jobsched_place.c
+++ b/src/jobsched_place.c
@@ -8,7 +8,7 @@
 #include "slog.h"
 
 /* Assignments per command; a larger batch would delay the first starts. */
-#define PLACE_MAX_BATCH 256
+#define PLACE_MAX_BATCH 512
 /* Backlog of a queue's pool, as a share of the objective, beyond which no more
  * work can be completed in time. */
 #define ADMIT_MAX_WAIT_PERCENT 150
@@ -249,15 +249,51 @@
     return pool;
 }
 
+static uint32_t
+subtract(uint32_t a, uint64_t b)
+{
+    return a > b ? (uint32_t)(a - b) : 0;
+}
+
+/* Copies the free room of a target to its slot. An isolated one has none. */
+static void
+update_slot(SchedPool *pool, const JobTarget *target, int64_t now)
+{
+    const SchedTarget *live = target->sched_state;
+    const JobResources *room = SchedImpl_GetRoom(target);
+    const JobResources *reserved = &live->reserved;
+    SchedSlot *slot = &pool->slots[live->slot];
+    uint64_t cpu = (uint64_t)target->used.cpu + reserved->cpu;
+    uint32_t total =
+        target->announcement.room.cpu > 0 ? target->announcement.room.cpu : 1;
+
+    if (SchedImpl_IsIsolated(live, now)) {
+        *slot = (SchedSlot){0, 0, 0, 0};
+        return;
+    }
+    slot->cpu = subtract(room->cpu, cpu);
+    slot->memory_mb =
+        subtract(room->memory_mb,
+                 (uint64_t)target->used.memory_mb + reserved->memory_mb);
+    slot->accelerators =
+        subtract(room->accelerators,
+                 (uint64_t)target->used.accelerators + reserved->accelerators);
+    slot->fill = (uint32_t)(cpu * 1000 / total);
+}
+
 static void
-add_target(SchedPool *pool, JobTarget *target)
+add_target(SchedPool *pool, JobTarget *target, int64_t now)
 {
     if (pool->count == pool->capacity) {
         pool->capacity = pool->capacity * 2 + 16;
         pool->targets =
             Mem_Resize(pool->targets, pool->capacity * sizeof(*pool->targets));
+        pool->slots =
+            Mem_Resize(pool->slots, pool->capacity * sizeof(*pool->slots));
     }
+    SchedImpl_FindLive(target)->slot = (uint32_t)pool->count;
     pool->targets[pool->count++] = target;
+    update_slot(pool, target, now);
 }
 
 static void
@@ -284,7 +320,7 @@
         pool->silent += SchedImpl_MayHaveCrashed(target, pass->now);
         if (JobSched_IsUsable(sched, target, pass->now) &&
             SchedImpl_IsRoomCertain(sched, pass->now, target)) {
-            add_target(pool, target);
+            add_target(pool, target, pass->now);
         }
     }
     for (i = 0; i < pass->pool_count; i++) {
@@ -294,31 +330,77 @@
     }
 }
 
+/* Returns the target with the highest score for a task, or NULL. */
 static JobTarget *
-choose_target(PlacementPass *pass, SchedPool *pool, const Job *job,
-              uint32_t occurrence, uint32_t step)
+find_best_target(const JobSched *sched, const SchedPool *pool, const Job *job,
+                 uint32_t occurrence, uint32_t step)
 {
-    const JobStep *spec = &job->spec.steps[step];
     JobTarget *best = NULL;
     int64_t best_score = -1;
     size_t i;
 
-    /* Free room only shrinks within a pass, so a task that needs no less than
-     * one that did not fit cannot fit either. */
-    if (pool->full && spec->need.cpu >= pool->unplaced_need.cpu &&
-        spec->need.memory_mb >= pool->unplaced_need.memory_mb &&
-        spec->need.accelerators >= pool->unplaced_need.accelerators &&
-        !spec->best_effort) {
-        return NULL;
-    }
     for (i = 0; i < pool->count; i++) {
-        int64_t score = score_target(pass->sched, pool, job, occurrence, step,
-                                     pool->targets[i]);
+        int64_t score =
+            score_target(sched, pool, job, occurrence, step, pool->targets[i]);
         if (score > best_score) {
             best_score = score;
             best = pool->targets[i];
         }
     }
+    return best;
+}
+
+/* Returns whether the score of a target for a task of a step is its fill. */
+static bool
+needs_room_only(const SchedPool *pool, const JobStep *spec)
+{
+    return !pool->crashing && !spec->lasting && !spec->best_effort &&
+           spec->max_per_target == 0 && spec->label[0] == '\0' &&
+           spec->rack[0] == '\0';
+}
+
+/* Returns the fullest target with room, or NULL. */
+static JobTarget *
+find_fullest_target(const SchedPool *pool, const JobResources *need)
+{
+    const SchedSlot *best = NULL;
+    size_t i;
+
+    for (i = 0; i < pool->count; i++) {
+        const SchedSlot *slot = &pool->slots[i];
+        if (need->cpu <= slot->cpu && need->memory_mb <= slot->memory_mb &&
+            need->accelerators <= slot->accelerators &&
+            (best == NULL || slot->fill > best->fill)) {
+            best = slot;
+        }
+    }
+    return best != NULL ? pool->targets[best - pool->slots] : NULL;
+}
+
+/* Returns whether no target of a pool has room for a task, as a task that
+ * needs no more did not fit. Free room only shrinks within a pass. */
+static bool
+has_no_room(const SchedPool *pool, const JobStep *spec)
+{
+    return pool->full && !spec->best_effort &&
+           spec->need.cpu >= pool->unplaced_need.cpu &&
+           spec->need.memory_mb >= pool->unplaced_need.memory_mb &&
+           spec->need.accelerators >= pool->unplaced_need.accelerators;
+}
+
+static JobTarget *
+choose_target(PlacementPass *pass, SchedPool *pool, const Job *job,
+              uint32_t occurrence, uint32_t step)
+{
+    const JobStep *spec = &job->spec.steps[step];
+    JobTarget *best = NULL;
+
+    if (!has_no_room(pool, spec)) {
+        best =
+            needs_room_only(pool, spec)
+                ? find_fullest_target(pool, &spec->need)
+                : find_best_target(pass->sched, pool, job, occurrence, step);
+    }
     if (best == NULL && spec->label[0] == '\0' && spec->max_per_target == 0 &&
         !spec->best_effort) {
         pool->full = true;
@@ -328,6 +410,18 @@
     return best;
 }
 
+/* Returns whether the target of the last task of a step is also the best one
+ * for the next: it has become fuller, and the others have not changed. Lasting
+ * tasks of a step are spread. */
+static bool
+is_still_best(const JobSched *sched, const Job *job, uint32_t occurrence,
+              uint32_t step, const JobTarget *last)
+{
+    return last != NULL && !job->spec.steps[step].lasting &&
+           !SchedImpl_IsIsolated(last->sched_state, sched->now_ms) &&
+           SchedImpl_Fits(sched, job, occurrence, step, last);
+}
+
 void
 SchedImpl_ReserveRoom(SchedTarget *live, const JobStep *step)
 {
@@ -376,7 +470,7 @@
 }
 
 static void
-undo_assignments(JobSched *sched, size_t first)
+undo_assignments(JobSched *sched, SchedPool *pool, size_t first)
 {
     while (sched->batch_count > first) {
         JobAssignment *assignment = &sched->batch[--sched->batch_count];
@@ -388,6 +482,7 @@
         task->sched_state.phase = JOB_SCHED_NONE;
         SchedImpl_ReleaseRoom(target->sched_state,
                               &job->spec.steps[assignment->task.step]);
+        update_slot(pool, target, sched->now_ms);
     }
 }
 
@@ -423,6 +518,7 @@
     if (target != NULL) {
         add_assignment(pass->sched, run->job, run->occurrence, run->step,
                        run->index, task->attempt + 1, target);
+        update_slot(pool, target, pass->now);
     }
     return true;
 }
@@ -438,6 +534,7 @@
         job->occurrences[occurrence].tasks + job->step_first_task[step];
     const JobStep *spec = &job->spec.steps[step];
     size_t first = sched->batch_count;
+    JobTarget *target = NULL;
     bool waiting = false;
     uint32_t attempt = 0;
     uint32_t i;
@@ -450,7 +547,6 @@
         attempt = tasks[i].attempt > attempt ? tasks[i].attempt : attempt;
     }
     for (i = 0; i < spec->count; i++) {
-        JobTarget *target;
         if (!is_placeable(&tasks[i])) {
             continue;
         }
@@ -459,15 +555,18 @@
             waiting = true;
             continue;
         }
-        target = choose_target(pass, pool, job, occurrence, step);
+        if (!is_still_best(sched, job, occurrence, step, target)) {
+            target = choose_target(pass, pool, job, occurrence, step);
+        }
         if (target == NULL) {
             if (spec->gang) {
-                undo_assignments(sched, first);
+                undo_assignments(sched, pool, first);
             }
             return true;
         }
         add_assignment(sched, job, occurrence, step, i,
                        (spec->gang ? attempt : tasks[i].attempt) + 1, target);
+        update_slot(pool, target, pass->now);
     }
     return waiting;
 }
@@ -681,6 +780,7 @@
     free(pass.candidates);
     for (i = 0; i < pass.pool_count; i++) {
         free(pass.pools[i].targets);
+        free(pass.pools[i].slots);
     }
     free(pass.pools);
     if (sched->batch_count > 0) {
--- a/src/peer.c
+++ b/src/peer.c
@@ -49,6 +49,7 @@
     int64_t dial_backoff_ms;
     int64_t last_received_ms;
     bool up;
+    bool flush_due; /* it is in flush_list */
     PeerHello hello;
 } PeerSlot;
 
@@ -63,6 +64,8 @@
     size_t count;
     Link *accepted;
     size_t accepted_count;
+    size_t *flush_list; /* peers with messages for the next flush */
+    size_t flush_count;
     uint64_t bytes_sent;
     uint64_t bytes_received;
 };
@@ -236,6 +239,8 @@
     }
     slots = Mem_Resize(peers->slots, (peers->count + 1) * sizeof(*slots));
     peers->slots = slots;
+    peers->flush_list = Mem_Resize(
+        peers->flush_list, (peers->count + 1) * sizeof(*peers->flush_list));
     memset(&slots[peers->count], 0, sizeof(*slots));
     slots[peers->count].address = *address;
     slots[peers->count].dial_backoff_ms = PEER_DIAL_BACKOFF_MIN_MS;
@@ -758,6 +763,7 @@
     Loop_FreeTimer(peers->timer);
     apr_pool_destroy(peers->pool);
     free(peers->slots);
+    free(peers->flush_list);
     free(peers);
 }
 
@@ -776,6 +782,10 @@
         return;
     }
     Frame_Encode(&link->out, body, len);
+    if (!peers->slots[peer].flush_due) {
+        peers->slots[peer].flush_due = true;
+        peers->flush_list[peers->flush_count++] = peer;
+    }
     if (!link->connecting && !peers->options.explicit_flush) {
         Loop_SetEvents(link->watch, LOOP_READ | LOOP_WRITE);
     }
@@ -799,10 +809,12 @@
 void
 Peers_Flush(Peers *peers)
 {
-    size_t i;
+    while (peers->flush_count > 0) {
+        PeerSlot *slot =
+            &peers->slots[peers->flush_list[--peers->flush_count]];
+        Link *link = slot->outgoing;
 
-    for (i = 0; i < peers->count; i++) {
-        Link *link = peers->slots[i].outgoing;
+        slot->flush_due = false;
         if (link != NULL && !link->connecting && link->out.len > 0 &&
             !flush_link(link)) {
             handle_link_end(link);
