Call a pool crashing by the share of its targets

Five of a hundred targets make a pool a crashing one, and the assignments of a placement are counted at their targets.

--- a/src/jobsched_crash.c
+++ b/src/jobsched_crash.c
@@ -16,8 +16,10 @@
 #define SCHED_UNSEEN_PROBATION_MS 15000
 /* Age of a run up to which a crash is likely its own. */
 #define SCHED_SOON_MS 500
-/* A pool counts as crashing after this many crashes within this time. */
+/* A pool counts as crashing after this many crashes, of this share of its
+ * targets, within this time. */
 #define SCHED_CRASHING_COUNT 2
+#define SCHED_CRASHING_PERCENT 5
 #define SCHED_CRASHING_MS 5000
 
 /* The runs of a crashed target that may have caused the crash. */
@@ -90,20 +92,21 @@
 }
 
 bool
-SchedImpl_IsPoolCrashing(const JobSched *sched, const char *pool,
-                         uint32_t silent, int64_t now)
+SchedImpl_IsPoolCrashing(const JobSched *sched, const SchedPool *pool,
+                         int64_t now)
 {
     size_t recorded = sched->crash_count < SCHED_MAX_CRASHES
                           ? sched->crash_count
                           : SCHED_MAX_CRASHES;
-    uint32_t crashes = silent;
+    size_t crashes = pool->silent;
     size_t i;
 
     for (i = 0; i < recorded; i++) {
         crashes += now - sched->crashes[i].to_ms < SCHED_CRASHING_MS &&
-                   strcmp(sched->crashes[i].pool, pool) == 0;
+                   strcmp(sched->crashes[i].pool, pool->name) == 0;
     }
-    return crashes >= SCHED_CRASHING_COUNT;
+    return crashes >= SCHED_CRASHING_COUNT &&
+           crashes * 100 >= (pool->count + crashes) * SCHED_CRASHING_PERCENT;
 }
 
 static bool
--- a/src/jobsched_impl.h
+++ b/src/jobsched_impl.h
@@ -55,7 +55,11 @@
     JobResources room;               /* in its last announcement */
     JobResources reserved;           /* room taken by assignments in flight */
     uint32_t reserved_count;
-    uint32_t slot;     /* in the current placement */
+    uint32_t slot; /* in the current placement */
+    /* Assignments that the placement of this number made for a job. */
+    uint64_t placement;
+    const Job *placed_job;
+    uint32_t placed_count;
     uint32_t failures; /* consecutive runs that ended as failed */
     bool clock_known;
     bool room_known; /* the incarnation has announced itself in this term */
@@ -143,6 +147,7 @@
     int64_t wall_ms; /* wall time of the last tick */
     int64_t now_ms;  /* latest time passed by the caller */
     int64_t next_expire_ms;
+    uint64_t placement; /* number of the current placement */
     int64_t full_ms; /* when a task last found no room in its pool; 0: never */
     uint64_t next_cookie;
     uint64_t next_incarnation;
@@ -262,8 +267,8 @@
 bool SchedImpl_MayHaveCrashed(const JobTarget *target, int64_t now);
 /* Returns whether several targets of a pool have crashed lately, including
  * those that may have. */
-bool SchedImpl_IsPoolCrashing(const JobSched *sched, const char *pool,
-                              uint32_t silent, int64_t now);
+bool SchedImpl_IsPoolCrashing(const JobSched *sched, const SchedPool *pool,
+                              int64_t now);
 /* Returns whether a target is kept free of tasks that are no suspects. */
 bool SchedImpl_IsIsolated(const SchedTarget *live, int64_t now);
 /* Returns whether a target has a suspect that is still on probation. */
--- a/src/jobsched_place.c
+++ b/src/jobsched_place.c
@@ -139,42 +139,22 @@
                 spec->max_per_target);
 }
 
-static uint32_t
-count_of_job(const JobAssignment *list, size_t count, const Job *job,
-             uint32_t row)
-{
-    uint32_t found = 0;
-    size_t i;
-
-    for (i = 0; i < count; i++) {
-        found +=
-            list[i].target == row && strcmp(list[i].task.job, job->id) == 0;
-    }
-    return found;
-}
-
 /* Returns the number of runs of other jobs that a crash of a target would
- * end, including assignments in flight. */
+ * end, including assignments in flight. Those of earlier placements count as
+ * of other jobs. */
 static uint32_t
 count_foreign_runs(const JobSched *sched, const JobTarget *target,
                    const Job *job)
 {
     const SchedTarget *live = target->sched_state;
-    const SchedProposal *proposal;
     uint32_t own = 0;
     uint32_t i;
 
     for (i = 0; i < target->run_count; i++) {
         own += target->runs[i].job == job;
     }
-    if (live->reserved_count > 0) {
-        own +=
-            count_of_job(sched->batch, sched->batch_count, job, target->row);
-        for (proposal = sched->proposals; proposal != NULL;
-             proposal = proposal->next) {
-            own += count_of_job(proposal->assignments,
-                                proposal->assignment_count, job, target->row);
-        }
+    if (live->placement == sched->placement && live->placed_job == job) {
+        own += live->placed_count;
     }
     return target->run_count + live->reserved_count - own;
 }
@@ -325,8 +305,7 @@
     }
     for (i = 0; i < pass->pool_count; i++) {
         SchedPool *pool = &pass->pools[i];
-        pool->crashing = SchedImpl_IsPoolCrashing(sched, pool->name,
-                                                  pool->silent, pass->now);
+        pool->crashing = SchedImpl_IsPoolCrashing(sched, pool, pass->now);
     }
 }
 
@@ -446,6 +425,7 @@
 {
     JobTask *task;
     JobAssignment *assignment;
+    SchedTarget *live;
     Job *found_job;
 
     if (sched->batch_count == sched->batch_capacity) {
@@ -465,8 +445,14 @@
     assignment->serial = target->serial;
     task = JobState_FindTask(sched->state, &assignment->task, &found_job);
     task->sched_state.phase = JOB_SCHED_PROPOSED;
-    SchedImpl_ReserveRoom(SchedImpl_EnsureLive(sched, target),
-                          &job->spec.steps[step]);
+    live = SchedImpl_EnsureLive(sched, target);
+    SchedImpl_ReserveRoom(live, &job->spec.steps[step]);
+    if (live->placement != sched->placement || live->placed_job != job) {
+        live->placement = sched->placement;
+        live->placed_job = job;
+        live->placed_count = 0;
+    }
+    live->placed_count++;
 }
 
 static void
@@ -482,6 +468,7 @@
         task->sched_state.phase = JOB_SCHED_NONE;
         SchedImpl_ReleaseRoom(target->sched_state,
                               &job->spec.steps[assignment->task.step]);
+        SchedImpl_FindLive(target)->placed_count = 0;
         update_slot(pool, target, sched->now_ms);
     }
 }
@@ -767,6 +754,7 @@
         return;
     }
     sched->now_ms = now;
+    sched->placement++;
     collect_candidates(&pass);
     if (pass.count > 0) {
         list_targets(&pass);
