--- a/src/jobsched_crash.c
+++ b/src/jobsched_crash.c
@@ -26,9 +26,9 @@
 typedef struct SuspectList {
     JobCrash *rows;
     size_t count;
-    char
-        job[JOB_ID_BYTES]; /* of the first that can have caused it, or empty */
-    bool single;           /* those that can have are of one job */
+    /* Job of the first that can have caused it, or empty. */
+    char job[JOB_ID_BYTES];
+    bool single; /* those that can have are of one job */
 } SuspectList;
 
 /* Returns whether the end of a target is no crash: it has announced that it
--- a/src/jobsched_impl.h
+++ b/src/jobsched_impl.h
@@ -48,8 +48,8 @@
     int64_t silent_since_ms; /* first of the consecutive unanswered calls */
     SchedCrash restart;      /* when it restarted, if checking_restart */
     int64_t isolated_until_ms; /* until then only suspects are placed on it */
-    char isolated_for[JOB_ID_BYTES]; /* their job, or empty while runs of
-                                        other jobs have to end first */
+    char isolated_for[JOB_ID_BYTES]; /* job of the suspects, or empty while
+                                        runs of others have to end first */
     bool isolated_crashed_alone;     /* they have crashed a target alone */
     uint32_t unanswered;             /* consecutive calls without an answer */
     JobResources room;               /* in its last announcement */
--- a/src/jobsched_isolate.c
+++ b/src/jobsched_isolate.c
@@ -25,7 +25,7 @@
 bool
 SchedImpl_HasCrashedAlone(const JobTask *task)
 {
-    return task->crash_score > JOB_SUSPECT_SCORE;
+    return task->crash_score > JOB_MAX_SHARED_SCORE;
 }
 
 bool
@@ -229,7 +229,9 @@
     }
     snprintf(live->isolated_for, sizeof(live->isolated_for), "%s",
              run->job->id);
-    pool->crashed_alone -= live->isolated_crashed_alone;
+    if (live->isolated_crashed_alone && pool->crashed_alone > 0) {
+        pool->crashed_alone--;
+    }
     live->isolated_crashed_alone =
         SchedImpl_HasCrashedAlone(JobRun_GetTask(run));
     pool->crashed_alone += live->isolated_crashed_alone;
--- a/src/jobsched_pool.c
+++ b/src/jobsched_pool.c
@@ -36,7 +36,7 @@
     for (step = 0; step < job->spec.step_count; step++) {
         const JobStep *spec = &job->spec.steps[step];
         const JobTask *tasks = job->occurrences[occurrence].tasks;
-        int64_t clear = 0;
+        int64_t shared_cpu = 0; /* of tasks that may share targets */
         if (!Job_IsStepReady(job, occurrence, step)) {
             continue;
         }
@@ -52,11 +52,11 @@
                 suspect = true;
             }
             else {
-                clear += spec->need.cpu;
+                shared_cpu += spec->need.cpu;
             }
         }
-        load->backlog +=
-            clear * JobEst_Predict(sched->est, job->queue, spec->estimate_ms);
+        load->backlog += shared_cpu * JobEst_Predict(sched->est, job->queue,
+                                                     spec->estimate_ms);
     }
     load->suspect_jobs += suspect;
 }
--- a/src/jobstate.h
+++ b/src/jobstate.h
@@ -28,9 +28,9 @@
 /* The oldest cancellation of an unknown job gives way to one beyond this
  * number. */
 #define JOB_MAX_EARLY_CANCELS 1024
-/* Crash score from which on a task is a suspect, and at which its job fails.
- */
-#define JOB_SUSPECT_SCORE 4
+/* Highest crash score from crashes that another job may have caused, and the
+ * score at which the job of a task fails. */
+#define JOB_MAX_SHARED_SCORE 4
 #define JOB_MAX_CRASH_SCORE 10
 /* Number of crashes at which it fails whatever its score. */
 #define JOB_MAX_CRASHES 5
@@ -297,8 +297,8 @@
 /* Adds crashes of targets to the scores of tasks that may have caused them,
  * once for each attempt, and fails the job of a task that reaches
  * JOB_MAX_CRASH_SCORE, or JOB_MAX_CRASHES, which gangs do not have. Shared
- * evidence counts up to JOB_SUSPECT_SCORE, except for gangs, which are scored
- * on their first task. */
+ * evidence counts up to JOB_MAX_SHARED_SCORE, except for gangs, which are
+ * scored on their first task. */
 void JobCmd_EncodeCrashes(Buf *out, int64_t wall_ms, const JobCrash *rows,
                           size_t count);
 /* Adds or updates a target. A newer incarnation ends all runs of the previous
--- a/src/jobstate_apply.c
+++ b/src/jobstate_apply.c
@@ -372,7 +372,7 @@
         return weights[JOB_CRASH_LATE];
     }
     if ((evidence == JOB_CRASH_SHARED &&
-         task->crash_score >= JOB_SUSPECT_SCORE) ||
+         task->crash_score >= JOB_MAX_SHARED_SCORE) ||
         (evidence == JOB_CRASH_UNSURE &&
          task->crash_score + weights[evidence] >= JOB_MAX_CRASH_SCORE)) {
         return 0;
