--- a/review/standin/review_minion.c
+++ b/review/standin/review_minion.c
@@ -24,6 +24,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "common.h"
 #include "diag.h"
@@ -109,6 +110,10 @@
     uint32_t max_run_ms;
     bool lasting;
     bool fail;
+    /* While it exists, calls get no answer; while it is executable, half of
+     * them. */
+    const char *hang_file;
+    unsigned int calls;
     bool no_leave;         /* the caller reports the end */
     int64_t checkpoint_ms; /* 0: tasks save nothing */
     Target *targets;
@@ -438,6 +443,12 @@
     bool ok;
 
     advance(target);
+    if (target->service->hang_file != NULL &&
+        access(target->service->hang_file, F_OK) == 0 &&
+        (access(target->service->hang_file, X_OK) != 0 ||
+         target->service->calls++ % 2 == 0)) {
+        return; /* the caller gives up */
+    }
     ok = PlatformClient_DecodeTargetCall(HttpRequest_GetPath(request), body,
                                          len, &call);
     if (!ok) {
@@ -691,6 +702,7 @@
     struct arg_lit *fail;
     struct arg_lit *no_leave;
     struct arg_int *checkpoint;
+    struct arg_str *hang_file;
     struct arg_str *events;
     struct arg_int *min_run;
     struct arg_int *max_run;
@@ -714,6 +726,8 @@
     a->checkpoint = arg_int0(NULL, "checkpoint-ms", "MS",
                              "tasks save so often (0: never)");
     a->checkpoint->ival[0] = 0;
+    a->hang_file = arg_str0(NULL, "hang-file", "FILE",
+                            "no call is answered while the file exists");
     a->pool = arg_str0(NULL, "pool", "TEXT", "pool of the targets (p)");
     a->events = arg_str1(NULL, "events", "FILE", "file of events");
     a->min_run = arg_int0(NULL, "min-run-ms", "MS", "shortest run (50)");
@@ -744,6 +758,8 @@
     Rng_Seed(&service->rng, (uint64_t)a->seed->ival[0]);
     service->lasting = a->lasting->count > 0;
     service->fail = a->fail->count > 0;
+    service->hang_file =
+        a->hang_file->count > 0 ? a->hang_file->sval[0] : NULL;
     service->no_leave = a->no_leave->count > 0;
     service->checkpoint_ms = a->checkpoint->ival[0];
     service->events = fopen(a->events->sval[0], "a");
