Call a target whose departure is reported

The check of notices of departure trusted the first incarnation of an id. The next incarnation may run under the id before the leader has heard of it, and takes starts meant for the one that ended; and the notice may come from an incarnation that the leader never heard of.

The leader now calls the target and gives it no new tasks or starts until it answers. One that does not answer is removed at the first missed call if it has said that it leaves, its id had no earlier incarnation and all its starts were answered, otherwise once the lease of its runs has expired. The model has planned ends.

--- a/src/jobsched.c
+++ b/src/jobsched.c
@@ -13,9 +13,6 @@
 #define SCHED_SILENT_REMOVAL_MS 20000
 /* Missed announcements after which a target gets no new tasks. */
 #define SCHED_MISSED_ANNOUNCEMENTS 3
-/* Unanswered calls after which an idle target that may have departed is
- * removed. */
-#define SCHED_DEPARTED_MISSED_CALLS 2
 /* Unanswered holds after which an idle target whose clock is unknown gets no
  * further hold until it announces itself. */
 #define SCHED_MAX_CLOCK_HOLDS 3
@@ -557,14 +554,8 @@
             SchedImpl_AdvanceRun(sched, now, &target->runs[i]);
         }
     }
-    if (live->departure_ms != 0 && target->run_count == 0 &&
-        live->unanswered >= SCHED_DEPARTED_MISSED_CALLS) {
-        SchedImpl_ProposeRemoval(sched, target, false,
-                                 "reported its end and is silent");
-        live->departure_ms = 0;
-    }
-    else if (!hold_needed &&
-             now - live->last_seen_ms > SCHED_SILENT_REMOVAL_MS) {
+    if (!SchedImpl_RemoveIfDeparted(sched, target) && !hold_needed &&
+        now - live->last_seen_ms > SCHED_SILENT_REMOVAL_MS) {
         SchedImpl_ProposeRemoval(sched, target, false, "silent and idle");
         live->last_seen_ms = now;
     }
--- a/src/jobsched.h
+++ b/src/jobsched.h
@@ -155,9 +155,10 @@
                        const JobAnnouncement *announcement);
 
 /* Handles a notice that a target has ended. The notice does not say which
- * incarnation sent it, and may arrive late. It is believed at once if the id
- * had no earlier incarnation; otherwise the target gets no new tasks until it
- * answers a later call, and its runs are given up when their lease expires. */
+ * incarnation sent it, and may arrive late, so the target is called; it gets
+ * no new tasks until it answers. If it does not, it is removed: at once if it
+ * has said that it leaves and its id had no earlier incarnation, otherwise
+ * when the lease of its runs has expired. */
 void JobSched_HandleDeparture(JobSched *sched, int64_t now, const char *id);
 
 void JobSched_Tick(JobSched *sched, int64_t now, int64_t wall_ms);
--- a/src/jobsched_call.c
+++ b/src/jobsched_call.c
@@ -391,6 +391,7 @@
             live->silent_since_ms = now;
         }
         live->unanswered++;
+        live->departure_missed++;
         sched->counts.unanswered++;
     }
     else if (answer->outcome == JOB_CALL_AGENT_LOST) {
--- a/src/jobsched_impl.h
+++ b/src/jobsched_impl.h
@@ -40,8 +40,10 @@
     int64_t last_seen_ms; /* time of the last announcement or answer */
     int64_t last_answer_ms;
     int64_t hold_due_ms;
-    int64_t departure_ms;      /* when a notice of departure arrived that an
-                                  earlier incarnation may have sent, or 0 */
+    /* When a notice of departure arrived that no later answer has refuted, or
+     * 0. */
+    int64_t departure_ms;
+    uint32_t departure_missed; /* calls since then without an answer */
     uint64_t order;            /* sequence number of the last announcement */
     uint64_t checked_born;     /* start time of the incarnation to verify */
     int64_t restart_seen_ms;   /* when the new incarnation was first seen */
@@ -296,6 +298,9 @@
 /* Proposes to remove a target; ended: it cannot announce itself again. */
 void SchedImpl_ProposeRemoval(JobSched *sched, JobTarget *target, bool ended,
                               const char *reason);
+/* Proposes to remove a target that has reported its own end and does not
+ * answer. Returns false if it may not be removed yet. */
+bool SchedImpl_RemoveIfDeparted(JobSched *sched, JobTarget *target);
 /* Begins to verify a new incarnation under the same id by a hold with a new
  * fencing token, so that calls to the earlier incarnation have no effect. */
 void SchedImpl_BeginRestartCheck(JobSched *sched, int64_t now,
--- a/src/jobsched_run.c
+++ b/src/jobsched_run.c
@@ -20,7 +20,8 @@
     SchedTarget *live = SchedImpl_EnsureLive(sched, target);
     JobAction *action;
 
-    if (!live->clock_known || live->checking_restart || live->readmitting) {
+    if (!live->clock_known || live->checking_restart || live->readmitting ||
+        live->departure_ms != 0) {
         /* The start is sent once the clock and incarnation are known. */
         task->sched_state.phase = JOB_SCHED_STARTING;
         task->sched_state.calling = false;
--- a/src/jobsched_target.c
+++ b/src/jobsched_target.c
@@ -5,6 +5,10 @@
 
 #include "slog.h"
 
+/* Unanswered calls after which an idle target that may have departed is
+ * removed. */
+#define SCHED_DEPARTED_MISSED_CALLS 2
+
 static bool
 is_same_content(const JobAnnouncement *a, const JobAnnouncement *b)
 {
@@ -246,6 +250,46 @@
            announcement->born <= target->announcement.born;
 }
 
+/* Returns whether a notice of departure is most likely one of the incarnation
+ * that is in the state: it has said that it leaves, and no earlier one had its
+ * id. Without an answer to each start, one may still reach the next
+ * incarnation, which would not refuse it. */
+static bool
+is_departure_likely(const JobTarget *target)
+{
+    const SchedTarget *live = SchedImpl_FindLive(target);
+    uint32_t i;
+
+    if (!target->announcement.leaving || target->restarted ||
+        live->checking_restart || live->reserved_count > 0) {
+        return false;
+    }
+    for (i = 0; i < target->run_count; i++) {
+        const JobTask *task = JobRun_GetTask(&target->runs[i]);
+        if (task->sched_state.phase != JOB_SCHED_RUNNING &&
+            !task->sched_state.proven) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool
+SchedImpl_RemoveIfDeparted(JobSched *sched, JobTarget *target)
+{
+    SchedTarget *live = SchedImpl_FindLive(target);
+    bool likely = is_departure_likely(target);
+
+    if (live->departure_ms == 0 || live->departure_missed == 0 ||
+        (!likely && (target->run_count > 0 ||
+                     live->departure_missed < SCHED_DEPARTED_MISSED_CALLS))) {
+        return false;
+    }
+    SchedImpl_ProposeRemoval(sched, target, likely, "reported its own end");
+    live->departure_missed = 0; /* proposed again after the next call */
+    return true;
+}
+
 void
 JobSched_HandleDeparture(JobSched *sched, int64_t now, const char *id)
 {
@@ -257,18 +301,15 @@
         return;
     }
     live = SchedImpl_EnsureLive(sched, target);
-    if (!target->restarted && !live->checking_restart) {
-        SchedImpl_ProposeRemoval(sched, target, true, "reported its own end");
-        return;
-    }
-    Slog_Begin(SLOG_CHANGE, "departure_unverified");
+    Slog_Begin(SLOG_CHANGE, "departure_reported");
     Slog_AddText("target", id);
     Slog_AddInt("born", (int64_t)target->announcement.born);
-    Slog_AddInt("leaving", target->announcement.leaving);
+    Slog_AddInt("likely", is_departure_likely(target));
     Slog_AddInt("runs", target->run_count);
     Slog_End();
     if (!live->checking_restart) {
         live->departure_ms = now;
-        live->hold_due_ms = now;
+        live->departure_missed = 0;
     }
+    live->hold_due_ms = now;
 }
--- a/tests/test_jobworld.c
+++ b/tests/test_jobworld.c
@@ -63,6 +63,7 @@
       .failed_run_share = 0.01,
       .partitions_per_s = 0.2,
       .crashes_per_s = 0.5,
+      .planned_end_share = 0.5,
       .late_message_share = 0.7,
       .leader_changes_per_s = 0.1,
       .restored_leader_share = 0.5},
