Keep the terms of a job's queue with the job

The limit was looked up in the configuration in force at each failure, and there was none without the queue. A changed limit applied to failures under the earlier one. The slack and objective that order jobs were read the same way, and after a change of its service a queue's jobs were placed in the new pool while their demand counted for the old one.

With the look-up put back, limit_of_attempts_outlasts_changes_of_the_queue fails in 6 of 6 cases.

--- a/src/job.h
+++ b/src/job.h
@@ -82,6 +82,13 @@
     uint32_t advice_validity_ms;
 } JobQueue;
 
+/* The terms on which a queue accepts jobs. */
+typedef struct JobTerms {
+    uint32_t max_attempts;
+    uint32_t objective_ms;
+    double slack;
+} JobTerms;
+
 typedef struct JobPool {
     char name[JOB_NAME_BYTES];
     char health_path[JOB_PATH_BYTES];
--- a/src/jobcodec.c
+++ b/src/jobcodec.c
@@ -67,6 +67,12 @@
     FIELD(JobQueue, U32, advice_validity_ms),
 };
 
+static const Field terms_fields[] = {
+    FIELD(JobTerms, U32, max_attempts),
+    FIELD(JobTerms, U32, objective_ms),
+    FIELD(JobTerms, DOUBLE, slack),
+};
+
 static const Field pool_fields[] = {
     FIELD(JobPool, TEXT, name),
     FIELD(JobPool, TEXT, health_path),
@@ -511,6 +517,18 @@
     return true;
 }
 
+void
+JobCodec_PackTerms(msgpack_packer *packer, const JobTerms *terms)
+{
+    pack_row(packer, terms_fields, FIELD_COUNT(terms_fields), terms);
+}
+
+bool
+JobCodec_ReadTerms(MpRead *reader, JobTerms *terms)
+{
+    return read_row(reader, terms_fields, FIELD_COUNT(terms_fields), terms);
+}
+
 void
 JobCodec_PackTaskRef(msgpack_packer *packer, const JobTaskRef *task)
 {
--- a/src/jobcodec.h
+++ b/src/jobcodec.h
@@ -45,6 +45,9 @@
                                const JobAnnouncement *announcement);
 bool JobCodec_ReadAnnouncement(MpRead *reader, JobAnnouncement *announcement);
 
+void JobCodec_PackTerms(msgpack_packer *packer, const JobTerms *terms);
+bool JobCodec_ReadTerms(MpRead *reader, JobTerms *terms);
+
 void JobCodec_PackTaskRef(msgpack_packer *packer, const JobTaskRef *task);
 bool JobCodec_ReadTaskRef(MpRead *reader, JobTaskRef *task);
 
--- a/src/jobsched_place.c
+++ b/src/jobsched_place.c
@@ -571,9 +571,7 @@
 static void
 place_job(PlacementPass *pass, Job *job)
 {
-    const JobQueue *queue = JobConfig_FindQueue(
-        JobState_GetConfig(pass->sched->state), job->queue);
-    SchedPool *pool = find_pool(pass, queue != NULL ? queue->pool : job->pool);
+    SchedPool *pool = find_pool(pass, job->pool);
     bool waiting = false;
     uint32_t occurrence;
     uint32_t step;
@@ -672,7 +670,6 @@
 static int64_t
 rank_job(const PlacementPass *pass, Job *job)
 {
-    const JobQueue *queue;
     int64_t age_ms = pass->wall_ms - job->accepted_ms;
     int64_t allowed_ms;
     int64_t remaining_ms;
@@ -682,13 +679,11 @@
     if (job->spec.steps[0].lasting) {
         return INT64_MIN / 2;
     }
-    queue = JobConfig_FindQueue(JobState_GetConfig(pass->sched->state),
-                                job->queue);
     update_run_times(pass, job);
     remaining_ms = job->sched_state.left_ms;
-    allowed_ms = (int64_t)((queue != NULL ? queue->slack : 2.0) *
+    allowed_ms = (int64_t)(job->terms.slack *
                            (double)job->sched_state.critical_path_ms) +
-                 (queue != NULL ? queue->objective_ms : 1000);
+                 job->terms.objective_ms;
     slack_ms = allowed_ms - remaining_ms - age_ms;
     if (job->sched_state.crashed_alone) {
         return 2 * RANK_LATE_OFFSET + age_ms;
--- a/src/jobstate.h
+++ b/src/jobstate.h
@@ -105,7 +105,9 @@
 typedef struct Job {
     char id[JOB_ID_BYTES];
     char queue[JOB_NAME_BYTES];
-    char pool[JOB_NAME_BYTES]; /* pool of its queue when it was accepted */
+    char pool[JOB_NAME_BYTES]; /* pool of its queue, the last one if the queue
+                                * was removed */
+    JobTerms terms;            /* those of its queue when it was accepted */
     JobSpec spec;
     int64_t accepted_ms; /* wall time */
     int64_t ended_ms;    /* wall time */
--- a/src/jobstate_apply.c
+++ b/src/jobstate_apply.c
@@ -12,6 +12,21 @@
     return &job->spec.steps[step];
 }
 
+/* Jobs follow their queues to other pools. */
+static void
+update_pools(JobState *state)
+{
+    Job *job;
+
+    for (job = state->active_first; job != NULL; job = job->next) {
+        const JobQueue *queue =
+            JobConfig_FindQueue(&state->config, job->queue);
+        if (queue != NULL) {
+            snprintf(job->pool, sizeof(job->pool), "%s", queue->pool);
+        }
+    }
+}
+
 static JobResult
 apply_config(JobState *state, MpRead *reader)
 {
@@ -27,6 +42,7 @@
     }
     JobConfig_Free(&state->config);
     state->config = config;
+    update_pools(state);
     return JOB_RESULT_OK;
 }
 
@@ -98,6 +114,7 @@
     }
     job = JobStateImpl_AddJob(state, id, queue);
     snprintf(job->pool, sizeof(job->pool), "%s", row->pool);
+    job->terms = JobStateImpl_GetTerms(row);
     job->accepted_ms = wall_ms;
     JobStateImpl_SetSpec(job, &spec);
     cancel = find_early_cancel(state, id);
@@ -247,12 +264,11 @@
                 .tasks[job->step_first_task[ref->step]];
 }
 
-/* Counts a failure and fails the job at the queue's limit. */
+/* Counts a failure and fails the job at its limit. */
 static void
 count_failure(JobState *state, Job *job, const JobTaskRef *ref, JobTask *task,
               int64_t wall_ms)
 {
-    const JobQueue *queue = JobConfig_FindQueue(&state->config, job->queue);
     JobTask *counted = get_counted_task(job, ref, task);
 
     if (get_step(job, ref->step)->lasting) {
@@ -261,7 +277,7 @@
     if (counted->failures < UINT8_MAX) {
         counted->failures++;
     }
-    if (queue != NULL && counted->failures >= queue->max_attempts &&
+    if (counted->failures >= job->terms.max_attempts &&
         job->phase < JOB_COMPLETED) {
         JobStateImpl_EndJob(state, job, JOB_FAILED, wall_ms);
     }
--- a/src/jobstate_impl.h
+++ b/src/jobstate_impl.h
@@ -46,6 +46,9 @@
 };
 
 Job *JobStateImpl_AddJob(JobState *state, const char *id, const char *queue);
+/* Returns the terms of a queue. NULL: of one that is not known, whose jobs
+ * end with the first failed run. */
+JobTerms JobStateImpl_GetTerms(const JobQueue *queue);
 /* Takes ownership of the contents of spec. */
 void JobStateImpl_SetSpec(Job *job, JobSpec *spec);
 /* Allocates the tasks of an occurrence on first use and returns them. */
--- a/src/jobstate_rows.c
+++ b/src/jobstate_rows.c
@@ -19,6 +19,16 @@
     return job;
 }
 
+JobTerms
+JobStateImpl_GetTerms(const JobQueue *queue)
+{
+    static const JobTerms unknown = {1, 1000, 2.0};
+
+    return queue != NULL ? (JobTerms){queue->max_attempts, queue->objective_ms,
+                                      queue->slack}
+                         : unknown;
+}
+
 void
 JobStateImpl_SetSpec(Job *job, JobSpec *spec)
 {
--- a/src/jobstate_snapshot.c
+++ b/src/jobstate_snapshot.c
@@ -7,13 +7,16 @@
 #include "mppack.h"
 
 #define SNAPSHOT_FORMAT 4
-/* Earlier formats, which snapshots on disk may have: without removed targets,
- * without crashes of tasks, and without early cancellations. */
+/* Earlier formats, which snapshots on disk may have: without removed targets
+ * and the terms of jobs, without crashes of tasks, and without early
+ * cancellations. */
 #define THIRD_SNAPSHOT_FORMAT 3
 #define SECOND_SNAPSHOT_FORMAT 2
 #define FIRST_SNAPSHOT_FORMAT 1
 #define TASK_ITEMS 7
 #define TASK_ITEMS_WITHOUT_CRASHES 5
+#define JOB_ITEMS 10
+#define JOB_ITEMS_WITHOUT_TERMS 9
 #define TARGET_ITEMS 5
 #define TARGET_ITEMS_WITHOUT_RESTART 4
 
@@ -36,10 +39,11 @@
     uint32_t k;
     uint32_t i;
 
-    msgpack_pack_array(packer, 9);
+    msgpack_pack_array(packer, JOB_ITEMS);
     MpPack_Text(packer, job->id);
     MpPack_Text(packer, job->queue);
     MpPack_Text(packer, job->pool);
+    JobCodec_PackTerms(packer, &job->terms);
     JobCodec_PackSpec(packer, &job->spec);
     msgpack_pack_int64(packer, job->accepted_ms);
     msgpack_pack_int64(packer, job->ended_ms);
@@ -248,25 +252,34 @@
     char id[JOB_ID_BYTES];
     char queue[JOB_NAME_BYTES];
     char pool[JOB_NAME_BYTES];
+    JobTerms terms;
     JobSpec spec;
     Job *job;
+    uint32_t items;
     uint32_t phase = 0;
     uint32_t count;
     uint32_t k;
     bool active = false;
 
-    if (!MpRead_ArrayOf(reader, 9) || !MpRead_Text(reader, id, sizeof(id)) ||
+    if (!MpRead_Array(reader, &items) ||
+        (items != JOB_ITEMS && items != JOB_ITEMS_WITHOUT_TERMS) ||
+        !MpRead_Text(reader, id, sizeof(id)) ||
         !MpRead_Text(reader, queue, sizeof(queue)) ||
         !MpRead_Text(reader, pool, sizeof(pool)) ||
         StrMap_Get(state->jobs, id) != NULL) {
         return false;
     }
+    terms = JobStateImpl_GetTerms(JobConfig_FindQueue(&state->config, queue));
+    if (items == JOB_ITEMS && !JobCodec_ReadTerms(reader, &terms)) {
+        return false;
+    }
     if (!JobCodec_ReadSpec(reader, &spec)) {
         JobSpec_Free(&spec);
         return false;
     }
     job = JobStateImpl_AddJob(state, id, queue);
     snprintf(job->pool, sizeof(job->pool), "%s", pool);
+    job->terms = terms;
     JobStateImpl_SetSpec(job, &spec);
     if (!MpRead_I64(reader, &job->accepted_ms) ||
         !MpRead_I64(reader, &job->ended_ms) || !MpRead_U32(reader, &phase) ||
--- a/tests/support_job.c
+++ b/tests/support_job.c
@@ -21,21 +21,28 @@
 
 JobResult
 JobTest_Configure(JobState *state, uint64_t version)
+{
+    return JobTest_ConfigureQueue(state, version, "p", 2);
+}
+
+JobResult
+JobTest_ConfigureQueue(JobState *state, uint64_t version, const char *pool,
+                       uint32_t max_attempts)
 {
     JobQueue queue = {.name = "q",
                       .host = "h",
                       .prefix = "/q/",
-                      .pool = "p",
                       .timeout_ms = 3000,
                       .objective_ms = 600,
-                      .max_attempts = 2,
+                      .max_attempts = max_attempts,
                       .slack = 1.6};
     JobPool pools[2] = {{.name = "p", .enforces_capacity = true},
                         {.name = "idle", .standby = true}};
     char text[] = "text";
-    JobConfig config = {version, &queue, 1, pools, 2, text, 4};
+    JobConfig config = {version, &queue, pool != NULL, pools, 2, text, 4};
     Buf command = BUF_INIT;
 
+    snprintf(queue.pool, sizeof(queue.pool), "%s", pool != NULL ? pool : "");
     JobCmd_EncodeConfig(&command, &config);
     return JobTest_Apply(state, &command);
 }
--- a/tests/support_job.h
+++ b/tests/support_job.h
@@ -14,6 +14,10 @@
  * pool "idle". */
 JobResult JobTest_Configure(JobState *state, uint64_t version);
 
+/* The same with this pool and limit of attempts; NULL: without the queue. */
+JobResult JobTest_ConfigureQueue(JobState *state, uint64_t version,
+                                 const char *pool, uint32_t max_attempts);
+
 /* Adds or changes a target with 16 cores. */
 JobResult JobTest_SetTarget(JobState *state, const char *id, const char *vm,
                             const char *pool, uint64_t born, bool leaving);
--- a/tests/test_jobstate.c
+++ b/tests/test_jobstate.c
@@ -152,6 +152,70 @@
 }
 END_TEST
 
+static const struct {
+    const char *name;
+    uint32_t max_attempts[3]; /* of later configurations; 0: without the
+                                 queue */
+    size_t count;
+    bool restored; /* from a snapshot after the last one */
+} queue_changes[] = {
+    {"removed", {0}, 1, false},
+    {"removed, before a snapshot", {0}, 1, true},
+    {"limit raised", {9}, 1, false},
+    {"limit lowered", {1}, 1, false},
+    {"removed and added again with a higher limit", {0, 9}, 2, true},
+    {"changed, removed and added again", {9, 0, 1}, 3, false},
+};
+
+/* Guards against a task that is started without end after its queue was
+ * removed, and against a limit other than that under which its job was
+ * accepted. */
+START_TEST(limit_of_attempts_outlasts_changes_of_the_queue)
+{
+    const char *name = queue_changes[_i].name;
+    Buf bytes = BUF_INIT;
+    ErrCtx err;
+    size_t i;
+
+    JobTest_Submit(state, "a", 1, 1, 500);
+    JobTest_Assign(state, "a", 0, 0, 1, "t1");
+    for (i = 0; i < queue_changes[_i].count; i++) {
+        uint32_t limit = queue_changes[_i].max_attempts[i];
+        JobTest_ConfigureQueue(state, 6 + i, limit > 0 ? "p" : NULL, limit);
+    }
+    if (queue_changes[_i].restored) {
+        JobState_Snapshot(state, &bytes);
+        ck_assert_int_eq(JobState_Restore(state, bytes.data, bytes.len, &err),
+                         ST_OK);
+        Buf_Free(&bytes);
+    }
+    JobTest_End(state, "a", 0, 0, 1, "t1", JOB_END_FAILED, 1);
+    ck_assert_msg(JobState_FindJob(state, "a")->phase == JOB_RUNNING, "%s",
+                  name);
+    JobTest_Assign(state, "a", 0, 0, 2, "t2");
+    JobTest_End(state, "a", 0, 0, 2, "t2", JOB_END_FAILED, 1);
+    ck_assert_msg(JobState_FindJob(state, "a")->phase == JOB_FAILED, "%s",
+                  name);
+}
+END_TEST
+
+/* Guards against work that counts for one pool and is placed in another one.
+ */
+START_TEST(job_keeps_the_last_pool_of_its_queue)
+{
+    const Job *job;
+
+    JobTest_Submit(state, "a", 1, 1, 500);
+    job = JobState_FindJob(state, "a");
+    JobTest_ConfigureQueue(state, 6, "idle", 2);
+    ck_assert_str_eq(job->pool, "idle");
+    JobTest_ConfigureQueue(state, 7, NULL, 0);
+    ck_assert_str_eq(job->pool, "idle");
+    JobTest_ConfigureQueue(state, 8, "p", 2);
+    ck_assert_str_eq(job->pool, "p");
+}
+END_TEST
+
 START_TEST(lasting_task_waits_again_after_any_end)
 {
     uint64_t number;
@@ -379,8 +443,8 @@
 END_TEST
 
 /* What earlier formats of a snapshot have instead of some bytes: a task that
- * was never assigned has no crash score, and a target does not say whether it
- * has restarted. */
+ * was never assigned has no crash score, a target does not say whether it has
+ * restarted, and a job has no terms. */
 static const struct {
     char last_format; /* the last one that differs */
     const char *now;
@@ -393,12 +457,12 @@
     {3, "\x95\0\x01\0", 4, "\x94\0\x01\0", 4, 1},
     {3, "\xc2\x95\x01\x02\0", 5, "\x94\x01\x02\0", 4, 1},
     {3,
-     "\xc2\x91\x99\xa1"
-     "a",
-     5,
+     "\xc2\x91\x9a\xa1"
+     "a\xa1q\xa1p\x93\x02\xcd\x02\x58\xcd\x06\x40",
+     17,
      "\x91\x99\xa1"
-     "a",
-     4, 1},
+     "a\xa1q\xa1p",
+     8, 1},
 };
 
 static void
@@ -464,6 +528,7 @@
     /* A notice of departure of an earlier incarnation may be under way. */
     ck_assert(JobState_FindTarget(copy, "t1")->restarted);
     ck_assert_uint_eq(JobState_RemovedTargetCount(copy), 0);
+    ck_assert_uint_eq(JobState_FindJob(copy, "a")->terms.max_attempts, 2);
     JobState_Free(copy);
     Buf_Free(&bytes);
 }
@@ -653,6 +718,10 @@
     tcase_add_loop_test(tcase, applies_only_ends_of_current_run, 0,
                         sizeof(end_cases) / sizeof(end_cases[0]));
     tcase_add_test(tcase, job_fails_after_max_attempts);
+    tcase_add_loop_test(
+        tcase, limit_of_attempts_outlasts_changes_of_the_queue, 0,
+        (int)(sizeof(queue_changes) / sizeof(queue_changes[0])));
+    tcase_add_test(tcase, job_keeps_the_last_pool_of_its_queue);
     tcase_add_test(tcase, lasting_task_waits_again_after_any_end);
     tcase_add_test(tcase, late_done_end_completes_waiting_task);
     tcase_add_test(tcase, cancelled_job_ignores_assignments);
