--- a/src/jobstate.h
+++ b/src/jobstate.h
@@ -75,8 +75,8 @@
     uint32_t attempt; /* number of the last assignment; 0: never assigned */
     uint32_t target;  /* row of its target while assigned */
     uint8_t state;
-    uint8_t failures;
     uint8_t crash_score;     /* see JobCmd_EncodeCrashes */
+    uint16_t failures;       /* UINT16_MAX of them fail any job */
     uint32_t crash_attempts; /* bit n: the crash of attempt n modulo 32 is in
                               * crash_score */
     char *checkpoint;        /* NULL if there is none */
--- a/src/jobstate_apply.c
+++ b/src/jobstate_apply.c
@@ -274,10 +274,11 @@
     if (get_step(job, ref->step)->lasting) {
         return;
     }
-    if (counted->failures < UINT8_MAX) {
+    if (counted->failures < UINT16_MAX) {
         counted->failures++;
     }
-    if (counted->failures >= job->terms.max_attempts &&
+    if ((counted->failures >= job->terms.max_attempts ||
+         counted->failures == UINT16_MAX) &&
         job->phase < JOB_COMPLETED) {
         JobStateImpl_EndJob(state, job, JOB_FAILED, wall_ms);
     }
--- a/src/jobstate_snapshot.c
+++ b/src/jobstate_snapshot.c
@@ -27,7 +27,7 @@
     msgpack_pack_uint32(packer, task->attempt);
     msgpack_pack_uint32(packer, task->target);
     msgpack_pack_uint8(packer, task->state);
-    msgpack_pack_uint8(packer, task->failures);
+    msgpack_pack_uint16(packer, task->failures);
     MpPack_Text(packer, task->checkpoint != NULL ? task->checkpoint : "");
     msgpack_pack_uint8(packer, task->crash_score);
     msgpack_pack_uint32(packer, task->crash_attempts);
@@ -178,13 +178,13 @@
         (items == TASK_ITEMS &&
          (!MpRead_U32(reader, &score) ||
           !MpRead_U32(reader, &task->crash_attempts))) ||
-        state > JOB_TASK_DONE || failures > UINT8_MAX ||
+        state > JOB_TASK_DONE || failures > UINT16_MAX ||
         score > JOB_MAX_CRASH_SCORE) {
         reader->failed = true;
         return false;
     }
     task->state = (uint8_t)state;
-    task->failures = (uint8_t)failures;
+    task->failures = (uint16_t)failures;
     task->crash_score = (uint8_t)score;
     task->checkpoint = checkpoint[0] != '\0' ? strdup(checkpoint) : NULL;
     return true;
--- a/tests/test_jobstate.c
+++ b/tests/test_jobstate.c
@@ -199,6 +199,28 @@
 }
 END_TEST
 
+/* Guards against a task that is started without end because its failures are
+ * counted only up to a number below its limit. */
+START_TEST(highest_limit_of_attempts_is_reached)
+{
+    const Job *job;
+    uint32_t limit = _i == 0 ? 300 : UINT32_MAX;
+    uint32_t most = _i == 0 ? 300 : UINT16_MAX;
+    uint32_t attempt = 0;
+
+    JobTest_ConfigureQueue(state, 6, "p", limit);
+    JobTest_Submit(state, "a", 1, 1, 500);
+    job = JobState_FindJob(state, "a");
+    while (job->phase < JOB_COMPLETED && attempt <= most) {
+        attempt++;
+        JobTest_Assign(state, "a", 0, 0, attempt, "t1");
+        JobTest_End(state, "a", 0, 0, attempt, "t1", JOB_END_FAILED, attempt);
+    }
+    ck_assert_uint_eq(attempt, most);
+    ck_assert_int_eq(job->phase, JOB_FAILED);
+}
+END_TEST
+
 /* Guards against work that counts for one pool and is placed in another one.
  */
 START_TEST(job_keeps_the_last_pool_of_its_queue)
@@ -721,6 +743,7 @@
     tcase_add_loop_test(
         tcase, limit_of_attempts_outlasts_changes_of_the_queue, 0,
         (int)(sizeof(queue_changes) / sizeof(queue_changes[0])));
+    tcase_add_loop_test(tcase, highest_limit_of_attempts_is_reached, 0, 2);
     tcase_add_test(tcase, job_keeps_the_last_pool_of_its_queue);
     tcase_add_test(tcase, lasting_task_waits_again_after_any_end);
     tcase_add_test(tcase, late_done_end_completes_waiting_task);
