End only the incarnation that an order for a VM was for

After a move or a maintenance was accepted, the target that ran before is removed while it is idle, by its id. The start time is now noted with the id at the first call.

Measured: accepted_order_keeps_next_incarnation failed before (the target was removed), holds now.

--- a/src/jobfleet.c
+++ b/src/jobfleet.c
@@ -303,17 +303,28 @@
         const JobTarget *target = FleetImpl_FindTarget(fleet, vm);
         snprintf(vm->ended_target, sizeof(vm->ended_target), "%s",
                  target != NULL ? target->announcement.id : vm->listed.target);
+        vm->ended_born =
+            target != NULL ? target->announcement.born : UINT64_MAX;
     }
     vm->call_in_flight = true;
     vm->call_sent = true;
     vm->next_call_ms = now + FLEET_RETRY_MS;
 }
 
+/* Returns whether an accepted order has ended a target. The answer to a
+ * repeated call may arrive when the VM already runs its next target, even
+ * under the same id, so only the one noted at the first call has ended. */
+static bool
+is_ended_by_order(const FleetVm *vm, const JobTarget *target)
+{
+    return target != NULL &&
+           strcmp(target->announcement.id, vm->ended_target) == 0 &&
+           target->announcement.born <= vm->ended_born;
+}
+
 static void
 handle_accepted_order(JobFleet *fleet, int64_t now, FleetVm *vm)
 {
-    /* The answer to a repeated call may arrive when the VM already runs its
-     * next target, so only the target noted at the first call has ended. */
     const JobTarget *target =
         JobState_FindTarget(fleet->state, vm->ended_target);
     Buf command = BUF_INIT;
@@ -338,7 +349,7 @@
     /* The VM service also accepts an order that was carried out before, so a
      * target with runs is not ended here: its runs are given up only when the
      * VM's next target announces itself or no target answers. */
-    if (target != NULL && target->run_count == 0) {
+    if (is_ended_by_order(vm, target) && target->run_count == 0) {
         JobSched_RemoveTarget(fleet->sched, target);
     }
     if (vm->order == FLEET_ORDER_MOVE) {
@@ -499,8 +510,7 @@
 {
     JobTarget *target = FleetImpl_FindTarget(fleet, vm);
 
-    if (target != NULL &&
-        strcmp(target->announcement.id, vm->ended_target) == 0) {
+    if (is_ended_by_order(vm, target)) {
         JobSched_SetCordon(fleet->sched, target, true);
         if (JobSched_IsIdle(fleet->sched, target)) {
             JobSched_RemoveTarget(fleet->sched, target);
--- a/src/jobfleet_impl.h
+++ b/src/jobfleet_impl.h
@@ -36,6 +36,7 @@
     FleetOrderKind order;
     char pool[JOB_NAME_BYTES];         /* destination of the order */
     char ended_target[JOB_NAME_BYTES]; /* target that the order ends */
+    uint64_t ended_born;               /* its start time, if it was known */
     uint64_t fence;                    /* fencing token of the order */
     uint64_t wave;
     int64_t order_ms;      /* creation time of the order */
--- a/tests/test_jobfleet.c
+++ b/tests/test_jobfleet.c
@@ -399,6 +399,43 @@
 }
 END_TEST
 
+/* Guards against a target that is removed because an order ended the earlier
+ * incarnation under its id. */
+START_TEST(accepted_order_keeps_next_incarnation)
+{
+    JobVm rows[1];
+    JobVmCall calls[8];
+    JobVmAnswer no_answer = {.outcome = JOB_VM_NO_ANSWER};
+    JobVmAnswer ok = {.outcome = JOB_VM_OK};
+    const JobTarget *target;
+    uint64_t serial;
+
+    rows[0] = make_vm("vm0", "p");
+    JobTest_SetTarget(state, "t0", "vm0", "p", 100, false);
+    become_leader(1);
+    start_wave(1, 1);
+    advance_time(100);
+    answer_lists(rows, 1, calls, 8);
+    advance_time(600);
+    ck_assert_uint_eq(answer_lists(rows, 1, calls, 8), 1);
+    JobFleet_HandleAnswer(fleet, now, &calls[0], &no_answer);
+    /* The maintenance was carried out, and the target has started again. */
+    JobTest_SetTarget(state, "t0", "vm0", "p", 200, false);
+    serial = JobState_FindTarget(state, "t0")->serial;
+    advance_time(600);
+    ck_assert_uint_eq(answer_lists(rows, 1, calls, 8), 1);
+    JobFleet_HandleAnswer(fleet, now, &calls[0], &ok);
+    advance_time(300);
+    target = JobState_FindTarget(state, "t0");
+    ck_assert_ptr_nonnull(target);
+    ck_assert_uint_eq(target->serial, serial);
+    advance_time(2500);
+    answer_lists(rows, 1, calls, 8); /* the VM is back */
+    advance_time(100);
+    ck_assert(!SchedImpl_FindLive(target)->cordoned);
+}
+END_TEST
+
 /* Guards against giving up runs that started after the maintenance of their
  * VM: the VM service also accepts a repeated order of an earlier leader. */
 START_TEST(repeated_maintenance_keeps_runs)
@@ -583,6 +620,7 @@
     tcase_add_loop_test(tcase, unlisted_vm_keeps_sent_order, 0, 2);
     tcase_add_test(tcase, unlisted_vm_ends_its_drain);
     tcase_add_test(tcase, repeated_move_keeps_next_target);
+    tcase_add_test(tcase, accepted_order_keeps_next_incarnation);
     tcase_add_test(tcase, repeated_maintenance_keeps_runs);
     tcase_add_test(tcase, standby_vms_move_to_rising_demand);
     tcase_add_test(tcase, vm_with_little_work_is_drained_for_pool_in_need);
