Do not remember targets that an order for their VM has ended

A large fleet moves a hundred VMs a second, each of which left a row of a removed target, so that the bound of 4,096 rows dropped those that a late notice can concern, and each new target searched them all. Such a target sends no notice of departure.

Tests of the state, the scheduler and the fleet pass.

--- a/src/jobcmd.c
+++ b/src/jobcmd.c
@@ -122,7 +122,7 @@
     begin_command(&packer, out, JOB_CMD_TARGET_GONE, 4);
     msgpack_pack_uint32(&packer, removal->target);
     msgpack_pack_uint64(&packer, removal->serial);
-    removal->ended ? msgpack_pack_true(&packer) : msgpack_pack_false(&packer);
+    msgpack_pack_uint64(&packer, removal->alive_from);
     msgpack_pack_int64(&packer, removal->wall_ms);
 }
 
--- a/src/jobsched.c
+++ b/src/jobsched.c
@@ -556,7 +556,8 @@
     }
     if (!SchedImpl_RemoveIfDeparted(sched, target) && !hold_needed &&
         now - live->last_seen_ms > SCHED_SILENT_REMOVAL_MS) {
-        SchedImpl_ProposeRemoval(sched, target, false, "silent and idle");
+        SchedImpl_ProposeRemoval(sched, target, SCHED_REMOVE_SILENT,
+                                 "silent and idle");
         live->last_seen_ms = now;
     }
 }
--- a/src/jobsched_call.c
+++ b/src/jobsched_call.c
@@ -400,7 +400,7 @@
     else if (answer->outcome == JOB_CALL_OTHER_INSTANCE) {
         if (is_at_current_address(target, call)) {
             SchedImpl_RecordCrash(sched, now, target);
-            SchedImpl_ProposeRemoval(sched, target, false,
+            SchedImpl_ProposeRemoval(sched, target, SCHED_REMOVE_SILENT,
                                      "another target has its address");
             return;
         }
--- a/src/jobsched_impl.h
+++ b/src/jobsched_impl.h
@@ -295,9 +295,15 @@
 void SchedImpl_ProposeTarget(JobSched *sched,
                              const JobAnnouncement *announcement,
                              JobTarget *target);
-/* Proposes to remove a target; ended: it cannot announce itself again. */
-void SchedImpl_ProposeRemoval(JobSched *sched, JobTarget *target, bool ended,
-                              const char *reason);
+typedef enum SchedRemoval {
+    SCHED_REMOVE_SILENT, /* it may be alive and announce itself again */
+    SCHED_REMOVE_ENDED,
+    SCHED_REMOVE_ORDERED /* ended by an order for its VM, after which a target
+                            sends no notice of departure; not remembered */
+} SchedRemoval;
+
+void SchedImpl_ProposeRemoval(JobSched *sched, JobTarget *target,
+                              SchedRemoval kind, const char *reason);
 /* Proposes to remove a target that has reported its own end and does not
  * answer. Returns false if it may not be removed yet. */
 bool SchedImpl_RemoveIfDeparted(JobSched *sched, JobTarget *target);
--- a/src/jobsched_pool.c
+++ b/src/jobsched_pool.c
@@ -196,10 +196,8 @@
     JobTarget *known = JobState_TargetAt(sched->state, target->row);
 
     if (known != NULL) {
-        /* An order may be answered when the VM already runs its next target,
-         * which may have the same id. */
         SchedImpl_ProposeRemoval(
-            sched, known, false,
+            sched, known, SCHED_REMOVE_ORDERED,
             "a move or maintenance of its VM was ordered");
     }
 }
--- a/src/jobsched_target.c
+++ b/src/jobsched_target.c
@@ -58,15 +58,21 @@
 }
 
 void
-SchedImpl_ProposeRemoval(JobSched *sched, JobTarget *target, bool ended,
+SchedImpl_ProposeRemoval(JobSched *sched, JobTarget *target, SchedRemoval kind,
                          const char *reason)
 {
-    JobRemoval removal = {target->row, target->serial, ended, sched->wall_ms};
+    uint64_t born = target->announcement.born;
+    JobRemoval removal = {.target = target->row,
+                          .serial = target->serial,
+                          .wall_ms = sched->wall_ms};
     Buf command = BUF_INIT;
 
+    if (kind != SCHED_REMOVE_ORDERED) {
+        removal.alive_from = born + (kind == SCHED_REMOVE_ENDED);
+    }
     Slog_Begin(SLOG_CHANGE, "target_gone");
     Slog_AddText("target", target->announcement.id);
-    Slog_AddInt("born", (int64_t)target->announcement.born);
+    Slog_AddInt("born", (int64_t)born);
     Slog_AddText("why", reason);
     Slog_AddInt("runs", target->run_count);
     Slog_End();
@@ -91,7 +97,7 @@
             strcmp(other->announcement.id, announcement->id) != 0 &&
             other->announcement.born < announcement->born) {
             SchedImpl_RecordCrash(sched, sched->now_ms, other);
-            SchedImpl_ProposeRemoval(sched, other, true,
+            SchedImpl_ProposeRemoval(sched, other, SCHED_REMOVE_ENDED,
                                      "its VM runs a later target");
         }
     }
@@ -285,7 +291,9 @@
                      live->departure_missed < SCHED_DEPARTED_MISSED_CALLS))) {
         return false;
     }
-    SchedImpl_ProposeRemoval(sched, target, likely, "reported its own end");
+    SchedImpl_ProposeRemoval(sched, target,
+                             likely ? SCHED_REMOVE_ENDED : SCHED_REMOVE_SILENT,
+                             "reported its own end");
     live->departure_missed = 0; /* proposed again after the next call */
     return true;
 }
--- a/src/jobstate.h
+++ b/src/jobstate.h
@@ -319,12 +319,14 @@
 typedef struct JobRemoval {
     uint32_t target;
     uint64_t serial;
-    bool ended;      /* the incarnation cannot announce itself again */
+    /* Incarnations under its id that started earlier have ended; 0: the
+     * removal is not remembered, as no message of the target can be under way.
+     */
+    uint64_t alive_from;
     int64_t wall_ms; /* wall time of the removal */
 } JobRemoval;
 
-/* Removes a target and remembers, until the removal expires, that its id has
- * had an incarnation. */
+/* Removes a target. The removal is remembered until it expires. */
 void JobCmd_EncodeTargetGone(Buf *out, const JobRemoval *removal);
 void JobCmd_EncodeNode(Buf *out, const JobNode *node);
 void JobCmd_EncodeWave(Buf *out, const JobWave *wave);
--- a/src/jobstate_apply.c
+++ b/src/jobstate_apply.c
@@ -520,7 +520,7 @@
     memset(removal, 0, sizeof(*removal));
     return MpRead_U32(reader, &removal->target) &&
            MpRead_U64(reader, &removal->serial) &&
-           (MpRead_Done(reader) || (MpRead_Bool(reader, &removal->ended) &&
+           (MpRead_Done(reader) || (MpRead_U64(reader, &removal->alive_from) &&
                                     MpRead_I64(reader, &removal->wall_ms)));
 }
 
@@ -538,10 +538,13 @@
     if (target == NULL || target->serial != removal.serial) {
         return JOB_RESULT_IGNORED;
     }
-    snprintf(removed.id, sizeof(removed.id), "%s", target->announcement.id);
-    removed.alive_from = target->announcement.born + removal.ended;
-    removed.wall_ms = removal.wall_ms;
-    JobStateImpl_AddRemovedTarget(state, &removed);
+    if (removal.alive_from != 0) {
+        snprintf(removed.id, sizeof(removed.id), "%s",
+                 target->announcement.id);
+        removed.alive_from = removal.alive_from;
+        removed.wall_ms = removal.wall_ms;
+        JobStateImpl_AddRemovedTarget(state, &removed);
+    }
     JobStateImpl_RequeueTargetTasks(state, target);
     JobStateImpl_UnindexTarget(state, target);
     free(target->sched_state);
--- a/tests/test_jobincarnation.c
+++ b/tests/test_jobincarnation.c
@@ -380,7 +380,7 @@
     int i;
 
     for (i = 0; i < JOB_MAX_REMOVED_TARGETS + 10; i++) {
-        JobRemoval removal = {.ended = true, .wall_ms = now};
+        JobRemoval removal = {.alive_from = 11, .wall_ms = now};
         snprintf(id, sizeof(id), "n%d", i);
         JobTest_SetTarget(state, id, id, "p", 10, true);
         removal.serial = JobState_FindTarget(state, id)->serial;
--- a/tests/test_jobstate.c
+++ b/tests/test_jobstate.c
@@ -441,7 +441,7 @@
     JobTest_SetTarget(state, "t2", "vm2", "p", 200, false);
     JobCmd_EncodeTargetGone(
         &command,
-        &(JobRemoval){2, JobState_FindTarget(state, "t3")->serial, true, 9});
+        &(JobRemoval){2, JobState_FindTarget(state, "t3")->serial, 101, 9});
     JobTest_Apply(state, &command);
     JobState_Snapshot(state, &first);
     ck_assert_int_eq(JobState_Restore(copy, first.data, first.len, &err),
