Place the lasting task that waits longest first

A wave moved other tasks of its step off their VMs one by one, and a step placed its waiting tasks by number, so that each VM that came back went to a task with a lower number. The time since when a task has found no target is now noted, and the lasting task that waits longest is placed first.

--- a/src/jobsched_place.c
+++ b/src/jobsched_place.c
@@ -510,6 +510,63 @@
     return true;
 }
 
+/* Returns the task of a step that has found no target for the longest time, or
+ * NULL if there is none. */
+static JobTask *
+find_longest_unplaced(JobTask *tasks, uint32_t count)
+{
+    JobTask *found = NULL;
+    uint32_t i;
+
+    for (i = 0; i < count; i++) {
+        if (is_placeable(&tasks[i]) && tasks[i].sched_state.unplaced_ms != 0 &&
+            (found == NULL || tasks[i].sched_state.unplaced_ms <
+                                  found->sched_state.unplaced_ms)) {
+            found = &tasks[i];
+        }
+    }
+    return found;
+}
+
+/* Notes when the tasks of a step began to wait for a target. */
+static void
+mark_unplaced(JobTask *tasks, uint32_t count, int64_t now)
+{
+    uint32_t i;
+
+    for (i = 0; i < count; i++) {
+        if (is_placeable(&tasks[i]) && tasks[i].sched_state.unplaced_ms == 0) {
+            tasks[i].sched_state.unplaced_ms = now;
+        }
+    }
+}
+
+/* Places the lasting task of a step that waits longest before the others: each
+ * task that leaves its target for a wave of maintenance would otherwise get
+ * the next free target before it. Returns false if there is no target. */
+static bool
+place_longest_unplaced(PlacementPass *pass, Job *job, SchedPool *pool,
+                       uint32_t occurrence, uint32_t step)
+{
+    JobTask *tasks =
+        job->occurrences[occurrence].tasks + job->step_first_task[step];
+    const JobStep *spec = &job->spec.steps[step];
+    JobTask *task = find_longest_unplaced(tasks, spec->count);
+    JobTarget *target;
+
+    if (task == NULL || task->crash_score > 0) {
+        return true;
+    }
+    target = choose_target(pass, pool, job, occurrence, step);
+    if (target == NULL) {
+        return false;
+    }
+    add_assignment(pass->sched, job, occurrence, step,
+                   (uint32_t)(task - tasks), task->attempt + 1, target);
+    update_slot(pool, target, pass->now);
+    return true;
+}
+
 /* Assigns the waiting tasks of a step to targets. Returns whether some remain
  * unplaced. */
 static bool
@@ -533,6 +590,11 @@
         }
         attempt = tasks[i].attempt > attempt ? tasks[i].attempt : attempt;
     }
+    if (spec->lasting && !spec->gang &&
+        !place_longest_unplaced(pass, job, pool, occurrence, step)) {
+        mark_unplaced(tasks, spec->count, pass->now);
+        return true;
+    }
     for (i = 0; i < spec->count; i++) {
         if (!is_placeable(&tasks[i])) {
             continue;
@@ -549,6 +611,7 @@
             if (spec->gang) {
                 undo_assignments(sched, pool, first);
             }
+            mark_unplaced(tasks, spec->count, pass->now);
             return true;
         }
         add_assignment(sched, job, occurrence, step, i,
--- a/src/jobstate.h
+++ b/src/jobstate.h
@@ -62,6 +62,7 @@
 typedef struct JobTaskSchedState {
     int64_t since_ms; /* start of the phase */
     int64_t sent_ms; /* when the start was first sent; 0: not by this leader */
+    int64_t unplaced_ms; /* when no target was first found for it, or 0 */
     uint8_t phase;
     uint8_t percent;
     bool calling;   /* a start or stop call has no answer yet */
