Place the lasting job that waits longest first

All lasting jobs had the same rank, so that the oldest of a pool came first. A lasting job is now ranked by how long a task of it has found no target.

--- a/src/jobsched_place.c
+++ b/src/jobsched_place.c
@@ -528,10 +528,11 @@
     return found;
 }
 
-/* Notes when the tasks of a step began to wait for a target. */
+/* Notes when the tasks of a lasting step began to wait for a target. */
 static void
-mark_unplaced(JobTask *tasks, uint32_t count, int64_t now)
+mark_unplaced(Job *job, JobTask *tasks, uint32_t count, int64_t now)
 {
+    const JobTask *longest;
     uint32_t i;
 
     for (i = 0; i < count; i++) {
@@ -539,6 +540,12 @@
             tasks[i].sched_state.unplaced_ms = now;
         }
     }
+    longest = find_longest_unplaced(tasks, count);
+    if (longest != NULL &&
+        (job->sched_state.unplaced_ms == 0 ||
+         longest->sched_state.unplaced_ms < job->sched_state.unplaced_ms)) {
+        job->sched_state.unplaced_ms = longest->sched_state.unplaced_ms;
+    }
 }
 
 /* Places the lasting task of a step that waits longest before the others: each
@@ -592,7 +599,7 @@
     }
     if (spec->lasting && !spec->gang &&
         !place_longest_unplaced(pass, job, pool, occurrence, step)) {
-        mark_unplaced(tasks, spec->count, pass->now);
+        mark_unplaced(job, tasks, spec->count, pass->now);
         return true;
     }
     for (i = 0; i < spec->count; i++) {
@@ -611,7 +618,9 @@
             if (spec->gang) {
                 undo_assignments(sched, pool, first);
             }
-            mark_unplaced(tasks, spec->count, pass->now);
+            if (spec->lasting) {
+                mark_unplaced(job, tasks, spec->count, pass->now);
+            }
             return true;
         }
         add_assignment(sched, job, occurrence, step, i,
@@ -640,6 +649,7 @@
     uint32_t step;
 
     job->sched_state.crashed_alone = false;
+    job->sched_state.unplaced_ms = 0;
     if (pool == NULL) {
         return; /* the pool has no usable target */
     }
@@ -723,7 +733,7 @@
 }
 
 /* Returns the rank of a job; the lowest is placed first. The order is:
- * - lasting jobs
+ * - lasting jobs, those with a task that waits longest for a target first
  * - jobs that have begun and are expected to end in time, or late by at most
  *   half of the allowed time, since only part of their work remains
  * - other jobs that can still meet their objective, most slack first, because
@@ -740,7 +750,9 @@
     bool begun;
 
     if (job->spec.steps[0].lasting) {
-        return INT64_MIN / 2;
+        return INT64_MIN / 2 + (job->sched_state.unplaced_ms != 0
+                                    ? job->sched_state.unplaced_ms
+                                    : pass->now);
     }
     update_run_times(pass, job);
     remaining_ms = job->sched_state.left_ms;
--- a/tests/test_jobsched.c
+++ b/tests/test_jobsched.c
@@ -552,29 +552,35 @@
 }
 END_TEST
 
-/* Guards against a lasting task that waits without end while tasks with lower
- * numbers, which leave their targets for a wave, get each free target. */
+/* Guards against a lasting task that waits without end while others, which
+ * leave their targets for a wave, get each free target: tasks of its job with
+ * lower numbers, and those of an older job. */
 START_TEST(lasting_task_that_waits_longest_is_placed_first)
 {
-    JobTaskRef last = {"a", 0, 0, 2};
+    bool of_older_job = _i == 1;
+    JobTaskRef waiting = {"a", 0, 0, 2};
     Job *job;
 
     announce("t1", "vm1", 10);
     JobTest_SubmitLasting(state, "a", 3, 3);
+    if (of_older_job) {
+        waiting = (JobTaskRef){"b", 0, 0, 0};
+        JobTest_SubmitLasting(state, "b", 1, 1);
+    }
     tick(50);
-    ck_assert_uint_eq(JobState_FindTarget(state, "t1")->run_count, 3);
-    /* The last task ends while no target takes it, the first one later. */
+    /* The task ends while no target takes it, and the other one later. */
     JobTest_SetTarget(state, "t1", "vm1", "p", 10, true);
-    JobTest_End(state, "a", 0, 2, 1, "t1", JOB_END_FAILED, 1);
+    JobTest_End(state, waiting.job, 0, waiting.index, 1, "t1", JOB_END_FAILED,
+                1);
     tick(500);
     JobTest_End(state, "a", 0, 0, 1, "t1", JOB_END_STOPPED, 2);
     tick(500);
     /* A target with room for one of them. */
-    JobTest_Submit(state, "b", 1, 1, 15000);
+    JobTest_Submit(state, "c", 1, 1, 15000);
     announce("t2", "vm2", 10);
-    JobTest_Assign(state, "b", 0, 0, 1, "t2");
+    JobTest_Assign(state, "c", 0, 0, 1, "t2");
     tick(100);
-    ck_assert_int_eq(JobState_FindTask(state, &last, &job)->state,
+    ck_assert_int_eq(JobState_FindTask(state, &waiting, &job)->state,
                      JOB_TASK_ASSIGNED);
 }
 END_TEST
@@ -1052,7 +1058,8 @@
         tcase, crash_after_unanswered_start_is_counted, 0,
         (int)(sizeof(unanswered_cases) / sizeof(unanswered_cases[0])));
     tcase_add_test(tcase, targets_with_same_start_time_are_distinct);
-    tcase_add_test(tcase, lasting_task_that_waits_longest_is_placed_first);
+    tcase_add_loop_test(tcase, lasting_task_that_waits_longest_is_placed_first,
+                        0, 2);
     tcase_add_test(tcase, leaving_target_gets_no_work);
     tcase_add_test(tcase, tasks_of_job_share_targets);
     tcase_add_test(tcase, unknown_incarnation_gets_no_acknowledgement);
