Split placement and the state machine by subject

jobsched_place.c (850 lines) and jobstate_apply.c (746) were long: the order of jobs goes to jobsched_rank.c, what a task fits to jobsched_fit.c, and commands about targets, nodes, waves and VMs to jobstate_fleet.c. Moves only; an unused constant goes.

Measured: lint; tests of the scheduler, state, fleet, plans, crashes and the model pass.

--- a/src/jobsched_impl.h
+++ b/src/jobsched_impl.h
@@ -202,15 +202,32 @@
 int64_t SchedImpl_LeaseExpiryMs(const JobSched *sched,
                                 const SchedTarget *live);
 
-/* jobsched_place.c */
+/* jobsched_rank.c: the order in which jobs are placed */
+/* Returns the rank of a job; the lowest is placed first. The order is:
+ * - lasting jobs, those with a task that waits longest for a target first
+ * - jobs that have begun and are expected to end in time, or late by at most
+ *   half of the allowed time, since only part of their work remains
+ * - other jobs that can still meet their objective, most slack first, because
+ *   an overloaded pool would otherwise complete each of them just too late
+ * - late jobs, those that have begun first, then by age, newest first
+ * - jobs with a task that has crashed a target alone */
+int64_t SchedImpl_RankJob(const JobSched *sched, int64_t now, int64_t wall_ms,
+                          Job *job);
+
+/* jobsched_fit.c: which targets a task fits */
 bool SchedImpl_HasLabel(const JobTarget *target, const char *label);
-/* Returns the number of tasks of a step that are assigned to a target. */
 /* Returns whether a target has room for a task, the label that it requires,
  * and not too many tasks of its step, including assignments in flight. */
 bool SchedImpl_Fits(const JobSched *sched, const Job *job, uint32_t occurrence,
                     uint32_t step, const JobTarget *target);
+/* Returns the number of tasks of a step that are assigned to a target. */
 uint32_t SchedImpl_CountAssigned(const Job *job, uint32_t occurrence,
                                  uint32_t step, const JobTarget *target);
+/* Returns the score of a target for a task, or -1 if the task cannot be placed
+ * there. The highest score is best. */
+int64_t SchedImpl_ScoreTarget(const JobSched *sched, const SchedPool *pool,
+                              const Job *job, uint32_t occurrence,
+                              uint32_t step_index, const JobTarget *target);
 /* Room reserved while an assignment is in flight. */
 void SchedImpl_ReserveRoom(SchedTarget *live, const JobStep *step);
 void SchedImpl_ReleaseRoom(SchedTarget *live, const JobStep *step);
--- a/src/jobsched_place.c
+++ b/src/jobsched_place.c
@@ -9,11 +9,6 @@
 
 /* Assignments per command; a larger batch would delay the first starts. */
 #define PLACE_MAX_BATCH 512
-/* Backlog of a queue's pool, as a share of the objective, beyond which no more
- * work can be completed in time. */
-#define ADMIT_MAX_WAIT_PERCENT 150
-
-#define PLACE_MAX_FOREIGN_RUNS 1000
 /* Time for which a pool without room counts as having a backlog. */
 #define PLACE_BACKLOG_MS 1000
 
@@ -32,175 +27,6 @@
     size_t pool_count;
 } PlacementPass;
 
-static bool
-has_room(const JobTarget *target, const JobStep *step)
-{
-    const SchedTarget *live = target->sched_state;
-    const JobResources *room = SchedImpl_GetRoom(target);
-    uint64_t cpu = (uint64_t)target->used.cpu + live->reserved.cpu;
-    uint64_t memory =
-        (uint64_t)target->used.memory_mb + live->reserved.memory_mb;
-    uint64_t accelerators =
-        (uint64_t)target->used.accelerators + live->reserved.accelerators;
-
-    return cpu + (step->best_effort ? 0 : step->need.cpu) <= room->cpu &&
-           memory + step->need.memory_mb <= room->memory_mb &&
-           accelerators + step->need.accelerators <= room->accelerators;
-}
-
-bool
-SchedImpl_HasLabel(const JobTarget *target, const char *label)
-{
-    uint32_t i;
-
-    for (i = 0; i < target->announcement.label_count; i++) {
-        if (strcmp(target->announcement.labels[i], label) == 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
-uint32_t
-SchedImpl_CountAssigned(const Job *job, uint32_t occurrence, uint32_t step,
-                        const JobTarget *target)
-{
-    uint32_t count = 0;
-    uint32_t i;
-
-    for (i = 0; i < target->run_count; i++) {
-        const JobRun *run = &target->runs[i];
-        count += run->job == job && run->occurrence == occurrence &&
-                 run->step == step;
-    }
-    return count;
-}
-
-static uint32_t
-count_matching(const JobAssignment *list, size_t count, const Job *job,
-               uint32_t occurrence, uint32_t step, uint32_t row)
-{
-    uint32_t found = 0;
-    size_t i;
-
-    for (i = 0; i < count; i++) {
-        found += list[i].target == row && list[i].task.step == step &&
-                 list[i].task.occurrence == occurrence &&
-                 strcmp(list[i].task.job, job->id) == 0;
-    }
-    return found;
-}
-
-/* Returns the number of tasks of a step in assignments to a target that are
- * not committed yet. */
-static uint32_t
-count_proposed_tasks(const JobSched *sched, const Job *job,
-                     uint32_t occurrence, uint32_t step, uint32_t row)
-{
-    uint32_t count = count_matching(sched->batch, sched->batch_count, job,
-                                    occurrence, step, row);
-    const SchedProposal *proposal;
-
-    for (proposal = sched->proposals; proposal != NULL;
-         proposal = proposal->next) {
-        count +=
-            count_matching(proposal->assignments, proposal->assignment_count,
-                           job, occurrence, step, row);
-    }
-    return count;
-}
-
-static uint32_t
-sum_lasting_cpu(const JobTarget *target)
-{
-    uint32_t cpu = 0;
-    uint32_t i;
-
-    for (i = 0; i < target->run_count; i++) {
-        const JobStep *step = JobRun_GetStep(&target->runs[i]);
-        cpu += step->lasting ? step->need.cpu : 0;
-    }
-    return cpu;
-}
-
-bool
-SchedImpl_Fits(const JobSched *sched, const Job *job, uint32_t occurrence,
-               uint32_t step, const JobTarget *target)
-{
-    const JobStep *spec = &job->spec.steps[step];
-
-    return has_room(target, spec) &&
-           (spec->label[0] == '\0' ||
-            SchedImpl_HasLabel(target, spec->label)) &&
-           (spec->max_per_target == 0 ||
-            SchedImpl_CountAssigned(job, occurrence, step, target) +
-                    count_proposed_tasks(sched, job, occurrence, step,
-                                         target->row) <
-                spec->max_per_target);
-}
-
-/* Returns the number of runs of other jobs that a crash of a target would
- * end, including assignments in flight. Those of earlier placements count as
- * of other jobs. */
-static uint32_t
-count_foreign_runs(const JobSched *sched, const JobTarget *target,
-                   const Job *job)
-{
-    const SchedTarget *live = target->sched_state;
-    uint32_t own = 0;
-    uint32_t i;
-
-    for (i = 0; i < target->run_count; i++) {
-        own += target->runs[i].job == job;
-    }
-    if (live->placement == sched->placement && live->placed_job == job) {
-        own += live->placed_count;
-    }
-    return target->run_count + live->reserved_count - own;
-}
-
-/* Returns the score of a target for a task, or -1 if the task cannot be placed
- * there. The highest score is best. */
-static int64_t
-score_target(const JobSched *sched, const SchedPool *pool, const Job *job,
-             uint32_t occurrence, uint32_t step_index, const JobTarget *target)
-{
-    const JobStep *step = &job->spec.steps[step_index];
-    const SchedTarget *live = target->sched_state;
-    int64_t room =
-        target->announcement.room.cpu > 0 ? target->announcement.room.cpu : 1;
-    int64_t used = (int64_t)target->used.cpu + live->reserved.cpu;
-    int64_t score = used * 1000 / room; /* best fit */
-    uint32_t same_step = 0;
-
-    if (pool->crashing) {
-        /* Each run of another job weighs more than the fill. */
-        score += 1000 * (PLACE_MAX_FOREIGN_RUNS -
-                         (int64_t)count_foreign_runs(sched, target, job));
-    }
-    if (SchedImpl_IsIsolated(live, sched->now_ms) ||
-        !SchedImpl_Fits(sched, job, occurrence, step_index, target)) {
-        return -1;
-    }
-    if (step->lasting) {
-        same_step =
-            SchedImpl_CountAssigned(job, occurrence, step_index, target) +
-            count_proposed_tasks(sched, job, occurrence, step_index,
-                                 target->row);
-    }
-    if (step->rack[0] != '\0' && SchedImpl_HasLabel(target, step->rack)) {
-        score += 2000;
-    }
-    if (step->lasting) {
-        /* Lasting tasks are packed onto few targets, so that the others can
-         * be moved freely. Tasks of one step are spread, so that the loss of a
-         * target affects few of them. */
-        score = 10000 + (int64_t)sum_lasting_cpu(target) * 1000 / room -
-                (int64_t)(same_step > 1 ? same_step * 3000 : 0);
-    }
-    return score > 0 ? score : 0;
-}
-
 static SchedPool *
 find_pool(PlacementPass *pass, const char *name)
 {
@@ -319,8 +145,8 @@
     size_t i;
 
     for (i = 0; i < pool->count; i++) {
-        int64_t score =
-            score_target(sched, pool, job, occurrence, step, pool->targets[i]);
+        int64_t score = SchedImpl_ScoreTarget(sched, pool, job, occurrence,
+                                              step, pool->targets[i]);
         if (score > best_score) {
             best_score = score;
             best = pool->targets[i];
@@ -401,24 +227,6 @@
            SchedImpl_Fits(sched, job, occurrence, step, last);
 }
 
-void
-SchedImpl_ReserveRoom(SchedTarget *live, const JobStep *step)
-{
-    live->reserved.cpu += step->best_effort ? 0 : step->need.cpu;
-    live->reserved.memory_mb += step->need.memory_mb;
-    live->reserved.accelerators += step->need.accelerators;
-    live->reserved_count++;
-}
-
-void
-SchedImpl_ReleaseRoom(SchedTarget *live, const JobStep *step)
-{
-    live->reserved.cpu -= step->best_effort ? 0 : step->need.cpu;
-    live->reserved.memory_mb -= step->need.memory_mb;
-    live->reserved.accelerators -= step->need.accelerators;
-    live->reserved_count--;
-}
-
 static void
 add_assignment(JobSched *sched, Job *job, uint32_t occurrence, uint32_t step,
                uint32_t index, uint32_t attempt, JobTarget *target)
@@ -673,103 +481,6 @@
     job->has_waiting = waiting;
 }
 
-/* Returns the expected run time in ms of the critical path of a job. With
- * remaining set, steps that are done count as 0. */
-static int64_t
-predict_critical_path_ms(const JobSched *sched, const Job *job, bool remaining)
-{
-    const JobSpec *spec = &job->spec;
-    const JobOccurrence *open = job->first_incomplete < job->occurrence_count
-                                    ? &job->occurrences[job->first_incomplete]
-                                    : NULL;
-    int64_t ends[JOB_MAX_STEPS];
-    int64_t longest = 0;
-    uint32_t i;
-    uint32_t j;
-
-    for (i = 0; i < spec->step_count; i++) {
-        int64_t begin = 0;
-        bool done = remaining && open != NULL && open->tasks != NULL &&
-                    open->step_done[i] == spec->steps[i].count;
-        for (j = 0; j < i; j++) {
-            if ((spec->steps[i].depends_mask >> j & 1) != 0 &&
-                ends[j] > begin) {
-                begin = ends[j];
-            }
-        }
-        ends[i] = begin + (done ? 0
-                                : JobEst_Predict(sched->est, job->queue,
-                                                 spec->steps[i].estimate_ms));
-        longest = ends[i] > longest ? ends[i] : longest;
-    }
-    return longest;
-}
-
-#define RANK_LATE_OFFSET ((int64_t)1 << 40)
-/* Interval at which the expected run times of a job are updated. */
-#define RANK_UPDATE_INTERVAL_MS 500
-
-/* Updates the expected run times of a job if they are stale. */
-static void
-update_run_times(const PlacementPass *pass, Job *job)
-{
-    const JobOccurrence *open = job->first_incomplete < job->occurrence_count
-                                    ? &job->occurrences[job->first_incomplete]
-                                    : NULL;
-    uint32_t done = open != NULL ? open->done : 0;
-
-    if (job->sched_state.critical_path_at_ms != 0 &&
-        job->sched_state.critical_path_tasks_done == done &&
-        pass->now - job->sched_state.critical_path_at_ms <
-            RANK_UPDATE_INTERVAL_MS) {
-        return;
-    }
-    job->sched_state.critical_path_ms =
-        predict_critical_path_ms(pass->sched, job, false);
-    job->sched_state.left_ms =
-        predict_critical_path_ms(pass->sched, job, true);
-    job->sched_state.critical_path_at_ms = pass->now;
-    job->sched_state.critical_path_tasks_done = done;
-}
-
-/* Returns the rank of a job; the lowest is placed first. The order is:
- * - lasting jobs, those with a task that waits longest for a target first
- * - jobs that have begun and are expected to end in time, or late by at most
- *   half of the allowed time, since only part of their work remains
- * - other jobs that can still meet their objective, most slack first, because
- *   an overloaded pool would otherwise complete each of them just too late
- * - late jobs, those that have begun first, then by age, newest first
- * - jobs with a task that has crashed a target alone */
-static int64_t
-rank_job(const PlacementPass *pass, Job *job)
-{
-    int64_t age_ms = pass->wall_ms - job->accepted_ms;
-    int64_t allowed_ms;
-    int64_t remaining_ms;
-    int64_t slack_ms;
-    bool begun;
-
-    if (job->spec.steps[0].lasting) {
-        return INT64_MIN / 2 + (job->sched_state.unplaced_ms != 0
-                                    ? job->sched_state.unplaced_ms
-                                    : pass->now);
-    }
-    update_run_times(pass, job);
-    remaining_ms = job->sched_state.left_ms;
-    allowed_ms = (int64_t)(job->terms.slack *
-                           (double)job->sched_state.critical_path_ms) +
-                 job->terms.objective_ms;
-    slack_ms = allowed_ms - remaining_ms - age_ms;
-    if (job->sched_state.crashed_alone) {
-        return 2 * RANK_LATE_OFFSET + age_ms;
-    }
-    begun = job->assigned > 0 || job->sched_state.critical_path_tasks_done > 0;
-    if (slack_ms < -(begun ? allowed_ms / 2 : 0)) {
-        return RANK_LATE_OFFSET + age_ms - (begun ? RANK_LATE_OFFSET / 2 : 0);
-    }
-    return begun ? slack_ms - RANK_LATE_OFFSET : -slack_ms;
-}
-
 static int
 compare_ranks(const void *a, const void *b)
 {
@@ -796,7 +507,8 @@
                 Mem_Resize(pass->candidates, capacity * sizeof(Candidate));
         }
         pass->candidates[pass->count++] =
-            (Candidate){job, rank_job(pass, job)};
+            (Candidate){job, SchedImpl_RankJob(pass->sched, pass->now,
+                                               pass->wall_ms, job)};
     }
 }
 
--- /dev/null
+++ b/src/jobsched_rank.c
@@ -0,0 +1,89 @@
+#include "jobsched_impl.h"
+
+/* Returns the expected run time in ms of the critical path of a job. With
+ * remaining set, steps that are done count as 0. */
+static int64_t
+predict_critical_path_ms(const JobSched *sched, const Job *job, bool remaining)
+{
+    const JobSpec *spec = &job->spec;
+    const JobOccurrence *open = job->first_incomplete < job->occurrence_count
+                                    ? &job->occurrences[job->first_incomplete]
+                                    : NULL;
+    int64_t ends[JOB_MAX_STEPS];
+    int64_t longest = 0;
+    uint32_t i;
+    uint32_t j;
+
+    for (i = 0; i < spec->step_count; i++) {
+        int64_t begin = 0;
+        bool done = remaining && open != NULL && open->tasks != NULL &&
+                    open->step_done[i] == spec->steps[i].count;
+        for (j = 0; j < i; j++) {
+            if ((spec->steps[i].depends_mask >> j & 1) != 0 &&
+                ends[j] > begin) {
+                begin = ends[j];
+            }
+        }
+        ends[i] = begin + (done ? 0
+                                : JobEst_Predict(sched->est, job->queue,
+                                                 spec->steps[i].estimate_ms));
+        longest = ends[i] > longest ? ends[i] : longest;
+    }
+    return longest;
+}
+
+#define RANK_LATE_OFFSET ((int64_t)1 << 40)
+/* Interval at which the expected run times of a job are updated. */
+#define RANK_UPDATE_INTERVAL_MS 500
+
+/* Updates the expected run times of a job if they are stale. */
+static void
+update_run_times(const JobSched *sched, int64_t now, Job *job)
+{
+    const JobOccurrence *open = job->first_incomplete < job->occurrence_count
+                                    ? &job->occurrences[job->first_incomplete]
+                                    : NULL;
+    uint32_t done = open != NULL ? open->done : 0;
+
+    if (job->sched_state.critical_path_at_ms != 0 &&
+        job->sched_state.critical_path_tasks_done == done &&
+        now - job->sched_state.critical_path_at_ms < RANK_UPDATE_INTERVAL_MS) {
+        return;
+    }
+    job->sched_state.critical_path_ms =
+        predict_critical_path_ms(sched, job, false);
+    job->sched_state.left_ms = predict_critical_path_ms(sched, job, true);
+    job->sched_state.critical_path_at_ms = now;
+    job->sched_state.critical_path_tasks_done = done;
+}
+
+int64_t
+SchedImpl_RankJob(const JobSched *sched, int64_t now, int64_t wall_ms,
+                  Job *job)
+{
+    int64_t age_ms = wall_ms - job->accepted_ms;
+    int64_t allowed_ms;
+    int64_t remaining_ms;
+    int64_t slack_ms;
+    bool begun;
+
+    if (job->spec.steps[0].lasting) {
+        return INT64_MIN / 2 + (job->sched_state.unplaced_ms != 0
+                                    ? job->sched_state.unplaced_ms
+                                    : now);
+    }
+    update_run_times(sched, now, job);
+    remaining_ms = job->sched_state.left_ms;
+    allowed_ms = (int64_t)(job->terms.slack *
+                           (double)job->sched_state.critical_path_ms) +
+                 job->terms.objective_ms;
+    slack_ms = allowed_ms - remaining_ms - age_ms;
+    if (job->sched_state.crashed_alone) {
+        return 2 * RANK_LATE_OFFSET + age_ms;
+    }
+    begun = job->assigned > 0 || job->sched_state.critical_path_tasks_done > 0;
+    if (slack_ms < -(begun ? allowed_ms / 2 : 0)) {
+        return RANK_LATE_OFFSET + age_ms - (begun ? RANK_LATE_OFFSET / 2 : 0);
+    }
+    return begun ? slack_ms - RANK_LATE_OFFSET : -slack_ms;
+}
--- a/src/jobstate_impl.h
+++ b/src/jobstate_impl.h
@@ -98,6 +98,14 @@
 void JobStateImpl_PackVmOrder(msgpack_packer *packer, const JobVmOrder *order);
 bool JobStateImpl_ReadVmOrder(JobState *state, MpRead *reader);
 
+/* jobstate_fleet.c: commands about targets, nodes, waves and VMs */
+JobResult JobStateImpl_ApplyTarget(JobState *state, MpRead *reader);
+JobResult JobStateImpl_ApplyTargetGone(JobState *state, MpRead *reader);
+JobResult JobStateImpl_ApplyNode(JobState *state, MpRead *reader);
+JobResult JobStateImpl_ApplyWave(JobState *state, MpRead *reader);
+JobResult JobStateImpl_ApplyWaveVm(JobState *state, MpRead *reader);
+JobResult JobStateImpl_ApplyVmOrder(JobState *state, MpRead *reader);
+
 /* First item of each encoded command. */
 typedef enum JobCommandKind {
     JOB_CMD_CONFIG = 1,
