--- a/tests/test_jobsched.c
+++ b/tests/test_jobsched.c
@@ -86,7 +86,8 @@
     JobSched_HandleProposal(sched, now, action.cookie, ST_OK);
 }
 
-static void
+/* Returns whether the announcement may be acknowledged at once. */
+static bool
 announce_at(const char *id, const char *vm, uint64_t born, const char *address)
 {
     JobAnnouncement announcement = {.room = {16000, 32000, 0}, .born = born};
@@ -99,14 +100,16 @@
              address);
     announcement.clock_ms = now - 90000;
     announcement.order = ++order;
-    JobSched_HandleAnnouncement(sched, now, &announcement);
+    return JobSched_HandleAnnouncement(sched, now, &announcement);
 }
 
-static void
+static bool
 announce(const char *id, const char *vm, uint64_t born)
 {
-    announce_at(id, vm, born, "10.0.0.1:80");
+    bool stored = announce_at(id, vm, born, "10.0.0.1:80");
+
     process_actions();
+    return stored;
 }
 
 static void
@@ -1031,6 +1034,282 @@
 }
 END_TEST
 
+/* Delivers a notice of departure. The target does not answer. */
+static void
+depart(const char *id)
+{
+    JobSched_HandleDeparture(sched, now, id);
+    process_actions();
+    tick(50);
+    answer_all(JOB_CALL_NO_ANSWER);
+    tick(100);
+}
+
+/* Lets targets answer all calls for a while. */
+static void
+answer_for(int64_t ms)
+{
+    int64_t until = now + ms;
+
+    while (now < until) {
+        tick(50);
+        answer_all(JOB_CALL_OK);
+    }
+}
+
+/* Starts task a on t1. */
+static void
+start_task(void)
+{
+    JobTest_Submit(state, "a", 1, 1, 500);
+    answer_for(200);
+    ck_assert_uint_eq(JobState_FindTarget(state, "t1")->run_count, 1);
+}
+
+static uint32_t
+get_attempt(void)
+{
+    const JobTaskRef task = {"a", 0, 0, 0};
+    Job *job;
+
+    return JobState_FindTask(state, &task, &job)->attempt;
+}
+
+/* What happened to t1 before it was given a task. */
+typedef enum Past {
+    PAST_NONE,     /* its first incarnation runs */
+    PAST_DEPARTED, /* an earlier one departed and was removed */
+    PAST_REPLACED, /* an earlier one was replaced without a notice */
+    PAST_RESTORED, /* as PAST_DEPARTED; the state is read from a snapshot */
+} Past;
+
+static void
+pass_through_snapshot(void)
+{
+    Buf bytes = BUF_INIT;
+    ErrCtx err;
+
+    JobSched_Resign(sched);
+    JobState_Snapshot(state, &bytes);
+    ck_assert_int_eq(JobState_Restore(state, bytes.data, bytes.len, &err),
+                     ST_OK);
+    Buf_Free(&bytes);
+    JobSched_Lead(sched, now, 2);
+}
+
+static void
+live_through(Past past)
+{
+    announce("t1", "vm1", 10);
+    if (past == PAST_NONE) {
+        return;
+    }
+    if (past != PAST_REPLACED) {
+        JobTest_SetTarget(state, "t1", "vm1", "p", 10, true);
+        depart("t1");
+        ck_assert_ptr_null(JobState_FindTarget(state, "t1"));
+    }
+    announce("t1", "vm1", 20);
+    if (past == PAST_RESTORED) {
+        pass_through_snapshot();
+        announce("t1", "vm1", 20);
+    }
+    answer_for(200);
+}
+
+static const struct {
+    const char *name;
+    Past past;
+    bool leaving; /* t1 has said that it leaves */
+    bool removed; /* t1 is removed at once if it does not answer */
+} departure_cases[] = {
+    {"the only incarnation known has not said that it leaves", PAST_NONE,
+     false, false},
+    {"the only incarnation departs after it drained", PAST_NONE, true, true},
+    {"an earlier incarnation has departed", PAST_DEPARTED, false, false},
+    {"an earlier incarnation has departed, this one drains", PAST_DEPARTED,
+     true, false},
+    {"an earlier incarnation was replaced", PAST_REPLACED, false, false},
+    {"an earlier incarnation has departed, before a snapshot", PAST_RESTORED,
+     false, false},
+};
+
+/* Lets t1 run task a, beside an idle target. */
+static void
+begin_departure_case(int i)
+{
+    uint64_t born = departure_cases[i].past == PAST_NONE ? 10 : 20;
+
+    live_through(departure_cases[i].past);
+    start_task();
+    if (departure_cases[i].leaving) {
+        JobTest_SetTarget(state, "t1", "vm1", "p", born, true);
+    }
+    announce("t2", "vm2", 10);
+}
+
+/* Guards against a second run of a task beside one whose target is taken for
+ * ended, because a notice of departure of its earlier incarnation arrived
+ * late. */
+START_TEST(late_notice_of_departure_ends_no_later_incarnation)
+{
+    const JobTarget *target;
+
+    begin_departure_case(_i);
+    JobSched_HandleDeparture(sched, now, "t1");
+    target = JobState_FindTarget(state, "t1");
+    ck_assert(!JobSched_IsUsable(sched, target, now));
+    answer_for(300);
+    ck_assert_ptr_eq(JobState_FindTarget(state, "t1"), target);
+    ck_assert_uint_eq(target->run_count, 1);
+    ck_assert_uint_eq(get_attempt(), 1);
+    ck_assert(JobSched_IsUsable(sched, target, now) !=
+              departure_cases[_i].leaving);
+}
+END_TEST
+
+/* Guards against a second run of a task beside one whose target could not be
+ * reached when the notice arrived, and against tasks that wait for the lease
+ * of a target that has surely ended. */
+START_TEST(silent_target_is_removed_at_its_own_notice)
+{
+    begin_departure_case(_i);
+    depart("t1");
+    ck_assert_msg((JobState_FindTarget(state, "t1") == NULL) ==
+                      departure_cases[_i].removed,
+                  "%s", departure_cases[_i].name);
+    ck_assert_uint_eq(get_attempt(), departure_cases[_i].removed ? 2 : 1);
+}
+END_TEST
+
+/* Guards against a target that stays in the state after it has departed, as
+ * its notice could have been one of an earlier incarnation. */
+START_TEST(silent_target_that_departed_is_removed_after_its_lease)
+{
+    const JobSchedOptions options = JOBSCHED_OPTIONS_DEFAULT;
+    bool has_run = _i == 1;
+    int64_t departed_ms;
+
+    live_through(PAST_DEPARTED);
+    if (has_run) {
+        start_task();
+    }
+    depart("t1");
+    departed_ms = now;
+    while (JobState_FindTarget(state, "t1") != NULL &&
+           now - departed_ms < 2 * options.max_lease_ms) {
+        tick(50);
+        answer_all(JOB_CALL_NO_ANSWER);
+    }
+    ck_assert_ptr_null(JobState_FindTarget(state, "t1"));
+    ck_assert_int_ge(now - departed_ms, has_run ? options.lease_ms / 2 : 0);
+    /* It may be alive: a live target that is removed announces itself again,
+     * as may a later incarnation. */
+    announce("t1", "vm1", 20 + (uint64_t)_i);
+    ck_assert_ptr_nonnull(JobState_FindTarget(state, "t1"));
+}
+END_TEST
+
+static const struct {
+    const char *name;
+    const char *sender; /* of the late announcement */
+    uint64_t born;
+    bool departed;     /* t1, which started at 10, departed */
+    const char *later; /* id of the next target of vm1, started at 20 */
+    bool silent;       /* the next target has been silent since */
+    bool added;        /* the sender becomes a target */
+} announcement_cases[] = {
+    {"departed", "t1", 10, true, "", false, false},
+    {"departed, next incarnation", "t1", 11, true, "", false, true},
+    {"departed, start time unknown", "t1", 0, true, "", false, true},
+    {"another target of its VM has started", "t1", 10, false, "t2", false,
+     false},
+    {"never seen before, its VM runs a later target", "t0", 9, false, "t2",
+     false, false},
+    {"never seen before, the later target is silent", "t0", 9, false, "t2",
+     true, true},
+};
+
+/* Guards against tasks that are assigned to a target that has ended, because
+ * an announcement of it arrived late. */
+START_TEST(late_announcement_of_ended_target_adds_no_target)
+{
+    const char *later = announcement_cases[_i].later;
+    const char *sender = announcement_cases[_i].sender;
+    bool added;
+
+    announce("t1", "vm1", 10);
+    if (announcement_cases[_i].departed) {
+        JobTest_SetTarget(state, "t1", "vm1", "p", 10, true);
+        depart("t1");
+    }
+    if (later[0] != '\0') {
+        announce(later, "vm1", 20);
+        answer_for(200);
+    }
+    if (announcement_cases[_i].silent) {
+        tick(5000);
+    }
+    announce(sender, "vm1", announcement_cases[_i].born);
+    added = JobState_FindTarget(state, sender) != NULL;
+    ck_assert_msg(added == announcement_cases[_i].added, "%s",
+                  announcement_cases[_i].name);
+    /* Nothing is to be stored, so that the sender need not repeat it. */
+    ck_assert(added || announce(sender, "vm1", announcement_cases[_i].born));
+}
+END_TEST
+
+/* Guards against a live target that is kept out because it was removed while
+ * it could not be reached. */
+START_TEST(target_that_was_cut_off_returns)
+{
+    announce("t1", "vm1", 10);
+    while (JobState_FindTarget(state, "t1") != NULL && now < 200000) {
+        tick(50);
+        answer_all(JOB_CALL_NO_ANSWER);
+    }
+    ck_assert_ptr_null(JobState_FindTarget(state, "t1"));
+    announce("t1", "vm1", 10);
+    ck_assert_ptr_nonnull(JobState_FindTarget(state, "t1"));
+}
+END_TEST
+
+START_TEST(removed_targets_expire)
+{
+    const JobSchedOptions options = JOBSCHED_OPTIONS_DEFAULT;
+
+    announce("t1", "vm1", 10);
+    JobTest_SetTarget(state, "t1", "vm1", "p", 10, true);
+    tick(50);
+    depart("t1");
+    ck_assert_uint_eq(JobState_RemovedTargetCount(state), 1);
+    now += options.status_retention_ms;
+    tick(10000);
+    ck_assert_uint_eq(JobState_RemovedTargetCount(state), 0);
+}
+END_TEST
+
+START_TEST(removed_targets_are_bounded)
+{
+    char id[16];
+    Buf command = BUF_INIT;
+    int i;
+
+    for (i = 0; i < JOB_MAX_REMOVED_TARGETS + 10; i++) {
+        JobRemoval removal = {.alive_from = 11, .wall_ms = now};
+        snprintf(id, sizeof(id), "n%d", i);
+        JobTest_SetTarget(state, id, id, "p", 10, true);
+        removal.serial = JobState_FindTarget(state, id)->serial;
+        JobCmd_EncodeTargetGone(&command, &removal);
+        ck_assert_int_eq(JobTest_Apply(state, &command), JOB_RESULT_OK);
+    }
+    ck_assert_uint_eq(JobState_RemovedTargetCount(state),
+                      JOB_MAX_REMOVED_TARGETS);
+    ck_assert(!JobState_HasTargetEnded(state, "n9", 10));
+    ck_assert(JobState_HasTargetEnded(state, "n10", 10));
+}
+END_TEST
+
 Suite *
 Test_Suite(void)
 {
@@ -1083,6 +1362,20 @@
     tcase_add_test(tcase, refused_stop_does_not_settle_a_start);
     tcase_add_loop_test(tcase, large_fleets_are_polled_less_often, 0,
                         (int)(sizeof(wait_cases) / sizeof(wait_cases[0])));
+    tcase_add_loop_test(
+        tcase, late_notice_of_departure_ends_no_later_incarnation, 0,
+        (int)(sizeof(departure_cases) / sizeof(departure_cases[0])));
+    tcase_add_loop_test(
+        tcase, silent_target_is_removed_at_its_own_notice, 0,
+        (int)(sizeof(departure_cases) / sizeof(departure_cases[0])));
+    tcase_add_loop_test(
+        tcase, silent_target_that_departed_is_removed_after_its_lease, 0, 2);
+    tcase_add_loop_test(
+        tcase, late_announcement_of_ended_target_adds_no_target, 0,
+        (int)(sizeof(announcement_cases) / sizeof(announcement_cases[0])));
+    tcase_add_test(tcase, target_that_was_cut_off_returns);
+    tcase_add_test(tcase, removed_targets_expire);
+    tcase_add_test(tcase, removed_targets_are_bounded);
     suite_add_tcase(suite, tcase);
     return suite;
 }
