--- a/review/fleet-2/fleet.c
+++ b/review/fleet-2/fleet.c
@@ -40,8 +40,10 @@
 #include <unistd.h>
 
 #define MAX_MESSAGE_BYTES (1024 * 1024)
-#define MAX_RUNS 512
-#define MAX_ENDS 500
+#define MAX_RUNS 20000
+#define MAX_ENDS 20000
+#define MAX_TASKS 65536
+#define MAX_LISTED_ENDS 500
 #define MAX_CONTROLS 16
 #define HEARTBEAT_MS 1500
 #define HEARTBEAT_TIMEOUT_MS 1000
@@ -314,7 +316,8 @@
     End ends[MAX_ENDS];
     size_t end_count;
     int64_t last_end;
-    End highest[4096]; /* highest attempt that was stopped or ended, by task */
+    End highest[MAX_TASKS]; /* highest attempt that was stopped or ended, by
+                               task */
     size_t highest_count;
     volatile sig_atomic_t drain;
     bool draining;
@@ -542,7 +545,7 @@
                                         (json_int_t)run->attempt, run->saved,
                                         (json_int_t)percent, 100));
     }
-    for (i = 0; i < minion.end_count; i++) {
+    for (i = 0; i < minion.end_count && i < MAX_LISTED_ENDS; i++) {
         const End *end = &minion.ends[i];
         json_array_append_new(finished,
                               json_pack("[I,s,I,s,s]", (json_int_t)end->number,
