review: case 10 is a gang that fails at once; the lasting job is dropped

Cause: the failure of a lasting job by crashes of its targets is shown by review/3 already. The failures of a gang are counted once for each member, so one run on a bad target can use up all attempts. Change: review/10 shows the latter in place of the former. The stand-in gets gangs and a way to fail all that it starts.

--- a/review/fleet-2/fleet.c
+++ b/review/fleet-2/fleet.c
@@ -7,6 +7,7 @@
  *     fleet minion --id ID --machine NAME --service NAME --listen HOST:PORT
  *         --control HOST:PORT[,HOST:PORT...] --events FILE [--cpu N] [--mem N]
  *         [--gpu N] [--labels L,L] [--hang FILE] [--linger-ms N]
+ *         [--grey FILE] [--gangs FOLDER]
  *
  * DESCRIPTION
  *     call prints the status (000 without an answer within the time) and the
@@ -17,8 +18,11 @@
  *     tasks do: "lasts", or "ms=N" for a task that is done after N ms. SIGKILL
  *     is a crash. SIGUSR1 makes the minion drain and leave. While the file of
  *     --hang exists, it reads the calls to /api and neither carries them out
- *     nor answers them. Each event is a line of the events file: Unix time in
- *     ms, id, what.
+ *     nor answers them. While the file of --grey exists, each task ends as
+ * failed at its start. A text "gang=N ms=M" is that of a gang of N tasks: the
+ * minions that run them meet in the folder of --gangs, which is common to all;
+ * they work from the moment when all are present, and end together. Each event
+ * is a line of the events file: Unix time in ms, id, what.
  */
 #define _GNU_SOURCE
 #include <arpa/inet.h>
@@ -51,6 +55,7 @@
 #define MAX_WAIT_MS 2000
 #define STOP_MS 100
 #define STARTUP_MS 300
+#define GANG_TIMEOUT_MS 3000
 #define TICK_US 5000
 #define MAX_REDIRECTS 2
 
@@ -277,6 +282,9 @@
     int64_t begin_ms;
     int64_t due_ms; /* INT64_MAX: it lasts */
     bool stopping;
+    int gang; /* members, or 0 */
+    bool joined;
+    int64_t span_ms;
     char saved[64]; /* checkpoint with which it was started */
 } Run;
 
@@ -297,6 +305,8 @@
     const char *listen;
     const char *labels;
     const char *hang;
+    const char *grey;
+    const char *gangs;
     const char *controls[MAX_CONTROLS];
     size_t control_count;
     size_t next_control;
@@ -387,9 +397,64 @@
     return NULL;
 }
 
+/* Writes the path of a member's file, or of the file that says that the gang
+ * is done. */
+static void
+gang_path(const Run *run, int member, char *path, size_t size)
+{
+    const char *dot = strrchr(run->task, '.');
+
+    snprintf(path, size, "%s/%.*s.%lld.%d", minion.gangs,
+             (int)(dot - run->task), run->task, (long long)run->attempt,
+             member);
+}
+
+static int
+own_member(const Run *run)
+{
+    return atoi(strrchr(run->task, '.') + 1);
+}
+
+static bool
+is_gang_present(const Run *run)
+{
+    char path[512];
+    int i;
+
+    for (i = 0; i < run->gang; i++) {
+        gang_path(run, i, path, sizeof(path));
+        if (access(path, F_OK) != 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+enter_gang(const Run *run, int member)
+{
+    char path[512];
+    FILE *file;
+
+    gang_path(run, member, path, sizeof(path));
+    file = fopen(path, "w");
+    if (file != NULL) {
+        fclose(file);
+    }
+}
+
 static void
 end_run(Run *run, const char *how)
 {
+    char path[512];
+
+    if (run->gang > 0) {
+        if (strcmp(how, "done") == 0) {
+            enter_gang(run, run->gang);
+        }
+        gang_path(run, own_member(run), path, sizeof(path));
+        unlink(path);
+    }
     if (minion.end_count < MAX_ENDS) {
         End *end = &minion.ends[minion.end_count++];
         end->number = ++minion.last_end;
@@ -404,6 +469,27 @@
     pthread_cond_broadcast(&minion.changed);
 }
 
+/* Returns how a member of a gang ends now, or NULL. */
+static const char *
+advance_gang(Run *run, int64_t now)
+{
+    char done[512];
+
+    gang_path(run, run->gang, done, sizeof(done));
+    if (run->joined) {
+        if (access(done, F_OK) == 0) {
+            return "done";
+        }
+        return is_gang_present(run) ? NULL : "broken";
+    }
+    if (is_gang_present(run)) {
+        run->joined = true;
+        run->due_ms = now + run->span_ms;
+        return NULL;
+    }
+    return now - run->begin_ms >= GANG_TIMEOUT_MS ? "alone" : NULL;
+}
+
 /* Ends the runs whose time or lease is over. */
 static void
 advance(void)
@@ -419,7 +505,11 @@
     }
     for (i = minion.run_count; i > 0; i--) {
         Run *run = &minion.runs[i - 1];
-        if (run->due_ms <= now) {
+        const char *how = run->gang > 0 ? advance_gang(run, now) : NULL;
+        if (how != NULL) {
+            end_run(run, how);
+        }
+        else if (run->due_ms <= now) {
             end_run(run, run->stopping ? "stopped" : "done");
         }
     }
@@ -473,9 +563,17 @@
     run->due_ms = spec != NULL && sscanf(spec, "ms=%lld", &span) == 1
                       ? run->begin_ms + span
                       : INT64_MAX;
+    if (spec != NULL &&
+        sscanf(spec, "gang=%d ms=%lld", &run->gang, &span) == 2) {
+        run->span_ms = span;
+        enter_gang(run, own_member(run));
+    }
     note("start %s %lld%s%s", task, (long long)attempt,
          minion.draining ? " draining" : "",
          saved != NULL && saved[0] != '\0' ? " with a checkpoint" : "");
+    if (minion.grey != NULL && access(minion.grey, F_OK) == 0) {
+        end_run(run, "failed");
+    }
     return NULL;
 }
 
@@ -835,6 +933,12 @@
         else if (strcmp(name, "hang") == 0) {
             minion.hang = value;
         }
+        else if (strcmp(name, "grey") == 0) {
+            minion.grey = value;
+        }
+        else if (strcmp(name, "gangs") == 0) {
+            minion.gangs = value;
+        }
         else if (strcmp(name, "events") == 0) {
             minion.events = fopen(value, "a");
         }
