Store tenants, public queues and what a tenant uses in the job state

Cause: callers of some customers belong to tenants with keys, a weight and a cap, of which nothing was decoded or stored.

Change: decode tenants from configurations, keep the tenant of jobs and early cancellations, and count what the assigned tasks of each tenant use. States without tenants are encoded as before, so that earlier versions read them.

--- a/bench/bench_jobcore.c
+++ b/bench/bench_jobcore.c
@@ -73,7 +73,7 @@
     JobQueue queues[POOLS];
     JobPool pools[POOLS];
     char text[] = "text";
-    JobConfig config = {1, queues, POOLS, pools, POOLS, text, 4};
+    JobConfig config = {1, queues, POOLS, pools, POOLS, NULL, 0, text, 4};
     Buf command = BUF_INIT;
     int i;
 
@@ -130,7 +130,7 @@
         spec.steps[0].estimate_ms = 1000;
         snprintf(id, sizeof(id), "%016x", i);
         snprintf(queue, sizeof(queue), "q%u", i % POOLS);
-        JobCmd_EncodeSubmit(&command, id, queue, now, &spec);
+        JobCmd_EncodeSubmit(&command, id, queue, now, &spec, "");
         JobSpec_Free(&spec);
         JobTest_Apply(state, &command);
     }
--- a/src/job.h
+++ b/src/job.h
@@ -25,6 +25,7 @@
 #define JOB_PATH_BYTES 256
 #define JOB_ADDRESS_BYTES 80
 #define JOB_CHECKPOINT_BYTES 256
+#define JOB_KEY_BYTES 128
 #define JOB_MAX_STEPS 32
 #define JOB_MAX_LABELS 8
 /* Maximum number of tasks per occurrence, which limits a job's memory. */
@@ -80,8 +81,26 @@
     double slack;
     bool uses_advisor; /* an advisor decides which targets may run a step */
     uint32_t advice_validity_ms;
+    bool is_public; /* callers need no key; stored only beside tenants */
 } JobQueue;
 
+/* Sums over many tasks, which may exceed the range of JobResources. */
+typedef struct JobTotals {
+    uint64_t cpu;
+    uint64_t memory_mb;
+    uint64_t accelerators;
+} JobTotals;
+
+/* A customer's organizational unit whose callers share keys, a share of the
+ * targets and a limit on what runs at a time. */
+typedef struct JobTenant {
+    char name[JOB_NAME_BYTES];
+    char (*keys)[JOB_KEY_BYTES];
+    size_t key_count;
+    uint32_t weight;  /* relative share of a pool without free room */
+    JobResources cap; /* limit on what its tasks use; 0: no limit */
+} JobTenant;
+
 /* The terms on which a queue accepts jobs. */
 typedef struct JobTerms {
     uint32_t max_attempts;
@@ -103,7 +122,9 @@
     size_t queue_count;
     JobPool *pools;
     size_t pool_count;
-    char *text; /* the document as the operator sent it */
+    JobTenant *tenants;
+    size_t tenant_count; /* 0: callers need no keys */
+    char *text;          /* the document as the operator sent it */
     size_t text_len;
 } JobConfig;
 
--- a/src/jobcmd.c
+++ b/src/jobcmd.c
@@ -25,25 +25,32 @@
 
 void
 JobCmd_EncodeSubmit(Buf *out, const char *id, const char *queue,
-                    int64_t wall_ms, const JobSpec *spec)
+                    int64_t wall_ms, const JobSpec *spec, const char *tenant)
 {
     msgpack_packer packer;
 
-    begin_command(&packer, out, JOB_CMD_SUBMIT, 4);
+    begin_command(&packer, out, JOB_CMD_SUBMIT, tenant[0] != '\0' ? 5 : 4);
     MpPack_Text(&packer, id);
     MpPack_Text(&packer, queue);
     msgpack_pack_int64(&packer, wall_ms);
     JobCodec_PackSpec(&packer, spec);
+    if (tenant[0] != '\0') {
+        MpPack_Text(&packer, tenant);
+    }
 }
 
 void
-JobCmd_EncodeCancel(Buf *out, const char *id, int64_t wall_ms)
+JobCmd_EncodeCancel(Buf *out, const char *id, int64_t wall_ms,
+                    const char *tenant)
 {
     msgpack_packer packer;
 
-    begin_command(&packer, out, JOB_CMD_CANCEL, 2);
+    begin_command(&packer, out, JOB_CMD_CANCEL, tenant[0] != '\0' ? 3 : 2);
     MpPack_Text(&packer, id);
     msgpack_pack_int64(&packer, wall_ms);
+    if (tenant[0] != '\0') {
+        MpPack_Text(&packer, tenant);
+    }
 }
 
 void
--- a/src/jobcodec.c
+++ b/src/jobcodec.c
@@ -10,6 +10,9 @@
  * entry of the log together with the text that they were decoded from. */
 #define MAX_CONFIG_ROWS 65536
 
+#define CONFIG_ITEMS 4
+#define CONFIG_ITEMS_WITH_TENANTS 5
+
 /* The type of one item in an encoded row. FIELD_DOUBLE is stored as an integer
  * in thousandths. */
 typedef enum FieldType {
@@ -65,6 +68,15 @@
     FIELD(JobQueue, DOUBLE, slack),
     FIELD(JobQueue, BOOL, uses_advisor),
     FIELD(JobQueue, U32, advice_validity_ms),
+    FIELD(JobQueue, BOOL, is_public), /* only if there are tenants */
+};
+
+static const Field tenant_fields[] = {
+    FIELD(JobTenant, TEXT, name),
+    FIELD(JobTenant, U32, weight),
+    FIELD(JobTenant, U32, cap.cpu),
+    FIELD(JobTenant, U32, cap.memory_mb),
+    FIELD(JobTenant, U32, cap.accelerators),
 };
 
 static const Field terms_fields[] = {
@@ -312,16 +324,44 @@
     return NULL;
 }
 
+/* Returns the number of items in the row of a queue. */
+static size_t
+count_queue_fields(bool has_tenants)
+{
+    return FIELD_COUNT(queue_fields) - (has_tenants ? 0 : 1);
+}
+
+static void
+pack_tenants(msgpack_packer *packer, const JobConfig *config)
+{
+    size_t i;
+    size_t k;
+
+    msgpack_pack_array(packer, config->tenant_count);
+    for (i = 0; i < config->tenant_count; i++) {
+        const JobTenant *tenant = &config->tenants[i];
+        msgpack_pack_array(packer, 2);
+        pack_row(packer, tenant_fields, FIELD_COUNT(tenant_fields), tenant);
+        msgpack_pack_array(packer, tenant->key_count);
+        for (k = 0; k < tenant->key_count; k++) {
+            MpPack_Text(packer, tenant->keys[k]);
+        }
+    }
+}
+
+/* Nodes of versions without tenants read a configuration that has none. */
 void
 JobCodec_PackConfig(msgpack_packer *packer, const JobConfig *config)
 {
+    bool has_tenants = config->tenant_count > 0;
     size_t i;
 
-    msgpack_pack_array(packer, 4);
+    msgpack_pack_array(packer,
+                       has_tenants ? CONFIG_ITEMS_WITH_TENANTS : CONFIG_ITEMS);
     msgpack_pack_uint64(packer, config->version);
     msgpack_pack_array(packer, config->queue_count);
     for (i = 0; i < config->queue_count; i++) {
-        pack_row(packer, queue_fields, FIELD_COUNT(queue_fields),
+        pack_row(packer, queue_fields, count_queue_fields(has_tenants),
                  &config->queues[i]);
     }
     msgpack_pack_array(packer, config->pool_count);
@@ -330,6 +370,49 @@
                  &config->pools[i]);
     }
     pack_blob(packer, config->text, config->text_len);
+    if (has_tenants) {
+        pack_tenants(packer, config);
+    }
+}
+
+static bool
+read_tenant(MpRead *reader, JobTenant *tenant)
+{
+    uint32_t count;
+    size_t i;
+
+    if (!MpRead_ArrayOf(reader, 2) ||
+        !read_row(reader, tenant_fields, FIELD_COUNT(tenant_fields), tenant) ||
+        !allocate_rows(reader, MAX_CONFIG_ROWS, JOB_KEY_BYTES,
+                       (void **)&tenant->keys, &count)) {
+        return false;
+    }
+    tenant->key_count = count;
+    for (i = 0; i < tenant->key_count; i++) {
+        if (!MpRead_Text(reader, tenant->keys[i], JOB_KEY_BYTES)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+read_tenants(MpRead *reader, JobConfig *config)
+{
+    uint32_t count;
+    size_t i;
+
+    if (!allocate_rows(reader, MAX_CONFIG_ROWS, sizeof(JobTenant),
+                       (void **)&config->tenants, &count)) {
+        return false;
+    }
+    config->tenant_count = count;
+    for (i = 0; i < config->tenant_count; i++) {
+        if (!read_tenant(reader, &config->tenants[i])) {
+            return false;
+        }
+    }
+    return true;
 }
 
 bool
@@ -340,7 +423,8 @@
     size_t i;
 
     memset(config, 0, sizeof(*config));
-    if (!MpRead_Array(reader, &items) || items != 4 ||
+    if (!MpRead_Array(reader, &items) ||
+        (items != CONFIG_ITEMS && items != CONFIG_ITEMS_WITH_TENANTS) ||
         !MpRead_U64(reader, &config->version) ||
         !allocate_rows(reader, MAX_CONFIG_ROWS, sizeof(JobQueue),
                        (void **)&config->queues, &count)) {
@@ -348,7 +432,8 @@
     }
     config->queue_count = count;
     for (i = 0; i < config->queue_count; i++) {
-        if (!read_row(reader, queue_fields, FIELD_COUNT(queue_fields),
+        if (!read_row(reader, queue_fields,
+                      count_queue_fields(items == CONFIG_ITEMS_WITH_TENANTS),
                       &config->queues[i])) {
             return false;
         }
@@ -364,12 +449,19 @@
             return false;
         }
     }
-    return read_blob(reader, &config->text, &config->text_len);
+    return read_blob(reader, &config->text, &config->text_len) &&
+           (items == CONFIG_ITEMS || read_tenants(reader, config));
 }
 
 void
 JobConfig_Free(JobConfig *config)
 {
+    size_t i;
+
+    for (i = 0; i < config->tenant_count; i++) {
+        free(config->tenants[i].keys);
+    }
+    free(config->tenants);
     free(config->queues);
     free(config->pools);
     free(config->text);
@@ -407,6 +499,63 @@
     free(rows);
 }
 
+typedef struct KeyRow {
+    const char *key;
+    const JobTenant *tenant;
+} KeyRow;
+
+static int
+compare_keys(const void *a, const void *b)
+{
+    return strcmp(((const KeyRow *)a)->key, ((const KeyRow *)b)->key);
+}
+
+/* Reports tenants that share a key, without naming the key, which is secret.
+ */
+static void
+check_keys(const JobConfig *config, Findings *findings)
+{
+    KeyRow *rows;
+    size_t count = 0;
+    size_t i;
+    size_t k;
+
+    for (i = 0; i < config->tenant_count; i++) {
+        count += config->tenants[i].key_count;
+    }
+    rows = Mem_New(count + 1, sizeof(*rows));
+    count = 0;
+    for (i = 0; i < config->tenant_count; i++) {
+        for (k = 0; k < config->tenants[i].key_count; k++) {
+            rows[count++] =
+                (KeyRow){config->tenants[i].keys[k], &config->tenants[i]};
+        }
+    }
+    qsort(rows, count, sizeof(*rows), compare_keys);
+    for (i = 1; i < count; i++) {
+        if (strcmp(rows[i - 1].key, rows[i].key) == 0 &&
+            rows[i - 1].tenant != rows[i].tenant) {
+            Findings_Add(findings, 0, rows[i].tenant->name, "has a key of %s",
+                         rows[i - 1].tenant->name);
+        }
+    }
+    free(rows);
+}
+
+static void
+check_tenant_names(const JobConfig *config, Findings *findings)
+{
+    size_t i;
+
+    for (i = 0; i < config->tenant_count; i++) {
+        const JobTenant *tenant = &config->tenants[i];
+        if (JobConfig_FindTenant(config, tenant->name) != tenant) {
+            Findings_Add(findings, 0, tenant->name,
+                         "two tenants have this name");
+        }
+    }
+}
+
 void
 JobConfig_Check(const JobConfig *config, Findings *findings)
 {
@@ -429,6 +578,21 @@
         }
     }
     check_routes(config, findings);
+    check_keys(config, findings);
+    check_tenant_names(config, findings);
+}
+
+const JobTenant *
+JobConfig_FindTenant(const JobConfig *config, const char *name)
+{
+    size_t i;
+
+    for (i = 0; i < config->tenant_count; i++) {
+        if (strcmp(config->tenants[i].name, name) == 0) {
+            return &config->tenants[i];
+        }
+    }
+    return NULL;
 }
 
 const JobQueue *
--- a/src/jobcodec.h
+++ b/src/jobcodec.h
@@ -36,6 +36,8 @@
 
 const JobQueue *JobConfig_FindQueue(const JobConfig *config, const char *name);
 const JobPool *JobConfig_FindPool(const JobConfig *config, const char *name);
+const JobTenant *JobConfig_FindTenant(const JobConfig *config,
+                                      const char *name);
 
 /* Returns the queue of a host with the longest prefix of path, or NULL. */
 const JobQueue *JobConfig_MatchQueue(const JobConfig *config, const char *host,
--- a/src/jobctl_request.c
+++ b/src/jobctl_request.c
@@ -308,7 +308,7 @@
     }
     JobCmd_EncodeSubmit(&command, pending->request.id, pending->request.queue,
                         apr_time_as_msec(apr_time_now()),
-                        &pending->request.spec);
+                        &pending->request.spec, "");
     JobControl_Propose(control, &command, on_submitted, pending);
     Buf_Free(&command);
 }
@@ -334,7 +334,7 @@
     Buf command = BUF_INIT;
 
     JobCmd_EncodeCancel(&command, pending->request.id,
-                        apr_time_as_msec(apr_time_now()));
+                        apr_time_as_msec(apr_time_now()), "");
     JobControl_Propose(pending->control, &command, on_cancelled, pending);
     Buf_Free(&command);
 }
--- a/src/jobstate.c
+++ b/src/jobstate.c
@@ -14,6 +14,7 @@
     state->jobs = StrMap_New();
     state->targets_by_id = StrMap_New();
     state->targets_by_vm = StrMap_New();
+    state->tenants = StrMap_New();
     state->vm_orders = StrMap_New();
     state->next_serial = 1;
     state->caught_up = true;
@@ -46,6 +47,24 @@
     return StrMap_Count(state->jobs);
 }
 
+JobTenantUse *
+JobState_FindTenantUse(const JobState *state, const char *name)
+{
+    return StrMap_Get(state->tenants, name);
+}
+
+size_t
+JobState_TenantUseCount(const JobState *state)
+{
+    return StrMap_Count(state->tenants);
+}
+
+JobTenantUse *
+JobState_TenantUseAt(const JobState *state, size_t i)
+{
+    return StrMap_At(state->tenants, i);
+}
+
 size_t
 JobState_EarlyCancelCount(const JobState *state)
 {
@@ -130,6 +149,11 @@
             }
         }
     }
+    for (i = 0; i < StrMap_Count(state->tenants); i++) {
+        JobTenantUse *use = StrMap_At(state->tenants, i);
+        memset(&use->reserved, 0, sizeof(use->reserved));
+        use->reserved_runs = 0;
+    }
     for (i = 0; i < state->target_rows; i++) {
         if (state->targets[i] != NULL) {
             free(state->targets[i]->sched_state);
@@ -163,6 +187,7 @@
         free(state->waves[i].vms);
     }
     free(state->waves);
+    StrMap_FreeAll(state->tenants);
     StrMap_FreeAll(state->vm_orders);
     free(state->early_cancels);
     free(state->removed_targets);
--- a/src/jobstate.h
+++ b/src/jobstate.h
@@ -117,12 +117,23 @@
                            nothing else that may have */
 } JobSchedState;
 
+/* What the assigned tasks of a tenant use at all targets. */
+typedef struct JobTenantUse {
+    char name[JOB_NAME_BYTES];
+    JobTotals used; /* includes the CPU of best-effort steps */
+    uint32_t runs;  /* number of assigned tasks */
+    /* Of the leader's scheduler; see sched_state above. */
+    JobTotals reserved; /* by assignments in flight */
+    uint32_t reserved_runs;
+} JobTenantUse;
+
 typedef struct Job {
     char id[JOB_ID_BYTES];
     char queue[JOB_NAME_BYTES];
     char pool[JOB_NAME_BYTES]; /* pool of its queue, the last one if the queue
                                 * was removed */
     JobTerms terms;            /* those of its queue when it was accepted */
+    JobTenantUse *tenant; /* NULL: of a public queue or from before tenants */
     JobSpec spec;
     int64_t accepted_ms; /* wall time */
     int64_t ended_ms;    /* wall time */
@@ -237,13 +248,19 @@
     JOB_RESULT_EXISTS = 1,  /* already present; nothing changed */
     JOB_RESULT_UNKNOWN = 2, /* the named object does not exist */
     JOB_RESULT_IGNORED = 3, /* the command is stale */
-    JOB_RESULT_CORRUPT = 4
+    JOB_RESULT_CORRUPT = 4,
+    JOB_RESULT_DENIED = 5,      /* the tenant is not in the configuration */
+    JOB_RESULT_OTHER_TENANT = 6 /* the object belongs to another tenant */
 } JobResult;
 
 const JobConfig *JobState_GetConfig(const JobState *state);
 Job *JobState_FindJob(const JobState *state, const char *id);
 Job *JobState_FirstActive(const JobState *state);
 size_t JobState_JobCount(const JobState *state);
+/* Returns what a tenant that has or had a job uses, or NULL. */
+JobTenantUse *JobState_FindTenantUse(const JobState *state, const char *name);
+size_t JobState_TenantUseCount(const JobState *state);
+JobTenantUse *JobState_TenantUseAt(const JobState *state, size_t i);
 /* Returns the number of cancellations of jobs that were not submitted yet. */
 size_t JobState_EarlyCancelCount(const JobState *state);
 /* Returns the number of removed targets that are remembered. */
@@ -306,12 +323,19 @@
 /* The JobCmd_Encode functions append an encoded command to out. The comments
  * below say what JobState_Apply does with it. */
 void JobCmd_EncodeConfig(Buf *out, const JobConfig *config);
+/* Adds a job of a tenant; an empty name means that it has none. Results:
+ * UNKNOWN if there is no such queue, DENIED if the configuration has no such
+ * tenant any more, OTHER_TENANT if the id is in use by another tenant's job,
+ * EXISTS if it is in use. */
 void JobCmd_EncodeSubmit(Buf *out, const char *id, const char *queue,
-                         int64_t wall_ms, const JobSpec *spec);
-/* Cancels a job. The cancellation of an unknown job is kept until it expires
- * and ends the job as soon as it is submitted, since a copy of the submission
- * may arrive after the cancellation. */
-void JobCmd_EncodeCancel(Buf *out, const char *id, int64_t wall_ms);
+                         int64_t wall_ms, const JobSpec *spec,
+                         const char *tenant);
+/* Cancels a job of a tenant, or of any if the name is empty. A job of another
+ * tenant is UNKNOWN. The cancellation of an unknown job is kept until it
+ * expires and ends the job as soon as that tenant submits it, since a copy of
+ * the submission may arrive after the cancellation. */
+void JobCmd_EncodeCancel(Buf *out, const char *id, int64_t wall_ms,
+                         const char *tenant);
 
 typedef struct JobAssignment {
     JobTaskRef task;
--- a/src/jobstate_apply.c
+++ b/src/jobstate_apply.c
@@ -52,20 +52,37 @@
     return JOB_RESULT_OK;
 }
 
-/* Returns the index of an early cancellation, or their number if there is
- * none. */
+/* Returns the index of an early cancellation by a tenant, or their number if
+ * there is none. */
 static size_t
-find_early_cancel(const JobState *state, const char *id)
+find_early_cancel(const JobState *state, const char *id, const char *tenant)
 {
     size_t i = 0;
 
     while (i < state->early_cancel_count &&
-           strcmp(state->early_cancels[i].id, id) != 0) {
+           (strcmp(state->early_cancels[i].id, id) != 0 ||
+            strcmp(state->early_cancels[i].tenant, tenant) != 0)) {
         i++;
     }
     return i;
 }
 
+/* Returns whether a tenant may see and cancel a job. */
+static bool
+is_accessible(const Job *job, const char *tenant)
+{
+    return job->tenant == NULL || tenant[0] == '\0' ||
+           strcmp(job->tenant->name, tenant) == 0;
+}
+
+/* Reads the name of a tenant, which ends a command of a tenant. */
+static bool
+read_tenant(MpRead *reader, char *tenant)
+{
+    tenant[0] = '\0';
+    return MpRead_Done(reader) || MpRead_Text(reader, tenant, JOB_NAME_BYTES);
+}
+
 static void
 remove_early_cancel(JobState *state, size_t at)
 {
@@ -76,7 +93,8 @@
 }
 
 void
-JobStateImpl_AddEarlyCancel(JobState *state, const char *id, int64_t wall_ms)
+JobStateImpl_AddEarlyCancel(JobState *state, const char *id, int64_t wall_ms,
+                            const char *tenant)
 {
     JobEarlyCancel *row;
 
@@ -88,6 +106,7 @@
     row = &state->early_cancels[state->early_cancel_count++];
     memset(row, 0, sizeof(*row));
     snprintf(row->id, sizeof(row->id), "%s", id);
+    snprintf(row->tenant, sizeof(row->tenant), "%s", tenant);
     row->wall_ms = wall_ms;
 }
 
@@ -96,6 +115,7 @@
 {
     char id[JOB_ID_BYTES];
     char queue[JOB_NAME_BYTES];
+    char tenant[JOB_NAME_BYTES];
     int64_t wall_ms;
     JobSpec spec;
     const JobQueue *row;
@@ -107,23 +127,28 @@
         !MpRead_I64(reader, &wall_ms)) {
         return JOB_RESULT_CORRUPT;
     }
-    if (StrMap_Get(state->jobs, id) != NULL) {
-        return JOB_RESULT_EXISTS;
+    if (!JobCodec_ReadSpec(reader, &spec) || !read_tenant(reader, tenant)) {
+        JobSpec_Free(&spec);
+        return JOB_RESULT_CORRUPT;
     }
+    job = StrMap_Get(state->jobs, id);
     row = JobConfig_FindQueue(&state->config, queue);
-    if (row == NULL) {
-        return JOB_RESULT_UNKNOWN;
-    }
-    if (!JobCodec_ReadSpec(reader, &spec)) {
+    if (job != NULL || row == NULL ||
+        (tenant[0] != '\0' &&
+         JobConfig_FindTenant(&state->config, tenant) == NULL)) {
         JobSpec_Free(&spec);
-        return JOB_RESULT_CORRUPT;
+        return job == NULL
+                   ? row == NULL ? JOB_RESULT_UNKNOWN : JOB_RESULT_DENIED
+               : is_accessible(job, tenant) ? JOB_RESULT_EXISTS
+                                            : JOB_RESULT_OTHER_TENANT;
     }
     job = JobStateImpl_AddJob(state, id, queue);
+    job->tenant = JobStateImpl_EnsureTenantUse(state, tenant);
     snprintf(job->pool, sizeof(job->pool), "%s", row->pool);
     job->terms = JobStateImpl_GetTerms(row);
     job->accepted_ms = wall_ms;
     JobStateImpl_SetSpec(job, &spec);
-    cancel = find_early_cancel(state, id);
+    cancel = find_early_cancel(state, id, tenant);
     if (cancel < state->early_cancel_count) {
         remove_early_cancel(state, cancel);
         JobStateImpl_EndJob(state, job, JOB_CANCELLED, wall_ms);
@@ -141,17 +166,22 @@
 apply_cancel(JobState *state, MpRead *reader)
 {
     char id[JOB_ID_BYTES];
+    char tenant[JOB_NAME_BYTES];
     int64_t wall_ms;
     Job *job;
 
     if (!MpRead_Text(reader, id, sizeof(id)) ||
-        !MpRead_I64(reader, &wall_ms)) {
+        !MpRead_I64(reader, &wall_ms) || !read_tenant(reader, tenant)) {
         return JOB_RESULT_CORRUPT;
     }
     job = StrMap_Get(state->jobs, id);
+    if (job != NULL && !is_accessible(job, tenant)) {
+        return JOB_RESULT_UNKNOWN;
+    }
     if (job == NULL) {
-        if (find_early_cancel(state, id) == state->early_cancel_count) {
-            JobStateImpl_AddEarlyCancel(state, id, wall_ms);
+        if (find_early_cancel(state, id, tenant) ==
+            state->early_cancel_count) {
+            JobStateImpl_AddEarlyCancel(state, id, wall_ms, tenant);
         }
         return JOB_RESULT_UNKNOWN;
     }
--- a/src/jobstate_impl.h
+++ b/src/jobstate_impl.h
@@ -12,6 +12,7 @@
 typedef struct JobEarlyCancel {
     char id[JOB_ID_BYTES];
     int64_t wall_ms;
+    char tenant[JOB_NAME_BYTES]; /* empty: ends a job of any tenant */
 } JobEarlyCancel;
 
 /* A target that is no longer in the state. */
@@ -35,6 +36,7 @@
     size_t node_count;
     JobWave *waves;
     size_t wave_count;
+    StrMap *tenants;   /* JobTenantUse by name */
     StrMap *vm_orders; /* JobVmOrder by VM, in the order of addition */
     JobEarlyCancel *early_cancels; /* in the order in which they are applied */
     size_t early_cancel_count;
@@ -70,7 +72,10 @@
 void JobStateImpl_SetVmOrder(JobState *state, const JobVmOrder *order);
 /* Adds the cancellation of a job that was not submitted yet. */
 void JobStateImpl_AddEarlyCancel(JobState *state, const char *id,
-                                 int64_t wall_ms);
+                                 int64_t wall_ms, const char *tenant);
+/* Returns the row of a tenant, which is added if it is missing; NULL for an
+ * empty name. */
+JobTenantUse *JobStateImpl_EnsureTenantUse(JobState *state, const char *name);
 /* jobstate_removed.c: removed targets. Add replaces the row of the id. */
 void JobStateImpl_AddRemovedTarget(JobState *state,
                                    const JobRemovedTarget *removed);
--- a/src/jobstate_rows.c
+++ b/src/jobstate_rows.c
@@ -19,6 +19,23 @@
     return job;
 }
 
+JobTenantUse *
+JobStateImpl_EnsureTenantUse(JobState *state, const char *name)
+{
+    JobTenantUse *use;
+
+    if (name[0] == '\0') {
+        return NULL;
+    }
+    use = StrMap_Get(state->tenants, name);
+    if (use == NULL) {
+        use = Mem_New(1, sizeof(*use));
+        snprintf(use->name, sizeof(use->name), "%s", name);
+        StrMap_Put(state->tenants, use->name, use);
+    }
+    return use;
+}
+
 JobTerms
 JobStateImpl_GetTerms(const JobQueue *queue)
 {
@@ -173,6 +190,22 @@
     target->used.cpu += step->best_effort ? 0 : step->need.cpu;
     target->used.memory_mb += step->need.memory_mb;
     target->used.accelerators += step->need.accelerators;
+    if (run->job->tenant != NULL) {
+        JobTenantUse *use = run->job->tenant;
+        use->used.cpu += step->need.cpu;
+        use->used.memory_mb += step->need.memory_mb;
+        use->used.accelerators += step->need.accelerators;
+        use->runs++;
+    }
+}
+
+static void
+release_tenant_use(JobTenantUse *use, const JobStep *step)
+{
+    use->used.cpu -= step->need.cpu;
+    use->used.memory_mb -= step->need.memory_mb;
+    use->used.accelerators -= step->need.accelerators;
+    use->runs--;
 }
 
 static void
@@ -189,6 +222,9 @@
             target->used.cpu -= step->best_effort ? 0 : step->need.cpu;
             target->used.memory_mb -= step->need.memory_mb;
             target->used.accelerators -= step->need.accelerators;
+            if (run->job->tenant != NULL) {
+                release_tenant_use(run->job->tenant, step);
+            }
             return;
         }
     }
--- a/src/jobstate_snapshot.c
+++ b/src/jobstate_snapshot.c
@@ -6,7 +6,10 @@
 
 #include "mppack.h"
 
-#define SNAPSHOT_FORMAT 5
+/* A state without tenants has the format that versions without tenants read.
+ */
+#define SNAPSHOT_FORMAT 6
+#define SNAPSHOT_FORMAT_WITHOUT_TENANTS 5
 /* Earlier formats, which snapshots on disk may have: with all occurrences of a
  * job, without removed targets and the terms of jobs, without crashes of
  * tasks, and without early cancellations. */
@@ -17,9 +20,12 @@
 #define TASK_ITEMS 8
 #define TASK_ITEMS_WITHOUT_FAILED_ATTEMPT 7
 #define TASK_ITEMS_WITHOUT_CRASHES 5
-#define JOB_ITEMS 11
+#define JOB_ITEMS 12
+#define JOB_ITEMS_WITHOUT_TENANT 11
 #define JOB_ITEMS_WITH_ALL_OCCURRENCES 10
 #define JOB_ITEMS_WITHOUT_TERMS 9
+#define EARLY_CANCEL_ITEMS 3
+#define EARLY_CANCEL_ITEMS_WITHOUT_TENANT 2
 #define TARGET_ITEMS 5
 #define TARGET_ITEMS_WITHOUT_RESTART 4
 
@@ -37,17 +43,27 @@
     msgpack_pack_uint32(packer, task->failed_attempt);
 }
 
+static bool
+has_tenants(const JobState *state)
+{
+    return state->config.tenant_count > 0 || StrMap_Count(state->tenants) > 0;
+}
+
 static void
-pack_job(msgpack_packer *packer, const Job *job)
+pack_job(msgpack_packer *packer, const Job *job, bool with_tenant)
 {
     uint32_t k;
     uint32_t i;
 
-    msgpack_pack_array(packer, JOB_ITEMS);
+    msgpack_pack_array(packer,
+                       with_tenant ? JOB_ITEMS : JOB_ITEMS_WITHOUT_TENANT);
     MpPack_Text(packer, job->id);
     MpPack_Text(packer, job->queue);
     MpPack_Text(packer, job->pool);
     JobCodec_PackTerms(packer, &job->terms);
+    if (with_tenant) {
+        MpPack_Text(packer, job->tenant != NULL ? job->tenant->name : "");
+    }
     JobCodec_PackSpec(packer, &job->spec);
     msgpack_pack_int64(packer, job->accepted_ms);
     msgpack_pack_int64(packer, job->ended_ms);
@@ -106,12 +122,12 @@
      * the order of their list. */
     msgpack_pack_array(packer, StrMap_Count(state->jobs));
     for (job = state->active_first; job != NULL; job = job->next) {
-        pack_job(packer, job);
+        pack_job(packer, job, has_tenants(state));
     }
     for (i = 0; i < StrMap_Count(state->jobs); i++) {
         job = StrMap_At(state->jobs, i);
         if (!job->active) {
-            pack_job(packer, job);
+            pack_job(packer, job, has_tenants(state));
         }
     }
 }
@@ -125,7 +141,9 @@
 
     msgpack_packer_init(&packer, out, Buf_MsgpackWrite);
     msgpack_pack_array(&packer, 10);
-    msgpack_pack_int(&packer, SNAPSHOT_FORMAT);
+    msgpack_pack_int(&packer, has_tenants(state)
+                                  ? SNAPSHOT_FORMAT
+                                  : SNAPSHOT_FORMAT_WITHOUT_TENANTS);
     JobCodec_PackConfig(&packer, &state->config);
     msgpack_pack_uint64(&packer, state->next_serial);
     for (i = 0; i < state->target_rows; i++) {
@@ -154,9 +172,15 @@
     }
     msgpack_pack_array(&packer, state->early_cancel_count);
     for (i = 0; i < state->early_cancel_count; i++) {
-        msgpack_pack_array(&packer, 2);
-        MpPack_Text(&packer, state->early_cancels[i].id);
-        msgpack_pack_int64(&packer, state->early_cancels[i].wall_ms);
+        const JobEarlyCancel *cancel = &state->early_cancels[i];
+        msgpack_pack_array(&packer, has_tenants(state)
+                                        ? EARLY_CANCEL_ITEMS
+                                        : EARLY_CANCEL_ITEMS_WITHOUT_TENANT);
+        MpPack_Text(&packer, cancel->id);
+        msgpack_pack_int64(&packer, cancel->wall_ms);
+        if (has_tenants(state)) {
+            MpPack_Text(&packer, cancel->tenant);
+        }
     }
     msgpack_pack_array(&packer, state->removed_target_count);
     for (i = 0; i < state->removed_target_count; i++) {
@@ -304,6 +328,7 @@
     char id[JOB_ID_BYTES];
     char queue[JOB_NAME_BYTES];
     char pool[JOB_NAME_BYTES];
+    char tenant[JOB_NAME_BYTES] = "";
     JobTerms terms;
     JobSpec spec;
     Job *job;
@@ -326,6 +351,9 @@
     else if (!JobCodec_ReadTerms(reader, &terms)) {
         return false;
     }
+    if (items == JOB_ITEMS && !MpRead_Text(reader, tenant, sizeof(tenant))) {
+        return false;
+    }
     if (!JobCodec_ReadSpec(reader, &spec)) {
         JobSpec_Free(&spec);
         return false;
@@ -333,6 +361,7 @@
     job = JobStateImpl_AddJob(state, id, queue);
     snprintf(job->pool, sizeof(job->pool), "%s", pool);
     job->terms = terms;
+    job->tenant = JobStateImpl_EnsureTenantUse(state, tenant);
     JobStateImpl_SetSpec(job, &spec);
     if (!MpRead_I64(reader, &job->accepted_ms) ||
         !MpRead_I64(reader, &job->ended_ms) || !MpRead_U32(reader, &phase) ||
@@ -418,13 +447,20 @@
 read_early_cancel(JobState *state, MpRead *reader)
 {
     char id[JOB_ID_BYTES];
+    char tenant[JOB_NAME_BYTES] = "";
     int64_t wall_ms;
+    uint32_t items;
 
-    if (!MpRead_ArrayOf(reader, 2) || !MpRead_Text(reader, id, sizeof(id)) ||
-        !MpRead_I64(reader, &wall_ms)) {
+    if (!MpRead_Array(reader, &items) ||
+        (items != EARLY_CANCEL_ITEMS &&
+         items != EARLY_CANCEL_ITEMS_WITHOUT_TENANT) ||
+        !MpRead_Text(reader, id, sizeof(id)) ||
+        !MpRead_I64(reader, &wall_ms) ||
+        (items == EARLY_CANCEL_ITEMS &&
+         !MpRead_Text(reader, tenant, sizeof(tenant)))) {
         return false;
     }
-    JobStateImpl_AddEarlyCancel(state, id, wall_ms);
+    JobStateImpl_AddEarlyCancel(state, id, wall_ms, tenant);
     return true;
 }
 
@@ -471,6 +507,7 @@
     }
     switch (*format) {
     case SNAPSHOT_FORMAT:
+    case SNAPSHOT_FORMAT_WITHOUT_TENANTS:
     case FOURTH_SNAPSHOT_FORMAT:
         return items == 10;
     case THIRD_SNAPSHOT_FORMAT:
--- a/tests/support_job.c
+++ b/tests/support_job.c
@@ -39,7 +39,8 @@
     JobPool pools[2] = {{.name = "p", .enforces_capacity = true},
                         {.name = "idle", .standby = true}};
     char text[] = "text";
-    JobConfig config = {version, &queue, pool != NULL, pools, 2, text, 4};
+    JobConfig config = {version, &queue, pool != NULL, pools, 2,
+                        NULL,    0,      text,         4};
     Buf command = BUF_INIT;
 
     snprintf(queue.pool, sizeof(queue.pool), "%s", pool != NULL ? pool : "");
@@ -71,7 +72,7 @@
 
     spec->text = strdup("work");
     spec->text_len = 4;
-    JobCmd_EncodeSubmit(&command, id, "q", 1000, spec);
+    JobCmd_EncodeSubmit(&command, id, "q", 1000, spec, "");
     JobSpec_Free(spec);
     return JobTest_Apply(state, &command);
 }
--- a/tests/support_jobsim.c
+++ b/tests/support_jobsim.c
@@ -1518,7 +1518,7 @@
         sim->report->large++;
     }
     choose_deadly_task(sim, &spec, lasting, record);
-    JobCmd_EncodeSubmit(&command, id, queue, sim->now, &spec);
+    JobCmd_EncodeSubmit(&command, id, queue, sim->now, &spec, "");
     JobSpec_Free(&spec);
     JobState_Apply(sim->state, command.data, command.len, &result);
     Buf_Free(&command);
@@ -1538,7 +1538,7 @@
     Buf command = BUF_INIT;
     Buf result = BUF_INIT;
 
-    JobCmd_EncodeCancel(&command, id, sim->now);
+    JobCmd_EncodeCancel(&command, id, sim->now, "");
     JobState_Apply(sim->state, command.data, command.len, &result);
     Buf_Free(&command);
     Buf_Free(&result);
--- a/tests/test_jobfleet.c
+++ b/tests/test_jobfleet.c
@@ -496,7 +496,7 @@
     JobPool pools[3] = {
         {.name = "p"}, {.name = "busy"}, {.name = "idle", .standby = true}};
     char text[] = "text";
-    JobConfig config = {2, &queue, 1, pools, 3, text, 4};
+    JobConfig config = {2, &queue, 1, pools, 3, NULL, 0, text, 4};
     Buf command = BUF_INIT;
 
     JobCmd_EncodeConfig(&command, &config);
--- a/tests/test_jobroom.c
+++ b/tests/test_jobroom.c
@@ -162,7 +162,7 @@
     JobQueue queue = {.name = "q", .pool = "p", .max_attempts = 2};
     JobPool pool = {.name = "p", .enforces_capacity = enforces_capacity};
     char text[] = "text";
-    JobConfig config = {1, &queue, 1, &pool, 1, text, 4};
+    JobConfig config = {1, &queue, 1, &pool, 1, NULL, 0, text, 4};
     Buf command = BUF_INIT;
 
     JobCmd_EncodeConfig(&command, &config);
--- a/tests/test_jobsched.c
+++ b/tests/test_jobsched.c
@@ -420,7 +420,7 @@
     JobTest_SetTarget(state, "t1", "vm1", "p", 20, false);
     commit_first();
     ck_assert_uint_eq(JobState_FindTarget(state, "t1")->run_count, 0);
-    JobCmd_EncodeCancel(&command, "a", now);
+    JobCmd_EncodeCancel(&command, "a", now, "");
     JobTest_Apply(state, &command);
     tick(50);
     ck_assert(JobSched_IsIdle(sched, JobState_FindTarget(state, "t1")));
@@ -647,7 +647,7 @@
     JobTest_Submit(state, "a", 1, 2, 500);
     tick(50);
     answer_all(JOB_CALL_OK);
-    JobCmd_EncodeCancel(&command, "a", now);
+    JobCmd_EncodeCancel(&command, "a", now, "");
     JobTest_Apply(state, &command);
     call_count = 0;
     tick(50);
--- a/tests/test_jobsched_large.c
+++ b/tests/test_jobsched_large.c
@@ -207,7 +207,7 @@
                     .interval_ms = 1};
     Buf command = BUF_INIT;
 
-    JobCmd_EncodeSubmit(&command, id, "q", now, &spec);
+    JobCmd_EncodeSubmit(&command, id, "q", now, &spec, "");
     ck_assert_int_eq(JobTest_Apply(state, &command), JOB_RESULT_OK);
 }
 
@@ -222,7 +222,7 @@
         .text = text, .text_len = 4, .steps = &step, .step_count = 1};
     Buf command = BUF_INIT;
 
-    JobCmd_EncodeSubmit(&command, LARGE_JOB, "q", now, &spec);
+    JobCmd_EncodeSubmit(&command, LARGE_JOB, "q", now, &spec, "");
     ck_assert_int_eq(JobTest_Apply(state, &command), JOB_RESULT_OK);
 }
 
@@ -290,7 +290,7 @@
     answer_all();
     ck_assert_uint_eq(job->assigned, 1000);
     ck_assert_uint_ge(starts, 1000);
-    JobCmd_EncodeCancel(&command, LARGE_JOB, now);
+    JobCmd_EncodeCancel(&command, LARGE_JOB, now, "");
     JobTest_Apply(state, &command);
     for (i = 0; i < 10; i++) {
         run_for(20);
@@ -444,7 +444,7 @@
 
     add_targets(9);
     memset(text, 't', LONG_TEXT_BYTES - 1);
-    JobCmd_EncodeSubmit(&command, LARGE_JOB, "q", now, &spec);
+    JobCmd_EncodeSubmit(&command, LARGE_JOB, "q", now, &spec, "");
     free(text);
     ck_assert_int_eq(JobTest_Apply(state, &command), JOB_RESULT_OK);
     for (i = 0; i < 20; i++) {
@@ -506,7 +506,7 @@
         char id[JOB_ID_BYTES];
         Buf command = BUF_INIT;
         snprintf(id, sizeof(id), "%016x", i);
-        JobCmd_EncodeCancel(&command, id, now);
+        JobCmd_EncodeCancel(&command, id, now, "");
         JobTest_Apply(state, &command);
     }
     for (i = 0; i < 3; i++) {
@@ -537,7 +537,7 @@
     clock_t begun;
 
     add_targets(count);
-    JobCmd_EncodeSubmit(&command, LARGE_JOB, "q", now, &spec);
+    JobCmd_EncodeSubmit(&command, LARGE_JOB, "q", now, &spec, "");
     ck_assert_int_eq(JobTest_Apply(state, &command), JOB_RESULT_OK);
     begun = clock();
     run_for(1000);
@@ -626,7 +626,8 @@
     JobQueue *queues = calloc(count, sizeof(*queues));
     JobPool *pools = calloc(count, sizeof(*pools));
     char text[] = "text";
-    JobConfig config = {version, queues, count, pools, count, text, 4};
+    JobConfig config = {version, queues, count, pools, count,
+                        NULL,    0,      text,  4};
     Buf command = BUF_INIT;
     uint32_t i;
 
@@ -644,7 +645,7 @@
             .text = text, .text_len = 4, .steps = &step, .step_count = 1};
         char id[JOB_ID_BYTES];
         snprintf(id, sizeof(id), "%016x", i);
-        JobCmd_EncodeSubmit(&command, id, queues[i].name, now, &spec);
+        JobCmd_EncodeSubmit(&command, id, queues[i].name, now, &spec, "");
         ck_assert_int_eq(JobTest_Apply(state, &command), JOB_RESULT_OK);
     }
     free(queues);
--- a/tests/test_jobstate.c
+++ b/tests/test_jobstate.c
@@ -56,7 +56,7 @@
     JobPool *pools = calloc(POOLS, sizeof(*pools));
     Buf text = BUF_INIT;
     Buf command = BUF_INIT;
-    JobConfig config = {9, NULL, 0, pools, POOLS, NULL, 0};
+    JobConfig config = {9, NULL, 0, pools, POOLS, NULL, 0, NULL, 0};
     size_t i;
 
     for (i = 0; i < POOLS; i++) {
@@ -305,16 +305,16 @@
 
     JobTest_Submit(state, "a", 1, 2, 500);
     JobTest_Assign(state, "a", 0, 0, 1, "t1");
-    JobCmd_EncodeCancel(&command, "a", 1500);
+    JobCmd_EncodeCancel(&command, "a", 1500, "");
     ck_assert_int_eq(JobTest_Apply(state, &command), JOB_RESULT_OK);
     JobTest_Assign(state, "a", 0, 1, 1, "t2");
     ck_assert_uint_eq(JobState_FindTarget(state, "t2")->run_count, 0);
     ck_assert(JobState_FindJob(state, "a")->active);
     JobTest_End(state, "a", 0, 0, 1, "t1", JOB_END_STOPPED, 1);
     ck_assert(!JobState_FindJob(state, "a")->active);
-    JobCmd_EncodeCancel(&command, "a", 1500);
+    JobCmd_EncodeCancel(&command, "a", 1500, "");
     ck_assert_int_eq(JobTest_Apply(state, &command), JOB_RESULT_EXISTS);
-    JobCmd_EncodeCancel(&command, "b", 1500);
+    JobCmd_EncodeCancel(&command, "b", 1500, "");
     ck_assert_int_eq(JobTest_Apply(state, &command), JOB_RESULT_UNKNOWN);
 }
 END_TEST
@@ -324,7 +324,7 @@
 {
     Buf command = BUF_INIT;
 
-    JobCmd_EncodeCancel(&command, id, wall_ms);
+    JobCmd_EncodeCancel(&command, id, wall_ms, "");
     return JobTest_Apply(state, &command);
 }
 
@@ -736,7 +736,7 @@
     const ConfigCase *row = &config_cases[_i];
     JobPool pool = {.name = "p"};
     JobQueue queues[2] = {row->queues[0], row->queues[1]};
-    JobConfig config = {1, queues, row->count, &pool, 1, NULL, 0};
+    JobConfig config = {1, queues, row->count, &pool, 1, NULL, 0, NULL, 0};
     Findings *findings = Findings_New("test");
 
     JobConfig_Check(&config, findings);
@@ -750,7 +750,7 @@
 {
     JobQueue queues[2] = {QUEUE("short", "/a/", "p", 1),
                           QUEUE("long", "/a/b/", "p", 1)};
-    JobConfig config = {1, queues, 2, NULL, 0, NULL, 0};
+    JobConfig config = {1, queues, 2, NULL, 0, NULL, 0, NULL, 0};
 
     ck_assert_str_eq(JobConfig_MatchQueue(&config, "h", "/a/b/x")->name,
                      "long");
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -253,7 +253,7 @@
 {
     const CallerCase *row = &caller_cases[_i];
     JobQueue queue = {.name = "q", .host = "h", .prefix = "/q/"};
-    JobConfig config = {1, &queue, 1, NULL, 0, NULL, 0};
+    JobConfig config = {1, &queue, 1, NULL, 0, NULL, 0, NULL, 0};
     JobHttpRequest http = {row->method, "h", row->path, row->body,
                            strlen(row->body)};
     JobRequest request;
