--- a/src/jobcodec.c
+++ b/src/jobcodec.c
@@ -5,6 +5,7 @@
 
 #include "mem.h"
 #include "mppack.h"
+#include "strmap.h"
 
 /* Limits the memory for a corrupt row count. More rows do not fit into an
  * entry of the log together with the text that they were decoded from. */
@@ -545,15 +546,20 @@
 static void
 check_tenant_names(const JobConfig *config, Findings *findings)
 {
+    StrMap *names = StrMap_New();
     size_t i;
 
     for (i = 0; i < config->tenant_count; i++) {
-        const JobTenant *tenant = &config->tenants[i];
-        if (JobConfig_FindTenant(config, tenant->name) != tenant) {
+        JobTenant *tenant = &config->tenants[i];
+        if (StrMap_Get(names, tenant->name) != NULL) {
             Findings_Add(findings, 0, tenant->name,
                          "two tenants have this name");
         }
+        else {
+            StrMap_Put(names, tenant->name, tenant);
+        }
     }
+    StrMap_Free(names);
 }
 
 void
--- a/src/jobstate_impl.h
+++ b/src/jobstate_impl.h
@@ -12,7 +12,7 @@
 typedef struct JobEarlyCancel {
     char id[JOB_ID_BYTES];
     int64_t wall_ms;
-    char tenant[JOB_NAME_BYTES]; /* empty: ends a job of any tenant */
+    char tenant[JOB_NAME_BYTES]; /* empty: of a caller without one */
 } JobEarlyCancel;
 
 /* A target that is no longer in the state. */
--- a/src/jobstate_snapshot.c
+++ b/src/jobstate_snapshot.c
@@ -46,6 +46,13 @@
 static bool
 has_tenants(const JobState *state)
 {
+    size_t i;
+
+    for (i = 0; i < state->early_cancel_count; i++) {
+        if (state->early_cancels[i].tenant[0] != '\0') {
+            return true;
+        }
+    }
     return state->config.tenant_count > 0 || StrMap_Count(state->tenants) > 0;
 }
 
--- /dev/null
+++ b/tests/test_jobtenant.c
@@ -0,0 +1,393 @@
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "jobcodec.h"
+#include "platform_wire.h"
+#include "support.h"
+#include "support_job.h"
+
+#define LONGEST_KEY                                                           \
+    "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"        \
+    "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcde"
+
+static JobState *state;
+
+/* Tenants of a configuration, each with up to two keys. */
+typedef struct TenantRow {
+    const char *name;
+    const char *keys[2];
+} TenantRow;
+
+static const TenantRow two_tenants[] = {{"a", {"key-a", "old-a"}},
+                                        {"b", {"key-b", NULL}}};
+
+static char config_text[] = "text";
+static JobPool pool = {.name = "p", .enforces_capacity = true};
+
+/* Fills a configuration with the queues "q" and, for everybody, "open". */
+static void
+fill_config(JobConfig *config, uint64_t version, const TenantRow *rows,
+            size_t count)
+{
+    JobQueue queues[2] = {{.name = "q",
+                           .host = "h",
+                           .prefix = "/q/",
+                           .pool = "p",
+                           .timeout_ms = 1,
+                           .max_attempts = 2},
+                          {.name = "open",
+                           .host = "h",
+                           .prefix = "/open/",
+                           .pool = "p",
+                           .timeout_ms = 1,
+                           .max_attempts = 2,
+                           .is_public = true}};
+    size_t i;
+    size_t k;
+
+    memset(config, 0, sizeof(*config));
+    config->version = version;
+    config->queue_count = 2;
+    config->queues = malloc(sizeof(queues));
+    memcpy(config->queues, queues, sizeof(queues));
+    config->pool_count = 1;
+    config->pools = malloc(sizeof(pool));
+    memcpy(config->pools, &pool, sizeof(pool));
+    config->text = strdup(config_text);
+    config->text_len = strlen(config_text);
+    config->tenant_count = count;
+    config->tenants = calloc(count + 1, sizeof(*config->tenants));
+    for (i = 0; i < count; i++) {
+        JobTenant *tenant = &config->tenants[i];
+        snprintf(tenant->name, sizeof(tenant->name), "%s", rows[i].name);
+        tenant->weight = 1;
+        tenant->cap.cpu = 8000;
+        tenant->keys = malloc(2 * JOB_KEY_BYTES);
+        /* Bytes after the end of a key have no meaning. */
+        memset(tenant->keys, 'x', 2 * JOB_KEY_BYTES);
+        for (k = 0; k < 2 && rows[i].keys[k] != NULL; k++) {
+            snprintf(tenant->keys[tenant->key_count++], JOB_KEY_BYTES, "%s",
+                     rows[i].keys[k]);
+        }
+    }
+}
+
+static void
+configure(uint64_t version, const TenantRow *rows, size_t count)
+{
+    JobConfig config;
+    Buf command = BUF_INIT;
+
+    fill_config(&config, version, rows, count);
+    JobCmd_EncodeConfig(&command, &config);
+    JobConfig_Free(&config);
+    ck_assert_int_eq(JobTest_Apply(state, &command), JOB_RESULT_OK);
+}
+
+static JobResult
+submit(const char *id, const char *queue, const char *tenant)
+{
+    JobStep step = {.count = 2, .need = {1500, 100, 1}};
+    JobSpec spec = {.text = config_text,
+                    .text_len = strlen(config_text),
+                    .steps = &step,
+                    .step_count = 1};
+    Buf command = BUF_INIT;
+
+    JobCmd_EncodeSubmit(&command, id, queue, 1000, &spec, tenant);
+    return JobTest_Apply(state, &command);
+}
+
+static JobResult
+cancel(const char *id, const char *tenant)
+{
+    Buf command = BUF_INIT;
+
+    JobCmd_EncodeCancel(&command, id, 1500, tenant);
+    return JobTest_Apply(state, &command);
+}
+
+static void
+setup(void)
+{
+    state = JobState_New();
+    configure(1, NULL, 0);
+    JobTest_SetTarget(state, "t1", "vm1", "p", 100, false);
+}
+
+static void
+teardown(void)
+{
+    JobState_Free(state);
+}
+
+/* --- keys --- */
+
+/* Guards against a configuration by which a key has two tenants, and against
+ * a report that contains the key. */
+START_TEST(check_finds_shared_keys_and_names)
+{
+    static const struct {
+        TenantRow rows[3];
+        size_t count;
+        size_t findings;
+        const char *reason;
+    } cases[] = {
+        {{{"a", {"secret-1", NULL}}, {"b", {"secret-2", NULL}}}, 2, 0, NULL},
+        {{{"a", {"secret-1", "secret-1"}}, {"b", {NULL}}}, 2, 0, NULL},
+        {{{"a", {"secret-1", NULL}}, {"b", {"secret-2", "secret-1"}}},
+         2,
+         1,
+         "has a key of "},
+        {{{"a", {"secret-1", NULL}},
+          {"b", {"secret-2", NULL}},
+          {"c", {"secret-1", NULL}}},
+         3,
+         1,
+         "has a key of "},
+        {{{"a", {"secret-1", NULL}}, {"a", {"secret-2", NULL}}},
+         2,
+         1,
+         "two tenants have this name"},
+    };
+    size_t i;
+    size_t f;
+
+    for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        Findings *findings = Findings_New("test");
+        JobConfig config;
+        fill_config(&config, 2, cases[i].rows, cases[i].count);
+        JobConfig_Check(&config, findings);
+        ck_assert_uint_eq(Findings_Count(findings), cases[i].findings);
+        for (f = 0; f < Findings_Count(findings); f++) {
+            const Finding *finding = Findings_Get(findings, f);
+            ck_assert_ptr_nonnull(strstr(finding->reason, cases[i].reason));
+            ck_assert_ptr_null(strstr(finding->reason, "secret"));
+            ck_assert_ptr_null(strstr(finding->path, "secret"));
+        }
+        JobConfig_Free(&config);
+        Findings_Free(findings);
+    }
+}
+END_TEST
+
+#define CONFIG_WITH(members)                                                  \
+    "{\"version\":1,\"routes\":[],\"services\":[]," members "}"
+#define TENANT(members)                                                       \
+    CONFIG_WITH("\"tenants\":[{\"name\":\"a\"," members "}]")
+
+/* Guards against keys in the reply to a malformed configuration: the parser's
+ * own error texts quote the document. */
+START_TEST(malformed_configuration_does_not_show_keys)
+{
+    static const struct {
+        const char *body;
+        const char *reason; /* NULL: accepted */
+    } cases[] = {
+        {TENANT("\"api-keys\":[\"secret\"]"), NULL},
+        {TENANT("\"weight\":2"), NULL},
+        {TENANT("\"api-keys\":[],\"priority\":\"high\""), NULL},
+        {TENANT("\"api-keys\":[\"secret\",7]"), "tenants[0].api-keys[1]"},
+        {TENANT("\"api-keys\":[\"" LONGEST_KEY "secret\"]"),
+         "tenants[0].api-keys[0]"},
+        {TENANT("\"api-keys\":[\"\"]"), "tenants[0].api-keys[0]"},
+        {TENANT("\"api-keys\":\"secret\""), "tenants[0].api-keys"},
+        {TENANT("\"api-keys\":{\"secret\":1}"), "tenants[0].api-keys"},
+        {TENANT("\"weight\":\"secret\""), "tenants[0].weight"},
+        {TENANT("\"cap\":[\"secret\"]"), "tenants[0].cap"},
+        {TENANT("\"cap\":{\"cpu\":\"secret\"}"), "cpu"},
+        {CONFIG_WITH("\"tenants\":[\"secret\"]"), "tenants[0]"},
+        {CONFIG_WITH("\"tenants\":\"secret\""), "tenants"},
+        {TENANT("\"api-keys\":[\"x\" \"secret\"]"), "line 1"},
+        {TENANT("\"api-keys\":[secret]"), "line 1"},
+        {TENANT("\"api-keys\":[\"secret"), "line 1"},
+        {TENANT("\"api-keys\":[\"\\u0000secret\"]"), "line 1"},
+        {TENANT("\"api-keys\":[\"\\usecret\"]"), "line 1"},
+        {TENANT("\"secret\":1,\"secret\":2"), "line 1"},
+        {"\"secret\"", "line 1"},
+        {"[\"secret\"]", "must be an object"},
+    };
+    size_t i;
+
+    for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        JobHttpRequest http = {.method = "PUT",
+                               .host = "",
+                               .path = "/api/config",
+                               .body = cases[i].body,
+                               .body_len = strlen(cases[i].body)};
+        JobRequest request;
+        PlatformWire_Get()->decode_control_request(&http, &request);
+        if (cases[i].reason == NULL) {
+            ck_assert_msg(request.error == JOB_ERROR_NONE, "case %zu: %s", i,
+                          request.reason);
+        }
+        else {
+            ck_assert_int_eq(request.error, JOB_ERROR_MALFORMED);
+            ck_assert_msg(strstr(request.reason, cases[i].reason) != NULL,
+                          "case %zu: %s", i, request.reason);
+        }
+        ck_assert_msg(strstr(request.reason, "secret") == NULL, "case %zu: %s",
+                      i, request.reason);
+        JobRequest_Free(&request);
+    }
+}
+END_TEST
+
+/* --- jobs --- */
+
+/* Guards against a cancellation that ends another tenant's job because it
+ * came before the submission. */
+START_TEST(early_cancellation_ends_only_jobs_of_its_tenant)
+{
+    static const struct {
+        const char *canceller;
+        const char *queue;
+        const char *submitter;
+        JobPhase phase;
+    } cases[] = {
+        {"a", "q", "a", JOB_CANCELLED}, {"b", "q", "a", JOB_QUEUED},
+        {"", "q", "a", JOB_QUEUED},     {"", "open", "", JOB_CANCELLED},
+        {"a", "open", "", JOB_QUEUED},
+    };
+    size_t i;
+
+    configure(2, two_tenants, 2);
+    for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        char id[JOB_ID_BYTES];
+        snprintf(id, sizeof(id), "%016zx", i);
+        ck_assert_int_eq(cancel(id, cases[i].canceller), JOB_RESULT_UNKNOWN);
+        ck_assert_int_eq(submit(id, cases[i].queue, cases[i].submitter),
+                         JOB_RESULT_OK);
+        ck_assert_int_eq(JobState_FindJob(state, id)->phase, cases[i].phase);
+    }
+}
+END_TEST
+
+/* --- snapshots --- */
+
+/* Replaces the state by its snapshot, checks that the snapshot has a format
+ * and that the restored state has the same snapshot. */
+static void
+restore(char format)
+{
+    Buf first = BUF_INIT;
+    Buf second = BUF_INIT;
+    ErrCtx err;
+
+    JobState_Snapshot(state, &first);
+    ck_assert_int_eq(first.data[1], format);
+    ck_assert_int_eq(JobState_Restore(state, first.data, first.len, &err),
+                     ST_OK);
+    JobState_Snapshot(state, &second);
+    ck_assert_uint_eq(first.len, second.len);
+    ck_assert_mem_eq(first.data, second.data, first.len);
+    Buf_Free(&first);
+    Buf_Free(&second);
+}
+
+/* Checks what a tenant uses against a count over the runs of all targets. */
+static void
+check_use(const char *tenant, uint32_t runs)
+{
+    const JobTenantUse *use = JobState_FindTenantUse(state, tenant);
+    const JobTarget *target = JobState_FindTarget(state, "t1");
+    JobTotals sum = {0, 0, 0};
+    size_t i;
+
+    for (i = 0; i < target->run_count; i++) {
+        const JobRun *run = &target->runs[i];
+        const JobStep *step = &run->job->spec.steps[run->step];
+        if (run->job->tenant == use) {
+            sum.cpu += step->need.cpu;
+            sum.memory_mb += step->need.memory_mb;
+            sum.accelerators += step->need.accelerators;
+        }
+    }
+    ck_assert_ptr_nonnull(use);
+    ck_assert_uint_eq(use->runs, runs);
+    ck_assert_uint_eq(use->used.cpu, sum.cpu);
+    ck_assert_uint_eq(use->used.memory_mb, sum.memory_mb);
+    ck_assert_uint_eq(use->used.accelerators, sum.accelerators);
+    ck_assert_uint_eq(use->used.cpu, runs * 1500);
+}
+
+/* Guards against a restart that loses the tenants of jobs, their keys, what
+ * they use, or early cancellations of theirs. */
+START_TEST(snapshot_keeps_tenants)
+{
+    configure(2, two_tenants, 2);
+    submit("1", "q", "a");
+    submit("2", "q", "b");
+    submit("3", "open", "");
+    JobTest_Assign(state, "1", 0, 0, 1, "t1");
+    JobTest_Assign(state, "1", 0, 1, 1, "t1");
+    JobTest_Assign(state, "2", 0, 0, 1, "t1");
+    JobTest_Assign(state, "3", 0, 0, 1, "t1");
+    cancel("4", "a");
+    restore(6);
+    check_use("a", 2);
+    check_use("b", 1);
+    ck_assert_str_eq(JobState_FindJob(state, "1")->tenant->name, "a");
+    ck_assert_ptr_null(JobState_FindJob(state, "3")->tenant);
+    ck_assert_uint_eq(JobState_GetConfig(state)->tenants[0].cap.cpu, 8000);
+    submit("4", "q", "b");
+    ck_assert_int_eq(JobState_FindJob(state, "4")->phase, JOB_QUEUED);
+    JobTest_End(state, "1", 0, 0, 1, "t1", JOB_END_DONE, 1);
+    check_use("a", 1);
+}
+END_TEST
+
+/* Guards against replicas that differ after a restart: an early cancellation
+ * alone may name a tenant. */
+START_TEST(snapshot_keeps_tenant_of_early_cancellation)
+{
+    configure(2, two_tenants, 2);
+    cancel("1", "a");
+    configure(3, NULL, 0);
+    restore(6);
+    submit("1", "q", "");
+    ck_assert_int_eq(JobState_FindJob(state, "1")->phase, JOB_QUEUED);
+}
+END_TEST
+
+/* Guards against a snapshot without tenants that earlier versions cannot
+ * read. */
+START_TEST(snapshot_without_tenants_keeps_its_format)
+{
+    /* what version 5 has before the list of jobs, and for an early
+     * cancellation */
+    static const char early_cancel[] = "\x91\x92\xa1"
+                                       "4\xcd\x05\xdc";
+    Buf bytes = BUF_INIT;
+
+    submit("1", "q", "");
+    JobTest_Assign(state, "1", 0, 0, 1, "t1");
+    cancel("4", "");
+    restore(5);
+    JobState_Snapshot(state, &bytes);
+    ck_assert_uint_eq((unsigned char)bytes.data[0], 0x9a);
+    ck_assert_uint_eq((unsigned char)bytes.data[2], 0x94);
+    ck_assert_mem_eq(bytes.data + bytes.len - sizeof(early_cancel),
+                     early_cancel, sizeof(early_cancel) - 1);
+    Buf_Free(&bytes);
+}
+END_TEST
+
+Suite *
+Test_Suite(void)
+{
+    Suite *suite = suite_create("jobtenant");
+    TCase *tcase = tcase_create("tenants");
+
+    tcase_add_checked_fixture(tcase, setup, teardown);
+    tcase_add_test(tcase, check_finds_shared_keys_and_names);
+    tcase_add_test(tcase, malformed_configuration_does_not_show_keys);
+    tcase_add_test(tcase, early_cancellation_ends_only_jobs_of_its_tenant);
+    tcase_add_test(tcase, snapshot_keeps_tenants);
+    tcase_add_test(tcase, snapshot_keeps_tenant_of_early_cancellation);
+    tcase_add_test(tcase, snapshot_without_tenants_keeps_its_format);
+    suite_add_tcase(suite, tcase);
+    return suite;
+}
