Test refusals of one copy because of a key

Cause: no test had a copy that is refused with 401 or 409, which must not reach the caller while another copy may be accepted.

Change: cases of both statuses, and both among the refusals of the random histories. The code already treats them as refusals of a copy.

--- a/tests/test_jobcopies.c
+++ b/tests/test_jobcopies.c
@@ -79,6 +79,42 @@
       {EVENT_LOSE, 0, 0, 0, false, JOB_COPIES_RESEND},
       {EVENT_SEND, 2, 1, 0, false, 0},
       {EVENT_REPLY, 2, 1, 404, true, JOB_COPIES_UNKNOWN}}},
+    {"key removed between two copies",
+     JOB_REQUEST_SUBMIT,
+     {{EVENT_SEND, 1, 0, 0, false, 0},
+      {EVENT_SEND, 2, 1, 0, false, 0},
+      {EVENT_REPLY, 2, 1, 401, true, JOB_COPIES_WAIT},
+      {EVENT_REPLY, 1, 0, 200, false, JOB_COPIES_ANSWER}}},
+    {"key unknown to the leader, other copy refused",
+     JOB_REQUEST_SUBMIT,
+     {{EVENT_SEND, 1, 0, 0, false, 0},
+      {EVENT_SEND, 2, 1, 0, false, 0},
+      {EVENT_REPLY, 2, 1, 401, true, JOB_COPIES_WAIT},
+      {EVENT_REPLY, 1, 0, 503, false, JOB_COPIES_ANSWER}}},
+    {"key unknown to a former leader",
+     JOB_REQUEST_SUBMIT,
+     {{EVENT_SEND, 1, 0, 0, false, 0},
+      {EVENT_REPLY, 1, 0, 401, false, JOB_COPIES_RESEND}}},
+    {"key unknown to the leader, other copy lost",
+     JOB_REQUEST_CANCEL,
+     {{EVENT_SEND, 1, 0, 0, false, 0},
+      {EVENT_SEND, 2, 1, 0, false, 0},
+      {EVENT_LOSE, 0, 0, 0, false, JOB_COPIES_WAIT},
+      {EVENT_REPLY, 2, 1, 401, true, JOB_COPIES_UNKNOWN}}},
+    {"id of another tenant with an open copy",
+     JOB_REQUEST_SUBMIT,
+     {{EVENT_SEND, 1, 0, 0, false, 0},
+      {EVENT_SEND, 2, 1, 0, false, 0},
+      {EVENT_REPLY, 2, 1, 409, true, JOB_COPIES_WAIT},
+      {EVENT_REPLY, 1, 0, 409, false, JOB_COPIES_ANSWER}}},
+    {"id of another tenant at the only copy",
+     JOB_REQUEST_SUBMIT,
+     {{EVENT_SEND, 1, 0, 0, false, 0},
+      {EVENT_REPLY, 1, 0, 409, true, JOB_COPIES_ANSWER}}},
+    {"unknown key of a read",
+     JOB_REQUEST_STATE,
+     {{EVENT_SEND, 1, 0, 0, false, 0},
+      {EVENT_REPLY, 1, 0, 401, true, JOB_COPIES_ANSWER}}},
     {"a read has no promise to keep",
      JOB_REQUEST_STATE,
      {{EVENT_SEND, 1, 0, 0, false, 0},
@@ -156,7 +192,7 @@
 play_history(uint64_t seed)
 {
     JobCopies copies = {.count = 0};
-    static const int refusals[] = {503, 429};
+    static const int refusals[] = {503, 429, 401, 409};
     bool done[MAX_SENT];
     bool any_done = false;
     uint64_t sent = 0;
@@ -182,7 +218,7 @@
         else if (JobCopies_Has(&copies, sequence)) {
             bool knows = Rng_Below(&rng, 4) != 0;
             refusal = knows && !done[sequence];
-            status = refusal ? refusals[Rng_Below(&rng, 2)] : 200;
+            status = refusal ? refusals[Rng_Below(&rng, 4)] : 200;
             verdict = JobCopies_Settle(&copies, JOB_REQUEST_SUBMIT, sequence,
                                        knows ? status : 504,
                                        Rng_Below(&rng, 2) == 0);
