Require the key of a tenant where the configuration has tenants

Cause: requests without a key, or with one that was never valid, were carried out although the configuration names tenants, and each caller could read and cancel the jobs of others. On a public queue, a caller without a key could have cancelled any tenant's job by its id.

Change: entry VMs forward the header with the key as a seventh item. The leader checks it by the configuration of the moment, with the functions of jobtenant.c; it refuses with 401, or with 409 for another tenant's id, only after a majority has confirmed that it leads and a second look. The submission is checked again in log order, and once more by the leader if the log denies it. The line of the reply has a field denial, and a counter counts such requests.

--- a/src/jobctl_internal.h
+++ b/src/jobctl_internal.h
@@ -121,6 +121,7 @@
     int64_t next_confirm_ms;  /* time of the next leadership confirmation */
     int64_t iteration_end_us; /* end of the last event loop iteration */
     uint64_t requests;        /* requests received */
+    uint64_t denied_requests; /* refused because of their key */
     int64_t stop_begun_ms;    /* start of the planned stop, or 0 */
     int64_t idle_since_ms;    /* during a planned stop, time since which
                                * nothing is pending and another node may
--- a/src/jobctl_metrics.c
+++ b/src/jobctl_metrics.c
@@ -76,6 +76,7 @@
         &control->watch, JOB_WATCH_PLACEMENT_IDLE, Loop_NowMs());
     values[JOB_METRIC_LOG_MESSAGES_REFUSED] =
         (double)control->refused_messages;
+    values[JOB_METRIC_REQUESTS_DENIED] = (double)control->denied_requests;
     values[JOB_METRIC_UNCOMMITTED_SECONDS] =
         (double)Replica_GetUncommittedAgeMs(control->replica, Loop_NowMs()) /
         MS_PER_S;
--- a/src/jobctl_request.c
+++ b/src/jobctl_request.c
@@ -6,6 +6,7 @@
 
 #include <apr_time.h>
 
+#include "jobtenant.h"
 #include "mem.h"
 #include "mppack.h"
 
@@ -21,6 +22,11 @@
     uint64_t sequence; /* the peer's number for the request */
     int64_t received_ms;
     int64_t received_us;
+    /* A majority has confirmed that this node leads, after an earlier look at
+     * the request would have refused it. */
+    bool confirmed;
+    const char *denial; /* for the log line: why the key does not permit the
+                         * request, or NULL */
     JobRequest request;
 } PendingRequest;
 
@@ -83,6 +89,9 @@
     }
     Slog_AddInt("status", status);
     Slog_AddText("reason", reply->reason != NULL ? reply->reason : "");
+    if (pending->denial != NULL) {
+        Slog_AddText("denial", pending->denial);
+    }
     Slog_AddInt("took_ms", Loop_NowMs() - pending->received_ms);
     Slog_AddInt("version",
                 (int64_t)JobState_GetConfig(pending->control->state)->version);
@@ -107,6 +116,7 @@
                                                       reply, &body);
 
     log_reply(pending, status, reply);
+    pending->control->denied_requests += pending->denial != NULL;
     if (pending->control->metrics != NULL) {
         JobMetrics_RecordAnswer(pending->control->metrics,
                                 pending->request.kind, status,
@@ -165,6 +175,61 @@
     return true;
 }
 
+/* --- keys --- */
+
+static bool
+is_from_caller(const PendingRequest *pending)
+{
+    return pending->request.queue[0] != '\0';
+}
+
+/* Checks the key of a caller's request by the configuration of this moment and
+ * finds its tenant. */
+static JobAccess
+check_key(const PendingRequest *pending, const char **tenant)
+{
+    *tenant = "";
+    if (!is_from_caller(pending)) {
+        return JOB_ACCESS_GRANTED;
+    }
+    return JobTenant_CheckQueue(JobState_GetConfig(pending->control->state),
+                                pending->request.queue, pending->request.key,
+                                tenant);
+}
+
+/* Replies to a request whose key does not permit it. Returns false, without a
+ * reply, if it is permitted. */
+static bool
+reply_if_denied(PendingRequest *pending, JobAccess access)
+{
+    JobReply reply = {.kind = JOB_REPLY_NOT_FOUND, .reason = "no such queue"};
+
+    if (access == JOB_ACCESS_GRANTED) {
+        return false;
+    }
+    if (access == JOB_ACCESS_DENIED) {
+        pending->denial =
+            pending->request.key[0] == '\0' ? "no_key" : "unknown_key";
+        reply = (JobReply){.kind = JOB_REPLY_DENIED,
+                           .reason = "the key is missing or unknown"};
+    }
+    send_reply(pending, &reply);
+    return true;
+}
+
+/* Returns whether the tenant of a request may use a job. If it may not, the
+ * log line of the reply says so. */
+static bool
+may_use_job(PendingRequest *pending, const Job *job, const char *tenant)
+{
+    if (JobTenant_MayUseJob(JobState_GetConfig(pending->control->state), job,
+                            tenant)) {
+        return true;
+    }
+    pending->denial = "other_tenant";
+    return false;
+}
+
 /* --- reads --- */
 
 static void
@@ -176,13 +241,13 @@
 }
 
 static void
-reply_state(PendingRequest *pending)
+reply_state(PendingRequest *pending, const char *tenant)
 {
     const Job *job =
         JobState_FindJob(pending->control->state, pending->request.id);
     JobReply reply = {.kind = JOB_REPLY_GONE, .reason = "no such job"};
 
-    if (job != NULL) {
+    if (job != NULL && may_use_job(pending, job, tenant)) {
         reply.kind = JOB_REPLY_STATE;
         reply.phase = job->phase;
     }
@@ -210,6 +275,7 @@
     JobControl *control = pending->control;
     const JobConfig *config = JobState_GetConfig(control->state);
     JobReply reply = {.kind = JOB_REPLY_PENDING};
+    const char *tenant;
 
     if (pending->request.error == JOB_ERROR_NO_QUEUE) {
         reply =
@@ -217,9 +283,12 @@
         send_reply(pending, &reply);
         return;
     }
+    if (reply_if_denied(pending, check_key(pending, &tenant))) {
+        return;
+    }
     switch (pending->request.kind) {
     case JOB_REQUEST_STATE:
-        reply_state(pending);
+        reply_state(pending, tenant);
         break;
     case JOB_REQUEST_PENDING:
         reply.number =
@@ -260,6 +329,40 @@
 
 /* --- changes --- */
 
+static void serve_request(PendingRequest *pending);
+
+static void
+on_confirmed(void *arg, Status status, JobResult result)
+{
+    PendingRequest *pending = arg;
+
+    (void)result;
+    if (status != ST_OK) {
+        reply_unavailable(pending, "no majority confirms this node's state");
+        return;
+    }
+    pending->confirmed = true;
+    serve_request(pending);
+}
+
+/* Looks again at a request that would be refused, once a majority confirms
+ * that this node leads and that no newer configuration is missing here. */
+static void
+look_again(PendingRequest *pending)
+{
+    JobControl_ConfirmRead(pending->control, on_confirmed, pending);
+}
+
+static void
+reply_conflict(PendingRequest *pending)
+{
+    JobReply reply = {.kind = JOB_REPLY_CONFLICT,
+                      .reason = "the id is in use"};
+
+    pending->denial = "other_tenant";
+    send_reply(pending, &reply);
+}
+
 static void
 on_submitted(void *arg, Status status, JobResult result)
 {
@@ -270,6 +373,17 @@
     if (reply_if_failed(pending, status)) {
         return;
     }
+    if (result == JOB_RESULT_DENIED) {
+        /* The log ordered another configuration before the submission, by
+         * which the key may belong to another tenant. */
+        pending->confirmed = false;
+        serve_request(pending);
+        return;
+    }
+    if (result == JOB_RESULT_OTHER_TENANT) {
+        reply_conflict(pending);
+        return;
+    }
     if (result == JOB_RESULT_UNKNOWN) {
         reply =
             (JobReply){.kind = JOB_REPLY_NOT_FOUND, .reason = "no such queue"};
@@ -286,17 +400,36 @@
     send_reply(pending, &reply);
 }
 
+/* Answers the submission of an id that is in use. */
+static void
+reply_to_resent(PendingRequest *pending, const Job *job, const char *tenant)
+{
+    JobReply reply = {.kind = JOB_REPLY_OK};
+
+    if (JobTenant_MayUseJob(JobState_GetConfig(pending->control->state), job,
+                            tenant)) {
+        send_reply(pending, &reply);
+    }
+    else if (!pending->confirmed) {
+        look_again(pending);
+    }
+    else {
+        reply_conflict(pending);
+    }
+}
+
 static void
-submit_job(PendingRequest *pending)
+submit_job(PendingRequest *pending, const char *tenant)
 {
     JobControl *control = pending->control;
     const JobQueue *queue = JobConfig_FindQueue(
         JobState_GetConfig(control->state), pending->request.queue);
+    const Job *job = JobState_FindJob(control->state, pending->request.id);
     JobReply reply = {.kind = JOB_REPLY_OK};
     Buf command = BUF_INIT;
 
-    if (JobState_FindJob(control->state, pending->request.id) != NULL) {
-        send_reply(pending, &reply);
+    if (job != NULL) {
+        reply_to_resent(pending, job, tenant);
         return;
     }
     if (queue != NULL && !JobSched_Admit(control->sched, Loop_NowMs(), queue,
@@ -308,7 +441,7 @@
     }
     JobCmd_EncodeSubmit(&command, pending->request.id, pending->request.queue,
                         apr_time_as_msec(apr_time_now()),
-                        &pending->request.spec, "");
+                        &pending->request.spec, tenant);
     JobControl_Propose(control, &command, on_submitted, pending);
     Buf_Free(&command);
 }
@@ -324,17 +457,21 @@
     }
     if (result == JOB_RESULT_UNKNOWN) {
         reply = (JobReply){.kind = JOB_REPLY_GONE, .reason = "no such job"};
+        if (JobState_FindJob(pending->control->state, pending->request.id) !=
+            NULL) {
+            pending->denial = "other_tenant";
+        }
     }
     send_reply(pending, &reply);
 }
 
 static void
-cancel_job(PendingRequest *pending)
+cancel_job(PendingRequest *pending, const char *tenant)
 {
     Buf command = BUF_INIT;
 
     JobCmd_EncodeCancel(&command, pending->request.id,
-                        apr_time_as_msec(apr_time_now()), "");
+                        apr_time_as_msec(apr_time_now()), tenant);
     JobControl_Propose(pending->control, &command, on_cancelled, pending);
     Buf_Free(&command);
 }
@@ -471,6 +608,8 @@
 serve_request(PendingRequest *pending)
 {
     JobControl *control = pending->control;
+    JobAccess access;
+    const char *tenant;
 
     if (is_order(&pending->request)) {
         begin_request_line(SLOG_ROUTINE, "order_received", &pending->request);
@@ -485,15 +624,20 @@
         }
         return;
     }
-    if (reply_if_malformed(pending)) {
+    access = check_key(pending, &tenant);
+    if (access != JOB_ACCESS_GRANTED && !pending->confirmed) {
+        look_again(pending);
+        return;
+    }
+    if (reply_if_denied(pending, access) || reply_if_malformed(pending)) {
         return;
     }
     switch (pending->request.kind) {
     case JOB_REQUEST_SUBMIT:
-        submit_job(pending);
+        submit_job(pending, tenant);
         break;
     case JOB_REQUEST_CANCEL:
-        cancel_job(pending);
+        cancel_job(pending, tenant);
         break;
     case JOB_REQUEST_PUT_CONFIG:
         put_config(pending);
@@ -631,23 +775,25 @@
     return true;
 }
 
-/* The message is [type, sequence, method, host, path, body]. */
+/* The message is [type, sequence, method, host, path, body], and for a
+ * caller's request with a key also the text that contains the key. */
 void
 JobControl_HandleJobRequest(JobControl *control, size_t peer,
                             PeerMessageType type,
                             const msgpack_object_array *message)
 {
     const msgpack_object *items = message->ptr;
-    Buf texts[4] = {BUF_INIT, BUF_INIT, BUF_INIT, BUF_INIT};
+    Buf texts[5] = {BUF_INIT, BUF_INIT, BUF_INIT, BUF_INIT, BUF_INIT};
     JobHttpRequest raw;
     PendingRequest *pending;
+    size_t count = message->size - 2;
     size_t i;
 
-    if (message->size != 6 ||
+    if (message->size < 6 || message->size > 7 ||
         items[1].type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
         return;
     }
-    for (i = 0; i < 4; i++) {
+    for (i = 0; i < count; i++) {
         if (!append_bytes(&items[i + 2], &texts[i])) {
             goto done;
         }
@@ -657,6 +803,7 @@
     raw.path = Buf_Text(&texts[2]);
     raw.body_len = texts[3].len;
     raw.body = Buf_Text(&texts[3]);
+    raw.key_text = count > 4 ? Buf_Text(&texts[4]) : NULL;
     pending = new_pending_request(control);
     pending->peer = peer;
     pending->sequence = items[1].via.u64;
@@ -674,7 +821,7 @@
         serve_request(pending);
     }
 done:
-    for (i = 0; i < 4; i++) {
+    for (i = 0; i < sizeof(texts) / sizeof(texts[0]); i++) {
         Buf_Free(&texts[i]);
     }
 }
--- a/src/jobentry.c
+++ b/src/jobentry.c
@@ -208,6 +208,16 @@
     Slog_End();
 }
 
+/* Returns the text with the caller's key, which is forwarded as it is, or
+ * NULL. */
+static const char *
+get_key_text(const JobEntry *entry, const PendingRequest *request)
+{
+    return request->type == PEER_JOB_REQUEST
+               ? HttpRequest_GetHeader(request->http, entry->wire->key_header)
+               : NULL;
+}
+
 static void
 forward_request(JobEntry *entry, PendingRequest *request)
 {
@@ -215,19 +225,23 @@
     msgpack_packer packer;
     const char *host = HttpRequest_GetHeader(request->http, "Host");
     const char *path = HttpRequest_GetPath(request->http);
+    const char *key_text = get_key_text(entry, request);
     size_t len;
     const char *body = HttpRequest_GetBody(request->http, &len);
     uint64_t sequence = entry->next_sequence++;
 
     host = host != NULL ? host : "";
     msgpack_packer_init(&packer, &frame, Buf_MsgpackWrite);
-    msgpack_pack_array(&packer, 6);
+    msgpack_pack_array(&packer, key_text != NULL ? 7 : 6);
     msgpack_pack_int(&packer, (int)request->type);
     msgpack_pack_uint64(&packer, sequence);
     MpPack_Text(&packer, HttpRequest_GetMethod(request->http));
     msgpack_pack_bin_with_body(&packer, host, strcspn(host, ":"));
     MpPack_Text(&packer, path);
     msgpack_pack_bin_with_body(&packer, body, len);
+    if (key_text != NULL) {
+        MpPack_Text(&packer, key_text);
+    }
     request->peer = entry->leader;
     request->last_peer = entry->leader;
     request->last_copy_ms = Loop_NowMs();
--- a/src/jobmetrics.c
+++ b/src/jobmetrics.c
@@ -45,6 +45,9 @@
     [JOB_METRIC_LOG_MESSAGES_REFUSED] =
         {PREFIX "log_messages_refused_total", "counter",
          "messages of the log from another cluster or to another identity"},
+    [JOB_METRIC_REQUESTS_DENIED] =
+        {PREFIX "requests_denied_total", "counter",
+         "callers' requests refused because of their key"},
     [JOB_METRIC_JOBS] = {PREFIX "jobs", "gauge",
                          "jobs whose state is remembered"},
     [JOB_METRIC_TARGETS_USABLE] = {PREFIX "targets_usable", "gauge",
--- a/src/jobstate.h
+++ b/src/jobstate.h
@@ -325,15 +325,15 @@
 void JobCmd_EncodeConfig(Buf *out, const JobConfig *config);
 /* Adds a job of a tenant; an empty name means that it has none. Results:
  * UNKNOWN if there is no such queue, DENIED if the configuration has no such
- * tenant any more, OTHER_TENANT if the id is in use by another tenant's job,
- * EXISTS if it is in use. */
+ * tenant any more, or asks for a key where the name is empty, OTHER_TENANT if
+ * the id is in use by another tenant's job, EXISTS if it is in use. */
 void JobCmd_EncodeSubmit(Buf *out, const char *id, const char *queue,
                          int64_t wall_ms, const JobSpec *spec,
                          const char *tenant);
-/* Cancels a job of a tenant, or of any if the name is empty. A job of another
- * tenant is UNKNOWN. The cancellation of an unknown job is kept until it
- * expires and ends the job as soon as that tenant submits it, since a copy of
- * the submission may arrive after the cancellation. */
+/* Cancels a job of a tenant, or of a public queue if the name is empty. A job
+ * that JobTenant_MayUseJob refuses is UNKNOWN. The cancellation of an unknown
+ * job is kept until it expires and ends the job as soon as that tenant submits
+ * it, since a copy of the submission may arrive after the cancellation. */
 void JobCmd_EncodeCancel(Buf *out, const char *id, int64_t wall_ms,
                          const char *tenant);
 
--- a/src/jobstate_apply.c
+++ b/src/jobstate_apply.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "jobtenant.h"
 #include "mem.h"
 
 static JobStep *
@@ -67,14 +68,6 @@
     return i;
 }
 
-/* Returns whether a tenant may see and cancel a job. */
-static bool
-is_accessible(const Job *job, const char *tenant)
-{
-    return job->tenant == NULL || tenant[0] == '\0' ||
-           strcmp(job->tenant->name, tenant) == 0;
-}
-
 /* Reads the name of a tenant, which ends a command of a tenant. */
 static bool
 read_tenant(MpRead *reader, char *tenant)
@@ -110,6 +103,27 @@
     row->wall_ms = wall_ms;
 }
 
+/* Returns why a submission to a queue, which is NULL if it does not exist,
+ * adds no job, or JOB_RESULT_OK. job is the one that has its id, or NULL. The
+ * log may order a configuration between the check of a key and the submission.
+ */
+static JobResult
+find_refusal(const JobState *state, const Job *job, const JobQueue *queue,
+             const char *tenant)
+{
+    if (job != NULL) {
+        return JobTenant_MayUseJob(&state->config, job, tenant)
+                   ? JOB_RESULT_EXISTS
+                   : JOB_RESULT_OTHER_TENANT;
+    }
+    if (queue == NULL) {
+        return JOB_RESULT_UNKNOWN;
+    }
+    return JobTenant_MaySubmit(&state->config, queue, tenant)
+               ? JOB_RESULT_OK
+               : JOB_RESULT_DENIED;
+}
+
 static JobResult
 apply_submit(JobState *state, MpRead *reader)
 {
@@ -121,6 +135,7 @@
     const JobQueue *row;
     size_t cancel;
     Job *job;
+    JobResult refusal;
 
     if (!MpRead_Text(reader, id, sizeof(id)) ||
         !MpRead_Text(reader, queue, sizeof(queue)) ||
@@ -133,14 +148,10 @@
     }
     job = StrMap_Get(state->jobs, id);
     row = JobConfig_FindQueue(&state->config, queue);
-    if (job != NULL || row == NULL ||
-        (tenant[0] != '\0' &&
-         JobConfig_FindTenant(&state->config, tenant) == NULL)) {
+    refusal = find_refusal(state, job, row, tenant);
+    if (refusal != JOB_RESULT_OK) {
         JobSpec_Free(&spec);
-        return job == NULL
-                   ? row == NULL ? JOB_RESULT_UNKNOWN : JOB_RESULT_DENIED
-               : is_accessible(job, tenant) ? JOB_RESULT_EXISTS
-                                            : JOB_RESULT_OTHER_TENANT;
+        return refusal;
     }
     job = JobStateImpl_AddJob(state, id, queue);
     job->tenant = JobStateImpl_EnsureTenantUse(state, tenant);
@@ -175,7 +186,7 @@
         return JOB_RESULT_CORRUPT;
     }
     job = StrMap_Get(state->jobs, id);
-    if (job != NULL && !is_accessible(job, tenant)) {
+    if (job != NULL && !JobTenant_MayUseJob(&state->config, job, tenant)) {
         return JOB_RESULT_UNKNOWN;
     }
     if (job == NULL) {
--- a/src/jobwire.h
+++ b/src/jobwire.h
@@ -24,6 +24,8 @@
     const char *path; /* path with the query */
     const char *body;
     size_t body_len;
+    const char *key_text; /* value of the header with the caller's key, or
+                           * NULL */
 } JobHttpRequest;
 
 typedef enum JobRequestKind {
@@ -52,6 +54,7 @@
     char reason[FINDINGS_REASON_BYTES];
     char id[JOB_NAME_BYTES]; /* id of the job or the target */
     char queue[JOB_NAME_BYTES];
+    char key[JOB_KEY_BYTES]; /* the caller's key, or empty; never logged */
     JobSpec spec;
     JobConfig config;
     JobAnnouncement announcement;
@@ -68,6 +71,8 @@
     JOB_REPLY_WAVE,      /* state of a wave, in phase: running or completed */
     JOB_REPLY_ANNOUNCED, /* address for later announcements, in text */
     JOB_REPLY_NOT_FOUND, /* no such queue or resource, with reason */
+    JOB_REPLY_DENIED,    /* the caller's key is missing or unknown */
+    JOB_REPLY_CONFLICT,  /* the id belongs to another tenant's job */
     JOB_REPLY_GONE,      /* no such job, with reason */
     JOB_REPLY_INVALID,   /* invalid request, with reason */
     JOB_REPLY_TOO_LARGE, /* request exceeds a limit, with reason */
@@ -176,6 +181,7 @@
                              const char *body, size_t len,
                              JobVmAnswer *answer);
     const char *ready_path; /* path of the readiness check */
+    const char *key_header; /* name of the header with a caller's key */
 } JobWire;
 
 void JobWireAnswer_Free(JobWireAnswer *answer);
--- a/tests/test_jobentry.c
+++ b/tests/test_jobentry.c
@@ -32,6 +32,7 @@
 #define STEP_TIMEOUT_MS 10000
 #define CALL_TIMEOUT_MS 8000
 #define PAUSE_MS 300
+#define KEY_TEXT "Token some key"
 #define RECONNECT_MS 150
 /* An answer that needs no waiting arrives within this time. */
 #define PROMPT_ANSWER_MS 1000
@@ -56,6 +57,8 @@
     STEP_ORDER,     /* operator at sends a configuration of value KiB */
     STEP_READ,      /* operator at reads the configuration */
     STEP_BEAT,      /* target at announces itself */
+    STEP_KEY,       /* later requests carry a key */
+    STEP_ITEMS,     /* the last copy at control VM at has value items */
     STEP_COPY,      /* a copy reaches control VM at */
     STEP_REPLY,     /* control VM at replies to its last copy with value */
     STEP_STALE,     /* control VM at replies to its first copy with value */
@@ -83,6 +86,8 @@
     bool leads;
     int reconnects;
     uint64_t sequences[MAX_COPIES];
+    uint32_t items;    /* of the last copy's message */
+    bool has_key_text; /* its seventh item is KEY_TEXT */
     size_t copies;
     size_t copies_awaited;
 } ControlVm;
@@ -106,6 +111,7 @@
     bool entry_ready;
     bool entry_answers;
     bool asking;
+    bool keyed; /* requests carry a key */
     ControlVm controls[CONTROL_COUNT];
     Caller callers[MAX_CALLS];
     const Step *step;
@@ -271,6 +277,12 @@
     if ((type == PEER_JOB_REQUEST || type == PEER_JOB_CONTROL_REQUEST) &&
         control->copies < MAX_COPIES) {
         control->sequences[control->copies++] = message->ptr[1].via.u64;
+        control->items = message->size;
+        control->has_key_text =
+            message->size == 7 && message->ptr[6].type == MSGPACK_OBJECT_STR &&
+            message->ptr[6].via.str.size == strlen(KEY_TEXT) &&
+            memcmp(message->ptr[6].via.str.ptr, KEY_TEXT, strlen(KEY_TEXT)) ==
+                0;
     }
 }
 
@@ -411,6 +423,16 @@
     caller->took_ms = Loop_NowMs() - caller->sent_ms;
 }
 
+/* Adds the key to a request if the script says so. */
+static void
+add_key(const World *world, HttpCallOptions *options)
+{
+    if (world->keyed) {
+        options->headers[options->header_count++] =
+            (HttpHeader){PlatformWire_Get()->key_header, KEY_TEXT};
+    }
+}
+
 /* Sends a request with body_len bytes to the entry VM's control address. */
 static void
 call_control(World *world, Caller *caller, const char *method,
@@ -426,6 +448,7 @@
                                .fresh_connection = true};
 
     memset(body, ' ', sizeof(body));
+    add_key(world, &options);
     set_address(&options.address, ENTRY_HOST, world->port + 3);
     *caller = (Caller){.sent_ms = Loop_NowMs()};
     HttpClient_StartCall(world->client, &options, on_answer, caller);
@@ -442,6 +465,7 @@
                                .max_answer_bytes = 4096,
                                .fresh_connection = true};
 
+    add_key(world, &options);
     set_address(&options.address, ENTRY_HOST, world->port + 1);
     *caller = (Caller){.sent_ms = Loop_NowMs()};
     HttpClient_StartCall(world->client, &options, on_answer, caller);
@@ -544,6 +568,12 @@
         call_control(world, &world->callers[step->at], "PUT",
                      "/api/instances/i-1", 2);
         return true;
+    case STEP_KEY:
+        world->keyed = true;
+        return true;
+    case STEP_ITEMS:
+        return control->items == (uint32_t)step->value &&
+               control->has_key_text == (step->value == 7);
     case STEP_COPY:
         if (control->copies == control->copies_awaited) {
             return false;
@@ -988,6 +1018,54 @@
      {{STEP_LEAD, 0, 1}, {STEP_READ, 0, 0}, {STEP_PROMPT, 0, 307}}},
 };
 
+static const Script key_scripts[] = {
+    {"request without a key, which earlier versions read",
+     {{STEP_LEAD, 0, 1},
+      {STEP_SUBMIT, 0, 0},
+      {STEP_COPY, 0, 0},
+      {STEP_ITEMS, 0, 6},
+      {STEP_REPLY, 0, 401},
+      {STEP_PROMPT, 0, 401}}},
+    {"each copy has the key",
+     {{STEP_LEAD, 0, 1},
+      {STEP_KEY, 0, 0},
+      {STEP_SUBMIT, 0, 0},
+      {STEP_COPY, 0, 0},
+      {STEP_ITEMS, 0, 7},
+      {STEP_CRASH, 0, 0},
+      {STEP_LEAD, 1, 2},
+      {STEP_COPY, 1, 0},
+      {STEP_ITEMS, 1, 7},
+      {STEP_REPLY, 1, 200},
+      {STEP_ANSWER, 0, 200}}},
+    {"401 for the second copy, then the first is accepted",
+     {{STEP_LEAD, 0, 1},
+      {STEP_KEY, 0, 0},
+      {STEP_SUBMIT, 0, 0},
+      {STEP_COPY, 0, 0},
+      {STEP_LEAD, 1, 2},
+      {STEP_COPY, 1, 0},
+      {STEP_REPLY, 1, 401},
+      {STEP_PAUSE, 0, 0},
+      {STEP_REPLY, 0, 200},
+      {STEP_ANSWER, 0, 200}}},
+    {"a target's request needs no key",
+     {{STEP_LEAD, 0, 1},
+      {STEP_KEY, 0, 0},
+      {STEP_BEAT, 0, 0},
+      {STEP_COPY, 0, 0},
+      {STEP_ITEMS, 0, 6},
+      {STEP_REPLY, 0, 200},
+      {STEP_PROMPT, 0, 200}}},
+};
+
+/* Guards against requests whose key does not reach the leader. */
+START_TEST(key_is_forwarded_with_each_copy)
+{
+    check_script(&key_scripts[_i]);
+}
+END_TEST
+
 START_TEST(order_is_answered_while_a_control_vm_stands_still)
 {
     check_script(&order_scripts[_i]);
@@ -1014,6 +1092,8 @@
     tcase_add_loop_test(
         tcase, order_is_answered_while_a_control_vm_stands_still, 0,
         (int)(sizeof(order_scripts) / sizeof(order_scripts[0])));
+    tcase_add_loop_test(tcase, key_is_forwarded_with_each_copy, 0,
+                        (int)(sizeof(key_scripts) / sizeof(key_scripts[0])));
     tcase_add_test(tcase, no_reply_is_awaited_from_an_earlier_incarnation);
     tcase_add_test(tcase, thawed_entry_vm_sends_no_burst_of_copies);
     tcase_add_test(tcase, request_after_start_waits_for_first_leader);
--- a/tests/test_jobtenant.c
+++ b/tests/test_jobtenant.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "jobcodec.h"
+#include "jobtenant.h"
 #include "platform_wire.h"
 #include "support.h"
 #include "support_job.h"
@@ -22,6 +23,9 @@
 
 static const TenantRow two_tenants[] = {{"a", {"key-a", "old-a"}},
                                         {"b", {"key-b", NULL}}};
+static const TenantRow renewed_tenants[] = {{"a", {"key-a", "new-a"}},
+                                            {"b", {"key-b", NULL}}};
+static const TenantRow only_b[] = {{"b", {"key-b", "key-a"}}};
 
 static char config_text[] = "text";
 static JobPool pool = {.name = "p", .enforces_capacity = true};
@@ -125,6 +129,109 @@
 
 /* --- keys --- */
 
+/* Guards against a key that is cut to its bound and then matches, and against
+ * forms of the header that clients send and that are not recognised. */
+START_TEST(key_is_read_from_header)
+{
+    static const struct {
+        const char *text;
+        const char *key;
+    } cases[] = {
+        {NULL, ""},
+        {"", ""},
+        {"Token", ""},
+        {"Token ", ""},
+        {"Token key-a", "key-a"},
+        {"token key-a", "key-a"},
+        {"  Token \t key-a \t", "key-a"},
+        {"Token two words", "two words"},
+        {"Tokenkey-a", ""},
+        {"Bearer key-a", ""},
+        {"key-a", ""},
+        {"Token " LONGEST_KEY, LONGEST_KEY},
+        {"Token " LONGEST_KEY "f", ""},
+    };
+    static const struct {
+        const char *method;
+        const char *path;
+    } calls[] = {{"POST", "/q/0000000000000001"},
+                 {"GET", "/q/0000000000000001"},
+                 {"DELETE", "/q/0000000000000001"},
+                 {"GET", "/q/"}};
+    JobConfig config;
+    size_t i;
+    size_t c;
+
+    fill_config(&config, 2, two_tenants, 2);
+    for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        for (c = 0; c < sizeof(calls) / sizeof(calls[0]); c++) {
+            JobHttpRequest http = {.method = calls[c].method,
+                                   .host = "h",
+                                   .path = calls[c].path,
+                                   .body = "{\"steps\":[{\"count\":1}]}",
+                                   .body_len = 23,
+                                   .key_text = cases[i].text};
+            JobRequest request;
+            PlatformWire_Get()->decode_caller_request(&http, &config,
+                                                      &request);
+            ck_assert_str_eq(request.key, cases[i].key);
+            ck_assert_str_eq(request.queue, "q");
+            JobRequest_Free(&request);
+        }
+    }
+    JobConfig_Free(&config);
+}
+END_TEST
+
+/* Guards against access without a key of the configuration in force, and
+ * against a demand for a key where none is needed. */
+START_TEST(access_to_queue_depends_on_key)
+{
+    static const struct {
+        const TenantRow *rows;
+        size_t count;
+        const char *queue;
+        const char *key;
+        JobAccess access;
+        const char *tenant;
+    } cases[] = {
+        {two_tenants, 2, "q", "key-a", JOB_ACCESS_GRANTED, "a"},
+        {two_tenants, 2, "q", "old-a", JOB_ACCESS_GRANTED, "a"},
+        {two_tenants, 2, "q", "key-b", JOB_ACCESS_GRANTED, "b"},
+        {two_tenants, 2, "q", "", JOB_ACCESS_DENIED, ""},
+        {two_tenants, 2, "q", "key-", JOB_ACCESS_DENIED, ""},
+        {two_tenants, 2, "q", "key-ax", JOB_ACCESS_DENIED, ""},
+        {two_tenants, 2, "q", "Key-a", JOB_ACCESS_DENIED, ""},
+        {two_tenants, 2, "q", "a", JOB_ACCESS_DENIED, ""},
+        {two_tenants, 2, "q", "new-a", JOB_ACCESS_DENIED, ""},
+        {two_tenants, 2, "q", LONGEST_KEY, JOB_ACCESS_DENIED, ""},
+        {renewed_tenants, 2, "q", "new-a", JOB_ACCESS_GRANTED, "a"},
+        {renewed_tenants, 2, "q", "old-a", JOB_ACCESS_DENIED, ""},
+        {only_b, 1, "q", "key-a", JOB_ACCESS_GRANTED, "b"},
+        {two_tenants, 2, "open", "", JOB_ACCESS_GRANTED, ""},
+        {two_tenants, 2, "open", "key-a", JOB_ACCESS_GRANTED, ""},
+        {two_tenants, 2, "open", "odd", JOB_ACCESS_GRANTED, ""},
+        {two_tenants, 2, "none", "", JOB_ACCESS_NO_QUEUE, ""},
+        {two_tenants, 2, "none", "key-a", JOB_ACCESS_NO_QUEUE, ""},
+        {NULL, 0, "q", "", JOB_ACCESS_GRANTED, ""},
+        {NULL, 0, "q", "key-a", JOB_ACCESS_GRANTED, ""},
+    };
+    size_t i;
+
+    for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        JobConfig config;
+        const char *tenant;
+        fill_config(&config, 2, cases[i].rows, cases[i].count);
+        ck_assert_msg(JobTenant_CheckQueue(&config, cases[i].queue,
+                                           cases[i].key,
+                                           &tenant) == cases[i].access,
+                      "case %zu", i);
+        ck_assert_str_eq(tenant, cases[i].tenant);
+        JobConfig_Free(&config);
+    }
+}
+END_TEST
+
 /* Guards against a configuration by which a key has two tenants, and against
  * a report that contains the key. */
 START_TEST(check_finds_shared_keys_and_names)
@@ -237,6 +344,110 @@
 
 /* --- jobs --- */
 
+/* Guards against jobs that other tenants, or callers of public queues without
+ * a key, may read or cancel. */
+START_TEST(job_belongs_to_its_tenant)
+{
+    static const struct {
+        const char *queue; /* of the job */
+        const char *owner;
+        const char *tenant; /* of the request */
+        JobResult submitted;
+        JobResult cancelled;
+    } cases[] = {
+        {"q", "a", "a", JOB_RESULT_EXISTS, JOB_RESULT_OK},
+        {"q", "a", "b", JOB_RESULT_OTHER_TENANT, JOB_RESULT_UNKNOWN},
+        {"q", "a", "", JOB_RESULT_OTHER_TENANT, JOB_RESULT_UNKNOWN},
+        {"open", "", "a", JOB_RESULT_EXISTS, JOB_RESULT_OK},
+        {"open", "", "", JOB_RESULT_EXISTS, JOB_RESULT_OK},
+        /* submitted before its queue became public */
+        {"open", "a", "", JOB_RESULT_EXISTS, JOB_RESULT_OK},
+        {"open", "a", "b", JOB_RESULT_OTHER_TENANT, JOB_RESULT_UNKNOWN},
+    };
+    size_t i;
+
+    configure(2, two_tenants, 2);
+    for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        char id[JOB_ID_BYTES];
+        const Job *job;
+        snprintf(id, sizeof(id), "%016zx", i);
+        ck_assert_int_eq(submit(id, cases[i].queue, cases[i].owner),
+                         JOB_RESULT_OK);
+        job = JobState_FindJob(state, id);
+        ck_assert_int_eq(JobTenant_MayUseJob(JobState_GetConfig(state), job,
+                                             cases[i].tenant),
+                         cases[i].cancelled == JOB_RESULT_OK);
+        ck_assert_int_eq(submit(id, cases[i].queue, cases[i].tenant),
+                         cases[i].submitted);
+        ck_assert_int_eq(cancel(id, cases[i].tenant), cases[i].cancelled);
+        ck_assert_int_eq(job->phase, cases[i].cancelled == JOB_RESULT_OK
+                                         ? JOB_CANCELLED
+                                         : JOB_QUEUED);
+    }
+    /* Without tenants nothing depends on them. */
+    configure(3, NULL, 0);
+    ck_assert_int_eq(submit("0000000000000001", "q", ""), JOB_RESULT_EXISTS);
+    ck_assert_int_eq(cancel("0000000000000001", ""), JOB_RESULT_OK);
+}
+END_TEST
+
+/* Guards against a submission that runs although the log orders before it a
+ * configuration by which it is not permitted. */
+START_TEST(configuration_before_submission_counts)
+{
+    static const struct {
+        const TenantRow *rows;
+        size_t count;
+        const char *queue;
+        const char *tenant;
+        JobResult result;
+    } cases[] = {
+        {two_tenants, 2, "q", "a", JOB_RESULT_OK},
+        {only_b, 1, "q", "a", JOB_RESULT_DENIED},
+        {NULL, 0, "q", "a", JOB_RESULT_DENIED},
+        {only_b, 1, "q", "", JOB_RESULT_DENIED},
+        {only_b, 1, "open", "", JOB_RESULT_OK},
+        {only_b, 1, "none", "a", JOB_RESULT_UNKNOWN},
+        {NULL, 0, "q", "", JOB_RESULT_OK},
+    };
+    size_t i;
+
+    for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        char id[JOB_ID_BYTES];
+        snprintf(id, sizeof(id), "%016zx", i);
+        configure(2 + i, cases[i].rows, cases[i].count);
+        ck_assert_int_eq(submit(id, cases[i].queue, cases[i].tenant),
+                         cases[i].result);
+        ck_assert((JobState_FindJob(state, id) != NULL) ==
+                  (cases[i].result == JOB_RESULT_OK));
+    }
+}
+END_TEST
+
+/* Guards against a job that stops, or that its tenant cannot reach any more,
+ * because a key of it was removed. */
+START_TEST(job_continues_after_removal_of_key)
+{
+    const char *tenant;
+
+    configure(2, two_tenants, 2);
+    submit("1", "q", "a");
+    JobTest_Assign(state, "1", 0, 0, 1, "t1");
+    configure(3, renewed_tenants, 2);
+    ck_assert_int_eq(
+        JobTenant_CheckQueue(JobState_GetConfig(state), "q", "old-a", &tenant),
+        JOB_ACCESS_DENIED);
+    ck_assert_int_eq(JobState_FindJob(state, "1")->phase, JOB_RUNNING);
+    ck_assert_int_eq(
+        JobTenant_CheckQueue(JobState_GetConfig(state), "q", "new-a", &tenant),
+        JOB_ACCESS_GRANTED);
+    ck_assert_int_eq(submit("1", "q", tenant), JOB_RESULT_EXISTS);
+    configure(4, only_b, 1);
+    ck_assert_int_eq(JobState_FindJob(state, "1")->phase, JOB_RUNNING);
+    ck_assert_int_eq(cancel("1", "b"), JOB_RESULT_UNKNOWN);
+}
+END_TEST
+
 /* Guards against a cancellation that ends another tenant's job because it
  * came before the submission. */
 START_TEST(early_cancellation_ends_only_jobs_of_its_tenant)
@@ -317,6 +528,8 @@
  * they use, or early cancellations of theirs. */
 START_TEST(snapshot_keeps_tenants)
 {
+    const char *tenant;
+
     configure(2, two_tenants, 2);
     submit("1", "q", "a");
     submit("2", "q", "b");
@@ -331,6 +544,12 @@
     check_use("b", 1);
     ck_assert_str_eq(JobState_FindJob(state, "1")->tenant->name, "a");
     ck_assert_ptr_null(JobState_FindJob(state, "3")->tenant);
+    ck_assert_int_eq(
+        JobTenant_CheckQueue(JobState_GetConfig(state), "q", "old-a", &tenant),
+        JOB_ACCESS_GRANTED);
+    ck_assert_int_eq(
+        JobTenant_CheckQueue(JobState_GetConfig(state), "open", "", &tenant),
+        JOB_ACCESS_GRANTED);
     ck_assert_uint_eq(JobState_GetConfig(state)->tenants[0].cap.cpu, 8000);
     submit("4", "q", "b");
     ck_assert_int_eq(JobState_FindJob(state, "4")->phase, JOB_QUEUED);
@@ -382,8 +601,13 @@
     TCase *tcase = tcase_create("tenants");
 
     tcase_add_checked_fixture(tcase, setup, teardown);
+    tcase_add_test(tcase, key_is_read_from_header);
+    tcase_add_test(tcase, access_to_queue_depends_on_key);
     tcase_add_test(tcase, check_finds_shared_keys_and_names);
     tcase_add_test(tcase, malformed_configuration_does_not_show_keys);
+    tcase_add_test(tcase, job_belongs_to_its_tenant);
+    tcase_add_test(tcase, configuration_before_submission_counts);
+    tcase_add_test(tcase, job_continues_after_removal_of_key);
     tcase_add_test(tcase, early_cancellation_ends_only_jobs_of_its_tenant);
     tcase_add_test(tcase, snapshot_keeps_tenants);
     tcase_add_test(tcase, snapshot_keeps_tenant_of_early_cancellation);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -19,7 +19,7 @@
 decode_control_request(const char *method, const char *path, const char *body,
                        JobRequest *request)
 {
-    JobHttpRequest http = {method, "", path, body, strlen(body)};
+    JobHttpRequest http = {method, "", path, body, strlen(body), NULL};
 
     wire->decode_control_request(&http, request);
 }
@@ -254,8 +254,8 @@
     const CallerCase *row = &caller_cases[_i];
     JobQueue queue = {.name = "q", .host = "h", .prefix = "/q/"};
     JobConfig config = {1, &queue, 1, NULL, 0, NULL, 0, NULL, 0};
-    JobHttpRequest http = {row->method, "h", row->path, row->body,
-                           strlen(row->body)};
+    JobHttpRequest http = {row->method,       "h", row->path, row->body,
+                           strlen(row->body), NULL};
     JobRequest request;
 
     wire->decode_caller_request(&http, &config, &request);
@@ -375,6 +375,7 @@
         {JOB_REPLY_GONE, 410},     {JOB_REPLY_INVALID, 400},
         {JOB_REPLY_REJECTED, 429}, {JOB_REPLY_UNAVAILABLE, 503},
         {JOB_REPLY_UNKNOWN, 504},  {JOB_REPLY_TOO_LARGE, 413},
+        {JOB_REPLY_DENIED, 401},   {JOB_REPLY_CONFLICT, 409},
     };
     size_t i;
 
