Test a key whose tenant is renamed while jobs are submitted

Cause: no test reached a submission that the log orders after the configuration that removed its tenant, at the leader.

--- a/tests/proc_tenant_keys.sh
+++ b/tests/proc_tenant_keys.sh
@@ -19,7 +19,7 @@
 ask() {
     local expected=$1 key=$2 status header=()
     shift 2
-    [ "$key" = - ] || header=(-H "Authorization: Token $key")
+    [ "$key" = - ] || header=(-H "$(platform_key_header "$key")")
     status=$(send_request -H 'Host: a.example' "${header[@]}" "${@:1:$#-1}" \
         "$(entry_url "${!#}")")
     cat "$WORK/body" >>"$WORK/bodies"
@@ -30,7 +30,7 @@
 # put_tenants EXPECTED VERSION KEYS_OF_A KEYS_OF_B
 put_tenants() {
     local status
-    platform_tenants "$2" a.example "$3" "$4" >"$WORK/config"
+    platform_tenants "$2" a.example "$3" "$4" "${FIRST_TENANT:-a}" >"$WORK/config"
     status=$(send_request -X PUT --data-binary "@$WORK/config" \
         "$(control_url "$LEADER" "$PLATFORM_CONFIG_PATH")")
     cat "$WORK/body" >>"$WORK/bodies"
@@ -91,13 +91,49 @@
 
 check_malformed() {
     local body status
-    for body in '{"version":9,"tenants":[{"name":"a","api-keys":["x" "s3cret' \
-        '{"tenants":[{"s3cret":1,"s3cret":2}]}' '{"tenants":[s3cret]}'; do
+    while read -r body; do
         status=$(send_request -X PUT -d "$body" \
             "$(control_url "$LEADER" "$PLATFORM_CONFIG_PATH")")
         cat "$WORK/body" >>"$WORK/bodies"
         [ "$status" = 400 ] || fail "malformed configuration: $status"
+    done < <(platform_malformed_tenants "$SECRET")
+}
+
+# put_moving VERSION: stores a version in which the first tenant is named a if
+# the version is even, and c otherwise. Its key remains.
+put_moving() {
+    local FIRST_TENANT=a
+    [ $(($1 % 2)) -eq 0 ] || FIRST_TENANT=c
+    put_tenants 200 "$1" "\"$SECRET-a2\",\"$SECRET-m\"" "\"$SECRET-b1\""
+}
+
+# submit_many FIRST: submits 40 jobs with the moving key.
+submit_many() {
+    local i
+    for ((i = 0; i < 40; i++)); do
+        curl -s --noproxy '*' -m 5 -o /dev/null -w '%{http_code}\n' \
+            -H 'Host: a.example' -H "$(platform_key_header "$SECRET-m")" \
+            -d "$(platform_job 1)" \
+            "$(entry_url "/jobs/$(printf 'c%015x' $(($1 + i)))")"
+    done
+}
+
+# A key that is valid all the time is never refused, although its tenant may be
+# gone between the check of a submission and its place in the log.
+check_moving_key() {
+    local i callers=()
+    PHASE="key moves"
+    put_moving 10
+    for ((i = 0; i < 6; i++)); do
+        submit_many $((i * 100)) >"$WORK/moving-$i" &
+        callers+=($!)
     done
+    for ((i = 11; i <= 50; i++)); do put_moving "$i"; done
+    for i in "${callers[@]}"; do wait "$i" || true; done
+    sort "$WORK"/moving-* | uniq -c >"$WORK/moving"
+    grep -qE '^ *240 200$' "$WORK/moving" ||
+        fail "submissions with a valid key: $(cat "$WORK/moving")"
+    put_tenants 200 51 "\"$SECRET-a2\"" "\"$SECRET-b1\""
 }
 
 check_trace() {
@@ -134,7 +170,8 @@
 check_other_tenant "$SECRET-b1"
 put_tenants 200 3 "\"$SECRET-a2\"" "\"$SECRET-b1\""
 check_keys "keys changed"
-put_tenants 400 4 "\"$SECRET-a2\"" "\"$SECRET-a2\""
+check_moving_key
+put_tenants 400 52 "\"$SECRET-a2\"" "\"$SECRET-a2\""
 check_malformed
 check_trace
 
