Keep tenants within their cap

Cause: a configuration may limit what a tenant's tasks use at all targets, but placement did not look at the limit.

Change: the new module jobsched_share.c decides. An assignment is made only if the tenant's assigned tasks, its assignments in flight and the new task, or its whole gang, are within the cap of the configuration in force. A tenant without runs may start one task that is larger. An assignment whose start was never sent goes back to the queue if the cap was lowered in between and the sent runs leave no room for it; a gang of which one start was sent is completed. Jobs of a tenant that the configuration no longer has run one task or gang at a time each, besides lasting ones. JobSched_Admit gets the tenant and refuses a job with a gang that exceeds the cap by itself. The event tenant_at_cap reports a tenant at its cap every 10 s at most. The model (support_jobsim) gets tenants, floods, and caps that change or are removed while starts are in flight, with an oracle of the cap at each start and one of jobs that wait without cause.

--- a/src/jobctl_request.c
+++ b/src/jobctl_request.c
@@ -300,7 +300,7 @@
         return;
     }
     if (queue != NULL && !JobSched_Admit(control->sched, Loop_NowMs(), queue,
-                                         &pending->request.spec,
+                                         "", &pending->request.spec,
                                          &reply.retry_ms, &reply.reason)) {
         reply.kind = JOB_REPLY_REJECTED;
         send_reply(pending, &reply);
--- a/src/jobsched.c
+++ b/src/jobsched.c
@@ -345,6 +345,7 @@
 static void
 finish_assignments(JobSched *sched, int64_t now, const SchedProposal *proposal)
 {
+    bool job_gone = false;
     size_t i;
 
     for (i = 0; i < proposal->assignment_count; i++) {
@@ -361,7 +362,10 @@
                                   &job->spec.steps[assignment->task.step]);
         }
         if (job != NULL) {
-            job->sched_state.proposed -= job->sched_state.proposed > 0;
+            SchedImpl_ReleaseUse(job, &job->spec.steps[assignment->task.step]);
+        }
+        else {
+            job_gone = true;
         }
         if (task == NULL || job == NULL ||
             task->sched_state.phase != JOB_SCHED_PROPOSED) {
@@ -380,6 +384,9 @@
             job->has_waiting = true;
         }
     }
+    if (job_gone) {
+        SchedImpl_RecountReservedUse(sched);
+    }
 }
 
 /* Takes the clock and room of a new target from its announcement, so that the
--- a/src/jobsched.h
+++ b/src/jobsched.h
@@ -177,10 +177,11 @@
 /* Takes the next action. Returns false if there is none. */
 bool JobSched_TakeAction(JobSched *sched, JobAction *action);
 
-/* Returns whether a job can be accepted now; if not, stores in *retry_ms when
- * to retry, and in *reason why. At present it accepts every job. */
+/* Returns whether a job of a tenant, or of none if the name is empty, can be
+ * accepted now; if not, stores in *retry_ms when to retry, and in *reason why.
+ * It refuses only a job with a gang that exceeds the cap of its tenant. */
 bool JobSched_Admit(const JobSched *sched, int64_t now, const JobQueue *queue,
-                    const JobSpec *spec, int64_t *retry_ms,
+                    const char *tenant, const JobSpec *spec, int64_t *retry_ms,
                     const char **reason);
 
 /* Load of a pool as input to move planning, in thousandths of a core. */
--- a/src/jobsched_impl.h
+++ b/src/jobsched_impl.h
@@ -305,6 +305,30 @@
  * use room from when their first start is sent until their end is listed. */
 bool SchedImpl_MayStart(const JobSched *sched, int64_t now, const JobRun *run);
 
+/* jobsched_share.c: what tenants may use */
+/* Count an assignment of a job that is in flight, also for its tenant. */
+void SchedImpl_ReserveUse(Job *job, const JobStep *step);
+void SchedImpl_ReleaseUse(Job *job, const JobStep *step);
+/* Counts the reserved use of all tenants again, after an assignment in flight
+ * has lost its job. */
+void SchedImpl_RecountReservedUse(const JobSched *sched);
+/* Returns whether the assignment of one task of a step, or of a whole gang,
+ * keeps the tenant of its job within its cap. A tenant without runs may start
+ * one task that is larger than its cap. Jobs of a tenant that the
+ * configuration no longer has run one task or gang at a time each, besides
+ * lasting ones, which run as before. Logs a cap that is reached. */
+bool SchedImpl_IsWithinCap(const JobSched *sched, const Job *job,
+                           const JobStep *step);
+/* Returns whether the start of a run may be sent although the cap of its
+ * tenant may have been lowered since the assignment. Unsent starts do not
+ * count against each other; a gang of which one start was sent is completed.
+ */
+bool SchedImpl_MayStartWithinCap(const JobSched *sched, const JobRun *run);
+/* Returns whether the cap of a tenant allows each step of a job by itself.
+ * tenant is empty for a job without one. */
+bool SchedImpl_CanEverRun(const JobSched *sched, const char *tenant,
+                          const JobSpec *spec);
+
 /* jobsched_run.c: calls that start and stop tasks, and ends of runs */
 void SchedImpl_StopTask(JobSched *sched, int64_t now, JobTarget *target,
                         const JobTaskRef *ref, uint32_t attempt);
--- a/src/jobsched_place.c
+++ b/src/jobsched_place.c
@@ -285,7 +285,7 @@
     assignment->serial = target->serial;
     task = JobState_FindTask(sched->state, &assignment->task, &found_job);
     task->sched_state.phase = JOB_SCHED_PROPOSED;
-    job->sched_state.proposed++;
+    SchedImpl_ReserveUse(job, &job->spec.steps[step]);
     live = SchedImpl_EnsureLive(sched, target);
     SchedImpl_ReserveRoom(live, &job->spec.steps[step]);
     SchedImpl_CountJobRuns(sched, job, target);
@@ -306,7 +306,7 @@
         JobTask *task =
             JobState_FindTask(sched->state, &assignment->task, &job);
         task->sched_state.phase = JOB_SCHED_NONE;
-        job->sched_state.proposed--;
+        SchedImpl_ReleaseUse(job, &job->spec.steps[assignment->task.step]);
         SchedImpl_ReleaseRoom(target->sched_state,
                               &job->spec.steps[assignment->task.step]);
         SchedImpl_FindLive(target)->placed_job = NULL;
@@ -416,7 +416,9 @@
     if (task == NULL || task->crash_score > 0) {
         return true;
     }
-    target = choose_target(pass, pool, job, occurrence, step);
+    target = SchedImpl_IsWithinCap(pass->sched, job, spec)
+                 ? choose_target(pass, pool, job, occurrence, step)
+                 : NULL;
     if (target == NULL) {
         return false;
     }
@@ -456,6 +458,9 @@
         }
         attempt = tasks[i].attempt > attempt ? tasks[i].attempt : attempt;
     }
+    if (spec->gang && !SchedImpl_IsWithinCap(sched, job, spec)) {
+        return true;
+    }
     if (spec->lasting && !spec->gang &&
         !place_longest_unplaced(pass, job, pool, occurrence, step)) {
         mark_unplaced(job, tasks, spec->count, pass->now);
@@ -465,7 +470,8 @@
         if (!is_placeable(&tasks[i])) {
             continue;
         }
-        if (!spec->gang && is_turn_over(pass)) {
+        if (!spec->gang &&
+            (is_turn_over(pass) || !SchedImpl_IsWithinCap(sched, job, spec))) {
             return true;
         }
         if (tasks[i].crash_score > 0 && !spec->gang &&
@@ -513,6 +519,7 @@
 
     for (step = 0; step < job->spec.step_count; step++) {
         if (job->spec.steps[step].depends_mask == 0 &&
+            SchedImpl_IsWithinCap(pass->sched, job, &job->spec.steps[step]) &&
             choose_target(pass, pool, job, occurrence, step) != NULL) {
             return true;
         }
@@ -734,13 +741,16 @@
 
 bool
 JobSched_Admit(const JobSched *sched, int64_t now, const JobQueue *queue,
-               const JobSpec *spec, int64_t *retry_ms, const char **reason)
+               const char *tenant, const JobSpec *spec, int64_t *retry_ms,
+               const char **reason)
 {
-    (void)sched;
     (void)now;
     (void)queue;
-    (void)spec;
     *retry_ms = 0;
     *reason = "";
+    if (!SchedImpl_CanEverRun(sched, tenant, spec)) {
+        *reason = "a gang of the job exceeds the cap of its tenant";
+        return false;
+    }
     return true;
 }
--- a/src/jobsched_room.c
+++ b/src/jobsched_room.c
@@ -63,6 +63,9 @@
     JobResources used = target->used;
     uint32_t i;
 
+    if (!SchedImpl_MayStartWithinCap(sched, run)) {
+        return false;
+    }
     if (!task->sched_state.unsent && enforces_capacity(sched, target)) {
         return true;
     }
--- /dev/null
+++ b/src/jobsched_share.c
@@ -0,0 +1,268 @@
+#include "jobsched_impl.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "mem.h"
+#include "slog.h"
+
+/* Interval between two lines about the same tenant at its cap. */
+#define SHARE_REPORT_INTERVAL_MS 10000
+
+/* --- use --- */
+
+static void
+add_need(JobTotals *totals, const JobStep *step, uint32_t count)
+{
+    totals->cpu += (uint64_t)step->need.cpu * count;
+    totals->memory_mb += (uint64_t)step->need.memory_mb * count;
+    totals->accelerators += (uint64_t)step->need.accelerators * count;
+}
+
+static void
+subtract_need(JobTotals *totals, const JobStep *step)
+{
+    totals->cpu -= step->need.cpu;
+    totals->memory_mb -= step->need.memory_mb;
+    totals->accelerators -= step->need.accelerators;
+}
+
+static JobTotals
+get_use(const JobTenantUse *use)
+{
+    return (JobTotals){use->used.cpu + use->reserved.cpu,
+                       use->used.memory_mb + use->reserved.memory_mb,
+                       use->used.accelerators + use->reserved.accelerators};
+}
+
+void
+SchedImpl_ReserveUse(Job *job, const JobStep *step)
+{
+    job->sched_state.proposed++;
+    if (job->tenant != NULL) {
+        add_need(&job->tenant->reserved, step, 1);
+        job->tenant->reserved_runs++;
+    }
+}
+
+void
+SchedImpl_ReleaseUse(Job *job, const JobStep *step)
+{
+    job->sched_state.proposed -= job->sched_state.proposed > 0;
+    if (job->tenant != NULL) {
+        subtract_need(&job->tenant->reserved, step);
+        job->tenant->reserved_runs--;
+    }
+}
+
+static void
+count_reserved(const JobSched *sched, const JobAssignment *list, size_t count)
+{
+    size_t i;
+
+    for (i = 0; i < count; i++) {
+        Job *job = JobState_FindJob(sched->state, list[i].task.job);
+        if (job != NULL && job->tenant != NULL) {
+            add_need(&job->tenant->reserved,
+                     &job->spec.steps[list[i].task.step], 1);
+            job->tenant->reserved_runs++;
+        }
+    }
+}
+
+void
+SchedImpl_RecountReservedUse(const JobSched *sched)
+{
+    const SchedProposal *proposal;
+    size_t i;
+
+    for (i = 0; i < JobState_TenantUseCount(sched->state); i++) {
+        JobTenantUse *use = JobState_TenantUseAt(sched->state, i);
+        use->reserved = (JobTotals){0, 0, 0};
+        use->reserved_runs = 0;
+    }
+    for (proposal = sched->proposals; proposal != NULL;
+         proposal = proposal->next) {
+        count_reserved(sched, proposal->assignments,
+                       proposal->assignment_count);
+    }
+    count_reserved(sched, sched->batch, sched->batch_count);
+}
+
+/* --- cap --- */
+
+static bool
+is_within(uint64_t used, uint32_t cap)
+{
+    return cap == 0 || used <= cap;
+}
+
+static bool
+is_within_cap(const JobTotals *use, const JobResources *cap)
+{
+    return is_within(use->cpu, cap->cpu) &&
+           is_within(use->memory_mb, cap->memory_mb) &&
+           is_within(use->accelerators, cap->accelerators);
+}
+
+/* Returns whether the configuration in force sets terms for a job's tenant,
+ * or has removed that tenant; *terms is NULL then. */
+static bool
+has_terms(const JobSched *sched, const Job *job, const JobTenant **terms)
+{
+    const JobConfig *config = JobState_GetConfig(sched->state);
+
+    if (job->tenant == NULL || config->tenant_count == 0) {
+        return false;
+    }
+    *terms = JobConfig_FindTenant(config, job->tenant->name);
+    return true;
+}
+
+/* Logs that the cap of a tenant delays a task. */
+static void
+report_cap(const JobSched *sched, JobTenantUse *use, const JobStep *step,
+           const JobTenant *terms)
+{
+    if (use->reported_ms != 0 &&
+        sched->now_ms - use->reported_ms < SHARE_REPORT_INTERVAL_MS) {
+        return;
+    }
+    use->reported_ms = sched->now_ms;
+    Slog_Begin(SLOG_CHANGE, "tenant_at_cap");
+    Slog_AddText("tenant", use->name);
+    Slog_AddInt("runs", use->runs);
+    Slog_AddInt("cpu", (int64_t)(use->used.cpu + use->reserved.cpu));
+    Slog_AddInt("mem_mb",
+                (int64_t)(use->used.memory_mb + use->reserved.memory_mb));
+    Slog_AddInt(
+        "gpu", (int64_t)(use->used.accelerators + use->reserved.accelerators));
+    Slog_AddInt("need_cpu", step->need.cpu);
+    Slog_AddInt("need_mem_mb", step->need.memory_mb);
+    Slog_AddInt("need_gpu", step->need.accelerators);
+    Slog_AddInt("configured", terms != NULL);
+    Slog_End();
+}
+
+bool
+SchedImpl_IsWithinCap(const JobSched *sched, const Job *job,
+                      const JobStep *step)
+{
+    uint32_t count = step->gang ? step->count : 1;
+    const JobTenant *terms;
+    JobTenantUse *use = job->tenant;
+    JobTotals total;
+
+    if (!has_terms(sched, job, &terms)) {
+        return true;
+    }
+    if (terms == NULL) {
+        if (step->lasting || job->assigned + job->sched_state.proposed == 0) {
+            return true;
+        }
+        report_cap(sched, use, step, terms);
+        return false;
+    }
+    total = get_use(use);
+    add_need(&total, step, count);
+    if (is_within_cap(&total, &terms->cap) ||
+        (count == 1 && use->runs + use->reserved_runs == 0)) {
+        return true;
+    }
+    report_cap(sched, use, step, terms);
+    return false;
+}
+
+static bool
+is_same_gang(const JobRun *a, const JobRun *b)
+{
+    return JobRun_GetStep(a)->gang && a->job == b->job &&
+           a->occurrence == b->occurrence && a->step == b->step;
+}
+
+static bool
+is_unsent(const JobRun *run)
+{
+    const JobTask *task = JobRun_GetTask(run);
+
+    return task->sched_state.unsent ||
+           task->sched_state.phase == JOB_SCHED_PROPOSED;
+}
+
+/* Returns what the sent runs of the tenant of a run use together with the run
+ * and its gang, and stores whether there are any sent ones in *sent, and
+ * whether one is of the same gang in *gang_sent. */
+static JobTotals
+sum_sent_use(const JobSched *sched, const JobRun *run, bool *sent,
+             bool *gang_sent)
+{
+    JobTotals total = {0, 0, 0};
+    uint32_t row;
+    uint32_t i;
+
+    *sent = false;
+    *gang_sent = false;
+    for (row = 0; row < JobState_TargetRows(sched->state); row++) {
+        const JobTarget *target = JobState_TargetAt(sched->state, row);
+        for (i = 0; target != NULL && i < target->run_count; i++) {
+            const JobRun *other = &target->runs[i];
+            bool same = JobRun_GetTask(other) == JobRun_GetTask(run) ||
+                        is_same_gang(other, run);
+            if (other->job->tenant != run->job->tenant) {
+                continue;
+            }
+            if (!is_unsent(other)) {
+                *sent = true;
+                *gang_sent = *gang_sent || same;
+            }
+            if (same || !is_unsent(other)) {
+                add_need(&total, JobRun_GetStep(other), 1);
+            }
+        }
+    }
+    return total;
+}
+
+bool
+SchedImpl_MayStartWithinCap(const JobSched *sched, const JobRun *run)
+{
+    const JobTask *task = JobRun_GetTask(run);
+    const JobStep *step = JobRun_GetStep(run);
+    const JobTenant *terms;
+    JobTotals total;
+    bool sent;
+    bool gang_sent;
+
+    if (!task->sched_state.unsent || !has_terms(sched, run->job, &terms) ||
+        terms == NULL || is_within_cap(&run->job->tenant->used, &terms->cap)) {
+        return true;
+    }
+    total = sum_sent_use(sched, run, &sent, &gang_sent);
+    if (is_within_cap(&total, &terms->cap) || gang_sent ||
+        (!sent && (!step->gang || step->count == 1))) {
+        return true;
+    }
+    report_cap(sched, run->job->tenant, step, terms);
+    return false;
+}
+
+bool
+SchedImpl_CanEverRun(const JobSched *sched, const char *tenant,
+                     const JobSpec *spec)
+{
+    const JobConfig *config = JobState_GetConfig(sched->state);
+    const JobTenant *terms =
+        tenant[0] != '\0' ? JobConfig_FindTenant(config, tenant) : NULL;
+    uint32_t i;
+
+    for (i = 0; terms != NULL && i < spec->step_count; i++) {
+        const JobStep *step = &spec->steps[i];
+        JobTotals total = {0, 0, 0};
+        add_need(&total, step, step->count);
+        if (step->gang && step->count > 1 &&
+            !is_within_cap(&total, &terms->cap)) {
+            return false;
+        }
+    }
+    return true;
+}
--- a/src/jobstate.h
+++ b/src/jobstate.h
@@ -125,6 +125,7 @@
     /* Of the leader's scheduler; see sched_state above. */
     JobTotals reserved; /* by assignments in flight */
     uint32_t reserved_runs;
+    int64_t reported_ms; /* when its cap was last logged; 0: not yet */
 } JobTenantUse;
 
 typedef struct Job {
--- a/tests/support_jobsim.c
+++ b/tests/support_jobsim.c
@@ -40,6 +40,12 @@
 #define CRASHES_BEFORE_BUDGET 3
 #define MAX_STARTS_AFTER_CRASHES 2
 #define MIN_CRASHES_TO_FAIL 2
+/* Time for which a cap that was lowered may still be in force: a call is
+ * delayed by up to 12 s, and a new leader sends the starts of earlier ones. */
+#define LOWERED_CAP_MS 15000
+#define MAX_CAP_CHANGES 256
+/* Longest wait of a job that is found by checks_waits. */
+#define MAX_WAIT_MS 3000
 
 typedef enum EventKind {
     EV_COMMIT,
@@ -71,7 +77,8 @@
     EV_MUTE,
     EV_UNMUTE,
     EV_LOG_STALL,
-    EV_ELECTED
+    EV_ELECTED,
+    EV_CAP_CHANGE
 } EventKind;
 
 typedef struct Run {
@@ -134,8 +141,22 @@
     uint32_t starts_after_crashes; /* see CRASHES_BEFORE_BUDGET */
 } TaskRecord;
 
+/* A cap of a tenant, in force until the next one. */
+typedef struct CapRecord {
+    int64_t from_ms;
+    uint32_t cpu; /* 0: no limit */
+    bool removed; /* the tenant is not in the configuration */
+} CapRecord;
+
+typedef struct TenantRecord {
+    CapRecord caps[MAX_CAP_CHANGES];
+    size_t cap_count;
+} TenantRecord;
+
 typedef struct JobRecord {
     const Job *job;
+    uint32_t tenant;
+    int64_t idle_since_ms; /* see checks_waits; 0: it has no cause to start */
     bool ended;
     bool deadly;
     bool late_crash;
@@ -179,6 +200,8 @@
     uint64_t next_id;
     uint64_t next_job;
     StrMap *task_records;
+    TenantRecord tenants[JOBSIM_MAX_TENANTS];
+    uint64_t config_version;
     JobRecord *job_records; /* by job number */
     uint64_t job_record_capacity;
     uint64_t first_open_job; /* jobs with a lower number have ended */
@@ -478,6 +501,142 @@
     }
 }
 
+/* --- oracle of tenants --- */
+
+/* Returns the highest cap of a tenant that may be in force; 0: no limit. */
+static uint32_t
+find_highest_cap(const JobSim *sim, uint32_t tenant)
+{
+    const TenantRecord *record = &sim->tenants[tenant];
+    uint32_t highest = 1;
+    size_t i;
+
+    for (i = 0; i < record->cap_count; i++) {
+        const CapRecord *cap = &record->caps[i];
+        bool in_force =
+            i + 1 == record->cap_count ||
+            sim->now - record->caps[i + 1].from_ms <= LOWERED_CAP_MS;
+        if (in_force && (cap->cpu == 0 || cap->removed)) {
+            return 0;
+        }
+        if (in_force && cap->cpu > highest) {
+            highest = cap->cpu;
+        }
+    }
+    return highest;
+}
+
+/* Checks that a start keeps the runs of its tenant at all targets within the
+ * highest cap that may be in force, unless it has no other run. */
+static void
+check_cap(JobSim *sim, const Job *job, const JobTaskRef *task)
+{
+    const JobRecord *record = get_job_record(sim, job->id);
+    const TenantRecord *tenant = &sim->tenants[record->tenant];
+    uint64_t cpu = job->spec.steps[task->step].need.cpu;
+    uint32_t runs = 0;
+    uint32_t cap;
+    uint32_t i;
+    size_t j;
+
+    if (job->tenant == NULL || sim->options.tenant_cap_cpu == 0) {
+        return;
+    }
+    for (i = 0; i < sim->target_count; i++) {
+        for (j = 0; j < sim->targets[i].run_count; j++) {
+            const JobTaskRef *other = &sim->targets[i].runs[j].task;
+            const JobRecord *other_job = get_job_record(sim, other->job);
+            if (other_job->tenant == record->tenant) {
+                cpu += other_job->job->spec.steps[other->step].need.cpu;
+                runs++;
+            }
+        }
+    }
+    cap = find_highest_cap(sim, record->tenant);
+    if (cap != 0 && cpu > cap && runs > 0) {
+        report_violation(sim, "%s.%u.%u brings %s to %llu of its cap of %u",
+                         task->job, task->step, task->index, job->tenant->name,
+                         (unsigned long long)cpu, cap);
+    }
+    cap = tenant->caps[tenant->cap_count - 1].cpu;
+    sim->report->starts_at_lowered_cap +=
+        !tenant->caps[tenant->cap_count - 1].removed && cpu > cap && runs > 0;
+}
+
+/* Returns the need of the first task of a job that waits, if no task of the
+ * job is assigned, or NULL. */
+static const JobResources *
+find_idle_need(const Job *job)
+{
+    uint32_t occurrence = job->first_incomplete;
+    uint32_t step;
+
+    if (!job->active || job->phase >= JOB_COMPLETED || job->tenant == NULL ||
+        job->assigned + job->sched_state.proposed > 0) {
+        return NULL;
+    }
+    for (step = 0; step < job->spec.step_count; step++) {
+        const JobOccurrence *row = Job_FindOccurrence(job, occurrence);
+        if (!job->spec.steps[step].gang &&
+            Job_IsStepReady(job, occurrence, step) &&
+            (row == NULL || row->tasks == NULL ||
+             row->step_done[step] < job->spec.steps[step].count)) {
+            return &job->spec.steps[step].need;
+        }
+    }
+    return NULL;
+}
+
+/* Returns whether a pool of which under half is in use has room for a task
+ * twice over. */
+static bool
+has_ample_room(const JobSim *sim, const char *pool, const JobResources *need)
+{
+    uint64_t used = 0;
+    uint64_t total = 0;
+    uint32_t places = 0;
+    uint32_t i;
+
+    for (i = 0; i < JobState_TargetRows(sim->state); i++) {
+        const JobTarget *target = JobState_TargetAt(sim->state, i);
+        if (target != NULL && strcmp(target->announcement.pool, pool) == 0) {
+            uint32_t room = target->announcement.room.cpu;
+            used += target->used.cpu;
+            total += room;
+            places += room > target->used.cpu
+                          ? (room - target->used.cpu) / need->cpu
+                          : 0;
+        }
+    }
+    return used * 2 < total && places >= 2;
+}
+
+/* Finds jobs that wait without cause; see checks_waits. */
+static void
+check_waits(JobSim *sim)
+{
+    uint64_t number;
+
+    for (number = sim->first_open_job; number < sim->next_job; number++) {
+        JobRecord *record = &sim->job_records[number];
+        const Job *job = record->job;
+        const JobResources *need = find_idle_need(job);
+        uint32_t cap = sim->options.tenant_cap_cpu;
+        if (need == NULL || !has_ample_room(sim, job->pool, need) ||
+            (cap != 0 &&
+             (job->tenant->used.cpu + job->tenant->reserved.cpu) * 2 >= cap)) {
+            record->idle_since_ms = 0;
+        }
+        else if (record->idle_since_ms == 0) {
+            record->idle_since_ms = sim->now;
+        }
+        else if (sim->now - record->idle_since_ms >= MAX_WAIT_MS) {
+            report_violation(sim, "job %s of %s waits without cause", job->id,
+                             job->tenant->name);
+        }
+    }
+}
+
 /* --- targets --- */
 
 static int64_t
@@ -794,6 +953,7 @@
         return JOB_CALL_NO_ROOM;
     }
     check_room(sim, target, call, step);
+    check_cap(sim, job, &call->task);
     sim->report->starts++;
     run = &target->runs[target->run_count++];
     *run = (Run){call->task,    call->attempt, sim->next_id++,
@@ -1497,11 +1657,33 @@
     sim->report->deadly_jobs++;
 }
 
+static uint32_t
+draw_tenant(JobSim *sim)
+{
+    return sim->options.flood_share > 0 &&
+                   draw_bool(sim, sim->options.flood_share)
+               ? 0
+               : Rng_Below(&sim->rng, sim->options.tenants);
+}
+
+/* Returns whether the configuration does not have a tenant at present. */
+static bool
+is_removed(const JobSim *sim, uint32_t tenant)
+{
+    const TenantRecord *record = &sim->tenants[tenant];
+
+    return record->cap_count > 0 &&
+           record->caps[record->cap_count - 1].removed;
+}
+
 static void
 submit_job(JobSim *sim, uint32_t pool, bool lasting)
 {
     char id[JOB_ID_BYTES];
     char queue[JOB_NAME_BYTES];
+    char tenant[JOB_NAME_BYTES] = "";
+    const char *reason;
+    int64_t retry_ms;
     JobRecord *record;
     JobSpec spec;
     Buf command = BUF_INIT;
@@ -1518,7 +1700,21 @@
         sim->report->large++;
     }
     choose_deadly_task(sim, &spec, lasting, record);
-    JobCmd_EncodeSubmit(&command, id, queue, sim->now, &spec, "");
+    if (sim->options.tenants > 0) {
+        /* Lasting jobs are not of the first tenants, which may be flooded. */
+        record->tenant =
+            lasting ? sim->options.tenants - 1 - pool % sim->options.tenants
+                    : draw_tenant(sim);
+        snprintf(tenant, sizeof(tenant), "tenant%u", record->tenant);
+    }
+    if (!JobSched_Admit(sim->sched, sim->now, NULL, tenant, &spec, &retry_ms,
+                        &reason) ||
+        is_removed(sim, record->tenant)) {
+        JobSpec_Free(&spec);
+        sim->next_job--;
+        return;
+    }
+    JobCmd_EncodeSubmit(&command, id, queue, sim->now, &spec, tenant);
     JobSpec_Free(&spec);
     JobState_Apply(sim->state, command.data, command.len, &result);
     Buf_Free(&command);
@@ -1544,10 +1740,42 @@
     Buf_Free(&result);
 }
 
+static void
+add_tenants(JobSim *sim, JobConfig *config)
+{
+    uint32_t i;
+
+    config->tenants = allocate((sim->options.tenants + 1) * sizeof(JobTenant));
+    for (i = 0; i < sim->options.tenants; i++) {
+        const TenantRecord *record = &sim->tenants[i];
+        const CapRecord *cap = &record->caps[record->cap_count - 1];
+        JobTenant *tenant = &config->tenants[config->tenant_count];
+        if (!cap->removed) {
+            snprintf(tenant->name, sizeof(tenant->name), "tenant%u", i);
+            tenant->weight = sim->options.tenant_weights[i] > 0
+                                 ? sim->options.tenant_weights[i]
+                                 : 1;
+            tenant->cap.cpu = cap->cpu;
+            config->tenant_count++;
+        }
+    }
+}
+
+static void
+set_cap(JobSim *sim, uint32_t tenant, uint32_t cpu, bool removed)
+{
+    TenantRecord *record = &sim->tenants[tenant];
+
+    if (record->cap_count < MAX_CAP_CHANGES) {
+        record->caps[record->cap_count++] =
+            (CapRecord){sim->now, cpu, removed};
+    }
+}
+
 static void
 configure_pools(JobSim *sim)
 {
-    JobConfig config = {.version = 1};
+    JobConfig config = {.version = ++sim->config_version};
     Buf command = BUF_INIT;
     Buf result = BUF_INIT;
     uint32_t i;
@@ -1567,6 +1795,7 @@
         snprintf(config.pools[i].name, sizeof(config.pools[i].name), "p%u", i);
         config.pools[i].enforces_capacity = i >= sim->options.unguarded_pools;
     }
+    add_tenants(sim, &config);
     JobCmd_EncodeConfig(&command, &config);
     JobConfig_Free(&config);
     JobState_Apply(sim->state, command.data, command.len, &result);
@@ -1574,6 +1803,31 @@
     Buf_Free(&result);
 }
 
+/* Changes the cap of one tenant, or removes it. */
+static void
+change_cap(JobSim *sim)
+{
+    uint32_t tenant = Rng_Below(&sim->rng, sim->options.tenants);
+    uint32_t percent = (uint32_t)draw_between(sim, 20, 150);
+    bool removed = tenant > 0 && draw_bool(sim, 0.1);
+
+    sim->report->cap_changes++;
+    set_cap(sim, tenant, sim->options.tenant_cap_cpu / 100 * percent, removed);
+    configure_pools(sim);
+}
+
+/* Ends the limits of all tenants. */
+static void
+lift_caps(JobSim *sim)
+{
+    uint32_t i;
+
+    for (i = 0; i < sim->options.tenants; i++) {
+        set_cap(sim, i, 0, false);
+    }
+    configure_pools(sim);
+}
+
 static void
 add_targets(JobSim *sim)
 {
@@ -1800,6 +2054,9 @@
     for (i = 0; i < sim->target_count; i++) {
         end_expired_runs(sim, i);
     }
+    if (sim->options.checks_waits) {
+        check_waits(sim);
+    }
     schedule_event(sim, TICK_INTERVAL_MS, EV_TICK);
 }
 
@@ -1891,6 +2148,16 @@
     case EV_LOG_STALL:
         inject_fault(sim, event);
         break;
+    case EV_CAP_CHANGE:
+        if (is_active_phase(sim)) {
+            change_cap(sim);
+            schedule_random_event(sim, EV_CAP_CHANGE,
+                                  sim->options.cap_changes_per_s);
+        }
+        else {
+            lift_caps(sim);
+        }
+        break;
     case EV_HEAL:
     case EV_GROW:
     case EV_UNMUTE:
@@ -1921,6 +2188,7 @@
     uint64_t job_number;
     uint64_t completed = 0;
     int64_t total_ms = 0;
+    uint32_t i;
 
     check_ended_jobs(sim);
     for (job_number = 1; job_number < sim->next_job; job_number++) {
@@ -1952,7 +2220,10 @@
             Slog_End();
         }
         if (job->phase == JOB_COMPLETED) {
+            uint32_t tenant = sim->job_records[job_number].tenant;
             total_ms += job->ended_ms - job->accepted_ms;
+            report->tenant_completed[tenant]++;
+            report->tenant_mean_ms[tenant] += job->ended_ms - job->accepted_ms;
             report->on_time += !sim->job_records[job_number].large &&
                                (double)(job->ended_ms - job->accepted_ms) <=
                                    JOBSIM_ON_TIME_FACTOR * JOBSIM_STEP_MS *
@@ -1960,6 +2231,11 @@
             completed++;
         }
     }
+    for (i = 0; i < JOBSIM_MAX_TENANTS; i++) {
+        if (report->tenant_completed[i] > 0) {
+            report->tenant_mean_ms[i] /= (int64_t)report->tenant_completed[i];
+        }
+    }
     report->mean_completion_ms =
         completed > 0 ? total_ms / (int64_t)completed : 0;
 }
@@ -2010,6 +2286,9 @@
     sim.sched = JobSched_New(&sim.sched_options, sim.state);
     sim.task_records = StrMap_New();
     sim.now = 1;
+    for (i = 0; i < options->tenants; i++) {
+        set_cap(&sim, i, options->tenant_cap_cpu, false);
+    }
     configure_pools(&sim);
     JobSched_Lead(sim.sched, sim.now, sim.term);
     add_targets(&sim);
@@ -2026,6 +2305,7 @@
     schedule_random_event(&sim, EV_SHRINK, options->shrinks_per_s);
     schedule_random_event(&sim, EV_MUTE, options->mutes_per_s);
     schedule_random_event(&sim, EV_LOG_STALL, options->log_stalls_per_s);
+    schedule_random_event(&sim, EV_CAP_CHANGE, options->cap_changes_per_s);
     while (sim.heap_count > 0 &&
            sim.heap[0]->at_ms < options->active_ms + options->settle_ms &&
            report->violation[0] == '\0') {
--- a/tests/support_jobsim.h
+++ b/tests/support_jobsim.h
@@ -9,8 +9,9 @@
  *     delayed, targets are partitioned, crash and restart under the same id,
  *     the room of targets shrinks and grows, and the leader changes while
  *     proposals are in flight. Deadly tasks crash each target that starts
- *     them. An oracle checks every start that takes effect and every job that
- *     ends as failed. The same seed gives the same run.
+ *     them. Tenants have caps, which configurations lower and raise while
+ * starts are in flight. An oracle checks every start that takes effect and
+ * every job that ends as failed. The same seed gives the same run.
  */
 #ifndef COLTSFOOT_SUPPORT_JOBSIM_H
 #define COLTSFOOT_SUPPORT_JOBSIM_H
@@ -23,6 +24,7 @@
  * its steps, JOBSIM_STEP_MS each. */
 #define JOBSIM_ON_TIME_FACTOR 2.0
 #define JOBSIM_STEP_MS 1300
+#define JOBSIM_MAX_TENANTS 8
 
 typedef struct JobSimOptions {
     uint64_t seed;
@@ -81,6 +83,18 @@
     double refused_share; /* share of proposals that the log refuses at once */
     double log_stalls_per_s; /* rate at which commits stop for 1 to 6 s */
     int64_t max_election_ms; /* longest time without a leader */
+    uint32_t tenants;        /* 0: jobs have no tenant */
+    uint32_t tenant_cap_cpu; /* cap of each tenant; 0: no limit */
+    uint32_t tenant_weights[JOBSIM_MAX_TENANTS]; /* 0 counts as 1 */
+    double flood_share; /* share of jobs that are of the first tenant, beyond
+                           its usual one */
+    /* rate at which a configuration changes the cap of one tenant to 20 to
+     * 150 %, or in one of ten cases removes the tenant */
+    double cap_changes_per_s;
+    /* Whether a job of a tenant under half of its cap is found that waits 3 s
+     * with nothing running beside room for its task twice over, in a pool of
+     * which under half is in use. Set it only without other faults. */
+    bool checks_waits;
 } JobSimOptions;
 
 #define JOBSIM_OPTIONS_DEFAULT                                                \
@@ -105,6 +119,11 @@
                                    other than large ones */
     int64_t mean_completion_ms; /* mean time from submission to completion;
                                    no job with a deadly task completes */
+    /* Of jobs by tenant: */
+    uint64_t tenant_completed[JOBSIM_MAX_TENANTS];
+    int64_t tenant_mean_ms[JOBSIM_MAX_TENANTS];
+    uint64_t starts_at_lowered_cap; /* that only an earlier cap allowed */
+    uint64_t cap_changes;
     uint64_t deadly_jobs;
     uint64_t deadly_crashes;     /* crashes caused by deadly tasks */
     uint32_t max_deadly_starts;  /* most starts of one deadly task */
--- /dev/null
+++ b/tests/test_jobshare.c
@@ -0,0 +1,589 @@
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "jobcodec.h"
+#include "jobsched_impl.h"
+#include "support.h"
+#include "support_job.h"
+#include "support_jobsim.h"
+
+#define TARGET_CPU 16000
+#define MAX_TENANTS 20
+
+static JobState *state;
+static JobSched *sched;
+static int64_t now;
+static uint64_t version;
+static Buf decided; /* commands of the log, in order */
+
+static void
+setup(void)
+{
+    JobSchedOptions options = JOBSCHED_OPTIONS_DEFAULT;
+
+    now = 1000000;
+    version = 0;
+    Buf_Clear(&decided);
+    state = JobState_New();
+    sched = JobSched_New(&options, state);
+    JobSched_Lead(sched, now, 1);
+}
+
+static void
+teardown(void)
+{
+    JobSched_Free(sched);
+    JobState_Free(state);
+    Buf_Free(&decided);
+}
+
+/* Configures queue "q" in pool "p" and these tenants. */
+static void
+configure(JobTenant *tenants, size_t count)
+{
+    JobQueue queue = {.name = "q",
+                      .host = "h",
+                      .prefix = "/q/",
+                      .pool = "p",
+                      .timeout_ms = 3000,
+                      .objective_ms = 600,
+                      .max_attempts = 3,
+                      .slack = 1.6,
+                      .is_public = true};
+    JobPool pool = {.name = "p", .enforces_capacity = true};
+    char text[] = "text";
+    JobConfig config = {++version, &queue, 1,    &pool, 1,
+                        tenants,   count,  text, 4};
+    Buf command = BUF_INIT;
+
+    JobCmd_EncodeConfig(&command, &config);
+    ck_assert_int_eq(JobTest_Apply(state, &command), JOB_RESULT_OK);
+}
+
+static void
+configure_cap(uint32_t cap_cpu)
+{
+    JobTenant tenant = {.name = "a", .weight = 1, .cap = {cap_cpu, 0, 0}};
+
+    configure(&tenant, 1);
+}
+
+static void
+add_targets(uint32_t count)
+{
+    uint32_t i;
+
+    for (i = 0; i < count; i++) {
+        char id[JOB_NAME_BYTES];
+        snprintf(id, sizeof(id), "t%u", i);
+        JobTest_SetTarget(state, id, id, "p", 1, false);
+        JobSched_HandleAnnouncement(
+            sched, now, &JobState_FindTarget(state, id)->announcement);
+    }
+}
+
+/* Submits a job of one step of a tenant, or of none if the name is empty. */
+static void
+submit(const char *id, const char *tenant, const JobStep *step)
+{
+    JobStep *steps = calloc(1, sizeof(*steps));
+    JobSpec spec = {.text = strdup("work"), .text_len = 4, .step_count = 1};
+    Buf command = BUF_INIT;
+
+    *steps = *step;
+    spec.steps = steps;
+    JobCmd_EncodeSubmit(&command, id, "q", now, &spec, tenant);
+    JobSpec_Free(&spec);
+    ck_assert_int_eq(JobTest_Apply(state, &command), JOB_RESULT_OK);
+}
+
+typedef enum Verdict { COMMIT, REFUSE, KEEP } Verdict;
+
+/* Decides all proposals and answers all calls at once. Kept proposals stay in
+ * flight. Returns the number of starts. */
+static uint32_t
+process(Verdict verdict)
+{
+    JobAction action;
+    uint32_t starts = 0;
+
+    while (JobSched_TakeAction(sched, &action)) {
+        JobCallAnswer answer = {
+            .outcome = JOB_CALL_OK, .clock_ms = now, .born = 1};
+        if (action.kind == JOB_ACTION_PROPOSE) {
+            Buf_Append(&decided, action.command.data, action.command.len);
+            if (verdict == COMMIT) {
+                JobTest_Apply(state, &action.command);
+            }
+            Buf_Free(&action.command);
+            if (verdict != KEEP) {
+                JobSched_HandleProposal(sched, now, action.cookie,
+                                        verdict == COMMIT ? ST_OK : ST_FULL);
+            }
+        }
+        else if (action.kind == JOB_ACTION_START) {
+            starts++;
+            JobSched_HandleAnswer(sched, now, &action, &answer);
+        }
+    }
+    return starts;
+}
+
+static uint32_t
+place(Verdict verdict)
+{
+    JobSched_PlaceTasks(sched, now, now);
+    return process(verdict);
+}
+
+/* Ends the first runs of a tenant's jobs as done. */
+static void
+end_runs(const char *tenant, uint32_t count)
+{
+    uint32_t row;
+
+    for (row = 0; row < JobState_TargetRows(state); row++) {
+        JobTarget *target = JobState_TargetAt(state, row);
+        uint32_t i = 0;
+        while (count > 0 && i < target->run_count) {
+            JobRun run = target->runs[i];
+            if (strcmp(run.job->tenant->name, tenant) != 0) {
+                i++;
+                continue;
+            }
+            JobTest_End(state, run.job->id, run.step, run.index,
+                        JobRun_GetTask(&run)->attempt, target->announcement.id,
+                        JOB_END_DONE, target->last_applied_end + 1);
+            count--;
+        }
+    }
+}
+
+/* --- cap --- */
+
+typedef struct CapCase {
+    const char *name;
+    uint32_t cap_cpu;
+    JobStep first; /* placed and committed before */
+    JobStep second;
+    uint32_t starts; /* of the second */
+} CapCase;
+
+static const CapCase cap_cases[] = {
+    {"tasks up to the cap",
+     5000,
+     {.count = 1, .need = {1000, 10, 0}},
+     {.count = 9, .need = {1000, 10, 0}},
+     4},
+    {"best-effort tasks count",
+     3000,
+     {.count = 2, .need = {1000, 10, 0}, .best_effort = true},
+     {.count = 9, .need = {1000, 10, 0}, .best_effort = true},
+     1},
+    {"no limit",
+     0,
+     {.count = 1, .need = {1000, 10, 0}},
+     {.count = 9, .need = {1000, 10, 0}},
+     9},
+    {"nothing larger than the cap beside a run",
+     1000,
+     {.count = 1, .need = {500, 10, 0}},
+     {.count = 2, .need = {4000, 10, 0}},
+     0},
+    {"a gang is placed whole",
+     5000,
+     {.count = 1, .need = {1000, 10, 0}},
+     {.count = 4, .need = {1000, 10, 0}, .gang = true},
+     4},
+    {"or not at all",
+     5000,
+     {.count = 2, .need = {1000, 10, 0}},
+     {.count = 4, .need = {1000, 10, 0}, .gang = true},
+     0},
+    {"lasting tasks count",
+     4000,
+     {.count = 3, .need = {1000, 10, 0}, .lasting = true},
+     {.count = 9, .need = {1000, 10, 0}},
+     1},
+};
+
+/* Guards against assignments beyond the cap, by tasks that run and by those of
+ * the same placement. */
+START_TEST(placement_keeps_cap)
+{
+    const CapCase *row = &cap_cases[_i];
+
+    configure_cap(row->cap_cpu);
+    add_targets(4);
+    submit("01", "a", &row->first);
+    ck_assert_uint_eq(place(COMMIT), row->first.count);
+    submit("02", "a", &row->second);
+    ck_assert_msg(place(COMMIT) == row->starts, "%s", row->name);
+    ck_assert_msg(place(COMMIT) == 0, "%s: again", row->name);
+}
+END_TEST
+
+/* A tenant with nothing running starts one task that is larger than its cap,
+ * and the next one only after its end. */
+START_TEST(one_task_may_exceed_cap)
+{
+    configure_cap(1000);
+    add_targets(4);
+    submit("01", "a", &(JobStep){.count = 3, .need = {4000, 10, 0}});
+    ck_assert_uint_eq(place(COMMIT), 1);
+    ck_assert_uint_eq(place(COMMIT), 0);
+    end_runs("a", 1);
+    ck_assert_uint_eq(place(COMMIT), 1);
+}
+END_TEST
+
+static void
+check_reserved(uint64_t cpu, uint32_t runs)
+{
+    const JobTenantUse *use = JobState_FindTenantUse(state, "a");
+
+    ck_assert_uint_eq(use->reserved.cpu, cpu);
+    ck_assert_uint_eq(use->reserved_runs, runs);
+}
+
+/* Guards against reserved amounts that leak: the tenant would be at its cap
+ * for ever. */
+START_TEST(reserved_use_is_exact)
+{
+    configure_cap(5000);
+    add_targets(1);
+    submit("01", "a", &(JobStep){.count = 9, .need = {1000, 10, 0}});
+    place(REFUSE);
+    check_reserved(0, 0);
+    place(KEEP);
+    check_reserved(5000, 5);
+    JobSched_PlaceTasks(sched, now, now);
+    check_reserved(5000, 5); /* assignments in flight count */
+    JobSched_Lead(sched, now, 2);
+    check_reserved(0, 0);
+    ck_assert_uint_eq(JobState_FindTenantUse(state, "a")->runs, 0);
+    add_targets(1);
+    process(COMMIT);
+}
+END_TEST
+
+/* A gang that fits the cap but no targets leaves nothing reserved. */
+START_TEST(undone_gang_reserves_nothing)
+{
+    configure_cap(90000);
+    add_targets(1);
+    submit("01", "a",
+           &(JobStep){.count = 20, .need = {1000, 10, 0}, .gang = true});
+    ck_assert_uint_eq(place(COMMIT), 0);
+    check_reserved(0, 0);
+}
+END_TEST
+
+/* A job that is forgotten while its assignments are in flight. */
+START_TEST(forgotten_job_reserves_nothing)
+{
+    Buf command = BUF_INIT;
+    JobAction action;
+    uint64_t cookie = 0;
+
+    configure_cap(5000);
+    add_targets(1);
+    submit("01", "a", &(JobStep){.count = 2, .need = {1000, 10, 0}});
+    JobSched_PlaceTasks(sched, now, now);
+    while (JobSched_TakeAction(sched, &action)) {
+        if (action.kind == JOB_ACTION_PROPOSE) {
+            cookie = action.cookie;
+            Buf_Free(&action.command);
+        }
+    }
+    check_reserved(2000, 2);
+    JobCmd_EncodeCancel(&command, "01", now, "");
+    JobTest_Apply(state, &command);
+    JobCmd_EncodeExpire(&command, now + 1);
+    JobTest_Apply(state, &command);
+    ck_assert_ptr_null(JobState_FindJob(state, "01"));
+    JobSched_HandleProposal(sched, now, cookie, ST_FULL);
+    check_reserved(0, 0);
+}
+END_TEST
+
+/* Commits the assignments of a placement only after the cap was changed. */
+static uint32_t
+place_then_configure(uint32_t cap_cpu)
+{
+    JobAction action;
+    JobAction proposal = {.cookie = 0};
+
+    JobSched_PlaceTasks(sched, now, now);
+    while (JobSched_TakeAction(sched, &action)) {
+        if (action.kind == JOB_ACTION_PROPOSE) {
+            proposal = action;
+        }
+    }
+    ck_assert_uint_ne(proposal.cookie, 0);
+    JobTest_Apply(state, &proposal.command);
+    configure_cap(cap_cpu);
+    JobSched_HandleProposal(sched, now, proposal.cookie, ST_OK);
+    return process(COMMIT);
+}
+
+typedef struct LoweredCase {
+    const char *name;
+    JobStep first; /* runs before */
+    JobStep step;  /* assigned when the cap is lowered from 9000 */
+    uint32_t cap_cpu;
+    uint32_t starts;
+} LoweredCase;
+
+static const LoweredCase lowered_cases[] = {
+    {"starts up to the lowered cap",
+     {.count = 2, .need = {1000, 10, 0}},
+     {.count = 5, .need = {1000, 10, 0}},
+     4000,
+     2},
+    {"none beyond it",
+     {.count = 2, .need = {1000, 10, 0}},
+     {.count = 5, .need = {1000, 10, 0}},
+     1000,
+     0},
+    {"a gang not in part",
+     {.count = 2, .need = {1000, 10, 0}},
+     {.count = 5, .need = {1000, 10, 0}, .gang = true},
+     4000,
+     0},
+    {"a gang that still fits",
+     {.count = 2, .need = {1000, 10, 0}},
+     {.count = 5, .need = {1000, 10, 0}, .gang = true},
+     7000,
+     5},
+};
+
+/* Guards against starts that were assigned under an earlier, higher cap. */
+START_TEST(unsent_starts_keep_lowered_cap)
+{
+    const LoweredCase *row = &lowered_cases[_i];
+    uint32_t i;
+
+    configure_cap(9000);
+    add_targets(4);
+    submit("01", "a", &row->first);
+    ck_assert_uint_eq(place(COMMIT), row->first.count);
+    submit("02", "a", &row->step);
+    ck_assert_msg(place_then_configure(row->cap_cpu) == row->starts, "%s",
+                  row->name);
+    for (i = 0; i < 3; i++) {
+        now += 50;
+        JobSched_Tick(sched, now, now);
+        process(COMMIT);
+        ck_assert_msg(place(COMMIT) == 0, "%s: later", row->name);
+    }
+    /* They start as soon as the cap is raised. */
+    configure_cap(9000);
+    ck_assert_msg(place(COMMIT) == row->step.count - row->starts, "%s: raised",
+                  row->name);
+}
+END_TEST
+
+/* The jobs of a tenant that is removed go on, one task at a time each. */
+START_TEST(jobs_of_removed_tenant_end)
+{
+    JobTenant other = {.name = "b", .weight = 1};
+
+    configure_cap(9000);
+    add_targets(4);
+    submit("01", "a", &(JobStep){.count = 2, .need = {1000, 10, 0}});
+    submit("02", "a", &(JobStep){.count = 2, .need = {1000, 10, 0}});
+    submit("03", "a",
+           &(JobStep){.count = 2, .need = {1000, 10, 0}, .gang = true});
+    submit("04", "a",
+           &(JobStep){.count = 2, .need = {1000, 10, 0}, .lasting = true});
+    configure(&other, 1);
+    ck_assert_uint_eq(place(COMMIT), 1 + 1 + 2 + 2);
+    ck_assert_uint_eq(place(COMMIT), 0);
+    end_runs("a", 6);
+    /* "03" is done, and one lasting task starts again. */
+    ck_assert_uint_ge(place(COMMIT), 2);
+}
+END_TEST
+
+typedef struct AdmitCase {
+    const char *name;
+    const char *tenant;
+    JobStep step;
+    bool admitted;
+} AdmitCase;
+
+static const AdmitCase admit_cases[] = {
+    {"a gang within the cap",
+     "a",
+     {.count = 5, .need = {1000, 10, 0}, .gang = true},
+     true},
+    {"a gang beyond the cap",
+     "a",
+     {.count = 6, .need = {1000, 10, 0}, .gang = true},
+     false},
+    {"tasks beyond the cap run one after the other",
+     "a",
+     {.count = 6, .need = {1000, 10, 0}},
+     true},
+    {"one large task",
+     "a",
+     {.count = 1, .need = {9000, 10, 0}, .gang = true},
+     true},
+    {"no tenant", "", {.count = 6, .need = {1000, 10, 0}, .gang = true}, true},
+};
+
+START_TEST(gang_beyond_cap_is_refused)
+{
+    const AdmitCase *row = &admit_cases[_i];
+    JobStep step = row->step;
+    JobSpec spec = {.steps = &step, .step_count = 1};
+    int64_t retry_ms;
+    const char *reason;
+
+    configure_cap(5000);
+    ck_assert_msg(JobSched_Admit(sched, now, NULL, row->tenant, &spec,
+                                 &retry_ms, &reason) == row->admitted,
+                  "%s", row->name);
+    ck_assert_msg((reason[0] == '\0') == row->admitted, "%s", row->name);
+}
+END_TEST
+
+/* --- model --- */
+
+typedef struct WorldCase {
+    const char *name;
+    JobSimOptions options;
+    uint64_t seeds;
+} WorldCase;
+
+static const WorldCase worlds[] = {
+    {"no faults: no job waits without cause",
+     {.pools = 2,
+      .targets_per_pool = 6,
+      .jobs_per_s = 8,
+      .lasting_per_pool = 1,
+      .active_ms = 20000,
+      .settle_ms = 60000,
+      .gang_share = 0.1,
+      .tenants = 4,
+      .tenant_cap_cpu = 30000,
+      .checks_waits = true},
+     20},
+    {"one tenant at ten times its usual",
+     {.pools = 2,
+      .targets_per_pool = 6,
+      .jobs_per_s = 20,
+      .lasting_per_pool = 1,
+      .active_ms = 20000,
+      .settle_ms = 180000,
+      .gang_share = 0.1,
+      .tenants = 4,
+      .tenant_cap_cpu = 30000,
+      .flood_share = 0.7,
+      .checks_waits = true},
+     20},
+    {"caps that change while starts are in flight",
+     {.pools = 2,
+      .targets_per_pool = 6,
+      .jobs_per_s = 15,
+      .lasting_per_pool = 1,
+      .active_ms = 25000,
+      .settle_ms = 90000,
+      .gang_share = 0.1,
+      .tenants = 3,
+      .tenant_cap_cpu = 20000,
+      .cap_changes_per_s = 2,
+      .log_stalls_per_s = 0.3},
+     20},
+    {"caps that change, and leaders",
+     {.pools = 2,
+      .targets_per_pool = 6,
+      .jobs_per_s = 12,
+      .lasting_per_pool = 1,
+      .active_ms = 25000,
+      .settle_ms = 90000,
+      .gang_share = 0.1,
+      .leader_changes_per_s = 0.3,
+      .restored_leader_share = 0.5,
+      .max_election_ms = 3000,
+      .refused_share = 0.05,
+      .tenants = 3,
+      .tenant_cap_cpu = 20000,
+      .cap_changes_per_s = 1},
+     30},
+    {"all kinds of faults",
+     {.pools = 2,
+      .targets_per_pool = 6,
+      .jobs_per_s = 10,
+      .lasting_per_pool = 1,
+      .active_ms = 25000,
+      .settle_ms = 90000,
+      .gang_share = 0.1,
+      .failed_run_share = 0.01,
+      .lost_call_share = 0.03,
+      .lost_answer_share = 0.03,
+      .late_call_share = 0.03,
+      .partitions_per_s = 0.2,
+      .crashes_per_s = 0.2,
+      .leader_changes_per_s = 0.2,
+      .cancel_share = 0.1,
+      .tenants = 3,
+      .tenant_cap_cpu = 20000,
+      .cap_changes_per_s = 1},
+     30},
+};
+
+/* Guards against starts beyond the highest cap that may be in force, and
+ * against jobs that are lost or wait without cause because of a cap. */
+START_TEST(runs_keep_cap_despite_faults)
+{
+    const WorldCase *row = &worlds[_i];
+    uint64_t seed;
+
+    for (seed = 1; seed <= row->seeds; seed++) {
+        JobSimOptions options = row->options;
+        JobSimReport report;
+        options.seed = seed;
+        JobSim_Run(&options, &report);
+        ck_assert_msg(report.violation[0] == '\0', "%s: %s", row->name,
+                      report.violation);
+        ck_assert_msg(report.unfinished == 0 &&
+                          report.lasting_not_running == 0,
+                      "%s: seed %llu: %llu of %llu jobs did not end, %llu "
+                      "lasting tasks do not run",
+                      row->name, (unsigned long long)seed,
+                      (unsigned long long)report.unfinished,
+                      (unsigned long long)report.jobs,
+                      (unsigned long long)report.lasting_not_running);
+    }
+}
+END_TEST
+
+Suite *
+Test_Suite(void)
+{
+    Suite *suite = suite_create("jobshare");
+    TCase *cap = tcase_create("cap");
+    TCase *model = tcase_create("model");
+
+    tcase_add_checked_fixture(cap, setup, teardown);
+    tcase_add_loop_test(cap, placement_keeps_cap, 0,
+                        sizeof(cap_cases) / sizeof(cap_cases[0]));
+    tcase_add_test(cap, one_task_may_exceed_cap);
+    tcase_add_test(cap, reserved_use_is_exact);
+    tcase_add_test(cap, undone_gang_reserves_nothing);
+    tcase_add_test(cap, forgotten_job_reserves_nothing);
+    tcase_add_loop_test(cap, unsent_starts_keep_lowered_cap, 0,
+                        sizeof(lowered_cases) / sizeof(lowered_cases[0]));
+    tcase_add_test(cap, jobs_of_removed_tenant_end);
+    tcase_add_loop_test(cap, gang_beyond_cap_is_refused, 0,
+                        sizeof(admit_cases) / sizeof(admit_cases[0]));
+    suite_add_tcase(suite, cap);
+    tcase_add_loop_test(model, runs_keep_cap_despite_faults, 0,
+                        sizeof(worlds) / sizeof(worlds[0]));
+    suite_add_tcase(suite, model);
+    return suite;
+}
