Check the cap of the tenant that submits a job

Cause: the check of a gang against its tenant's cap got no tenant, as the keys and the caps were built apart.

Change: pass the tenant of the request's key.

--- a/src/jobctl_request.c
+++ b/src/jobctl_request.c
@@ -433,7 +433,7 @@
         return;
     }
     if (queue != NULL && !JobSched_Admit(control->sched, Loop_NowMs(), queue,
-                                         "", &pending->request.spec,
+                                         tenant, &pending->request.spec,
                                          &reply.retry_ms, &reply.reason)) {
         reply.kind = JOB_REPLY_REJECTED;
         send_reply(pending, &reply);
