Give the key check of the test a buffer of its full size

Cause: the address sanitizer ended test_jobtenant: it passed short texts as keys, of which JobTenant_CheckQueue reads JOB_KEY_BYTES bytes. Requests hold their key in such a buffer.

Change: the test copies each key to a buffer whose other bytes are not 0.

--- a/tests/test_jobtenant.c
+++ b/tests/test_jobtenant.c
@@ -129,6 +129,18 @@
 
 /* --- keys --- */
 
+/* Checks a key in a buffer of the size that the function reads. */
+static JobAccess
+check_queue(const JobConfig *config, const char *queue, const char *text,
+            const char **tenant)
+{
+    char key[JOB_KEY_BYTES];
+
+    memset(key, 'x', sizeof(key));
+    snprintf(key, sizeof(key), "%s", text);
+    return JobTenant_CheckQueue(config, queue, key, tenant);
+}
+
 /* Guards against a key that is cut to its bound and then matches, and against
  * forms of the header that clients send and that are not recognised. */
 START_TEST(key_is_read_from_header)
@@ -222,9 +234,8 @@
         JobConfig config;
         const char *tenant;
         fill_config(&config, 2, cases[i].rows, cases[i].count);
-        ck_assert_msg(JobTenant_CheckQueue(&config, cases[i].queue,
-                                           cases[i].key,
-                                           &tenant) == cases[i].access,
+        ck_assert_msg(check_queue(&config, cases[i].queue, cases[i].key,
+                                  &tenant) == cases[i].access,
                       "case %zu", i);
         ck_assert_str_eq(tenant, cases[i].tenant);
         JobConfig_Free(&config);
@@ -435,11 +446,11 @@
     JobTest_Assign(state, "1", 0, 0, 1, "t1");
     configure(3, renewed_tenants, 2);
     ck_assert_int_eq(
-        JobTenant_CheckQueue(JobState_GetConfig(state), "q", "old-a", &tenant),
+        check_queue(JobState_GetConfig(state), "q", "old-a", &tenant),
         JOB_ACCESS_DENIED);
     ck_assert_int_eq(JobState_FindJob(state, "1")->phase, JOB_RUNNING);
     ck_assert_int_eq(
-        JobTenant_CheckQueue(JobState_GetConfig(state), "q", "new-a", &tenant),
+        check_queue(JobState_GetConfig(state), "q", "new-a", &tenant),
         JOB_ACCESS_GRANTED);
     ck_assert_int_eq(submit("1", "q", tenant), JOB_RESULT_EXISTS);
     configure(4, only_b, 1);
@@ -545,10 +556,10 @@
     ck_assert_str_eq(JobState_FindJob(state, "1")->tenant->name, "a");
     ck_assert_ptr_null(JobState_FindJob(state, "3")->tenant);
     ck_assert_int_eq(
-        JobTenant_CheckQueue(JobState_GetConfig(state), "q", "old-a", &tenant),
+        check_queue(JobState_GetConfig(state), "q", "old-a", &tenant),
         JOB_ACCESS_GRANTED);
     ck_assert_int_eq(
-        JobTenant_CheckQueue(JobState_GetConfig(state), "open", "", &tenant),
+        check_queue(JobState_GetConfig(state), "open", "", &tenant),
         JOB_ACCESS_GRANTED);
     ck_assert_uint_eq(JobState_GetConfig(state)->tenants[0].cap.cpu, 8000);
     submit("4", "q", "b");
