Bound the connections and bytes that clients hold

Cause: bodies were read without a bound on their sum; a body over the limit was read to its end, or for ever, before its refusal, and its buffer doubled beyond its length. Requests that wait for the leader held their bodies uncounted, and answers that nobody read stayed in memory. libmicrohttpd stopped at its default of about 1,000 connections or at the descriptor limit, and when it had stopped, accepted connections again only with the next event on an old one.

Change: each server keeps a client budget (httpbudget) for its address. An announced length over the limit gets 413 before the body; a chunked one is freed when it passes the limit, and closed if as much again follows. Without room, the connection longest without progress is closed, or the new body gets 503 if all are active; answers count as well. Headers and bodies without progress are closed after 15 s. The number of connections is the smaller of max_connections and a share of the descriptors, and libmicrohttpd's memory for a connection is bounded. libmicrohttpd is run when a connection has ended and once a second. New settings max_connections and max_open_bytes; log line clients_limited, at most each 5 s for an address, and metrics.

Result: proc_untrusted_entry, _relay and _control pass.

--- a/src/buf.c
+++ b/src/buf.c
@@ -22,6 +22,15 @@
     buf->capacity = capacity;
 }
 
+void
+Buf_Reserve(Buf *buf, size_t capacity)
+{
+    if (capacity > buf->capacity) {
+        buf->data = Mem_Resize(buf->data, capacity);
+        buf->capacity = capacity;
+    }
+}
+
 void
 Buf_Append(Buf *buf, const void *data, size_t len)
 {
--- a/src/control.c
+++ b/src/control.c
@@ -12,6 +12,9 @@
  * changes per second. */
 #define CONTROL_STATUS_INTERVAL_MS 1000
 #define CONTROL_HTTP_IDLE_TIMEOUT_S 60
+/* Sixteenths of the descriptors of the process for connections of operators
+ * and targets. */
+#define CLIENT_SHARE 2
 #define CONTROL_MAX_BODY_BYTES (1024 * 1024)
 #define CONTROL_JOURNAL_ENTRIES 4096
 
@@ -397,11 +400,15 @@
                           .on_up = on_peer_up,
                           .on_down = on_peer_down,
                           .on_message = on_message};
-    HttpServerOptions server = {.address = control->settings->control,
-                                .max_body_bytes = CONTROL_MAX_BODY_BYTES,
-                                .idle_timeout_s = CONTROL_HTTP_IDLE_TIMEOUT_S,
-                                .handler = Control_HandleHttp,
-                                .arg = control};
+    HttpServerOptions server = {
+        .address = control->settings->control,
+        .max_body_bytes = CONTROL_MAX_BODY_BYTES,
+        .idle_timeout_s = CONTROL_HTTP_IDLE_TIMEOUT_S,
+        .max_connections = HttpServer_LimitConnections(
+            control->settings->max_connections, CLIENT_SHARE),
+        .max_open_bytes = (size_t)control->settings->max_open_bytes,
+        .handler = Control_HandleHttp,
+        .arg = control};
 
     control->peers = Peers_New(control->loop, &peers, err);
     if (control->peers == NULL) {
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -10,6 +10,9 @@
 
 #define GATEWAY_TICK_MS 20
 #define GATEWAY_IDLE_TIMEOUT_S 120
+/* Sixteenths of the descriptors of the process for connections of callers. The
+ * threads divide them and max_open_bytes equally. */
+#define CALLER_SHARE 8
 
 typedef struct PostedAction {
     GwThread *thread;
@@ -130,12 +133,17 @@
 {
     const Settings *settings = gateway->options.settings;
     GwThread *self = &gateway->threads[index];
-    HttpServerOptions options = {.address = settings->traffic,
-                                 .max_body_bytes =
-                                     (size_t)settings->max_body_bytes,
-                                 .idle_timeout_s = GATEWAY_IDLE_TIMEOUT_S,
-                                 .handler = Gw_HandleHttp,
-                                 .arg = self};
+    HttpServerOptions options = {
+        .address = settings->traffic,
+        .max_body_bytes = (size_t)settings->max_body_bytes,
+        .idle_timeout_s = GATEWAY_IDLE_TIMEOUT_S,
+        .max_connections = HttpServer_LimitConnections(
+                               settings->max_connections, CALLER_SHARE) /
+                           gateway->thread_count,
+        .max_open_bytes =
+            (size_t)settings->max_open_bytes / gateway->thread_count,
+        .handler = Gw_HandleHttp,
+        .arg = self};
 
     self->gateway = gateway;
     self->index = index;
--- a/src/jobctl.c
+++ b/src/jobctl.c
@@ -14,6 +14,11 @@
 #define TICK_INTERVAL_MS 50
 #define FLEET_MSG_INTERVAL_MS 400
 #define HTTP_IDLE_TIMEOUT_S 120
+/* Sixteenths of the descriptors of the process for connections of operators
+ * and targets. The rest is for peers, calls to targets and the log. */
+#define CLIENT_SHARE 10
+/* Interval of log lines on closed and refused clients. */
+#define CLIENTS_LOG_INTERVAL_MS 5000
 #define MAX_BODY_BYTES (4 * 1024 * 1024)
 #define PEER_TIMEOUT_MS 1200
 /* A waiting hold, which is a long poll of the target's lists of runs, occupies
@@ -395,6 +400,16 @@
     Slog_SetTime(apr_time_as_msec(apr_time_now()), Loop_NowMs());
 }
 
+static void
+log_clients(JobControl *control, int64_t now)
+{
+    if (now - control->clients_logged_ms >= CLIENTS_LOG_INTERVAL_MS) {
+        control->clients_logged_ms = now;
+        HttpServer_LogBudget(control->server, "control");
+        HttpServer_LogBudget(control->metrics_server, "metrics");
+    }
+}
+
 static void
 on_tick(void *arg)
 {
@@ -412,6 +427,7 @@
     JobFleet_Tick(control->fleet, now, wall_ms);
     continue_stop(control, now);
     log_stall(control);
+    log_clients(control, now);
     JobControl_WatchVoters(control);
     JobControl_WatchConditions(control, now);
     control->placement_due = true;
@@ -545,6 +561,10 @@
     HttpServerOptions server = {.address = settings->control,
                                 .max_body_bytes = MAX_BODY_BYTES,
                                 .idle_timeout_s = HTTP_IDLE_TIMEOUT_S,
+                                .max_connections = HttpServer_LimitConnections(
+                                    settings->max_connections, CLIENT_SHARE),
+                                .max_open_bytes =
+                                    (size_t)settings->max_open_bytes,
                                 .handler = JobControl_HandleHttp,
                                 .arg = control};
 
--- a/src/jobctl_internal.h
+++ b/src/jobctl_internal.h
@@ -102,6 +102,7 @@
     size_t agent_batch_count;
     uint64_t agent_term; /* term of the leader whose calls this node makes */
     HttpServer *server;
+    int64_t clients_logged_ms;
     HttpServer *metrics_server; /* NULL if no metrics address is set */
     JobMetrics *metrics;        /* NULL if no metrics address is set */
     HttpClient *client;
--- a/src/jobctl_metrics.c
+++ b/src/jobctl_metrics.c
@@ -5,6 +5,7 @@
 #include "mem.h"
 
 #define METRICS_IDLE_TIMEOUT_S 30
+#define METRICS_MAX_OPEN_BYTES (1024 * 1024)
 #define MS_PER_S 1000.0
 #define CPU_UNITS_PER_CORE 1000.0 /* cpu is in thousandths of a core */
 
@@ -96,6 +97,12 @@
     values[JOB_METRIC_LOOP_STALLS] = (double)control->stall.count;
     values[JOB_METRIC_LOOP_STALLED_SECONDS] =
         (double)control->stall.total_us / 1e6;
+    for (i = JOB_METRIC_CLIENT_CONNECTIONS; i <= JOB_METRIC_REFUSED_BUSY;
+         i++) {
+        values[i] = 0;
+    }
+    JobMetrics_AddClients(control->metrics,
+                          HttpServer_GetBudget(control->server));
     count_targets(control, values);
     sum_waiting_cores(control, values);
 }
@@ -116,11 +123,15 @@
 Status
 JobControl_OpenMetrics(JobControl *control, ErrCtx *err)
 {
-    HttpServerOptions options = {.address = control->settings->metrics,
-                                 .max_body_bytes = 1024,
-                                 .idle_timeout_s = METRICS_IDLE_TIMEOUT_S,
-                                 .handler = handle_scrape,
-                                 .arg = control};
+    HttpServerOptions options = {
+        .address = control->settings->metrics,
+        .max_body_bytes = 1024,
+        .idle_timeout_s = METRICS_IDLE_TIMEOUT_S,
+        .max_connections =
+            HttpServer_LimitConnections(HTTP_FEW_CONNECTIONS, 1),
+        .max_open_bytes = METRICS_MAX_OPEN_BYTES,
+        .handler = handle_scrape,
+        .arg = control};
 
     if (options.address.port == 0) {
         return ST_OK;
--- a/src/jobentry.c
+++ b/src/jobentry.c
@@ -39,6 +39,11 @@
 #define REPLY_TIMEOUT_MS 2700
 #define RETRY_DELAY_MS 1000
 #define METRICS_IDLE_TIMEOUT_S 30
+#define CHECK_MAX_BODY_BYTES 1024
+/* For bodies and answers of health checks and scrapes. */
+#define CHECK_MAX_OPEN_BYTES (1024 * 1024)
+/* Interval of log lines on closed and refused clients. */
+#define CLIENTS_LOG_INTERVAL_MS 5000
 #define MS_PER_S 1000.0
 /* Timeout of an operator's or a target's request. They ask another node after
  * a second, of which a tick and the way back are a part. */
@@ -94,6 +99,7 @@
                              * leader */
     JobNodes *nodes;
     Condition leader_unknown;
+    int64_t clients_logged_ms;
     bool was_ready;
     int64_t stop_begun_ms; /* start of the planned stop, or 0 */
     int64_t idle_since_ms; /* during a planned stop, time since which no
@@ -727,6 +733,18 @@
     }
 }
 
+static void
+log_clients(JobEntry *entry, int64_t now)
+{
+    if (now - entry->clients_logged_ms >= CLIENTS_LOG_INTERVAL_MS) {
+        entry->clients_logged_ms = now;
+        HttpServer_LogBudget(entry->traffic, "traffic");
+        HttpServer_LogBudget(entry->control, "control");
+        HttpServer_LogBudget(entry->ready, "ready");
+        HttpServer_LogBudget(entry->metrics, "metrics");
+    }
+}
+
 static void
 on_tick(void *arg)
 {
@@ -742,6 +760,7 @@
         Slog_AddInt("term", (int64_t)entry->leader_term);
         Slog_End();
     }
+    log_clients(entry, now);
     watch_leader(entry, now);
     exchange_control_nodes(entry, now);
     forward_waiting_requests(entry, now);
@@ -784,9 +803,18 @@
 static void
 handle_scrape(void *arg, HttpRequest *http)
 {
-    static const JobMetric written[] = {
-        JOB_METRIC_READY, JOB_METRIC_TERM, JOB_METRIC_PEERS_UP,
-        JOB_METRIC_LEADER_UNKNOWN_SECONDS, JOB_METRIC_REQUESTS_PENDING};
+    static const JobMetric written[] = {JOB_METRIC_READY,
+                                        JOB_METRIC_TERM,
+                                        JOB_METRIC_PEERS_UP,
+                                        JOB_METRIC_LEADER_UNKNOWN_SECONDS,
+                                        JOB_METRIC_REQUESTS_PENDING,
+                                        JOB_METRIC_CLIENT_CONNECTIONS,
+                                        JOB_METRIC_CLIENT_BYTES,
+                                        JOB_METRIC_CLOSED_CONNECTIONS,
+                                        JOB_METRIC_CLOSED_BYTES,
+                                        JOB_METRIC_CLOSED_IDLE,
+                                        JOB_METRIC_REFUSED_TOO_LARGE,
+                                        JOB_METRIC_REFUSED_BUSY};
     JobEntry *entry = arg;
     JobMetrics *metrics = Mem_New(1, sizeof(*metrics));
     const PendingRequest *request;
@@ -804,6 +832,8 @@
     for (request = entry->requests; request != NULL; request = request->next) {
         metrics->values[JOB_METRIC_REQUESTS_PENDING]++;
     }
+    JobMetrics_AddClients(metrics, HttpServer_GetBudget(entry->traffic));
+    JobMetrics_AddClients(metrics, HttpServer_GetBudget(entry->control));
     JobMetrics_WriteGauges(metrics, written,
                            sizeof(written) / sizeof(written[0]), &page);
     HttpRequest_ReplyText(http, 200, "text/plain; version=0.0.4",
@@ -826,32 +856,65 @@
     return *server != NULL ? ST_OK : ST_IO;
 }
 
+/* Sixteenths of the descriptors of a process for the connections of callers,
+ * or else of operators and targets, and for those of health checks and
+ * scrapes. An entry VM that has both addresses halves the first share. */
+#define CLIENT_SHARE 12
+#define CHECK_SHARE 1
+
+/* Returns the options of the server of callers or of operators and targets. */
+static HttpServerOptions
+get_client_options(JobEntry *entry, const SettingsAddress *address)
+{
+    const Settings *settings = entry->settings;
+    bool both = settings->traffic.port != 0 && settings->control.port != 0;
+    HttpServerOptions options = {
+        .address = *address,
+        .idle_timeout_s = HTTP_IDLE_TIMEOUT_S,
+        .max_connections = HttpServer_LimitConnections(
+            settings->max_connections, both ? CLIENT_SHARE / 2 : CLIENT_SHARE),
+        .max_open_bytes = (size_t)settings->max_open_bytes,
+        .arg = entry};
+
+    return options;
+}
+
+/* Returns the options of a server of health checks or scrapes. */
+static HttpServerOptions
+get_check_options(JobEntry *entry, const SettingsAddress *address,
+                  HttpHandler handler)
+{
+    HttpServerOptions options = {
+        .address = *address,
+        .max_body_bytes = CHECK_MAX_BODY_BYTES,
+        .idle_timeout_s = METRICS_IDLE_TIMEOUT_S,
+        .max_connections =
+            HttpServer_LimitConnections(HTTP_FEW_CONNECTIONS, CHECK_SHARE),
+        .max_open_bytes = CHECK_MAX_OPEN_BYTES,
+        .handler = handler,
+        .arg = entry};
+
+    return options;
+}
+
 static Status
 open_servers(JobEntry *entry, ErrCtx *err)
 {
-    HttpServerOptions traffic = {.address = entry->settings->traffic,
-                                 .max_body_bytes =
-                                     (size_t)entry->settings->max_body_bytes,
-                                 .idle_timeout_s = HTTP_IDLE_TIMEOUT_S,
-                                 .handler = handle_request,
-                                 .arg = entry};
-    HttpServerOptions ready = {.address = entry->settings->ready,
-                               .max_body_bytes = 1024,
-                               .idle_timeout_s = HTTP_IDLE_TIMEOUT_S,
-                               .handler = handle_readiness_check,
-                               .arg = entry};
-    HttpServerOptions control = {.address = entry->settings->control,
-                                 .max_body_bytes = CONTROL_MAX_BODY_BYTES,
-                                 .idle_timeout_s = HTTP_IDLE_TIMEOUT_S,
-                                 .handler = handle_control_request,
-                                 .arg = entry};
-    HttpServerOptions metrics = {.address = entry->settings->metrics,
-                                 .max_body_bytes = 1024,
-                                 .idle_timeout_s = METRICS_IDLE_TIMEOUT_S,
-                                 .handler = handle_scrape,
-                                 .arg = entry};
-    Status status = open_server(entry, &traffic, &entry->traffic, err);
+    const Settings *settings = entry->settings;
+    HttpServerOptions traffic = get_client_options(entry, &settings->traffic);
+    HttpServerOptions control = get_client_options(entry, &settings->control);
+    HttpServerOptions ready =
+        get_check_options(entry, &settings->ready, handle_readiness_check);
+    HttpServerOptions metrics =
+        get_check_options(entry, &settings->metrics, handle_scrape);
+    Status status;
 
+    traffic.max_body_bytes = (size_t)settings->max_body_bytes;
+    traffic.handler = handle_request;
+    control.max_body_bytes = CONTROL_MAX_BODY_BYTES;
+    control.handler = handle_control_request;
+    ready.idle_timeout_s = HTTP_IDLE_TIMEOUT_S;
+    status = open_server(entry, &traffic, &entry->traffic, err);
     if (status == ST_OK) {
         status = open_server(entry, &ready, &entry->ready, err);
     }
--- a/src/jobmetrics.c
+++ b/src/jobmetrics.c
@@ -91,6 +91,26 @@
     [JOB_METRIC_LOOP_STALLED_SECONDS] =
         {PREFIX "loop_stalled_seconds_total", "counter",
          "time for which the process did not run"},
+    [JOB_METRIC_CLIENT_CONNECTIONS] = {PREFIX "client_connections", "gauge",
+                                       "open connections of clients"},
+    [JOB_METRIC_CLIENT_BYTES] = {PREFIX "client_bytes", "gauge",
+                                 "bytes of open bodies and unread answers"},
+    [JOB_METRIC_CLOSED_CONNECTIONS] =
+        {PREFIX "clients_closed_connections_total", "counter",
+         "connections closed for the bound on connections"},
+    [JOB_METRIC_CLOSED_BYTES] = {PREFIX "clients_closed_bytes_total",
+                                 "counter",
+                                 "connections closed for the bound on bytes"},
+    [JOB_METRIC_CLOSED_IDLE] = {PREFIX "clients_closed_idle_total", "counter",
+                                "connections closed within a request that "
+                                "made no progress"},
+    [JOB_METRIC_REFUSED_TOO_LARGE] = {PREFIX "clients_refused_too_large_total",
+                                      "counter",
+                                      "requests refused for a body over the "
+                                      "limit"},
+    [JOB_METRIC_REFUSED_BUSY] = {PREFIX "clients_refused_busy_total",
+                                 "counter",
+                                 "requests refused for the bound on bytes"},
     [JOB_METRIC_READY] = {PREFIX "ready", "gauge",
                           "1 while this node takes requests of callers"},
     [JOB_METRIC_REQUESTS_PENDING] =
@@ -149,6 +169,23 @@
     metrics->vote_requests[prevote][verdict]++;
 }
 
+void
+JobMetrics_AddClients(JobMetrics *metrics, const HttpBudget *budget)
+{
+    int i;
+
+    if (budget == NULL) {
+        return;
+    }
+    metrics->values[JOB_METRIC_CLIENT_CONNECTIONS] +=
+        (double)budget->connections;
+    metrics->values[JOB_METRIC_CLIENT_BYTES] += (double)budget->bytes;
+    for (i = 0; i < HTTP_CAUSE_COUNT; i++) {
+        metrics->values[JOB_METRIC_CLOSED_CONNECTIONS + i] +=
+            (double)budget->counts[i];
+    }
+}
+
 const char *
 JobMetrics_GetKindName(size_t kind)
 {
--- a/src/jobmetrics.h
+++ b/src/jobmetrics.h
@@ -14,6 +14,7 @@
 
 #include "buf.h"
 #include "hist.h"
+#include "httpbudget.h"
 #include "raft.h"
 
 #define JOB_METRICS_KIND_COUNT 11 /* number of JobRequestKind values */
@@ -52,6 +53,14 @@
     JOB_METRIC_LOG_LINES_LEFT_OUT,
     JOB_METRIC_LOOP_STALLS,
     JOB_METRIC_LOOP_STALLED_SECONDS,
+    JOB_METRIC_CLIENT_CONNECTIONS,
+    JOB_METRIC_CLIENT_BYTES,
+    /* In the order of HttpBudgetCause. */
+    JOB_METRIC_CLOSED_CONNECTIONS,
+    JOB_METRIC_CLOSED_BYTES,
+    JOB_METRIC_CLOSED_IDLE,
+    JOB_METRIC_REFUSED_TOO_LARGE,
+    JOB_METRIC_REFUSED_BUSY,
     JOB_METRIC_ENTRY_FIRST, /* from here on, metrics of entry VMs only */
     JOB_METRIC_READY = JOB_METRIC_ENTRY_FIRST,
     JOB_METRIC_REQUESTS_PENDING,
@@ -89,6 +98,9 @@
 const char *JobMetrics_GetOutcomeName(RaftElectionOutcome outcome);
 const char *JobMetrics_GetVerdictName(RaftVerdict verdict);
 
+/* Adds what the clients of a server hold, unless budget is NULL. */
+void JobMetrics_AddClients(JobMetrics *metrics, const HttpBudget *budget);
+
 /* Returns the label of a JobRequestKind. */
 const char *JobMetrics_GetKindName(size_t kind);
 
--- a/src/settings.h
+++ b/src/settings.h
@@ -74,6 +74,8 @@
     long long target_suspect_ms;
     long long queue_limit;
     long long max_body_bytes;
+    long long max_connections;
+    long long max_open_bytes;
     long long default_deadline_ms;
     long long long_share_percent;
     long long retry_percent;
