Lower the default of max_open_bytes to 16 MiB

Cause: with 24 MiB, 600 whole legal bodies at once brought an entry VM to 76,144 KB, close to the bound of 81,920 KB: the queue to the leader holds copies of bodies that are open.

Change: the default is 16,777,216 bytes, room for 64 bodies of 262,144 bytes or for three configurations of the largest size.

--- a/src/settings.c
+++ b/src/settings.c
@@ -36,7 +36,7 @@
           "largest body of a request or an answer"),
     ENTRY(max_connections, "connections", 2048, 16, 1000000,
           "connections of clients at one address"),
-    ENTRY(max_open_bytes, "bytes", 25165824, 65536, 1073741824,
+    ENTRY(max_open_bytes, "bytes", 16777216, 65536, 1073741824,
           "bytes of open bodies and unread answers at one address"),
     ENTRY(default_deadline_ms, "ms", 30000, 1, 86400000,
           "deadline of a request that names none"),
