Apply the configuration's limits to callers

Cause: the limits of headers and bodies and their timeouts in the configuration had no effect; entry VMs used their own settings.

Change: the leader reads the limits from the stored text of its configuration, once for each version, and sends them with PEER_FLEET. Entry VMs apply them to callers: 431 for larger headers, 413 for larger bodies, and the timeouts of headers and of bodies without progress. Nodes of the earlier version refuse a PEER_FLEET with more items, and close the link on an unknown message type, but ignore an odd last item in the list of nodes, so the limits are there. Nothing is stored. A kept connection between two requests is closed after 60 s as before, since an earlier end would race with the next request.

--- a/src/httpbudget.c
+++ b/src/httpbudget.c
@@ -152,15 +152,15 @@
 HttpHolder *
 HttpBudget_FindTimedOut(const HttpBudget *budget, int64_t now)
 {
-    static const HttpHolderState states[] = {HTTP_HOLDER_NEW,
-                                             HTTP_HOLDER_READING};
-    size_t i;
-
-    for (i = 0; i < sizeof(states) / sizeof(states[0]); i++) {
-        HttpHolder *first = budget->first[states[i]];
-        if (first != NULL && now - first->progress_ms >= HTTP_BUDGET_IDLE_MS) {
-            return first;
-        }
+    HttpHolder *first = budget->first[HTTP_HOLDER_NEW];
+
+    if (first != NULL &&
+        now - first->progress_ms >= budget->header_timeout_ms) {
+        return first;
+    }
+    first = budget->first[HTTP_HOLDER_READING];
+    if (first != NULL && now - first->progress_ms >= budget->body_timeout_ms) {
+        return first;
     }
     return NULL;
 }
--- a/src/httpbudget.h
+++ b/src/httpbudget.h
@@ -26,8 +26,8 @@
 /* A request that is still incomplete after this time counts as inactive even
  * if it makes progress: a body within the limits takes less. */
 #define HTTP_BUDGET_SLOW_MS 30000
-/* Longest time for the headers of a first request, and longest time without
- * progress of a body: idle-timeout-ms of the deployments so far. */
+/* Default of the longest time for the headers of a first request and without
+ * progress of a body: the idle timeout of the deployments so far. */
 #define HTTP_BUDGET_IDLE_MS 15000
 
 typedef enum HttpHolderState {
@@ -62,6 +62,8 @@
 typedef struct HttpBudget {
     size_t max_connections;
     size_t max_bytes;
+    int64_t header_timeout_ms; /* from the start of a connection */
+    int64_t body_timeout_ms;   /* without progress */
     size_t connections;
     size_t bytes;
     uint64_t counts[HTTP_CAUSE_COUNT];
@@ -95,7 +97,7 @@
 HttpHolder *HttpBudget_FindInactive(const HttpBudget *budget,
                                     const HttpHolder *holder, int64_t now);
 
-/* Returns a connection that has exceeded HTTP_BUDGET_IDLE_MS, or NULL. */
+/* Returns a connection that has exceeded a timeout, or NULL. */
 HttpHolder *HttpBudget_FindTimedOut(const HttpBudget *budget, int64_t now);
 
 /* Returns the label of a cause. */
--- a/src/httpserver.c
+++ b/src/httpserver.c
@@ -36,6 +36,8 @@
     LoopTimer *sweep;
     HttpServerOptions options;
     HttpBudget budget;
+    size_t max_body_bytes;
+    size_t max_header_bytes; /* 0: only bounded by the connection's memory */
     uint64_t logged[HTTP_CAUSE_COUNT]; /* counts of the last log line */
     HttpRequest *waiting; /* requests whose connections are suspended */
     bool stopping; /* true once the handler must not be called any more */
@@ -250,7 +252,7 @@
 static size_t
 get_body_capacity(const HttpRequest *request, size_t len)
 {
-    size_t most = request->server->options.max_body_bytes;
+    size_t most = request->server->max_body_bytes;
     size_t capacity = request->body.capacity * 2;
 
     if (request->announced != 0 && request->announced < most) {
@@ -270,7 +272,7 @@
 {
     size_t wanted = request->body.len + len;
 
-    if (wanted > request->server->options.max_body_bytes) {
+    if (wanted > request->server->max_body_bytes) {
         refuse_request(request, 413);
         return;
     }
@@ -300,7 +302,7 @@
         return MHD_YES;
     }
     request->discarded += len;
-    if (request->discarded > request->server->options.max_body_bytes) {
+    if (request->discarded > request->server->max_body_bytes) {
         send_refusal(request->client, request->refused);
         return MHD_NO;
     }
@@ -355,6 +357,10 @@
         HttpRequest_ReplyText(request, 413, "text/plain",
                               "the body is larger than the limit\n");
     }
+    else if (request->refused == 431) {
+        HttpRequest_ReplyText(request, 431, "text/plain",
+                              "the headers are larger than the limit\n");
+    }
     else {
         HttpRequest_Reply(request, &busy);
     }
@@ -387,7 +393,19 @@
     return MHD_YES;
 }
 
-/* Starts to read a request, or refuses it if its body is too large. */
+static bool
+has_long_headers(const HttpRequest *request)
+{
+    size_t most = request->server->max_header_bytes;
+
+    return most != 0 &&
+           MHD_get_connection_info(request->connection,
+                                   MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE)
+                   ->header_size > most;
+}
+
+/* Starts to read a request, or refuses it if its headers or its body are
+ * too large. */
 static enum MHD_Result
 begin_request(HttpRequest *request)
 {
@@ -395,11 +413,13 @@
         return MHD_NO;
     }
     set_state(request->client, HTTP_HOLDER_READING);
-    if (request->announced > request->server->options.max_body_bytes) {
+    if (request->announced > request->server->max_body_bytes) {
         refuse_request(request, 413);
-        return handle_request(request);
     }
-    return MHD_YES;
+    else if (has_long_headers(request)) {
+        refuse_request(request, 431);
+    }
+    return request->refused != 0 ? handle_request(request) : MHD_YES;
 }
 
 static enum MHD_Result
@@ -487,6 +507,7 @@
 static void
 set_limits(HttpServer *server)
 {
+    static const HttpLimits none = {0, 0, 0, 0};
     HttpServerOptions *options = &server->options;
     size_t slack;
 
@@ -508,6 +529,7 @@
                                          ? options->max_connections - slack
                                          : 1;
     server->budget.max_bytes = options->max_open_bytes;
+    HttpServer_SetLimits(server, &none);
 }
 
 static struct MHD_Daemon *
@@ -574,6 +596,23 @@
     return (size_t)wanted < most ? (size_t)wanted : most;
 }
 
+void
+HttpServer_SetLimits(HttpServer *server, const HttpLimits *limits)
+{
+    server->max_header_bytes = limits->max_header_bytes;
+    server->max_body_bytes = server->options.max_body_bytes;
+    if (limits->max_body_bytes != 0 &&
+        limits->max_body_bytes < server->max_body_bytes) {
+        server->max_body_bytes = limits->max_body_bytes;
+    }
+    server->budget.header_timeout_ms = limits->header_timeout_ms != 0
+                                           ? limits->header_timeout_ms
+                                           : HTTP_BUDGET_IDLE_MS;
+    server->budget.body_timeout_ms = limits->body_timeout_ms != 0
+                                         ? limits->body_timeout_ms
+                                         : HTTP_BUDGET_IDLE_MS;
+}
+
 const HttpBudget *
 HttpServer_GetBudget(const HttpServer *server)
 {
--- a/src/httpserver.h
+++ b/src/httpserver.h
@@ -48,6 +48,14 @@
     void *arg;
 } HttpServerOptions;
 
+/* Limits that may change while a server runs; 0 selects the default. */
+typedef struct HttpLimits {
+    size_t max_header_bytes; /* at most about HTTP_CONNECTION_BYTES */
+    size_t max_body_bytes;   /* at most that of the options */
+    int64_t header_timeout_ms;
+    int64_t body_timeout_ms; /* without progress */
+} HttpLimits;
+
 typedef struct HttpHeader {
     const char *name;
     const char *value;
@@ -70,6 +78,9 @@
  * addresses. */
 size_t HttpServer_LimitConnections(long long wanted, unsigned int share);
 
+/* Applies limits to the requests that begin from now on. */
+void HttpServer_SetLimits(HttpServer *server, const HttpLimits *limits);
+
 /* Returns what the clients of the server hold, or NULL without a server. */
 const HttpBudget *HttpServer_GetBudget(const HttpServer *server);
 
--- a/src/job.h
+++ b/src/job.h
@@ -115,6 +115,14 @@
     bool standby;           /* its VMs are powered off and cost nothing */
 } JobPool;
 
+/* Limits of a configuration for callers; 0: not given. */
+typedef struct JobClientLimits {
+    uint32_t max_header_bytes;
+    uint32_t max_body_bytes;
+    uint32_t header_timeout_ms;
+    uint32_t idle_timeout_ms;
+} JobClientLimits;
+
 /* A version of the configuration. */
 typedef struct JobConfig {
     uint64_t version; /* 0: no configuration yet */
--- a/src/jobctl.c
+++ b/src/jobctl.c
@@ -86,9 +86,25 @@
     JobControl_BroadcastFleetMsg(arg);
 }
 
+/* Returns the limits for callers. They are read from the text of the
+ * configuration, once for each version, because earlier versions of this node
+ * may read the stored state. */
+static const JobClientLimits *
+get_limits(JobControl *control)
+{
+    const JobConfig *config = JobState_GetConfig(control->state);
+
+    if (config->version != control->limits_version) {
+        control->limits_version = config->version;
+        control->wire->decode_client_limits(config->text, config->text_len,
+                                            &control->limits);
+    }
+    return &control->limits;
+}
+
 /* Appends the message of this node to body. */
 static void
-encode_fleet_msg(const JobControl *control, Buf *body)
+encode_fleet_msg(JobControl *control, Buf *body)
 {
     JobFleetMsg msg = {.term = Replica_GetTerm(control->replica)};
     size_t i;
@@ -97,6 +113,7 @@
     msg.leader_ready = JobControl_IsServing(control);
     if (msg.leader_ready) {
         msg.leader = control->settings->peer;
+        msg.limits = *get_limits(control);
     }
     else if (leader != JOB_AGENT_NONE) {
         msg.leader = Peers_Hello(control->peers, leader)->address;
--- a/src/jobctl_internal.h
+++ b/src/jobctl_internal.h
@@ -103,6 +103,8 @@
     uint64_t agent_term; /* term of the leader whose calls this node makes */
     HttpServer *server;
     int64_t clients_logged_ms;
+    JobClientLimits limits;     /* of the configuration of limits_version */
+    uint64_t limits_version;    /* 0: none */
     HttpServer *metrics_server; /* NULL if no metrics address is set */
     JobMetrics *metrics;        /* NULL if no metrics address is set */
     HttpClient *client;
--- a/src/jobentry.c
+++ b/src/jobentry.c
@@ -536,6 +536,20 @@
     }
 }
 
+/* Applies the limits of the leader's configuration to callers. */
+static void
+apply_limits(JobEntry *entry, const JobClientLimits *limits)
+{
+    HttpLimits http = {.max_header_bytes = limits->max_header_bytes,
+                       .max_body_bytes = limits->max_body_bytes,
+                       .header_timeout_ms = limits->header_timeout_ms,
+                       .body_timeout_ms = limits->idle_timeout_ms};
+
+    if (entry->traffic != NULL) {
+        HttpServer_SetLimits(entry->traffic, &http);
+    }
+}
+
 static void
 handle_fleet_msg(JobEntry *entry, size_t peer,
                  const msgpack_object_array *message)
@@ -573,6 +587,7 @@
     entry->leader_term = msg.term;
     entry->leader = peer;
     entry->leader_heard_ms = Loop_NowMs();
+    apply_limits(entry, &msg.limits);
     forward_waiting_requests(entry, entry->leader_heard_ms);
 }
 
--- a/src/jobfleetmsg.c
+++ b/src/jobfleetmsg.c
@@ -5,6 +5,25 @@
 #include "mppack.h"
 #include "peer.h"
 
+#define LIMIT_COUNT 4
+
+static bool
+has_limits(const JobClientLimits *limits)
+{
+    return limits->max_header_bytes != 0 || limits->max_body_bytes != 0 ||
+           limits->header_timeout_ms != 0 || limits->idle_timeout_ms != 0;
+}
+
+static void
+pack_limits(msgpack_packer *packer, const JobClientLimits *limits)
+{
+    msgpack_pack_array(packer, LIMIT_COUNT);
+    msgpack_pack_uint32(packer, limits->max_header_bytes);
+    msgpack_pack_uint32(packer, limits->max_body_bytes);
+    msgpack_pack_uint32(packer, limits->header_timeout_ms);
+    msgpack_pack_uint32(packer, limits->idle_timeout_ms);
+}
+
 void
 JobFleetMsg_Encode(const JobFleetMsg *msg, Buf *out)
 {
@@ -19,11 +38,15 @@
                       : msgpack_pack_false(&packer);
     MpPack_Text(&packer, msg->leader.host);
     msgpack_pack_int(&packer, msg->leader.port);
-    msgpack_pack_array(&packer, msg->node_count * 2);
+    msgpack_pack_array(&packer,
+                       msg->node_count * 2 + has_limits(&msg->limits));
     for (i = 0; i < msg->node_count; i++) {
         MpPack_Text(&packer, msg->nodes[i].host);
         msgpack_pack_int(&packer, msg->nodes[i].port);
     }
+    if (has_limits(&msg->limits)) {
+        pack_limits(&packer, &msg->limits);
+    }
 }
 
 static bool
@@ -44,6 +67,28 @@
     return true;
 }
 
+/* Reads the limits, and ignores them if a later version has changed them. */
+static void
+read_limits(const msgpack_object *item, JobClientLimits *limits)
+{
+    uint32_t *const fields[LIMIT_COUNT] = {
+        &limits->max_header_bytes, &limits->max_body_bytes,
+        &limits->header_timeout_ms, &limits->idle_timeout_ms};
+    size_t i;
+
+    if (item->type != MSGPACK_OBJECT_ARRAY ||
+        item->via.array.size < LIMIT_COUNT) {
+        return;
+    }
+    for (i = 0; i < LIMIT_COUNT; i++) {
+        const msgpack_object *value = &item->via.array.ptr[i];
+        if (value->type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
+            value->via.u64 <= UINT32_MAX) {
+            *fields[i] = (uint32_t)value->via.u64;
+        }
+    }
+}
+
 bool
 JobFleetMsg_Decode(const msgpack_object_array *message, JobFleetMsg *msg)
 {
@@ -68,5 +113,8 @@
             return false;
         }
     }
+    if (nodes->size % 2 == 1) {
+        read_limits(&nodes->ptr[nodes->size - 1], &msg->limits);
+    }
     return true;
 }
--- a/src/jobwire.h
+++ b/src/jobwire.h
@@ -164,6 +164,9 @@
     /* Decodes an operator's or a target's request. */
     void (*decode_control_request)(const JobHttpRequest *http,
                                    JobRequest *request);
+    /* Reads the limits for callers from the text of a configuration. */
+    void (*decode_client_limits)(const char *text, size_t len,
+                                 JobClientLimits *limits);
     /* Appends the body of a reply and returns its HTTP status. */
     int (*encode_reply)(JobRequestKind kind, const JobReply *reply, Buf *body);
     void (*encode_target_call)(const JobAction *action, JobHttpCall *call);
--- a/tests/test_httpbudget.c
+++ b/tests/test_httpbudget.c
@@ -17,7 +17,9 @@
     size_t i;
 
     *world = (World){.budget = {.max_connections = max_connections,
-                                .max_bytes = max_bytes}};
+                                .max_bytes = max_bytes,
+                                .header_timeout_ms = HTTP_BUDGET_IDLE_MS,
+                                .body_timeout_ms = HTTP_BUDGET_IDLE_MS}};
     for (i = 0; i < HOLDERS; i++) {
         HttpBudget_Open(&world->budget, &world->holders[i], (int64_t)i);
     }
--- a/tests/test_httpserver.c
+++ b/tests/test_httpserver.c
@@ -164,7 +164,8 @@
 }
 
 static void
-open_limit_world(LimitWorld *world, size_t answer_bytes)
+open_limit_world(LimitWorld *world, size_t answer_bytes,
+                 const HttpLimits *limits)
 {
     ErrCtx err = {ST_OK, ""};
     HttpServerOptions options = {.max_body_bytes = LIMIT_BODY_BYTES,
@@ -182,6 +183,9 @@
     options.address.port = world->port;
     world->server = HttpServer_New(world->loop, &options, &err);
     ck_assert_msg(world->server != NULL, "%s", err.message);
+    if (limits != NULL) {
+        HttpServer_SetLimits(world->server, limits);
+    }
     world->timer = Loop_NewTimer(world->loop, copy_counts, world);
     Loop_Arm(world->timer, 1, 1);
     pthread_create(&world->thread, NULL, run_loop, world->loop);
@@ -279,7 +283,7 @@
     LimitWorld world;
     int fd;
 
-    open_limit_world(&world, 5);
+    open_limit_world(&world, 5, NULL);
     fd = send_text(&world, body_cases[_i].text, body_cases[_i].body_bytes);
     ck_assert_int_eq(read_status(fd), body_cases[_i].status);
     ck_assert_uint_eq(world.handled, body_cases[_i].handled);
@@ -307,13 +311,48 @@
                    (int)header_cases[_i].line_bytes, 0);
     }
     Buf_Printf(&text, "\r\n");
-    open_limit_world(&world, 5);
+    open_limit_world(&world, 5, NULL);
     ck_assert_int_eq(read_status(send_text(&world, Buf_Text(&text), 0)), 200);
     close_limit_world(&world);
     Buf_Free(&text);
 }
 END_TEST
 
+static const struct {
+    HttpLimits limits;
+    const char *text;
+    size_t body_bytes;
+    int status;
+} limit_cases[] = {
+    {{0, 500, 0, 0}, HEAD "Content-Length: 500\r\n\r\n", 500, 200},
+    {{0, 500, 0, 0}, HEAD "Content-Length: 501\r\n\r\n", 0, 413},
+    {{0, 500, 0, 0},
+     HEAD "Transfer-Encoding: chunked\r\n\r\nfff\r\n",
+     1100,
+     413},
+    /* The limit of the server's options stays. */
+    {{0, 5000, 0, 0}, HEAD "Content-Length: 1001\r\n\r\n", 0, 413},
+    {{100, 0, 0, 0}, HEAD "X: yyyyyyyyyyyyyyyyyyyyyyyyyyy\r\n\r\n", 0, 200},
+    {{60, 0, 0, 0}, HEAD "X: yyyyyyyyyyyyyyyyyyyyyyyyyyy\r\n\r\n", 0, 431},
+    /* Headers, and a body, that do not go on. */
+    {{0, 0, 100, 0}, "POST", 0, -1},
+    {{0, 0, 0, 100}, HEAD "Content-Length: 500\r\n\r\n", 499, 408},
+};
+
+/* Guards against limits of the configuration that are not applied. */
+START_TEST(limits_are_applied)
+{
+    LimitWorld world;
+    int fd;
+
+    open_limit_world(&world, 5, &limit_cases[_i].limits);
+    fd = send_text(&world, limit_cases[_i].text, limit_cases[_i].body_bytes);
+    ck_assert_int_eq(read_status(fd), limit_cases[_i].status);
+    ck_assert_uint_eq(world.handled, limit_cases[_i].status == 200);
+    close_limit_world(&world);
+}
+END_TEST
+
 /* Guards against a chunked body a little over the limit that is closed without
  * an answer. */
 START_TEST(complete_body_over_the_limit_is_answered)
@@ -321,7 +360,7 @@
     LimitWorld world;
     int fd;
 
-    open_limit_world(&world, 5);
+    open_limit_world(&world, 5, NULL);
     fd = send_text(&world,
                    HEAD "Transfer-Encoding: chunked\r\n\r\n"
                         "5\r\nbbbbb\r\n3e8\r\n",
@@ -342,7 +381,7 @@
     int second;
     int third;
 
-    open_limit_world(&world, 5);
+    open_limit_world(&world, 5, NULL);
     first = send_text(&world, HEAD "Content-Length: 1000\r\n\r\n", 999);
     wait_until(&world.bytes, 1000);
     second = send_text(&world, HEAD "Content-Length: 1000\r\n\r\n", 999);
@@ -367,7 +406,7 @@
     int first;
     int third;
 
-    open_limit_world(&world, 5);
+    open_limit_world(&world, 5, NULL);
     first = send_text(&world, wait, 1000);
     send_text(&world, wait, 1000);
     wait_until(&world.handled, 2);
@@ -388,7 +427,7 @@
     int fd;
     size_t i;
 
-    open_limit_world(&world, 5);
+    open_limit_world(&world, 5, NULL);
     first = send_text(&world, "POST", 0);
     wait_until(&world.connections, 1);
     for (i = 0; i < 10; i++) {
@@ -410,7 +449,7 @@
     size_t i;
 
     /* More than the buffers of both sockets take. */
-    open_limit_world(&world, 16000000);
+    open_limit_world(&world, 16000000, NULL);
     for (i = 1; i <= 4; i++) {
         send_text(&world, "GET /x HTTP/1.1\r\nHost: a\r\n\r\n", 0);
         wait_until(&world.handled, i);
@@ -432,6 +471,8 @@
                         sizeof(body_cases) / sizeof(body_cases[0]));
     tcase_add_loop_test(tcase, long_headers_are_accepted, 0,
                         sizeof(header_cases) / sizeof(header_cases[0]));
+    tcase_add_loop_test(tcase, limits_are_applied, 0,
+                        sizeof(limit_cases) / sizeof(limit_cases[0]));
     tcase_add_test(tcase, complete_body_over_the_limit_is_answered);
     tcase_add_test(tcase, open_bodies_are_bounded);
     tcase_add_test(tcase, bodies_of_waiting_requests_are_bounded);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -195,6 +195,33 @@
 }
 END_TEST
 
+static const struct {
+    const char *text;
+    JobClientLimits limits;
+} limits_cases[] = {
+    {"{\"version\":3,\"limits\":{\"max-header-bytes\":16384,"
+     "\"max-body-bytes\":262144,\"header-timeout-ms\":3000,"
+     "\"idle-timeout-ms\":15000}}",
+     {16384, 262144, 3000, 15000}},
+    {"{\"limits\":{\"max-body-bytes\":\"many\",\"idle-timeout-ms\":5}}",
+     {0, 0, 0, 5}},
+    {"{\"version\":3}", {0, 0, 0, 0}},
+    {"{\"limits\":7}", {0, 0, 0, 0}},
+    {"not JSON", {0, 0, 0, 0}},
+};
+
+/* Guards against limits for callers that are lost, and against a stored text
+ * without valid ones that ends the process. */
+START_TEST(limits_for_callers_are_decoded)
+{
+    JobClientLimits limits;
+
+    wire->decode_client_limits(limits_cases[_i].text,
+                               strlen(limits_cases[_i].text), &limits);
+    ck_assert_mem_eq(&limits, &limits_cases[_i].limits, sizeof(limits));
+}
+END_TEST
+
 START_TEST(heartbeat_is_decoded_whole)
 {
     JobRequest request;
@@ -399,6 +426,8 @@
                         sizeof(control_cases) / sizeof(control_cases[0]));
     tcase_add_loop_test(tcase, configurations_are_decoded, 0,
                         sizeof(config_cases) / sizeof(config_cases[0]));
+    tcase_add_loop_test(tcase, limits_for_callers_are_decoded, 0,
+                        sizeof(limits_cases) / sizeof(limits_cases[0]));
     tcase_add_test(tcase, heartbeat_is_decoded_whole);
     tcase_add_loop_test(tcase, caller_requests_are_decoded, 0,
                         sizeof(caller_cases) / sizeof(caller_cases[0]));
