Share full pools by the weights of tenants

Cause: waiting jobs were placed by rank alone, so that a tenant that sends many times its usual load took the room of the others.

Change: where several tenants wait in a pool, the tenant with the lowest weighted dominant share of that pool (CPU, memory or accelerators, runs and assignments in flight, lasting work included) gets the next turn, of at most four tasks; its job with the lowest rank goes first. Lasting jobs still come before all others, and late ones after those in time.

--- a/bench/bench_jobcore.c
+++ b/bench/bench_jobcore.c
@@ -1,6 +1,7 @@
 /* Measures the operations of the leader's scheduler without a network, in ns,
  * at several sizes of the fleet. An operation that does not grow with the
- * fleet has the same figure in each column. */
+ * fleet has the same figure in each column. Then measures the placement of
+ * many waiting jobs with and without tenants. */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -14,6 +15,10 @@
 #define TASKS_PER_JOB 8
 #define TASK_CPU 2000
 #define ROUNDS 20
+/* Of the placement of many waiting jobs. */
+#define MOST_TENANTS 20
+#define POOL_TARGETS 85
+#define MANY_JOBS 10000
 
 static const uint32_t sizes[] = {41, 350, 1100, 29000};
 
@@ -68,12 +73,14 @@
 }
 
 static void
-configure(void)
+configure(size_t tenant_count)
 {
     JobQueue queues[POOLS];
     JobPool pools[POOLS];
+    JobTenant tenants[MOST_TENANTS];
     char text[] = "text";
-    JobConfig config = {1, queues, POOLS, pools, POOLS, NULL, 0, text, 4};
+    JobConfig config = {1,       queues,       POOLS, pools, POOLS,
+                        tenants, tenant_count, text,  4};
     Buf command = BUF_INIT;
     int i;
 
@@ -88,6 +95,11 @@
         snprintf(pools[i].name, sizeof(pools[i].name), "p%d", i);
         pools[i].enforces_capacity = true;
     }
+    memset(tenants, 0, sizeof(tenants));
+    for (i = 0; i < (int)tenant_count; i++) {
+        snprintf(tenants[i].name, sizeof(tenants[i].name), "tenant%d", i);
+        tenants[i].weight = 1 + (uint32_t)i % 4;
+    }
     JobCmd_EncodeConfig(&command, &config);
     JobTest_Apply(state, &command);
 }
@@ -112,7 +124,7 @@
 }
 
 static void
-submit_jobs(uint32_t count)
+submit_jobs(uint32_t count, uint32_t tenant_count)
 {
     uint32_t i;
 
@@ -120,6 +132,7 @@
         JobSpec spec = {.text = strdup("work"), .text_len = 4};
         char id[JOB_ID_BYTES];
         char queue[16];
+        char tenant[16] = "";
         Buf command = BUF_INIT;
 
         spec.step_count = 1;
@@ -130,7 +143,11 @@
         spec.steps[0].estimate_ms = 1000;
         snprintf(id, sizeof(id), "%016x", i);
         snprintf(queue, sizeof(queue), "q%u", i % POOLS);
-        JobCmd_EncodeSubmit(&command, id, queue, now, &spec, "");
+        if (tenant_count > 0) {
+            snprintf(tenant, sizeof(tenant), "tenant%u",
+                     i / POOLS % tenant_count);
+        }
+        JobCmd_EncodeSubmit(&command, id, queue, now, &spec, tenant);
         JobSpec_Free(&spec);
         JobTest_Apply(state, &command);
     }
@@ -145,7 +162,7 @@
     int i;
 
     state = JobState_New();
-    configure();
+    configure(0);
     sched = JobSched_New(&options, state);
     JobSched_Lead(sched, now, 1);
     announce_targets(targets, 1);
@@ -163,7 +180,7 @@
     ns[MEASURE_TICK] = (now_ns() - begun) / ROUNDS / targets;
 
     /* Twice the work that the fleet has room for. */
-    submit_jobs(targets * 2);
+    submit_jobs(targets * 2, 0);
     begun = now_ns();
     placed = JobSched_Counts(sched)->calls;
     for (i = 0; i < ROUNDS; i++) {
@@ -195,6 +212,49 @@
     JobState_Free(state);
 }
 
+/* Prints the time of one placement of many waiting jobs, in a fleet without
+ * room and, averaged until it is full, in one with room. */
+static void
+measure_many(uint32_t tenant_count)
+{
+    const JobSchedOptions options = JOBSCHED_OPTIONS_DEFAULT;
+    double ns[2] = {0, 0};
+    int rounds = 0;
+    int i;
+
+    state = JobState_New();
+    configure(tenant_count);
+    sched = JobSched_New(&options, state);
+    JobSched_Lead(sched, now, 1);
+    announce_targets(POOLS * POOL_TARGETS, 1);
+    process_actions();
+    submit_jobs(MANY_JOBS, tenant_count);
+    for (;;) {
+        uint64_t placed = JobSched_Counts(sched)->calls;
+        double begun = now_ns();
+        JobSched_PlaceTasks(sched, now, now);
+        ns[0] += now_ns() - begun;
+        process_actions();
+        if (JobSched_Counts(sched)->calls == placed) {
+            break;
+        }
+        rounds++;
+    }
+    for (i = 0; i < ROUNDS; i++) {
+        double begun = now_ns();
+        now += 1;
+        JobSched_PlaceTasks(sched, now, now);
+        ns[1] += now_ns() - begun;
+        process_actions();
+    }
+    printf("placement of %d jobs of %2u tenants, with room %6.0f us, without "
+           "%6.0f us\n",
+           MANY_JOBS, tenant_count, ns[0] / 1e3 / (rounds > 0 ? rounds : 1),
+           ns[1] / 1e3 / ROUNDS);
+    JobSched_Free(sched);
+    JobState_Free(state);
+}
+
 /* Usage: bench_jobcore [MOST], with the largest number of targets. */
 int
 main(int argc, char **argv)
@@ -221,5 +281,8 @@
         }
         printf("\n");
     }
+    measure_many(0);
+    measure_many(1);
+    measure_many(MOST_TENANTS);
     return 0;
 }
--- a/src/jobsched_impl.h
+++ b/src/jobsched_impl.h
@@ -158,8 +158,43 @@
     bool suspects_wait; /* those that have not crashed one alone */
     bool full;          /* a task with unplaced_need did not fit */
     JobResources unplaced_need;
+    JobTotals total; /* of all targets that are not known to have ended */
+    struct SchedAccount *account; /* of a candidate in this pool, or NULL */
 } SchedPool;
 
+/* What one tenant, or all jobs without one, use of a pool. */
+typedef struct SchedAccount {
+    size_t pool;
+    uint32_t weight;
+    JobTotals used; /* by runs and assignments in flight */
+    uint64_t share; /* largest part of the pool's resources, by weight */
+} SchedAccount;
+
+/* A job that waits for a placement. */
+typedef struct SchedCandidate {
+    Job *job;
+    int64_t rank;
+    int band; /* jobs of a lower band go first, whatever their tenant */
+    SchedAccount *account;
+    size_t turn;      /* number of assignments in its turn, and of those */
+    size_t taken;     /* that it has had */
+    bool interrupted; /* its turn ended before all its tasks were looked at */
+} SchedCandidate;
+
+/* One placement of waiting tasks. */
+typedef struct SchedPass {
+    JobSched *sched;
+    int64_t now;
+    int64_t wall_ms;
+    SchedCandidate *candidates;
+    size_t count;
+    SchedPool *pools;
+    size_t pool_count;
+    SchedAccount *accounts; /* by pool and tenant */
+    size_t account_count;
+    size_t batch_limit; /* length of the batch that ends the turn of a job */
+} SchedPass;
+
 struct JobSched {
     JobSchedOptions options;
     int64_t next_hold_wait_ms; /* longest wait of the next holds */
@@ -172,6 +207,7 @@
     int64_t now_ms;  /* latest time passed by the caller */
     int64_t next_expire_ms;
     uint64_t placement; /* number of the current placement */
+    bool placing;       /* a placement runs, so the state does not change */
     int64_t full_ms; /* when a task last found no room in its pool; 0: never */
     uint64_t next_cookie;
     uint64_t next_incarnation;
@@ -257,6 +293,24 @@
 int64_t SchedImpl_RankJob(const JobSched *sched, int64_t now, int64_t wall_ms,
                           Job *job);
 
+/* Returns the band of a rank. Jobs of one band are placed by their tenants'
+ * shares, and those of one tenant by rank. */
+int SchedImpl_GetBand(int64_t rank);
+
+/* jobsched_turn.c: turns of waiting jobs */
+void SchedImpl_CollectCandidates(SchedPass *pass);
+/* Gives each candidate a turn: by rank, or, where several tenants wait in a
+ * pool, by band, then by the tenant's share of the pool, then by rank. Then
+ * fills the batch with the tasks of those whose turn was too short. */
+void SchedImpl_PlaceCandidates(SchedPass *pass);
+
+/* jobsched_place.c: targets of the tasks of a job */
+/* Assigns the waiting tasks of a job until its turn is over. Returns whether
+ * it was. */
+bool SchedImpl_PlaceJob(SchedPass *pass, Job *job);
+/* Returns the index of a pool, or the number of pools if it has no target. */
+size_t SchedImpl_FindPoolIndex(const SchedPass *pass, const char *name);
+
 /* jobsched_fit.c: which targets a task fits */
 bool SchedImpl_HasLabel(const JobTarget *target, const char *label);
 /* Returns whether a target has as many runs, or starts that wait, that it may
@@ -328,6 +382,13 @@
  * tenant is empty for a job without one. */
 bool SchedImpl_CanEverRun(const JobSched *sched, const char *tenant,
                           const JobSpec *spec);
+/* Computes what each tenant uses of each pool. Does nothing and returns false
+ * unless the configuration has tenants of which two, or one and jobs without a
+ * tenant, wait in the same pool. */
+bool SchedImpl_OpenAccounts(SchedPass *pass);
+/* Adds the assignments of the batch from the first on to an account. */
+void SchedImpl_ChargeAccount(const SchedPass *pass, SchedAccount *account,
+                             size_t first);
 
 /* jobsched_run.c: calls that start and stop tasks, and ends of runs */
 void SchedImpl_StopTask(JobSched *sched, int64_t now, JobTarget *target,
--- a/src/jobsched_place.c
+++ b/src/jobsched_place.c
@@ -7,53 +7,32 @@
 #include "mem.h"
 #include "slog.h"
 
-/* Assignments per command, which bounds the bytes of a log entry and the time
- * of a placement. The tasks of one gang may exceed it, by JOB_MAX_TASKS. */
-#define PLACE_MAX_BATCH 512
-/* Assignments of one job before it is the turn of the next one. A job with as
- * many tasks that are assigned is large and waits for the others to have had
- * theirs: a target starts only some tasks at a time, and would otherwise start
- * all of that job first. */
-#define PLACE_JOB_QUANTUM 64
-/* Turn of a large job whose tasks last, which has to get each of them. */
-#define PLACE_LASTING_QUANTUM 8
 /* Assignments in flight beyond which placement waits for the log. */
 #define PLACE_MAX_IN_FLIGHT 2048
 /* Time for which a pool without room counts as having a backlog. */
 #define PLACE_BACKLOG_MS 1000
 
-typedef struct Candidate {
-    Job *job;
-    int64_t rank;
-    bool interrupted; /* its turn ended before all its tasks were looked at */
-} Candidate;
-
-typedef struct PlacementPass {
-    JobSched *sched;
-    int64_t now;
-    int64_t wall_ms;
-    Candidate *candidates;
-    size_t count;
-    SchedPool *pools;
-    size_t pool_count;
-    size_t batch_limit; /* length of the batch that ends the turn of a job */
-} PlacementPass;
+size_t
+SchedImpl_FindPoolIndex(const SchedPass *pass, const char *name)
+{
+    size_t i = 0;
+
+    while (i < pass->pool_count && strcmp(pass->pools[i].name, name) != 0) {
+        i++;
+    }
+    return i;
+}
 
 static SchedPool *
-find_pool(PlacementPass *pass, const char *name)
+find_pool(SchedPass *pass, const char *name)
 {
-    size_t i;
+    size_t i = SchedImpl_FindPoolIndex(pass, name);
 
-    for (i = 0; i < pass->pool_count; i++) {
-        if (strcmp(pass->pools[i].name, name) == 0) {
-            return &pass->pools[i];
-        }
-    }
-    return NULL;
+    return i < pass->pool_count ? &pass->pools[i] : NULL;
 }
 
 static SchedPool *
-find_or_add_pool(PlacementPass *pass, const char *name)
+find_or_add_pool(SchedPass *pass, const char *name)
 {
     SchedPool *pool = find_pool(pass, name);
 
@@ -116,7 +95,15 @@
 }
 
 static void
-list_targets(PlacementPass *pass)
+add_room(JobTotals *total, const JobResources *room)
+{
+    total->cpu += room->cpu;
+    total->memory_mb += room->memory_mb;
+    total->accelerators += room->accelerators;
+}
+
+static void
+list_targets(SchedPass *pass)
 {
     const JobSched *sched = pass->sched;
     bool has_backlog =
@@ -131,6 +118,7 @@
             continue;
         }
         pool = find_or_add_pool(pass, target->announcement.pool);
+        add_room(&pool->total, SchedImpl_GetRoom(target));
         if (SchedImpl_IsIsolated(live, pass->now) &&
             (live->unanswered == 0 || has_backlog)) {
             pool->isolated++;
@@ -226,7 +214,7 @@
 }
 
 static JobTarget *
-choose_target(PlacementPass *pass, SchedPool *pool, const Job *job,
+choose_target(SchedPass *pass, SchedPool *pool, const Job *job,
               uint32_t occurrence, uint32_t step)
 {
     const JobStep *spec = &job->spec.steps[step];
@@ -331,7 +319,7 @@
 /* Returns whether a task is placed apart from others, or not yet, because its
  * targets have crashed. Assigns it if a target can be had for it alone. */
 static bool
-place_suspect(PlacementPass *pass, SchedPool *pool, const JobRun *run,
+place_suspect(SchedPass *pass, SchedPool *pool, const JobRun *run,
               UnplacedSuspects *unplaced)
 {
     const JobTask *task = JobRun_GetTask(run);
@@ -405,7 +393,7 @@
  * task that leaves its target for a wave of maintenance would otherwise get
  * the next free target before it. Returns false if there is no target. */
 static bool
-place_longest_unplaced(PlacementPass *pass, Job *job, SchedPool *pool,
+place_longest_unplaced(SchedPass *pass, Job *job, SchedPool *pool,
                        uint32_t occurrence, uint32_t step)
 {
     JobTask *tasks = Job_FindStepTasks(job, occurrence, step);
@@ -430,7 +418,7 @@
 
 /* Returns whether the job that is being placed has used up its turn. */
 static bool
-is_turn_over(const PlacementPass *pass)
+is_turn_over(const SchedPass *pass)
 {
     return pass->sched->batch_count >= pass->batch_limit;
 }
@@ -438,7 +426,7 @@
 /* Assigns the waiting tasks of a step to targets until the turn of its job is
  * over. Returns whether some remain unplaced. */
 static bool
-place_step(PlacementPass *pass, Job *job, SchedPool *pool, uint32_t occurrence,
+place_step(SchedPass *pass, Job *job, SchedPool *pool, uint32_t occurrence,
            uint32_t step)
 {
     JobSched *sched = pass->sched;
@@ -500,7 +488,7 @@
 }
 
 static bool
-is_due(const PlacementPass *pass, const Job *job, uint32_t occurrence)
+is_due(const SchedPass *pass, const Job *job, uint32_t occurrence)
 {
     if (job->spec.repeats == 0) {
         return true;
@@ -512,7 +500,7 @@
 /* Returns whether a target can be had for a task of an occurrence that is not
  * open yet. */
 static bool
-has_target(PlacementPass *pass, SchedPool *pool, const Job *job,
+has_target(SchedPass *pass, SchedPool *pool, const Job *job,
            uint32_t occurrence)
 {
     uint32_t step;
@@ -530,7 +518,7 @@
 /* Opens an occurrence whose lasting tasks have waited for a target since a
  * time, or 0. */
 static void
-open_occurrence(PlacementPass *pass, Job *job, uint32_t occurrence,
+open_occurrence(SchedPass *pass, Job *job, uint32_t occurrence,
                 int64_t unplaced_ms)
 {
     uint32_t step;
@@ -549,7 +537,7 @@
 /* Assigns the waiting tasks of an occurrence until the turn of its job is
  * over. Returns whether some remain. */
 static bool
-place_occurrence(PlacementPass *pass, Job *job, SchedPool *pool,
+place_occurrence(SchedPass *pass, Job *job, SchedPool *pool,
                  uint32_t occurrence)
 {
     bool waiting = false;
@@ -568,7 +556,7 @@
  * It stays open only if one was assigned, as the tasks of all jobs that wait
  * may exceed the memory. Returns whether one was. */
 static bool
-place_new_occurrence(PlacementPass *pass, Job *job, SchedPool *pool,
+place_new_occurrence(SchedPass *pass, Job *job, SchedPool *pool,
                      uint32_t occurrence, int64_t unplaced_ms)
 {
     size_t first = pass->sched->batch_count;
@@ -589,10 +577,8 @@
     return false;
 }
 
-/* Assigns the waiting tasks of a job until its turn is over. Returns whether
- * it was. */
-static bool
-place_job(PlacementPass *pass, Job *job)
+bool
+SchedImpl_PlaceJob(SchedPass *pass, Job *job)
 {
     SchedPool *pool = find_pool(pass, job->pool);
     int64_t unplaced_ms = job->sched_state.unplaced_ms;
@@ -626,37 +612,6 @@
     return is_turn_over(pass);
 }
 
-static int
-compare_ranks(const void *a, const void *b)
-{
-    const Candidate *left = a;
-    const Candidate *right = b;
-
-    return (left->rank > right->rank) - (left->rank < right->rank);
-}
-
-static void
-collect_candidates(PlacementPass *pass)
-{
-    size_t capacity = 0;
-    Job *job;
-
-    for (job = JobState_FirstActive(pass->sched->state); job != NULL;
-         job = job->next) {
-        if (!job->has_waiting || job->phase >= JOB_COMPLETED) {
-            continue;
-        }
-        if (pass->count == capacity) {
-            capacity = capacity * 2 + 64;
-            pass->candidates =
-                Mem_Resize(pass->candidates, capacity * sizeof(Candidate));
-        }
-        pass->candidates[pass->count++] = (Candidate){
-            job, SchedImpl_RankJob(pass->sched, pass->now, pass->wall_ms, job),
-            false};
-    }
-}
-
 static void
 propose_batch(JobSched *sched)
 {
@@ -672,43 +627,10 @@
     sched->batch_capacity = 0;
 }
 
-/* Returns the number of assignments in the turn of a job. */
-static size_t
-get_turn(const Job *job)
-{
-    if (job->assigned + job->sched_state.proposed < PLACE_JOB_QUANTUM) {
-        return PLACE_JOB_QUANTUM;
-    }
-    return job->spec.steps[0].lasting ? PLACE_LASTING_QUANTUM : 0;
-}
-
-/* Gives each candidate a turn, the lowest rank first, and then fills the batch
- * with the tasks of those whose turn was too short. */
-static void
-place_candidates(PlacementPass *pass)
-{
-    const JobSched *sched = pass->sched;
-    size_t i;
-
-    for (i = 0; i < pass->count && sched->batch_count < PLACE_MAX_BATCH; i++) {
-        Candidate *candidate = &pass->candidates[i];
-        size_t turn = get_turn(candidate->job);
-        size_t limit = sched->batch_count + turn;
-        pass->batch_limit = limit < PLACE_MAX_BATCH ? limit : PLACE_MAX_BATCH;
-        candidate->interrupted = turn == 0 || place_job(pass, candidate->job);
-    }
-    pass->batch_limit = PLACE_MAX_BATCH;
-    for (i = 0; i < pass->count && sched->batch_count < PLACE_MAX_BATCH; i++) {
-        if (pass->candidates[i].interrupted) {
-            place_job(pass, pass->candidates[i].job);
-        }
-    }
-}
-
 void
 JobSched_PlaceTasks(JobSched *sched, int64_t now, int64_t wall_ms)
 {
-    PlacementPass pass = {.sched = sched, .now = now, .wall_ms = wall_ms};
+    SchedPass pass = {.sched = sched, .now = now, .wall_ms = wall_ms};
     size_t i;
 
     if (!sched->leads || sched->assignments_in_flight >= PLACE_MAX_IN_FLIGHT) {
@@ -716,16 +638,15 @@
     }
     sched->now_ms = now;
     sched->placement++;
-    collect_candidates(&pass);
+    sched->placing = true;
+    SchedImpl_CollectCandidates(&pass);
     if (pass.count > 0) {
         list_targets(&pass);
     }
-    if (pass.count > 1) {
-        qsort(pass.candidates, pass.count, sizeof(Candidate), compare_ranks);
-    }
     SchedImpl_MarkAwaitedEvidence(sched, now, true);
-    place_candidates(&pass);
+    SchedImpl_PlaceCandidates(&pass);
     SchedImpl_MarkAwaitedEvidence(sched, now, false);
+    sched->placing = false;
     free(pass.candidates);
     for (i = 0; i < pass.pool_count; i++) {
         free(pass.pools[i].targets);
--- a/src/jobsched_rank.c
+++ b/src/jobsched_rank.c
@@ -83,3 +83,19 @@
     }
     return begun ? slack_ms - RANK_LATE_OFFSET : -slack_ms;
 }
+
+int
+SchedImpl_GetBand(int64_t rank)
+{
+    /* Lasting jobs; those in time, begun or not; late ones that have begun;
+     * other late ones; those with a task that has crashed a target alone. */
+    static const int64_t limits[] = {INT64_MIN / 4, RANK_LATE_OFFSET / 4,
+                                     RANK_LATE_OFFSET / 4 * 3,
+                                     RANK_LATE_OFFSET / 2 * 3};
+    int band = 0;
+
+    while (band < 4 && rank >= limits[band]) {
+        band++;
+    }
+    return band;
+}
--- a/src/jobsched_share.c
+++ b/src/jobsched_share.c
@@ -111,11 +111,20 @@
 has_terms(const JobSched *sched, const Job *job, const JobTenant **terms)
 {
     const JobConfig *config = JobState_GetConfig(sched->state);
+    JobTenantUse *use = job->tenant;
 
-    if (job->tenant == NULL || config->tenant_count == 0) {
+    if (use == NULL || config->tenant_count == 0) {
         return false;
     }
-    *terms = JobConfig_FindTenant(config, job->tenant->name);
+    if (!sched->placing) {
+        *terms = JobConfig_FindTenant(config, use->name);
+        return true;
+    }
+    if (use->terms_placement != sched->placement) {
+        use->terms = JobConfig_FindTenant(config, use->name);
+        use->terms_placement = sched->placement;
+    }
+    *terms = use->terms;
     return true;
 }
 
@@ -266,3 +275,190 @@
     }
     return true;
 }
+
+/* --- weight --- */
+
+/* A share of a whole pool at weight 1. */
+#define SHARE_WHOLE ((uint64_t)1 << 24)
+
+/* Returns the weight of a tenant. Jobs without a tenant count as one of mean
+ * weight, and a tenant that the configuration no longer has as one of the
+ * lowest. */
+static uint32_t
+get_weight(const JobConfig *config, const JobTenantUse *use)
+{
+    const JobTenant *terms =
+        use != NULL ? JobConfig_FindTenant(config, use->name) : NULL;
+    uint64_t sum = 0;
+    uint32_t lowest = UINT32_MAX;
+    uint32_t weight;
+    size_t i;
+
+    for (i = 0; i < config->tenant_count; i++) {
+        weight = config->tenants[i].weight;
+        sum += weight;
+        lowest = weight < lowest ? weight : lowest;
+    }
+    if (terms != NULL) {
+        weight = terms->weight;
+    }
+    else if (use != NULL || config->tenant_count == 0) {
+        weight = lowest;
+    }
+    else {
+        weight = (uint32_t)(sum / config->tenant_count);
+    }
+    return weight > 0 ? weight : 1;
+}
+
+static uint64_t
+get_part(uint64_t used, uint64_t total)
+{
+    return total > 0 ? used * SHARE_WHOLE / total : 0;
+}
+
+/* Updates the weighted dominant share of an account. */
+static void
+update_share(const SchedPass *pass, SchedAccount *account)
+{
+    const JobTotals *room = &pass->pools[account->pool].total;
+    uint64_t share = get_part(account->used.cpu, room->cpu);
+    uint64_t memory = get_part(account->used.memory_mb, room->memory_mb);
+    uint64_t other = get_part(account->used.accelerators, room->accelerators);
+
+    share = memory > share ? memory : share;
+    share = other > share ? other : share;
+    account->share = share / account->weight;
+}
+
+static size_t
+get_account_index(const SchedPass *pass, size_t pool, const Job *job)
+{
+    size_t per_pool = JobState_TenantUseCount(pass->sched->state) + 1;
+
+    return pool * per_pool +
+           (job->tenant != NULL ? job->tenant->index : per_pool - 1);
+}
+
+static void
+charge_runs(SchedPass *pass)
+{
+    const JobState *state = pass->sched->state;
+    uint32_t row;
+    uint32_t i;
+
+    for (row = 0; row < JobState_TargetRows(state); row++) {
+        const JobTarget *target = JobState_TargetAt(state, row);
+        size_t pool =
+            target != NULL
+                ? SchedImpl_FindPoolIndex(pass, target->announcement.pool)
+                : pass->pool_count;
+        for (i = 0; pool < pass->pool_count && i < target->run_count; i++) {
+            const JobRun *run = &target->runs[i];
+            size_t at = get_account_index(pass, pool, run->job);
+            add_need(&pass->accounts[at].used, JobRun_GetStep(run), 1);
+        }
+    }
+}
+
+static void
+charge_proposals(SchedPass *pass)
+{
+    const SchedProposal *proposal;
+    size_t i;
+
+    for (proposal = pass->sched->proposals; proposal != NULL;
+         proposal = proposal->next) {
+        for (i = 0; i < proposal->assignment_count; i++) {
+            const JobTaskRef *task = &proposal->assignments[i].task;
+            const Job *job = JobState_FindJob(pass->sched->state, task->job);
+            size_t pool = job != NULL
+                              ? SchedImpl_FindPoolIndex(pass, job->pool)
+                              : pass->pool_count;
+            if (pool < pass->pool_count) {
+                size_t at = get_account_index(pass, pool, job);
+                add_need(&pass->accounts[at].used,
+                         &job->spec.steps[task->step], 1);
+            }
+        }
+    }
+}
+
+/* Assigns each candidate to its account, and leaves out those in pools without
+ * targets. Returns whether two accounts of a pool have candidates. */
+static bool
+assign_accounts(SchedPass *pass)
+{
+    bool compete = false;
+    size_t kept = 0;
+    size_t i;
+
+    for (i = 0; i < pass->count; i++) {
+        SchedCandidate *candidate = &pass->candidates[i];
+        size_t pool = SchedImpl_FindPoolIndex(pass, candidate->job->pool);
+        if (pool == pass->pool_count) {
+            continue;
+        }
+        candidate->account =
+            &pass->accounts[get_account_index(pass, pool, candidate->job)];
+        compete = compete || (pass->pools[pool].account != NULL &&
+                              pass->pools[pool].account != candidate->account);
+        pass->pools[pool].account = candidate->account;
+        pass->candidates[kept++] = *candidate;
+    }
+    pass->count = kept;
+    return compete;
+}
+
+bool
+SchedImpl_OpenAccounts(SchedPass *pass)
+{
+    const JobState *state = pass->sched->state;
+    const JobConfig *config = JobState_GetConfig(state);
+    size_t per_pool = JobState_TenantUseCount(state) + 1;
+    size_t i;
+
+    if (config->tenant_count == 0 || pass->count < 2 ||
+        pass->pool_count == 0) {
+        return false;
+    }
+    for (i = 0; i + 1 < per_pool; i++) {
+        JobState_TenantUseAt(state, i)->index = i;
+    }
+    pass->account_count = pass->pool_count * per_pool;
+    pass->accounts = Mem_New(pass->account_count, sizeof(*pass->accounts));
+    if (!assign_accounts(pass)) {
+        free(pass->accounts);
+        return false;
+    }
+    charge_runs(pass);
+    charge_proposals(pass);
+    for (i = 0; i < pass->account_count; i++) {
+        SchedAccount *account = &pass->accounts[i];
+        const JobTenantUse *use =
+            i % per_pool + 1 < per_pool
+                ? JobState_TenantUseAt(state, i % per_pool)
+                : NULL;
+        account->pool = i / per_pool;
+        account->weight = get_weight(config, use);
+        update_share(pass, account);
+    }
+    return true;
+}
+
+void
+SchedImpl_ChargeAccount(const SchedPass *pass, SchedAccount *account,
+                        size_t first)
+{
+    const JobSched *sched = pass->sched;
+    size_t i;
+
+    for (i = first; i < sched->batch_count; i++) {
+        const JobTaskRef *task = &sched->batch[i].task;
+        const Job *job = JobState_FindJob(sched->state, task->job);
+        add_need(&account->used, &job->spec.steps[task->step], 1);
+    }
+    if (sched->batch_count > first) {
+        update_share(pass, account);
+    }
+}
--- a/src/jobstate.c
+++ b/src/jobstate.c
@@ -154,6 +154,8 @@
         memset(&use->reserved, 0, sizeof(use->reserved));
         use->reserved_runs = 0;
         use->reported_ms = 0;
+        use->terms = NULL;
+        use->terms_placement = 0;
     }
     for (i = 0; i < state->target_rows; i++) {
         if (state->targets[i] != NULL) {
--- a/src/jobstate.h
+++ b/src/jobstate.h
@@ -126,6 +126,11 @@
     JobTotals reserved; /* by assignments in flight */
     uint32_t reserved_runs;
     int64_t reported_ms; /* when its cap was last logged; 0: not yet */
+    size_t index;        /* in the accounts of the current placement */
+    /* Its terms in the configuration, or NULL, in the placement of this
+     * number. */
+    const JobTenant *terms;
+    uint64_t terms_placement;
 } JobTenantUse;
 
 typedef struct Job {
--- a/tests/support_jobsim.c
+++ b/tests/support_jobsim.c
@@ -1705,7 +1705,8 @@
         record->tenant =
             lasting ? sim->options.tenants - 1 - pool % sim->options.tenants
                     : draw_tenant(sim);
-        snprintf(tenant, sizeof(tenant), "tenant%u", record->tenant);
+        snprintf(tenant, sizeof(tenant), "tenant%u",
+                 sim->options.merges_tenants ? 0 : record->tenant);
     }
     if (!JobSched_Admit(sim->sched, sim->now, NULL, tenant, &spec, &retry_ms,
                         &reason) ||
--- a/tests/support_jobsim.h
+++ b/tests/support_jobsim.h
@@ -86,8 +86,10 @@
     uint32_t tenants;        /* 0: jobs have no tenant */
     uint32_t tenant_cap_cpu; /* cap of each tenant; 0: no limit */
     uint32_t tenant_weights[JOBSIM_MAX_TENANTS]; /* 0 counts as 1 */
-    double flood_share; /* share of jobs that are of the first tenant, beyond
-                           its usual one */
+    bool merges_tenants; /* all jobs are submitted as the first tenant, so that
+                            shares decide nothing; reported by tenant */
+    double flood_share;  /* share of jobs that are of the first tenant, beyond
+                            its usual one */
     /* rate at which a configuration changes the cap of one tenant to 20 to
      * 150 %, or in one of ten cases removes the tenant */
     double cap_changes_per_s;
--- a/tests/test_jobshare.c
+++ b/tests/test_jobshare.c
@@ -5,6 +5,7 @@
 
 #include "jobcodec.h"
 #include "jobsched_impl.h"
+#include "rng.h"
 #include "support.h"
 #include "support_job.h"
 #include "support_jobsim.h"
@@ -451,6 +452,284 @@
 }
 END_TEST
 
+/* --- weight --- */
+
+#define SHARE_ROUNDS 400
+
+static const JobStep small_step = {.count = 8, .need = {1000, 10, 0}};
+
+static uint64_t
+get_runs(const char *tenant)
+{
+    const JobTenantUse *use = JobState_FindTenantUse(state, tenant);
+
+    return use != NULL ? use->runs : 0;
+}
+
+/* Keeps at least 8 jobs of a tenant waiting. */
+static void
+top_up(const char *tenant)
+{
+    static uint32_t number;
+    const Job *job;
+    int waiting = 0;
+
+    for (job = JobState_FirstActive(state); job != NULL; job = job->next) {
+        waiting +=
+            job->phase == JOB_QUEUED && strcmp(job->tenant->name, tenant) == 0;
+    }
+    for (; waiting < 8; waiting++) {
+        char id[JOB_ID_BYTES];
+        snprintf(id, sizeof(id), "%08x", ++number);
+        submit(id, tenant, &small_step);
+    }
+}
+
+/* Ends one run of each target in turn as done. */
+static void
+end_some_runs(uint32_t round)
+{
+    uint32_t row;
+
+    for (row = 0; row < JobState_TargetRows(state); row++) {
+        JobTarget *target = JobState_TargetAt(state, row);
+        if (target->run_count > 0) {
+            JobRun run = target->runs[(round * 7 + row) % target->run_count];
+            JobTest_End(state, run.job->id, run.step, run.index,
+                        JobRun_GetTask(&run)->attempt, target->announcement.id,
+                        JOB_END_DONE, target->last_applied_end + 1);
+        }
+    }
+}
+
+/* Guards against shares that do not follow the weights while all tenants have
+ * more work than there is room. */
+START_TEST(shares_follow_weights)
+{
+    JobTenant tenants[] = {{.name = "a", .weight = 1},
+                           {.name = "b", .weight = 2},
+                           {.name = "c", .weight = 5}};
+    uint64_t runs[3] = {0, 0, 0};
+    uint64_t all = 0;
+    uint32_t round;
+    int i;
+
+    configure(tenants, 3);
+    add_targets(10);
+    for (round = 0; round < SHARE_ROUNDS; round++) {
+        for (i = 0; i < 3; i++) {
+            top_up(tenants[i].name);
+        }
+        place(COMMIT);
+        for (i = 0; i < 3 && round >= SHARE_ROUNDS / 4; i++) {
+            runs[i] += get_runs(tenants[i].name);
+            all += get_runs(tenants[i].name);
+        }
+        end_some_runs(round);
+        now += 5;
+    }
+    ck_assert_uint_gt(all, SHARE_ROUNDS / 4 * 3 * 150); /* of 160 */
+    for (i = 0; i < 3; i++) {
+        double share = (double)runs[i] / (double)all;
+        double due = tenants[i].weight / 8.0;
+        ck_assert_msg(share > due * 0.9 && share < due * 1.1,
+                      "%s: %.3f instead of %.3f", tenants[i].name, share, due);
+    }
+}
+END_TEST
+
+/* Guards against room that is kept for tenants without work, and against a
+ * tenant that does not get its share once it has work again. */
+START_TEST(unused_room_is_taken_at_once)
+{
+    JobTenant tenants[] = {{.name = "a", .weight = 1},
+                           {.name = "b", .weight = 1},
+                           {.name = "c", .weight = 8}};
+    uint32_t round;
+    int i;
+
+    configure(tenants, 3);
+    add_targets(10);
+    for (i = 0; i < 3; i++) {
+        top_up("a");
+        top_up("b");
+        place(COMMIT);
+    }
+    ck_assert_uint_eq(get_runs("a") + get_runs("b"), 160);
+    ck_assert_uint_eq(get_runs("a"), 80);
+    for (round = 0; round < 8; round++) {
+        top_up("a");
+        top_up("b");
+        top_up("c");
+        end_some_runs(round);
+        now += 5;
+        place(COMMIT);
+    }
+    ck_assert_uint_ge(get_runs("c"), 75); /* all that has ended */
+}
+END_TEST
+
+/* Guards against a turn of one job in which a tenant takes the whole pool
+ * while others wait. */
+START_TEST(turn_does_not_take_whole_pool)
+{
+    JobTenant tenants[] = {{.name = "a", .weight = 1},
+                           {.name = "b", .weight = 1}};
+
+    configure(tenants, 2);
+    add_targets(4);
+    submit("01", "a", &(JobStep){.count = 64, .need = {1000, 10, 0}});
+    submit("02", "b", &(JobStep){.count = 64, .need = {1000, 10, 0}});
+    ck_assert_uint_eq(place(COMMIT), 64);
+    ck_assert_uint_eq(get_runs("a"), 32);
+}
+END_TEST
+
+/* The dominant resource counts: "a" needs memory, "b" CPU. */
+START_TEST(dominant_resource_counts)
+{
+    JobTenant tenants[] = {{.name = "a", .weight = 1},
+                           {.name = "b", .weight = 1}};
+
+    configure(tenants, 2);
+    add_targets(1); /* 16 cores and 32,000 MB */
+    submit("01", "a", &(JobStep){.count = 60, .need = {100, 2000, 0}});
+    submit("02", "b", &(JobStep){.count = 60, .need = {1000, 100, 0}});
+    place(COMMIT);
+    ck_assert_uint_ge(get_runs("b"), 12);
+    ck_assert_uint_ge(get_runs("a"), 12);
+}
+END_TEST
+
+/* Lasting work counts toward the share. */
+START_TEST(lasting_work_counts)
+{
+    JobTenant tenants[] = {{.name = "a", .weight = 1},
+                           {.name = "b", .weight = 1}};
+
+    configure(tenants, 2);
+    add_targets(4);
+    submit("01", "a",
+           &(JobStep){.count = 24, .need = {1000, 10, 0}, .lasting = true});
+    while (place(COMMIT) > 0) {
+    }
+    ck_assert_uint_eq(get_runs("a"), 24);
+    submit("02", "a", &(JobStep){.count = 64, .need = {1000, 10, 0}});
+    submit("03", "b", &(JobStep){.count = 64, .need = {1000, 10, 0}});
+    place(COMMIT);
+    ck_assert_uint_eq(get_runs("a") + get_runs("b"), 64);
+    ck_assert_uint_eq(get_runs("b"), 32);
+}
+END_TEST
+
+/* Mean time in ms from submission to completion of the jobs of tenants other
+ * than the first, over some seeds. */
+static int64_t
+measure_others(double jobs_per_s, double flood_share, bool merges)
+{
+    JobSimOptions options = {.pools = 1,
+                             .targets_per_pool = 10,
+                             .jobs_per_s = jobs_per_s,
+                             .active_ms = 20000,
+                             .settle_ms = 90000,
+                             .tenants = 4,
+                             .flood_share = flood_share,
+                             .merges_tenants = merges};
+    int64_t total_ms = 0;
+    uint64_t count = 0;
+    int i;
+
+    for (options.seed = 1; options.seed <= 5; options.seed++) {
+        JobSimReport report;
+        JobSim_Run(&options, &report);
+        ck_assert_str_eq(report.violation, "");
+        ck_assert_uint_eq(report.unfinished, 0);
+        for (i = 1; i < 4; i++) {
+            count += report.tenant_completed[i];
+            total_ms +=
+                (int64_t)report.tenant_completed[i] * report.tenant_mean_ms[i];
+        }
+    }
+    return total_ms / (int64_t)count;
+}
+
+/* Guards against other tenants that wait longer because one sends ten times
+ * its usual load. Its usual load is that of the others, 2 jobs per second;
+ * with ten times that, the load is 1.3 times what the pool can serve. A share
+ * of 9 in 13 of all jobs is then beyond its usual load. */
+START_TEST(flood_does_not_delay_others)
+{
+    int64_t usual_ms = measure_others(8, 0, false);
+    int64_t flooded_ms = measure_others(26, 9.0 / 13, false);
+    int64_t unshared_ms = measure_others(26, 9.0 / 13, true);
+
+    ck_assert_msg(flooded_ms * 100 <= usual_ms * 115,
+                  "%lld ms instead of %lld, %lld without shares",
+                  (long long)flooded_ms, (long long)usual_ms,
+                  (long long)unshared_ms);
+    ck_assert_msg(unshared_ms * 100 >= usual_ms * 130,
+                  "the load does not show shares: %lld ms and %lld without",
+                  (long long)usual_ms, (long long)unshared_ms);
+}
+END_TEST
+
+/* --- no tenants --- */
+
+/* Digest of the assignments that the scheduler made of the same jobs before it
+ * knew of tenants. */
+#define ASSIGNMENTS_WITHOUT_TENANTS 0xb28104e6258562cull
+#define DIGEST_JOBS 300
+
+static uint64_t
+hash_bytes(const Buf *bytes)
+{
+    uint64_t hash = 14695981039346656037ull; /* FNV-1a */
+    size_t i;
+
+    for (i = 0; i < bytes->len; i++) {
+        hash = (hash ^ (unsigned char)bytes->data[i]) * 1099511628211ull;
+    }
+    return hash;
+}
+
+static JobStep
+draw_step(Rng *rng)
+{
+    JobStep step = {
+        .count = 1 + Rng_Below(rng, 90),
+        .need = {100 + Rng_Below(rng, 2500), 10 + Rng_Below(rng, 2000), 0}};
+
+    step.estimate_ms = 100 + Rng_Below(rng, 3000);
+    step.gang = Rng_Below(rng, 8) == 0;
+    step.lasting = !step.gang && Rng_Below(rng, 10) == 0;
+    step.best_effort = Rng_Below(rng, 10) == 0;
+    return step;
+}
+
+/* Guards against a change of placement where the configuration has no tenants.
+ */
+START_TEST(placement_without_tenants_is_as_before)
+{
+    Rng rng;
+    uint32_t i;
+
+    Rng_Seed(&rng, 7);
+    configure(NULL, 0);
+    add_targets(40);
+    for (i = 0; i < DIGEST_JOBS; i++) {
+        JobStep step = draw_step(&rng);
+        char id[JOB_ID_BYTES];
+        snprintf(id, sizeof(id), "%08x", i);
+        submit(id, "", &step);
+        now += 20;
+        place(Rng_Below(&rng, 10) == 0 ? REFUSE : COMMIT);
+        end_some_runs(i);
+    }
+    ck_assert_msg(hash_bytes(&decided) == ASSIGNMENTS_WITHOUT_TENANTS,
+                  "0x%llx", (unsigned long long)hash_bytes(&decided));
+}
+END_TEST
+
 /* --- model --- */
 
 typedef struct WorldCase {
@@ -567,6 +846,7 @@
 {
     Suite *suite = suite_create("jobshare");
     TCase *cap = tcase_create("cap");
+    TCase *weight = tcase_create("weight");
     TCase *model = tcase_create("model");
 
     tcase_add_checked_fixture(cap, setup, teardown);
@@ -582,6 +862,15 @@
     tcase_add_loop_test(cap, gang_beyond_cap_is_refused, 0,
                         sizeof(admit_cases) / sizeof(admit_cases[0]));
     suite_add_tcase(suite, cap);
+    tcase_add_checked_fixture(weight, setup, teardown);
+    tcase_add_test(weight, shares_follow_weights);
+    tcase_add_test(weight, unused_room_is_taken_at_once);
+    tcase_add_test(weight, turn_does_not_take_whole_pool);
+    tcase_add_test(weight, dominant_resource_counts);
+    tcase_add_test(weight, lasting_work_counts);
+    tcase_add_test(weight, flood_does_not_delay_others);
+    tcase_add_test(weight, placement_without_tenants_is_as_before);
+    suite_add_tcase(suite, weight);
     tcase_add_loop_test(model, runs_keep_cap_despite_faults, 0,
                         sizeof(worlds) / sizeof(worlds[0]));
     suite_add_tcase(suite, model);
