Let a tenant's jobs wait for one that its cap delays

Cause: the smaller tasks of a tenant at its cap took each amount that became free, so that its gangs and large tasks never started while those arrived.

Change: a job without runs that the cap delays, and that others behind it in the order have passed for 2 s, is waited for by the other jobs of its tenant, for at most 10 s, or 2 s while the tenant is under half of its cap; then no job is waited for during 5 s.

--- a/src/jobsched_impl.h
+++ b/src/jobsched_impl.h
@@ -370,8 +370,9 @@
  * keeps the tenant of its job within its cap. A tenant without runs may start
  * one task that is larger than its cap. Jobs of a tenant that the
  * configuration no longer has run one task or gang at a time each, besides
- * lasting ones, which run as before. Logs a cap that is reached. */
-bool SchedImpl_IsWithinCap(const JobSched *sched, const Job *job,
+ * lasting ones, which run as before. A job that the cap delays for long is
+ * waited for by the others of its tenant. Logs a cap that is reached. */
+bool SchedImpl_IsWithinCap(const JobSched *sched, Job *job,
                            const JobStep *step);
 /* Returns whether the start of a run may be sent although the cap of its
  * tenant may have been lowered since the assignment. Unsent starts do not
--- a/src/jobsched_place.c
+++ b/src/jobsched_place.c
@@ -500,8 +500,7 @@
 /* Returns whether a target can be had for a task of an occurrence that is not
  * open yet. */
 static bool
-has_target(SchedPass *pass, SchedPool *pool, const Job *job,
-           uint32_t occurrence)
+has_target(SchedPass *pass, SchedPool *pool, Job *job, uint32_t occurrence)
 {
     uint32_t step;
 
--- a/src/jobsched_share.c
+++ b/src/jobsched_share.c
@@ -8,6 +8,16 @@
 
 /* Interval between two lines about the same tenant at its cap. */
 #define SHARE_REPORT_INTERVAL_MS 10000
+/* A job without runs that the cap delays, and that smaller ones behind it in
+ * the order have passed for SHARE_HOLD_AFTER_MS, is waited for: they would
+ * otherwise take each amount that becomes free. They wait at most
+ * SHARE_MAX_HOLD_MS, and for less than 3 s while the tenant is under half of
+ * its cap; then not for SHARE_HOLD_PAUSE_MS, since lasting tasks may be using
+ * the cap. */
+#define SHARE_HOLD_AFTER_MS 2000
+#define SHARE_MAX_HOLD_MS 10000
+#define SHARE_MAX_LOW_HOLD_MS 2000
+#define SHARE_HOLD_PAUSE_MS 5000
 
 /* --- use --- */
 
@@ -120,11 +130,11 @@
         *terms = JobConfig_FindTenant(config, use->name);
         return true;
     }
-    if (use->terms_placement != sched->placement) {
-        use->terms = JobConfig_FindTenant(config, use->name);
-        use->terms_placement = sched->placement;
+    if (use->sched_state.terms_placement != sched->placement) {
+        use->sched_state.terms = JobConfig_FindTenant(config, use->name);
+        use->sched_state.terms_placement = sched->placement;
     }
-    *terms = use->terms;
+    *terms = use->sched_state.terms;
     return true;
 }
 
@@ -133,11 +143,13 @@
 report_cap(const JobSched *sched, JobTenantUse *use, const JobStep *step,
            const JobTenant *terms)
 {
-    if (use->reported_ms != 0 &&
-        sched->now_ms - use->reported_ms < SHARE_REPORT_INTERVAL_MS) {
+    use->sched_state.capped_ms = sched->now_ms;
+    if (use->sched_state.reported_ms != 0 &&
+        sched->now_ms - use->sched_state.reported_ms <
+            SHARE_REPORT_INTERVAL_MS) {
         return;
     }
-    use->reported_ms = sched->now_ms;
+    use->sched_state.reported_ms = sched->now_ms;
     Slog_Begin(SLOG_CHANGE, "tenant_at_cap");
     Slog_AddText("tenant", use->name);
     Slog_AddInt("runs", use->runs);
@@ -153,31 +165,147 @@
     Slog_End();
 }
 
+/* Returns whether the use of a tenant is under half of its cap. */
+static bool
+is_under_half(const JobTotals *use, const JobResources *cap)
+{
+    const JobTotals twice = {use->cpu * 2, use->memory_mb * 2,
+                             use->accelerators * 2};
+
+    return is_within_cap(&twice, cap);
+}
+
+static void
+end_hold(const JobSched *sched, JobTenantSchedState *hold)
+{
+    hold->held_for[0] = '\0';
+    hold->low_hold_ms = 0;
+    hold->next_hold_ms = sched->now_ms + SHARE_HOLD_PAUSE_MS;
+}
+
+/* Returns whether a job has to wait for another one of its tenant. */
+static bool
+is_held(const JobSched *sched, const Job *job, const JobTotals *use,
+        const JobResources *cap)
+{
+    JobTenantSchedState *hold = &job->tenant->sched_state;
+
+    if (hold->held_for[0] == '\0' || strcmp(hold->held_for, job->id) == 0) {
+        return false;
+    }
+    if (!is_under_half(use, cap)) {
+        hold->low_hold_ms = 0;
+    }
+    else if (hold->low_hold_ms == 0) {
+        hold->low_hold_ms = sched->now_ms;
+    }
+    if (sched->placement > hold->hold_placement + 1 ||
+        sched->now_ms - hold->hold_ms >= SHARE_MAX_HOLD_MS ||
+        (hold->low_hold_ms != 0 &&
+         sched->now_ms - hold->low_hold_ms >= SHARE_MAX_LOW_HOLD_MS)) {
+        end_hold(sched, hold);
+        return false;
+    }
+    return true;
+}
+
+/* Notes that a cap delays a job. */
+static void
+note_capped(const JobSched *sched, const Job *job)
+{
+    JobTenantSchedState *hold = &job->tenant->sched_state;
+
+    if (job->assigned + job->sched_state.proposed > 0) {
+        return;
+    }
+    if (hold->delayed_placement != sched->placement) {
+        hold->delayed_placement = sched->placement;
+        memcpy(hold->delayed, job->id, sizeof(hold->delayed));
+    }
+    if (strcmp(hold->held_for, job->id) == 0) {
+        hold->hold_placement = sched->placement;
+    }
+}
+
+/* Notes that a job passes one that the cap delays, and lets the others of the
+ * tenant wait for that one if it has been passed for long. */
+static void
+note_passed(const JobSched *sched, Job *passed)
+{
+    JobTenantSchedState *hold = &passed->tenant->sched_state;
+    int64_t now = sched->now_ms;
+
+    if (passed->sched_state.passed_ms == 0) {
+        passed->sched_state.passed_ms = now;
+    }
+    if (hold->held_for[0] == '\0' && now >= hold->next_hold_ms &&
+        now - passed->sched_state.passed_ms >= SHARE_HOLD_AFTER_MS) {
+        memcpy(hold->held_for, passed->id, sizeof(hold->held_for));
+        hold->hold_ms = now;
+        hold->low_hold_ms = 0;
+        hold->hold_placement = sched->placement;
+    }
+}
+
+/* Notes that the cap allows a job to start a task. */
+static void
+note_allowed(const JobSched *sched, Job *job)
+{
+    JobTenantSchedState *hold = &job->tenant->sched_state;
+    Job *passed;
+
+    job->sched_state.passed_ms = 0;
+    if (hold->held_for[0] != '\0' && strcmp(hold->held_for, job->id) == 0) {
+        end_hold(sched, hold);
+    }
+    if (hold->delayed_placement == sched->placement &&
+        strcmp(hold->delayed, job->id) != 0) {
+        passed = JobState_FindJob(sched->state, hold->delayed);
+        if (passed != NULL) {
+            note_passed(sched, passed);
+        }
+    }
+}
+
+/* Returns whether a job of a tenant that the configuration no longer has may
+ * start another task or gang. */
+static bool
+may_continue(const Job *job, const JobStep *step)
+{
+    return step->lasting || job->assigned + job->sched_state.proposed == 0;
+}
+
 bool
-SchedImpl_IsWithinCap(const JobSched *sched, const Job *job,
-                      const JobStep *step)
+SchedImpl_IsWithinCap(const JobSched *sched, Job *job, const JobStep *step)
 {
     uint32_t count = step->gang ? step->count : 1;
     const JobTenant *terms;
     JobTenantUse *use = job->tenant;
+    JobTotals need = {0, 0, 0};
     JobTotals total;
 
-    if (!has_terms(sched, job, &terms)) {
+    if (!has_terms(sched, job, &terms) ||
+        (terms == NULL && may_continue(job, step))) {
         return true;
     }
     if (terms == NULL) {
-        if (step->lasting || job->assigned + job->sched_state.proposed == 0) {
-            return true;
-        }
         report_cap(sched, use, step, terms);
         return false;
     }
     total = get_use(use);
+    if (is_held(sched, job, &total, &terms->cap)) {
+        return false;
+    }
     add_need(&total, step, count);
     if (is_within_cap(&total, &terms->cap) ||
         (count == 1 && use->runs + use->reserved_runs == 0)) {
+        note_allowed(sched, job);
         return true;
     }
+    add_need(&need, step, count);
+    if (count == 1 || is_within_cap(&need, &terms->cap)) {
+        note_capped(sched, job);
+    }
     report_cap(sched, use, step, terms);
     return false;
 }
@@ -289,6 +417,7 @@
 {
     const JobTenant *terms =
         use != NULL ? JobConfig_FindTenant(config, use->name) : NULL;
+    size_t count = config->tenant_count > 0 ? config->tenant_count : 1;
     uint64_t sum = 0;
     uint32_t lowest = UINT32_MAX;
     uint32_t weight;
@@ -302,11 +431,11 @@
     if (terms != NULL) {
         weight = terms->weight;
     }
-    else if (use != NULL || config->tenant_count == 0) {
+    else if (use != NULL) {
         weight = lowest;
     }
     else {
-        weight = (uint32_t)(sum / config->tenant_count);
+        weight = (uint32_t)(sum / count);
     }
     return weight > 0 ? weight : 1;
 }
@@ -336,8 +465,9 @@
 {
     size_t per_pool = JobState_TenantUseCount(pass->sched->state) + 1;
 
-    return pool * per_pool +
-           (job->tenant != NULL ? job->tenant->index : per_pool - 1);
+    return pool * per_pool + (job->tenant != NULL
+                                  ? job->tenant->sched_state.index
+                                  : per_pool - 1);
 }
 
 static void
@@ -410,6 +540,24 @@
     return compete;
 }
 
+/* Sets the weights and shares of the accounts of a pool. */
+static void
+open_pool_accounts(SchedPass *pass, size_t pool)
+{
+    const JobState *state = pass->sched->state;
+    size_t tenants = JobState_TenantUseCount(state);
+    SchedAccount *accounts = &pass->accounts[pool * (tenants + 1)];
+    size_t i;
+
+    for (i = 0; i <= tenants; i++) {
+        accounts[i].pool = pool;
+        accounts[i].weight =
+            get_weight(JobState_GetConfig(state),
+                       i < tenants ? JobState_TenantUseAt(state, i) : NULL);
+        update_share(pass, &accounts[i]);
+    }
+}
+
 bool
 SchedImpl_OpenAccounts(SchedPass *pass)
 {
@@ -423,7 +571,7 @@
         return false;
     }
     for (i = 0; i + 1 < per_pool; i++) {
-        JobState_TenantUseAt(state, i)->index = i;
+        JobState_TenantUseAt(state, i)->sched_state.index = i;
     }
     pass->account_count = pass->pool_count * per_pool;
     pass->accounts = Mem_New(pass->account_count, sizeof(*pass->accounts));
@@ -433,15 +581,8 @@
     }
     charge_runs(pass);
     charge_proposals(pass);
-    for (i = 0; i < pass->account_count; i++) {
-        SchedAccount *account = &pass->accounts[i];
-        const JobTenantUse *use =
-            i % per_pool + 1 < per_pool
-                ? JobState_TenantUseAt(state, i % per_pool)
-                : NULL;
-        account->pool = i / per_pool;
-        account->weight = get_weight(config, use);
-        update_share(pass, account);
+    for (i = 0; i < pass->pool_count; i++) {
+        open_pool_accounts(pass, i);
     }
     return true;
 }
--- a/src/jobstate.c
+++ b/src/jobstate.c
@@ -153,9 +153,7 @@
         JobTenantUse *use = StrMap_At(state->tenants, i);
         memset(&use->reserved, 0, sizeof(use->reserved));
         use->reserved_runs = 0;
-        use->reported_ms = 0;
-        use->terms = NULL;
-        use->terms_placement = 0;
+        memset(&use->sched_state, 0, sizeof(use->sched_state));
     }
     for (i = 0; i < state->target_rows; i++) {
         if (state->targets[i] != NULL) {
--- a/src/jobstate.h
+++ b/src/jobstate.h
@@ -113,10 +113,33 @@
     uint32_t critical_path_tasks_done; /* tasks done when it was computed */
     int64_t unplaced_ms; /* earliest unplaced_ms of its lasting tasks, or 0 */
     uint32_t proposed;   /* number of its assignments in flight */
+    int64_t passed_ms;   /* since when others of its tenant have started while
+                            the cap delayed it, or 0 */
     bool crashed_alone;  /* a waiting task of it has crashed a target that ran
                            nothing else that may have */
 } JobSchedState;
 
+typedef struct JobTenantSchedState {
+    int64_t reported_ms; /* when its cap was last logged; 0: not yet */
+    int64_t capped_ms;   /* when its cap last delayed a task; 0: not yet */
+    size_t index;        /* in the accounts of the current placement */
+    /* Its terms in the configuration, or NULL, in the placement of this
+     * number. */
+    const JobTenant *terms;
+    uint64_t terms_placement;
+    /* The first job that the cap delayed in the placement of this number. */
+    char delayed[JOB_ID_BYTES];
+    uint64_t delayed_placement;
+    /* The job for which its other jobs wait, or empty; since when, since when
+     * while the tenant uses under half of its cap, and the last placement in
+     * which the cap delayed the job. */
+    char held_for[JOB_ID_BYTES];
+    int64_t hold_ms;
+    int64_t low_hold_ms;
+    uint64_t hold_placement;
+    int64_t next_hold_ms; /* no job is waited for until then */
+} JobTenantSchedState;
+
 /* What the assigned tasks of a tenant use at all targets. */
 typedef struct JobTenantUse {
     char name[JOB_NAME_BYTES];
@@ -125,12 +148,7 @@
     /* Of the leader's scheduler; see sched_state above. */
     JobTotals reserved; /* by assignments in flight */
     uint32_t reserved_runs;
-    int64_t reported_ms; /* when its cap was last logged; 0: not yet */
-    size_t index;        /* in the accounts of the current placement */
-    /* Its terms in the configuration, or NULL, in the placement of this
-     * number. */
-    const JobTenant *terms;
-    uint64_t terms_placement;
+    JobTenantSchedState sched_state;
 } JobTenantUse;
 
 typedef struct Job {
--- a/tests/test_jobshare.c
+++ b/tests/test_jobshare.c
@@ -17,6 +17,7 @@
 static JobSched *sched;
 static int64_t now;
 static uint64_t version;
+static uint32_t objective_ms;
 static Buf decided; /* commands of the log, in order */
 
 static void
@@ -26,6 +27,7 @@
 
     now = 1000000;
     version = 0;
+    objective_ms = 600;
     Buf_Clear(&decided);
     state = JobState_New();
     sched = JobSched_New(&options, state);
@@ -49,7 +51,7 @@
                       .prefix = "/q/",
                       .pool = "p",
                       .timeout_ms = 3000,
-                      .objective_ms = 600,
+                      .objective_ms = objective_ms,
                       .max_attempts = 3,
                       .slack = 1.6,
                       .is_public = true};
@@ -85,6 +87,23 @@
     }
 }
 
+/* Renews the room of the targets. */
+static void
+announce_targets(uint32_t count)
+{
+    uint32_t i;
+
+    for (i = 0; i < count; i++) {
+        char id[JOB_NAME_BYTES];
+        JobAnnouncement announcement;
+        snprintf(id, sizeof(id), "t%u", i);
+        announcement = JobState_FindTarget(state, id)->announcement;
+        announcement.order = (uint64_t)now;
+        announcement.clock_ms = now;
+        JobSched_HandleAnnouncement(sched, now, &announcement);
+    }
+}
+
 /* Submits a job of one step of a tenant, or of none if the name is empty. */
 static void
 submit(const char *id, const char *tenant, const JobStep *step)
@@ -162,6 +181,28 @@
     }
 }
 
+/* Ends all runs that are not lasting as done. */
+static void
+end_short_runs(void)
+{
+    uint32_t row;
+
+    for (row = 0; row < JobState_TargetRows(state); row++) {
+        JobTarget *target = JobState_TargetAt(state, row);
+        uint32_t i = 0;
+        while (i < target->run_count) {
+            JobRun run = target->runs[i];
+            if (JobRun_GetStep(&run)->lasting) {
+                i++;
+                continue;
+            }
+            JobTest_End(state, run.job->id, run.step, run.index,
+                        JobRun_GetTask(&run)->attempt, target->announcement.id,
+                        JOB_END_DONE, target->last_applied_end + 1);
+        }
+    }
+}
+
 /* --- cap --- */
 
 typedef struct CapCase {
@@ -240,6 +281,96 @@
 }
 END_TEST
 
+typedef struct StreamCase {
+    const char *name;
+    JobStep step; /* beside a stream of small tasks */
+    int64_t max_wait_ms;
+} StreamCase;
+
+static const StreamCase stream_cases[] = {
+    {"a gang", {.count = 6, .need = {1000, 10, 0}, .gang = true}, 5000},
+    {"a large task", {.count = 1, .need = {7000, 10, 0}}, 5000},
+    {"a task larger than the cap", {.count = 1, .need = {9000, 10, 0}}, 5000},
+};
+
+/* Guards against a job that never starts because smaller tasks of its tenant
+ * take each amount of the cap that becomes free. The tasks last 0.8 s; they
+ * are 8 at a time, so that one ends each 100 ms. */
+START_TEST(large_needs_are_not_starved)
+{
+    const StreamCase *row = &stream_cases[_i];
+    int64_t begun;
+    uint32_t i;
+
+    configure_cap(8000);
+    add_targets(4);
+    for (i = 0; i < 200; i++) {
+        char id[JOB_ID_BYTES];
+        snprintf(id, sizeof(id), "%08x", i);
+        submit(id, "a", &(JobStep){.count = 1, .need = {1000, 10, 0}});
+    }
+    place(COMMIT);
+    now += 1; /* of two jobs in time, the later one goes first */
+    submit("large", "a", &row->step);
+    begun = now;
+    while (JobState_FindJob(state, "large")->phase == JOB_QUEUED &&
+           now - begun < row->max_wait_ms) {
+        now += 100;
+        end_runs("a", 1);
+        announce_targets(4);
+        place(COMMIT);
+    }
+    ck_assert_msg(JobState_FindJob(state, "large")->phase != JOB_QUEUED,
+                  "%s waits for %lld ms", row->name, (long long)(now - begun));
+}
+END_TEST
+
+typedef struct HoldCase {
+    const char *name;
+    uint32_t lasting; /* cores of 8 in use by lasting tasks */
+} HoldCase;
+
+static const HoldCase hold_cases[] = {
+    {"half of the cap in use", 4},
+    {"more than half in use", 6},
+};
+
+/* Guards against other jobs that wait for ever for one that cannot start, as
+ * lasting tasks use the cap. Without it, the others would take 30 s at most.
+ */
+START_TEST(others_do_not_wait_for_ever)
+{
+    const HoldCase *row = &hold_cases[_i];
+    uint32_t done = 0;
+    uint32_t i;
+
+    objective_ms = 600000; /* no job is late */
+    configure_cap(8000);
+    add_targets(4);
+    submit("lasting", "a",
+           &(JobStep){
+               .count = row->lasting, .need = {1000, 0, 0}, .lasting = true});
+    while (place(COMMIT) > 0) {
+    }
+    for (i = 0; i < 600; i++) {
+        char id[JOB_ID_BYTES];
+        snprintf(id, sizeof(id), "%08x", i);
+        submit(id, "a", &(JobStep){.count = 1, .need = {1000, 10, 0}});
+    }
+    now += 1; /* of two jobs in time, the later one goes first */
+    submit("large", "a",
+           &(JobStep){.count = 6, .need = {1000, 10, 0}, .gang = true});
+    for (i = 0; i < 900; i++) {
+        now += 100;
+        announce_targets(4);
+        done += place(COMMIT);
+        end_short_runs();
+    }
+    ck_assert_msg(done == 600, "%s: %u of 600 tasks have run", row->name,
+                  done);
+}
+END_TEST
+
 static void
 check_reserved(uint64_t cpu, uint32_t runs)
 {
@@ -853,6 +984,10 @@
     tcase_add_loop_test(cap, placement_keeps_cap, 0,
                         sizeof(cap_cases) / sizeof(cap_cases[0]));
     tcase_add_test(cap, one_task_may_exceed_cap);
+    tcase_add_loop_test(cap, large_needs_are_not_starved, 0,
+                        sizeof(stream_cases) / sizeof(stream_cases[0]));
+    tcase_add_loop_test(cap, others_do_not_wait_for_ever, 0,
+                        sizeof(hold_cases) / sizeof(hold_cases[0]));
     tcase_add_test(cap, reserved_use_is_exact);
     tcase_add_test(cap, undone_gang_reserves_nothing);
     tcase_add_test(cap, forgotten_job_reserves_nothing);
