--- a/src/jobctl_metrics.c
+++ b/src/jobctl_metrics.c
@@ -1,12 +1,16 @@
 #include "jobctl_internal.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 #include "mem.h"
 
 #define METRICS_IDLE_TIMEOUT_S 30
 #define MS_PER_S 1000.0
 #define CPU_UNITS_PER_CORE 1000.0 /* cpu is in thousandths of a core */
+/* Time for which a tenant counts as at its cap after that has delayed a task.
+ */
+#define AT_CAP_MS 1000
 
 static void
 count_targets(const JobControl *control, double *values)
@@ -47,6 +51,28 @@
     free(loads);
 }
 
+/* Lists what the tenants of the configuration use, up to a fixed number. */
+static void
+list_tenants(const JobControl *control, JobMetrics *metrics)
+{
+    const JobConfig *config = JobState_GetConfig(control->state);
+    size_t i;
+
+    metrics->tenant_count = 0;
+    for (i = 0; i < config->tenant_count && i < JOB_METRICS_MAX_TENANTS; i++) {
+        const JobTenant *tenant = &config->tenants[i];
+        const JobTenantUse *use =
+            JobState_FindTenantUse(control->state, tenant->name);
+        JobTenantMetrics *row = &metrics->tenants[metrics->tenant_count++];
+        memcpy(row->name, tenant->name, sizeof(row->name));
+        row->cap_cores = tenant->cap.cpu / CPU_UNITS_PER_CORE;
+        row->cores =
+            use != NULL ? (double)use->used.cpu / CPU_UNITS_PER_CORE : 0;
+        row->at_cap = use != NULL && use->sched_state.capped_ms != 0 &&
+                      Loop_NowMs() - use->sched_state.capped_ms < AT_CAP_MS;
+    }
+}
+
 static void
 set_gauges(JobControl *control)
 {
@@ -98,6 +124,7 @@
         (double)control->stall.total_us / 1e6;
     count_targets(control, values);
     sum_waiting_cores(control, values);
+    list_tenants(control, control->metrics);
 }
 
 static void
--- a/src/jobmetrics.c
+++ b/src/jobmetrics.c
@@ -5,6 +5,9 @@
 #define ANSWER_SECONDS_METRIC PREFIX "answer_seconds"
 #define ELECTIONS_METRIC PREFIX "elections_total"
 #define VOTE_REQUESTS_METRIC PREFIX "vote_requests_total"
+#define TENANT_CORES_METRIC PREFIX "tenant_cores"
+#define TENANT_CAP_METRIC PREFIX "tenant_cap_cores"
+#define TENANT_AT_CAP_METRIC PREFIX "tenant_at_cap"
 
 typedef struct MetricInfo {
     const char *name;
@@ -264,6 +267,49 @@
     }
 }
 
+static void
+write_tenant_value(Buf *out, const char *metric, const char *tenant,
+                   double value)
+{
+    Buf_Printf(out, "%s{tenant=\"", metric);
+    for (; *tenant != '\0'; tenant++) {
+        if (*tenant == '\n') {
+            Buf_Append(out, "\\n", 2);
+            continue;
+        }
+        if (*tenant == '"' || *tenant == '\\') {
+            Buf_Append(out, "\\", 1);
+        }
+        Buf_Append(out, tenant, 1);
+    }
+    Buf_Printf(out, "\"} %.15g\n", value);
+}
+
+static void
+write_tenants(const JobMetrics *metrics, Buf *out)
+{
+    size_t i;
+
+    write_header(out, TENANT_CORES_METRIC, "gauge",
+                 "cores of a tenant's assigned tasks");
+    for (i = 0; i < metrics->tenant_count; i++) {
+        write_tenant_value(out, TENANT_CORES_METRIC, metrics->tenants[i].name,
+                           metrics->tenants[i].cores);
+    }
+    write_header(out, TENANT_CAP_METRIC, "gauge",
+                 "cap of a tenant in cores; 0: no limit");
+    for (i = 0; i < metrics->tenant_count; i++) {
+        write_tenant_value(out, TENANT_CAP_METRIC, metrics->tenants[i].name,
+                           metrics->tenants[i].cap_cores);
+    }
+    write_header(out, TENANT_AT_CAP_METRIC, "gauge",
+                 "1 while its cap delays tasks of a tenant");
+    for (i = 0; i < metrics->tenant_count; i++) {
+        write_tenant_value(out, TENANT_AT_CAP_METRIC, metrics->tenants[i].name,
+                           metrics->tenants[i].at_cap);
+    }
+}
+
 static void
 write_value(const JobMetrics *metrics, JobMetric metric, Buf *out)
 {
@@ -295,14 +341,16 @@
     write_answer_counts(metrics, out);
     write_answer_durations(metrics, out);
     write_election_counts(metrics, out);
+    write_tenants(metrics, out);
 }
 
 const char *
 JobMetrics_GetName(size_t i)
 {
     static const char *const labelled[] = {
-        ANSWERS_METRIC, ANSWER_SECONDS_METRIC, ELECTIONS_METRIC,
-        VOTE_REQUESTS_METRIC};
+        ANSWERS_METRIC,       ANSWER_SECONDS_METRIC, ELECTIONS_METRIC,
+        VOTE_REQUESTS_METRIC, TENANT_CORES_METRIC,   TENANT_CAP_METRIC,
+        TENANT_AT_CAP_METRIC};
 
     if (i < JOB_METRIC_COUNT) {
         return metric_infos[i].name;
--- a/src/jobmetrics.h
+++ b/src/jobmetrics.h
@@ -14,6 +14,7 @@
 
 #include "buf.h"
 #include "hist.h"
+#include "job.h"
 #include "raft.h"
 
 #define JOB_METRICS_KIND_COUNT 11 /* number of JobRequestKind values */
@@ -58,7 +59,19 @@
     JOB_METRIC_COUNT
 } JobMetric;
 
+/* Tenants on a page, the first ones of the configuration. */
+#define JOB_METRICS_MAX_TENANTS 32
+
+typedef struct JobTenantMetrics {
+    char name[JOB_NAME_BYTES];
+    double cores;
+    double cap_cores; /* 0: no limit */
+    bool at_cap;
+} JobTenantMetrics;
+
 typedef struct JobMetrics {
+    JobTenantMetrics tenants[JOB_METRICS_MAX_TENANTS];
+    size_t tenant_count;
     double values[JOB_METRIC_COUNT];
     /* Number of answers by kind of request and first digit of the status. */
     uint64_t answers[JOB_METRICS_KIND_COUNT][6];
--- a/tests/test_jobmetrics.c
+++ b/tests/test_jobmetrics.c
@@ -57,6 +57,8 @@
     JobMetrics_RecordAnswer(metrics, 1, 503, 900);
     JobMetrics_CountElection(metrics, true, RAFT_ELECTION_TIMED_OUT);
     JobMetrics_CountVoteRequest(metrics, false, RAFT_VERDICT_LOG_BEHIND);
+    metrics->tenant_count = 1;
+    metrics->tenants[0] = (JobTenantMetrics){"a\"b", 1.5, 4, true};
     JobMetrics_WritePage(metrics, &page);
     for (at = Buf_Text(&page); *at != '\0'; at = end + 1) {
         end = strchr(at, '\n');
@@ -74,6 +76,10 @@
     ck_assert_ptr_nonnull(
         strstr(Buf_Text(&page), "coltsfoot_vote_requests_total{phase=\"vote\","
                                 "verdict=\"log_behind\"} 1"));
+    ck_assert_ptr_nonnull(strstr(
+        Buf_Text(&page), "\ncoltsfoot_tenant_cores{tenant=\"a\\\"b\"} 1.5\n"));
+    ck_assert_ptr_nonnull(strstr(
+        Buf_Text(&page), "\ncoltsfoot_tenant_at_cap{tenant=\"a\\\"b\"} 1\n"));
     Buf_Free(&page);
     free(metrics);
 }
