Start lasting tasks while a tenant waits for one of its jobs

Cause: a lasting task whose target was lost waited up to 10 s while the other jobs of its tenant waited for one that the cap delays.

Change: lasting tasks do not wait for it.

Result: test_jobshare passes (41 checks); the new check fails without the change. test_jobsched, test_jobsched_large, test_jobsched_refused, test_jobcrash, test_jobworld, test_jobroom, test_jobmetrics, test_jobstate and test_platform pass.

--- a/src/jobsched_share.c
+++ b/src/jobsched_share.c
@@ -10,10 +10,10 @@
 #define SHARE_REPORT_INTERVAL_MS 10000
 /* A job without runs that the cap delays, and that smaller ones behind it in
  * the order have passed for SHARE_HOLD_AFTER_MS, is waited for: they would
- * otherwise take each amount that becomes free. They wait at most
- * SHARE_MAX_HOLD_MS, and for less than 3 s while the tenant is under half of
- * its cap; then not for SHARE_HOLD_PAUSE_MS, since lasting tasks may be using
- * the cap. */
+ * otherwise take each amount that becomes free. Lasting tasks do not wait, the
+ * others at most SHARE_MAX_HOLD_MS, and less than 3 s while the tenant is
+ * under half of its cap; then not for SHARE_HOLD_PAUSE_MS, since lasting tasks
+ * may be using the cap. */
 #define SHARE_HOLD_AFTER_MS 2000
 #define SHARE_MAX_HOLD_MS 10000
 #define SHARE_MAX_LOW_HOLD_MS 2000
@@ -293,7 +293,7 @@
         return false;
     }
     total = get_use(use);
-    if (is_held(sched, job, &total, &terms->cap)) {
+    if (!step->lasting && is_held(sched, job, &total, &terms->cap)) {
         return false;
     }
     add_need(&total, step, count);
--- a/tests/test_jobshare.c
+++ b/tests/test_jobshare.c
@@ -388,6 +388,42 @@
 }
 END_TEST
 
+/* Guards against a lasting task that does not start again while the others of
+ * its tenant wait for a job that the cap delays. */
+START_TEST(lasting_tasks_do_not_wait)
+{
+    const JobTenantUse *use;
+    uint32_t i;
+
+    objective_ms = 600000; /* no job is late */
+    configure_cap(8000);
+    add_targets(4);
+    for (i = 0; i < 100; i++) {
+        char id[JOB_ID_BYTES];
+        snprintf(id, sizeof(id), "%08x", i);
+        submit(id, "a", &(JobStep){.count = 1, .need = {1000, 10, 0}});
+    }
+    place(COMMIT);
+    now += 1; /* of two jobs in time, the later one goes first */
+    submit("large", "a",
+           &(JobStep){.count = 6, .need = {1000, 10, 0}, .gang = true});
+    use = JobState_FindTenantUse(state, "a");
+    for (i = 0; i < 30 && use->sched_state.held_for[0] == '\0'; i++) {
+        now += 100;
+        announce_targets(4);
+        end_runs("a", 1);
+        place(COMMIT);
+    }
+    ck_assert_str_eq(use->sched_state.held_for, "large");
+    submit("lasting", "a",
+           &(JobStep){.count = 1, .need = {1000, 10, 0}, .lasting = true});
+    end_runs("a", 1);
+    place(COMMIT);
+    ck_assert_int_eq(JobState_FindJob(state, "lasting")->phase, JOB_RUNNING);
+    ck_assert_int_eq(JobState_FindJob(state, "large")->phase, JOB_QUEUED);
+}
+END_TEST
+
 static void
 check_reserved(uint64_t cpu, uint32_t runs)
 {
@@ -1008,6 +1044,7 @@
                         sizeof(stream_cases) / sizeof(stream_cases[0]));
     tcase_add_loop_test(cap, others_do_not_wait_for_ever, 0,
                         sizeof(hold_cases) / sizeof(hold_cases[0]));
+    tcase_add_test(cap, lasting_tasks_do_not_wait);
     tcase_add_test(cap, reserved_use_is_exact);
     tcase_add_test(cap, undone_gang_reserves_nothing);
     tcase_add_test(cap, forgotten_job_reserves_nothing);
