Store weights of tenants in thousandths

Cause: a weight below 1 was rounded up to 1, so tenants of weight 0.25 and 1 got the same share.

Result: test_jobtenant (weight_may_be_fraction), test_jobshare and test_jobsched pass.

--- a/src/job.h
+++ b/src/job.h
@@ -97,7 +97,8 @@
     char name[JOB_NAME_BYTES];
     char (*keys)[JOB_KEY_BYTES];
     size_t key_count;
-    uint32_t weight;  /* relative share of a pool without free room */
+    uint32_t weight;  /* relative share of a pool without free room, in
+                       * thousandths */
     JobResources cap; /* limit on what its tasks use; 0: no limit */
 } JobTenant;
 
--- a/src/jobsched_share.c
+++ b/src/jobsched_share.c
@@ -406,8 +406,8 @@
 
 /* --- weight --- */
 
-/* A share of a whole pool at weight 1. */
-#define SHARE_WHOLE ((uint64_t)1 << 24)
+/* A share of a whole pool at the lowest weight. */
+#define SHARE_WHOLE ((uint64_t)1 << 32)
 
 /* Returns the weight of a tenant. Jobs without a tenant count as one of mean
  * weight, and a tenant that the configuration no longer has as one of the
--- a/tests/test_jobtenant.c
+++ b/tests/test_jobtenant.c
@@ -353,6 +353,39 @@
 }
 END_TEST
 
+/* Guards against weights below 1 that become 0 or 1, which would change the
+ * shares of tenants. */
+START_TEST(weight_may_be_fraction)
+{
+    static const struct {
+        const char *body;
+        uint32_t weight; /* in thousandths */
+    } cases[] = {
+        {TENANT("\"api-keys\":[]"), 1000},
+        {TENANT("\"weight\":null"), 1000},
+        {TENANT("\"weight\":205"), 205000},
+        {TENANT("\"weight\":0.25"), 250},
+        {TENANT("\"weight\":1e300"), UINT32_MAX},
+        {TENANT("\"weight\":-1"), 0},
+    };
+    size_t i;
+
+    for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        JobHttpRequest http = {.method = "PUT",
+                               .host = "",
+                               .path = "/api/config",
+                               .body = cases[i].body,
+                               .body_len = strlen(cases[i].body)};
+        JobRequest request;
+        PlatformWire_Get()->decode_control_request(&http, &request);
+        ck_assert_int_eq(request.error == JOB_ERROR_NONE,
+                         cases[i].weight != 0);
+        ck_assert_uint_eq(request.config.tenants[0].weight, cases[i].weight);
+        JobRequest_Free(&request);
+    }
+}
+END_TEST
+
 /* --- jobs --- */
 
 /* Guards against jobs that other tenants, or callers of public queues without
@@ -652,6 +685,7 @@
     tcase_add_test(tcase, access_to_queue_depends_on_key);
     tcase_add_test(tcase, check_finds_shared_keys_and_names);
     tcase_add_test(tcase, malformed_configuration_does_not_show_keys);
+    tcase_add_test(tcase, weight_may_be_fraction);
     tcase_add_test(tcase, job_belongs_to_its_tenant);
     tcase_add_test(tcase, configuration_before_submission_counts);
     tcase_add_test(tcase, job_continues_after_removal_of_key);
