Recover when the process runs out of descriptors

Cause: if accept fails for want of a descriptor, libmicrohttpd pauses until one of its own connections ends, which idle clients can delay; without a connection of its own it tries again and again, in a busy loop.

Result: test_httpserver has a case for each.

--- a/src/httpbudget.c
+++ b/src/httpbudget.c
@@ -100,23 +100,32 @@
 }
 
 HttpHolder *
-HttpBudget_FindExcess(const HttpBudget *budget, HttpHolder *newest)
+HttpBudget_FindOldest(const HttpBudget *budget, const HttpHolder *except)
 {
     HttpHolder *oldest = NULL;
     int state;
 
-    if (budget->connections <= budget->max_connections) {
-        return NULL;
-    }
     for (state = 0; state < HTTP_HOLDER_STATE_COUNT; state++) {
         HttpHolder *first = budget->first[state];
-        if (first == newest) {
+        if (first != NULL && first == except) {
             first = first->next;
         }
         if (state != HTTP_HOLDER_BUSY) {
             oldest = get_older(oldest, first);
         }
     }
+    return oldest;
+}
+
+HttpHolder *
+HttpBudget_FindExcess(const HttpBudget *budget, HttpHolder *newest)
+{
+    HttpHolder *oldest;
+
+    if (budget->connections <= budget->max_connections) {
+        return NULL;
+    }
+    oldest = HttpBudget_FindOldest(budget, newest);
     return oldest != NULL ? oldest : newest;
 }
 
--- a/src/httpbudget.h
+++ b/src/httpbudget.h
@@ -87,6 +87,11 @@
 
 bool HttpBudget_HasRoom(const HttpBudget *budget, size_t bytes);
 
+/* Returns the connection other than except, which may be NULL, that has been
+ * longest without progress, or NULL if all are busy. */
+HttpHolder *HttpBudget_FindOldest(const HttpBudget *budget,
+                                  const HttpHolder *except);
+
 /* Returns the connection to close since there are more than max_connections,
  * or NULL if there are not. Returns newest if all others are busy. */
 HttpHolder *HttpBudget_FindExcess(const HttpBudget *budget,
--- a/src/httpserver.c
+++ b/src/httpserver.c
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <stdbool.h>
 #include <stdint.h>
 #include <stdlib.h>
@@ -39,7 +40,9 @@
     size_t max_body_bytes;
     size_t max_header_bytes; /* 0: only bounded by the connection's memory */
     uint64_t logged[HTTP_CAUSE_COUNT]; /* counts of the last log line */
-    HttpRequest *waiting; /* requests whose connections are suspended */
+    uint64_t accepted;       /* number of connections since the start */
+    uint64_t swept_accepted; /* that number at the last sweep */
+    HttpRequest *waiting;    /* requests whose connections are suspended */
     bool stopping; /* true once the handler must not be called any more */
     bool run_due;  /* true if MHD_run() is due without an event */
 };
@@ -123,6 +126,7 @@
     HttpHolder *excess;
 
     if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        server->accepted++;
         client = Mem_New(1, sizeof(*client));
         client->server = server;
         client->fd = MHD_get_connection_info(connection,
@@ -144,12 +148,38 @@
     server->run_due = true;
 }
 
+/* Returns whether connections wait to be accepted. */
+static bool
+has_waiting_connections(const HttpServer *server)
+{
+    const union MHD_DaemonInfo *info =
+        MHD_get_daemon_info(server->daemon, MHD_DAEMON_INFO_LISTEN_FD);
+    struct pollfd listener = {.fd = info != NULL ? info->listen_fd : -1,
+                              .events = POLLIN};
+
+    return listener.fd >= 0 && poll(&listener, 1, 0) == 1 &&
+           (listener.revents & POLLIN) != 0;
+}
+
+/* Returns whether connections wait although none was accepted since the last
+ * sweep: the process is out of descriptors, and libmicrohttpd has paused until
+ * one of its connections ends. */
+static bool
+is_out_of_descriptors(HttpServer *server)
+{
+    bool idle = server->accepted == server->swept_accepted;
+
+    server->swept_accepted = server->accepted;
+    return idle && has_waiting_connections(server);
+}
+
 static void
 on_sweep(void *arg)
 {
     HttpServer *server = arg;
     HttpHolder *holder;
 
+    Loop_SetEvents(server->watch, LOOP_READ);
     /* libmicrohttpd checks its timeouts only when it is run. What clients sent
      * while the process was suspended is read before they are judged. */
     MHD_run(server->daemon);
@@ -157,6 +187,10 @@
            NULL) {
         close_client(server, holder, HTTP_CLOSED_IDLE);
     }
+    if (is_out_of_descriptors(server) &&
+        (holder = HttpBudget_FindOldest(&server->budget, NULL)) != NULL) {
+        close_client(server, holder, HTTP_CLOSED_CONNECTIONS);
+    }
 }
 
 static void
@@ -479,8 +513,17 @@
 {
     HttpServer *server = arg;
 
+    uint64_t accepted = server->accepted;
+
     (void)events;
     MHD_run(server->daemon);
+    /* Without a connection of its own libmicrohttpd does not pause when the
+     * process is out of descriptors, so the events are paused until the next
+     * sweep. */
+    if (server->budget.connections == 0 && server->accepted == accepted &&
+        has_waiting_connections(server)) {
+        Loop_SetEvents(server->watch, 0);
+    }
 }
 
 static bool
--- a/tests/test_httpserver.c
+++ b/tests/test_httpserver.c
@@ -8,6 +8,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -111,6 +112,8 @@
 #define LIMIT_OPEN_BYTES 2500
 #define LIMIT_CONNECTIONS 8 /* of which 6 remain open */
 #define MAX_CLIENTS 16
+#define FEW_DESCRIPTORS 256
+#define TICK_MS 10
 
 /* A server that runs in a thread of its own. */
 typedef struct LimitWorld {
@@ -125,7 +128,9 @@
     atomic_size_t handled; /* requests that reached the handler */
     atomic_size_t bytes;
     atomic_size_t connections;
-    atomic_size_t closed; /* connections that were closed for a bound */
+    atomic_size_t iterations; /* of the event loop */
+    atomic_size_t ticks;      /* of the timer */
+    atomic_size_t closed;     /* connections that were closed for a bound */
 } LimitWorld;
 
 /* Answers all requests but those for /wait. */
@@ -150,12 +155,22 @@
     LimitWorld *world = arg;
     const HttpBudget *budget = HttpServer_GetBudget(world->server);
 
+    world->ticks++;
     world->bytes = budget->bytes;
     world->connections = budget->connections;
     world->closed = budget->counts[HTTP_CLOSED_CONNECTIONS] +
                     budget->counts[HTTP_CLOSED_BYTES];
 }
 
+static bool
+count_iteration(void *arg)
+{
+    LimitWorld *world = arg;
+
+    world->iterations++;
+    return false;
+}
+
 static void *
 run_loop(void *arg)
 {
@@ -187,7 +202,8 @@
         HttpServer_SetLimits(world->server, limits);
     }
     world->timer = Loop_NewTimer(world->loop, copy_counts, world);
-    Loop_Arm(world->timer, 1, 1);
+    Loop_Arm(world->timer, TICK_MS, TICK_MS);
+    Loop_AddPrepareHook(world->loop, count_iteration, world);
     pthread_create(&world->thread, NULL, run_loop, world->loop);
 }
 
@@ -442,6 +458,102 @@
 }
 END_TEST
 
+/* Leaves the process without a descriptor. Returns how many it took. */
+static size_t
+take_descriptors(int *taken, struct rlimit *before)
+{
+    struct rlimit limit;
+    size_t count = 0;
+
+    ck_assert_int_eq(getrlimit(RLIMIT_NOFILE, before), 0);
+    limit = *before;
+    limit.rlim_cur = FEW_DESCRIPTORS;
+    ck_assert_int_eq(setrlimit(RLIMIT_NOFILE, &limit), 0);
+    while ((taken[count] = dup(0)) >= 0) {
+        count++;
+    }
+    ck_assert_uint_gt(count, 0);
+    return count;
+}
+
+static void
+return_descriptors(const int *taken, size_t count, const struct rlimit *before)
+{
+    while (count > 0) {
+        close(taken[--count]);
+    }
+    ck_assert_int_eq(setrlimit(RLIMIT_NOFILE, before), 0);
+}
+
+/* Sends a request on a socket that is not connected yet. */
+static void
+send_on_socket(const LimitWorld *world, int fd)
+{
+    static const char get[] = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+    struct sockaddr_in address = {.sin_family = AF_INET,
+                                  .sin_port = htons((uint16_t)world->port)};
+
+    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    ck_assert_int_eq(connect(fd, (struct sockaddr *)&address, sizeof(address)),
+                     0);
+    ck_assert_int_eq(send(fd, get, sizeof(get) - 1, MSG_NOSIGNAL),
+                     sizeof(get) - 1);
+}
+
+/* Guards against a busy loop while the process is out of descriptors and the
+ * server has no connection, and against a server that stays paused. */
+START_TEST(listener_pauses_without_descriptors)
+{
+    struct rlimit before;
+    LimitWorld world;
+    int taken[FEW_DESCRIPTORS];
+    size_t count;
+    size_t iterations;
+    size_t ticks;
+    int fd;
+
+    open_limit_world(&world, 5, NULL);
+    fd = socket(AF_INET, SOCK_STREAM, 0);
+    world.clients[world.client_count++] = fd;
+    count = take_descriptors(taken, &before);
+    send_on_socket(&world, fd);
+    ticks = world.ticks;
+    iterations = world.iterations;
+    wait_until(&world.ticks, ticks + 20);
+    iterations = world.iterations - iterations;
+    return_descriptors(taken, count, &before);
+    /* A loop that does not wait makes hundreds for each tick. */
+    ck_assert_uint_lt(iterations, 20 * 10);
+    ck_assert_int_eq(read_status(fd), 200);
+    close_limit_world(&world);
+}
+END_TEST
+
+/* Guards against a server that no longer accepts connections after the process
+ * has run out of descriptors. */
+START_TEST(accepting_resumes_after_descriptors_ran_out)
+{
+    struct rlimit before;
+    LimitWorld world;
+    int taken[FEW_DESCRIPTORS];
+    size_t count;
+    int first;
+    int fd;
+
+    open_limit_world(&world, 5, NULL);
+    first = send_text(&world, "POST", 0);
+    wait_until(&world.connections, 1);
+    fd = socket(AF_INET, SOCK_STREAM, 0);
+    world.clients[world.client_count++] = fd;
+    count = take_descriptors(taken, &before);
+    send_on_socket(&world, fd);
+    ck_assert_int_eq(read_status(fd), 200);
+    ck_assert_int_eq(read_status(first), -1);
+    close_limit_world(&world);
+    return_descriptors(taken, count, &before);
+}
+END_TEST
+
 /* Guards against answers that nobody reads and that take all memory. */
 START_TEST(unread_answers_are_bounded)
 {
@@ -477,6 +589,8 @@
     tcase_add_test(tcase, open_bodies_are_bounded);
     tcase_add_test(tcase, bodies_of_waiting_requests_are_bounded);
     tcase_add_test(tcase, new_connection_replaces_the_idlest);
+    tcase_add_test(tcase, listener_pauses_without_descriptors);
+    tcase_add_test(tcase, accepting_resumes_after_descriptors_ran_out);
     tcase_add_test(tcase, unread_answers_are_bounded);
     suite_add_tcase(suite, tcase);
     return suite;
