Order jobs of one class by the priority of their queue

Cause: the priority of a queue was decoded and read by nothing.

Change: SchedImpl_RankJob returns a SchedRank {class, priority, rank}, compared by SchedImpl_CompareRanks in this order. The classes (lasting, begun, on time, late, crashed alone) are those of the former single number. The priority orders jobs that have begun and those that can still be in time, the lowest first; it is 0 in the other classes. The priority is read again with the run times of the job, every 500 ms.

--- a/src/jobsched_impl.h
+++ b/src/jobsched_impl.h
@@ -246,16 +246,35 @@
                                 const SchedTarget *live);
 
 /* jobsched_rank.c: the order in which jobs are placed */
-/* Returns the rank of a job; the lowest is placed first. The order is:
- * - lasting jobs, those with a task that waits longest for a target first
- * - jobs that have begun and are expected to end in time, or late by at most
- *   half of the allowed time, since only part of their work remains
- * - other jobs that can still meet their objective, most slack first, because
- *   an overloaded pool would otherwise complete each of them just too late
- * - late jobs, those that have begun first, then by age, newest first
- * - jobs with a task that has crashed a target alone */
-int64_t SchedImpl_RankJob(const JobSched *sched, int64_t now, int64_t wall_ms,
-                          Job *job);
+typedef enum SchedClass {
+    /* Those with a task that waits longest for a target first. */
+    SCHED_LASTING,
+    /* Jobs that have begun and are expected to end in time, or late by at most
+     * half of the allowed time, since only part of their work remains. */
+    SCHED_BEGUN,
+    /* Other jobs that can still meet their objective, most slack first,
+     * because an overloaded pool would otherwise complete each of them just
+     * too late. */
+    SCHED_ON_TIME,
+    /* Late jobs, those that have begun first, then by age, newest first. */
+    SCHED_LATE,
+    SCHED_CRASHED_ALONE /* jobs with a task that has crashed a target alone */
+} SchedClass;
+
+/* The place of a job in the order of placement: by class, then by priority,
+ * then by rank, each time the lowest first. */
+typedef struct SchedRank {
+    SchedClass class;
+    uint32_t priority; /* that of the queue; 0 in classes without an order by
+                          priority: lasting, late and crashed alone */
+    int64_t rank;      /* order within a class and priority */
+} SchedRank;
+
+SchedRank SchedImpl_RankJob(const JobSched *sched, int64_t now,
+                            int64_t wall_ms, Job *job);
+/* Returns a negative number if a is placed before b, 0 if neither is before
+ * the other, and a positive number otherwise. */
+int SchedImpl_CompareRanks(const SchedRank *a, const SchedRank *b);
 
 /* jobsched_fit.c: which targets a task fits */
 bool SchedImpl_HasLabel(const JobTarget *target, const char *label);
--- a/src/jobsched_place.c
+++ b/src/jobsched_place.c
@@ -24,7 +24,7 @@
 
 typedef struct Candidate {
     Job *job;
-    int64_t rank;
+    SchedRank rank;
     bool interrupted; /* its turn ended before all its tasks were looked at */
 } Candidate;
 
@@ -625,7 +625,7 @@
     const Candidate *left = a;
     const Candidate *right = b;
 
-    return (left->rank > right->rank) - (left->rank < right->rank);
+    return SchedImpl_CompareRanks(&left->rank, &right->rank);
 }
 
 static void
--- a/src/jobsched_rank.c
+++ b/src/jobsched_rank.c
@@ -30,7 +30,8 @@
     return longest;
 }
 
-#define RANK_LATE_OFFSET ((int64_t)1 << 40)
+/* Added to the rank of late jobs that have not begun. */
+#define RANK_NOT_BEGUN ((int64_t)1 << 40)
 /* Interval at which the expected run times of a job are updated. */
 #define RANK_UPDATE_INTERVAL_MS 500
 
@@ -40,46 +41,66 @@
 {
     const JobOccurrence *open = Job_FindOccurrence(job, job->first_incomplete);
     uint32_t done = open != NULL ? open->done : 0;
+    const JobQueue *queue;
 
     if (job->sched_state.critical_path_at_ms != 0 &&
         job->sched_state.critical_path_tasks_done == done &&
         now - job->sched_state.critical_path_at_ms < RANK_UPDATE_INTERVAL_MS) {
         return;
     }
+    queue = JobConfig_FindQueue(JobState_GetConfig(sched->state), job->queue);
     job->sched_state.critical_path_ms =
         predict_critical_path_ms(sched, job, false);
     job->sched_state.left_ms = predict_critical_path_ms(sched, job, true);
     job->sched_state.critical_path_at_ms = now;
     job->sched_state.critical_path_tasks_done = done;
+    if (queue != NULL) {
+        job->sched_state.priority = queue->priority;
+    }
 }
 
-int64_t
+SchedRank
 SchedImpl_RankJob(const JobSched *sched, int64_t now, int64_t wall_ms,
                   Job *job)
 {
     int64_t age_ms = wall_ms - job->accepted_ms;
     int64_t allowed_ms;
-    int64_t remaining_ms;
     int64_t slack_ms;
     bool begun;
 
     if (job->spec.steps[0].lasting) {
-        return INT64_MIN / 2 + (job->sched_state.unplaced_ms != 0
-                                    ? job->sched_state.unplaced_ms
-                                    : now);
+        return (SchedRank){SCHED_LASTING, 0,
+                           job->sched_state.unplaced_ms != 0
+                               ? job->sched_state.unplaced_ms
+                               : now};
     }
     update_run_times(sched, now, job);
-    remaining_ms = job->sched_state.left_ms;
     allowed_ms = (int64_t)(job->terms.slack *
                            (double)job->sched_state.critical_path_ms) +
                  job->terms.objective_ms;
-    slack_ms = allowed_ms - remaining_ms - age_ms;
+    slack_ms = allowed_ms - job->sched_state.left_ms - age_ms;
     if (job->sched_state.crashed_alone) {
-        return 2 * RANK_LATE_OFFSET + age_ms;
+        return (SchedRank){SCHED_CRASHED_ALONE, 0, age_ms};
     }
     begun = job->assigned > 0 || job->sched_state.critical_path_tasks_done > 0;
     if (slack_ms < -(begun ? allowed_ms / 2 : 0)) {
-        return RANK_LATE_OFFSET + age_ms - (begun ? RANK_LATE_OFFSET / 2 : 0);
+        return (SchedRank){SCHED_LATE, 0,
+                           age_ms + (begun ? 0 : RANK_NOT_BEGUN)};
+    }
+    return begun
+               ? (SchedRank){SCHED_BEGUN, job->sched_state.priority, slack_ms}
+               : (SchedRank){SCHED_ON_TIME, job->sched_state.priority,
+                             -slack_ms};
+}
+
+int
+SchedImpl_CompareRanks(const SchedRank *a, const SchedRank *b)
+{
+    if (a->class != b->class) {
+        return a->class < b->class ? -1 : 1;
+    }
+    if (a->priority != b->priority) {
+        return a->priority < b->priority ? -1 : 1;
     }
-    return begun ? slack_ms - RANK_LATE_OFFSET : -slack_ms;
+    return (a->rank > b->rank) - (a->rank < b->rank);
 }
--- a/src/jobstate.h
+++ b/src/jobstate.h
@@ -111,6 +111,7 @@
     int64_t left_ms;             /* expected run time of the remaining steps */
     int64_t critical_path_at_ms; /* when the critical path was computed */
     uint32_t critical_path_tasks_done; /* tasks done when it was computed */
+    uint32_t priority;   /* of its queue, the last one if it was removed */
     int64_t unplaced_ms; /* earliest unplaced_ms of its lasting tasks, or 0 */
     uint32_t proposed;   /* number of its assignments in flight */
     bool crashed_alone;  /* a waiting task of it has crashed a target that ran
