Refuse jobs that cannot be done in time, with setting overload_control

Change: JobSched_Admit, now in jobsched_admit.c, takes a JobSubmission (id, queue, spec, tenant) and fills a JobRefusal (cause, retry time, reason). With the new setting overload_control (default false) it refuses a job that by the forecast of its pool can neither be in time nor end within three times its objective, before anything is proposed. The error of the estimates of a queue is in favour of its jobs. Jobs with little work are preferred, but large ones that are accepted too seldom are preferred as well. Retry times are spread by a seeded generator. A copy of a job that may be in the log is not refused; a new leader refuses nothing for 2 s. Refusals by cause and needless ones are counted and logged. The queues of jobest are found by a map, and the priority is kept with the job: both were looked up in whole lists, for which time_of_configuration_grows_with_its_size of test_jobsched_large failed while this was written.

The simulation plays callers who come back after a refusal, with priorities, sizes, bursts, a flooding sender and wrong estimates.

Without the setting, test_jobsched, test_jobworld, test_jobroom, test_jobsched_large and test_jobstate pass unchanged.

--- a/src/jobctl.c
+++ b/src/jobctl.c
@@ -10,6 +10,7 @@
 #include "jobfleetmsg.h"
 #include "jobreload.h"
 #include "mem.h"
+#include "rng.h"
 
 #define TICK_INTERVAL_MS 50
 #define FLEET_MSG_INTERVAL_MS 400
@@ -580,6 +581,8 @@
     sched.announce_ms = settings->announce_ms;
     sched.status_retention_ms = settings->job_status_s * 1000;
     sched.early_start_ms = settings->job_early_ms;
+    sched.overload_control = settings->overload_control;
+    sched.seed = Rng_SystemSeed();
     control->state = JobState_New();
     JobControl_OpenAgents(control);
     control->sched = JobSched_New(&sched, control->state);
--- a/src/jobctl_metrics.c
+++ b/src/jobctl_metrics.c
@@ -88,6 +88,11 @@
     values[JOB_METRIC_ENDS_LOST] = (double)counts->lost;
     values[JOB_METRIC_TARGETS_CRASHED] = (double)counts->crashed_targets;
     values[JOB_METRIC_STARTS_REFUSED] = (double)counts->refused;
+    values[JOB_METRIC_JOBS_REFUSED_CAPACITY] =
+        (double)counts->jobs_refused[JOB_REFUSED_CAPACITY];
+    values[JOB_METRIC_JOBS_REFUSED_CAP] =
+        (double)counts->jobs_refused[JOB_REFUSED_CAP];
+    values[JOB_METRIC_REFUSALS_NEEDLESS] = (double)counts->needless_refusals;
     values[JOB_METRIC_CALLS] = (double)counts->calls;
     values[JOB_METRIC_HOLDS] = (double)counts->holds;
     values[JOB_METRIC_CALLS_UNANSWERED] = (double)counts->unanswered;
--- a/src/jobctl_request.c
+++ b/src/jobctl_request.c
@@ -292,17 +292,21 @@
     JobControl *control = pending->control;
     const JobQueue *queue = JobConfig_FindQueue(
         JobState_GetConfig(control->state), pending->request.queue);
+    JobSubmission submission = {pending->request.id, queue,
+                                &pending->request.spec, ""};
     JobReply reply = {.kind = JOB_REPLY_OK};
+    JobRefusal refusal;
     Buf command = BUF_INIT;
 
     if (JobState_FindJob(control->state, pending->request.id) != NULL) {
         send_reply(pending, &reply);
         return;
     }
-    if (queue != NULL && !JobSched_Admit(control->sched, Loop_NowMs(), queue,
-                                         &pending->request.spec,
-                                         &reply.retry_ms, &reply.reason)) {
-        reply.kind = JOB_REPLY_REJECTED;
+    if (queue != NULL &&
+        !JobSched_Admit(control->sched, Loop_NowMs(), &submission, &refusal)) {
+        reply = (JobReply){.kind = JOB_REPLY_REJECTED,
+                           .reason = refusal.reason,
+                           .retry_ms = refusal.retry_ms};
         send_reply(pending, &reply);
         return;
     }
--- a/src/jobest.c
+++ b/src/jobest.c
@@ -3,10 +3,10 @@
 #include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 
 #include "job.h"
 #include "mem.h"
+#include "strmap.h"
 
 #define EST_MAX_QUEUES 4096
 /* Sum of weights from which the regression of a queue is used. */
@@ -31,8 +31,7 @@
 } EstQueue;
 
 struct JobEst {
-    EstQueue *queues;
-    size_t count;
+    StrMap *queues; /* EstQueue by name */
 };
 
 JobEst *
@@ -40,6 +39,7 @@
 {
     JobEst *est = Mem_New(1, sizeof(*est));
 
+    est->queues = StrMap_New();
     return est;
 }
 
@@ -47,7 +47,7 @@
 JobEst_Free(JobEst *est)
 {
     if (est != NULL) {
-        free(est->queues);
+        StrMap_FreeAll(est->queues);
         free(est);
     }
 }
@@ -55,14 +55,7 @@
 static EstQueue *
 find_queue(const JobEst *est, const char *name)
 {
-    size_t i;
-
-    for (i = 0; i < est->count; i++) {
-        if (strcmp(est->queues[i].name, name) == 0) {
-            return &est->queues[i];
-        }
-    }
-    return NULL;
+    return StrMap_Get(est->queues, name);
 }
 
 /* Returns the entry of a queue, added if there is none, or NULL if there are
@@ -72,12 +65,10 @@
 {
     EstQueue *queue = find_queue(est, name);
 
-    if (queue == NULL && est->count < EST_MAX_QUEUES) {
-        est->queues =
-            Mem_Resize(est->queues, (est->count + 1) * sizeof(EstQueue));
-        queue = &est->queues[est->count++];
-        memset(queue, 0, sizeof(*queue));
+    if (queue == NULL && StrMap_Count(est->queues) < EST_MAX_QUEUES) {
+        queue = Mem_New(1, sizeof(*queue));
         snprintf(queue->name, sizeof(queue->name), "%s", name);
+        StrMap_Put(est->queues, queue->name, queue);
     }
     return queue;
 }
--- a/src/jobmetrics.c
+++ b/src/jobmetrics.c
@@ -72,6 +72,15 @@
                                     "targets that ended without notice"},
     [JOB_METRIC_STARTS_REFUSED] = {PREFIX "starts_refused_total", "counter",
                                    "starts that never took effect"},
+    [JOB_METRIC_JOBS_REFUSED_CAPACITY] =
+        {PREFIX "jobs_refused_capacity_total", "counter",
+         "submissions refused for insufficient capacity"},
+    [JOB_METRIC_JOBS_REFUSED_CAP] =
+        {PREFIX "jobs_refused_cap_total", "counter",
+         "submissions refused for the cap of their tenant"},
+    [JOB_METRIC_REFUSALS_NEEDLESS] =
+        {PREFIX "refusals_needless_total", "counter",
+         "refused jobs for which a later look found room in time"},
     [JOB_METRIC_CALLS] = {PREFIX "calls_total", "counter",
                           "starts and stops ordered"},
     [JOB_METRIC_HOLDS] = {PREFIX "holds_total", "counter",
--- a/src/jobsched.c
+++ b/src/jobsched.c
@@ -44,6 +44,9 @@
     sched->next_incarnation = 1;
     sched->est = JobEst_New();
     sched->demand = JobDemand_New();
+    sched->admission = options->overload_control
+                           ? SchedImpl_NewAdmission(options->seed)
+                           : NULL;
     return sched;
 }
 
@@ -81,6 +84,10 @@
     JobState_ClearSchedState(sched->state);
     sched->lost_run_count = 0;
     sched->crash_count = 0;
+    sched->placing_since_ms = 0;
+    if (sched->admission != NULL) {
+        SchedImpl_ResetAdmission(sched->admission);
+    }
     sched->leads = false;
 }
 
@@ -94,6 +101,7 @@
         free(sched->lost_runs);
         JobEst_Free(sched->est);
         JobDemand_Free(sched->demand);
+        SchedImpl_FreeAdmission(sched->admission);
         free(sched);
     }
 }
@@ -666,6 +674,7 @@
         }
     }
     SchedImpl_RetryCrashes(sched);
+    SchedImpl_ReviewRefusals(sched, now);
     sched->long_list_runs = long_list_runs;
     sched->next_hold_wait_ms =
         JobSched_HoldWait(&sched->options, busy_targets);
--- a/src/jobsched.h
+++ b/src/jobsched.h
@@ -40,6 +40,12 @@
 
 /* How slow a target's clock may be, with some margin. */
 #define JOBSCHED_CLOCK_DRIFT_PERCENT 3
+/* A job that takes longer than this many times its objective is worthless to
+ * its caller. */
+#define JOBSCHED_LATE_FACTOR 3
+/* Time for which a new leader refuses nothing, as it has not seen yet how the
+ * pools serve what waits. */
+#define JOBSCHED_LEARN_MS 2000
 
 typedef struct JobSchedOptions {
     int64_t lease_ms;            /* lease granted by each call */
@@ -52,6 +58,8 @@
     int64_t stop_ms;             /* longest time to stop a task */
     int64_t early_start_ms;      /* how early an occurrence may start */
     int64_t status_retention_ms; /* how long an ended job is kept */
+    bool overload_control;       /* refuse jobs that cannot be done in time */
+    uint64_t seed;               /* of the spread of retry times */
 } JobSchedOptions;
 
 #define JOBSCHED_OPTIONS_DEFAULT                                              \
@@ -112,6 +120,13 @@
     size_t end_count;
 } JobCallAnswer;
 
+/* Why a job is refused. */
+typedef enum JobRefusalCause {
+    JOB_REFUSED_CAPACITY, /* it cannot be done before it is worthless */
+    JOB_REFUSED_CAP,      /* its tenant's cap does not allow it to run */
+    JOB_REFUSAL_CAUSES
+} JobRefusalCause;
+
 typedef struct JobSchedCounts {
     uint64_t started;
     uint64_t done;
@@ -122,6 +137,8 @@
     uint64_t calls;
     uint64_t holds;
     uint64_t unanswered;
+    uint64_t jobs_refused[JOB_REFUSAL_CAUSES];
+    uint64_t needless_refusals; /* that a later look has shown as needless */
 } JobSchedCounts;
 
 typedef struct JobSched JobSched;
@@ -177,11 +194,36 @@
 /* Takes the next action. Returns false if there is none. */
 bool JobSched_TakeAction(JobSched *sched, JobAction *action);
 
-/* Returns whether a job can be accepted now; if not, stores in *retry_ms when
- * to retry, and in *reason why. At present it accepts every job. */
-bool JobSched_Admit(const JobSched *sched, int64_t now, const JobQueue *queue,
-                    const JobSpec *spec, int64_t *retry_ms,
-                    const char **reason);
+/* A job that a caller submits and that is not yet accepted. */
+typedef struct JobSubmission {
+    const char *id;
+    const JobQueue *queue;
+    const JobSpec *spec;
+    const char *tenant; /* name, or empty */
+} JobSubmission;
+
+typedef struct JobRefusal {
+    JobRefusalCause cause;
+    int64_t retry_ms; /* when to try again */
+    const char *reason;
+} JobRefusal;
+
+/* Returns whether a job can be accepted now; if not, fills in *refusal. Call
+ * it before the job is proposed, and not for a job that the state contains.
+ *
+ * With JobSchedOptions.overload_control, a job is refused if by the forecast
+ * it can neither be in time, as the work ahead of it takes too long, nor end
+ * within JOBSCHED_LATE_FACTOR times its objective once it is late, as jobs
+ * that arrive until then go before it. Its time runs from its first
+ * submission. The error of the estimates of its queue is in its favour, the
+ * wait counts less for jobs with little work and more for those with much.
+ *
+ * A job for whose first steps targets have room now, a lasting one and a
+ * repeating one are accepted, and so are a copy of a job that may be in the
+ * log and every job until the leader has placed tasks for JOBSCHED_LEARN_MS.
+ */
+bool JobSched_Admit(JobSched *sched, int64_t now,
+                    const JobSubmission *submission, JobRefusal *refusal);
 
 /* Load of a pool as input to move planning, in thousandths of a core. */
 typedef struct JobPoolLoad {
--- a/src/jobsched_impl.h
+++ b/src/jobsched_impl.h
@@ -160,6 +160,8 @@
     JobResources unplaced_need;
 } SchedPool;
 
+typedef struct SchedAdmission SchedAdmission;
+
 struct JobSched {
     JobSchedOptions options;
     int64_t next_hold_wait_ms; /* longest wait of the next holds */
@@ -189,6 +191,8 @@
     uint32_t long_list_runs; /* runs of targets with over SCHED_LONG_LIST */
     JobEst *est;
     JobDemand *demand;
+    int64_t placing_since_ms;  /* first placement in this term; 0: none yet */
+    SchedAdmission *admission; /* NULL without overload control */
     SchedCrash crashes[SCHED_MAX_CRASHES]; /* ring */
     size_t crash_count; /* number of crashes ever recorded */
     SchedLostRun *lost_runs;
@@ -226,6 +230,10 @@
 void SchedImpl_StartRun(JobSched *sched, int64_t now, const JobRun *run);
 
 /* jobsched_pool.c: demand */
+/* Returns the expected work of an occurrence of a job, without lasting steps,
+ * in thousandths of a core x ms. */
+int64_t SchedImpl_PredictWork(const JobSched *sched, const JobSpec *spec,
+                              const char *queue);
 /* Adds the expected work of an accepted job to the demand of its pool. */
 void SchedImpl_RecordDemand(void *arg, int64_t now, const Job *job);
 
@@ -272,10 +280,25 @@
 
 SchedRank SchedImpl_RankJob(const JobSched *sched, int64_t now,
                             int64_t wall_ms, Job *job);
+/* Returns the time from its submission in which a job is in time, by the run
+ * times that were expected when it was last ranked. */
+int64_t SchedImpl_GetAllowedMs(const Job *job);
+/* Returns the expected run time in ms of the critical path of a job that has
+ * not begun. */
+int64_t SchedImpl_PredictCriticalPath(const JobSched *sched,
+                                      const JobSpec *spec, const char *queue);
 /* Returns a negative number if a is placed before b, 0 if neither is before
  * the other, and a positive number otherwise. */
 int SchedImpl_CompareRanks(const SchedRank *a, const SchedRank *b);
 
+/* jobsched_admit.c: which jobs are accepted */
+SchedAdmission *SchedImpl_NewAdmission(uint64_t seed);
+void SchedImpl_FreeAdmission(SchedAdmission *admission);
+/* Forgets the forecasts and refusals of an earlier term. */
+void SchedImpl_ResetAdmission(SchedAdmission *admission);
+/* Looks whether recent refusals were needless. */
+void SchedImpl_ReviewRefusals(JobSched *sched, int64_t now);
+
 /* jobsched_fit.c: which targets a task fits */
 bool SchedImpl_HasLabel(const JobTarget *target, const char *label);
 /* Returns whether a target has as many runs, or starts that wait, that it may
--- a/src/jobsched_place.c
+++ b/src/jobsched_place.c
@@ -708,6 +708,8 @@
         return;
     }
     sched->now_ms = now;
+    sched->placing_since_ms =
+        sched->placing_since_ms != 0 ? sched->placing_since_ms : now;
     sched->placement++;
     collect_candidates(&pass);
     if (pass.count > 0) {
@@ -729,18 +731,3 @@
         propose_batch(sched);
     }
 }
-
-/* --- admission --- */
-
-bool
-JobSched_Admit(const JobSched *sched, int64_t now, const JobQueue *queue,
-               const JobSpec *spec, int64_t *retry_ms, const char **reason)
-{
-    (void)sched;
-    (void)now;
-    (void)queue;
-    (void)spec;
-    *retry_ms = 0;
-    *reason = "";
-    return true;
-}
--- a/src/jobsched_pool.c
+++ b/src/jobsched_pool.c
@@ -5,23 +5,32 @@
 #include "slog.h"
 #include "strmap.h"
 
-void
-SchedImpl_RecordDemand(void *arg, int64_t now, const Job *job)
+int64_t
+SchedImpl_PredictWork(const JobSched *sched, const JobSpec *spec,
+                      const char *queue)
 {
-    JobSched *sched = arg;
     int64_t core_ms = 0;
     uint32_t i;
 
-    for (i = 0; i < job->spec.step_count; i++) {
-        const JobStep *step = &job->spec.steps[i];
+    for (i = 0; i < spec->step_count; i++) {
+        const JobStep *step = &spec->steps[i];
         if (!step->lasting) {
-            core_ms +=
-                (int64_t)step->count * step->need.cpu *
-                JobEst_Predict(sched->est, job->queue, step->estimate_ms);
+            core_ms += (int64_t)step->count * step->need.cpu *
+                       JobEst_Predict(sched->est, queue, step->estimate_ms);
         }
     }
+    return core_ms;
+}
+
+void
+SchedImpl_RecordDemand(void *arg, int64_t now, const Job *job)
+{
+    JobSched *sched = arg;
+    int64_t core_ms = SchedImpl_PredictWork(sched, &job->spec, job->queue);
+
     if (core_ms > 0) {
         JobDemand_AddWork(sched->demand, now, job->pool, core_ms);
+        JobEst_AddJob(sched->est, job->queue, core_ms);
     }
 }
 
--- a/src/jobsched_rank.c
+++ b/src/jobsched_rank.c
@@ -1,12 +1,11 @@
 #include "jobsched_impl.h"
 
-/* Returns the expected run time in ms of the critical path of a job. With
- * remaining set, steps that are done count as 0. */
+/* Returns the expected run time in ms of the critical path of a job. The steps
+ * that are done in an open occurrence count as 0; open may be NULL. */
 static int64_t
-predict_critical_path_ms(const JobSched *sched, const Job *job, bool remaining)
+predict_critical_path_ms(const JobSched *sched, const JobSpec *spec,
+                         const char *queue, const JobOccurrence *open)
 {
-    const JobSpec *spec = &job->spec;
-    const JobOccurrence *open = Job_FindOccurrence(job, job->first_incomplete);
     int64_t ends[JOB_MAX_STEPS];
     int64_t longest = 0;
     uint32_t i;
@@ -14,7 +13,7 @@
 
     for (i = 0; i < spec->step_count; i++) {
         int64_t begin = 0;
-        bool done = remaining && open != NULL && open->tasks != NULL &&
+        bool done = open != NULL && open->tasks != NULL &&
                     open->step_done[i] == spec->steps[i].count;
         for (j = 0; j < i; j++) {
             if ((spec->steps[i].depends_mask >> j & 1) != 0 &&
@@ -23,13 +22,28 @@
             }
         }
         ends[i] = begin + (done ? 0
-                                : JobEst_Predict(sched->est, job->queue,
+                                : JobEst_Predict(sched->est, queue,
                                                  spec->steps[i].estimate_ms));
         longest = ends[i] > longest ? ends[i] : longest;
     }
     return longest;
 }
 
+int64_t
+SchedImpl_PredictCriticalPath(const JobSched *sched, const JobSpec *spec,
+                              const char *queue)
+{
+    return predict_critical_path_ms(sched, spec, queue, NULL);
+}
+
+int64_t
+SchedImpl_GetAllowedMs(const Job *job)
+{
+    return (int64_t)(job->terms.slack *
+                     (double)job->sched_state.critical_path_ms) +
+           job->terms.objective_ms;
+}
+
 /* Added to the rank of late jobs that have not begun. */
 #define RANK_NOT_BEGUN ((int64_t)1 << 40)
 /* Interval at which the expected run times of a job are updated. */
@@ -41,22 +55,18 @@
 {
     const JobOccurrence *open = Job_FindOccurrence(job, job->first_incomplete);
     uint32_t done = open != NULL ? open->done : 0;
-    const JobQueue *queue;
 
     if (job->sched_state.critical_path_at_ms != 0 &&
         job->sched_state.critical_path_tasks_done == done &&
         now - job->sched_state.critical_path_at_ms < RANK_UPDATE_INTERVAL_MS) {
         return;
     }
-    queue = JobConfig_FindQueue(JobState_GetConfig(sched->state), job->queue);
     job->sched_state.critical_path_ms =
-        predict_critical_path_ms(sched, job, false);
-    job->sched_state.left_ms = predict_critical_path_ms(sched, job, true);
+        predict_critical_path_ms(sched, &job->spec, job->queue, NULL);
+    job->sched_state.left_ms =
+        predict_critical_path_ms(sched, &job->spec, job->queue, open);
     job->sched_state.critical_path_at_ms = now;
     job->sched_state.critical_path_tasks_done = done;
-    if (queue != NULL) {
-        job->sched_state.priority = queue->priority;
-    }
 }
 
 SchedRank
@@ -75,9 +85,7 @@
                                : now};
     }
     update_run_times(sched, now, job);
-    allowed_ms = (int64_t)(job->terms.slack *
-                           (double)job->sched_state.critical_path_ms) +
-                 job->terms.objective_ms;
+    allowed_ms = SchedImpl_GetAllowedMs(job);
     slack_ms = allowed_ms - job->sched_state.left_ms - age_ms;
     if (job->sched_state.crashed_alone) {
         return (SchedRank){SCHED_CRASHED_ALONE, 0, age_ms};
@@ -87,10 +95,8 @@
         return (SchedRank){SCHED_LATE, 0,
                            age_ms + (begun ? 0 : RANK_NOT_BEGUN)};
     }
-    return begun
-               ? (SchedRank){SCHED_BEGUN, job->sched_state.priority, slack_ms}
-               : (SchedRank){SCHED_ON_TIME, job->sched_state.priority,
-                             -slack_ms};
+    return begun ? (SchedRank){SCHED_BEGUN, job->priority, slack_ms}
+                 : (SchedRank){SCHED_ON_TIME, job->priority, -slack_ms};
 }
 
 int
--- a/src/jobstate.h
+++ b/src/jobstate.h
@@ -111,7 +111,6 @@
     int64_t left_ms;             /* expected run time of the remaining steps */
     int64_t critical_path_at_ms; /* when the critical path was computed */
     uint32_t critical_path_tasks_done; /* tasks done when it was computed */
-    uint32_t priority;   /* of its queue, the last one if it was removed */
     int64_t unplaced_ms; /* earliest unplaced_ms of its lasting tasks, or 0 */
     uint32_t proposed;   /* number of its assignments in flight */
     bool crashed_alone;  /* a waiting task of it has crashed a target that ran
@@ -133,7 +132,8 @@
     char queue[JOB_NAME_BYTES];
     char pool[JOB_NAME_BYTES]; /* pool of its queue, the last one if the queue
                                 * was removed */
-    JobTerms terms;            /* those of its queue when it was accepted */
+    uint32_t priority;    /* of its queue, as pool; not part of snapshots */
+    JobTerms terms;       /* those of its queue when it was accepted */
     JobTenantUse *tenant; /* NULL: of a public queue or from before tenants */
     JobSpec spec;
     int64_t accepted_ms; /* wall time */
--- a/src/jobstate_apply.c
+++ b/src/jobstate_apply.c
@@ -13,8 +13,8 @@
 }
 
 /* Jobs follow their queues to other pools. */
-static void
-update_pools(JobState *state)
+void
+JobStateImpl_UpdateQueues(JobState *state)
 {
     const JobConfig *config = &state->config;
     StrMap *queues = StrMap_New();
@@ -28,6 +28,7 @@
         const JobQueue *queue = StrMap_Get(queues, job->queue);
         if (queue != NULL) {
             snprintf(job->pool, sizeof(job->pool), "%s", queue->pool);
+            job->priority = queue->priority;
         }
     }
     StrMap_Free(queues);
@@ -48,7 +49,7 @@
     }
     JobConfig_Free(&state->config);
     state->config = config;
-    update_pools(state);
+    JobStateImpl_UpdateQueues(state);
     return JOB_RESULT_OK;
 }
 
@@ -145,6 +146,7 @@
     job = JobStateImpl_AddJob(state, id, queue);
     job->tenant = JobStateImpl_EnsureTenantUse(state, tenant);
     snprintf(job->pool, sizeof(job->pool), "%s", row->pool);
+    job->priority = row->priority;
     job->terms = JobStateImpl_GetTerms(row);
     job->accepted_ms = wall_ms;
     JobStateImpl_SetSpec(job, &spec);
--- a/src/jobstate_impl.h
+++ b/src/jobstate_impl.h
@@ -49,6 +49,8 @@
 };
 
 Job *JobStateImpl_AddJob(JobState *state, const char *id, const char *queue);
+/* Sets the pools and priorities of the active jobs by their queues. */
+void JobStateImpl_UpdateQueues(JobState *state);
 /* Returns the terms of a queue. NULL: of one that is not known, whose jobs
  * end with the first failed run. */
 JobTerms JobStateImpl_GetTerms(const JobQueue *queue);
--- a/src/jobstate_snapshot.c
+++ b/src/jobstate_snapshot.c
@@ -548,6 +548,7 @@
         return Err_Set(err, ST_CORRUPT,
                        "corrupt job state snapshot at offset %zu", offset);
     }
+    JobStateImpl_UpdateQueues(fresh);
     old = *state;
     *state = *fresh;
     *fresh = old;
--- a/src/settings.c
+++ b/src/settings.c
@@ -324,6 +324,10 @@
         read_choice(node, key, flags, 2, &chosen, findings);
         settings->may_bootstrap = chosen == 1;
     }
+    else if (strcmp(key, "overload_control") == 0) {
+        read_choice(node, key, flags, 2, &chosen, findings);
+        settings->overload_control = chosen == 1;
+    }
     else if (strcmp(key, "ready") == 0) {
         read_address(node, key, &settings->ready, findings);
     }
--- a/src/settings.h
+++ b/src/settings.h
@@ -48,6 +48,8 @@
     bool platform_wire;
     /* True if the node may create the cluster; only the first seed does so. */
     bool may_bootstrap;
+    /* True if jobs that cannot be done in time are refused. */
+    bool overload_control;
     SettingsAddress ready;                     /* for HTTP readiness checks */
     SettingsAddress vm_service;                /* port 0 if not set */
     SettingsAddress advisor;                   /* port 0 if not set */
--- a/tests/support_jobsim.c
+++ b/tests/support_jobsim.c
@@ -1,5 +1,6 @@
 #include "support_jobsim.h"
 
+#include <math.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -41,6 +42,14 @@
 #define MAX_STARTS_AFTER_CRASHES 2
 #define MIN_CRASHES_TO_FAIL 2
 
+/* Jobs of callers with JobSimOptions.load. */
+#define MAX_LOAD_STEPS 3
+#define MAX_LOAD_TASKS 16 /* of a step */
+#define MEAN_LOAD_WORK (2.0 * 5.0 * 1350 * 850)
+#define LULL_FACTOR 0.05
+#define QUEUE_OBJECTIVE_MS 600
+#define QUEUE_SLACK 1.6
+
 typedef enum EventKind {
     EV_COMMIT,
     EV_DELIVER,
@@ -71,7 +80,9 @@
     EV_MUTE,
     EV_UNMUTE,
     EV_LOG_STALL,
-    EV_ELECTED
+    EV_ELECTED,
+    EV_CALLER, /* a caller of JobSimOptions.load submits a new job */
+    EV_RETRY   /* a caller comes back after a refusal */
 } EventKind;
 
 typedef struct Run {
@@ -142,6 +153,15 @@
     bool large;
     uint32_t deadly_step;
     uint32_t deadly_index; /* UINT32_MAX: all tasks of the step */
+    /* The members below are set only with JobSimOptions.load. */
+    JobSpec spec;
+    uint32_t queue; /* index */
+    uint32_t retries;
+    int64_t first_ms; /* of its first submission */
+    int64_t step_ms[MAX_LOAD_STEPS];
+    int64_t objective_ms;
+    double work;
+    JobSimSize size;
 } JobRecord;
 
 typedef struct Event {
@@ -165,7 +185,8 @@
 typedef struct JobSim {
     JobSimOptions options;
     Rng rng;
-    int64_t now; /* simulated time in ms */
+    Rng caller_rng; /* of JobSimOptions.load */
+    int64_t now;    /* simulated time in ms */
     uint64_t term;
     JobState *state;
     JobSchedOptions sched_options;
@@ -424,7 +445,8 @@
 
     for (number = sim->first_open_job; number < sim->next_job; number++) {
         JobRecord *record = &sim->job_records[number];
-        if (!record->ended && record->job->phase >= JOB_COMPLETED) {
+        if (!record->ended && record->job != NULL &&
+            record->job->phase >= JOB_COMPLETED) {
             check_ended_job(sim, record);
             record->ended = true;
         }
@@ -761,6 +783,20 @@
     }
 }
 
+/* Returns how long a run of a task takes. */
+static int64_t
+draw_run_ms(JobSim *sim, const JobTaskRef *task)
+{
+    const JobRecord *record = get_job_record(sim, task->job);
+    int64_t step_ms;
+
+    if (sim->options.load <= 0) {
+        return draw_between(sim, 200, 1500);
+    }
+    step_ms = record->step_ms[task->step];
+    return draw_between(sim, step_ms * 9 / 10, step_ms * 11 / 10);
+}
+
 static JobCallOutcome
 start_run(JobSim *sim, uint32_t target_index, const JobAction *call,
           bool counted)
@@ -807,8 +843,8 @@
                                EV_DEADLY_CRASH);
     }
     else if (!step->lasting && !step->gang) {
-        event =
-            schedule_event(sim, draw_between(sim, 200, 1500), EV_RUN_FINISHED);
+        event = schedule_event(sim, draw_run_ms(sim, &call->task),
+                               EV_RUN_FINISHED);
     }
     if (step->gang) {
         join_gang(sim, target_index, run);
@@ -1187,7 +1223,9 @@
     JobSched_Free(sim->sched);
     for (number = 1; number < sim->next_job; number++) {
         JobRecord *record = &sim->job_records[number];
-        record->job = JobState_FindJob(state, record->job->id);
+        if (record->job != NULL) {
+            record->job = JobState_FindJob(state, record->job->id);
+        }
     }
     JobState_Free(sim->state);
     sim->state = state;
@@ -1548,22 +1586,27 @@
 configure_pools(JobSim *sim)
 {
     JobConfig config = {.version = 1};
+    uint32_t queues =
+        sim->options.priorities > 0 ? sim->options.priorities : 1;
     Buf command = BUF_INIT;
     Buf result = BUF_INIT;
     uint32_t i;
 
-    config.queue_count = sim->options.pools;
+    config.queue_count = sim->options.pools * queues;
     config.pool_count = sim->options.pools;
     config.queues = allocate(config.queue_count * sizeof(JobQueue));
     config.pools = allocate(config.pool_count * sizeof(JobPool));
-    for (i = 0; i < sim->options.pools; i++) {
+    for (i = 0; i < config.queue_count; i++) {
         JobQueue *queue = &config.queues[i];
         snprintf(queue->name, sizeof(queue->name), "q%u", i);
-        snprintf(queue->pool, sizeof(queue->pool), "p%u", i);
+        snprintf(queue->pool, sizeof(queue->pool), "p%u", i / queues);
+        queue->priority = i % queues;
         queue->timeout_ms = 3000;
-        queue->objective_ms = 600;
-        queue->slack = 1.6;
+        queue->objective_ms = QUEUE_OBJECTIVE_MS;
+        queue->slack = QUEUE_SLACK;
         queue->max_attempts = MAX_ATTEMPTS;
+    }
+    for (i = 0; i < sim->options.pools; i++) {
         snprintf(config.pools[i].name, sizeof(config.pools[i].name), "p%u", i);
         config.pools[i].enforces_capacity = i >= sim->options.unguarded_pools;
     }
@@ -1606,6 +1649,252 @@
     }
 }
 
+/* --- load of callers --- */
+
+/* Draws from a generator that nothing else uses, so that the same seed gives
+ * the same jobs whatever is decided. */
+static int64_t
+draw_for_caller(JobSim *sim, int64_t low, int64_t high)
+{
+    return low +
+           (int64_t)Rng_Below(&sim->caller_rng, (uint32_t)(high - low + 1));
+}
+
+/* Generates a job whose steps follow each other. */
+static void
+generate_load_spec(JobSim *sim, JobRecord *record, bool large)
+{
+    const JobSimOptions *options = &sim->options;
+    JobSpec *spec = &record->spec;
+    uint32_t factor = large ? options->large_factor : 1;
+    double error = options->estimate_error > 1 ? options->estimate_error : 1;
+    double total_ms = 0;
+    uint32_t i;
+
+    spec->text = strdup("work");
+    spec->text_len = 4;
+    spec->step_count = (uint32_t)draw_for_caller(sim, 1, MAX_LOAD_STEPS);
+    spec->steps = allocate(spec->step_count * sizeof(JobStep));
+    for (i = 0; i < spec->step_count; i++) {
+        JobStep *step = &spec->steps[i];
+        step->count =
+            (uint32_t)pow(MAX_LOAD_TASKS + 1, Rng_Unit(&sim->caller_rng)) *
+            factor;
+        step->need.cpu = (uint32_t)draw_for_caller(sim, 200, 2500);
+        step->need.memory_mb = 100;
+        step->depends_mask = i > 0 ? (uint32_t)1 << (i - 1) : 0;
+        record->step_ms[i] = draw_for_caller(sim, 200, 1500);
+        step->estimate_ms =
+            (uint32_t)((double)record->step_ms[i] *
+                       pow(error, 2 * Rng_Unit(&sim->caller_rng) - 1));
+        total_ms += (double)record->step_ms[i];
+        record->work +=
+            (double)step->count * step->need.cpu * (double)record->step_ms[i];
+    }
+    record->objective_ms =
+        (int64_t)(QUEUE_SLACK * total_ms) + QUEUE_OBJECTIVE_MS;
+}
+
+/* Submits the job of a caller, who comes back later if it is refused. */
+static void
+submit_load_job(JobSim *sim, uint64_t number)
+{
+    JobRecord *record = &sim->job_records[number];
+    char queue[JOB_NAME_BYTES];
+    char id[JOB_ID_BYTES];
+    JobSubmission submission = {id, NULL, &record->spec, ""};
+    JobRefusal refusal = {0};
+    Buf command = BUF_INIT;
+    Buf result = BUF_INIT;
+
+    snprintf(id, sizeof(id), "%016llx", (unsigned long long)number);
+    snprintf(queue, sizeof(queue), "q%u", record->queue);
+    submission.queue =
+        JobConfig_FindQueue(JobState_GetConfig(sim->state), queue);
+    if (!JobSched_Admit(sim->sched, sim->now, &submission, &refusal)) {
+        if (record->retries < sim->options.max_retries) {
+            record->retries++;
+            schedule_event(sim, (refusal.retry_ms + 999) / 1000 * 1000,
+                           EV_RETRY)
+                ->id = number;
+        }
+        return;
+    }
+    JobCmd_EncodeSubmit(&command, id, queue, sim->now, &record->spec, "");
+    JobState_Apply(sim->state, command.data, command.len, &result);
+    Buf_Free(&command);
+    Buf_Free(&result);
+    record->job = JobState_FindJob(sim->state, id);
+}
+
+/* Returns the present rate of arrivals as a multiple of the mean. Bursts of
+ * all queues coincide. */
+static double
+get_load_factor(const JobSim *sim)
+{
+    double factor = sim->options.burst_factor;
+    double period_ms;
+
+    if (factor <= 0) {
+        return 1;
+    }
+    period_ms = (double)sim->options.burst_ms * (factor - LULL_FACTOR) /
+                (1 - LULL_FACTOR);
+    return fmod((double)sim->now, period_ms) < (double)sim->options.burst_ms
+               ? factor
+               : LULL_FACTOR;
+}
+
+/* Schedules the next caller of a queue. */
+static void
+schedule_caller(JobSim *sim, uint32_t queue)
+{
+    const JobSimOptions *options = &sim->options;
+    uint32_t queues = options->priorities > 0 ? options->priorities : 1;
+    double per_ms = options->load * TARGET_MILLICORES *
+                    options->targets_per_pool / MEAN_LOAD_WORK / queues;
+    double highest = options->burst_factor > 1 ? options->burst_factor : 1;
+
+    if (queue % queues == queues - 1) {
+        per_ms *= options->flood_factor > 0 ? options->flood_factor : 1;
+        per_ms /= options->large_factor > 0 ? options->large_factor : 1;
+    }
+    schedule_event(sim,
+                   1 + (int64_t)(-log(1 - Rng_Unit(&sim->caller_rng)) /
+                                 (per_ms * highest)),
+                   EV_CALLER)
+        ->target_index = queue;
+}
+
+/* Handles the arrival of a caller. Those beyond the present rate do not
+ * submit. */
+static void
+handle_caller(JobSim *sim, uint32_t queue)
+{
+    const JobSimOptions *options = &sim->options;
+    uint32_t queues = options->priorities > 0 ? options->priorities : 1;
+    double highest = options->burst_factor > 1 ? options->burst_factor : 1;
+
+    if (!is_active_phase(sim)) {
+        return;
+    }
+    schedule_caller(sim, queue);
+    if (Rng_Unit(&sim->caller_rng) < get_load_factor(sim) / highest) {
+        uint64_t number = sim->next_job;
+        JobRecord *record = add_job_record(sim);
+        record->queue = queue;
+        record->first_ms = sim->now;
+        generate_load_spec(sim, record,
+                           options->large_factor > 0 &&
+                               queue % queues == queues - 1);
+        sim->report->jobs++;
+        submit_load_job(sim, number);
+    }
+}
+
+static void
+add_to_group(JobSimGroup *group, const JobRecord *record, double value)
+{
+    const Job *job = record->job;
+    bool done = job != NULL && job->phase == JOB_COMPLETED;
+    int64_t took_ms = done ? job->ended_ms - record->first_ms : INT64_MAX;
+
+    group->jobs++;
+    group->worth += value;
+    if (took_ms <= record->objective_ms) {
+        group->in_time++;
+        group->earned += value;
+    }
+    else if (took_ms <= 3 * record->objective_ms) {
+        group->late++;
+        group->earned += 0.07 * value;
+    }
+    else if (job != NULL) {
+        group->worthless++;
+    }
+    else {
+        group->refused++;
+    }
+}
+
+static int
+compare_work(const void *a, const void *b)
+{
+    double left = (*(JobRecord *const *)a)->work;
+    double right = (*(JobRecord *const *)b)->work;
+
+    return (left < right) - (left > right);
+}
+
+/* Reports what the callers of one queue got. */
+static void
+report_queue(JobSim *sim, uint32_t queue)
+{
+    JobSimReport *report = sim->report;
+    uint32_t queues =
+        sim->options.priorities > 0 ? sim->options.priorities : 1;
+    uint32_t priority = queue % queues;
+    JobRecord **records = allocate((sim->next_job + 1) * sizeof(*records));
+    double total = 0;
+    size_t count = 0;
+    size_t i;
+
+    for (i = 1; i < sim->next_job; i++) {
+        JobRecord *record = &sim->job_records[i];
+        if (record->work > 0 && record->queue == queue) {
+            records[count++] = record;
+            total += record->work;
+        }
+    }
+    qsort(records, count, sizeof(*records), compare_work);
+    for (i = 0; i < count; i++) {
+        double value = 0.3 + 0.7 * records[i]->work / (total / (double)count);
+        JobSimSize size = i * 10 < count       ? JOBSIM_LARGEST_TENTH
+                          : i * 10 < count * 3 ? JOBSIM_NEXT_FIFTH
+                                               : JOBSIM_SMALLER;
+        value = value < 4 ? value : 4;
+        add_to_group(&report->all, records[i], value);
+        add_to_group(&report->by_size[size], records[i], value);
+        if (priority < JOBSIM_PRIORITIES) {
+            add_to_group(&report->by_priority[priority], records[i], value);
+        }
+    }
+    free(records);
+}
+
+static void
+begin_load(JobSim *sim)
+{
+    uint32_t queues =
+        sim->options.priorities > 0 ? sim->options.priorities : 1;
+    uint32_t i;
+
+    for (i = 0; sim->options.load > 0 && i < sim->options.pools * queues;
+         i++) {
+        schedule_caller(sim, i);
+    }
+}
+
+static void
+report_load(JobSim *sim)
+{
+    uint32_t queues =
+        sim->options.priorities > 0 ? sim->options.priorities : 1;
+    uint64_t number;
+    uint32_t i;
+
+    if (sim->options.load <= 0) {
+        return;
+    }
+    for (i = 0; i < sim->options.pools * queues; i++) {
+        report_queue(sim, i);
+    }
+    sim->report->counts = *JobSched_Counts(sim->sched);
+    for (number = 1; number < sim->next_job; number++) {
+        JobSpec_Free(&sim->job_records[number].spec);
+    }
+}
+
 /* --- event handling --- */
 
 static void
@@ -1852,6 +2141,12 @@
                                   sim->options.jobs_per_s);
         }
         break;
+    case EV_CALLER:
+        handle_caller(sim, event->target_index);
+        break;
+    case EV_RETRY:
+        submit_load_job(sim, event->id);
+        break;
     case EV_JOB_CANCEL:
         cancel_job(sim, event->job_id);
         break;
@@ -2004,8 +2299,11 @@
     memset(report, 0, sizeof(*report));
     sim.sched_options = sched;
     sim.sched_options.stop_ms = MAX_STOP_MS;
+    sim.sched_options.overload_control = options->overload_control;
+    sim.sched_options.seed = options->seed;
     sim.sched_options.status_retention_ms = INT32_MAX;
     Rng_Seed(&sim.rng, options->seed);
+    Rng_Seed(&sim.caller_rng, options->seed);
     sim.state = JobState_New();
     sim.sched = JobSched_New(&sim.sched_options, sim.state);
     sim.task_records = StrMap_New();
@@ -2017,7 +2315,9 @@
         submit_job(&sim, i % options->pools, true);
     }
     schedule_event(&sim, 0, EV_TICK);
-    schedule_random_event(&sim, EV_JOB_ARRIVAL, options->jobs_per_s);
+    begin_load(&sim);
+    schedule_random_event(&sim, EV_JOB_ARRIVAL,
+                          options->load > 0 ? 0 : options->jobs_per_s);
     schedule_random_event(&sim, EV_PARTITION, options->partitions_per_s);
     schedule_random_event(&sim, EV_CRASH, options->crashes_per_s);
     schedule_random_event(&sim, EV_LEADER_CHANGE,
@@ -2038,5 +2338,6 @@
         run_scheduler(&sim);
     }
     fill_report(&sim);
+    report_load(&sim);
     free_sim(&sim);
 }
--- a/tests/support_jobsim.h
+++ b/tests/support_jobsim.h
@@ -81,6 +81,25 @@
     double refused_share; /* share of proposals that the log refuses at once */
     double log_stalls_per_s; /* rate at which commits stop for 1 to 6 s */
     int64_t max_election_ms; /* longest time without a leader */
+    /* Load of callers that come back after a refusal; 0: jobs arrive at
+     * jobs_per_s and are never refused. Mean work that they ask for as a share
+     * of the capacity of the targets. */
+    double load;
+    bool overload_control;
+    uint32_t priorities;   /* queues of each pool, one of each priority from 0
+                              on, with the same work; 0: one queue */
+    double burst_factor;   /* rate of arrivals during bursts, as a multiple of
+                              the mean; 0: an even rate */
+    int64_t burst_ms;      /* length of a burst; between two bursts the rate is
+                              a twentieth of the mean */
+    double flood_factor;   /* how much more than its usual load the sender of
+                              the last queue of each pool sends; 0: no more */
+    uint32_t large_factor; /* how many times as many tasks as the others jobs
+                              of the last queue of each pool have, at as much
+                              lower a rate; 0: as many */
+    double estimate_error; /* declared run times are wrong by up to this factor
+                              both ways; 0: they are right */
+    uint32_t max_retries;  /* how often a refused caller comes back */
 } JobSimOptions;
 
 #define JOBSIM_OPTIONS_DEFAULT                                                \
@@ -90,6 +109,28 @@
         .failed_run_share = 0.01                                              \
     }
 
+/* Number of priorities that are reported one by one. */
+#define JOBSIM_PRIORITIES 4
+
+/* What the callers of a group of jobs got, with JobSimOptions.load. */
+typedef struct JobSimGroup {
+    uint64_t jobs;
+    uint64_t in_time;   /* completed within their objective */
+    uint64_t late;      /* completed within three times their objective */
+    uint64_t worthless; /* accepted and not completed until then */
+    uint64_t refused;   /* given up after the last refusal */
+    double worth;       /* value of all jobs: 0.3 + 0.7 of their work over the
+                           mean work of their queue, at most 4 */
+    double earned;      /* value in time, and 0.07 of that of late ones */
+} JobSimGroup;
+
+typedef enum JobSimSize {
+    JOBSIM_LARGEST_TENTH, /* by work, among the jobs of their queue */
+    JOBSIM_NEXT_FIFTH,
+    JOBSIM_SMALLER,
+    JOBSIM_SIZES
+} JobSimSize;
+
 typedef struct JobSimReport {
     uint64_t jobs;
     uint64_t completed;
@@ -109,7 +150,11 @@
     uint64_t deadly_crashes;     /* crashes caused by deadly tasks */
     uint32_t max_deadly_starts;  /* most starts of one deadly task */
     uint64_t innocent_runs_lost; /* other runs that these crashes ended */
-    char violation[256]; /* first violation found by the oracle, or empty */
+    JobSimGroup all;             /* with JobSimOptions.load */
+    JobSimGroup by_priority[JOBSIM_PRIORITIES];
+    JobSimGroup by_size[JOBSIM_SIZES];
+    JobSchedCounts counts; /* of the last scheduler */
+    char violation[256];   /* first violation found by the oracle, or empty */
 } JobSimReport;
 
 void JobSim_Run(const JobSimOptions *options, JobSimReport *report);
