Count VMs on their way to a pool in its capacity forecast

Cause: a job was refused although a VM that was ordered for its pool would arrive early enough.

Change: JobFleet reports the accepted orders of moves to the scheduler, with the expected time of arrival, and admission adds them to the forecast.

Result: vms_on_their_way_count_as_capacity of test_joboverload passes with the change; test_jobfleet passes unchanged.

--- a/src/jobfleet.c
+++ b/src/jobfleet.c
@@ -560,6 +560,28 @@
     }
 }
 
+/* Tells the scheduler which VMs are on their way to a pool. */
+static void
+report_arrivals(JobFleet *fleet)
+{
+    size_t vm_count = StrMap_Count(fleet->vms);
+    JobArrival *arrivals = Mem_New(vm_count + 1, sizeof(*arrivals));
+    size_t count = 0;
+    size_t i;
+
+    for (i = 0; i < vm_count; i++) {
+        const FleetVm *vm = StrMap_At(fleet->vms, i);
+        if (vm->order == FLEET_ORDER_MOVE && vm->accepted) {
+            JobArrival *arrival = &arrivals[count++];
+            snprintf(arrival->pool, sizeof(arrival->pool), "%s", vm->pool);
+            arrival->at_ms = vm->accepted_ms + fleet->options.move_ms;
+            arrival->cpu = vm->listed.cpu;
+        }
+    }
+    JobSched_SetArrivals(fleet->sched, arrivals, count);
+    free(arrivals);
+}
+
 void
 JobFleet_Tick(JobFleet *fleet, int64_t now, int64_t wall_ms)
 {
@@ -577,6 +599,7 @@
         fleet->next_plan_ms = now + FLEET_PLAN_INTERVAL_MS;
         FleetImpl_PlanWaves(fleet, now, wall_ms);
         FleetImpl_PlanMoves(fleet, now);
+        report_arrivals(fleet);
     }
     for (i = 0; i < StrMap_Count(fleet->vms); i++) {
         advance_order(fleet, now, StrMap_At(fleet->vms, i));
--- a/src/jobsched.h
+++ b/src/jobsched.h
@@ -225,6 +225,17 @@
 bool JobSched_Admit(JobSched *sched, int64_t now,
                     const JobSubmission *submission, JobRefusal *refusal);
 
+/* Capacity of a VM that is on its way to a pool. */
+typedef struct JobArrival {
+    char pool[JOB_NAME_BYTES];
+    int64_t at_ms;
+    int64_t cpu; /* thousandths of a core */
+} JobArrival;
+
+/* Replaces the arrivals that JobSched_Admit counts on, until they are due. */
+void JobSched_SetArrivals(JobSched *sched, const JobArrival *arrivals,
+                          size_t count);
+
 /* Load of a pool as input to move planning, in thousandths of a core. */
 typedef struct JobPoolLoad {
     int64_t lasting; /* use by lasting tasks */
--- a/src/jobsched_admit.c
+++ b/src/jobsched_admit.c
@@ -89,6 +89,8 @@
     Rng rng;
     QueueSizes *sizes;
     size_t size_count;
+    JobArrival *arrivals;
+    size_t arrival_count;
     PoolOutlook *pools;
     size_t pool_count;
     int64_t made_ms; /* when the forecasts were made; 0: never */
@@ -155,6 +157,9 @@
     }
     free(admission->pools);
     free(admission->sizes);
+    free(admission->arrivals);
+    admission->arrivals = NULL;
+    admission->arrival_count = 0;
     admission->sizes = NULL;
     admission->size_count = 0;
     while (admission->first_pending != NULL) {
@@ -347,11 +352,34 @@
             add_job(sched, now, job, outlook);
         }
     }
+    for (i = 0; i < admission->arrival_count; i++) {
+        const JobArrival *arrival = &admission->arrivals[i];
+        outlook = find_outlook(admission, arrival->pool);
+        if (outlook != NULL && arrival->at_ms > now) {
+            JobOutlook_AddGain(outlook, arrival->at_ms, arrival->cpu);
+        }
+    }
     for (i = 0; i < admission->pool_count; i++) {
         JobOutlook_End(&admission->pools[i].outlook);
     }
 }
 
+void
+JobSched_SetArrivals(JobSched *sched, const JobArrival *arrivals, size_t count)
+{
+    SchedAdmission *admission = sched->admission;
+
+    if (admission == NULL) {
+        return;
+    }
+    admission->arrivals =
+        Mem_Resize(admission->arrivals, (count + 1) * sizeof(*arrivals));
+    if (count > 0) {
+        memcpy(admission->arrivals, arrivals, count * sizeof(*arrivals));
+    }
+    admission->arrival_count = count;
+}
+
 /* --- refused jobs --- */
 
 /* Returns the entry for an id, which may be free or that of another job. */
--- a/tests/test_joboverload.c
+++ b/tests/test_joboverload.c
@@ -403,6 +403,31 @@
 }
 END_TEST
 
+/* Guards against refusals while VMs that were ordered for the pool are on
+ * their way. */
+START_TEST(vms_on_their_way_count_as_capacity)
+{
+    static const Submitted job = {1000, 1, 0, false};
+    JobArrival arrivals[] = {{"p", 0, 16000000}, {"other", 0, 16000000}};
+    JobRefusal refusal;
+
+    pass(2500);
+    overload();
+    arrivals[0].at_ms = now + 100;
+    arrivals[1].at_ms = now + 100;
+    JobSched_SetArrivals(sched, &arrivals[1], 1);
+    pass(200);
+    ck_assert(!admit("a", job, &refusal));
+    arrivals[0].at_ms = now + 500;
+    JobSched_SetArrivals(sched, arrivals, 2);
+    pass(200);
+    ck_assert(admit("b", job, &refusal));
+    JobSched_SetArrivals(sched, NULL, 0);
+    pass(200);
+    ck_assert(!admit("c", job, &refusal));
+}
+END_TEST
+
 /* A late job that fits into free room is started within LATE_START_MS, two
  * placements, whatever the jobs before it wait for. Guards against late jobs
  * that starve while the room next to others stays free. */
@@ -632,6 +657,7 @@
     tcase_add_test(tcase, copy_of_admitted_job_is_not_refused);
     tcase_add_test(tcase, retry_times_are_spread_and_sooner_for_urgent_jobs);
     tcase_add_test(tcase, needless_refusal_is_counted_once);
+    tcase_add_test(tcase, vms_on_their_way_count_as_capacity);
     tcase_add_test(tcase, late_job_beside_free_room_starts);
     suite_add_tcase(suite, tcase);
     tcase = tcase_create("load");
