Remember a refused job for 30 s from its first refusal

Cause: a refused job was forgotten once it could no longer meet its late objective. Its caller then counted as new, and the job was accepted in vain.

Change: the entry is kept for 30 s; only the look for needless refusals ends with the late objective.

--- a/src/jobsched_admit.c
+++ b/src/jobsched_admit.c
@@ -20,6 +20,9 @@
 /* Refusals that are remembered. Of two with the same place in the table the
  * later one is kept. */
 #define ADMIT_MAX_REFUSALS 4096
+/* Time for which a refused job is remembered. A caller who comes back after
+ * its late objective would otherwise count as new. */
+#define ADMIT_KEEP_MS 30000
 /* Bounds of a retry time. Callers are told whole seconds, rounded up. */
 #define ADMIT_MIN_RETRY_MS 300
 #define ADMIT_MAX_RETRY_MS 6000
@@ -414,13 +417,13 @@
         if (entry->id[0] == '\0') {
             continue;
         }
-        if (now > entry->latest_start_ms) {
+        if (now - entry->first_ms > ADMIT_KEEP_MS) {
             forget_refusal(admission, entry);
             continue;
         }
         outlook = find_outlook(admission, entry->pool);
-        if (!entry->needless && outlook != NULL &&
-            outlook->free >= entry->cpu) {
+        if (!entry->needless && now <= entry->latest_start_ms &&
+            outlook != NULL && outlook->free >= entry->cpu) {
             entry->needless = true;
             sched->counts.needless_refusals++;
             Slog_Begin(SLOG_ROUTINE, "refusal_needless");
--- a/tests/test_joboverload.c
+++ b/tests/test_joboverload.c
@@ -403,6 +403,23 @@
 }
 END_TEST
 
+/* Guards against a caller who counts as new when it comes back too late to be
+ * served: its job would be accepted in vain. */
+START_TEST(time_of_job_runs_from_first_refusal)
+{
+    static const Submitted job = {1000, 1, 0, false};
+    JobRefusal refusal;
+
+    pass(2500);
+    overload();
+    pass(200);
+    ck_assert(!admit("a", job, &refusal));
+    pass(4300); /* 3 x (1.6 x 500 + 600) ms is 4,200 ms */
+    ck_assert(!admit("a", job, &refusal));
+    ck_assert(admit("b", job, &refusal));
+}
+END_TEST
+
 /* Guards against refusals while VMs that were ordered for the pool are on
  * their way. */
 START_TEST(vms_on_their_way_count_as_capacity)
@@ -657,6 +674,7 @@
     tcase_add_test(tcase, copy_of_admitted_job_is_not_refused);
     tcase_add_test(tcase, retry_times_are_spread_and_sooner_for_urgent_jobs);
     tcase_add_test(tcase, needless_refusal_is_counted_once);
+    tcase_add_test(tcase, time_of_job_runs_from_first_refusal);
     tcase_add_test(tcase, vms_on_their_way_count_as_capacity);
     tcase_add_test(tcase, late_job_beside_free_room_starts);
     suite_add_tcase(suite, tcase);
