--- a/src/jobctl_request.c
+++ b/src/jobctl_request.c
@@ -425,17 +425,21 @@
     const JobQueue *queue = JobConfig_FindQueue(
         JobState_GetConfig(control->state), pending->request.queue);
     const Job *job = JobState_FindJob(control->state, pending->request.id);
+    JobSubmission submission = {pending->request.id, queue,
+                                &pending->request.spec, tenant};
     JobReply reply = {.kind = JOB_REPLY_OK};
+    JobRefusal refusal;
     Buf command = BUF_INIT;
 
     if (job != NULL) {
         reply_to_resent(pending, job, tenant);
         return;
     }
-    if (queue != NULL && !JobSched_Admit(control->sched, Loop_NowMs(), queue,
-                                         tenant, &pending->request.spec,
-                                         &reply.retry_ms, &reply.reason)) {
-        reply.kind = JOB_REPLY_REJECTED;
+    if (queue != NULL &&
+        !JobSched_Admit(control->sched, Loop_NowMs(), &submission, &refusal)) {
+        reply = (JobReply){.kind = JOB_REPLY_REJECTED,
+                           .reason = refusal.reason,
+                           .retry_ms = refusal.retry_ms};
         send_reply(pending, &reply);
         return;
     }
--- a/src/jobsched_impl.h
+++ b/src/jobsched_impl.h
@@ -162,6 +162,30 @@
     struct SchedAccount *account; /* of a candidate in this pool, or NULL */
 } SchedPool;
 
+typedef enum SchedClass {
+    /* Those with a task that waits longest for a target first. */
+    SCHED_LASTING,
+    /* Jobs that have begun and are expected to end in time, or late by at most
+     * half of the allowed time, since only part of their work remains. */
+    SCHED_BEGUN,
+    /* Other jobs that can still meet their objective, most slack first,
+     * because an overloaded pool would otherwise complete each of them just
+     * too late. */
+    SCHED_ON_TIME,
+    /* Late jobs, those that have begun first, then by age, newest first. */
+    SCHED_LATE,
+    SCHED_CRASHED_ALONE /* jobs with a task that has crashed a target alone */
+} SchedClass;
+
+/* The place of a job in the order of placement: by class, then by priority,
+ * then by rank, each time the lowest first. */
+typedef struct SchedRank {
+    SchedClass class;
+    uint32_t priority; /* that of the queue; 0 in classes without an order by
+                          priority: lasting, late and crashed alone */
+    int64_t rank;      /* order within a class and priority */
+} SchedRank;
+
 /* What one tenant, or all jobs without one, use of a pool. */
 typedef struct SchedAccount {
     size_t pool;
@@ -173,8 +197,8 @@
 /* A job that waits for a placement. */
 typedef struct SchedCandidate {
     Job *job;
-    int64_t rank;
-    int band; /* jobs of a lower band go first, whatever their tenant */
+    SchedRank rank;
+    uint32_t band; /* jobs of a lower band go first, whatever their tenant */
     SchedAccount *account;
     size_t turn;      /* number of assignments in its turn, and of those */
     size_t taken;     /* that it has had */
@@ -194,6 +218,7 @@
     size_t account_count;
     size_t batch_limit; /* length of the batch that ends the turn of a job */
 } SchedPass;
+typedef struct SchedAdmission SchedAdmission;
 
 struct JobSched {
     JobSchedOptions options;
@@ -225,6 +250,8 @@
     uint32_t long_list_runs; /* runs of targets with over SCHED_LONG_LIST */
     JobEst *est;
     JobDemand *demand;
+    int64_t placing_since_ms;  /* first placement in this term; 0: none yet */
+    SchedAdmission *admission; /* NULL without overload control */
     SchedCrash crashes[SCHED_MAX_CRASHES]; /* ring */
     size_t crash_count; /* number of crashes ever recorded */
     SchedLostRun *lost_runs;
@@ -262,6 +289,10 @@
 void SchedImpl_StartRun(JobSched *sched, int64_t now, const JobRun *run);
 
 /* jobsched_pool.c: demand */
+/* Returns the expected work of an occurrence of a job, without lasting steps,
+ * in thousandths of a core x ms. */
+int64_t SchedImpl_PredictWork(const JobSched *sched, const JobSpec *spec,
+                              const char *queue);
 /* Adds the expected work of an accepted job to the demand of its pool. */
 void SchedImpl_RecordDemand(void *arg, int64_t now, const Job *job);
 
@@ -282,20 +313,31 @@
                                 const SchedTarget *live);
 
 /* jobsched_rank.c: the order in which jobs are placed */
-/* Returns the rank of a job; the lowest is placed first. The order is:
- * - lasting jobs, those with a task that waits longest for a target first
- * - jobs that have begun and are expected to end in time, or late by at most
- *   half of the allowed time, since only part of their work remains
- * - other jobs that can still meet their objective, most slack first, because
- *   an overloaded pool would otherwise complete each of them just too late
- * - late jobs, those that have begun first, then by age, newest first
- * - jobs with a task that has crashed a target alone */
-int64_t SchedImpl_RankJob(const JobSched *sched, int64_t now, int64_t wall_ms,
-                          Job *job);
-
+SchedRank SchedImpl_RankJob(const JobSched *sched, int64_t now,
+                            int64_t wall_ms, Job *job);
+/* Returns the time from its submission in which a job is in time, by the run
+ * times that were expected when it was last ranked. */
+int64_t SchedImpl_GetAllowedMs(const Job *job);
+/* Returns the expected run time in ms of the critical path of a job that has
+ * not begun. */
+int64_t SchedImpl_PredictCriticalPath(const JobSched *sched,
+                                      const JobSpec *spec, const char *queue);
+/* Returns a negative number if a is placed before b, 0 if neither is before
+ * the other, and a positive number otherwise. */
+int SchedImpl_CompareRanks(const SchedRank *a, const SchedRank *b);
 /* Returns the band of a rank. Jobs of one band are placed by their tenants'
- * shares, and those of one tenant by rank. */
-int SchedImpl_GetBand(int64_t rank);
+ * shares, and those of one tenant by rank. Jobs in time that have begun share
+ * the band of the others of their priority: a tenant that has begun many jobs
+ * would otherwise delay the other tenants. */
+uint32_t SchedImpl_GetBand(const SchedRank *rank);
+
+/* jobsched_admit.c: which jobs are accepted */
+SchedAdmission *SchedImpl_NewAdmission(uint64_t seed);
+void SchedImpl_FreeAdmission(SchedAdmission *admission);
+/* Forgets the forecasts and refusals of an earlier term. */
+void SchedImpl_ResetAdmission(SchedAdmission *admission);
+/* Looks whether recent refusals were needless. */
+void SchedImpl_ReviewRefusals(JobSched *sched, int64_t now);
 
 /* jobsched_turn.c: turns of waiting jobs */
 void SchedImpl_CollectCandidates(SchedPass *pass);
--- a/src/jobsched_place.c
+++ b/src/jobsched_place.c
@@ -636,6 +636,8 @@
         return;
     }
     sched->now_ms = now;
+    sched->placing_since_ms =
+        sched->placing_since_ms != 0 ? sched->placing_since_ms : now;
     sched->placement++;
     sched->placing = true;
     SchedImpl_CollectCandidates(&pass);
@@ -656,21 +658,3 @@
         propose_batch(sched);
     }
 }
-
-/* --- admission --- */
-
-bool
-JobSched_Admit(const JobSched *sched, int64_t now, const JobQueue *queue,
-               const char *tenant, const JobSpec *spec, int64_t *retry_ms,
-               const char **reason)
-{
-    (void)now;
-    (void)queue;
-    *retry_ms = 0;
-    *reason = "";
-    if (!SchedImpl_CanEverRun(sched, tenant, spec)) {
-        *reason = "a gang of the job exceeds the cap of its tenant";
-        return false;
-    }
-    return true;
-}
--- a/src/jobsched_turn.c
+++ b/src/jobsched_turn.c
@@ -26,19 +26,13 @@
     SchedCandidate *end;
 } Group;
 
-static int
-compare_numbers(int64_t a, int64_t b)
-{
-    return (a > b) - (a < b);
-}
-
 static int
 compare_ranks(const void *a, const void *b)
 {
     const SchedCandidate *left = a;
     const SchedCandidate *right = b;
 
-    return compare_numbers(left->rank, right->rank);
+    return SchedImpl_CompareRanks(&left->rank, &right->rank);
 }
 
 static int
@@ -53,7 +47,7 @@
     if (left->account != right->account) {
         return left->account < right->account ? -1 : 1;
     }
-    return compare_numbers(left->rank, right->rank);
+    return SchedImpl_CompareRanks(&left->rank, &right->rank);
 }
 
 void
@@ -142,7 +136,8 @@
         if (has_next(&groups[i], second) &&
             (best == NULL || groups[i].account->share < best->account->share ||
              (groups[i].account->share == best->account->share &&
-              groups[i].next->rank < best->next->rank))) {
+              SchedImpl_CompareRanks(&groups[i].next->rank,
+                                     &best->next->rank) < 0))) {
             best = &groups[i];
         }
     }
@@ -264,7 +259,8 @@
         return;
     }
     for (i = 0; i < pass->count; i++) {
-        pass->candidates[i].band = SchedImpl_GetBand(pass->candidates[i].rank);
+        pass->candidates[i].band =
+            SchedImpl_GetBand(&pass->candidates[i].rank);
     }
     qsort(pass->candidates, pass->count, sizeof(SchedCandidate),
           compare_groups);
--- a/src/jobstate.h
+++ b/src/jobstate.h
@@ -156,7 +156,8 @@
     char queue[JOB_NAME_BYTES];
     char pool[JOB_NAME_BYTES]; /* pool of its queue, the last one if the queue
                                 * was removed */
-    JobTerms terms;            /* those of its queue when it was accepted */
+    uint32_t priority;    /* of its queue, as pool; not part of snapshots */
+    JobTerms terms;       /* those of its queue when it was accepted */
     JobTenantUse *tenant; /* NULL: of a public queue or from before tenants */
     JobSpec spec;
     int64_t accepted_ms; /* wall time */
--- a/tests/test_jobshare.c
+++ b/tests/test_jobshare.c
@@ -625,14 +625,16 @@
     const AdmitCase *row = &admit_cases[_i];
     JobStep step = row->step;
     JobSpec spec = {.steps = &step, .step_count = 1};
-    int64_t retry_ms;
-    const char *reason;
+    JobSubmission submission = {"a", NULL, &spec, row->tenant};
+    JobRefusal refusal = {.cause = JOB_REFUSED_CAPACITY, .reason = ""};
 
     configure_cap(5000);
-    ck_assert_msg(JobSched_Admit(sched, now, NULL, row->tenant, &spec,
-                                 &retry_ms, &reason) == row->admitted,
+    ck_assert_msg(JobSched_Admit(sched, now, &submission, &refusal) ==
+                      row->admitted,
                   "%s", row->name);
-    ck_assert_msg((reason[0] == '\0') == row->admitted, "%s", row->name);
+    ck_assert_msg((refusal.reason[0] == '\0') == row->admitted, "%s",
+                  row->name);
+    ck_assert_int_eq(refusal.cause == JOB_REFUSED_CAP, !row->admitted);
 }
 END_TEST
 
