Require a key for jobs without a tenant of queues that need one

Cause: JobTenant_MayUseJob permitted every request on a job without a tenant, also one without a key. Jobs are found by their id only, so a caller without a key could read and cancel, through the prefix of a public queue, the jobs of all other queues that were submitted before there were tenants. Change: a request without a tenant may use only jobs of queues that are public now, whether or not the job has a tenant.

--- a/src/jobtenant.c
+++ b/src/jobtenant.c
@@ -81,11 +81,11 @@
 {
     const JobQueue *queue;
 
-    if (job->tenant == NULL || config->tenant_count == 0) {
+    if (config->tenant_count == 0) {
         return true;
     }
     if (tenant[0] != '\0') {
-        return strcmp(job->tenant->name, tenant) == 0;
+        return job->tenant == NULL || strcmp(job->tenant->name, tenant) == 0;
     }
     queue = JobConfig_FindQueue(config, job->queue);
     return queue != NULL && queue->is_public;
--- a/tests/test_jobtenant.c
+++ b/tests/test_jobtenant.c
@@ -520,6 +520,29 @@
 }
 END_TEST
 
+/* Guards against a job of a queue that needs a key, from before there were
+ * tenants, that a caller of a public queue reads or cancels without a key. */
+START_TEST(job_without_tenant_needs_key)
+{
+    const JobConfig *config = JobState_GetConfig(state);
+
+    ck_assert_int_eq(submit("1", "q", ""), JOB_RESULT_OK);
+    ck_assert_int_eq(submit("2", "open", ""), JOB_RESULT_OK);
+    configure(2, two_tenants, 2);
+    ck_assert(
+        !JobTenant_MayUseJob(config, JobState_FindJob(state, "1"), ""));
+    ck_assert(
+        JobTenant_MayUseJob(config, JobState_FindJob(state, "1"), "b"));
+    ck_assert(JobTenant_MayUseJob(config, JobState_FindJob(state, "2"), ""));
+    ck_assert(
+        JobTenant_MayUseJob(config, JobState_FindJob(state, "2"), "b"));
+    ck_assert_int_eq(cancel("1", ""), JOB_RESULT_UNKNOWN);
+    ck_assert_int_eq(JobState_FindJob(state, "1")->phase, JOB_QUEUED);
+    ck_assert_int_eq(cancel("2", ""), JOB_RESULT_OK);
+    ck_assert_int_eq(cancel("1", "b"), JOB_RESULT_OK);
+}
+END_TEST
+
 /* --- snapshots --- */
 
 /* Replaces the state by its snapshot, checks that the snapshot has a format
@@ -690,6 +713,7 @@
     tcase_add_test(tcase, configuration_before_submission_counts);
     tcase_add_test(tcase, job_continues_after_removal_of_key);
     tcase_add_test(tcase, early_cancellation_ends_only_jobs_of_its_tenant);
+    tcase_add_test(tcase, job_without_tenant_needs_key);
     tcase_add_test(tcase, snapshot_keeps_tenants);
     tcase_add_test(tcase, snapshot_keeps_tenant_of_early_cancellation);
     tcase_add_test(tcase, snapshot_without_tenants_keeps_its_format);
