--- a/src/jobstate_snapshot.c
+++ b/src/jobstate_snapshot.c
@@ -43,6 +43,9 @@
     msgpack_pack_uint32(packer, task->failed_attempt);
 }
 
+/* Returns whether an earlier version could not read the state. A tenant that
+ * has left the configuration, and whose last job is forgotten, does not count:
+ * a restored state does not have it either. */
 static bool
 has_tenants(const JobState *state)
 {
@@ -53,7 +56,15 @@
             return true;
         }
     }
-    return state->config.tenant_count > 0 || StrMap_Count(state->tenants) > 0;
+    for (i = 0; StrMap_Count(state->tenants) > 0 &&
+                i < StrMap_Count(state->jobs);
+         i++) {
+        const Job *job = StrMap_At(state->jobs, i);
+        if (job->tenant != NULL) {
+            return true;
+        }
+    }
+    return state->config.tenant_count > 0;
 }
 
 static void
@@ -120,7 +131,7 @@
 }
 
 static void
-pack_jobs(msgpack_packer *packer, const JobState *state)
+pack_jobs(msgpack_packer *packer, const JobState *state, bool with_tenants)
 {
     const Job *job;
     size_t i;
@@ -129,12 +140,12 @@
      * the order of their list. */
     msgpack_pack_array(packer, StrMap_Count(state->jobs));
     for (job = state->active_first; job != NULL; job = job->next) {
-        pack_job(packer, job, has_tenants(state));
+        pack_job(packer, job, with_tenants);
     }
     for (i = 0; i < StrMap_Count(state->jobs); i++) {
         job = StrMap_At(state->jobs, i);
         if (!job->active) {
-            pack_job(packer, job, has_tenants(state));
+            pack_job(packer, job, with_tenants);
         }
     }
 }
@@ -143,14 +154,14 @@
 JobState_Snapshot(const JobState *state, Buf *out)
 {
     msgpack_packer packer;
+    bool with_tenants = has_tenants(state);
     uint32_t rows = 0;
     size_t i;
 
     msgpack_packer_init(&packer, out, Buf_MsgpackWrite);
     msgpack_pack_array(&packer, 10);
-    msgpack_pack_int(&packer, has_tenants(state)
-                                  ? SNAPSHOT_FORMAT
-                                  : SNAPSHOT_FORMAT_WITHOUT_TENANTS);
+    msgpack_pack_int(&packer, with_tenants ? SNAPSHOT_FORMAT
+                                           : SNAPSHOT_FORMAT_WITHOUT_TENANTS);
     JobCodec_PackConfig(&packer, &state->config);
     msgpack_pack_uint64(&packer, state->next_serial);
     for (i = 0; i < state->target_rows; i++) {
@@ -162,7 +173,7 @@
             pack_target(&packer, state->targets[i]);
         }
     }
-    pack_jobs(&packer, state);
+    pack_jobs(&packer, state, with_tenants);
     msgpack_pack_array(&packer, state->node_count);
     for (i = 0; i < state->node_count; i++) {
         msgpack_pack_array(&packer, 4);
@@ -180,12 +191,12 @@
     msgpack_pack_array(&packer, state->early_cancel_count);
     for (i = 0; i < state->early_cancel_count; i++) {
         const JobEarlyCancel *cancel = &state->early_cancels[i];
-        msgpack_pack_array(&packer, has_tenants(state)
+        msgpack_pack_array(&packer, with_tenants
                                         ? EARLY_CANCEL_ITEMS
                                         : EARLY_CANCEL_ITEMS_WITHOUT_TENANT);
         MpPack_Text(&packer, cancel->id);
         msgpack_pack_int64(&packer, cancel->wall_ms);
-        if (has_tenants(state)) {
+        if (with_tenants) {
             MpPack_Text(&packer, cancel->tenant);
         }
     }
--- a/tests/test_jobtenant.c
+++ b/tests/test_jobtenant.c
@@ -638,6 +638,24 @@
 }
 END_TEST
 
+/* Guards against a snapshot that an earlier version cannot read, and that
+ * differs from that of a restored replica, after the last tenant has left. */
+START_TEST(snapshot_forgets_former_tenants)
+{
+    Buf command = BUF_INIT;
+
+    configure(2, two_tenants, 2);
+    submit("1", "q", "a");
+    cancel("1", "a");
+    configure(3, NULL, 0);
+    restore(6); /* the ended job still belongs to its tenant */
+    JobCmd_EncodeExpire(&command, 5000);
+    JobTest_Apply(state, &command);
+    ck_assert_ptr_null(JobState_FindJob(state, "1"));
+    restore(5);
+}
+END_TEST
+
 /* Snapshot of the state below by the last version without tenants, in
  * hexadecimal digits. */
 static const char version_5_snapshot[] =
@@ -716,6 +734,7 @@
     tcase_add_test(tcase, job_without_tenant_needs_key);
     tcase_add_test(tcase, snapshot_keeps_tenants);
     tcase_add_test(tcase, snapshot_keeps_tenant_of_early_cancellation);
+    tcase_add_test(tcase, snapshot_forgets_former_tenants);
     tcase_add_test(tcase, snapshot_without_tenants_keeps_its_format);
     suite_add_tcase(suite, tcase);
     return suite;
