Look only at the runs of a tenant for a start at its lowered cap

Cause: sum_sent_use looked up the tasks of all runs of all targets, also of other tenants, for each unsent start of a tenant whose cap was lowered. Change: runs of other tenants are passed over first.

--- a/src/jobsched_share.c
+++ b/src/jobsched_share.c
@@ -343,11 +343,12 @@
         const JobTarget *target = JobState_TargetAt(sched->state, row);
         for (i = 0; target != NULL && i < target->run_count; i++) {
             const JobRun *other = &target->runs[i];
-            bool same = JobRun_GetTask(other) == JobRun_GetTask(run) ||
-                        is_same_gang(other, run);
+            bool same;
             if (other->job->tenant != run->job->tenant) {
                 continue;
             }
+            same = JobRun_GetTask(other) == JobRun_GetTask(run) ||
+                   is_same_gang(other, run);
             if (!is_unsent(other)) {
                 *sent = true;
                 *gang_sent = *gang_sent || same;
