Confirm the lead before a job is refused

Cause: a deposed leader may lack a raised cap, or the accepted job of which a copy arrives. It answered 429, which promises that the job never runs.

Change: a refusal for the capacity or for the cap of a tenant is sent after a majority has confirmed the leader, and only if the job is still unknown.

Result: found by reading; no suite has a case of a deposed leader that refuses.

--- a/src/jobctl_request.c
+++ b/src/jobctl_request.c
@@ -25,6 +25,8 @@
     /* A majority has confirmed that this node leads, after an earlier look at
      * the request would have refused it. */
     bool confirmed;
+    bool refused; /* refused at the first look, see refusal */
+    JobRefusal refusal;
     const char *denial; /* for the log line: why the key does not permit the
                          * request, or NULL */
     JobRequest request;
@@ -428,18 +430,24 @@
     JobSubmission submission = {pending->request.id, queue,
                                 &pending->request.spec, tenant};
     JobReply reply = {.kind = JOB_REPLY_OK};
-    JobRefusal refusal;
     Buf command = BUF_INIT;
 
     if (job != NULL) {
         reply_to_resent(pending, job, tenant);
         return;
     }
-    if (queue != NULL &&
-        !JobSched_Admit(control->sched, Loop_NowMs(), &submission, &refusal)) {
+    if (!pending->refused && queue != NULL &&
+        !JobSched_Admit(control->sched, Loop_NowMs(), &submission,
+                        &pending->refusal)) {
+        /* A deposed leader may lack the job, which may have been accepted. */
+        pending->refused = true;
+        look_again(pending);
+        return;
+    }
+    if (pending->refused) {
         reply = (JobReply){.kind = JOB_REPLY_REJECTED,
-                           .reason = refusal.reason,
-                           .retry_ms = refusal.retry_ms};
+                           .reason = pending->refusal.reason,
+                           .retry_ms = pending->refusal.retry_ms};
         send_reply(pending, &reply);
         return;
     }
--- a/src/jobstate_snapshot.c
+++ b/src/jobstate_snapshot.c
@@ -56,8 +56,8 @@
             return true;
         }
     }
-    for (i = 0; StrMap_Count(state->tenants) > 0 &&
-                i < StrMap_Count(state->jobs);
+    for (i = 0;
+         StrMap_Count(state->tenants) > 0 && i < StrMap_Count(state->jobs);
          i++) {
         const Job *job = StrMap_At(state->jobs, i);
         if (job->tenant != NULL) {
--- a/tests/test_jobtenant.c
+++ b/tests/test_jobtenant.c
@@ -529,13 +529,10 @@
     ck_assert_int_eq(submit("1", "q", ""), JOB_RESULT_OK);
     ck_assert_int_eq(submit("2", "open", ""), JOB_RESULT_OK);
     configure(2, two_tenants, 2);
-    ck_assert(
-        !JobTenant_MayUseJob(config, JobState_FindJob(state, "1"), ""));
-    ck_assert(
-        JobTenant_MayUseJob(config, JobState_FindJob(state, "1"), "b"));
+    ck_assert(!JobTenant_MayUseJob(config, JobState_FindJob(state, "1"), ""));
+    ck_assert(JobTenant_MayUseJob(config, JobState_FindJob(state, "1"), "b"));
     ck_assert(JobTenant_MayUseJob(config, JobState_FindJob(state, "2"), ""));
-    ck_assert(
-        JobTenant_MayUseJob(config, JobState_FindJob(state, "2"), "b"));
+    ck_assert(JobTenant_MayUseJob(config, JobState_FindJob(state, "2"), "b"));
     ck_assert_int_eq(cancel("1", ""), JOB_RESULT_UNKNOWN);
     ck_assert_int_eq(JobState_FindJob(state, "1")->phase, JOB_QUEUED);
     ck_assert_int_eq(cancel("2", ""), JOB_RESULT_OK);
