Simulate an outage of the leader and measure waits beside free targets

The simulation of the scheduler had changes of the leader of random length only, and no measure of the rule that a job with nothing running must not wait beside a pool of which under half is in use.

It can now lose the leader at a given time, fix the number of tasks of a step and the processors of a target, and report how long sound jobs waited so.

--- a/tests/support_jobsim.c
+++ b/tests/support_jobsim.c
@@ -65,6 +65,7 @@
     EV_LATE_ANNOUNCEMENT, /* of an incarnation that has ended */
     EV_LATE_DEPARTURE,
     EV_LEADER_CHANGE,
+    EV_OUTAGE, /* the leader is lost for outage_ms */
     EV_HOLD_TIMEOUT,
     EV_SHRINK,
     EV_GROW,
@@ -142,6 +143,8 @@
     bool large;
     uint32_t deadly_step;
     uint32_t deadly_index; /* UINT32_MAX: all tasks of the step */
+    int64_t idle_since_ms; /* see max_idle_ms of the report; 0: not idle */
+    bool idle_counted;
 } JobRecord;
 
 typedef struct Event {
@@ -1197,7 +1200,7 @@
 /* Starts a new term. Of the proposals in flight, those before a random point
  * are committed and the others are lost. */
 static void
-change_leader(JobSim *sim)
+start_term(JobSim *sim)
 {
     size_t i;
     bool committed = true;
@@ -1232,11 +1235,23 @@
         restore_state(sim);
     }
     sim->term++;
+}
+
+/* Leaves the scheduler without a leader for some time. */
+static void
+begin_election(JobSim *sim, int64_t duration_ms)
+{
+    JobSched_Resign(sim->sched);
+    schedule_event(sim, duration_ms, EV_ELECTED)->sender_term = sim->term;
+}
+
+static void
+change_leader(JobSim *sim)
+{
+    start_term(sim);
     if (sim->options.max_election_ms > 0) {
-        JobSched_Resign(sim->sched);
-        schedule_event(sim, draw_between(sim, 0, sim->options.max_election_ms),
-                       EV_ELECTED)
-            ->sender_term = sim->term;
+        begin_election(sim,
+                       draw_between(sim, 0, sim->options.max_election_ms));
         return;
     }
     JobSched_Lead(sim->sched, sim->now, sim->term);
@@ -1427,6 +1442,9 @@
     for (i = 0; i < spec->step_count; i++) {
         JobStep *step = &spec->steps[i];
         step->count = (uint32_t)draw_between(sim, 1, 6);
+        if (sim->options.step_tasks > 0) {
+            step->count = sim->options.step_tasks;
+        }
         step->need.cpu = (uint32_t)draw_between(sim, 200, 2500);
         step->need.memory_mb = sim->options.shrinks_per_s > 0
                                    ? (uint32_t)draw_between(sim, 100, 5000)
@@ -1594,6 +1612,9 @@
                  "dc");
         announcement->room =
             (JobResources){TARGET_MILLICORES, TARGET_MEMORY_MB, 0};
+        if (sim->options.target_cores > 0) {
+            announcement->room.cpu = sim->options.target_cores * 1000;
+        }
         target->full_room = announcement->room;
         target->guarded =
             i / sim->options.targets_per_pool >= sim->options.unguarded_pools;
@@ -1791,6 +1812,125 @@
     }
 }
 
+/* Free processors of a pool. */
+typedef struct PoolUse {
+    uint64_t total; /* of the targets that are up */
+    uint64_t used;
+    uint32_t largest[2]; /* free on the two targets with most */
+} PoolUse;
+
+static PoolUse
+get_pool_use(const JobSim *sim, uint32_t pool)
+{
+    uint32_t first = pool * sim->options.targets_per_pool;
+    PoolUse use = {0, 0, {0, 0}};
+    uint32_t i;
+    size_t j;
+
+    for (i = first; i < first + sim->options.targets_per_pool; i++) {
+        const SimTarget *target = &sim->targets[i];
+        uint32_t spare = target->announcement.room.cpu;
+        if (!target->up) {
+            continue;
+        }
+        use.total += spare;
+        for (j = 0; j < target->run_count; j++) {
+            const JobTaskRef *task = &target->runs[j].task;
+            const Job *job = JobState_FindJob(sim->state, task->job);
+            uint32_t need = job->spec.steps[task->step].need.cpu;
+            use.used += need;
+            spare = spare > need ? spare - need : 0;
+        }
+        if (spare > use.largest[0]) {
+            use.largest[1] = use.largest[0];
+            use.largest[0] = spare;
+        }
+        else if (spare > use.largest[1]) {
+            use.largest[1] = spare;
+        }
+    }
+    return use;
+}
+
+/* Returns the need of a task of a job that can run and waits, or 0. Adds the
+ * waiting suspects of the job. */
+static uint32_t
+get_waiting_need(const Job *job, uint32_t *suspects)
+{
+    uint32_t need = 0;
+    uint32_t step;
+    uint32_t i;
+
+    for (step = 0; step < job->spec.step_count; step++) {
+        const JobStep *spec = &job->spec.steps[step];
+        const JobTask *tasks = Job_FindStepTasks(job, 0, step);
+        if (!Job_IsStepReady(job, 0, step)) {
+            continue;
+        }
+        need = tasks == NULL ? spec->need.cpu : need;
+        for (i = 0; tasks != NULL && i < spec->count; i++) {
+            if (tasks[i].state == JOB_TASK_WAITING) {
+                need = spec->need.cpu;
+                *suspects += tasks[i].crash_score > 0;
+            }
+        }
+    }
+    return need;
+}
+
+static void
+measure_wait(JobSim *sim, JobRecord *record, const PoolUse *use, uint32_t need)
+{
+    bool is_free = use->used * 2 < use->total &&
+                   (use->largest[0] >= 2 * need || use->largest[1] >= need);
+
+    if (need == 0 || !is_free || record->job->assigned > 0 ||
+        !JobSched_IsLeading(sim->sched)) {
+        record->idle_since_ms = 0;
+        return;
+    }
+    if (record->idle_since_ms == 0) {
+        record->idle_since_ms = sim->now;
+    }
+    if (sim->now - record->idle_since_ms > sim->report->max_idle_ms) {
+        sim->report->max_idle_ms = sim->now - record->idle_since_ms;
+    }
+    if (sim->now - record->idle_since_ms >= JOBSIM_MAX_IDLE_MS &&
+        !record->idle_counted) {
+        record->idle_counted = true;
+        sim->report->idle_jobs++;
+    }
+}
+
+/* Measures how long jobs without a deadly task wait beside free targets. */
+static void
+measure_waits(JobSim *sim)
+{
+    uint32_t suspects = 0;
+    uint32_t pool;
+    uint64_t number;
+
+    for (pool = 0; pool < sim->options.pools; pool++) {
+        PoolUse use = get_pool_use(sim, pool);
+        char name[JOB_NAME_BYTES];
+        snprintf(name, sizeof(name), "p%u", pool);
+        for (number = sim->first_open_job; number < sim->next_job; number++) {
+            JobRecord *record = &sim->job_records[number];
+            if (!record->ended && record->job->phase < JOB_COMPLETED &&
+                !record->job->spec.steps[0].lasting &&
+                strcmp(record->job->pool, name) == 0) {
+                uint32_t need = get_waiting_need(record->job, &suspects);
+                if (!record->deadly) {
+                    measure_wait(sim, record, &use, need);
+                }
+            }
+        }
+    }
+    if (suspects > sim->report->max_suspects) {
+        sim->report->max_suspects = suspects;
+    }
+}
+
 static void
 tick(JobSim *sim)
 {
@@ -1800,6 +1940,9 @@
     for (i = 0; i < sim->target_count; i++) {
         end_expired_runs(sim, i);
     }
+    if (sim->options.measure_waits) {
+        measure_waits(sim);
+    }
     schedule_event(sim, TICK_INTERVAL_MS, EV_TICK);
 }
 
@@ -1864,6 +2007,10 @@
     case EV_LATE_DEPARTURE:
         deliver_late_message(sim, event);
         break;
+    case EV_OUTAGE:
+        start_term(sim);
+        begin_election(sim, sim->options.outage_ms);
+        break;
     case EV_RESTART:
         restart_target(sim, event->target_index);
         break;
@@ -2026,6 +2173,9 @@
     schedule_random_event(&sim, EV_SHRINK, options->shrinks_per_s);
     schedule_random_event(&sim, EV_MUTE, options->mutes_per_s);
     schedule_random_event(&sim, EV_LOG_STALL, options->log_stalls_per_s);
+    if (options->outage_ms > 0) {
+        schedule_event(&sim, options->outage_at_ms, EV_OUTAGE);
+    }
     while (sim.heap_count > 0 &&
            sim.heap[0]->at_ms < options->active_ms + options->settle_ms &&
            report->violation[0] == '\0') {
--- a/tests/support_jobsim.h
+++ b/tests/support_jobsim.h
@@ -23,6 +23,9 @@
  * its steps, JOBSIM_STEP_MS each. */
 #define JOBSIM_ON_TIME_FACTOR 2.0
 #define JOBSIM_STEP_MS 1300
+/* Longest time for which a job may wait with nothing running beside a pool of
+ * which under half is in use. */
+#define JOBSIM_MAX_IDLE_MS 3000
 
 typedef struct JobSimOptions {
     uint64_t seed;
@@ -81,6 +84,11 @@
     double refused_share; /* share of proposals that the log refuses at once */
     double log_stalls_per_s; /* rate at which commits stop for 1 to 6 s */
     int64_t max_election_ms; /* longest time without a leader */
+    uint32_t step_tasks;     /* tasks of each step; 0: 1 to 6 */
+    uint32_t target_cores;   /* processors of each target; 0: 16 */
+    int64_t outage_at_ms;    /* when the leader is lost, for outage_ms */
+    int64_t outage_ms;       /* 0: never */
+    bool measure_waits;      /* fills max_suspects and the waits below */
 } JobSimOptions;
 
 #define JOBSIM_OPTIONS_DEFAULT                                                \
@@ -109,6 +117,13 @@
     uint64_t deadly_crashes;     /* crashes caused by deadly tasks */
     uint32_t max_deadly_starts;  /* most starts of one deadly task */
     uint64_t innocent_runs_lost; /* other runs that these crashes ended */
+    uint32_t max_suspects; /* most tasks that waited as suspects at a time */
+    /* Longest time for which a job without a deadly task had a waiting task
+     * and none that was assigned, while under half of the targets' processors
+     * that were up was in use and twice what the task needs was free; and the
+     * number of jobs that waited JOBSIM_MAX_IDLE_MS so. */
+    int64_t max_idle_ms;
+    uint64_t idle_jobs;
     char violation[256]; /* first violation found by the oracle, or empty */
 } JobSimReport;
 
