--- a/tests/support_jobsim.h
+++ b/tests/support_jobsim.h
@@ -25,6 +25,9 @@
 #define JOBSIM_ON_TIME_FACTOR 2.0
 #define JOBSIM_STEP_MS 1300
 #define JOBSIM_MAX_TENANTS 8
+/* Longest time for which a job may wait with nothing running beside a pool of
+ * which under half is in use. */
+#define JOBSIM_MAX_IDLE_MS 3000
 
 typedef struct JobSimOptions {
     uint64_t seed;
@@ -119,6 +122,11 @@
     double estimate_error; /* declared run times are wrong by up to this factor
                               both ways; 0: they are right */
     uint32_t max_retries;  /* how often a refused caller comes back */
+    uint32_t step_tasks;   /* tasks of each step; 0: 1 to 6 */
+    uint32_t target_cores; /* processors of each target; 0: 16 */
+    int64_t outage_at_ms;  /* when the leader is lost, for outage_ms */
+    int64_t outage_ms;     /* 0: never */
+    bool measure_waits;    /* fills max_suspects and the waits below */
 } JobSimOptions;
 
 #define JOBSIM_OPTIONS_DEFAULT                                                \
@@ -177,7 +185,14 @@
     JobSimGroup by_priority[JOBSIM_PRIORITIES];
     JobSimGroup by_size[JOBSIM_SIZES];
     JobSchedCounts counts; /* of the last scheduler */
-    char violation[256];   /* first violation found by the oracle, or empty */
+    uint32_t max_suspects; /* most tasks that waited as suspects at a time */
+    /* Longest time for which a job without a deadly task had a waiting task
+     * and none that was assigned, while under half of the targets' processors
+     * that were up was in use and twice what the task needs was free; and the
+     * number of jobs that waited JOBSIM_MAX_IDLE_MS so. */
+    int64_t max_idle_ms;
+    uint64_t idle_jobs;
+    char violation[256]; /* first violation found by the oracle, or empty */
 } JobSimReport;
 
 void JobSim_Run(const JobSimOptions *options, JobSimReport *report);
