Compare failed callers with the same load without decisions

Cause: the bound of 0.75 for five times the capacity followed from what the test had shown.

Change: the bound is 0.6, or what the load leaves without the decisions if that is more.

--- a/tests/test_joboverload.c
+++ b/tests/test_joboverload.c
@@ -485,8 +485,6 @@
     double least_gain;
     /* Most ratio of the share of callers whose accepted job is worthless. */
     double most_worthless;
-    /* Most share of callers who are refused or whose job is worthless. */
-    double most_failed;
 } LoadCase;
 
 #define LOAD_SEEDS 3
@@ -494,35 +492,34 @@
     .pools = 1, .targets_per_pool = 6, .settle_ms = 30000, .priorities = 3,   \
     .max_retries = 4
 
+/* Most share of callers who are refused or whose job is worthless, unless the
+ * load leaves more without the decisions: five times the capacity does. */
+#define MOST_FAILED 0.6
+
 static const LoadCase load_cases[] = {
     {"bursts of five times the mean",
      {LOAD_OPTIONS, .load = 0.7, .active_ms = 60000, .burst_factor = 5,
       .burst_ms = 5000},
      1.0,
-     0.6,
      0.6},
     {"five times the capacity all the time",
      {LOAD_OPTIONS, .load = 5, .active_ms = 30000},
      1.0,
-     0.4,
-     0.75},
+     0.4},
     {"a sender at ten times its usual load",
      {LOAD_OPTIONS, .load = 0.6, .active_ms = 60000, .flood_factor = 10},
      1.1,
-     0.4,
-     0.6},
+     0.4},
     {"large jobs of low priority beside urgent ones, in bursts",
      {LOAD_OPTIONS, .load = 1, .active_ms = 60000, .burst_factor = 5,
       .burst_ms = 5000, .large_factor = 8},
      1.0,
-     0.6,
      0.6},
     {"estimates that are wrong by up to ten times, in bursts",
      {LOAD_OPTIONS, .load = 0.7, .active_ms = 60000, .burst_factor = 5,
       .burst_ms = 5000, .estimate_error = 10},
      0.95,
-     1.05,
-     0.6},
+     1.05},
 };
 
 static void
@@ -590,6 +587,7 @@
     const LoadCase *row = &load_cases[_i];
     JobSimReport without;
     JobSimReport with;
+    double most_failed;
     size_t i;
 
     play_load(&row->load, false, &without);
@@ -606,8 +604,10 @@
                   "%s: %.3f accepted in vain, without decisions %.3f",
                   row->name, get_share(with.all.worthless, &with.all),
                   get_share(without.all.worthless, &without.all));
+    most_failed = get_share(without.all.worthless, &without.all);
+    most_failed = most_failed > MOST_FAILED ? most_failed : MOST_FAILED;
     ck_assert_msg(get_share(with.all.worthless + with.all.refused,
-                            &with.all) <= row->most_failed,
+                            &with.all) <= most_failed,
                   "%s: %.3f refused or accepted in vain", row->name,
                   get_share(with.all.worthless + with.all.refused, &with.all));
     ck_assert_msg(get_credit(&with.by_priority[0]) >=
