--- a/src/jobsched_admit.c
+++ b/src/jobsched_admit.c
@@ -1,4 +1,4 @@
-#include "jobsched_impl.h"
+#include "jobsched_admit.h"
 
 #include <math.h>
 #include <stdio.h>
@@ -6,15 +6,9 @@
 #include <string.h>
 #include <xxhash.h>
 
-#include "joboutlook.h"
 #include "mem.h"
-#include "rng.h"
 #include "slog.h"
-#include "strmap.h"
 
-/* Interval at which the forecasts are made anew. In between they are updated
- * by what is admitted. */
-#define ADMIT_OUTLOOK_MS 200
 /* Time over which the rate of arrivals is measured. */
 #define ADMIT_ARRIVALS_MS 1000
 /* Refusals that are remembered. Of two with the same place in the table the
@@ -48,64 +42,6 @@
 /* Step by which the learned sizes move, as a difference of logarithms. */
 #define ADMIT_QUANTILE_STEP 0.1
 
-typedef enum SizeClass {
-    SIZE_TENTH, /* the largest tenth of the jobs of a queue, by work */
-    SIZE_FIFTH, /* the fifth below */
-    SIZE_OTHER,
-    SIZE_CLASSES
-} SizeClass;
-
-/* How often jobs of a queue are admitted, by size. Each job counts once. */
-typedef struct QueueSizes {
-    char queue[JOB_NAME_BYTES];
-    /* Logarithm of the work that a tenth and three tenths of the jobs exceed,
-     * learned by stochastic approximation. */
-    double tenth_log;
-    double three_tenths_log;
-    double offered[SIZE_CLASSES];
-    double admitted[SIZE_CLASSES];
-} QueueSizes;
-
-typedef struct PoolOutlook {
-    char pool[JOB_NAME_BYTES];
-    JobOutlook outlook;
-} PoolOutlook;
-
-/* A job that was refused and not accepted since. */
-typedef struct RefusedJob {
-    char id[JOB_ID_BYTES]; /* empty if the entry is free */
-    char pool[JOB_NAME_BYTES];
-    int64_t first_ms;        /* of its first refusal */
-    int64_t latest_start_ms; /* later its late objective cannot be met */
-    int64_t cpu;             /* need of its first steps */
-    bool needless;           /* counted as such */
-} RefusedJob;
-
-/* A job that was admitted and may not be committed yet. */
-typedef struct PendingJob {
-    char id[JOB_ID_BYTES];
-    int64_t admitted_ms;
-    struct PendingJob *next;
-} PendingJob;
-
-struct SchedAdmission {
-    Rng rng;
-    QueueSizes *sizes;
-    size_t size_count;
-    JobArrival *arrivals;
-    size_t arrival_count;
-    PoolOutlook *pools;
-    size_t pool_count;
-    int64_t made_ms; /* when the forecasts were made; 0: never */
-    RefusedJob *refused;
-    size_t refused_count; /* entries that are not free */
-    /* Jobs that may be in the log, oldest first. A copy of such a job is not
-     * refused, as the first one may be accepted. */
-    StrMap *pending;
-    PendingJob *first_pending;
-    PendingJob *last_pending;
-};
-
 /* A submission with what is expected of it. */
 typedef struct Appraisal {
     const JobSubmission *submission;
@@ -187,202 +123,6 @@
     }
 }
 
-/* --- forecasts --- */
-
-static JobOutlook *
-find_outlook(const SchedAdmission *admission, const char *pool)
-{
-    size_t i;
-
-    for (i = 0; i < admission->pool_count; i++) {
-        if (strcmp(admission->pools[i].pool, pool) == 0) {
-            return &admission->pools[i].outlook;
-        }
-    }
-    return NULL;
-}
-
-/* Empties the forecasts of the pools of the configuration. */
-static void
-begin_outlooks(JobSched *sched, int64_t now)
-{
-    SchedAdmission *admission = sched->admission;
-    const JobConfig *config = JobState_GetConfig(sched->state);
-    size_t i;
-
-    for (i = config->pool_count; i < admission->pool_count; i++) {
-        JobOutlook_Free(&admission->pools[i].outlook);
-    }
-    admission->pools =
-        Mem_Resize(admission->pools,
-                   (config->pool_count + 1) * sizeof(*admission->pools));
-    for (i = 0; i < config->pool_count; i++) {
-        PoolOutlook *pool = &admission->pools[i];
-        if (i >= admission->pool_count) {
-            memset(pool, 0, sizeof(*pool));
-        }
-        snprintf(pool->pool, sizeof(pool->pool), "%s", config->pools[i].name);
-        JobOutlook_Begin(&pool->outlook, now);
-    }
-    admission->pool_count = config->pool_count;
-    admission->made_ms = now;
-}
-
-/* Returns the expected run time in ms of a task, at the low end of the error
- * of the estimates of its queue. */
-static int64_t
-predict_low_ms(const JobSched *sched, const char *queue, const JobStep *step)
-{
-    return (
-        int64_t)((double)JobEst_Predict(sched->est, queue, step->estimate_ms) /
-                 JobEst_GetErrorFactor(sched->est, queue));
-}
-
-/* Adds a target that may get work and the ends of its runs. */
-static void
-add_target(const JobSched *sched, int64_t now, const JobTarget *target,
-           JobOutlook *outlook)
-{
-    int64_t room = SchedImpl_GetRoom(target)->cpu;
-    uint32_t i;
-
-    JobOutlook_AddTarget(
-        outlook, room,
-        room > target->used.cpu ? room - (int64_t)target->used.cpu : 0);
-    for (i = 0; i < target->run_count; i++) {
-        const JobRun *run = &target->runs[i];
-        const JobStep *step = JobRun_GetStep(run);
-        const JobTask *task = JobRun_GetTask(run);
-        int64_t from_ms = task->assigned_ms != 0 ? task->assigned_ms : now;
-        if (!step->lasting && !step->best_effort) {
-            int64_t end_ms =
-                from_ms + predict_low_ms(sched, run->job->queue, step);
-            JobOutlook_AddGain(outlook, end_ms > now ? end_ms : now,
-                               step->need.cpu);
-        }
-    }
-}
-
-/* Returns the work of the tasks of a job that have not been assigned. */
-static int64_t
-get_waiting_work(const JobSched *sched, const Job *job)
-{
-    int64_t core_ms = 0;
-    uint32_t step;
-    uint32_t i;
-
-    for (step = 0; step < job->spec.step_count; step++) {
-        const JobStep *spec = &job->spec.steps[step];
-        const JobTask *tasks =
-            Job_FindStepTasks(job, job->first_incomplete, step);
-        int64_t waiting = 0;
-        for (i = 0; tasks != NULL && i < spec->count; i++) {
-            waiting += tasks[i].state == JOB_TASK_WAITING;
-        }
-        if (tasks == NULL) {
-            waiting = spec->count;
-        }
-        if (!spec->lasting && !spec->best_effort && waiting > 0) {
-            core_ms += waiting * spec->need.cpu *
-                       predict_low_ms(sched, job->queue, spec);
-        }
-    }
-    return core_ms;
-}
-
-static bool
-is_due(const JobSched *sched, const Job *job)
-{
-    return job->spec.repeats == 0 ||
-           sched->wall_ms >=
-               job->spec.start_ms +
-                   (int64_t)job->first_incomplete * job->spec.interval_ms;
-}
-
-/* Adds the work of a job that waits, unless it is worthless by now. */
-static void
-add_job(const JobSched *sched, int64_t now, Job *job, JobOutlook *outlook)
-{
-    SchedRank rank = SchedImpl_RankJob(sched, now, sched->wall_ms, job);
-    OutlookClass class = OUTLOOK_LATE;
-
-    if (rank.class == SCHED_LASTING || rank.class == SCHED_CRASHED_ALONE ||
-        job->first_incomplete >= job->occurrence_count ||
-        !is_due(sched, job)) {
-        return;
-    }
-    if (rank.class == SCHED_LATE &&
-        sched->wall_ms - job->accepted_ms >
-            JOBSCHED_LATE_FACTOR * SchedImpl_GetAllowedMs(job)) {
-        return;
-    }
-    if (rank.class != SCHED_LATE) {
-        class = rank.class == SCHED_BEGUN ? OUTLOOK_BEGUN : OUTLOOK_ON_TIME;
-    }
-    JobOutlook_AddWork(outlook, class, job->priority,
-                       get_waiting_work(sched, job));
-}
-
-/* Makes the forecasts of all pools, unless they are recent. */
-static void
-update_outlooks(JobSched *sched, int64_t now)
-{
-    SchedAdmission *admission = sched->admission;
-    JobOutlook *outlook;
-    Job *job;
-    uint32_t row;
-    size_t i;
-
-    if (admission->made_ms != 0 &&
-        now - admission->made_ms < ADMIT_OUTLOOK_MS) {
-        return;
-    }
-    begin_outlooks(sched, now);
-    for (row = 0; row < JobState_TargetRows(sched->state); row++) {
-        const JobTarget *target = JobState_TargetAt(sched->state, row);
-        if (target != NULL && JobSched_IsUsable(sched, target, now) &&
-            !SchedImpl_IsIsolated(SchedImpl_FindLive(target), now)) {
-            outlook = find_outlook(admission, target->announcement.pool);
-            if (outlook != NULL) {
-                add_target(sched, now, target, outlook);
-            }
-        }
-    }
-    for (job = JobState_FirstActive(sched->state); job != NULL;
-         job = job->next) {
-        outlook = find_outlook(admission, job->pool);
-        if (outlook != NULL && job->phase < JOB_COMPLETED) {
-            add_job(sched, now, job, outlook);
-        }
-    }
-    for (i = 0; i < admission->arrival_count; i++) {
-        const JobArrival *arrival = &admission->arrivals[i];
-        outlook = find_outlook(admission, arrival->pool);
-        if (outlook != NULL && arrival->at_ms > now) {
-            JobOutlook_AddGain(outlook, arrival->at_ms, arrival->cpu);
-        }
-    }
-    for (i = 0; i < admission->pool_count; i++) {
-        JobOutlook_End(&admission->pools[i].outlook);
-    }
-}
-
-void
-JobSched_SetArrivals(JobSched *sched, const JobArrival *arrivals, size_t count)
-{
-    SchedAdmission *admission = sched->admission;
-
-    if (admission == NULL) {
-        return;
-    }
-    admission->arrivals =
-        Mem_Resize(admission->arrivals, (count + 1) * sizeof(*arrivals));
-    if (count > 0) {
-        memcpy(admission->arrivals, arrivals, count * sizeof(*arrivals));
-    }
-    admission->arrival_count = count;
-}
-
 /* --- refused jobs --- */
 
 /* Returns the entry for an id, which may be free or that of another job. */
@@ -410,7 +150,7 @@
     if (admission == NULL || admission->refused_count == 0) {
         return;
     }
-    update_outlooks(sched, now);
+    SchedAdmit_UpdateOutlooks(sched, now);
     for (i = 0; i < ADMIT_MAX_REFUSALS; i++) {
         RefusedJob *entry = &admission->refused[i];
         const JobOutlook *outlook;
@@ -421,7 +161,7 @@
             forget_refusal(admission, entry);
             continue;
         }
-        outlook = find_outlook(admission, entry->pool);
+        outlook = SchedAdmit_FindOutlook(admission, entry->pool);
         if (!entry->needless && now <= entry->latest_start_ms &&
             outlook != NULL && outlook->free >= entry->cpu) {
             entry->needless = true;
@@ -652,8 +392,8 @@
     int64_t allowed_ms;
     int64_t start_ms;
 
-    update_outlooks(sched, now);
-    appraisal->pool = find_outlook(sched->admission, queue->pool);
+    SchedAdmit_UpdateOutlooks(sched, now);
+    appraisal->pool = SchedAdmit_FindOutlook(sched->admission, queue->pool);
     appraisal->known = get_entry(sched->admission, submission->id);
     appraisal->age_ms = strcmp(appraisal->known->id, submission->id) == 0
                             ? now - appraisal->known->first_ms
@@ -811,7 +551,8 @@
         return false;
     }
     appraisal.sizes->admitted[appraisal.size]++;
-    outlook = find_outlook(sched->admission, submission->queue->pool);
+    outlook =
+        SchedAdmit_FindOutlook(sched->admission, submission->queue->pool);
     if (outlook != NULL) {
         JobOutlook_AddWork(
             outlook, OUTLOOK_ON_TIME, submission->queue->priority,
