Crowds that come again, send real bodies and go on slowly

Cause: the stand-in crowd sent one kind of filler once, so jobs that are accepted, bodies that expand when they are parsed, clients that come again at once, pipelined requests, trailers, chunk extensions, junk and answers that stay unread could not be played; a test checked one process only and did not notice one that spins.

Change: standin-crowd takes a file as body, numbers in paths and headers, headers, rounds, pipelines, unread answers and the shapes extensions, trailers and raw. play_crowd checks each of several processes: it lives, its peak of memory and its descriptors are within the bounds, and each of its threads is seen asleep. The crowds and bounds of the three tests that were there are as they were.

Result: no change of the product.

--- a/standin/standin_crowd.c
+++ b/standin/standin_crowd.c
@@ -22,12 +22,21 @@
 #define POLL_MS 20
 /* Long lines, as a parsed header takes memory besides its bytes. */
 #define HEADER_BYTES 1000
+#define MAX_HEADERS 8
+#define DEFAULT_FILL "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx"
 
-/* One connection that misbehaves. All of them send the same bytes. */
+/* Stands for a number in the path and the headers that differs in each
+ * connection. */
+#define NUMBER_MARK "################"
+
+/* A client that misbehaves. All of them send the same bytes but for the
+ * numbers in their heads. */
 typedef struct Client {
     int fd;        /* -1 once closed */
     bool answered; /* received at least one byte */
-    size_t sent;
+    Buf head;
+    size_t sent;     /* bytes of the head and the body */
+    int rounds;      /* connections that it still opens after this one */
     int64_t next_us; /* earliest time of the next piece */
 } Client;
 
@@ -37,19 +46,28 @@
     const char *host;
     const char *path;
     const char *method;
-    size_t count;
+    const char *const *headers;
+    size_t header_count;
+    Buf fill;         /* what bodies consist of, repeated */
+    size_t count;     /* number of clients */
+    int rounds;       /* connections that each client opens one by one */
+    int pipeline;     /* requests that a connection sends */
+    bool unread;      /* answers stay unread after their first byte */
     size_t bytes;     /* bytes of the body, or of the headers, that are sent */
     size_t announce;  /* Content-Length */
     size_t chunk;     /* size of the chunks of a chunked body */
     size_t piece;     /* most bytes that a connection sends at once; 0: all */
     int64_t pause_us; /* pause between two pieces */
+    int64_t settle_us; /* a crowd that goes on counts as settled after this */
 } Options;
 
 typedef struct Crowd {
     Options options;
-    Buf stream; /* what each connection sends */
+    Buf head; /* of each request, with marks in place of numbers */
+    Buf body; /* what each connection sends after its head */
     Client *clients;
     struct pollfd *polls;
+    uint64_t next_number;
     size_t answered;
     size_t closed;
     size_t unconnected; /* connections that the system refused */
@@ -67,58 +85,85 @@
 
 /* --- what is sent --- */
 
+/* Appends len bytes of the repeated fill. */
 static void
-append_fill(Buf *out, size_t len)
+append_fill(const Options *options, Buf *out, size_t len)
 {
-    static const char fill[] = "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx";
-
     while (len > 0) {
-        size_t part = len < sizeof(fill) - 1 ? len : sizeof(fill) - 1;
-        Buf_Append(out, fill, part);
+        size_t part = len < options->fill.len ? len : options->fill.len;
+        Buf_Append(out, options->fill.data, part);
         len -= part;
     }
 }
 
 /* Appends chunks of which the last one lacks its last byte. */
 static void
-append_chunks(Buf *out, size_t bytes, size_t chunk)
+append_chunks(const Options *options, Buf *out)
 {
+    size_t bytes = options->bytes;
+
     while (bytes > 0) {
-        size_t part = bytes < chunk ? bytes : chunk;
-        Buf_Printf(out, "%zx\r\n", chunk);
+        size_t part = bytes < options->chunk ? bytes : options->chunk;
+        Buf_Printf(out, "%zx\r\n", options->chunk);
         bytes -= part;
-        append_fill(out, bytes > 0 ? part : part - 1);
+        append_fill(options, out, bytes > 0 ? part : part - 1);
         if (bytes > 0) {
             Buf_Append(out, "\r\n", 2);
         }
     }
 }
 
-static bool
-build_stream(const Options *options, Buf *out)
+/* Appends header lines of together at least the given length. */
+static void
+append_headers(const Options *options, Buf *out)
 {
+    size_t end = out->len + options->bytes;
     size_t i;
 
-    if (strcmp(options->shape, "start") == 0) {
-        Buf_Append(out, "POST /jobs/", options->bytes);
-        return true;
+    for (i = 0; out->len < end; i++) {
+        Buf_Printf(out, "X-%zu: ", i);
+        append_fill(options, out, HEADER_BYTES);
+        Buf_Append(out, "\r\n", 2);
     }
+}
+
+static void
+append_head(const Options *options, Buf *out)
+{
+    size_t i;
+
     Buf_Printf(out, "%s %s HTTP/1.1\r\nHost: %s\r\n", options->method,
                options->path, options->host);
+    for (i = 0; i < options->header_count; i++) {
+        Buf_Printf(out, "%s\r\n", options->headers[i]);
+    }
+}
+
+/* Appends what follows the head of a request. Returns false for an unknown
+ * shape. */
+static bool
+append_body(const Options *options, Buf *out)
+{
+    static const char chunked[] = "Transfer-Encoding: chunked\r\n\r\n";
+
     if (strcmp(options->shape, "announced") == 0) {
         Buf_Printf(out, "Content-Length: %zu\r\n\r\n", options->announce);
-        append_fill(out, options->bytes);
+        append_fill(options, out, options->bytes);
     }
     else if (strcmp(options->shape, "chunked") == 0) {
-        Buf_Printf(out, "Transfer-Encoding: chunked\r\n\r\n");
-        append_chunks(out, options->bytes, options->chunk);
+        Buf_Printf(out, "%s", chunked);
+        append_chunks(options, out);
+    }
+    else if (strcmp(options->shape, "extensions") == 0) {
+        Buf_Printf(out, "%s%zx;x=", chunked, options->chunk);
+        append_fill(options, out, options->bytes);
+    }
+    else if (strcmp(options->shape, "trailers") == 0) {
+        Buf_Printf(out, "%s1\r\nx\r\n0\r\n", chunked);
+        append_headers(options, out);
     }
     else if (strcmp(options->shape, "headers") == 0) {
-        for (i = 0; out->len < options->bytes; i++) {
-            Buf_Printf(out, "X-%zu: ", i);
-            append_fill(out, HEADER_BYTES);
-            Buf_Append(out, "\r\n", 2);
-        }
+        append_headers(options, out);
     }
     else if (strcmp(options->shape, "requests") == 0) {
         Buf_Printf(out, "\r\n");
@@ -129,15 +174,55 @@
     return true;
 }
 
-/* --- connections --- */
+static bool
+build_streams(Crowd *crowd)
+{
+    const Options *options = &crowd->options;
+    int i;
 
+    if (strcmp(options->shape, "start") == 0) {
+        Buf_Append(&crowd->head, "POST /jobs/", options->bytes);
+        return true;
+    }
+    if (strcmp(options->shape, "raw") == 0) {
+        append_fill(options, &crowd->body, options->bytes);
+        return true;
+    }
+    append_head(options, &crowd->head);
+    if (!append_body(options, &crowd->body)) {
+        return false;
+    }
+    for (i = 1; i < options->pipeline; i++) {
+        append_head(options, &crowd->body);
+        append_body(options, &crowd->body);
+    }
+    return true;
+}
+
+/* Replaces each mark of a client's head by the next number. */
 static void
-close_client(Crowd *crowd, Client *client)
+number_head(Crowd *crowd, Client *client)
 {
-    close(client->fd);
-    client->fd = -1;
-    crowd->closed++;
-    crowd->progress_us = Common_NowUs();
+    char number[sizeof(NUMBER_MARK)];
+    char *at;
+
+    Buf_Clear(&client->head);
+    Buf_Append(&client->head, crowd->head.data, crowd->head.len);
+    at = client->head.len > 0 ? (char *)Buf_Text(&client->head) : NULL;
+    while (at != NULL && (at = strstr(at, NUMBER_MARK)) != NULL) {
+        snprintf(number, sizeof(number), "%016llx",
+                 (unsigned long long)crowd->next_number);
+        memcpy(at, number, sizeof(number) - 1);
+    }
+    crowd->next_number++;
+}
+
+/* --- connections --- */
+
+static size_t
+get_stream_len(const Crowd *crowd, const Client *client)
+{
+    return client->head.len + crowd->body.len;
 }
 
 static void
@@ -148,6 +233,10 @@
 
     to.sin_port = htons((uint16_t)crowd->options.address.port);
     inet_pton(AF_INET, crowd->options.address.host, &to.sin_addr);
+    client->sent = 0;
+    client->answered = false;
+    client->next_us = 0;
+    number_head(crowd, client);
     client->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
     if (client->fd < 0) {
         crowd->unconnected++;
@@ -163,17 +252,36 @@
     }
 }
 
+/* Closes a connection. Its client comes again at once if it has rounds left.
+ */
+static void
+close_client(Crowd *crowd, Client *client)
+{
+    close(client->fd);
+    client->fd = -1;
+    crowd->closed++;
+    crowd->progress_us = Common_NowUs();
+    if (client->rounds > 0) {
+        client->rounds--;
+        open_client(crowd, client);
+    }
+}
+
 static void
 send_piece(Crowd *crowd, Client *client, int64_t now_us)
 {
-    size_t len = crowd->stream.len - client->sent;
+    bool in_head = client->sent < client->head.len;
+    const char *from =
+        in_head ? client->head.data + client->sent
+                : crowd->body.data + client->sent - client->head.len;
+    size_t len = (in_head ? client->head.len : get_stream_len(crowd, client)) -
+                 client->sent;
     ssize_t sent;
 
     if (crowd->options.piece > 0 && len > crowd->options.piece) {
         len = crowd->options.piece;
     }
-    sent =
-        send(client->fd, crowd->stream.data + client->sent, len, MSG_NOSIGNAL);
+    sent = send(client->fd, from, len, MSG_NOSIGNAL);
     if (sent > 0) {
         client->sent += (size_t)sent;
         client->next_us = now_us + crowd->options.pause_us;
@@ -185,11 +293,11 @@
 }
 
 /* Returns whether the clients read their answers. Others notice the first
- * byte of an answer and leave it unread. */
+ * byte of an answer. */
 static bool
 is_reader(const Crowd *crowd)
 {
-    return strcmp(crowd->options.shape, "requests") != 0;
+    return !crowd->options.unread;
 }
 
 static void
@@ -205,6 +313,10 @@
             crowd->answered++;
             crowd->progress_us = Common_NowUs();
         }
+        if (client->rounds > 0 &&
+            client->sent == get_stream_len(crowd, client)) {
+            close_client(crowd, client);
+        }
     }
     else if (len == 0 || errno != EAGAIN) {
         close_client(crowd, client);
@@ -219,8 +331,8 @@
 
     for (i = 0; i < crowd->options.count; i++) {
         Client *client = &crowd->clients[i];
-        bool writes =
-            client->sent < crowd->stream.len && client->next_us <= now_us;
+        bool writes = client->sent < get_stream_len(crowd, client) &&
+                      client->next_us <= now_us;
         bool reads = is_reader(crowd) || !client->answered;
         crowd->polls[i].fd = client->fd;
         crowd->polls[i].events =
@@ -250,16 +362,18 @@
 print_report(const Crowd *crowd, const char *state)
 {
     size_t complete = 0;
+    size_t open = 0;
     size_t i;
 
     for (i = 0; i < crowd->options.count; i++) {
-        complete += crowd->clients[i].sent == crowd->stream.len;
+        const Client *client = &crowd->clients[i];
+        complete += client->sent == get_stream_len(crowd, client);
+        open += client->fd >= 0;
     }
     printf("{\"state\":\"%s\",\"clients\":%zu,\"sent_all\":%zu,"
            "\"answered\":%zu,\"closed\":%zu,\"open\":%zu}\n",
            state, crowd->options.count, complete, crowd->answered,
-           crowd->closed,
-           crowd->options.count - crowd->closed - crowd->unconnected);
+           crowd->closed, open);
     fflush(stdout);
 }
 
@@ -267,6 +381,7 @@
 static void
 run(Crowd *crowd)
 {
+    int64_t settle_us = Common_NowUs() + crowd->options.settle_us;
     bool settled = false;
     size_t i;
 
@@ -275,6 +390,7 @@
     crowd->progress_us = Common_NowUs();
     for (i = 0; i < crowd->options.count; i++) {
         crowd->clients[i].fd = -1;
+        crowd->clients[i].rounds = crowd->options.rounds - 1;
     }
     for (i = 0; i < crowd->options.count && !stopping; i++) {
         open_client(crowd, &crowd->clients[i]);
@@ -284,75 +400,141 @@
     }
     while (!stopping) {
         poll_clients(crowd);
-        if (!settled && Common_NowUs() - crowd->progress_us > SETTLE_US) {
+        if (!settled &&
+            (Common_NowUs() - crowd->progress_us > SETTLE_US ||
+             (crowd->options.settle_us > 0 && Common_NowUs() >= settle_us))) {
             settled = true;
             print_report(crowd, "settled");
         }
     }
     print_report(crowd, "ended");
+    for (i = 0; i < crowd->options.count; i++) {
+        Buf_Free(&crowd->clients[i].head);
+    }
     free(crowd->clients);
     free(crowd->polls);
 }
 
+/* Reads the file that bodies consist of. */
+static bool
+read_fill(const char *name, Buf *fill)
+{
+    char bytes[65536];
+    FILE *file = fopen(name, "rb");
+    size_t len;
+
+    if (file == NULL) {
+        return false;
+    }
+    while ((len = fread(bytes, 1, sizeof(bytes), file)) > 0) {
+        Buf_Append(fill, bytes, len);
+    }
+    fclose(file);
+    return fill->len > 0;
+}
+
 int
 main(int argc, char **argv)
 {
     struct arg_str *to = arg_str1(NULL, "to", "ADDRESS", "server");
-    struct arg_str *shape = arg_str1(
-        NULL, "shape", "NAME",
-        "announced, chunked, headers, requests (never read) or start");
+    struct arg_str *shape =
+        arg_str1(NULL, "shape", "NAME",
+                 "announced, chunked, extensions, trailers, headers, requests "
+                 "(unread), start or raw");
     struct arg_str *host = arg_str0(NULL, "host", "HOST", "Host header");
-    struct arg_str *path = arg_str0(NULL, "path", "PATH", "path");
+    struct arg_str *path =
+        arg_str0(NULL, "path", "PATH", "path; 16 '#' stand for a number");
     struct arg_str *method = arg_str0(NULL, "method", "METHOD", "method");
-    struct arg_int *count = arg_int0(NULL, "count", "N", "connections");
+    struct arg_str *header = arg_strn(NULL, "header", "LINE", 0, MAX_HEADERS,
+                                      "header, with numbers as the path");
+    struct arg_file *body =
+        arg_file0(NULL, "body", "FILE", "what bodies consist of, repeated");
+    struct arg_int *count = arg_int0(NULL, "count", "N", "clients");
+    struct arg_int *rounds = arg_int0(
+        NULL, "rounds", "N", "connections of a client, one after the other");
+    struct arg_int *pipeline =
+        arg_int0(NULL, "pipeline", "N", "requests of a connection");
+    struct arg_lit *unread = arg_lit0(NULL, "unread", "read no answers");
     struct arg_int *bytes =
-        arg_int0(NULL, "bytes", "N", "bytes of body or headers that are sent");
+        arg_int0(NULL, "bytes", "N",
+                 "bytes of body or headers that are sent; the file");
     struct arg_int *announce =
-        arg_int0(NULL, "announce", "N", "Content-Length; bytes + 1");
+        arg_int0(NULL, "announce", "N", "Content-Length; bytes + 1, the file");
     struct arg_int *chunk = arg_int0(NULL, "chunk", "N", "chunk size");
     struct arg_int *piece =
         arg_int0(NULL, "piece", "N", "most bytes that are sent at once");
     struct arg_int *pause =
         arg_int0(NULL, "pause-ms", "N", "pause between two pieces");
+    struct arg_int *settle =
+        arg_int0(NULL, "settle-ms", "N",
+                 "time after which a crowd that goes on counts as settled");
     struct arg_end *end = arg_end(20);
-    void *table[] = {to,    shape,    host,  path,  method, count,
-                     bytes, announce, chunk, piece, pause,  end};
-    Crowd crowd = {.stream = BUF_INIT};
+    void *table[] = {to,       shape, host,   path,     method, header,
+                     body,     count, rounds, pipeline, unread, bytes,
+                     announce, chunk, piece,  pause,    settle, end};
+    Crowd crowd = {.head = BUF_INIT, .body = BUF_INIT};
     Options *options = &crowd.options;
 
     host->sval[0] = "a.example";
     path->sval[0] = "/jobs/00000000000000ff";
     method->sval[0] = "POST";
     count->ival[0] = 200;
-    bytes->ival[0] = 0;
+    rounds->ival[0] = 1;
+    pipeline->ival[0] = 1;
+    bytes->ival[0] = -1;
     announce->ival[0] = -1;
     chunk->ival[0] = 1;
     piece->ival[0] = 0;
     pause->ival[0] = 0;
+    settle->ival[0] = 0;
     if (arg_parse(argc, argv, table) != 0 ||
         !Settings_ParseAddress(to->sval[0], &options->address)) {
         arg_print_errors(stderr, end, "standin-crowd");
         return 2;
     }
+    if (body->count == 0) {
+        Buf_Printf(&options->fill, "%s", DEFAULT_FILL);
+    }
+    else if (!read_fill(body->filename[0], &options->fill)) {
+        fprintf(stderr, "standin-crowd: cannot read %s\n", body->filename[0]);
+        return 2;
+    }
     options->shape = shape->sval[0];
     options->host = host->sval[0];
     options->path = path->sval[0];
     options->method = method->sval[0];
+    options->headers = header->sval;
+    options->header_count = (size_t)header->count;
     options->count = (size_t)count->ival[0];
-    options->bytes = (size_t)bytes->ival[0];
-    options->announce = announce->ival[0] >= 0 ? (size_t)announce->ival[0]
-                                               : options->bytes + 1;
+    options->rounds = rounds->ival[0];
+    options->pipeline = pipeline->ival[0];
+    options->unread =
+        unread->count > 0 || strcmp(options->shape, "requests") == 0;
+    if (bytes->ival[0] >= 0) {
+        options->bytes = (size_t)bytes->ival[0];
+        options->announce = options->bytes + 1;
+    }
+    else if (body->count > 0) {
+        options->bytes = options->fill.len;
+        options->announce = options->bytes;
+    }
+    if (announce->ival[0] >= 0) {
+        options->announce = (size_t)announce->ival[0];
+    }
     options->chunk = (size_t)chunk->ival[0];
     options->piece = (size_t)piece->ival[0];
     options->pause_us = (int64_t)pause->ival[0] * 1000;
-    if (!build_stream(options, &crowd.stream)) {
+    options->settle_us = (int64_t)settle->ival[0] * 1000;
+    if (!build_streams(&crowd)) {
         fprintf(stderr, "standin-crowd: unknown shape %s\n", options->shape);
         return 2;
     }
     signal(SIGTERM, on_signal);
     signal(SIGINT, on_signal);
     run(&crowd);
-    Buf_Free(&crowd.stream);
+    Buf_Free(&crowd.head);
+    Buf_Free(&crowd.body);
+    Buf_Free(&options->fill);
     arg_freetable(table, sizeof(table) / sizeof(table[0]));
     return 0;
 }
--- a/tests/support_crowd.sh
+++ b/tests/support_crowd.sh
@@ -18,42 +18,75 @@
     grep -q settled "$WORK/crowd.out"
 }
 
-# play_crowd TEXT NODE MAX_KB MAX_DESCRIPTORS REQUEST ARGS...: lets a crowd of
-# clients with the given options play against a process and, while its
-# connections stay, checks that the process lives, its peak of memory and its
-# open descriptors stay within the bounds, and REQUEST, a function, succeeds.
-# Collects faults in CROWD_FAULTS.
-play_crowd() {
-    local text=$1 node=$2 max_kb=$3 max_descriptors=$4 request=$5
-    local pid=${PID[$2]} kb descriptors answered=no end
-    shift 5
-    echo 5 >"/proc/$pid/clear_refs"
+# rests PID: succeeds once each thread of a process was seen asleep five times.
+# One that spins in its event loop never is.
+rests() {
+    local task seen end=$((SECONDS + 20))
+    for task in "/proc/$1/task"/*; do
+        seen=0
+        while [ $seen -lt 5 ]; do
+            [ $SECONDS -lt $end ] || return 1
+            ! grep -q '^State:[[:space:]]*[SD]' "$task/status" || seen=$((seen + 1))
+            sleep 0.02
+        done
+    done
+}
+
+# start_crowd TEXT ARGS...: starts a crowd and waits until it has settled.
+start_crowd() {
+    local text=$1
+    shift
     "$BUILD/standin-crowd" "$@" >"$WORK/crowd.out" 2>"$WORK/crowd.log" &
     PID[crowd]=$!
     wait_for "settled crowd ($text)" crowd_is_settled
+}
+
+# check_node TEXT NODE MAX_KB MAX_DESCRIPTORS: checks that a process lives, its
+# peak of memory and its open descriptors stay within the bounds, and it does
+# not spin. Collects faults in CROWD_FAULTS.
+check_node() {
+    local text="$1, $2" pid=${PID[$2]} kb descriptors
     if ! kill -0 "$pid" 2>/dev/null; then
         CROWD_FAULTS+=("$text: the process has ended")
-        kill_process crowd
         return
     fi
     kb=$(awk '$1 == "VmHWM:" { print $2 }' "/proc/$pid/status")
     descriptors=$(find "/proc/$pid/fd" -mindepth 1 2>/dev/null | wc -l)
-    end=$((SECONDS + 20))
-    until [ $SECONDS -ge $end ]; do
-        if "$request"; then
-            answered=yes
-            break
+    echo "$text: peak $kb KB, $descriptors descriptors"
+    [ "$kb" -le "$3" ] ||
+        CROWD_FAULTS+=("$text: peak of $kb KB, bound $3 KB")
+    [ "$descriptors" -le "$4" ] ||
+        CROWD_FAULTS+=("$text: $descriptors descriptors, bound $4")
+    rests "$pid" || CROWD_FAULTS+=("$text: a thread spins")
+}
+
+# check_answer TEXT REQUEST: checks that REQUEST, a function, succeeds.
+check_answer() {
+    local end=$((SECONDS + 20))
+    until "$2"; do
+        if [ $SECONDS -ge $end ]; then
+            CROWD_FAULTS+=("$1: an ordinary request is not answered")
+            return
         fi
     done
+}
+
+# play_crowd TEXT NODES MAX_KB MAX_DESCRIPTORS REQUEST ARGS...: lets a crowd of
+# clients with the given options play and, while its connections stay, checks
+# each of the processes NODES and that REQUEST, a function, succeeds.
+play_crowd() {
+    local text=$1 nodes=$2 max_kb=$3 max_descriptors=$4 request=$5 node
+    shift 5
+    for node in $nodes; do
+        echo 5 >"/proc/${PID[$node]}/clear_refs"
+    done
+    start_crowd "$text" "$@"
+    for node in $nodes; do
+        check_node "$text" "$node" "$max_kb" "$max_descriptors"
+    done
+    check_answer "$text" "$request"
     stop_crowd
-    echo "$text: peak $kb KB, $descriptors descriptors," \
-        "request answered: $answered; $(tail -n 1 "$WORK/crowd.out")"
-    [ "$kb" -le "$max_kb" ] ||
-        CROWD_FAULTS+=("$text: peak of $kb KB, bound $max_kb KB")
-    [ "$descriptors" -le "$max_descriptors" ] ||
-        CROWD_FAULTS+=("$text: $descriptors descriptors, bound $max_descriptors")
-    [ $answered = yes ] ||
-        CROWD_FAULTS+=("$text: an ordinary request is not answered")
+    echo "$text: $(tail -n 1 "$WORK/crowd.out")"
 }
 
 stop_crowd() {
