--- a/src/buf.c
+++ b/src/buf.c
@@ -31,6 +31,15 @@
     }
 }
 
+void
+Buf_Trim(Buf *buf)
+{
+    if (buf->len > 0 && buf->len < buf->capacity) {
+        buf->data = Mem_Resize(buf->data, buf->len);
+        buf->capacity = buf->len;
+    }
+}
+
 void
 Buf_Append(Buf *buf, const void *data, size_t len)
 {
--- a/src/buf.h
+++ b/src/buf.h
@@ -25,6 +25,9 @@
 /* Grows the memory to exactly capacity bytes unless it has as many. */
 void Buf_Reserve(Buf *buf, size_t capacity);
 
+/* Frees the memory beyond the content. */
+void Buf_Trim(Buf *buf);
+
 /* Appends printf-style formatted text without its terminator. */
 #if defined(__GNUC__)
 __attribute__((format(printf, 2, 3)))
--- a/src/raft_follow.c
+++ b/src/raft_follow.c
@@ -201,6 +201,7 @@
     incoming->total = msg->total;
     incoming->checksum = msg->checksum;
     Buf_Clear(&incoming->data);
+    Buf_Reserve(&incoming->data, incoming->total);
 }
 
 Status
--- a/src/replica_flush.c
+++ b/src/replica_flush.c
@@ -222,13 +222,20 @@
     uint64_t keep_from;
     RaftMembers members;
     Buf bytes = BUF_INIT;
+    size_t last_len;
+    uint64_t last_index;
+    uint64_t last_term;
     Status status;
 
     if (!is_snapshot_due(replica)) {
         return ST_OK;
     }
     keep_from = choose_first_kept(replica, index);
+    /* A buffer that doubles as it grows would take up to twice the memory. */
+    Raft_GetSnapshot(replica->raft, &last_len, &last_index, &last_term);
+    Buf_Reserve(&bytes, last_len + last_len / 4);
     options->machine_ops->snapshot(options->machine, &bytes);
+    Buf_Trim(&bytes);
     Raft_GetMembersAt(replica->raft, index, &members);
     status =
         Wal_Compact(replica->wal, index, Raft_GetTermAt(replica->raft, index),
