Bound the bytes of the jobs that control VMs keep

Callers saw: after a crowd of 1,000 legal jobs of 250 kB (670 accepted) that no target could run, each control VM held 510 to 540 MB, with a peak of 710 MB, and its disk 172 MB. The smallest control VM has 256 MB and 128 MB of disk: it is killed, and killed again when it starts, since the jobs were acknowledged.

Cause: nothing bounded what the accepted jobs take. Proposals in progress were bounded in number only.

Change: the leader refuses a job with 503 and Retry-After before it proposes it if the jobs kept would exceed max_job_bytes (40 MB), or those in progress 4 MB. A refusal is confirmed by a majority first, as the others are, and no longer keeps the body meanwhile. Ended jobs count without their text. Metrics: jobs_refused_space_total, job_bytes.

--- a/src/jobctl.c
+++ b/src/jobctl.c
@@ -657,6 +657,7 @@
         return Err_Set(err, ST_NO_MEMORY, "no memory for the control node");
     }
     control->settings = settings;
+    control->space.max_bytes = (size_t)settings->max_job_bytes;
     control->settings_file = file;
     control->wire = wire;
     control->next_cookie = 1;
--- a/src/jobctl_internal.h
+++ b/src/jobctl_internal.h
@@ -17,6 +17,7 @@
 #include "jobmetrics.h"
 #include "jobreplymsg.h"
 #include "jobsched.h"
+#include "jobspace.h"
 #include "jobstate.h"
 #include "jobwatch.h"
 #include "loop.h"
@@ -125,6 +126,7 @@
     int64_t iteration_end_us; /* end of the last event loop iteration */
     uint64_t requests;        /* requests received */
     uint64_t denied_requests; /* refused because of their key */
+    JobSpace space;           /* for accepted jobs */
     int64_t stop_begun_ms;    /* start of the planned stop, or 0 */
     int64_t idle_since_ms;    /* during a planned stop, time since which
                                * nothing is pending and another node may
--- a/src/jobctl_metrics.c
+++ b/src/jobctl_metrics.c
@@ -120,6 +120,9 @@
         (double)counts->jobs_refused[JOB_REFUSED_CAPACITY];
     values[JOB_METRIC_JOBS_REFUSED_CAP] =
         (double)counts->jobs_refused[JOB_REFUSED_CAP];
+    values[JOB_METRIC_JOBS_REFUSED_SPACE] = (double)control->space.refused;
+    values[JOB_METRIC_JOB_BYTES] =
+        (double)JobState_GetJobBytes(control->state);
     values[JOB_METRIC_REFUSALS_NEEDLESS] = (double)counts->needless_refusals;
     values[JOB_METRIC_CALLS] = (double)counts->calls;
     values[JOB_METRIC_HOLDS] = (double)counts->holds;
--- a/src/jobctl_request.c
+++ b/src/jobctl_request.c
@@ -27,8 +27,10 @@
     bool confirmed;
     bool refused; /* refused at the first look, see refusal */
     JobRefusal refusal;
-    const char *denial; /* for the log line: why the key does not permit the
-                         * request, or NULL */
+    JobSpaceVerdict space;
+    size_t proposed_bytes; /* of the job, while its proposal is in progress */
+    const char *denial;    /* for the log line: why the key does not permit the
+                            * request, or NULL */
     JobRequest request;
 } PendingRequest;
 
@@ -372,6 +374,8 @@
     JobReply reply = {.kind = JOB_REPLY_OK};
     Job *job;
 
+    JobSpace_End(&pending->control->space, pending->proposed_bytes);
+    pending->proposed_bytes = 0;
     if (reply_if_failed(pending, status)) {
         return;
     }
@@ -420,6 +424,39 @@
     }
 }
 
+/* Returns whether there is space for the job of a submission and the scheduler
+ * admits it. If not, the pending request has the reason. */
+static bool
+admit_job(PendingRequest *pending, const JobSubmission *submission)
+{
+    JobControl *control = pending->control;
+
+    pending->space =
+        JobSpace_Check(&control->space, JobState_GetJobBytes(control->state),
+                       JobState_MeasureJob(submission->spec));
+    return pending->space == JOB_SPACE_FREE &&
+           JobSched_Admit(control->sched, Loop_NowMs(), submission,
+                          &pending->refusal);
+}
+
+static void
+reply_refused(PendingRequest *pending)
+{
+    JobReply reply = {.kind = JOB_REPLY_REJECTED,
+                      .reason = pending->refusal.reason,
+                      .retry_ms = pending->refusal.retry_ms};
+
+    if (pending->space != JOB_SPACE_FREE) {
+        pending->control->space.refused++;
+        reply.kind = JOB_REPLY_UNAVAILABLE;
+        reply.reason = "there is no space for the job";
+        reply.retry_ms = pending->space == JOB_SPACE_PENDING
+                             ? JOB_SPACE_PENDING_RETRY_MS
+                             : JOB_SPACE_FULL_RETRY_MS;
+    }
+    send_reply(pending, &reply);
+}
+
 static void
 submit_job(PendingRequest *pending, const char *tenant)
 {
@@ -429,7 +466,6 @@
     const Job *job = JobState_FindJob(control->state, pending->request.id);
     JobSubmission submission = {pending->request.id, queue,
                                 &pending->request.spec, tenant};
-    JobReply reply = {.kind = JOB_REPLY_OK};
     Buf command = BUF_INIT;
 
     if (job != NULL) {
@@ -437,20 +473,19 @@
         return;
     }
     if (!pending->refused && queue != NULL &&
-        !JobSched_Admit(control->sched, Loop_NowMs(), &submission,
-                        &pending->refusal)) {
+        !admit_job(pending, &submission)) {
         /* A deposed leader may lack the job, which may have been accepted. */
         pending->refused = true;
+        JobSpec_Free(&pending->request.spec);
         look_again(pending);
         return;
     }
     if (pending->refused) {
-        reply = (JobReply){.kind = JOB_REPLY_REJECTED,
-                           .reason = pending->refusal.reason,
-                           .retry_ms = pending->refusal.retry_ms};
-        send_reply(pending, &reply);
+        reply_refused(pending);
         return;
     }
+    pending->proposed_bytes = JobState_MeasureJob(&pending->request.spec);
+    JobSpace_Begin(&control->space, pending->proposed_bytes);
     JobCmd_EncodeSubmit(&command, pending->request.id, pending->request.queue,
                         apr_time_as_msec(apr_time_now()),
                         &pending->request.spec, tenant);
--- a/src/jobmetrics.c
+++ b/src/jobmetrics.c
@@ -84,6 +84,11 @@
     [JOB_METRIC_JOBS_REFUSED_CAP] =
         {PREFIX "jobs_refused_cap_total", "counter",
          "submissions refused for the cap of their tenant"},
+    [JOB_METRIC_JOBS_REFUSED_SPACE] =
+        {PREFIX "jobs_refused_space_total", "counter",
+         "submissions refused for the bound on bytes of jobs"},
+    [JOB_METRIC_JOB_BYTES] = {PREFIX "job_bytes", "gauge",
+                              "bytes of the jobs that are kept"},
     [JOB_METRIC_REFUSALS_NEEDLESS] =
         {PREFIX "refusals_needless_total", "counter",
          "refused jobs for which a later look found room in time"},
--- a/src/jobstate.h
+++ b/src/jobstate.h
@@ -284,6 +284,10 @@
 Job *JobState_FindJob(const JobState *state, const char *id);
 Job *JobState_FirstActive(const JobState *state);
 size_t JobState_JobCount(const JobState *state);
+/* Returns the bytes that a job takes, without its open tasks. */
+size_t JobState_MeasureJob(const JobSpec *spec);
+/* Returns the bytes of all jobs. The text of a job that has ended is freed. */
+size_t JobState_GetJobBytes(const JobState *state);
 /* Returns what a tenant that has or had a job uses, or NULL. */
 JobTenantUse *JobState_FindTenantUse(const JobState *state, const char *name);
 size_t JobState_TenantUseCount(const JobState *state);
--- a/src/jobstate_apply.c
+++ b/src/jobstate_apply.c
@@ -160,7 +160,7 @@
     job->priority = row->priority;
     job->terms = JobStateImpl_GetTerms(row);
     job->accepted_ms = wall_ms;
-    JobStateImpl_SetSpec(job, &spec);
+    JobStateImpl_SetSpec(state, job, &spec);
     cancel = find_early_cancel(state, id, tenant);
     if (cancel < state->early_cancel_count) {
         remove_early_cancel(state, cancel);
--- a/src/jobstate_impl.h
+++ b/src/jobstate_impl.h
@@ -25,6 +25,7 @@
 struct JobState {
     JobConfig config;
     StrMap *jobs;
+    size_t job_bytes; /* sum of JobState_MeasureJob() */
     Job *active_first;
     Job *active_last;
     JobTarget **targets;
@@ -55,7 +56,7 @@
  * end with the first failed run. */
 JobTerms JobStateImpl_GetTerms(const JobQueue *queue);
 /* Takes ownership of the contents of spec. */
-void JobStateImpl_SetSpec(Job *job, JobSpec *spec);
+void JobStateImpl_SetSpec(JobState *state, Job *job, JobSpec *spec);
 /* Opens an occurrence unless it is open, and returns it. It must not be before
  * first_incomplete. */
 JobOccurrence *JobStateImpl_EnsureOpen(JobState *state, Job *job,
--- a/src/jobstate_rows.c
+++ b/src/jobstate_rows.c
@@ -8,6 +8,19 @@
 
 /* --- jobs --- */
 
+size_t
+JobState_MeasureJob(const JobSpec *spec)
+{
+    return sizeof(Job) + spec->text_len +
+           spec->step_count * (sizeof(JobStep) + sizeof(uint32_t));
+}
+
+size_t
+JobState_GetJobBytes(const JobState *state)
+{
+    return state->job_bytes;
+}
+
 Job *
 JobStateImpl_AddJob(JobState *state, const char *id, const char *queue)
 {
@@ -47,11 +60,12 @@
 }
 
 void
-JobStateImpl_SetSpec(Job *job, JobSpec *spec)
+JobStateImpl_SetSpec(JobState *state, Job *job, JobSpec *spec)
 {
     uint32_t task_count = 0;
     uint32_t i;
 
+    state->job_bytes += JobState_MeasureJob(spec);
     job->spec = *spec;
     memset(spec, 0, sizeof(*spec));
     job->step_first_task = Mem_New(job->spec.step_count, sizeof(uint32_t));
@@ -104,6 +118,9 @@
 JobStateImpl_FreeJob(JobState *state, Job *job)
 {
     JobStateImpl_CloseAll(state, job);
+    if (job->step_first_task != NULL) {
+        state->job_bytes -= JobState_MeasureJob(&job->spec);
+    }
     free(job->step_first_task);
     JobSpec_Free(&job->spec);
     free(job);
@@ -116,6 +133,7 @@
     if (job->phase >= JOB_COMPLETED && job->assigned == 0) {
         JobStateImpl_DeactivateJob(state, job);
         JobStateImpl_CloseAll(state, job);
+        state->job_bytes -= job->spec.text_len;
         free(job->spec.text);
         job->spec.text = NULL;
         job->spec.text_len = 0;
--- a/src/jobstate_snapshot.c
+++ b/src/jobstate_snapshot.c
@@ -380,7 +380,7 @@
     snprintf(job->pool, sizeof(job->pool), "%s", pool);
     job->terms = terms;
     job->tenant = JobStateImpl_EnsureTenantUse(state, tenant);
-    JobStateImpl_SetSpec(job, &spec);
+    JobStateImpl_SetSpec(state, job, &spec);
     if (!MpRead_I64(reader, &job->accepted_ms) ||
         !MpRead_I64(reader, &job->ended_ms) || !MpRead_U32(reader, &phase) ||
         phase > JOB_CANCELLED || !MpRead_Bool(reader, &active) ||
--- a/src/settings.c
+++ b/src/settings.c
@@ -38,6 +38,8 @@
           "connections of clients at one address"),
     ENTRY(max_open_bytes, "bytes", 16777216, 65536, 1073741824,
           "bytes of open bodies and unread answers at one address"),
+    ENTRY(max_job_bytes, "bytes", 41943040, 1048576, 1073741824,
+          "bytes of the jobs that control VMs keep"),
     ENTRY(default_deadline_ms, "ms", 30000, 1, 86400000,
           "deadline of a request that names none"),
     ENTRY(long_share_percent, "%", 50, 0, 100,
--- a/src/settings.h
+++ b/src/settings.h
@@ -78,6 +78,7 @@
     long long max_body_bytes;
     long long max_connections;
     long long max_open_bytes;
+    long long max_job_bytes;
     long long default_deadline_ms;
     long long long_share_percent;
     long long retry_percent;
