Let long bodies wait at the entry VM instead of in the queue to the leader

Callers saw: beside a crowd of legal bodies of 260 kB an entry VM took 90 MB, more than half of a VM of 160 MB that it shares with its relay, and callers whose requests had not left the entry VM got 504, outcome unknown.

Cause: each request was copied to the queue of the link to the leader at once, up to 16 MB of copies beside 16 MB of bodies. What stood in that queue counted as sent, and one ordinary request waited behind all bodies of the crowd.

Change: a request is forwarded only while less than 128 kB wait for the link. Others wait without a copy, the shortest first, and are refused with 503 and Retry-After if their time ends before they were sent.

--- a/src/jobentry.c
+++ b/src/jobentry.c
@@ -51,6 +51,10 @@
 #define CONTROL_MAX_BODY_BYTES (4 * 1024 * 1024)
 /* Longer documents are redirected to the leader. */
 #define FORWARD_MAX_BODY_BYTES (64 * 1024)
+/* Bytes that may wait for the link to the leader when a request is forwarded.
+ * Further requests wait in the order of their length, and their bodies are not
+ * copied. */
+#define MAX_LINK_BYTES (128 * 1024)
 /* Delay before the same leader is asked again. */
 #define COPY_DELAY_MS 200
 /* Time for which a node accepts requests after the start of a planned stop, so
@@ -100,6 +104,7 @@
     JobNodes *nodes;
     Condition leader_unknown;
     int64_t clients_logged_ms;
+    bool link_full; /* a request waits for room on the link to the leader */
     bool was_ready;
     int64_t stop_begun_ms; /* start of the planned stop, or 0 */
     int64_t idle_since_ms; /* during a planned stop, time since which no
@@ -117,7 +122,8 @@
 static bool
 can_forward(const JobEntry *entry)
 {
-    return has_leader(entry) && Peers_HasLink(entry->peers, entry->leader);
+    return has_leader(entry) && Peers_HasLink(entry->peers, entry->leader) &&
+           Peers_GetQueuedBytes(entry->peers, entry->leader) < MAX_LINK_BYTES;
 }
 
 static JobRequestKind
@@ -279,17 +285,23 @@
     free(request);
 }
 
+static size_t
+get_body_len(const PendingRequest *request)
+{
+    size_t len;
+
+    HttpRequest_GetBody(request->http, &len);
+    return len;
+}
+
 /* Returns whether a request is redirected instead of forwarded, so that a long
  * document passes the link of the entry VM only once. */
 static bool
 is_redirected(const PendingRequest *request)
 {
-    size_t len;
-
-    HttpRequest_GetBody(request->http, &len);
     return request->type == PEER_JOB_CONTROL_REQUEST &&
            (request->kind == JOB_REQUEST_GET_CONFIG ||
-            len > FORWARD_MAX_BODY_BYTES);
+            get_body_len(request) > FORWARD_MAX_BODY_BYTES);
 }
 
 /* A redirect needs no link to the leader. */
@@ -353,8 +365,10 @@
     else if (can_pass_to_leader(entry, request)) {
         pass_to_leader(entry, request);
     }
-    else if (!has_leader(entry) &&
-             request->received_ms - entry->leader_lost_ms > ELECTION_WAIT_MS) {
+    else if (has_leader(entry)) {
+        entry->link_full = true;
+    }
+    else if (request->received_ms - entry->leader_lost_ms > ELECTION_WAIT_MS) {
         reply_and_finish(entry, request, JOB_REPLY_UNAVAILABLE,
                          "no leader is known");
     }
@@ -535,19 +549,44 @@
             now >= request->last_copy_ms + COPY_DELAY_MS);
 }
 
-static void
-forward_waiting_requests(JobEntry *entry, int64_t now)
+/* Returns whether a waiting request goes before another one: the shorter one,
+ * so that long bodies do not delay the many short ones, or else the earlier
+ * one. */
+static bool
+goes_before(const PendingRequest *a, const PendingRequest *b)
 {
-    PendingRequest *request = entry->requests;
+    size_t a_len = get_body_len(a);
+    size_t b_len = get_body_len(b);
 
-    while (request != NULL) {
-        PendingRequest *next = request->next;
+    return a_len != b_len ? a_len < b_len : a->received_ms < b->received_ms;
+}
+
+/* Returns the request whose next copy is due and goes first, or NULL. */
+static PendingRequest *
+find_next_due(const JobEntry *entry, int64_t now)
+{
+    PendingRequest *first = NULL;
+    PendingRequest *request;
+
+    for (request = entry->requests; request != NULL; request = request->next) {
         if (is_copy_due(entry, request, now) &&
-            can_pass_to_leader(entry, request)) {
-            pass_to_leader(entry, request);
+            can_pass_to_leader(entry, request) &&
+            (first == NULL || goes_before(request, first))) {
+            first = request;
         }
-        request = next;
     }
+    return first;
+}
+
+static void
+forward_waiting_requests(JobEntry *entry, int64_t now)
+{
+    PendingRequest *request;
+
+    while ((request = find_next_due(entry, now)) != NULL) {
+        pass_to_leader(entry, request);
+    }
+    entry->link_full = has_leader(entry) && !can_forward(entry);
 }
 
 /* Applies the limits of the leader's configuration to callers. */
@@ -700,7 +739,9 @@
             (request->peer == SIZE_MAX && !has_leader(entry) &&
              now - request->received_ms >= LEADER_WAIT_MS &&
              now - entry->leader_lost_ms >= ELECTION_WAIT_MS)) {
-            fail_request(entry, request, "no leader is known");
+            fail_request(entry, request,
+                         has_leader(entry) ? "too many requests wait"
+                                           : "no leader is known");
         }
         request = next;
     }
@@ -803,6 +844,10 @@
     JobEntry *entry = arg;
 
     Peers_Flush(entry->peers);
+    while (entry->link_full && can_forward(entry)) {
+        forward_waiting_requests(entry, Loop_NowMs());
+        Peers_Flush(entry->peers);
+    }
     Slog_Flush();
     return false;
 }
--- a/src/peer.c
+++ b/src/peer.c
@@ -895,6 +895,14 @@
     return peers->slots[peer].outgoing != NULL;
 }
 
+size_t
+Peers_GetQueuedBytes(const Peers *peers, size_t peer)
+{
+    const Link *link = peers->slots[peer].outgoing;
+
+    return link != NULL ? link->out.len : 0;
+}
+
 const PeerHello *
 Peers_Hello(const Peers *peers, size_t peer)
 {
--- a/src/peer.h
+++ b/src/peer.h
@@ -136,6 +136,9 @@
  * timeout. */
 bool Peers_IsUp(const Peers *peers, size_t peer);
 
+/* Returns the number of bytes queued for the peer. */
+size_t Peers_GetQueuedBytes(const Peers *peers, size_t peer);
+
 /* Returns whether there is an outgoing link to the peer, though perhaps not
  * yet connected. Without one, messages to the peer are dropped. */
 bool Peers_HasLink(const Peers *peers, size_t peer);
