Bound the parsed form of documents, not only their length

Callers saw: one document of 4 MB, the length that the control address accepts, made a control VM of 256 MB take 1,295 MB (a list of {} as routes), 335 MB ([]) or 204 MB (1, ""). A crowd of legal jobs of 260 kB with 87,000 empty steps kept the leader busy for 33 ms each, so that ordinary callers got 504.

Cause: a parsed value takes up to 80 times its text, and each row of a configuration another 700 bytes, allocated for all rows before the first was checked. Configurations longer than an entry of the log were parsed and checked whole only to be refused, and an accepted one was kept decoded until its commit.

Change: JsonLoad_Parse counts the values of a document before it parses it: at most 16,384 for a job, a target or a change, 131,072 for lists of queues or VMs, which is more than fits into an entry of the log; beyond it the answer is 400. A document longer than an entry of the log gets 413 unread. The decoded configuration is freed once it is proposed. All the limits are beyond what could be stored before.

--- a/src/control_change.c
+++ b/src/control_change.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "diag.h"
+#include "jsonload.h"
 #include "mem.h"
 #include "patch.h"
 
@@ -165,7 +166,7 @@
     size_t len;
     const char *text = HttpRequest_GetBody(http, &len);
 
-    fields->body = json_loadb(text, len, 0, NULL);
+    fields->body = JsonLoad_Parse(text, len, 0, JSON_LOAD_MANY_VALUES, NULL);
     fields->operator_name =
         json_string_value(json_object_get(fields->body, "operator"));
     fields->request_id =
--- a/src/control_targets.c
+++ b/src/control_targets.c
@@ -7,6 +7,7 @@
 #include <apr_strings.h>
 
 #include "diag.h"
+#include "jsonload.h"
 #include "route.h"
 
 #define CONTROL_VIEW_INTERVAL_MS 50
@@ -226,7 +227,8 @@
                            bool relay, ErrCtx *err)
 {
     json_error_t json_error;
-    json_t *root = json_loadb(json, len, 0, &json_error);
+    json_t *root =
+        JsonLoad_Parse(json, len, 0, JSON_LOAD_FEW_VALUES, &json_error);
     ControlTarget target;
     Status status;
 
--- a/src/jobctl_request.c
+++ b/src/jobctl_request.c
@@ -539,6 +539,18 @@
     send_reply(pending, &reply);
 }
 
+/* Frees the decoded configuration, of which only the version is used while its
+ * proposal is in progress. */
+static void
+release_config(JobRequest *request)
+{
+    uint64_t version = request->config.version;
+
+    JobConfig_Free(&request->config);
+    memset(&request->config, 0, sizeof(request->config));
+    request->config.version = version;
+}
+
 static void
 put_config(PendingRequest *pending)
 {
@@ -571,6 +583,7 @@
         Slog_End();
     }
     JobCmd_EncodeConfig(&command, config);
+    release_config(&pending->request);
     JobControl_Propose(control, &command, on_stored, pending);
     Buf_Free(&command);
 }
@@ -753,6 +766,27 @@
     control->wire->decode_control_request(&raw, request);
 }
 
+/* Refuses a document that is longer than an entry of the log without reading
+ * it, on any node. Returns false, without a reply, if it is not longer. */
+static bool
+reply_if_too_long(PendingRequest *pending)
+{
+    JobReply reply = {.kind = JOB_REPLY_TOO_LARGE,
+                      .reason = "the document is larger than an entry of the "
+                                "log"};
+    size_t len;
+
+    HttpRequest_GetBody(pending->http, &len);
+    if (len <= RAFT_MAX_COMMAND_BYTES) {
+        return false;
+    }
+    pending->request.kind = pending->control->wire->get_control_kind(
+        HttpRequest_GetMethod(pending->http),
+        HttpRequest_GetPath(pending->http));
+    send_reply(pending, &reply);
+    return true;
+}
+
 /* Lets the leader answer the request: forwards an announcement or a notice of
  * departure if the fleet uses agents, and redirects any other request. */
 static void
@@ -779,6 +813,9 @@
     PendingRequest *pending = new_pending_request(control);
 
     pending->http = http;
+    if (reply_if_too_long(pending)) {
+        return;
+    }
     decode_request(control, http, &pending->request);
     if (!JobControl_IsServing(control) &&
         JobControl_GetLeaderAddress(control, leader, sizeof(leader)) != NULL) {
