Check the keys of a document in linear time

Callers saw: one patch of 1 MB with 105,000 different keys kept the control thread of an entry VM of the request service busy for 45.6 s; the node counted as gone meanwhile, and if it led, a new leader was elected.

Cause: each key was compared with all earlier keys of its map to find keys that occur twice, and each queue of a configuration of the job service with all pools.

Change: both look names up in a hash map.

--- a/src/jobcodec.c
+++ b/src/jobcodec.c
@@ -565,14 +565,18 @@
 void
 JobConfig_Check(const JobConfig *config, Findings *findings)
 {
+    StrMap *pools = StrMap_New();
     size_t i;
 
     if (config->version == 0) {
         Findings_Add(findings, 0, "version", "must be from 1");
     }
+    for (i = 0; i < config->pool_count; i++) {
+        StrMap_Put(pools, config->pools[i].name, &config->pools[i]);
+    }
     for (i = 0; i < config->queue_count; i++) {
         const JobQueue *queue = &config->queues[i];
-        if (JobConfig_FindPool(config, queue->pool) == NULL) {
+        if (StrMap_Get(pools, queue->pool) == NULL) {
             Findings_Add(findings, 0, queue->name, "unknown pool %s",
                          queue->pool);
         }
@@ -583,6 +587,7 @@
             Findings_Add(findings, 0, queue->name, "no attempt is allowed");
         }
     }
+    StrMap_Free(pools);
     check_routes(config, findings);
     check_keys(config, findings);
     check_tenant_names(config, findings);
--- a/src/yaml_tree.c
+++ b/src/yaml_tree.c
@@ -6,6 +6,8 @@
 
 #include <yaml.h>
 
+#include "strmap.h"
+
 struct YamlNode {
     YamlKind kind;
     size_t line;
@@ -24,6 +26,7 @@
 typedef struct Builder {
     yaml_parser_t parser;
     Findings *findings;
+    size_t node_count;
     bool failed;
 } Builder;
 
@@ -133,9 +136,9 @@
 }
 
 /* Returns a copy of the key in an event, or NULL with a finding if the key is
- * not a scalar. */
+ * not a scalar. seen holds the earlier keys of the map. */
 static char *
-copy_key(Builder *builder, const YamlNode *map, yaml_event_t *event)
+copy_key(Builder *builder, const StrMap *seen, const yaml_event_t *event)
 {
     size_t line = event->start_mark.line + 1;
     const char *text;
@@ -146,14 +149,14 @@
         return NULL;
     }
     text = (const char *)event->data.scalar.value;
-    if (YamlNode_FindValue(map, text) != NULL) {
+    if (StrMap_Get(seen, text) != NULL) {
         Findings_Add(builder->findings, line, text, "the key stands twice");
     }
     return strdup(text);
 }
 
 static void
-build_map(Builder *builder, YamlNode *map, int depth)
+build_pairs(Builder *builder, YamlNode *map, StrMap *seen, int depth)
 {
     yaml_event_t event;
 
@@ -165,7 +168,7 @@
             yaml_event_delete(&event);
             return;
         }
-        key = copy_key(builder, map, &event);
+        key = copy_key(builder, seen, &event);
         yaml_event_delete(&event);
         if (key == NULL || !next_event(builder, &event)) {
             free(key);
@@ -176,10 +179,21 @@
             free(key);
             free_node(value);
             builder->failed = true;
+            return;
         }
+        StrMap_Put(seen, key, value);
     }
 }
 
+static void
+build_map(Builder *builder, YamlNode *map, int depth)
+{
+    StrMap *seen = StrMap_New();
+
+    build_pairs(builder, map, seen, depth);
+    StrMap_Free(seen);
+}
+
 /* Builds the node that starts with event, and deletes the event. */
 static YamlNode *
 build_node(Builder *builder, yaml_event_t *event, int depth)
@@ -192,6 +206,11 @@
                      "nesting is deeper than %d levels", YAML_TREE_MAX_DEPTH);
         builder->failed = true;
     }
+    else if (builder->node_count++ == YAML_TREE_MAX_NODES) {
+        Findings_Add(builder->findings, line, "", "more than %d values",
+                     YAML_TREE_MAX_NODES);
+        builder->failed = true;
+    }
     else if (event->type == YAML_SCALAR_EVENT) {
         node = new_node(YAML_SCALAR, line);
         if (node != NULL) {
--- a/src/yaml_tree.h
+++ b/src/yaml_tree.h
@@ -5,7 +5,8 @@
  * DESCRIPTION
  *     A thin layer over libyaml for settings and patches. Syntax errors and
  *     duplicate keys become findings with their line. Documents are limited
- *     in size and depth. Aliases are rejected, so that a small malicious file
+ *     in size, depth and number of nodes, and are parsed in linear time.
+ *     Aliases are rejected, so that a small malicious file
  *     cannot expand without bound.
  */
 #ifndef COLTSFOOT_YAML_TREE_H
@@ -18,6 +19,8 @@
 
 #define YAML_TREE_MAX_BYTES (1024 * 1024)
 #define YAML_TREE_MAX_DEPTH 16
+/* Bounds the memory of a tree, of which a node takes up to 200 bytes. */
+#define YAML_TREE_MAX_NODES 131072
 
 typedef struct YamlTree YamlTree;
 typedef struct YamlNode YamlNode;
