Free the bodies of requests that have been answered

Callers saw: 12 clients whose requests of 1 MB ran into their deadline on suspended targets made an entry VM of the request service take 221 MB.

Cause: the attempts of an unrepeatable request go on for up to 30 s after its reply, since a late answer tells its outcome, and those of a cancelled one up to its deadline. The body was kept until then, though the bytes that bound the bodies of an address no longer counted it: they end with the reply.

Change: with the reply, a body over 64 kB is freed. An attempt whose target has received all of it goes on without it; libcurl reads such bodies by a callback, and a resend on another connection then fails. Any other attempt ends, as its target cannot have begun.

Partial answers of targets are bounded by the slots of the targets only.

--- a/src/gateway_call.c
+++ b/src/gateway_call.c
@@ -23,7 +23,9 @@
 /* HTTP call that runs one attempt of a request on one target. */
 typedef struct GwCall {
     GwRequest *request;
-    bool remote; /* true if the target is a remote entry VM */
+    HttpCall *http;
+    struct GwCall *next; /* in the list of the request */
+    bool remote;         /* true if the target is a remote entry VM */
     Handle attempt;
     uint32_t once_attempt; /* 0 without a token */
     int64_t started_us;
@@ -50,6 +52,24 @@
     free(request);
 }
 
+static void
+add_call(GwRequest *request, GwCall *call)
+{
+    call->next = request->calls;
+    request->calls = call;
+}
+
+static void
+remove_call(GwRequest *request, const GwCall *call)
+{
+    GwCall **at = &request->calls;
+
+    while (*at != call) {
+        at = &(*at)->next;
+    }
+    *at = call->next;
+}
+
 static void
 free_request_if_unused(GwRequest *request)
 {
@@ -150,6 +170,7 @@
     TrafficResult traffic = {kind, Loop_NowUs() - call->started_us};
     GwBatch batch = {0};
 
+    remove_call(request, call);
     request->answer = result;
     Gw_Lock(gateway);
     record_once_result(gateway, call, kind, result);
@@ -235,8 +256,9 @@
     options.max_answer_bytes =
         (size_t)self->gateway->options.settings->max_body_bytes;
     options.fresh_connection = is_unrepeatable(request);
-    return HttpClient_StartCall(self->client, &options, on_call_result,
-                                call) != NULL;
+    call->http =
+        HttpClient_StartCall(self->client, &options, on_call_result, call);
+    return call->http != NULL;
 }
 
 /* Reports an attempt as refused, since nothing was sent to its target. */
@@ -297,8 +319,10 @@
     if (request->wait_us < 0) {
         request->wait_us = call->started_us - request->received_us;
     }
+    add_call(request, call);
     request->call_count++;
     if (!start_call(self, call, action->target_cookie)) {
+        remove_call(request, call);
         request->call_count--;
         free(call);
         report_unsent_attempt(self, action->attempt, request, once_attempt,
@@ -382,9 +406,49 @@
     return outcome;
 }
 
+/* Ends an attempt of a request that has been replied to. */
+static void
+abort_call(GwThread *self, GwCall *call, GwBatch *batch)
+{
+    Gateway *gateway = self->gateway;
+    TrafficResult result = {TRAFFIC_LOST, Loop_NowUs() - call->started_us};
+
+    Gw_Lock(gateway);
+    Traffic_ReportResult(gateway->traffic, Loop_NowMs(), call->attempt,
+                         result);
+    Gw_TakeActions(self, batch);
+    Gw_Unlock(gateway);
+    HttpCall_Abort(call->http);
+    remove_call(call->request, call);
+    call->request->call_count--;
+    free(call);
+}
+
+/* Frees a long body after the reply. An attempt whose target has not received
+ * all of it ends, since it cannot have begun; others go on, since a late
+ * answer frees the slot and determines the outcome of an unrepeatable request.
+ */
+static void
+release_body(GwThread *self, GwRequest *request, GwBatch *batch)
+{
+    GwCall *call = request->calls;
+
+    if (request->body.len <= HTTP_CLIENT_SHORT_BODY_BYTES) {
+        return;
+    }
+    while (call != NULL) {
+        GwCall *next = call->next;
+        if (!HttpCall_ReleaseBody(call->http)) {
+            abort_call(self, call, batch);
+        }
+        call = next;
+    }
+    Buf_Free(&request->body);
+}
+
 static void
 reply_to_caller(GwThread *self, GwRequest *request,
-                const TrafficAction *action)
+                const TrafficAction *action, GwBatch *batch)
 {
     Gateway *gateway = self->gateway;
     TrafficOutcome outcome =
@@ -405,6 +469,7 @@
     Gw_Unlock(gateway);
     Gw_ReplyOutcome(request, outcome, reason, action->retry_ms);
     request->replied = true;
+    release_body(self, request, batch);
     free_request_if_unused(request);
 }
 
@@ -464,7 +529,7 @@
         record_intent(self, request);
         break;
     case TRAFFIC_REPLY:
-        reply_to_caller(self, request, action);
+        reply_to_caller(self, request, action, batch);
         break;
     case TRAFFIC_STOP:
         request_task_operation(self, request, action->target_cookie, "stop");
--- a/src/gateway_internal.h
+++ b/src/gateway_internal.h
@@ -61,6 +61,7 @@
     const HttpCallResult *answer; /* set only within on_call_result() */
     uint32_t once_attempt; /* attempt number of the last Once_BeginAttempt */
     uint32_t call_count;   /* calls to targets in flight */
+    struct GwCall *calls;
     bool replied;
 } GwRequest;
 
--- a/src/httpclient.c
+++ b/src/httpclient.c
@@ -45,6 +45,9 @@
     HttpCall *previous;
     CURL *easy;
     struct curl_slist *headers;
+    const char *sent_body; /* a long body; NULL once it is released */
+    size_t sent_len;
+    size_t sent_at; /* bytes that libcurl has read */
     Buf body;
     size_t max_answer_bytes;
     bool too_large;
@@ -308,6 +311,58 @@
     call->headers = curl_slist_append(call->headers, "Content-Type:");
 }
 
+static size_t
+on_read_body(char *out, size_t size, size_t count, void *arg)
+{
+    HttpCall *call = arg;
+    size_t len = call->sent_len - call->sent_at;
+
+    if (call->sent_body == NULL) {
+        return call->sent_at == call->sent_len ? 0 : CURL_READFUNC_ABORT;
+    }
+    if (len > size * count) {
+        len = size * count;
+    }
+    memcpy(out, call->sent_body + call->sent_at, len);
+    call->sent_at += len;
+    return len;
+}
+
+/* libcurl sends a body again if a reused connection was closed before the
+ * answer. */
+static int
+on_seek_body(void *arg, curl_off_t offset, int origin)
+{
+    HttpCall *call = arg;
+
+    if (call->sent_body == NULL || origin != SEEK_SET || offset < 0 ||
+        (size_t)offset > call->sent_len) {
+        return CURL_SEEKFUNC_FAIL;
+    }
+    call->sent_at = (size_t)offset;
+    return CURL_SEEKFUNC_OK;
+}
+
+static void
+set_body(HttpCall *call, const HttpCallOptions *options)
+{
+    CURL *easy = call->easy;
+
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                     (curl_off_t)options->body_len);
+    if (options->body_len <= HTTP_CLIENT_SHORT_BODY_BYTES) {
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, options->body);
+        return;
+    }
+    call->sent_body = options->body;
+    call->sent_len = options->body_len;
+    curl_easy_setopt(easy, CURLOPT_POST, 1L);
+    curl_easy_setopt(easy, CURLOPT_READFUNCTION, on_read_body);
+    curl_easy_setopt(easy, CURLOPT_READDATA, call);
+    curl_easy_setopt(easy, CURLOPT_SEEKFUNCTION, on_seek_body);
+    curl_easy_setopt(easy, CURLOPT_SEEKDATA, call);
+}
+
 static void
 set_options(HttpCall *call, const HttpCallOptions *options)
 {
@@ -322,9 +377,7 @@
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
     if (options->body != NULL) {
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
-                         (curl_off_t)options->body_len);
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, options->body);
+        set_body(call, options);
     }
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, options->method);
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->headers);
@@ -384,6 +437,22 @@
     return call;
 }
 
+bool
+HttpCall_ReleaseBody(HttpCall *call)
+{
+    if (call->sent_len == 0 || call->sent_at < call->sent_len) {
+        return false;
+    }
+    call->sent_body = NULL;
+    return true;
+}
+
+void
+HttpCall_Abort(HttpCall *call)
+{
+    free_call(call);
+}
+
 const char *
 HttpCall_GetHeader(const HttpCall *call, const char *name)
 {
--- a/src/httpclient.h
+++ b/src/httpclient.h
@@ -18,6 +18,8 @@
 #include "loop.h"
 
 #define HTTP_MAX_CALL_HEADERS 12
+/* Bodies up to this length are sent together with the headers. */
+#define HTTP_CLIENT_SHORT_BODY_BYTES 65536
 
 typedef struct HttpClient HttpClient;
 typedef struct HttpCall HttpCall;
@@ -36,7 +38,8 @@
     const char *path;
     HttpHeader headers[HTTP_MAX_CALL_HEADERS];
     size_t header_count;
-    const char *body; /* must stay valid until the call ends */
+    const char *body; /* must stay valid until the call ends, or until
+                       * HttpCall_ReleaseBody() returns true */
     size_t body_len;
     int64_t timeout_ms;
     size_t max_answer_bytes;
@@ -66,6 +69,15 @@
                                const HttpCallOptions *options, HttpCallFn fn,
                                void *arg);
 
+/* Returns whether the body of a call is no longer needed, so that its memory
+ * can be freed before the call ends: it is longer than
+ * HTTP_CLIENT_SHORT_BODY_BYTES and all of it was sent. The call is then lost
+ * if libcurl would have to send it again. */
+bool HttpCall_ReleaseBody(HttpCall *call);
+
+/* Ends a call without calling its function. */
+void HttpCall_Abort(HttpCall *call);
+
 /* Returns a header of the answer, or NULL. */
 const char *HttpCall_GetHeader(const HttpCall *call, const char *name);
 
--- a/standin/common_targets.h
+++ b/standin/common_targets.h
@@ -78,6 +78,7 @@
     int memory_mb;
     int accelerators;
     int run_ms;
+    int answer_bytes; /* least length of an answer */
     int reboot_ms;
     int leave_ms;
     int late_percent;
--- a/standin/standin_target.c
+++ b/standin/standin_target.c
@@ -99,6 +99,9 @@
     }
     Common_AppendAnswer(&out, run->service, run->caller, run->id,
                         run->body.data, run->body.len);
+    while (out.len < (size_t)targets.options.answer_bytes) {
+        Buf_Append(&out, ".", 1);
+    }
     result = reply(connection, MHD_HTTP_OK, run, "done", out.data, out.len);
     Buf_Free(&out);
     return result;
@@ -473,6 +476,7 @@
     struct arg_int *slots;
     struct arg_int *connections;
     struct arg_int *run_ms;
+    struct arg_int *answer;
     struct arg_lit *from_body;
     struct arg_lit *fail_all;
     struct arg_dbl *slow;
@@ -502,6 +506,8 @@
     a->slots = arg_int0(NULL, "slots", "N", "(8)");
     a->connections = arg_int0(NULL, "connections", "N", "(64)");
     a->run_ms = arg_int0(NULL, "run-ms", "MS", "run time of a request (10)");
+    a->answer =
+        arg_int0(NULL, "answer-bytes", "N", "least length of answers (0)");
     a->from_body = arg_lit0(NULL, "run-from-body",
                             "take the run time from \"run_us=NNN;\"");
     a->fail_all = arg_lit0(NULL, "fail-all", "answer 500 to all at once");
@@ -523,6 +529,7 @@
     a->slots->ival[0] = 8;
     a->connections->ival[0] = 64;
     a->run_ms->ival[0] = 10;
+    a->answer->ival[0] = 0;
     a->late->ival[0] = 0;
     a->reboot_ms->ival[0] = 300;
     a->leave_ms->ival[0] = 2500;
@@ -548,6 +555,7 @@
     options->cores = 16;
     options->memory_mb = 32768;
     options->run_ms = a->run_ms->ival[0];
+    options->answer_bytes = a->answer->ival[0];
     options->reboot_ms = a->reboot_ms->ival[0];
     options->leave_ms = a->leave_ms->ival[0];
     options->late_percent = a->late->ival[0];
