Bound links from unknown processes before their hello

Callers saw: 100 connections to the peer address of an entry VM or a leader that announced a frame of 3 MB and stopped short made it take 307 MB. Beside 600 silent connections at each node, which come again when they are closed, a control VM that had been killed did not get back within 60 s.

Cause: a link could announce a frame of 4 MB before it had said who it is, had no time in which to do so, and 512 of them kept out all others. Without a free descriptor the listener stayed readable and the process spun.

Change: before its hello, a link may send 1,024 bytes, has 5 s, and is one of at most 128, of which the oldest gives way to a new one. Without a free descriptor it gives way, too, or the listener pauses until the next tick. Metric: links_refused_total.

--- a/src/frame.c
+++ b/src/frame.c
@@ -24,6 +24,7 @@
 {
     decoder->pending = (Buf)BUF_INIT;
     decoder->consumed = 0;
+    decoder->max_bytes = FRAME_MAX_BYTES;
 }
 
 void
@@ -55,7 +56,7 @@
     at = (const unsigned char *)decoder->pending.data + decoder->consumed;
     size = (size_t)at[0] << 24 | (size_t)at[1] << 16 | (size_t)at[2] << 8 |
            (size_t)at[3];
-    if (size == 0 || size > FRAME_MAX_BYTES) {
+    if (size == 0 || size > decoder->max_bytes) {
         return ST_CORRUPT;
     }
     if (available < FRAME_HEADER_BYTES + size) {
--- a/src/frame.h
+++ b/src/frame.h
@@ -20,7 +20,8 @@
 
 typedef struct FrameDecoder {
     Buf pending;
-    size_t consumed; /* bytes of pending already returned as frames */
+    size_t consumed;  /* bytes of pending already returned as frames */
+    size_t max_bytes; /* longest accepted body; FRAME_MAX_BYTES at first */
 } FrameDecoder;
 
 /* Appends one frame to out. Returns ST_INVALID for a body length out of
--- a/src/jobctl_metrics.c
+++ b/src/jobctl_metrics.c
@@ -132,6 +132,8 @@
     values[JOB_METRIC_LOOP_STALLS] = (double)control->stall.count;
     values[JOB_METRIC_LOOP_STALLED_SECONDS] =
         (double)control->stall.total_us / 1e6;
+    values[JOB_METRIC_LINKS_REFUSED] =
+        (double)Peers_CountRefusedLinks(control->peers);
     for (i = JOB_METRIC_CLIENT_CONNECTIONS; i <= JOB_METRIC_REFUSED_BUSY;
          i++) {
         values[i] = 0;
--- a/src/jobentry.c
+++ b/src/jobentry.c
@@ -882,6 +882,7 @@
                                         JOB_METRIC_PEERS_UP,
                                         JOB_METRIC_LEADER_UNKNOWN_SECONDS,
                                         JOB_METRIC_REQUESTS_PENDING,
+                                        JOB_METRIC_LINKS_REFUSED,
                                         JOB_METRIC_CLIENT_CONNECTIONS,
                                         JOB_METRIC_CLIENT_BYTES,
                                         JOB_METRIC_CLOSED_CONNECTIONS,
@@ -906,6 +907,8 @@
     for (request = entry->requests; request != NULL; request = request->next) {
         metrics->values[JOB_METRIC_REQUESTS_PENDING]++;
     }
+    metrics->values[JOB_METRIC_LINKS_REFUSED] =
+        (double)Peers_CountRefusedLinks(entry->peers);
     JobMetrics_AddClients(metrics, HttpServer_GetBudget(entry->traffic));
     JobMetrics_AddClients(metrics, HttpServer_GetBudget(entry->control));
     JobMetrics_WriteGauges(metrics, written,
--- a/src/jobmetrics.c
+++ b/src/jobmetrics.c
@@ -111,6 +111,8 @@
     [JOB_METRIC_LOOP_STALLED_SECONDS] =
         {PREFIX "loop_stalled_seconds_total", "counter",
          "time for which the process did not run"},
+    [JOB_METRIC_LINKS_REFUSED] = {PREFIX "links_refused_total", "counter",
+                                  "links closed before their hello"},
     [JOB_METRIC_CLIENT_CONNECTIONS] = {PREFIX "client_connections", "gauge",
                                        "open connections of clients"},
     [JOB_METRIC_CLIENT_BYTES] = {PREFIX "client_bytes", "gauge",
--- a/src/peer.c
+++ b/src/peer.c
@@ -17,6 +17,12 @@
 #define PEER_DIAL_BACKOFF_MIN_MS 100
 #define PEER_DIAL_BACKOFF_MAX_MS 2000
 #define PEER_MAX_ACCEPTED 512
+/* Limits for accepted links before their hello, which anyone can open. */
+#define PEER_MAX_UNKNOWN 128
+#define PEER_HELLO_TIMEOUT_MS 5000
+#define PEER_HELLO_MAX_BYTES 1024
+/* Links that are accepted in one event loop iteration. */
+#define PEER_MAX_ACCEPTS 64
 #define PEER_MAX_PEERS 512
 /* Number of probes of an outgoing link in one silence timeout. */
 #define PEER_PROBES_PER_TIMEOUT 3
@@ -36,7 +42,8 @@
     FrameDecoder decoder;
     Buf out;
     int64_t last_progress_ms;
-    struct Link *next; /* in the list of accepted links */
+    int64_t opened_ms;
+    struct Link *next; /* in the list of accepted links, newest first */
 } Link;
 
 typedef struct PeerSlot {
@@ -64,6 +71,8 @@
     size_t count;
     Link *accepted;
     size_t accepted_count;
+    size_t unknown_count; /* accepted links without a hello */
+    uint64_t refused_links;
     size_t *flush_list; /* peers with messages for the next flush */
     size_t flush_count;
     uint64_t bytes_sent;
@@ -92,6 +101,7 @@
             if (*at == link) {
                 *at = link->next;
                 peers->accepted_count--;
+                peers->unknown_count -= link->peer == PEER_NONE;
                 break;
             }
         }
@@ -315,6 +325,7 @@
     link->pool = pool;
     link->socket = socket;
     link->last_progress_ms = Loop_NowMs();
+    link->opened_ms = link->last_progress_ms;
     Frame_DecoderInit(&link->decoder);
     link->watch = Loop_Watch(peers->loop, fd, events, on_link_event, link);
     if (link->watch == NULL) {
@@ -395,6 +406,8 @@
         peers->options.on_down(peers->options.arg, peer);
     }
     link->peer = peer;
+    peers->unknown_count--;
+    link->decoder.max_bytes = FRAME_MAX_BYTES;
     slot->hello = hello;
     slot->last_received_ms = Loop_NowMs();
     slot->up = true;
@@ -560,34 +573,83 @@
     }
 }
 
+/* Closes the accepted link that has waited longest for its hello, if it was
+ * opened before a time. Returns false if there is none. */
+static bool
+close_unknown_link(Peers *peers, int64_t before_ms)
+{
+    Link *oldest = NULL;
+    Link *link;
+
+    for (link = peers->accepted; link != NULL; link = link->next) {
+        if (link->peer == PEER_NONE) {
+            oldest = link;
+        }
+    }
+    if (oldest == NULL || oldest->opened_ms >= before_ms) {
+        return false;
+    }
+    peers->refused_links++;
+    close_link(oldest);
+    return true;
+}
+
+static void
+add_accepted_link(Peers *peers, apr_pool_t *pool, apr_socket_t *socket)
+{
+    Link *link = peers->accepted_count < PEER_MAX_ACCEPTED
+                     ? new_link(peers, pool, socket, LOOP_READ)
+                     : NULL;
+
+    if (link == NULL) {
+        peers->refused_links++;
+        apr_socket_close(socket);
+        apr_pool_destroy(pool);
+        return;
+    }
+    link->decoder.max_bytes = PEER_HELLO_MAX_BYTES;
+    link->next = peers->accepted;
+    peers->accepted = link;
+    peers->accepted_count++;
+    peers->unknown_count++;
+}
+
 static void
 on_accept(void *arg, int events)
 {
     Peers *peers = arg;
+    int i;
 
     (void)events;
-    for (;;) {
+    for (i = 0; i < PEER_MAX_ACCEPTS; i++) {
         apr_pool_t *pool;
         apr_socket_t *socket;
-        Link *link;
+        apr_status_t status;
         if (apr_pool_create(&pool, NULL) != APR_SUCCESS) {
             return;
         }
-        if (apr_socket_accept(&socket, peers->listener, pool) != APR_SUCCESS) {
-            apr_pool_destroy(pool);
+        status = apr_socket_accept(&socket, peers->listener, pool);
+        if (status == APR_SUCCESS) {
+            add_accepted_link(peers, pool, socket);
+            if (peers->unknown_count > PEER_MAX_UNKNOWN) {
+                close_unknown_link(peers, INT64_MAX);
+            }
+            continue;
+        }
+        apr_pool_destroy(pool);
+        if (APR_STATUS_IS_EAGAIN(status)) {
             return;
         }
-        link = peers->accepted_count < PEER_MAX_ACCEPTED
-                   ? new_link(peers, pool, socket, LOOP_READ)
-                   : NULL;
-        if (link == NULL) {
-            apr_socket_close(socket);
-            apr_pool_destroy(pool);
+        if (APR_STATUS_IS_ECONNABORTED(status) ||
+            APR_STATUS_IS_EINTR(status)) {
             continue;
         }
-        link->next = peers->accepted;
-        peers->accepted = link;
-        peers->accepted_count++;
+        /* Without a free descriptor the connection stays in the backlog, and
+         * the listener stays readable. */
+        if (!close_unknown_link(peers, INT64_MAX)) {
+            Loop_SetEvents(peers->listen_watch, 0);
+            return;
+        }
     }
 }
 
@@ -671,6 +733,9 @@
     int64_t now = Loop_NowMs();
     size_t i;
 
+    Loop_SetEvents(peers->listen_watch, LOOP_READ);
+    while (close_unknown_link(peers, now - PEER_HELLO_TIMEOUT_MS)) {
+    }
     for (i = 0; i < peers->count; i++) {
         check_silence_timeout(peers, i, now);
         check_outgoing_link(peers, i, now);
@@ -909,6 +974,12 @@
     return &peers->slots[peer].hello;
 }
 
+uint64_t
+Peers_CountRefusedLinks(const Peers *peers)
+{
+    return peers->refused_links;
+}
+
 uint64_t
 Peers_BytesSent(const Peers *peers)
 {
--- a/src/peer.h
+++ b/src/peer.h
@@ -12,6 +12,9 @@
  *     is its type. Messages to a peer that is not connected are dropped: every
  *     sender retransmits what it needs.
  *
+ *     Accepted links without a hello are bounded in number, time and bytes,
+ *     since anyone can open one. The oldest one gives way to a new one.
+ *
  *     With open_membership, peers are also added at run time: by Peers_Add,
  *     and whenever an unknown node sends a hello, which contains the address
  *     on which that node listens. In this mode a sender also probes its links,
@@ -136,6 +139,10 @@
  * timeout. */
 bool Peers_IsUp(const Peers *peers, size_t peer);
 
+/* Returns the number of links that were closed before their hello, since it
+ * did not arrive in time or there were too many. */
+uint64_t Peers_CountRefusedLinks(const Peers *peers);
+
 /* Returns the number of bytes queued for the peer. */
 size_t Peers_GetQueuedBytes(const Peers *peers, size_t peer);
 
