--- a/standin/standin_crowd.c
+++ b/standin/standin_crowd.c
@@ -433,100 +433,156 @@
     return fill->len > 0;
 }
 
-int
-main(int argc, char **argv)
+/* The arguments of the command line; parallel to the fields of Options. */
+typedef struct Args {
+    struct arg_str *to;
+    struct arg_str *shape;
+    struct arg_str *host;
+    struct arg_str *path;
+    struct arg_str *method;
+    struct arg_str *header;
+    struct arg_file *body;
+    struct arg_int *count;
+    struct arg_int *rounds;
+    struct arg_int *pipeline;
+    struct arg_lit *unread;
+    struct arg_int *bytes;
+    struct arg_int *announce;
+    struct arg_int *chunk;
+    struct arg_int *piece;
+    struct arg_int *pause;
+    struct arg_int *settle;
+    struct arg_end *end;
+} Args;
+
+static struct arg_str *
+new_text(const char *name, const char *type, const char *text,
+         const char *initial)
 {
-    struct arg_str *to = arg_str1(NULL, "to", "ADDRESS", "server");
-    struct arg_str *shape =
-        arg_str1(NULL, "shape", "NAME",
-                 "announced, chunked, extensions, trailers, headers, requests "
-                 "(unread), start or raw");
-    struct arg_str *host = arg_str0(NULL, "host", "HOST", "Host header");
-    struct arg_str *path =
-        arg_str0(NULL, "path", "PATH", "path; 16 '#' stand for a number");
-    struct arg_str *method = arg_str0(NULL, "method", "METHOD", "method");
-    struct arg_str *header = arg_strn(NULL, "header", "LINE", 0, MAX_HEADERS,
-                                      "header, with numbers as the path");
-    struct arg_file *body =
-        arg_file0(NULL, "body", "FILE", "what bodies consist of, repeated");
-    struct arg_int *count = arg_int0(NULL, "count", "N", "clients");
-    struct arg_int *rounds = arg_int0(
-        NULL, "rounds", "N", "connections of a client, one after the other");
-    struct arg_int *pipeline =
-        arg_int0(NULL, "pipeline", "N", "requests of a connection");
-    struct arg_lit *unread = arg_lit0(NULL, "unread", "read no answers");
-    struct arg_int *bytes =
-        arg_int0(NULL, "bytes", "N",
-                 "bytes of body or headers that are sent; the file");
-    struct arg_int *announce =
-        arg_int0(NULL, "announce", "N", "Content-Length; bytes + 1, the file");
-    struct arg_int *chunk = arg_int0(NULL, "chunk", "N", "chunk size");
-    struct arg_int *piece =
-        arg_int0(NULL, "piece", "N", "most bytes that are sent at once");
-    struct arg_int *pause =
-        arg_int0(NULL, "pause-ms", "N", "pause between two pieces");
-    struct arg_int *settle =
-        arg_int0(NULL, "settle-ms", "N",
-                 "time after which a crowd that goes on counts as settled");
-    struct arg_end *end = arg_end(20);
-    void *table[] = {to,       shape, host,   path,     method, header,
-                     body,     count, rounds, pipeline, unread, bytes,
-                     announce, chunk, piece,  pause,    settle, end};
-    Crowd crowd = {.head = BUF_INIT, .body = BUF_INIT};
-    Options *options = &crowd.options;
-
-    host->sval[0] = "a.example";
-    path->sval[0] = "/jobs/00000000000000ff";
-    method->sval[0] = "POST";
-    count->ival[0] = 200;
-    rounds->ival[0] = 1;
-    pipeline->ival[0] = 1;
-    bytes->ival[0] = -1;
-    announce->ival[0] = -1;
-    chunk->ival[0] = 1;
-    piece->ival[0] = 0;
-    pause->ival[0] = 0;
-    settle->ival[0] = 0;
-    if (arg_parse(argc, argv, table) != 0 ||
-        !Settings_ParseAddress(to->sval[0], &options->address)) {
-        arg_print_errors(stderr, end, "standin-crowd");
-        return 2;
+    struct arg_str *arg = arg_str0(NULL, name, type, text);
+
+    arg->sval[0] = initial;
+    return arg;
+}
+
+static struct arg_int *
+new_int(const char *name, const char *text, int initial)
+{
+    struct arg_int *arg = arg_int0(NULL, name, "N", text);
+
+    arg->ival[0] = initial;
+    return arg;
+}
+
+static Args
+new_args(void)
+{
+    Args args = {
+        .to = arg_str1(NULL, "to", "ADDRESS", "server"),
+        .shape = arg_str1(NULL, "shape", "NAME",
+                          "announced, chunked, extensions, trailers, "
+                          "headers, requests (unread), start or raw"),
+        .host = new_text("host", "HOST", "Host header", "a.example"),
+        .path = new_text("path", "PATH", "path; 16 '#' stand for a number",
+                         "/jobs/00000000000000ff"),
+        .method = new_text("method", "METHOD", "method", "POST"),
+        .header = arg_strn(NULL, "header", "LINE", 0, MAX_HEADERS,
+                           "header, with numbers as the path"),
+        .body = arg_file0(NULL, "body", "FILE",
+                          "what bodies consist of, repeated"),
+        .count = new_int("count", "clients", 200),
+        .rounds = new_int("rounds",
+                          "connections of a client, one after the other", 1),
+        .pipeline = new_int("pipeline", "requests of a connection", 1),
+        .unread = arg_lit0(NULL, "unread", "read no answers"),
+        .bytes = new_int(
+            "bytes", "bytes of body or headers that are sent; the file", -1),
+        .announce =
+            new_int("announce", "Content-Length; bytes + 1, the file", -1),
+        .chunk = new_int("chunk", "chunk size", 1),
+        .piece = new_int("piece", "most bytes that are sent at once", 0),
+        .pause = new_int("pause-ms", "pause between two pieces", 0),
+        .settle = new_int(
+            "settle-ms",
+            "time after which a crowd that goes on counts as settled", 0),
+        .end = arg_end(20),
+    };
+
+    return args;
+}
+
+static void
+set_sizes(const Args *args, Options *options)
+{
+    if (args->bytes->ival[0] >= 0) {
+        options->bytes = (size_t)args->bytes->ival[0];
+        options->announce = options->bytes + 1;
     }
-    if (body->count == 0) {
+    else if (args->body->count > 0) {
+        options->bytes = options->fill.len;
+        options->announce = options->bytes;
+    }
+    if (args->announce->ival[0] >= 0) {
+        options->announce = (size_t)args->announce->ival[0];
+    }
+    options->chunk = (size_t)args->chunk->ival[0];
+    options->piece = (size_t)args->piece->ival[0];
+}
+
+/* Returns false with a message if the options cannot be used. */
+static bool
+set_options(const Args *args, Options *options)
+{
+    if (!Settings_ParseAddress(args->to->sval[0], &options->address)) {
+        fprintf(stderr, "standin-crowd: no address: %s\n", args->to->sval[0]);
+        return false;
+    }
+    if (args->body->count == 0) {
         Buf_Printf(&options->fill, "%s", DEFAULT_FILL);
     }
-    else if (!read_fill(body->filename[0], &options->fill)) {
-        fprintf(stderr, "standin-crowd: cannot read %s\n", body->filename[0]);
-        return 2;
+    else if (!read_fill(args->body->filename[0], &options->fill)) {
+        fprintf(stderr, "standin-crowd: cannot read %s\n",
+                args->body->filename[0]);
+        return false;
     }
-    options->shape = shape->sval[0];
-    options->host = host->sval[0];
-    options->path = path->sval[0];
-    options->method = method->sval[0];
-    options->headers = header->sval;
-    options->header_count = (size_t)header->count;
-    options->count = (size_t)count->ival[0];
-    options->rounds = rounds->ival[0];
-    options->pipeline = pipeline->ival[0];
+    options->shape = args->shape->sval[0];
+    options->host = args->host->sval[0];
+    options->path = args->path->sval[0];
+    options->method = args->method->sval[0];
+    options->headers = args->header->sval;
+    options->header_count = (size_t)args->header->count;
+    options->count = (size_t)args->count->ival[0];
+    options->rounds = args->rounds->ival[0];
+    options->pipeline = args->pipeline->ival[0];
     options->unread =
-        unread->count > 0 || strcmp(options->shape, "requests") == 0;
-    if (bytes->ival[0] >= 0) {
-        options->bytes = (size_t)bytes->ival[0];
-        options->announce = options->bytes + 1;
-    }
-    else if (body->count > 0) {
-        options->bytes = options->fill.len;
-        options->announce = options->bytes;
+        args->unread->count > 0 || strcmp(options->shape, "requests") == 0;
+    options->pause_us = (int64_t)args->pause->ival[0] * 1000;
+    options->settle_us = (int64_t)args->settle->ival[0] * 1000;
+    set_sizes(args, options);
+    return true;
+}
+
+int
+main(int argc, char **argv)
+{
+    Args args = new_args();
+    void *table[] = {args.to,       args.shape,    args.host,   args.path,
+                     args.method,   args.header,   args.body,   args.count,
+                     args.rounds,   args.pipeline, args.unread, args.bytes,
+                     args.announce, args.chunk,    args.piece,  args.pause,
+                     args.settle,   args.end};
+    Crowd crowd = {.head = BUF_INIT, .body = BUF_INIT};
+
+    if (arg_parse(argc, argv, table) != 0) {
+        arg_print_errors(stderr, args.end, "standin-crowd");
+        return 2;
     }
-    if (announce->ival[0] >= 0) {
-        options->announce = (size_t)announce->ival[0];
+    if (!set_options(&args, &crowd.options)) {
+        return 2;
     }
-    options->chunk = (size_t)chunk->ival[0];
-    options->piece = (size_t)piece->ival[0];
-    options->pause_us = (int64_t)pause->ival[0] * 1000;
-    options->settle_us = (int64_t)settle->ival[0] * 1000;
     if (!build_streams(&crowd)) {
-        fprintf(stderr, "standin-crowd: unknown shape %s\n", options->shape);
+        fprintf(stderr, "standin-crowd: unknown shape %s\n",
+                crowd.options.shape);
         return 2;
     }
     signal(SIGTERM, on_signal);
@@ -534,7 +590,7 @@
     run(&crowd);
     Buf_Free(&crowd.head);
     Buf_Free(&crowd.body);
-    Buf_Free(&options->fill);
+    Buf_Free(&crowd.options.fill);
     arg_freetable(table, sizeof(table) / sizeof(table[0]));
     return 0;
 }
