Bound the log of refused links

A full disk keeps it from leading.

Cause: each refusal wrote a line on standard error.

Change: at most one line in a second, with the number of refusals left out. links_refused_total counts them.

Evidence: proc_untrusted_peers, 100 clients with 200 rounds, bound of 64 kB fixed before.

--- a/src/peer.c
+++ b/src/peer.c
@@ -23,6 +23,8 @@
 #define PEER_HELLO_MAX_BYTES 1024
 /* Links that are accepted in one event loop iteration. */
 #define PEER_MAX_ACCEPTS 64
+/* Anyone can cause refusals at any rate. */
+#define PEER_REFUSAL_LOG_MS 1000
 #define PEER_MAX_PEERS 512
 /* Number of probes of an outgoing link in one silence timeout. */
 #define PEER_PROBES_PER_TIMEOUT 3
@@ -73,7 +75,9 @@
     size_t accepted_count;
     size_t unknown_count; /* accepted links without a hello */
     uint64_t refused_links;
-    size_t *flush_list; /* peers with messages for the next flush */
+    int64_t next_refusal_log_ms;
+    uint64_t unlogged_refusals; /* since the last line about a refusal */
+    size_t *flush_list;         /* peers with messages for the next flush */
     size_t flush_count;
     uint64_t bytes_sent;
     uint64_t bytes_received;
@@ -172,13 +176,30 @@
     Buf_Free(&body);
 }
 
+static void
+log_refusal(Peers *peers, const char *reason)
+{
+    int64_t now = Loop_NowMs();
+
+    if (now < peers->next_refusal_log_ms) {
+        peers->unlogged_refusals++;
+        return;
+    }
+    Diag_Log(DIAG_WARNING, PEER_LOG_PREFIX,
+             "Refused a link: %s (%llu more since the last such line).",
+             reason, (unsigned long long)peers->unlogged_refusals);
+    peers->next_refusal_log_ms = now + PEER_REFUSAL_LOG_MS;
+    peers->unlogged_refusals = 0;
+}
+
 static void
 send_refusal(Link *link, const char *reason)
 {
     Buf body = BUF_INIT;
     msgpack_packer packer;
 
-    Diag_Log(DIAG_WARNING, PEER_LOG_PREFIX, "Refused a link: %s.", reason);
+    link->peers->refused_links++;
+    log_refusal(link->peers, reason);
     msgpack_packer_init(&packer, &body, Buf_MsgpackWrite);
     msgpack_pack_array(&packer, 2);
     msgpack_pack_int(&packer, PEER_REFUSED);
--- a/src/peer.h
+++ b/src/peer.h
@@ -139,8 +139,9 @@
  * timeout. */
 bool Peers_IsUp(const Peers *peers, size_t peer);
 
-/* Returns the number of links that were closed before their hello, since it
- * did not arrive in time or there were too many. */
+/* Returns the number of links that were refused for their first bytes, or
+ * closed before their hello, since it did not arrive in time or there were too
+ * many. */
 uint64_t Peers_CountRefusedLinks(const Peers *peers);
 
 /* Returns the number of bytes queued for the peer. */
--- a/tests/proc_untrusted_peers.sh
+++ b/tests/proc_untrusted_peers.sh
@@ -11,6 +11,8 @@
 MAX_KB=$((128 * 1024))
 MAX_ENTRY_KB=$((80 * 1024))
 MAX_DESCRIPTORS=3840
+# What a crowd may add to the log of a process on standard error.
+MAX_LOG_BYTES=65536
 
 next_job=1
 submit_job() {
@@ -49,6 +51,29 @@
     play_$role "connections without a byte, $role" submit_job 0 \
         --shape start --bytes 0 --count 700
 done
+# check_log TEXT NODE BYTES: checks what the log has grown by from BYTES on.
+check_log() {
+    local bytes
+    bytes=$(($(stat -c %s "$WORK/$2.log") - $3))
+    echo "$1: $bytes bytes of log"
+    [ $bytes -le $MAX_LOG_BYTES ] ||
+        CROWD_FAULTS+=("$1: $bytes bytes of log, bound $MAX_LOG_BYTES")
+}
+
+# Links that are refused for their first bytes, and come again at once.
+printf '\xff\xff\xff\xff\x00\x00\x00' >"$WORK/overlong"
+printf '\x00\x00\x00\x03\x91\x01\x01' >"$WORK/hello"
+for role in entry leader; do
+    wait_for "leader" find_leader
+    node=edge-1
+    [ $role = entry ] || node=$LEADER
+    for kind in overlong hello; do
+        bytes=$(stat -c %s "$WORK/$node.log")
+        play_$role "links refused again and again, $kind, $role" submit_job 0 \
+            --shape raw --body "$WORK/$kind" --bytes 7 --count 100 --rounds 200
+        check_log "links refused again and again, $kind, $role" $node "$bytes"
+    done
+done
 play_entry "health checks, unread" entry_is_ready 3 --shape requests \
     --count 700 --method GET --path "$PLATFORM_READY_PATH"
 play_entry "health checks, pipelined" entry_is_ready 3 --shape requests \
