--- a/tests/proc_promise_soak.sh
+++ b/tests/proc_promise_soak.sh
@@ -21,6 +21,12 @@
 TARGETS=${TARGETS:-4}
 TARGETS_PER_PROCESS=${TARGETS_PER_PROCESS:-3}
 RATE=${RATE:-15}
+# Clients at each entry VM and each relay that stop within a body and come again
+# when they are closed.
+CROWD=${CROWD:-30}
+# Bounds on the memory of a node beside them: half of an entry VM of 160 MB, and
+# of a control VM of 256 MB.
+declare -A MAX_KB=([edge]=81920 [relay]=81920 [core]=131072)
 # Shares of the faults that hit control VMs and entry VMs.
 CORE_PERCENT=${CORE_PERCENT:-35}
 EDGE_PERCENT=${EDGE_PERCENT:-30}
@@ -43,6 +49,7 @@
 START_TIME=500
 declare -A FAULT_KIND=() FAULT_BEGIN=() FAULT_END=() FAULT_ORDER=()
 declare -A NAME_OF=() STARTED=()
+CROWDS=()
 # What the settings of a node list as seeds before the relays: an order of the
 # control nodes.
 declare -A SEEDS_OF=()
@@ -514,6 +521,47 @@
     done
 }
 
+# start_crowd NAME HOST ARGS...: starts clients that never finish a body.
+start_crowd() {
+    local name=$1 to=$2
+    shift 2
+    "$BUILD/standin-crowd" --count "$CROWD" --rounds 1000000 --to "$to" "$@" \
+        >"$WORK/$name.out" 2>"$WORK/$name.log" &
+    PID[$name]=$!
+    CROWDS+=("$name")
+}
+
+# Draws nothing from the sequence of the faults.
+start_crowds() {
+    local i draw
+    for ((i = 1; i <= ENTRIES_COUNT; i++)); do
+        host_of "edge-$i"
+        draw=$((SEED * 7919 + i * 104729))
+        start_crowd "crowd-edge-$i" "$HOST:$((BASE_PORT + 2))" \
+            --shape chunked --bytes 260000 --chunk $((draw % 5000 + 1)) \
+            --piece $((draw % 50000 + 1)) --pause-ms $((draw % 97))
+    done
+    for ((i = 1; i <= RELAYS; i++)); do
+        host_of "relay-$i"
+        draw=$((SEED * 7919 + i * 104723))
+        start_crowd "crowd-relay-$i" "$HOST:$((BASE_PORT + 1))" \
+            --shape announced --bytes 4000000 --method PUT \
+            --path "$PLATFORM_CONFIG_PATH" --piece $((draw % 500000 + 1)) \
+            --pause-ms $((draw % 97))
+    done
+}
+
+# Checks the peaks of the memory of all nodes, each since its last start.
+check_memory() {
+    local node kb
+    for node in "${!PID[@]}"; do
+        [ -n "${MAX_KB[${node%-*}]:-}" ] || continue
+        kb=$(awk '$1 == "VmHWM:" { print $2 }' "/proc/${PID[$node]}/status")
+        [ "${kb:-0}" -le "${MAX_KB[${node%-*}]}" ] ||
+            broken "memory: $node took $kb KB"
+    done
+}
+
 # Keeps the files of a failed run and stops everything.
 finish_run() {
     local status=$?
@@ -566,6 +614,7 @@
     --prefix /more/ --rate "$RATE" --seed "$SEED" --faults "$WORK/faults" \
     >"$WORK/caller.out" 2>"$WORK/caller.log" &
 PID[caller]=$!
+start_crowds
 run_for 1000
 
 inject_faults
@@ -578,6 +627,11 @@
 # The probe reports a slow sync only at its end.
 sleep 1.5
 check_orders
+check_memory
+for crowd in "${CROWDS[@]}"; do
+    kill -TERM "${PID[$crowd]}"
+    wait_for_exit "$crowd"
+done
 kill -TERM "${PID[caller]}"
 wait_for_exit caller
 for node in "${!PID[@]}"; do
