Full bodies of the request service beside crowds and in calm

Cause: the ordinary requests of the crowd tests of the request service were small.

Change: a body of 1 MB is answered beside 400 that stop just short of their end, beside 100 clients that send whole ones again and again, and in calm.

--- a/tests/proc_untrusted_service_slow.sh
+++ b/tests/proc_untrusted_service_slow.sh
@@ -69,6 +69,34 @@
 play "connections without a byte, peers" --to "$(peer_address $NODE)" \
     --shape start --bytes 0 --count 700
 
+# A body of the full legal size beside a crowd that fills max_open_bytes, and in
+# calm.
+next_request=1
+full_request() {
+    [ "$(curl -s --noproxy '*' -m 10 -o /dev/null -w '%{http_code}' \
+        -H 'Expect:' -H 'Coltsfoot-Caller: full' \
+        -H "Coltsfoot-Request-Id: $((next_request++))" \
+        --data-binary "@$WORK/full" \
+        "http://${TRAFFIC[$NODE]}/v1/services/booking/requests")" = 200 ]
+}
+
+{
+    printf 'run_us=1000;'
+    head -c 1000000 /dev/zero | tr '\0' x
+} >"$WORK/full"
+start_crowd "full bodies that stop short" --to "${TRAFFIC[$NODE]}" \
+    "${CALLER[@]}" --path /v1/services/booking/requests --shape announced \
+    --count 400 --bytes 999999 --announce 1000000
+check_answer "full body beside full bodies that stop short" full_request
+stop_crowd
+start_crowd "full bodies" --to "${TRAFFIC[$NODE]}" "${CALLER[@]}" \
+    --path /v1/services/booking/requests --shape announced --count 100 \
+    --body "$WORK/full" --rounds 100 --settle-ms 2000
+check_answer "full body beside full bodies" full_request
+stop_crowd
+check_answer "full body in calm" full_request
+check_node "full bodies" $NODE $MAX_KB $MAX_DESCRIPTORS
+
 CROWDS=()
 
 # add_crowd ARGS...: starts a crowd that stays until the end of the test. Its
