Take no refusal from an unknown process

Callers saw: connections to the peer address of a node that begin with a refusal, and come again at once, add a line to its log for each.

Cause: a refusal was logged on links that a node accepted, too, though only the node that opened a link can be refused.

Change: on an accepted link it is an invalid first message, which closes the link without a line, or an unknown type. The line remains for links that this node opened, at most one for each attempt to connect.

--- a/src/peer.c
+++ b/src/peer.c
@@ -470,7 +470,7 @@
         return false;
     }
     type = object->via.array.ptr[0].via.u64;
-    if (type == PEER_REFUSED) {
+    if (link->outgoing && type == PEER_REFUSED) {
         Diag_Log(DIAG_WARNING, PEER_LOG_PREFIX,
                  "A peer refused the link from this node.");
         keep = false;
@@ -482,7 +482,7 @@
     else if (link->peer == PEER_NONE) {
         keep = type == PEER_HELLO && accept_hello(link, &object->via.array);
     }
-    else if (type <= PEER_HELLO || type > PEER_TYPE_MAX) {
+    else if (type <= PEER_REFUSED || type > PEER_TYPE_MAX) {
         send_refusal(link, "unknown message type");
         keep = false;
     }
--- a/tests/proc_untrusted_peers.sh
+++ b/tests/proc_untrusted_peers.sh
@@ -62,15 +62,19 @@
 
 # Links that are refused for their first bytes, and come again at once.
 printf '\xff\xff\xff\xff\x00\x00\x00' >"$WORK/overlong"
-printf '\x00\x00\x00\x03\x91\x01\x01' >"$WORK/hello"
+printf '\x00\x00\x00\x03\x92\x01\x01' >"$WORK/hello"
+# A list that announces 16,777,215 items, and a refusal as the first message.
+printf '\x00\x00\x00\x05\xdd\x00\xff\xff\xff' >"$WORK/expanding"
+printf '\x00\x00\x00\x03\x92\x02\x01' >"$WORK/refusal"
 for role in entry leader; do
     wait_for "leader" find_leader
     node=edge-1
     [ $role = entry ] || node=$LEADER
-    for kind in overlong hello; do
+    for kind in overlong hello expanding refusal; do
         bytes=$(stat -c %s "$WORK/$node.log")
         play_$role "links refused again and again, $kind, $role" submit_job 0 \
-            --shape raw --body "$WORK/$kind" --bytes 7 --count 100 --rounds 200
+            --shape raw --body "$WORK/$kind" \
+            --bytes "$(stat -c %s "$WORK/$kind")" --count 100 --rounds 200
         check_log "links refused again and again, $kind, $role" $node "$bytes"
     done
 done
