Share the functions of the crowd tests

Cause: submit_job stood in seven tests, the settings of a relay and two reads in two each, and the crowds that stay in two.

Change: submit_job, read_config, write_relay_settings and relay_answers are in support_control.sh, add_crowd and end_crowds in support_crowd.sh. No crowd, bound or check changed; ordinary jobs of proc_untrusted_entry have other ids.

--- a/tests/proc_untrusted_documents.sh
+++ b/tests/proc_untrusted_documents.sh
@@ -13,19 +13,6 @@
 MAX_ENTRY_KB=$((80 * 1024))
 MAX_DESCRIPTORS=3840
 
-next_job=1
-submit_job() {
-    local url
-    url=$(entry_url "/jobs/$(printf 'f%015x' $((next_job++)))")
-    [ "$(send_request -X POST -H 'Host: a.example' -d "$(platform_job 1)" \
-        "$url")" = 200 ]
-}
-
-read_config() {
-    [ "$(send_request "$(control_url "$LEADER" "$PLATFORM_CONFIG_PATH")")" \
-        = 200 ]
-}
-
 # play_documents TEXT: sends the document to the leader, several at once.
 play_documents() {
     wait_for "leader" find_leader
--- a/tests/proc_untrusted_entry.sh
+++ b/tests/proc_untrusted_entry.sh
@@ -19,14 +19,6 @@
 FEW_DESCRIPTORS=256
 MAX_FEW_DESCRIPTORS=240
 
-next_job=1
-submit_job() {
-    local url
-    url=$(entry_url "/jobs/$(printf '%016x' $((next_job++)))")
-    [ "$(send_request -X POST -H 'Host: a.example' -d "$(platform_job 1)" \
-        "$url")" = 200 ]
-}
-
 restart_entry() {
     send_signal edge-1 KILL
     wait_for_end edge-1
--- a/tests/proc_untrusted_jobs.sh
+++ b/tests/proc_untrusted_jobs.sh
@@ -13,14 +13,6 @@
 MAX_DISK_KB=$((128 * 1024))
 MAX_DESCRIPTORS=3840
 
-next_job=1
-submit_job() {
-    local url
-    url=$(entry_url "/jobs/$(printf 'f%015x' $((next_job++)))")
-    [ "$(send_request -X POST -H 'Host: a.example' -d "$(platform_job 1)" \
-        "$url")" = 200 ]
-}
-
 check_disks() {
     local node kb
     for node in "${CONTROL_NODES[@]}"; do
--- a/tests/proc_untrusted_paused.sh
+++ b/tests/proc_untrusted_paused.sh
@@ -11,18 +11,10 @@
 MAX_KB=$((80 * 1024))
 MAX_DESCRIPTORS=3844
 
-next_job=1
-submit_job() {
-    local url
-    url=$(entry_url "/jobs/$(printf 'f%015x' $((next_job++)))")
-    [ "$(send_request -X POST -H 'Host: a.example' -d "$(platform_job 1)" \
-        "$url")" = 200 ]
-}
-
 # Without a leader an answer is a refusal that names a time to try again.
 is_refused() {
     local url status
-    url=$(entry_url "/jobs/$(printf 'f%015x' $((next_job++)))")
+    url=$(entry_url "/jobs/$(printf 'f%015x' $((NEXT_JOB++)))")
     status=$(curl -s --noproxy '*' -m 5 -D "$WORK/head" -o /dev/null \
         -w '%{http_code}' -X POST -H 'Host: a.example' \
         -d "$(platform_job 1)" "$url")
@@ -38,18 +30,7 @@
         --path "/jobs/################" --body "$WORK/job" "$@"
 }
 
-cat >"$WORK/relay.yaml" <<SETTINGS
-name: relay
-cluster: soak
-data_centre: north
-region: west
-role: entry
-wire: platform
-peer: 127.0.0.5:$((BASE_PORT + 4))
-seed_peer_port: $BASE_PORT
-control: 127.0.0.5:$((BASE_PORT + 1))
-seeds: ["127.0.0.2:$((BASE_PORT + 1))", "127.0.0.3:$((BASE_PORT + 1))", "127.0.0.4:$((BASE_PORT + 1))"]
-SETTINGS
+write_relay_settings
 start_node relay
 PEERS_UP=4
 
@@ -63,11 +44,6 @@
     [ "$status" = 503 ] && grep -qi '^Retry-After: [1-9]' "$WORK/head"
 }
 
-relay_answers() {
-    [ "$(send_request \
-        "http://127.0.0.5:$((BASE_PORT + 1))$PLATFORM_CONFIG_PATH")" = 200 ]
-}
-
 play_relay() {
     local text=$1 request=$2
     shift 2
--- a/tests/proc_untrusted_peers.sh
+++ b/tests/proc_untrusted_peers.sh
@@ -14,14 +14,6 @@
 # What a crowd may add to the log of a process on standard error.
 MAX_LOG_BYTES=65536
 
-next_job=1
-submit_job() {
-    local url
-    url=$(entry_url "/jobs/$(printf 'f%015x' $((next_job++)))")
-    [ "$(send_request -X POST -H 'Host: a.example' -d "$(platform_job 1)" \
-        "$url")" = 200 ]
-}
-
 scrape() {
     [ "$(send_request "http://$(host_of "$LEADER"):$((BASE_PORT + 4))/metrics")" \
         = 200 ]
--- a/tests/proc_untrusted_relay.sh
+++ b/tests/proc_untrusted_relay.sh
@@ -14,23 +14,7 @@
 MAX_FEW_DESCRIPTORS=240
 MAX_DESCRIPTORS=3844
 
-cat >"$WORK/relay.yaml" <<SETTINGS
-name: relay
-cluster: soak
-data_centre: north
-region: west
-role: entry
-wire: platform
-peer: 127.0.0.5:$((BASE_PORT + 4))
-seed_peer_port: $BASE_PORT
-control: 127.0.0.5:$((BASE_PORT + 1))
-seeds: ["127.0.0.2:$((BASE_PORT + 1))", "127.0.0.3:$((BASE_PORT + 1))", "127.0.0.4:$((BASE_PORT + 1))"]
-SETTINGS
-
-relay_answers() {
-    [ "$(send_request \
-        "http://127.0.0.5:$((BASE_PORT + 1))$PLATFORM_CONFIG_PATH")" = 200 ]
-}
+write_relay_settings
 
 # play TEXT DESCRIPTORS BOUND ARGS...: plays a crowd against a new relay.
 play() {
--- a/tests/proc_untrusted_service_slow.sh
+++ b/tests/proc_untrusted_service_slow.sh
@@ -97,17 +97,6 @@
 check_answer "full body in calm" full_request
 check_node "full bodies" $NODE $MAX_KB $MAX_DESCRIPTORS
 
-CROWDS=()
-
-# add_crowd ARGS...: starts a crowd that stays until the end of the test. Its
-# clients come again at once.
-add_crowd() {
-    "$BUILD/standin-crowd" --rounds 100000 "$@" \
-        >>"$WORK/crowds.out" 2>"$WORK/crowd-${#CROWDS[@]}.log" &
-    PID[crowd-${#CROWDS[@]}]=$!
-    CROWDS+=("crowd-${#CROWDS[@]}")
-}
-
 # check_nodes TEXT: the crowd goes on for a while, then each node is checked.
 check_nodes() {
     sleep 3
@@ -157,10 +146,6 @@
 wait_for "readiness of south-1" is_ready south-1
 check_nodes "full disk"
 
-for crowd in "${CROWDS[@]}"; do
-    kill -TERM "${PID[$crowd]}"
-    wait "${PID[$crowd]}" || true
-    unset "PID[$crowd]"
-done
+end_crowds
 for NODE in "${ENTRIES[@]}"; do check_rest "after all" "$NODE"; done
 check_crowds
--- a/tests/proc_untrusted_slow.sh
+++ b/tests/proc_untrusted_slow.sh
@@ -12,27 +12,14 @@
 MAX_CONTROL_KB=$((128 * 1024))
 MAX_DESCRIPTORS=3840
 
-next_job=1
-submit_job() {
-    local url
-    url=$(entry_url "/jobs/$(printf 'f%015x' $((next_job++)))")
-    [ "$(send_request -X POST -H 'Host: a.example' -d "$(platform_job 1)" \
-        "$url")" = 200 ]
-}
-
 # A body of the full legal size.
 submit_full_job() {
     local url
-    url=$(entry_url "/jobs/$(printf 'e%015x' $((next_job++)))")
+    url=$(entry_url "/jobs/$(printf 'e%015x' $((NEXT_JOB++)))")
     [ "$(send_request -X POST -H 'Host: a.example' -H 'Expect:' \
         --data-binary "@$WORK/full" "$url")" = 200 ]
 }
 
-read_config() {
-    [ "$(send_request "$(control_url "$LEADER" "$PLATFORM_CONFIG_PATH")")" \
-        = 200 ]
-}
-
 play() {
     local text=$1
     shift
--- a/tests/proc_untrusted_trouble.sh
+++ b/tests/proc_untrusted_trouble.sh
@@ -13,24 +13,6 @@
 MAX_KB=$((80 * 1024))
 MAX_CONTROL_KB=$((192 * 1024))
 MAX_DESCRIPTORS=3840
-CROWDS=()
-
-next_job=1
-submit_job() {
-    local url
-    url=$(entry_url "/jobs/$(printf 'f%015x' $((next_job++)))")
-    [ "$(send_request -X POST -H 'Host: a.example' -d "$(platform_job 1)" \
-        "$url")" = 200 ]
-}
-
-# add_crowd ARGS...: starts a crowd that stays until the end of the test. Its
-# clients come again at once.
-add_crowd() {
-    "$BUILD/standin-crowd" --rounds 100000 "$@" \
-        >>"$WORK/crowds.out" 2>"$WORK/crowd-${#CROWDS[@]}.log" &
-    PID[crowd-${#CROWDS[@]}]=$!
-    CROWDS+=("crowd-${#CROWDS[@]}")
-}
 
 reset_peaks() {
     local node
@@ -116,11 +98,7 @@
 wait_for "leader of three voters" find_leader
 check_nodes "lost disk"
 
-for crowd in "${CROWDS[@]}"; do
-    kill -TERM "${PID[$crowd]}"
-    wait "${PID[$crowd]}" || true
-    unset "PID[$crowd]"
-done
+end_crowds
 # Beside these crowds the nodes have no rest.
 for node in "${CONTROL_NODES[@]}" edge-1; do check_rest "after all" "$node"; done
 check_crowds
--- a/tests/support_control.sh
+++ b/tests/support_control.sh
@@ -161,3 +161,41 @@
         "$(control_url "$LEADER" "$PLATFORM_CONFIG_PATH")")" = 200 ] ||
         fail "the configuration was not stored"
 }
+
+# submit_job: succeeds if the entry VM accepts a small job with a new id.
+NEXT_JOB=1
+submit_job() {
+    local url
+    url=$(entry_url "/jobs/$(printf 'f%015x' $((NEXT_JOB++)))")
+    [ "$(send_request -X POST -H 'Host: a.example' -d "$(platform_job 1)" \
+        "$url")" = 200 ]
+}
+
+# read_config: succeeds if the leader answers with the configuration.
+read_config() {
+    [ "$(send_request "$(control_url "$LEADER" "$PLATFORM_CONFIG_PATH")")" \
+        = 200 ]
+}
+
+# Writes the settings of a relay, an entry VM with only a control address, on
+# the VM of edge-1.
+write_relay_settings() {
+    cat >"$WORK/relay.yaml" <<END
+name: relay
+cluster: soak
+data_centre: north
+region: west
+role: entry
+wire: platform
+peer: 127.0.0.5:$((BASE_PORT + 4))
+seed_peer_port: $BASE_PORT
+control: 127.0.0.5:$((BASE_PORT + 1))
+seeds: ["127.0.0.2:$((BASE_PORT + 1))", "127.0.0.3:$((BASE_PORT + 1))", "127.0.0.4:$((BASE_PORT + 1))"]
+END
+}
+
+# relay_answers: succeeds if the relay answers with the configuration.
+relay_answers() {
+    [ "$(send_request \
+        "http://127.0.0.5:$((BASE_PORT + 1))$PLATFORM_CONFIG_PATH")" = 200 ]
+}
--- a/tests/support_crowd.sh
+++ b/tests/support_crowd.sh
@@ -3,6 +3,7 @@
 # shellcheck shell=bash
 
 CROWD_FAULTS=()
+CROWDS=()
 
 # start_limited_node NAME DESCRIPTORS: starts a node with a descriptor limit.
 start_limited_node() {
@@ -107,6 +108,25 @@
     unset "PID[crowd]"
 }
 
+# add_crowd ARGS...: starts a crowd that stays until end_crowds, beside others.
+# Its clients come again at once.
+add_crowd() {
+    "$BUILD/standin-crowd" --rounds 100000 "$@" \
+        >>"$WORK/crowds.out" 2>"$WORK/crowd-${#CROWDS[@]}.log" &
+    PID[crowd-${#CROWDS[@]}]=$!
+    CROWDS+=("crowd-${#CROWDS[@]}")
+}
+
+end_crowds() {
+    local crowd
+    for crowd in "${CROWDS[@]}"; do
+        kill -TERM "${PID[$crowd]}"
+        wait "${PID[$crowd]}" || true
+        unset "PID[$crowd]"
+    done
+    CROWDS=()
+}
+
 # check_crowds: fails if a crowd met a fault.
 check_crowds() {
     [ ${#CROWD_FAULTS[@]} -eq 0 ] ||
