--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -32,7 +32,7 @@
 sleep 14
 broken=0
 for id in $LASTS $ENDS; do
-    job GET $id
+    job GET "$id"
     if grep -Eq '"state" ?: ?"(failed|cancelled)"' "$WORK/body" &&
         [ "$(count_events "^END .* $id\..* failed ")" = 0 ]; then
         note "job $id is shown as $(cat "$WORK/body"): nobody has cancelled" \
--- a/review/standin-3/cloud_3.c
+++ b/review/standin-3/cloud_3.c
@@ -41,13 +41,13 @@
     char name[64];
     char id[64];
     SettingsAddress address;
-    int64_t back_ms;    /* end of its upkeep, or 0 */
-    int64_t first_ms;   /* arrival of the first call without an answer */
-    int64_t late_ms;    /* when that is carried out, or 0 */
+    int64_t back_ms;  /* end of its upkeep, or 0 */
+    int64_t first_ms; /* arrival of the first call without an answer */
+    int64_t late_ms;  /* when that is carried out, or 0 */
     int64_t late_fence;
     int64_t late_wave;
     int64_t fence;
-    int64_t done_wave;  /* wave of its last upkeep */
+    int64_t done_wave; /* wave of its last upkeep */
     int lives;
 } Machine;
 
@@ -160,10 +160,9 @@
             list,
             json_pack("{s:s,s:s,s:s,s:s,s:[s,s],s:{s:i,s:i,s:i},s:s}",
                       "machine", machine->name, "pool", "p", "state",
-                      machine->back_ms != 0 ? "upkeep" : "up", "zone",
-                      "north", "labels", "a", "r-0", "capacity", "cpu", 16000,
-                      "mem-mb", 32768, "gpu", 0, "id",
-                      machine->back_ms != 0 ? "" : id));
+                      machine->back_ms != 0 ? "upkeep" : "up", "zone", "north",
+                      "labels", "a", "r-0", "capacity", "cpu", 16000, "mem-mb",
+                      32768, "gpu", 0, "id", machine->back_ms != 0 ? "" : id));
     }
     reply(request, 200,
           json_pack("{s:o,s:s}", "machines", list, "next-token", ""));
@@ -229,7 +228,8 @@
         return;
     }
     body = json_loadb(text, len, 0, NULL);
-    machine = find_machine(json_string_value(json_object_get(body, "machine")));
+    machine =
+        find_machine(json_string_value(json_object_get(body, "machine")));
     wave = json_integer_value(json_object_get(body, "wave"));
     json_decref(body);
     fprintf(c.events, "CALL %lld %s %lld %lld %s\n", (long long)wall_ms(),
--- a/review/standin-3/minion_3.c
+++ b/review/standin-3/minion_3.c
@@ -545,8 +545,8 @@
 int
 main(int argc, char **argv)
 {
-    struct arg_str *control =
-        arg_strn(NULL, "control", "IP:PORT", 1, MAX_CONTROLS, "control address");
+    struct arg_str *control = arg_strn(NULL, "control", "IP:PORT", 1,
+                                       MAX_CONTROLS, "control address");
     struct arg_str *listen_at =
         arg_str1(NULL, "listen", "IP:PORT", "address of the minion");
     struct arg_str *id = arg_str1(NULL, "id", "TEXT", "id");
@@ -591,8 +591,7 @@
     snprintf(m.first_id, sizeof(m.first_id), "%s", id->sval[0]);
     snprintf(m.self.id, sizeof(m.self.id), "%s", id->sval[0]);
     snprintf(m.self.vm, sizeof(m.self.vm), "%s", machine->sval[0]);
-    snprintf(m.self.address, sizeof(m.self.address), "%s",
-             listen_at->sval[0]);
+    snprintf(m.self.address, sizeof(m.self.address), "%s", listen_at->sval[0]);
     snprintf(m.self.pool, sizeof(m.self.pool), "%s", pool->sval[0]);
     snprintf(m.self.data_centre, sizeof(m.self.data_centre), "north");
     for (i = 0; i < labels->count; i++) {
