Count crashes that are proved after a change of the leader

Seen: a task that crashes its targets was started more often than its counted crashes allow, and the targets of its pool went down one after the other.

Cause: a silent target proves its crash when it returns, often after the lease of its runs has ended. Only the leader that gave the runs up knew which they were, so that after a change of the leader nobody was counted.

Change: each node that applies an end as lost notes target, attempt and time in the task, and a new leader takes the notes of the last 20 s over. Counting stays idempotent by the bit of each attempt in the replicated state.

--- a/src/jobsched.c
+++ b/src/jobsched.c
@@ -531,6 +531,7 @@
             SchedImpl_UpdateIsolation(target, now);
         }
     }
+    SchedImpl_RecallLostRuns(sched, now);
 }
 
 bool
--- a/src/jobsched_crash.c
+++ b/src/jobsched_crash.c
@@ -13,7 +13,7 @@
 #define SCHED_LOST_RUN_KEPT_MS 20000
 
 /* Probation of a run that this leader has not seen yet. */
-#define SCHED_UNSEEN_PROBATION_MS 15000
+#define SCHED_UNSEEN_PROBATION_MS JOB_MAX_LOST_RUN_MS
 /* Age of a run up to which a crash is likely its own. */
 #define SCHED_SOON_MS 500
 /* A pool counts as crashing after this many crashes, of this share of its
@@ -442,32 +442,79 @@
     sched->lost_run_count = kept;
 }
 
+static void
+add_lost_run(JobSched *sched, const SchedLostRun *lost)
+{
+    if (sched->lost_run_count == sched->lost_run_capacity) {
+        sched->lost_run_capacity = sched->lost_run_capacity * 2 + 16;
+        sched->lost_runs =
+            Mem_Resize(sched->lost_runs,
+                       sched->lost_run_capacity * sizeof(*sched->lost_runs));
+    }
+    sched->lost_runs[sched->lost_run_count++] = *lost;
+}
+
+/* Remembers the lost runs of a step that an earlier leader has given up. */
+static void
+recall_step_runs(JobSched *sched, int64_t now, Job *job, uint32_t occurrence,
+                 uint32_t step)
+{
+    const JobTask *tasks = Job_FindStepTasks(job, occurrence, step);
+    uint32_t i;
+
+    for (i = 0; tasks != NULL && i < job->spec.steps[step].count; i++) {
+        const JobLostRun *lost = &tasks[i].lost;
+        JobRun run = {job, occurrence, step, i};
+        if (lost->lost_ms != 0 &&
+            now - lost->lost_ms < SCHED_LOST_RUN_KEPT_MS) {
+            add_lost_run(sched,
+                         &(SchedLostRun){lost->row,
+                                         lost->serial,
+                                         {JobRun_GetTaskRef(&run),
+                                          lost->attempt, JOB_CRASH_LATE},
+                                         0,
+                                         lost->lost_ms});
+        }
+    }
+}
+
+void
+SchedImpl_RecallLostRuns(JobSched *sched, int64_t now)
+{
+    Job *job;
+    uint32_t k;
+    uint32_t step;
+
+    for (job = JobState_FirstActive(sched->state); job != NULL;
+         job = job->next) {
+        for (k = 0; k < job->row_count; k++) {
+            for (step = 0; step < job->spec.step_count; step++) {
+                recall_step_runs(sched, now, job, job->first_incomplete + k,
+                                 step);
+            }
+        }
+    }
+}
+
 void
 SchedImpl_RememberLostRuns(JobSched *sched, int64_t now,
                            const JobTarget *target)
 {
     SchedCrash span = SchedImpl_GetCrashSpan(target, now);
-    size_t needed;
     uint32_t i;
 
     drop_stale_lost_runs(sched, now, target);
-    needed = sched->lost_run_count + target->run_count;
-    if (needed > sched->lost_run_capacity) {
-        sched->lost_run_capacity = 2 * needed;
-        sched->lost_runs =
-            Mem_Resize(sched->lost_runs,
-                       sched->lost_run_capacity * sizeof(*sched->lost_runs));
-    }
     for (i = 0; i < target->run_count; i++) {
         const JobTask *task = JobRun_GetTask(&target->runs[i]);
         if (!is_innocent(task, &span)) {
-            sched->lost_runs[sched->lost_run_count++] = (SchedLostRun){
-                target->row,
-                target->serial,
-                {JobRun_GetTaskRef(&target->runs[i]), task->attempt,
-                 get_own_evidence(&target->runs[i], &span)},
-                0,
-                now};
+            add_lost_run(
+                sched, &(SchedLostRun){
+                           target->row,
+                           target->serial,
+                           {JobRun_GetTaskRef(&target->runs[i]), task->attempt,
+                            get_own_evidence(&target->runs[i], &span)},
+                           0,
+                           now});
         }
     }
 }
--- a/src/jobsched_impl.h
+++ b/src/jobsched_impl.h
@@ -474,6 +474,9 @@
  * whether the target has crashed. */
 void SchedImpl_RememberLostRuns(JobSched *sched, int64_t now,
                                 const JobTarget *target);
+/* Remembers the runs that earlier leaders have given up, as far as this node
+ * has seen it. */
+void SchedImpl_RecallLostRuns(JobSched *sched, int64_t now);
 /* Forgets the lost runs of a target that has answered, and so did not crash.
  */
 void SchedImpl_ForgetLostRuns(JobSched *sched, const JobTarget *target);
--- a/src/jobstate.h
+++ b/src/jobstate.h
@@ -43,6 +43,8 @@
 #define JOB_MAX_CRASH_SCORE 10
 /* Number of crashes at which it fails whatever its score. */
 #define JOB_MAX_CRASHES 5
+/* Age of a run that is given up beyond which a crash is not its own. */
+#define JOB_MAX_LOST_RUN_MS 15000
 
 typedef enum JobPhase {
     JOB_QUEUED = 0,
@@ -81,6 +83,15 @@
                            scheduler */
 } JobTaskSchedState;
 
+/* Where the last run of a task that was given up was, for leaders to come;
+ * not replicated. */
+typedef struct JobLostRun {
+    uint32_t row; /* the target */
+    uint64_t serial;
+    uint32_t attempt;
+    int64_t lost_ms; /* when this node applied the end; 0: none known */
+} JobLostRun;
+
 typedef struct JobTask {
     uint32_t attempt; /* number of the last assignment; 0: never assigned */
     uint32_t target;  /* row of its target while assigned */
@@ -94,6 +105,7 @@
                      it; known only to the leader that did so */
     char *checkpoint;    /* NULL if there is none */
     int64_t assigned_ms; /* monotonic time; 0: not known to this node */
+    JobLostRun lost;
     JobTaskSchedState sched_state;
 } JobTask;
 
--- a/src/jobstate_apply.c
+++ b/src/jobstate_apply.c
@@ -355,6 +355,18 @@
     }
 }
 
+/* Notes where a run is given up, unless it is old enough to be innocent of the
+ * end of its target. */
+static void
+note_lost_run(const JobState *state, const JobTarget *target, JobTask *task)
+{
+    if (state->caught_up && task->assigned_ms != 0 &&
+        state->now_ms - task->assigned_ms < JOB_MAX_LOST_RUN_MS) {
+        task->lost = (JobLostRun){target->row, target->serial, task->attempt,
+                                  state->now_ms};
+    }
+}
+
 static void
 apply_end(JobState *state, uint32_t target, const JobEnd *end, int64_t wall_ms)
 {
@@ -387,6 +399,9 @@
         close_if_done(state, job, end->task.occurrence, wall_ms);
         return;
     }
+    if (end->kind == JOB_END_LOST) {
+        note_lost_run(state, JobState_TargetAt(state, target), task);
+    }
     JobStateImpl_RequeueTask(
         state,
         &(JobRun){job, end->task.occurrence, end->task.step, end->task.index});
