Bound the wait of lasting tasks that shared a crashed target

In a pool without idle targets a quarter may be isolated, which is one of seven, and it is free for the next job only once the suspect there has run for 3.5 s. Trace: target_crashed, eight lines crash_counted 28 ms before the first start, then one target_isolated each 4.2 s. Nothing bounded the wait. The same held for tasks that had crashed a target alone, for the proof of a crash after a lapsed lease (4 s more), for lasting tasks that find all targets isolated, and for suspects behind a task of their step that finds no target.

Change: the share of targets that may be isolated grows with the wait of a lasting suspect. 2 s after the longest lease since its last run it takes the target where it does the least harm, and that is isolated for it, so that a crash still has few possible causes.

--- a/src/jobctl_metrics.c
+++ b/src/jobctl_metrics.c
@@ -115,6 +115,7 @@
     values[JOB_METRIC_ENDS_FAILED] = (double)counts->failed;
     values[JOB_METRIC_ENDS_LOST] = (double)counts->lost;
     values[JOB_METRIC_TARGETS_CRASHED] = (double)counts->crashed_targets;
+    values[JOB_METRIC_OVERDUE_TASKS] = (double)counts->overdue_tasks;
     values[JOB_METRIC_STARTS_REFUSED] = (double)counts->refused;
     values[JOB_METRIC_JOBS_REFUSED_CAPACITY] =
         (double)counts->jobs_refused[JOB_REFUSED_CAPACITY];
--- a/src/jobmetrics.c
+++ b/src/jobmetrics.c
@@ -76,6 +76,9 @@
                               "runs given up with their target"},
     [JOB_METRIC_TARGETS_CRASHED] = {PREFIX "targets_crashed_total", "counter",
                                     "targets that ended without notice"},
+    [JOB_METRIC_OVERDUE_TASKS] = {PREFIX "overdue_tasks_total", "counter",
+                                  "tasks started beside others, as no target "
+                                  "was free of these for long"},
     [JOB_METRIC_STARTS_REFUSED] = {PREFIX "starts_refused_total", "counter",
                                    "starts that never took effect"},
     [JOB_METRIC_JOBS_REFUSED_CAPACITY] =
--- a/src/jobsched.h
+++ b/src/jobsched.h
@@ -133,6 +133,7 @@
     uint64_t failed;
     uint64_t lost;
     uint64_t crashed_targets;
+    uint64_t overdue_tasks; /* started beside others after a long wait */
     uint64_t refused;
     uint64_t calls;
     uint64_t holds;
--- a/src/jobsched_call.c
+++ b/src/jobsched_call.c
@@ -55,6 +55,7 @@
 {
     JobTask *task = JobRun_GetTask(run);
 
+    task->ran_ms = now;
     if (task->sched_state.phase == JOB_SCHED_RUNNING &&
         !task->sched_state.proven &&
         now - task->sched_state.since_ms >= SCHED_PROBATION_MS) {
@@ -298,6 +299,7 @@
     case JOB_CALL_OK:
         task->sched_state.phase = JOB_SCHED_RUNNING;
         task->sched_state.since_ms = now;
+        task->ran_ms = now;
         sched->counts.started++;
         Slog_Begin(SLOG_ROUTINE, "run_started");
         Slog_AddTask(call->task.job, call->task.occurrence, call->task.step,
--- a/src/jobsched_crash.c
+++ b/src/jobsched_crash.c
@@ -61,6 +61,18 @@
     return span;
 }
 
+/* Notes that a run whose start was not answered may have run. */
+static void
+note_unanswered_run(const JobRun *run, const SchedCrash *span)
+{
+    JobTask *task = JobRun_GetTask(run);
+    int64_t sent_ms = task->sched_state.sent_ms;
+
+    if (sent_ms > task->ran_ms && sent_ms < span->to_ms) {
+        task->ran_ms = sent_ms;
+    }
+}
+
 static void
 log_run_of_crashed_target(const JobTarget *target, const JobRun *run,
                           int64_t now)
@@ -560,8 +572,20 @@
     propose_crashes(sched, &command);
 }
 
+/* Returns whether a task waits until it is known whether its last target has
+ * crashed. */
+static bool
+awaits_evidence(const JobSched *sched, const SchedLostRun *lost,
+                const Job *job, const JobTask *task)
+{
+    return task->crash_score > 0 &&
+           sched->now_ms - lost->lost_ms < SCHED_EVIDENCE_WAIT_MS &&
+           !(job->spec.steps[lost->crash.task.step].lasting &&
+             SchedImpl_IsRestartDue(sched, task));
+}
+
 void
-SchedImpl_MarkAwaitedEvidence(const JobSched *sched, int64_t now, bool marked)
+SchedImpl_MarkAwaitedEvidence(const JobSched *sched, bool marked)
 {
     size_t i;
 
@@ -570,8 +594,7 @@
         Job *job;
         JobTask *task =
             JobState_FindTask(sched->state, &lost->crash.task, &job);
-        if (task != NULL && now - lost->lost_ms < SCHED_EVIDENCE_WAIT_MS &&
-            task->crash_score > 0) {
+        if (task != NULL && awaits_evidence(sched, lost, job, task)) {
             task->sched_state.marks = marked ? SCHED_AWAITS_EVIDENCE : 0;
         }
     }
@@ -604,6 +627,7 @@
     Slog_End();
     for (i = 0; i < target->run_count; i++) {
         log_run_of_crashed_target(target, &target->runs[i], now);
+        note_unanswered_run(&target->runs[i], &span);
     }
     count_crash(sched, target, &span, pool_failure);
     SchedImpl_ForgetLostRuns(sched, target);
--- a/src/jobsched_impl.h
+++ b/src/jobsched_impl.h
@@ -17,6 +17,12 @@
  * against them. A deadly task crashes its target within some tens of ms, or
  * much later. */
 #define SCHED_SETTLE_MS 250
+/* Wait of a suspect after which the most targets may be isolated for it. */
+#define SCHED_MAX_SUSPECT_WAIT_MS 2000
+/* Time after the longest lease at which a lasting task that does not run is
+ * started on any target. It has to run 3 s after that lease; a start takes up
+ * to 1 s. */
+#define SCHED_RESTART_MS 2000
 /* Bits of a fencing token below the term. */
 #define SCHED_FENCE_BITS 20
 
@@ -488,8 +494,7 @@
 void SchedImpl_ClearCrashes(JobSched *sched, const JobRun *run);
 /* Marks the tasks that have to wait until it is known whether their last
  * target has crashed, or clears the marks. */
-void SchedImpl_MarkAwaitedEvidence(const JobSched *sched, int64_t now,
-                                   bool marked);
+void SchedImpl_MarkAwaitedEvidence(const JobSched *sched, bool marked);
 
 /* jobsched_isolate.c: suspects run alone, so that a crash of their target
  * blames no other task */
@@ -509,11 +514,21 @@
 /* Returns whether a suspect has crashed a target that ran nothing else that
  * may have. */
 bool SchedImpl_HasCrashedAlone(const JobTask *task);
-/* Returns the target of a pool on which a suspect can run now with no others
- * than suspects of its job, or NULL. If there is none, it may keep one free
- * for the suspect. */
-JobTarget *SchedImpl_IsolateTarget(const JobSched *sched, SchedPool *pool,
+/* Returns for how long no target has been found for a task, in ms. */
+int64_t SchedImpl_GetWait(const JobSched *sched, const JobTask *task);
+/* Returns whether a lasting task has not run for so long that it has to be
+ * started on any target. */
+bool SchedImpl_IsRestartDue(const JobSched *sched, const JobTask *task);
+/* Returns the target of a pool on which a suspect can run now, or NULL: with
+ * no others than suspects of its job, with some that have settled, or, if it
+ * is due, beside any runs. If there is none, it may keep one free for the
+ * suspect. */
+JobTarget *SchedImpl_IsolateTarget(JobSched *sched, SchedPool *pool,
                                    const JobRun *run);
+/* Returns a target on which a task fits beside any other runs, isolated or
+ * not, or NULL. */
+JobTarget *SchedImpl_ShareTarget(JobSched *sched, SchedPool *pool,
+                                 const JobRun *run);
 
 /* jobsched_target.c: announcements */
 void SchedImpl_ProposeTarget(JobSched *sched,
--- a/src/jobsched_isolate.c
+++ b/src/jobsched_isolate.c
@@ -6,10 +6,11 @@
 #include "slog.h"
 
 /* Shares of a pool's targets that may be isolated at a time, since suspects
- * can keep that many of them down: while this needs targets that have other
- * work, and while idle ones are left. */
-#define SCHED_MAX_ISOLATED_PERCENT 25
-#define SCHED_MAX_IDLE_ISOLATED_PERCENT 75
+ * can keep that many of them down: for a suspect that has just begun to wait,
+ * and at most. The first one grows to the second with the wait, and does not
+ * apply while idle targets are left. */
+#define SCHED_MIN_ISOLATED_PERCENT 25
+#define SCHED_MAX_ISOLATED_PERCENT 75
 /* The same share for tasks that have crashed a target alone, which will likely
  * do so again, while other tasks wait. */
 #define SCHED_MAX_CRASHED_ALONE_PERCENT 12
@@ -17,6 +18,9 @@
  * them. With fewer, those that wait are few as well, and each crash of a
  * shared target costs a small pool more than the wait. */
 #define SCHED_MIN_ISOLATED_TO_JOIN 10
+/* Time for which a task is taken to have waited when its leader took over, as
+ * the leader does not know when it last ran. */
+#define TAKEOVER_ALLOWANCE_MS 3000
 /* An isolation ends this long after it was last needed. */
 #define SCHED_ISOLATION_MS 500
 
@@ -126,6 +130,34 @@
            (task->crash_attempts & (task->crash_attempts - 1)) == 0;
 }
 
+int64_t
+SchedImpl_GetWait(const JobSched *sched, const JobTask *task)
+{
+    return task->sched_state.unplaced_ms != 0
+               ? sched->now_ms - task->sched_state.unplaced_ms
+               : 0;
+}
+
+bool
+SchedImpl_IsRestartDue(const JobSched *sched, const JobTask *task)
+{
+    int64_t ran_ms = task->ran_ms > sched->leading_since_ms
+                         ? task->ran_ms
+                         : sched->leading_since_ms - TAKEOVER_ALLOWANCE_MS;
+
+    return sched->now_ms - ran_ms >=
+           sched->options.max_lease_ms + SCHED_RESTART_MS;
+}
+
+/* Returns whether a lasting suspect has to run beside whatever runs on a
+ * target. */
+static bool
+is_overdue(const JobSched *sched, const JobRun *run)
+{
+    return JobRun_GetStep(run)->lasting &&
+           SchedImpl_IsRestartDue(sched, JobRun_GetTask(run));
+}
+
 /* Returns whether the runs on probation at a target are of suspects that have
  * outlived the time in which most deadly tasks crash theirs. */
 static bool
@@ -160,33 +192,49 @@
            has_crashed_once(JobRun_GetTask(run)) && has_settled(target, now);
 }
 
+/* Returns the number of targets that may be isolated at a time for a suspect.
+ * It grows with the wait of a lasting one, which has to run again soon. */
 static size_t
-get_isolation_limit(const SchedPool *pool, const JobTarget *target)
+get_isolation_limit(const JobSched *sched, const SchedPool *pool,
+                    const JobTarget *target, const JobRun *run)
 {
     bool idle = target->run_count == 0 && count_unproven(target) == 0;
+    int64_t percent =
+        idle ? SCHED_MAX_ISOLATED_PERCENT : SCHED_MIN_ISOLATED_PERCENT;
 
-    return pool->count *
-           (idle ? SCHED_MAX_IDLE_ISOLATED_PERCENT
-                 : SCHED_MAX_ISOLATED_PERCENT) /
-           100;
+    if (is_overdue(sched, run)) {
+        return pool->count;
+    }
+    if (JobRun_GetStep(run)->lasting) {
+        percent += SchedImpl_GetWait(sched, JobRun_GetTask(run)) *
+                   (SCHED_MAX_ISOLATED_PERCENT - percent) /
+                   SCHED_MAX_SUSPECT_WAIT_MS;
+    }
+    if (percent > SCHED_MAX_ISOLATED_PERCENT) {
+        percent = SCHED_MAX_ISOLATED_PERCENT;
+    }
+    return pool->count * (size_t)percent / 100;
 }
 
-/* Returns whether one more target may be isolated for suspects. */
+/* Returns whether one more target may be isolated for a suspect. */
 static bool
-may_isolate(const SchedPool *pool, const JobTarget *target)
+may_isolate(const JobSched *sched, const SchedPool *pool,
+            const JobTarget *target, const JobRun *run)
 {
     return pool->isolated == 0 ||
-           pool->isolated < get_isolation_limit(pool, target);
+           pool->isolated < get_isolation_limit(sched, pool, target, run);
 }
 
-/* Returns whether one more target may be isolated for suspects that have
+/* Returns whether one more target may be isolated for a suspect that has
  * crashed one alone. */
 static bool
-may_crash_again(const SchedPool *pool, const JobTarget *target)
+may_crash_again(const JobSched *sched, const SchedPool *pool,
+                const JobTarget *target, const JobRun *run)
 {
-    size_t limit = pool->full || pool->suspects_wait
+    bool others_wait = pool->full || pool->suspects_wait;
+    size_t limit = others_wait && !JobRun_GetStep(run)->lasting
                        ? pool->count * SCHED_MAX_CRASHED_ALONE_PERCENT / 100
-                       : get_isolation_limit(pool, target);
+                       : get_isolation_limit(sched, pool, target, run);
 
     return pool->crashed_alone == 0 || pool->crashed_alone < limit;
 }
@@ -223,6 +271,7 @@
 
     for (i = 0; i < pool->count; i++) {
         JobTarget *target = pool->targets[i];
+        const SchedTarget *live = target->sched_state;
 
         if (is_held_for(target, run->job, now)) {
             if (SchedImpl_Fits(sched, run->job, run->occurrence, run->step,
@@ -237,9 +286,10 @@
                            target)) {
             settled = target;
         }
-        if ((!SchedImpl_IsIsolated(SchedImpl_FindLive(target), now) &&
-             !may_isolate(pool, target)) ||
-            (has_crashed_alone && !may_crash_again(pool, target)) ||
+        if ((!SchedImpl_IsIsolated(live, now) &&
+             !may_isolate(sched, pool, target, run)) ||
+            (has_crashed_alone &&
+             !may_crash_again(sched, pool, target, run)) ||
             SchedImpl_HasSuspect(target) || !can_hold(target, run)) {
             continue;
         }
@@ -252,47 +302,138 @@
                : best;
 }
 
+/* Returns how much harm an overdue task may do at a target, to be compared:
+ * first whether its crash could not be attributed, then the number of runs
+ * that would share the blame, then the number of runs. */
+static uint64_t
+get_harm(const JobTarget *target, int64_t now)
+{
+    const SchedTarget *live = target->sched_state;
+    uint64_t runs = target->run_count;
+    bool deadly =
+        SchedImpl_IsIsolated(live, now) && live->isolated_crashed_alone;
+
+    return (uint64_t)deadly << 63 | (uint64_t)!has_settled(target, now) << 62 |
+           (uint64_t)count_unproven(target) << 32 | runs;
+}
+
+/* Returns the target that an overdue task harms least, or NULL if it fits
+ * none. */
+static JobTarget *
+choose_shared(const JobSched *sched, const SchedPool *pool, const JobRun *run)
+{
+    JobTarget *best = NULL;
+    uint64_t best_harm = UINT64_MAX;
+    size_t i;
+
+    for (i = 0; i < pool->count; i++) {
+        JobTarget *target = pool->targets[i];
+        uint64_t harm;
+
+        if (!SchedImpl_Fits(sched, run->job, run->occurrence, run->step,
+                            target)) {
+            continue;
+        }
+        harm = get_harm(target, sched->now_ms);
+        if (harm < best_harm) {
+            best = target;
+            best_harm = harm;
+        }
+    }
+    return best;
+}
+
+static void
+isolate(SchedPool *pool, JobTarget *target, const JobRun *run)
+{
+    SchedTarget *live = SchedImpl_FindLive(target);
+
+    live->isolated_for[0] = '\0';
+    live->isolated_crashed_alone = false;
+    live->isolated_joined = false;
+    pool->slots[live->slot] = (SchedSlot){0, 0, 0, 0, false};
+    pool->isolated++;
+    Slog_Begin(SLOG_CHANGE, "target_isolated");
+    Slog_AddText("target", target->announcement.id);
+    Slog_AddText("job", run->job->id);
+    Slog_AddInt("runs", target->run_count);
+    Slog_End();
+}
+
+/* Makes an isolated target one for the suspects of a job, beside those that it
+ * has. */
+static void
+hold_for(SchedPool *pool, JobTarget *target, const JobRun *run)
+{
+    SchedTarget *live = SchedImpl_FindLive(target);
+    bool crashed_alone = SchedImpl_HasCrashedAlone(JobRun_GetTask(run));
+
+    live->isolated_joined = count_unproven(target) > 0;
+    snprintf(live->isolated_for, sizeof(live->isolated_for), "%s",
+             run->job->id);
+    if (live->isolated_crashed_alone && pool->crashed_alone > 0) {
+        pool->crashed_alone--;
+    }
+    live->isolated_crashed_alone =
+        crashed_alone ||
+        (live->isolated_joined && live->isolated_crashed_alone);
+    pool->crashed_alone += live->isolated_crashed_alone;
+}
+
+JobTarget *
+SchedImpl_ShareTarget(JobSched *sched, SchedPool *pool, const JobRun *run)
+{
+    JobTarget *target = choose_shared(sched, pool, run);
+
+    if (target == NULL) {
+        return NULL;
+    }
+    sched->counts.overdue_tasks++;
+    Slog_Begin(SLOG_CHANGE, "task_overdue");
+    Slog_AddTask(run->job->id, run->occurrence, run->step, run->index);
+    Slog_AddText("target", target->announcement.id);
+    Slog_AddInt("wait_ms", SchedImpl_GetWait(sched, JobRun_GetTask(run)));
+    Slog_AddInt("beside", count_unproven(target));
+    Slog_End();
+    if (SchedImpl_IsSuspect(JobRun_GetTask(run), JobRun_GetStep(run)) &&
+        !is_held_for(target, run->job, sched->now_ms)) {
+        SchedTarget *live = SchedImpl_FindLive(target);
+        if (!SchedImpl_IsIsolated(live, sched->now_ms)) {
+            isolate(pool, target, run);
+        }
+        live->isolated_until_ms = sched->now_ms + SCHED_ISOLATION_MS;
+        hold_for(pool, target, run);
+    }
+    return target;
+}
+
 JobTarget *
-SchedImpl_IsolateTarget(const JobSched *sched, SchedPool *pool,
-                        const JobRun *run)
+SchedImpl_IsolateTarget(JobSched *sched, SchedPool *pool, const JobRun *run)
 {
     int64_t now = sched->now_ms;
     JobTarget *best = choose_isolation(sched, pool, run);
     SchedTarget *live;
-    bool is_shared;
 
+    if (best != NULL && is_held_for(best, run->job, now)) {
+        SchedImpl_FindLive(best)->isolated_until_ms = now + SCHED_ISOLATION_MS;
+        return best;
+    }
+    if ((best == NULL ||
+         (count_unproven(best) > 0 && !can_join(pool, best, run, now))) &&
+        is_overdue(sched, run)) {
+        return SchedImpl_ShareTarget(sched, pool, run);
+    }
     if (best == NULL) {
         return NULL;
     }
     live = SchedImpl_FindLive(best);
     if (!SchedImpl_IsIsolated(live, now)) {
-        live->isolated_for[0] = '\0';
-        live->isolated_crashed_alone = false;
-        live->isolated_joined = false;
-        pool->slots[live->slot] = (SchedSlot){0, 0, 0, 0, false};
-        pool->isolated++;
-        Slog_Begin(SLOG_CHANGE, "target_isolated");
-        Slog_AddText("target", best->announcement.id);
-        Slog_AddText("job", run->job->id);
-        Slog_AddInt("runs", best->run_count);
-        Slog_End();
+        isolate(pool, best, run);
     }
     live->isolated_until_ms = now + SCHED_ISOLATION_MS;
-    if (is_held_for(best, run->job, now)) {
-        return best;
-    }
-    is_shared = count_unproven(best) > 0;
-    if (is_shared && !can_join(pool, best, run, now)) {
+    if (count_unproven(best) > 0 && !can_join(pool, best, run, now)) {
         return NULL;
     }
-    live->isolated_joined = is_shared;
-    snprintf(live->isolated_for, sizeof(live->isolated_for), "%s",
-             run->job->id);
-    if (live->isolated_crashed_alone && pool->crashed_alone > 0) {
-        pool->crashed_alone--;
-    }
-    live->isolated_crashed_alone =
-        SchedImpl_HasCrashedAlone(JobRun_GetTask(run));
-    pool->crashed_alone += live->isolated_crashed_alone;
+    hold_for(pool, best, run);
     return best;
 }
--- a/src/jobsched_place.c
+++ b/src/jobsched_place.c
@@ -309,58 +309,93 @@
            task->sched_state.phase == JOB_SCHED_NONE;
 }
 
-/* The suspects of a step for which a target was looked for in vain. The others
- * need the same, and those that have crashed one alone may get fewer. */
+/* Longest waits of the suspects of a step for which a target was looked for in
+ * vain, or -1. The others need the same, so those that have waited no longer
+ * get none. Those that have crashed one alone may get fewer. The wait of tasks
+ * that end does not matter and counts as 0. */
 typedef struct UnplacedSuspects {
-    bool any;
-    bool crashed_alone;
+    int64_t wait_ms;
+    int64_t crashed_alone_wait_ms;
 } UnplacedSuspects;
 
-/* Returns whether a task is placed apart from others, or not yet, because its
- * targets have crashed. Assigns it if a target can be had for it alone. */
-static bool
-place_suspect(SchedPass *pass, SchedPool *pool, const JobRun *run,
-              UnplacedSuspects *unplaced)
+/* Notes when a task began to wait for a target, and for how long its job has
+ * waited. */
+static void
+mark_unplaced(Job *job, JobTask *task, int64_t now)
+{
+    if (task->sched_state.unplaced_ms == 0) {
+        task->sched_state.unplaced_ms = now;
+    }
+    if (job->sched_state.unplaced_ms == 0 ||
+        task->sched_state.unplaced_ms < job->sched_state.unplaced_ms) {
+        job->sched_state.unplaced_ms = task->sched_state.unplaced_ms;
+    }
+}
+
+/* Returns a target for a suspect, or NULL. */
+static JobTarget *
+find_suspect_target(const SchedPass *pass, SchedPool *pool, const JobRun *run,
+                    UnplacedSuspects *unplaced)
 {
     const JobTask *task = JobRun_GetTask(run);
+    int64_t wait_ms = JobRun_GetStep(run)->lasting
+                          ? SchedImpl_GetWait(pass->sched, task)
+                          : 0;
     bool has_crashed_alone = SchedImpl_HasCrashedAlone(task);
-    JobTarget *target = NULL;
+    JobTarget *target;
 
-    if ((task->sched_state.marks & SCHED_AWAITS_EVIDENCE) != 0) {
-        return true;
+    if (wait_ms <= unplaced->wait_ms ||
+        (has_crashed_alone && wait_ms <= unplaced->crashed_alone_wait_ms)) {
+        return NULL;
     }
-    if (!SchedImpl_IsSuspect(task, JobRun_GetStep(run))) {
-        return false;
+    target = SchedImpl_IsolateTarget(pass->sched, pool, run);
+    if (target == NULL && has_crashed_alone) {
+        unplaced->crashed_alone_wait_ms = wait_ms;
+    }
+    else if (target == NULL) {
+        unplaced->wait_ms = wait_ms;
     }
-    if (!unplaced->any && !(has_crashed_alone && unplaced->crashed_alone)) {
-        target = SchedImpl_IsolateTarget(pass->sched, pool, run);
+    return target;
+}
+
+/* Assigns a suspect if a target can be had for it. */
+static void
+place_suspect(SchedPass *pass, SchedPool *pool, const JobRun *run,
+              UnplacedSuspects *unplaced)
+{
+    JobTask *task = JobRun_GetTask(run);
+    bool has_crashed_alone = SchedImpl_HasCrashedAlone(task);
+    JobTarget *target;
+
+    mark_unplaced(run->job, task, pass->now);
+    if ((task->sched_state.marks & SCHED_AWAITS_EVIDENCE) != 0) {
+        return;
     }
+    target = find_suspect_target(pass, pool, run, unplaced);
     if (has_crashed_alone) {
         run->job->sched_state.crashed_alone = true;
-        unplaced->crashed_alone = unplaced->crashed_alone || target == NULL;
     }
     else if (target == NULL) {
         pool->suspects_wait = true;
-        unplaced->any = true;
     }
     if (target != NULL) {
         add_assignment(pass->sched, run->job, run->occurrence, run->step,
                        run->index, task->attempt + 1, target);
         update_slot(pool, target, pass->now);
     }
-    return true;
 }
 
-/* Returns the task of a step that has found no target for the longest time, or
- * NULL if there is none. */
+/* Returns the task of a step, other than suspects, that has found no target
+ * for the longest time, or NULL if there is none. */
 static JobTask *
-find_longest_unplaced(JobTask *tasks, uint32_t count)
+find_longest_unplaced(JobTask *tasks, const JobStep *spec)
 {
     JobTask *found = NULL;
     uint32_t i;
 
-    for (i = 0; i < count; i++) {
+    for (i = 0; i < spec->count; i++) {
         if (is_placeable(&tasks[i]) && tasks[i].sched_state.unplaced_ms != 0 &&
+            !SchedImpl_IsSuspect(&tasks[i], spec) &&
             (found == NULL || tasks[i].sched_state.unplaced_ms <
                                   found->sched_state.unplaced_ms)) {
             found = &tasks[i];
@@ -371,22 +406,15 @@
 
 /* Notes when the tasks of a lasting step began to wait for a target. */
 static void
-mark_unplaced(Job *job, JobTask *tasks, uint32_t count, int64_t now)
+mark_step_unplaced(Job *job, JobTask *tasks, uint32_t count, int64_t now)
 {
-    const JobTask *longest;
     uint32_t i;
 
     for (i = 0; i < count; i++) {
-        if (is_placeable(&tasks[i]) && tasks[i].sched_state.unplaced_ms == 0) {
-            tasks[i].sched_state.unplaced_ms = now;
+        if (is_placeable(&tasks[i])) {
+            mark_unplaced(job, &tasks[i], now);
         }
     }
-    longest = find_longest_unplaced(tasks, count);
-    if (longest != NULL &&
-        (job->sched_state.unplaced_ms == 0 ||
-         longest->sched_state.unplaced_ms < job->sched_state.unplaced_ms)) {
-        job->sched_state.unplaced_ms = longest->sched_state.unplaced_ms;
-    }
 }
 
 /* Places the lasting task of a step that waits longest before the others: each
@@ -398,20 +426,28 @@
 {
     JobTask *tasks = Job_FindStepTasks(job, occurrence, step);
     const JobStep *spec = &job->spec.steps[step];
-    JobTask *task = find_longest_unplaced(tasks, spec->count);
-    JobTarget *target;
+    JobTask *task = find_longest_unplaced(tasks, spec);
+    JobTarget *target = NULL;
+    JobRun run;
 
-    if (task == NULL || task->crash_score > 0) {
+    if (task == NULL) {
         return true;
     }
-    target = SchedImpl_IsWithinCap(pass->sched, job, spec)
-                 ? choose_target(pass, pool, job, occurrence, step)
-                 : NULL;
+    run = (JobRun){job, occurrence, step, (uint32_t)(task - tasks)};
+    if (SchedImpl_IsWithinCap(pass->sched, job, spec)) {
+        target = choose_target(pass, pool, job, occurrence, step);
+        if (target == NULL && pool->isolated > 0 &&
+            SchedImpl_GetWait(pass->sched, task) >=
+                SCHED_MAX_SUSPECT_WAIT_MS &&
+            SchedImpl_IsRestartDue(pass->sched, task)) {
+            target = SchedImpl_ShareTarget(pass->sched, pool, &run);
+        }
+    }
     if (target == NULL) {
         return false;
     }
-    add_assignment(pass->sched, job, occurrence, step,
-                   (uint32_t)(task - tasks), task->attempt + 1, target);
+    add_assignment(pass->sched, job, occurrence, step, run.index,
+                   task->attempt + 1, target);
     update_slot(pool, target, pass->now);
     return true;
 }
@@ -433,9 +469,10 @@
     JobTask *tasks = Job_FindStepTasks(job, occurrence, step);
     const JobStep *spec = &job->spec.steps[step];
     size_t first = sched->batch_count;
-    UnplacedSuspects unplaced = {false, false};
+    UnplacedSuspects unplaced = {-1, -1};
     JobTarget *target = NULL;
     bool waiting = false;
+    bool full = false; /* for the lasting tasks that are no suspects */
     uint32_t attempt = 0;
     uint32_t i;
 
@@ -451,20 +488,21 @@
     }
     if (spec->lasting && !spec->gang &&
         !place_longest_unplaced(pass, job, pool, occurrence, step)) {
-        mark_unplaced(job, tasks, spec->count, pass->now);
-        return true;
+        full = true;
+        mark_step_unplaced(job, tasks, spec->count, pass->now);
     }
     for (i = 0; i < spec->count; i++) {
-        if (!is_placeable(&tasks[i])) {
+        bool suspect = SchedImpl_IsSuspect(&tasks[i], spec);
+        if (!is_placeable(&tasks[i]) || (full && !suspect)) {
             continue;
         }
         if (!spec->gang &&
             (is_turn_over(pass) || !SchedImpl_IsWithinCap(sched, job, spec))) {
             return true;
         }
-        if (tasks[i].crash_score > 0 && !spec->gang &&
+        if (suspect) {
             place_suspect(pass, pool, &(JobRun){job, occurrence, step, i},
-                          &unplaced)) {
+                          &unplaced);
             waiting = true;
             continue;
         }
@@ -476,15 +514,19 @@
                 undo_assignments(sched, pool, first);
             }
             if (spec->lasting) {
-                mark_unplaced(job, tasks, spec->count, pass->now);
+                mark_step_unplaced(job, tasks, spec->count, pass->now);
             }
-            return true;
+            if (!spec->lasting || spec->gang) {
+                return true;
+            }
+            full = true;
+            continue;
         }
         add_assignment(sched, job, occurrence, step, i,
                        (spec->gang ? attempt : tasks[i].attempt) + 1, target);
         update_slot(pool, target, pass->now);
     }
-    return waiting;
+    return waiting || full;
 }
 
 static bool
@@ -498,12 +540,17 @@
 }
 
 /* Returns whether a target can be had for a task of an occurrence that is not
- * open yet. */
+ * open yet, or may be, for a lasting one that has waited since unplaced_ms. */
 static bool
-has_target(SchedPass *pass, SchedPool *pool, Job *job, uint32_t occurrence)
+has_target(SchedPass *pass, SchedPool *pool, Job *job, uint32_t occurrence,
+           int64_t unplaced_ms)
 {
     uint32_t step;
 
+    if (job->spec.steps[0].lasting && unplaced_ms != 0 && pool->isolated > 0 &&
+        pass->now - unplaced_ms >= SCHED_MAX_SUSPECT_WAIT_MS) {
+        return true;
+    }
     for (step = 0; step < job->spec.step_count; step++) {
         if (job->spec.steps[step].depends_mask == 0 &&
             SchedImpl_IsWithinCap(pass->sched, job, &job->spec.steps[step]) &&
@@ -561,7 +608,7 @@
     size_t first = pass->sched->batch_count;
 
     if (JobState_MayOpenOccurrence(pass->sched->state, job) &&
-        has_target(pass, pool, job, occurrence)) {
+        has_target(pass, pool, job, occurrence, unplaced_ms)) {
         open_occurrence(pass, job, occurrence, unplaced_ms);
         place_occurrence(pass, job, pool, occurrence);
         if (pass->sched->batch_count > first) {
@@ -644,9 +691,9 @@
     if (pass.count > 0) {
         list_targets(&pass);
     }
-    SchedImpl_MarkAwaitedEvidence(sched, now, true);
+    SchedImpl_MarkAwaitedEvidence(sched, true);
     SchedImpl_PlaceCandidates(&pass);
-    SchedImpl_MarkAwaitedEvidence(sched, now, false);
+    SchedImpl_MarkAwaitedEvidence(sched, false);
     sched->placing = false;
     free(pass.candidates);
     for (i = 0; i < pass.pool_count; i++) {
--- a/src/jobstate.h
+++ b/src/jobstate.h
@@ -106,6 +106,8 @@
     char *checkpoint;    /* NULL if there is none */
     int64_t assigned_ms; /* monotonic time; 0: not known to this node */
     JobLostRun lost;
+    int64_t ran_ms; /* when it last ran, as far as this node has led then; 0:
+                       not known */
     JobTaskSchedState sched_state;
 } JobTask;
 
--- a/tests/support_jobsim.c
+++ b/tests/support_jobsim.c
@@ -75,6 +75,7 @@
     EV_DEADLY_CRASH, /* a deadly run crashes its target */
     EV_POOL_CRASH,
     EV_POOL_TARGET_CRASH,
+    EV_BUSIEST_CRASH, /* see JobSimOptions.busiest_crash_ms */
     EV_RESTART,
     EV_PLANNED_END,
     EV_LATE_ANNOUNCEMENT, /* of an incarnation that has ended */
@@ -151,6 +152,7 @@
     uint32_t crashes_caused; /* by the task */
     uint32_t starts;
     uint32_t starts_after_crashes; /* see CRASHES_BEFORE_BUDGET */
+    int64_t ran_ms; /* when it last ran, with measure_restarts; 0: never */
 } TaskRecord;
 
 /* A cap of a tenant, in force until the next one. */
@@ -232,6 +234,7 @@
     JobSimReport *report;
     int64_t total_ms;
     int64_t last_commit_ms; /* commits take effect in proposal order */
+    int64_t fault_ms;       /* last crash, or start of a leader */
 } JobSim;
 
 static void *
@@ -660,6 +663,45 @@
     }
 }
 
+/* Measures for how long a lasting task has not run beside free targets while
+ * nothing has disturbed it for JOBSIM_CALM_MS. */
+static void
+measure_restart(JobSim *sim, const Job *job, uint32_t index)
+{
+    JobTaskRef task = {{0}, 0, 0, index};
+    TaskRecord *record;
+
+    snprintf(task.job, sizeof(task.job), "%s", job->id);
+    record = get_task_record(sim, &task);
+    if (record->running > 0) {
+        record->ran_ms = sim->now;
+    }
+    else if (record->ran_ms != 0 &&
+             sim->now - sim->fault_ms >= JOBSIM_CALM_MS &&
+             sim->now - record->ran_ms > sim->report->max_restart_ms &&
+             has_ample_room(sim, job->pool, &job->spec.steps[0].need)) {
+        sim->report->max_restart_ms = sim->now - record->ran_ms;
+    }
+}
+
+static void
+measure_restarts(JobSim *sim)
+{
+    uint64_t number;
+
+    for (number = 1; number < sim->next_job; number++) {
+        const JobRecord *record = &sim->job_records[number];
+        uint32_t i;
+        if (record->ended || record->deadly ||
+            !record->job->spec.steps[0].lasting) {
+            continue;
+        }
+        for (i = 0; i < record->job->tasks_per_occurrence; i++) {
+            measure_restart(sim, record->job, i);
+        }
+    }
+}
+
 /* --- targets --- */
 
 static int64_t
@@ -1431,6 +1473,7 @@
         restore_state(sim);
     }
     sim->term++;
+    sim->fault_ms = sim->now;
 }
 
 /* Leaves the scheduler without a leader for some time. */
@@ -1490,6 +1533,7 @@
     SimTarget *target = &sim->targets[target_index];
     Event *event;
 
+    sim->fault_ms = sim->now;
     if (sim->options.long_outage_share > 0 &&
         draw_bool(sim, sim->options.long_outage_share)) {
         min_outage_ms = 5000;
@@ -1592,6 +1636,28 @@
     }
 }
 
+/* Crashes the target with most runs, and again after busiest_crash_gap_ms. */
+static void
+crash_busiest(JobSim *sim, uint64_t crashes_left)
+{
+    uint32_t busiest = 0;
+    uint32_t i;
+
+    for (i = 1; i < sim->target_count; i++) {
+        if (sim->targets[i].run_count > sim->targets[busiest].run_count) {
+            busiest = i;
+        }
+    }
+    if (sim->targets[busiest].up) {
+        crash_target(sim, busiest, 1800, 2200);
+    }
+    if (crashes_left > 1) {
+        schedule_event(sim, sim->options.busiest_crash_gap_ms,
+                       EV_BUSIEST_CRASH)
+            ->id = crashes_left - 1;
+    }
+}
+
 static void
 restart_target(JobSim *sim, uint32_t target_index)
 {
@@ -1746,6 +1812,11 @@
     snprintf(id, sizeof(id), "%016llx", (unsigned long long)sim->next_job);
     snprintf(queue, sizeof(queue), "q%u", pool);
     generate_spec(sim, &spec, lasting);
+    if (sim->options.spread_lasting && lasting &&
+        sim->next_job <= sim->options.pools) {
+        spec.steps[0].count = sim->options.targets_per_pool;
+        spec.steps[0].max_per_target = 1;
+    }
     record = add_job_record(sim);
     if (!lasting && sim->options.large_job_share > 0 &&
         draw_bool(sim, sim->options.large_job_share)) {
@@ -2352,6 +2423,7 @@
         target->muted = false;
     }
     else if (event->sender_term == sim->term) {
+        sim->fault_ms = sim->now;
         JobSched_Lead(sim->sched, sim->now, sim->term);
     }
 }
@@ -2490,6 +2562,9 @@
     if (sim->options.measure_waits) {
         measure_waits(sim);
     }
+    if (sim->options.measure_restarts) {
+        measure_restarts(sim);
+    }
     schedule_event(sim, TICK_INTERVAL_MS, EV_TICK);
 }
 
@@ -2583,6 +2658,9 @@
             crash_target(sim, event->target_index, 300, 4000);
         }
         break;
+    case EV_BUSIEST_CRASH:
+        crash_busiest(sim, event->id);
+        break;
     case EV_PARTITION:
     case EV_CRASH:
     case EV_LEADER_CHANGE:
@@ -2757,6 +2835,10 @@
     if (options->outage_ms > 0) {
         schedule_event(&sim, options->outage_at_ms, EV_OUTAGE);
     }
+    if (options->busiest_crashes > 0) {
+        schedule_event(&sim, options->busiest_crash_ms, EV_BUSIEST_CRASH)->id =
+            options->busiest_crashes;
+    }
     while (sim.heap_count > 0 &&
            sim.heap[0]->at_ms < options->active_ms + options->settle_ms &&
            report->violation[0] == '\0') {
--- a/tests/support_jobsim.h
+++ b/tests/support_jobsim.h
@@ -28,6 +28,10 @@
 /* Longest time for which a job may wait with nothing running beside a pool of
  * which under half is in use. */
 #define JOBSIM_MAX_IDLE_MS 3000
+/* Time in which a lasting task is to run again after its last run, and time
+ * without faults that it has for that. */
+#define JOBSIM_MAX_RESTART_MS 9000
+#define JOBSIM_CALM_MS 7000
 
 typedef struct JobSimOptions {
     uint64_t seed;
@@ -127,6 +131,14 @@
     int64_t outage_at_ms;  /* when the leader is lost, for outage_ms */
     int64_t outage_ms;     /* 0: never */
     bool measure_waits;    /* fills max_suspects and the waits below */
+    /* When the target with most runs crashes for 2 s, how often, and the time
+     * between two of these crashes. */
+    int64_t busiest_crash_ms;
+    uint32_t busiest_crashes; /* 0: never */
+    int64_t busiest_crash_gap_ms;
+    bool measure_restarts; /* fills max_restart_ms */
+    bool spread_lasting;   /* the first lasting job of a pool has one task at
+                              each target, so that none is idle */
 } JobSimOptions;
 
 #define JOBSIM_OPTIONS_DEFAULT                                                \
@@ -192,6 +204,10 @@
      * number of jobs that waited JOBSIM_MAX_IDLE_MS so. */
     int64_t max_idle_ms;
     uint64_t idle_jobs;
+    /* Longest time since the last run of a lasting task that is not deadly and
+     * does not run, beside the same free room, after JOBSIM_CALM_MS without a
+     * crash or a change of the leader. */
+    int64_t max_restart_ms;
     char violation[256]; /* first violation found by the oracle, or empty */
 } JobSimReport;
 
