Show a job as running only once a task of it has started

Cause: the assignment of a task set the phase of its job, before the start is sent, and nothing took it back when the assignment ended without a start. The logs have the assignments, ends as lost and no run_started.

Change: the phase follows the start. The leader notes an answered or listed start and answers by it, stores each 500 ms which jobs have begun, in a new command, and takes ends that only a started run can have as proof. A job that has begun stays so when its tasks wait again.

--- a/src/jobcmd.c
+++ b/src/jobcmd.c
@@ -94,6 +94,19 @@
     }
 }
 
+void
+JobCmd_EncodeBegun(Buf *out, const Job *const *jobs, size_t count)
+{
+    msgpack_packer packer;
+    size_t i;
+
+    begin_command(&packer, out, JOB_CMD_BEGUN, 1);
+    msgpack_pack_array(&packer, count);
+    for (i = 0; i < count; i++) {
+        MpPack_Text(&packer, jobs[i]->id);
+    }
+}
+
 void
 JobCmd_EncodeCrashes(Buf *out, int64_t wall_ms, const JobCrash *rows,
                      size_t count)
--- a/src/jobctl_request.c
+++ b/src/jobctl_request.c
@@ -253,7 +253,7 @@
 
     if (job != NULL && may_use_job(pending, job, tenant)) {
         reply.kind = JOB_REPLY_STATE;
-        reply.phase = job->phase;
+        reply.phase = Job_GetPhase(job);
     }
     send_reply(pending, &reply);
 }
--- a/src/jobsched.c
+++ b/src/jobsched.c
@@ -682,6 +682,7 @@
         }
     }
     SchedImpl_RetryCrashes(sched);
+    SchedImpl_ProposeBegun(sched, now);
     SchedImpl_ReviewRefusals(sched, now);
     sched->long_list_runs = long_list_runs;
     sched->next_hold_wait_ms =
--- a/src/jobsched_call.c
+++ b/src/jobsched_call.c
@@ -56,6 +56,7 @@
     JobTask *task = JobRun_GetTask(run);
 
     task->ran_ms = now;
+    SchedImpl_NoteBegun(run->job);
     if (task->sched_state.phase == JOB_SCHED_RUNNING &&
         !task->sched_state.proven &&
         now - task->sched_state.since_ms >= SCHED_PROBATION_MS) {
@@ -289,6 +290,9 @@
     JobRun run = {job, call->task.occurrence, call->task.step,
                   call->task.index};
 
+    if (task != NULL && answer->outcome == JOB_CALL_OK) {
+        SchedImpl_NoteBegun(job); /* also if another run has overtaken it */
+    }
     if (task == NULL || task->state != JOB_TASK_ASSIGNED ||
         task->target != call->row || task->attempt != call->attempt ||
         task->sched_state.phase != JOB_SCHED_STARTING) {
--- a/src/jobsched_impl.h
+++ b/src/jobsched_impl.h
@@ -243,6 +243,7 @@
     int64_t wall_ms; /* wall time of the last tick */
     int64_t now_ms;  /* latest time passed by the caller */
     int64_t next_expire_ms;
+    int64_t next_begun_ms;
     uint64_t placement; /* number of the current placement */
     bool placing;       /* a placement runs, so the state does not change */
     int64_t full_ms; /* when a task last found no room in its pool; 0: never */
@@ -446,6 +447,10 @@
                              size_t first);
 
 /* jobsched_run.c: calls that start and stop tasks, and ends of runs */
+/* Notes that a task of a job has started. */
+void SchedImpl_NoteBegun(Job *job);
+/* Proposes to store which jobs have begun, so that a later leader knows it. */
+void SchedImpl_ProposeBegun(JobSched *sched, int64_t now);
 void SchedImpl_StopTask(JobSched *sched, int64_t now, JobTarget *target,
                         const JobTaskRef *ref, uint32_t attempt);
 void SchedImpl_StopRun(JobSched *sched, int64_t now, const JobRun *run);
--- a/src/jobsched_run.c
+++ b/src/jobsched_run.c
@@ -16,6 +16,50 @@
  * texts are not counted. */
 #define SCHED_MAX_TEXT_BYTES ((size_t)2 * 1024 * 1024)
 #define SCHED_SHORT_TEXT_BYTES 4096
+/* Interval of the commands that store which jobs have begun, and time after
+ * which a job is in one again. Most short jobs end before the first. */
+#define SCHED_BEGUN_INTERVAL_MS 500
+#define SCHED_BEGUN_RETRY_MS 2000
+
+void
+SchedImpl_NoteBegun(Job *job)
+{
+    job->sched_state.begun = true;
+}
+
+/* Returns whether it has to be proposed that a job has begun. */
+static bool
+is_begun_unstored(const Job *job, int64_t now)
+{
+    return job->phase == JOB_QUEUED && job->sched_state.begun &&
+           (job->sched_state.begun_proposed_ms == 0 ||
+            now - job->sched_state.begun_proposed_ms >= SCHED_BEGUN_RETRY_MS);
+}
+
+void
+SchedImpl_ProposeBegun(JobSched *sched, int64_t now)
+{
+    const Job *jobs[SCHED_MAX_COMMAND_ROWS];
+    size_t count = 0;
+    Job *job;
+
+    if (now < sched->next_begun_ms) {
+        return;
+    }
+    sched->next_begun_ms = now + SCHED_BEGUN_INTERVAL_MS;
+    for (job = JobState_FirstActive(sched->state);
+         job != NULL && count < SCHED_MAX_COMMAND_ROWS; job = job->next) {
+        if (is_begun_unstored(job, now)) {
+            job->sched_state.begun_proposed_ms = now;
+            jobs[count++] = job;
+        }
+    }
+    if (count > 0) {
+        Buf command = BUF_INIT;
+        JobCmd_EncodeBegun(&command, jobs, count);
+        SchedImpl_Propose(sched, SCHED_OTHER, &command, JOB_NO_TARGET, 0);
+    }
+}
 
 void
 SchedImpl_StartRun(JobSched *sched, int64_t now, const JobRun *run)
--- a/src/jobstate.c
+++ b/src/jobstate.c
@@ -120,6 +120,13 @@
     return StrMap_Get(state->vm_orders, vm);
 }
 
+JobPhase
+Job_GetPhase(const Job *job)
+{
+    return job->phase == JOB_QUEUED && job->sched_state.begun ? JOB_RUNNING
+                                                              : job->phase;
+}
+
 size_t
 JobState_CountPending(const JobState *state, const char *queue)
 {
@@ -127,7 +134,8 @@
     size_t count = 0;
 
     for (job = state->active_first; job != NULL; job = job->next) {
-        count += job->phase == JOB_QUEUED && strcmp(job->queue, queue) == 0;
+        count +=
+            Job_GetPhase(job) == JOB_QUEUED && strcmp(job->queue, queue) == 0;
     }
     return count;
 }
--- a/src/jobstate.h
+++ b/src/jobstate.h
@@ -48,7 +48,7 @@
 
 typedef enum JobPhase {
     JOB_QUEUED = 0,
-    JOB_RUNNING = 1, /* at least one task has been assigned */
+    JOB_RUNNING = 1, /* a task has started, though none may run now */
     JOB_COMPLETED = 2,
     JOB_FAILED = 3,
     JOB_CANCELLED = 4
@@ -131,8 +131,10 @@
     uint32_t proposed;   /* number of its assignments in flight */
     int64_t passed_ms;   /* since when others of its tenant have started while
                             the cap delayed it, or 0 */
-    bool crashed_alone;  /* a waiting task of it has crashed a target that ran
-                           nothing else that may have */
+    bool begun;          /* this leader has seen that a task started */
+    int64_t begun_proposed_ms; /* when it last proposed to store that, or 0 */
+    bool crashed_alone; /* a waiting task of it has crashed a target that ran
+                          nothing else that may have */
 } JobSchedState;
 
 typedef struct JobTenantSchedState {
@@ -359,7 +361,11 @@
 /* Returns whether all steps that a step depends on are done. */
 bool Job_IsStepReady(const Job *job, uint32_t occurrence, uint32_t step);
 
-/* Returns the number of jobs of a queue that have had no task assigned yet. */
+/* Returns the phase that callers are told. A leader may know that a queued job
+ * is running before that is replicated. */
+JobPhase Job_GetPhase(const Job *job);
+/* Returns the number of jobs of a queue of which no task is known to have
+ * started. */
 size_t JobState_CountPending(const JobState *state, const char *queue);
 
 /* Clears all members named sched_state. */
@@ -394,6 +400,10 @@
  * store; its task resumes from the last one that was stored. */
 void JobCmd_EncodeEnds(Buf *out, uint32_t target, uint64_t serial,
                        int64_t wall_ms, const JobEnd *ends, size_t count);
+/* Notes that tasks of queued jobs have started. Ends that only a run that
+ * started can have do so, too; an assignment does not, as its start may never
+ * take effect. Nodes of earlier versions ignore the command. */
+void JobCmd_EncodeBegun(Buf *out, const Job *const *jobs, size_t count);
 /* What a crash of a target says about a task that had started there. */
 typedef enum JobCrashEvidence {
     JOB_CRASH_SHARED = 0, /* another task may have caused it */
--- a/src/jobstate_apply.c
+++ b/src/jobstate_apply.c
@@ -230,7 +230,6 @@
     task->target = row->target;
     task->assigned_ms = state->caught_up ? state->now_ms : 0;
     job->assigned++;
-    job->phase = JOB_RUNNING;
     JobStateImpl_AddRun(target, &(JobRun){job, row->task.occurrence,
                                           row->task.step, row->task.index});
 }
@@ -259,6 +258,37 @@
     return JOB_RESULT_OK;
 }
 
+static void
+note_begun(Job *job)
+{
+    if (job->phase == JOB_QUEUED) {
+        job->phase = JOB_RUNNING;
+    }
+}
+
+static JobResult
+apply_begun(JobState *state, MpRead *reader)
+{
+    uint32_t count;
+    uint32_t i;
+
+    if (!MpRead_Array(reader, &count)) {
+        return JOB_RESULT_CORRUPT;
+    }
+    for (i = 0; i < count; i++) {
+        char id[JOB_ID_BYTES];
+        Job *job;
+        if (!MpRead_Text(reader, id, sizeof(id))) {
+            return JOB_RESULT_CORRUPT;
+        }
+        job = StrMap_Get(state->jobs, id);
+        if (job != NULL) {
+            note_begun(job);
+        }
+    }
+    return JOB_RESULT_OK;
+}
+
 static void
 finish_task(JobState *state, Job *job, const JobTaskRef *ref, JobTask *task)
 {
@@ -367,6 +397,15 @@
     }
 }
 
+/* Returns whether only a run that had started can have ended so. A stop that
+ * comes before the start is listed by no target. */
+static bool
+has_run(const JobEnd *end)
+{
+    return end->kind == JOB_END_STOPPED ? end->number > 0
+                                        : end->kind < JOB_END_REFUSED;
+}
+
 static void
 apply_end(JobState *state, uint32_t target, const JobEnd *end, int64_t wall_ms)
 {
@@ -376,6 +415,9 @@
     if (task == NULL) {
         return;
     }
+    if (has_run(end)) {
+        note_begun(job);
+    }
     if (task->state == JOB_TASK_WAITING && end->kind == JOB_END_DONE &&
         end->attempt > 0 && end->attempt <= task->attempt &&
         !get_step(job, end->task.step)->lasting &&
@@ -614,12 +656,13 @@
         [JOB_CMD_EXPIRE] = apply_expire,
         [JOB_CMD_VM_ORDER] = JobStateImpl_ApplyVmOrder,
         [JOB_CMD_CRASHES] = apply_crashes,
+        [JOB_CMD_BEGUN] = apply_begun,
     };
     uint32_t items;
     uint64_t command;
 
     if (!MpRead_Array(reader, &items) || !MpRead_U64(reader, &command) ||
-        command < JOB_CMD_CONFIG || command > JOB_CMD_CRASHES) {
+        command < JOB_CMD_CONFIG || command > JOB_CMD_BEGUN) {
         return JOB_RESULT_CORRUPT;
     }
     return functions[command](state, reader);
--- a/src/jobstate_impl.h
+++ b/src/jobstate_impl.h
@@ -135,7 +135,8 @@
     JOB_CMD_WAVE_VM = 10,
     JOB_CMD_EXPIRE = 11,
     JOB_CMD_VM_ORDER = 12,
-    JOB_CMD_CRASHES = 13
+    JOB_CMD_CRASHES = 13,
+    JOB_CMD_BEGUN = 14
 } JobCommandKind;
 
 #endif
--- a/tests/support_job.c
+++ b/tests/support_job.c
@@ -131,6 +131,16 @@
     return JobTest_Apply(state, &command);
 }
 
+JobResult
+JobTest_Begin(JobState *state, const char *id)
+{
+    const Job *job = JobState_FindJob(state, id);
+    Buf command = BUF_INIT;
+
+    JobCmd_EncodeBegun(&command, &job, 1);
+    return JobTest_Apply(state, &command);
+}
+
 JobResult
 JobTest_End(JobState *state, const char *id, uint32_t step, uint32_t index,
             uint32_t attempt, const char *target, JobEndKind kind,
--- a/tests/support_job.h
+++ b/tests/support_job.h
@@ -31,6 +31,8 @@
 
 JobResult JobTest_Assign(JobState *state, const char *id, uint32_t step,
                          uint32_t index, uint32_t attempt, const char *target);
+/* Notes that a task of a job has started. */
+JobResult JobTest_Begin(JobState *state, const char *id);
 JobResult JobTest_End(JobState *state, const char *id, uint32_t step,
                       uint32_t index, uint32_t attempt, const char *target,
                       JobEndKind kind, uint64_t number);
--- a/tests/test_jobshare.c
+++ b/tests/test_jobshare.c
@@ -330,14 +330,14 @@
     now += 1; /* of two jobs in time, the later one goes first */
     submit("large", "a", &row->step);
     begun = now;
-    while (JobState_FindJob(state, "large")->phase == JOB_QUEUED &&
+    while (JobState_FindJob(state, "large")->assigned == 0 &&
            now - begun < row->max_wait_ms) {
         now += 100;
         end_runs("a", 1);
         announce_targets(4);
         place(COMMIT);
     }
-    ck_assert_msg(JobState_FindJob(state, "large")->phase != JOB_QUEUED,
+    ck_assert_msg(JobState_FindJob(state, "large")->assigned > 0,
                   "%s waits for %lld ms", row->name, (long long)(now - begun));
 }
 END_TEST
@@ -419,8 +419,8 @@
            &(JobStep){.count = 1, .need = {1000, 10, 0}, .lasting = true});
     end_runs("a", 1);
     place(COMMIT);
-    ck_assert_int_eq(JobState_FindJob(state, "lasting")->phase, JOB_RUNNING);
-    ck_assert_int_eq(JobState_FindJob(state, "large")->phase, JOB_QUEUED);
+    ck_assert_uint_eq(JobState_FindJob(state, "lasting")->assigned, 1);
+    ck_assert_uint_eq(JobState_FindJob(state, "large")->assigned, 0);
 }
 END_TEST
 
@@ -662,7 +662,7 @@
 
     for (job = JobState_FirstActive(state); job != NULL; job = job->next) {
         waiting +=
-            job->phase == JOB_QUEUED && strcmp(job->tenant->name, tenant) == 0;
+            job->assigned == 0 && strcmp(job->tenant->name, tenant) == 0;
     }
     for (; waiting < 8; waiting++) {
         char id[JOB_ID_BYTES];
--- a/tests/test_jobtenant.c
+++ b/tests/test_jobtenant.c
@@ -477,6 +477,7 @@
     configure(2, two_tenants, 2);
     submit("1", "q", "a");
     JobTest_Assign(state, "1", 0, 0, 1, "t1");
+    JobTest_Begin(state, "1");
     configure(3, renewed_tenants, 2);
     ck_assert_int_eq(
         check_queue(JobState_GetConfig(state), "q", "old-a", &tenant),
@@ -695,6 +696,7 @@
     JobTest_SetTarget(state, "t1", "vm1", "p", 100, false);
     JobTest_Submit(state, "1", 1, 2, 500);
     JobTest_Assign(state, "1", 0, 0, 1, "t1");
+    JobTest_Begin(state, "1");
     JobCmd_EncodeCancel(&command, "4", 1500, "");
     JobTest_Apply(state, &command);
     check_version_5_snapshot();
