Place nothing on a restarted target before it has announced itself

Cause: a hold shows the start time of the new incarnation before its first announcement. finish_restart_check stored that time with the labels, pool and room of the earlier incarnation, and the target was usable at once. An announcement that came during the check was dropped while there were runs.

Change: the announcement that shows the new incarnation is kept and stored after the check. Without one, the incarnation is stored without labels and room, and is not usable until it has announced itself. As this is in the state, it holds across a change of the leader.

--- a/src/jobsched.c
+++ b/src/jobsched.c
@@ -552,15 +552,24 @@
                                         SchedImpl_LeaseExpiryMs(sched, live);
 }
 
+/* Returns whether the stored incarnation of a target has announced itself. */
+static bool
+is_announced(const JobTarget *target)
+{
+    return target->announcement.room.cpu > 0 ||
+           target->announcement.room.memory_mb > 0;
+}
+
 bool
 JobSched_IsUsable(const JobSched *sched, const JobTarget *target, int64_t now)
 {
     const SchedTarget *live = SchedImpl_FindLive(target);
 
     return live != NULL && !target->announcement.leaving &&
-           !live->checking_restart && !live->readmitting && !live->cordoned &&
-           live->departure_ms == 0 && live->clock_known &&
-           live->unanswered < 2 && has_lease_left(sched, live, now) &&
+           is_announced(target) && !live->checking_restart &&
+           !live->readmitting && !live->cordoned && live->departure_ms == 0 &&
+           live->clock_known && live->unanswered < 2 &&
+           has_lease_left(sched, live, now) &&
            now >= live->quarantine_end_ms &&
            SchedImpl_IsRecentlySeen(sched, live, now);
 }
--- a/src/jobsched_call.c
+++ b/src/jobsched_call.c
@@ -215,6 +215,28 @@
                                                   : SCHED_MAX_HOLD_DELAY_MS);
 }
 
+/* Returns what is stored of the incarnation that was verified. It may differ
+ * in everything from the earlier one. Until it has announced itself it has no
+ * room, and so gets no task. */
+static JobAnnouncement
+get_successor(const JobTarget *target)
+{
+    const SchedTarget *live = SchedImpl_FindLive(target);
+    JobAnnouncement next = target->announcement;
+
+    if (next.born == live->checked_born) {
+        return next;
+    }
+    if (live->successor.born == live->checked_born) {
+        return live->successor;
+    }
+    next.leaving = false;
+    next.born = live->checked_born;
+    next.label_count = 0;
+    next.room = (JobResources){0, 0, 0};
+    return next;
+}
+
 /* Finishes the verification of a new incarnation. Any runs that it started are
  * stopped first: a delayed call to the old incarnation caused them, and the
  * old assignments must not be released while they run. */
@@ -223,7 +245,7 @@
                      const JobCallAnswer *answer)
 {
     SchedTarget *live = SchedImpl_FindLive(target);
-    JobAnnouncement announcement = target->announcement;
+    JobAnnouncement announcement;
 
     if (answer->born > live->checked_born) {
         live->checked_born = answer->born;
@@ -244,10 +266,8 @@
         free(ends);
     }
     SchedImpl_RecordCrash(sched, now, target);
-    announcement.leaving =
-        live->checked_leaving ||
-        (announcement.leaving && announcement.born == live->checked_born);
-    announcement.born = live->checked_born;
+    announcement = get_successor(target);
+    announcement.leaving = announcement.leaving || live->checked_leaving;
     live->checking_restart = false;
     live->announcement_pending = true;
     live->readmitting = true;
--- a/src/jobsched_impl.h
+++ b/src/jobsched_impl.h
@@ -66,10 +66,12 @@
     char isolated_for[JOB_ID_BYTES]; /* job of the suspects, or empty while
                                         runs of others have to end first */
     bool isolated_crashed_alone;     /* they have crashed a target alone */
-    bool isolated_joined;  /* suspects of other jobs have joined them */
-    uint32_t unanswered;   /* consecutive calls without an answer */
-    JobResources room;     /* in its last announcement */
-    JobResources reserved; /* room taken by assignments in flight */
+    bool isolated_joined;      /* suspects of other jobs have joined them */
+    uint32_t unanswered;       /* consecutive calls without an answer */
+    JobAnnouncement successor; /* of the incarnation to verify, if born says
+                                  so */
+    JobResources room;         /* in its last announcement */
+    JobResources reserved;     /* room taken by assignments in flight */
     uint32_t reserved_count;
     uint32_t slot; /* in the current placement */
     /* Runs of a job, with the assignments that the placement of this number
--- a/src/jobsched_target.c
+++ b/src/jobsched_target.c
@@ -152,6 +152,7 @@
         return true; /* a newer announcement arrived first */
     }
     if (announcement->born > target->announcement.born) {
+        live->successor = *announcement;
         SchedImpl_RecordCrash(sched, now, target);
         SchedImpl_BeginRestartCheck(sched, now, target, announcement->born);
         live->last_seen_ms = now;
--- a/tests/test_jobsched.c
+++ b/tests/test_jobsched.c
@@ -768,6 +768,52 @@
 }
 END_TEST
 
+/* Guards against tasks that start where a target has restarted as one of
+ * another kind, before it has announced that. */
+START_TEST(restarted_target_gets_no_task_before_it_has_announced_itself)
+{
+    JobAnnouncement announcement = {.id = "t1",
+                                    .pool = "p",
+                                    .vm = "vm1",
+                                    .address = "10.0.0.1:80",
+                                    .labels = {"b"},
+                                    .label_count = 1,
+                                    .room = {16000, 32000, 0},
+                                    .born = 10,
+                                    .order = 1000};
+    const JobTarget *target;
+
+    announcement.clock_ms = now - 90000;
+    JobSched_HandleAnnouncement(sched, now, &announcement);
+    process_actions();
+    JobTest_Submit(state, "a", 1, 1, 500);
+    tick(50);
+    target = JobState_FindTarget(state, "t1");
+    ck_assert_uint_eq(target->run_count, 1);
+    JobTest_Submit(state, "b", 1, 1, 0);
+    if (_i == 1) { /* a clock that went back shows the restart */
+        call_count = 0;
+        announcement.clock_ms = 1;
+        JobSched_HandleAnnouncement(sched, now, &announcement);
+    }
+    finish_restart_check(20);
+    finish_restart_check(20);
+    ck_assert_uint_eq(target->announcement.born, 20);
+    ck_assert_uint_eq(target->announcement.label_count, 0);
+    tick(500);
+    ck_assert(!JobSched_IsUsable(sched, target, now));
+    ck_assert_uint_eq(target->run_count, 0);
+    announcement.born = 20;
+    announcement.clock_ms = now - 90000;
+    announcement.labels[0][0] = 'a';
+    JobSched_HandleAnnouncement(sched, now, &announcement);
+    process_actions();
+    ck_assert_str_eq(target->announcement.labels[0], "a");
+    tick(500);
+    ck_assert(JobSched_IsUsable(sched, target, now));
+}
+END_TEST
+
 /* Handles an announcement as a request does: stores it at once if it may.
  * Returns whether the request is acknowledged. */
 static bool
@@ -1400,6 +1446,9 @@
         leaving_of_restarted_target_is_stored_before_its_acknowledgement, 0,
         (int)(sizeof(restart_cases) / sizeof(restart_cases[0])));
     tcase_add_test(tcase, restart_ends_the_leaving_of_the_earlier_incarnation);
+    tcase_add_loop_test(
+        tcase, restarted_target_gets_no_task_before_it_has_announced_itself, 0,
+        2);
     tcase_add_loop_test(tcase, leaving_is_stored_after_earlier_announcements,
                         0, 2);
     tcase_add_test(tcase, new_incarnation_numbers_its_announcements_anew);
