Read lists of VMs whose page tokens are long

Cause: the token of that page has 96 bytes. The decoder had room for 71, left a longer one empty and did not look at the error, and an empty token means the last page. The list counted as complete, and VMs that it lacked as removed. A path of 160 bytes, a URL of 512 and the lack of escaping would have broken other tokens as well, and an answer that is no list counted as an empty one.

Change: tokens have no fixed length and are sent back percent-encoded.

--- a/src/buf.c
+++ b/src/buf.c
@@ -1,6 +1,7 @@
 #include "buf.h"
 
 #include <stdarg.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -110,3 +111,21 @@
     Buf_Append(data, bytes, len);
     return 0;
 }
+
+void
+Buf_AppendEscaped(Buf *out, const char *text)
+{
+    const char *at;
+
+    for (at = text; *at != '\0'; at++) {
+        bool plain = (*at >= 'a' && *at <= 'z') ||
+                     (*at >= 'A' && *at <= 'Z') ||
+                     (*at >= '0' && *at <= '9') || strchr("-_.~", *at) != NULL;
+        if (plain) {
+            Buf_Append(out, at, 1);
+        }
+        else {
+            Buf_Printf(out, "%%%02X", (unsigned)(unsigned char)*at);
+        }
+    }
+}
--- a/src/buf.h
+++ b/src/buf.h
@@ -35,6 +35,9 @@
 void
 Buf_Printf(Buf *buf, const char *format, ...);
 
+/* Appends text, percent-encoded as a URL component. */
+void Buf_AppendEscaped(Buf *out, const char *text);
+
 /* Removes the first len bytes, or all when the buffer holds fewer. */
 void Buf_Consume(Buf *buf, size_t len);
 
--- a/src/cli_http.c
+++ b/src/cli_http.c
@@ -146,21 +146,3 @@
     }
     return CLI_UNKNOWN;
 }
-
-void
-Cli_EscapeUrl(Buf *out, const char *text)
-{
-    const char *at;
-
-    for (at = text; *at != '\0'; at++) {
-        bool plain = (*at >= 'a' && *at <= 'z') ||
-                     (*at >= 'A' && *at <= 'Z') ||
-                     (*at >= '0' && *at <= '9') || strchr("-_.~", *at) != NULL;
-        if (plain) {
-            Buf_Append(out, at, 1);
-        }
-        else {
-            Buf_Printf(out, "%%%02X", (unsigned)(unsigned char)*at);
-        }
-    }
-}
--- a/src/cli_http.h
+++ b/src/cli_http.h
@@ -41,7 +41,4 @@
 /* Returns the exit status for an HTTP status, or for 0 without an answer. */
 CliExitStatus Cli_GetExitStatus(long status);
 
-/* Appends text, percent-encoded as a URL component. */
-void Cli_EscapeUrl(Buf *out, const char *text);
-
 #endif
--- a/src/cli_run.c
+++ b/src/cli_run.c
@@ -163,7 +163,7 @@
 
     Buf_Printf(&url, "%s", path);
     if (parameter != NULL) {
-        Cli_EscapeUrl(&url, parameter);
+        Buf_AppendEscaped(&url, parameter);
     }
     request.path = Buf_Text(&url);
     status = send_request(options, &request, NULL, "answer");
@@ -343,7 +343,7 @@
         return print_usage("vms [remove NAME]");
     }
     Buf_Printf(&path, "/v1/vms/");
-    Cli_EscapeUrl(&path, name);
+    Buf_AppendEscaped(&path, name);
     Buf_Printf(&path, "/remove");
     status = send_change(options, Buf_Text(&path), json_object());
     Buf_Free(&path);
@@ -362,7 +362,7 @@
         return print_usage("members destroyed NAME");
     }
     Buf_Printf(&path, "/v1/members/");
-    Cli_EscapeUrl(&path, name);
+    Buf_AppendEscaped(&path, name);
     Buf_Printf(&path, "/destroyed");
     status = send_change(options, Buf_Text(&path), json_object());
     Buf_Free(&path);
@@ -424,7 +424,7 @@
         return print_usage(usage);
     }
     Buf_Printf(&path, "/v1/waves/");
-    Cli_EscapeUrl(&path, name);
+    Buf_AppendEscaped(&path, name);
     Buf_Printf(&path, "/%s", action);
     body = json_object();
     if (options->reason != NULL) {
--- a/src/httpclient.c
+++ b/src/httpclient.c
@@ -8,7 +8,7 @@
 #include <xxhash.h>
 
 #define HTTP_CONNECT_TIMEOUT_MS 1000
-#define HTTP_URL_BYTES 512
+#define HTTP_HEADER_LINE_BYTES 512
 /* Allows two or three per target of a large fleet. */
 #define HTTP_MAX_IDLE_CONNECTIONS 2048L
 #define HTTP_MAX_FREE_HANDLES 64
@@ -297,7 +297,7 @@
 static void
 add_headers(HttpCall *call, const HttpCallOptions *options)
 {
-    char line[HTTP_URL_BYTES];
+    char line[HTTP_HEADER_LINE_BYTES];
     size_t i;
 
     for (i = 0; i < options->header_count; i++) {
@@ -366,12 +366,14 @@
 static void
 set_options(HttpCall *call, const HttpCallOptions *options)
 {
-    char url[HTTP_URL_BYTES];
+    Buf url = BUF_INIT;
     CURL *easy = call->easy;
 
-    snprintf(url, sizeof(url), "http://%s:%d%s", options->address.host,
-             options->address.port, options->path);
-    curl_easy_setopt(easy, CURLOPT_URL, url);
+    Buf_Printf(&url, "http://%s:%d%s%s", options->address.host,
+               options->address.port, options->path,
+               options->query != NULL ? options->query : "");
+    curl_easy_setopt(easy, CURLOPT_URL, Buf_Text(&url));
+    Buf_Free(&url);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
--- a/src/httpclient.h
+++ b/src/httpclient.h
@@ -36,6 +36,7 @@
     const char *method;
     SettingsAddress address;
     const char *path;
+    const char *query; /* appended to path; NULL: none */
     HttpHeader headers[HTTP_MAX_CALL_HEADERS];
     size_t header_count;
     const char *body; /* must stay valid until the call ends, or until
--- a/src/jobctl_call.c
+++ b/src/jobctl_call.c
@@ -28,6 +28,7 @@
 static void
 free_call(Call *call)
 {
+    Buf_Free(&call->http.query);
     Buf_Free(&call->http.body);
     free(call);
 }
@@ -45,6 +46,7 @@
     HttpCallOptions options = {.method = call->http.method,
                                .address = *address,
                                .path = call->http.path,
+                               .query = Buf_Text(&call->http.query),
                                .timeout_ms = timeout_ms,
                                .max_answer_bytes = MAX_ANSWER_BYTES};
     size_t i;
--- a/src/jobfleet.c
+++ b/src/jobfleet.c
@@ -35,6 +35,14 @@
     return fleet;
 }
 
+/* Sets the token of the next page of the list; NULL: the first page. */
+static void
+set_page(JobFleet *fleet, const char *page)
+{
+    free(fleet->page);
+    fleet->page = page != NULL ? strdup(page) : NULL;
+}
+
 void
 JobFleet_Resign(JobFleet *fleet)
 {
@@ -48,7 +56,7 @@
     StrMap_FreeAll(fleet->vms);
     fleet->vms = StrMap_New();
     fleet->sizing_count = 0;
-    fleet->page[0] = '\0';
+    set_page(fleet, NULL);
     fleet->list_in_flight = false;
     fleet->list_complete = false;
     fleet->is_leader = false;
@@ -419,14 +427,14 @@
     fleet->list_in_flight = false;
     fleet->list_due_ms = now + FLEET_RETRY_MS;
     if (answer->outcome != JOB_VM_OK) {
-        fleet->page[0] = '\0';
+        set_page(fleet, NULL);
         return;
     }
     for (i = 0; i < answer->vm_count; i++) {
         update_vm(fleet, now, &answer->vms[i]);
     }
-    snprintf(fleet->page, sizeof(fleet->page), "%s", answer->next_page);
-    if (fleet->page[0] != '\0') {
+    set_page(fleet, answer->next_page);
+    if (fleet->page != NULL) {
         fleet->list_due_ms = now;
         return;
     }
@@ -467,8 +475,8 @@
     if (call == NULL) {
         return;
     }
-    snprintf(call->page, sizeof(call->page), "%s", fleet->page);
-    if (fleet->page[0] == '\0') {
+    call->page = fleet->page;
+    if (fleet->page == NULL) {
         fleet->list_number++;
         fleet->list_sent_ms = now;
     }
--- a/src/jobfleet_impl.h
+++ b/src/jobfleet_impl.h
@@ -67,7 +67,7 @@
     int64_t list_due_ms;
     int64_t list_sent_ms; /* time of the last request for the first page */
     uint64_t list_number; /* count of lists requested */
-    char page[JOB_NAME_BYTES]; /* next page of the list; empty: the first */
+    char *page; /* token of the next page of the list; NULL: the first */
     int64_t next_plan_ms;
     int64_t next_log_ms;
     JobSizing *sizings; /* one for each pool planned so far */
--- a/src/jobwire.c
+++ b/src/jobwire.c
@@ -29,5 +29,6 @@
 JobVmAnswer_Free(JobVmAnswer *answer)
 {
     free(answer->vms);
+    free(answer->next_page);
     memset(answer, 0, sizeof(*answer));
 }
--- a/src/jobwire.h
+++ b/src/jobwire.h
@@ -98,6 +98,7 @@
 typedef struct JobHttpCall {
     const char *method;
     char path[160];
+    Buf query; /* appended to the path; empty: none */
     Buf body;
     char header_names[JOB_WIRE_MAX_HEADERS][JOB_WIRE_HEADER_BYTES];
     char header_values[JOB_WIRE_MAX_HEADERS][JOB_WIRE_HEADER_BYTES];
@@ -138,7 +139,8 @@
     uint64_t wave;
     char holder[JOB_NAME_BYTES]; /* name of the node that gives the order */
     uint64_t fence;              /* fencing token of the order */
-    char page[JOB_NAME_BYTES];   /* token of the list's page, or empty */
+    const char *page; /* token of the list's page, valid until its answer is
+                         handled; NULL: the first page */
 } JobVmCall;
 
 typedef enum JobVmOutcome {
@@ -154,7 +156,7 @@
     JobVmOutcome outcome;
     JobVm *vms;
     size_t vm_count;
-    char next_page[JOB_NAME_BYTES]; /* token, or empty for the last page */
+    char *next_page; /* token; NULL: this is the last page */
 } JobVmAnswer;
 
 typedef struct JobWire {
--- a/tests/test_jobfleet.c
+++ b/tests/test_jobfleet.c
@@ -98,7 +98,7 @@
     size_t other_count = 0;
 
     while (JobFleet_TakeCall(fleet, &call)) {
-        JobVmAnswer answer = {JOB_VM_OK, rows, count, ""};
+        JobVmAnswer answer = {JOB_VM_OK, rows, count, NULL};
         if (call.kind == JOB_VM_LIST) {
             JobFleet_HandleAnswer(fleet, now, &call, &answer);
         }
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -392,6 +392,84 @@
 }
 END_TEST
 
+/* Guards against a list of VMs that ends early, as the token of its next page
+ * is long or has bytes that a URL cannot have. */
+START_TEST(page_token_is_sent_back_whole)
+{
+    static const struct {
+        size_t len;
+        const char *end;
+        const char *encoded_end;
+    } cases[] = {
+        {16, "", ""},    {71, "", ""},
+        {72, "", ""},    {96, "", ""},
+        {4000, "", ""},  {16, "&a=b c%2F+/", "%26a%3Db%20c%252F%2B%2F"},
+        {0, "=", "%3D"},
+    };
+    size_t i;
+
+    for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        JobVmCall call = {.kind = JOB_VM_LIST};
+        JobVmAnswer answer;
+        JobHttpCall http;
+        Buf body = BUF_INIT;
+        Buf query = BUF_INIT;
+        size_t k;
+
+        Buf_Printf(&body, "{\"machines\":[],\"next-token\":\"");
+        Buf_Printf(&query, "?page-token=");
+        for (k = 0; k < cases[i].len; k++) {
+            Buf_Printf(&body, "x");
+            Buf_Printf(&query, "x");
+        }
+        Buf_Printf(&body, "%s\"}", cases[i].end);
+        Buf_Printf(&query, "%s", cases[i].encoded_end);
+        wire->decode_vm_answer(&call, 200, body.data, body.len, &answer);
+        ck_assert_int_eq(answer.outcome, JOB_VM_OK);
+        ck_assert_ptr_nonnull(answer.next_page);
+        call.page = answer.next_page;
+        wire->encode_vm_call(&call, &http);
+        ck_assert_str_eq(http.path, "/api/machines");
+        ck_assert_str_eq(Buf_Text(&http.query), Buf_Text(&query));
+        JobVmAnswer_Free(&answer);
+        Buf_Free(&http.query);
+        Buf_Free(&body);
+        Buf_Free(&query);
+    }
+}
+END_TEST
+
+/* Guards against a list of VMs that counts as complete although the rest of it
+ * cannot be asked for. */
+START_TEST(list_with_unreadable_token_is_not_complete)
+{
+    static const char *const bodies[] = {
+        "{\"machines\":[],\"next-token\":7}",
+        "{\"machines\":[],\"next-token\":{}}",
+        "{\"machines\":[],\"next-token\":\"a\\u0000b\"}",
+    };
+    static const char *const last[] = {
+        "{\"machines\":[]}",
+        "{\"machines\":[],\"next-token\":null}",
+        "{\"machines\":[],\"next-token\":\"\"}",
+    };
+    JobVmCall call = {.kind = JOB_VM_LIST};
+    JobVmAnswer answer;
+    size_t i;
+
+    for (i = 0; i < sizeof(bodies) / sizeof(bodies[0]); i++) {
+        wire->decode_vm_answer(&call, 200, bodies[i], strlen(bodies[i]),
+                               &answer);
+        ck_assert_int_eq(answer.outcome, JOB_VM_AGAIN);
+        JobVmAnswer_Free(&answer);
+        wire->decode_vm_answer(&call, 200, last[i], strlen(last[i]), &answer);
+        ck_assert_int_eq(answer.outcome, JOB_VM_OK);
+        ck_assert_ptr_null(answer.next_page);
+        JobVmAnswer_Free(&answer);
+    }
+}
+END_TEST
+
 START_TEST(reply_statuses_show_whether_work_was_accepted)
 {
     static const struct {
@@ -437,6 +515,8 @@
     tcase_add_test(tcase, hold_lists_are_decoded);
     tcase_add_test(tcase, start_call_is_encoded);
     tcase_add_test(tcase, reply_statuses_show_whether_work_was_accepted);
+    tcase_add_test(tcase, page_token_is_sent_back_whole);
+    tcase_add_test(tcase, list_with_unreadable_token_is_not_complete);
     suite_add_tcase(suite, tcase);
     return suite;
 }
