--- a/src/jobsched_impl.h
+++ b/src/jobsched_impl.h
@@ -17,7 +17,8 @@
  * against them. A deadly task crashes its target within some tens of ms, or
  * much later. */
 #define SCHED_SETTLE_MS 250
-/* Wait of a suspect after which the most targets may be isolated for it. */
+/* Wait of a lasting suspect after which the most targets may be isolated for
+ * it, and of another lasting task after which it may use isolated ones. */
 #define SCHED_MAX_SUSPECT_WAIT_MS 2000
 /* Time after the longest lease at which a lasting task that does not run is
  * started on any target. It has to run 3 s after that lease; a start takes up
--- a/src/jobsched_isolate.c
+++ b/src/jobsched_isolate.c
@@ -6,9 +6,9 @@
 #include "slog.h"
 
 /* Shares of a pool's targets that may be isolated at a time, since suspects
- * can keep that many of them down: for a suspect that has just begun to wait,
- * and at most. The first one grows to the second with the wait, and does not
- * apply while idle targets are left. */
+ * can keep that many of them down: while this needs targets that have other
+ * work, and while idle ones are left. For a lasting suspect, the first grows
+ * to the second with its wait. */
 #define SCHED_MIN_ISOLATED_PERCENT 25
 #define SCHED_MAX_ISOLATED_PERCENT 75
 /* The same share for tasks that have crashed a target alone, which will likely
@@ -18,9 +18,9 @@
  * them. With fewer, those that wait are few as well, and each crash of a
  * shared target costs a small pool more than the wait. */
 #define SCHED_MIN_ISOLATED_TO_JOIN 10
-/* Time for which a task is taken to have waited when its leader took over, as
- * the leader does not know when it last ran. */
-#define TAKEOVER_ALLOWANCE_MS 3000
+/* Time before its term at which a leader takes a task to have run last, if it
+ * has not seen that. */
+#define SCHED_TAKEOVER_ALLOWANCE_MS 3000
 /* An isolation ends this long after it was last needed. */
 #define SCHED_ISOLATION_MS 500
 
@@ -141,9 +141,10 @@
 bool
 SchedImpl_IsRestartDue(const JobSched *sched, const JobTask *task)
 {
-    int64_t ran_ms = task->ran_ms > sched->leading_since_ms
-                         ? task->ran_ms
-                         : sched->leading_since_ms - TAKEOVER_ALLOWANCE_MS;
+    int64_t ran_ms =
+        task->ran_ms > sched->leading_since_ms
+            ? task->ran_ms
+            : sched->leading_since_ms - SCHED_TAKEOVER_ALLOWANCE_MS;
 
     return sched->now_ms - ran_ms >=
            sched->options.max_lease_ms + SCHED_RESTART_MS;
@@ -302,9 +303,10 @@
                : best;
 }
 
-/* Returns how much harm an overdue task may do at a target, to be compared:
- * first whether its crash could not be attributed, then the number of runs
- * that would share the blame, then the number of runs. */
+/* Returns how much harm an overdue task may do at a target, as a number to
+ * compare. The highest bits say whether a run there has crashed a target
+ * alone, and whether a crash could not be attributed. The number of runs that
+ * would share the blame, and of all runs, follow. */
 static uint64_t
 get_harm(const JobTarget *target, int64_t now)
 {
