test_jobshare: the held gang was never assigned

The check of the phase said so until the phase followed the start; the number of assigned tasks, which replaced it, also allows a job that waits again. A job of which no task was ever assigned has no tasks.

--- a/tests/test_jobshare.c
+++ b/tests/test_jobshare.c
@@ -420,7 +420,9 @@
     end_runs("a", 1);
     place(COMMIT);
     ck_assert_uint_eq(JobState_FindJob(state, "lasting")->assigned, 1);
-    ck_assert_uint_eq(JobState_FindJob(state, "large")->assigned, 0);
+    /* It has no tasks, as none was ever assigned. */
+    ck_assert_ptr_null(
+        Job_FindStepTasks(JobState_FindJob(state, "large"), 0, 0));
 }
 END_TEST
 
