Count VMs as removed only by VM lists that were read whole

Cause: what a list did not show counted as removed. A row with a field that was too long, of another type or unknown was left out. The first list that lacked a VM was compared with the time of the latest request, so that requests that failed counted as lists, and it outlived its term. VMs that shift between two pages were removed at once, and a token that repeats was asked for without pause.

Change: a row whose name can be read says that the VM exists; one with a field that cannot be used gets no order until it can (vm_unusable). A list without the name of a row, with a VM or a token twice, without end, or with a page that cannot be read is incomplete (vm_list_incomplete) and removes nothing. A list of several pages removes VMs if it repeats the names of the list before it. Only such lists make up the time after which a wave counts a VM as removed. Names of VMs may have 255 bytes; the VM service's zones and labels are not read. The reading of lists is in jobfleet_list.c.

--- a/src/job.h
+++ b/src/job.h
@@ -20,6 +20,7 @@
 
 #define JOB_ID_BYTES 40
 #define JOB_NAME_BYTES 72
+#define JOB_VM_NAME_BYTES 256 /* a DNS name has at most 253 */
 #define JOB_LABEL_BYTES 40
 #define JOB_HOST_BYTES 256 /* a DNS name has at most 253 */
 #define JOB_PATH_BYTES 256
@@ -143,7 +144,7 @@
     char address[JOB_ADDRESS_BYTES];
     char pool[JOB_NAME_BYTES];
     char data_centre[JOB_NAME_BYTES];
-    char vm[JOB_NAME_BYTES];
+    char vm[JOB_VM_NAME_BYTES];
     char labels[JOB_MAX_LABELS][JOB_LABEL_BYTES];
     uint32_t label_count;
     JobResources room; /* total capacity */
--- a/src/jobctl_call.c
+++ b/src/jobctl_call.c
@@ -164,6 +164,11 @@
 
     control->wire->decode_vm_answer(&call->vm_call, get_http_status(result),
                                     result->body, result->body_len, &answer);
+    if (call->vm_call.kind == JOB_VM_LIST &&
+        result->status == HTTP_CALL_TOO_LARGE) {
+        answer.outcome = JOB_VM_AGAIN;
+        answer.why = "a page larger than the limit of answers";
+    }
     JobFleet_HandleAnswer(control->fleet, Loop_NowMs(), &call->vm_call,
                           &answer);
     JobVmAnswer_Free(&answer);
--- a/src/jobctl_metrics.c
+++ b/src/jobctl_metrics.c
@@ -37,6 +37,16 @@
     }
 }
 
+static void
+count_vms(const JobControl *control, double *values)
+{
+    JobFleetCounts counts;
+
+    JobFleet_GetCounts(control->fleet, &counts);
+    values[JOB_METRIC_VM_LISTS_INCOMPLETE] = (double)counts.lists_incomplete;
+    values[JOB_METRIC_VMS_UNUSABLE] = (double)counts.vms_unusable;
+}
+
 static void
 sum_waiting_cores(const JobControl *control, double *values)
 {
@@ -141,6 +151,7 @@
     }
     JobMetrics_AddClients(control->metrics,
                           HttpServer_GetBudget(control->server));
+    count_vms(control, values);
     count_targets(control, values);
     sum_waiting_cores(control, values);
     list_tenants(control, control->metrics);
--- a/src/jobfleet.c
+++ b/src/jobfleet.c
@@ -11,10 +11,6 @@
 
 /* Time after a confirmation of the leader in which it may send orders. */
 #define FLEET_CONFIRMATION_VALID_MS 700
-/* Delay before a failed call or an unstored proposal is repeated. */
-#define FLEET_RETRY_MS 500
-/* Interval of VM list requests while accepted orders are in progress. */
-#define FLEET_LIST_PENDING_INTERVAL_MS 400
 /* Delay of a VM list request after the expected end of an order, by which the
  * VM has returned. */
 #define FLEET_RETURN_MARGIN_MS 60
@@ -35,14 +31,6 @@
     return fleet;
 }
 
-/* Sets the token of the next page of the list; NULL: the first page. */
-static void
-set_page(JobFleet *fleet, const char *page)
-{
-    free(fleet->page);
-    fleet->page = page != NULL ? strdup(page) : NULL;
-}
-
 void
 JobFleet_Resign(JobFleet *fleet)
 {
@@ -56,9 +44,7 @@
     StrMap_FreeAll(fleet->vms);
     fleet->vms = StrMap_New();
     fleet->sizing_count = 0;
-    set_page(fleet, NULL);
-    fleet->list_in_flight = false;
-    fleet->list_complete = false;
+    FleetImpl_ResetList(fleet);
     fleet->is_leader = false;
 }
 
@@ -83,6 +69,7 @@
     fleet->list_due_ms = now;
     fleet->next_plan_ms = now;
     fleet->fence = term << FLEET_FENCE_BITS;
+    FleetImpl_ForgetAbsences(fleet);
 }
 
 void
@@ -101,25 +88,21 @@
     return StrMap_Get(fleet->vms, name);
 }
 
-JobTarget *
-FleetImpl_FindTarget(const JobFleet *fleet, const FleetVm *vm)
+bool
+FleetImpl_IsReady(const FleetVm *vm)
 {
-    return JobState_FindVmTarget(fleet->state, vm->listed.name);
+    return vm->order == FLEET_ORDER_NONE && vm->listed.up &&
+           !vm->listed.busy && vm->listed.unusable_field == NULL;
 }
 
-static FleetVm *
-add_vm(JobFleet *fleet, const JobVm *listed)
+JobTarget *
+FleetImpl_FindTarget(const JobFleet *fleet, const FleetVm *vm)
 {
-    FleetVm *vm = Mem_New(1, sizeof(*vm));
-
-    vm->listed = *listed;
-    StrMap_Put(fleet->vms, vm->listed.name, vm);
-    vm->cooldown_start_ms = fleet->lead_start_ms - FLEET_MOVE_COOLDOWN_MS;
-    return vm;
+    return JobState_FindVmTarget(fleet->state, vm->listed.name);
 }
 
-static void
-clear_order(JobFleet *fleet, FleetVm *vm)
+void
+FleetImpl_ClearOrder(JobFleet *fleet, FleetVm *vm)
 {
     JobTarget *target = FleetImpl_FindTarget(fleet, vm);
 
@@ -131,58 +114,6 @@
     }
 }
 
-static void
-update_vm(JobFleet *fleet, int64_t now, const JobVm *listed)
-{
-    FleetVm *vm = FleetImpl_FindVm(fleet, listed->name);
-
-    if (vm == NULL) {
-        vm = add_vm(fleet, listed);
-    }
-    vm->listed = *listed;
-    vm->last_list_number = fleet->list_number;
-    vm->listed_ms = fleet->list_sent_ms;
-    if (vm->accepted && vm->accepted_ms < fleet->list_sent_ms && listed->up &&
-        !listed->busy) {
-        Slog_Begin(SLOG_CHANGE, "vm_back");
-        Slog_AddText("vm", listed->name);
-        Slog_AddText("pool", listed->pool);
-        Slog_AddInt("after_ms", now - vm->accepted_ms);
-        Slog_End();
-        clear_order(fleet, vm);
-    }
-}
-
-/* Returns whether a VM that the list does not contain must be kept because its
- * order may be carried out. */
-static bool
-is_order_open(const JobFleet *fleet, const FleetVm *vm)
-{
-    return vm->call_in_flight || vm->call_sent ||
-           (vm->accepted &&
-            fleet->list_sent_ms - vm->listed_ms < FLEET_ABSENT_MS);
-}
-
-/* Handles the end of a VM list. Removes VMs that it does not contain, as they
- * may have left the platform. */
-static void
-finish_list(JobFleet *fleet)
-{
-    size_t i = 0;
-
-    while (i < StrMap_Count(fleet->vms)) {
-        FleetVm *vm = StrMap_At(fleet->vms, i);
-        if (vm->last_list_number == fleet->list_number ||
-            is_order_open(fleet, vm)) {
-            i++;
-            continue;
-        }
-        clear_order(fleet, vm);
-        free(StrMap_Remove(fleet->vms, vm->listed.name));
-    }
-    fleet->list_complete = true;
-}
-
 void
 FleetImpl_QueueCommand(JobFleet *fleet, Buf *command)
 {
@@ -210,8 +141,8 @@
 
 /* --- calls --- */
 
-static JobVmCall *
-add_call(JobFleet *fleet, JobVmCallKind kind)
+JobVmCall *
+FleetImpl_AddCall(JobFleet *fleet, JobVmCallKind kind)
 {
     JobVmCall *call;
 
@@ -298,8 +229,8 @@
         !ensure_order_stored(fleet, now, vm)) {
         return;
     }
-    call = add_call(fleet, vm->order == FLEET_ORDER_MOVE ? JOB_VM_MOVE
-                                                         : JOB_VM_MAINTAIN);
+    call = FleetImpl_AddCall(
+        fleet, vm->order == FLEET_ORDER_MOVE ? JOB_VM_MOVE : JOB_VM_MAINTAIN);
     if (call == NULL) {
         return;
     }
@@ -373,7 +304,7 @@
 drop_refused_order(JobFleet *fleet, int64_t now, FleetVm *vm)
 {
     vm->call_sent = false;
-    clear_order(fleet, vm);
+    FleetImpl_ClearOrder(fleet, vm);
     vm->cooldown_start_ms = now;
 }
 
@@ -418,35 +349,6 @@
     }
 }
 
-static void
-handle_list_answer(JobFleet *fleet, int64_t now, const JobVmAnswer *answer)
-{
-    size_t i;
-    bool in_progress = false;
-
-    fleet->list_in_flight = false;
-    fleet->list_due_ms = now + FLEET_RETRY_MS;
-    if (answer->outcome != JOB_VM_OK) {
-        set_page(fleet, NULL);
-        return;
-    }
-    for (i = 0; i < answer->vm_count; i++) {
-        update_vm(fleet, now, &answer->vms[i]);
-    }
-    set_page(fleet, answer->next_page);
-    if (fleet->page != NULL) {
-        fleet->list_due_ms = now;
-        return;
-    }
-    finish_list(fleet);
-    for (i = 0; i < StrMap_Count(fleet->vms); i++) {
-        const FleetVm *vm = StrMap_At(fleet->vms, i);
-        in_progress = in_progress || vm->accepted;
-    }
-    fleet->list_due_ms = now + (in_progress ? FLEET_LIST_PENDING_INTERVAL_MS
-                                            : fleet->options.list_interval_ms);
-}
-
 void
 JobFleet_HandleAnswer(JobFleet *fleet, int64_t now, const JobVmCall *call,
                       const JobVmAnswer *answer)
@@ -456,33 +358,13 @@
         return;
     }
     if (call->kind == JOB_VM_LIST) {
-        handle_list_answer(fleet, now, answer);
+        FleetImpl_HandleListAnswer(fleet, now, answer);
     }
     else {
         handle_order_answer(fleet, now, call, answer);
     }
 }
 
-static void
-request_list(JobFleet *fleet, int64_t now)
-{
-    JobVmCall *call;
-
-    if (fleet->list_in_flight || now < fleet->list_due_ms) {
-        return;
-    }
-    call = add_call(fleet, JOB_VM_LIST);
-    if (call == NULL) {
-        return;
-    }
-    call->page = fleet->page;
-    if (fleet->page == NULL) {
-        fleet->list_number++;
-        fleet->list_sent_ms = now;
-    }
-    fleet->list_in_flight = true;
-}
-
 /* --- orders --- */
 
 void
@@ -507,7 +389,7 @@
 FleetImpl_CancelOrder(JobFleet *fleet, FleetVm *vm)
 {
     if (!vm->call_in_flight && !vm->call_sent && !vm->accepted) {
-        clear_order(fleet, vm);
+        FleetImpl_ClearOrder(fleet, vm);
     }
 }
 
@@ -590,6 +472,19 @@
     free(arrivals);
 }
 
+void
+JobFleet_GetCounts(const JobFleet *fleet, JobFleetCounts *counts)
+{
+    size_t i;
+
+    memset(counts, 0, sizeof(*counts));
+    counts->lists_incomplete = fleet->lists_incomplete;
+    for (i = 0; i < StrMap_Count(fleet->vms); i++) {
+        const FleetVm *vm = StrMap_At(fleet->vms, i);
+        counts->vms_unusable += vm->listed.unusable_field != NULL;
+    }
+}
+
 void
 JobFleet_Tick(JobFleet *fleet, int64_t now, int64_t wall_ms)
 {
@@ -599,7 +494,7 @@
         return;
     }
     fleet->wall_ms = wall_ms;
-    request_list(fleet, now);
+    FleetImpl_RequestList(fleet, now);
     if (!fleet->list_complete) {
         return;
     }
--- a/src/jobfleet.h
+++ b/src/jobfleet.h
@@ -10,6 +10,13 @@
  *     is drained before a move or maintenance. Only maintenance drains lasting
  *     tasks, as far as their step's limit of unavailable tasks allows.
  *
+ *     A VM counts as removed from the platform only when whole lists lack it:
+ *     lists that were read from the first page to the last in one term, each
+ *     row with a name, no VM and no page token twice. A list of several pages
+ *     counts if it repeats the names of the one before it, as pages may shift
+ *     while they are read. A VM that has a field that cannot be used exists,
+ *     and gets no order until the field can be used; a wave waits for it.
+ *
  *     Only one node at a time orders moves or maintenance of a VM: a new
  *     leader waits until the lease of an earlier leader has expired, and a
  *     leader sends orders only shortly after a majority has confirmed its
@@ -29,6 +36,11 @@
     int64_t move_ms;          /* expected duration of an accepted order */
 } JobFleetOptions;
 
+typedef struct JobFleetCounts {
+    uint64_t lists_incomplete; /* VM lists that were not read whole */
+    uint64_t vms_unusable; /* listed VMs with a field that cannot be used */
+} JobFleetCounts;
+
 typedef struct JobFleet JobFleet;
 
 JobFleet *JobFleet_New(const JobFleetOptions *options, JobState *state,
@@ -50,6 +62,8 @@
 bool JobFleet_TakeCall(JobFleet *fleet, JobVmCall *call);
 bool JobFleet_TakeCommand(JobFleet *fleet, Buf *command);
 
+void JobFleet_GetCounts(const JobFleet *fleet, JobFleetCounts *counts);
+
 void JobFleet_HandleAnswer(JobFleet *fleet, int64_t now, const JobVmCall *call,
                            const JobVmAnswer *answer);
 
--- a/src/jobfleet_impl.h
+++ b/src/jobfleet_impl.h
@@ -14,6 +14,8 @@
 #define FLEET_FENCE_BITS 20
 #define FLEET_MAX_CALLS 64
 #define FLEET_MAX_COMMANDS 64
+/* Delay before a failed call or an unstored proposal is repeated. */
+#define FLEET_RETRY_MS 500
 /* A VM missing from the VM list for this time has left the platform. */
 #define FLEET_ABSENT_MS 6000
 /* A move is cancelled if the VM is not drained after this time. */
@@ -52,6 +54,15 @@
     bool accepted;  /* the VM service has accepted the order */
 } FleetVm;
 
+/* What was read of a list of VMs since its first page was requested. */
+typedef struct FleetList {
+    const char *flaw; /* why it may lack VMs, or NULL */
+    uint64_t *tokens; /* hashes of the page tokens */
+    size_t token_count;
+    uint64_t names; /* sum of the hashes of the names, in any order */
+    size_t rows;
+} FleetList;
+
 struct JobFleet {
     JobFleetOptions options;
     JobState *state;
@@ -62,12 +73,20 @@
     int64_t confirmed_ms; /* last confirmation by a majority */
     uint64_t fence;       /* last fencing token used */
     StrMap *vms;          /* FleetVm by name */
-    bool list_complete;   /* all pages of the VM list were read once */
+    bool list_complete;   /* a VM list was read to its end */
     bool list_in_flight;
     int64_t list_due_ms;
     int64_t list_sent_ms; /* time of the last request for the first page */
     uint64_t list_number; /* count of lists requested */
     char *page; /* token of the next page of the list; NULL: the first */
+    FleetList list;
+    const char *last_flaw;  /* of the list before this one, or NULL */
+    bool has_earlier_names; /* a list was read whole in this term */
+    uint64_t earlier_names; /* as in FleetList, of the latest of these */
+    size_t earlier_rows;
+    int64_t whole_list_ms; /* request time of the latest list by which VMs
+                            * were removed; 0: none in this term */
+    uint64_t lists_incomplete;
     int64_t next_plan_ms;
     int64_t next_log_ms;
     JobSizing *sizings; /* one for each pool planned so far */
@@ -80,6 +99,9 @@
 };
 
 FleetVm *FleetImpl_FindVm(JobFleet *fleet, const char *name);
+/* Returns whether a VM is up, has no order and has no field that cannot be
+ * used, so that it may get an order. */
+bool FleetImpl_IsReady(const FleetVm *vm);
 /* Returns the target that last announced itself on a VM, or NULL. */
 JobTarget *FleetImpl_FindTarget(const JobFleet *fleet, const FleetVm *vm);
 /* Returns whether an order of an earlier leader for the VM may still be in
@@ -99,7 +121,22 @@
 /* Cancels the order of a VM unless a call was sent for it. */
 void FleetImpl_CancelOrder(JobFleet *fleet, FleetVm *vm);
 
+/* Ends the order of a VM and lets its target take work again. */
+void FleetImpl_ClearOrder(JobFleet *fleet, FleetVm *vm);
+/* Returns a new call, or NULL if too many calls wait to be taken. */
+JobVmCall *FleetImpl_AddCall(JobFleet *fleet, JobVmCallKind kind);
+
+/* jobfleet_list.c */
+/* Forgets what was read of lists, at the start or end of a term. */
+void FleetImpl_ResetList(JobFleet *fleet);
+/* Requests the next page of the VM list if it is due. */
+void FleetImpl_RequestList(JobFleet *fleet, int64_t now);
+void FleetImpl_HandleListAnswer(JobFleet *fleet, int64_t now,
+                                const JobVmAnswer *answer);
+
 /* jobfleet_wave.c */
+/* Forgets which VMs of waves were missing from lists of an earlier term. */
+void FleetImpl_ForgetAbsences(JobFleet *fleet);
 void FleetImpl_PlanWaves(JobFleet *fleet, int64_t now, int64_t wall_ms);
 /* jobfleet_move.c */
 void FleetImpl_PlanMoves(JobFleet *fleet, int64_t now);
--- a/src/jobfleet_move.c
+++ b/src/jobfleet_move.c
@@ -68,10 +68,12 @@
             plan->down_count++;
             continue;
         }
-        plan->free_count += vm->order == FLEET_ORDER_NONE && vm->listed.up &&
-                            FleetImpl_MayOrderVm(fleet, now, vm);
+        plan->free_count +=
+            FleetImpl_IsReady(vm) && FleetImpl_MayOrderVm(fleet, now, vm);
         plan->vms++;
-        plan->vm_cpu = vm->listed.cpu;
+        if (vm->listed.unusable_field == NULL) {
+            plan->vm_cpu = vm->listed.cpu;
+        }
         if (vm->order != FLEET_ORDER_MAINTAIN) {
             plan->capacity += vm->listed.cpu;
         }
@@ -128,8 +130,7 @@
         const JobTarget *target;
         bool lasting = false;
         uint64_t used;
-        if (vm->order != FLEET_ORDER_NONE || !vm->listed.up ||
-            vm->listed.busy ||
+        if (!FleetImpl_IsReady(vm) ||
             (may_drain &&
              now - vm->cooldown_start_ms < FLEET_MOVE_COOLDOWN_MS) ||
             strcmp(vm->listed.pool, pool) != 0) {
--- a/src/jobfleet_wave.c
+++ b/src/jobfleet_wave.c
@@ -19,14 +19,14 @@
 
     for (i = 0; i < wave->vm_count; i++) {
         const FleetVm *vm = FleetImpl_FindVm(fleet, wave->vms[i].vm);
-        if (vm == NULL) {
-            continue;
+        if (vm == NULL || vm->order == FLEET_ORDER_NONE) {
+            count += (vm != NULL && vm->listed.busy) ||
+                     FleetImpl_HasEarlierOrder(fleet, now, wave->vms[i].vm);
+        }
+        else {
+            count +=
+                vm->order == FLEET_ORDER_MAINTAIN && vm->wave == wave->number;
         }
-        count +=
-            (vm->order == FLEET_ORDER_MAINTAIN && vm->wave == wave->number) ||
-            (vm->order == FLEET_ORDER_NONE &&
-             (vm->listed.busy ||
-              FleetImpl_HasEarlierOrder(fleet, now, wave->vms[i].vm)));
     }
     return count;
 }
@@ -114,10 +114,24 @@
     return cost;
 }
 
+void
+FleetImpl_ForgetAbsences(JobFleet *fleet)
+{
+    size_t i;
+    uint32_t k;
+
+    for (i = 0; i < JobState_WaveCount(fleet->state); i++) {
+        JobWave *wave = JobState_WaveAt(fleet->state, i);
+        for (k = 0; k < wave->vm_count; k++) {
+            wave->vms[k].absent_since_ms = 0;
+        }
+    }
+}
+
 /* Marks VMs of a wave that have left the platform as done. A VM list may be
- * older than the VM, so the VM must be missing for FLEET_ABSENT_MS first. */
+ * older than the VM, so the whole lists of FLEET_ABSENT_MS must lack it. */
 static void
-mark_removed_vms(JobFleet *fleet, int64_t now, JobWave *wave)
+mark_removed_vms(JobFleet *fleet, JobWave *wave)
 {
     uint32_t i;
 
@@ -128,9 +142,10 @@
             vm->absent_since_ms = 0;
             continue;
         }
-        vm->absent_since_ms =
-            vm->absent_since_ms == 0 ? now : vm->absent_since_ms;
-        if (fleet->list_sent_ms - vm->absent_since_ms < FLEET_ABSENT_MS) {
+        if (vm->absent_since_ms == 0) {
+            vm->absent_since_ms = fleet->whole_list_ms;
+        }
+        if (fleet->whole_list_ms - vm->absent_since_ms < FLEET_ABSENT_MS) {
             continue;
         }
         JobCmd_EncodeWaveVm(&command, wave->number, wave->vms[i].vm, true);
@@ -177,8 +192,7 @@
             continue;
         }
         vm = FleetImpl_FindVm(plan->fleet, wave->vms[i].vm);
-        if (vm != NULL && vm->order == FLEET_ORDER_NONE && vm->listed.up &&
-            !vm->listed.busy) {
+        if (vm != NULL && FleetImpl_IsReady(vm)) {
             WavePool *pool = find_pool(plan, vm->listed.pool);
             candidates[count++] = (WaveCandidate){
                 vm, pool, compute_disruption(plan->fleet, pool, vm), i};
@@ -211,7 +225,7 @@
     size_t count;
     size_t i;
 
-    mark_removed_vms(plan->fleet, plan->now, wave);
+    mark_removed_vms(plan->fleet, wave);
     in_progress = count_in_progress(plan->fleet, plan->now, wave);
     if (in_progress >= wave->cap) {
         return;
--- a/src/jobmetrics.c
+++ b/src/jobmetrics.c
@@ -116,6 +116,12 @@
          "time for which the process did not run"},
     [JOB_METRIC_LINKS_REFUSED] = {PREFIX "links_refused_total", "counter",
                                   "links closed before their hello"},
+    [JOB_METRIC_VM_LISTS_INCOMPLETE] = {PREFIX "vm_lists_incomplete_total",
+                                        "counter",
+                                        "VM lists that were not read whole"},
+    [JOB_METRIC_VMS_UNUSABLE] = {PREFIX "vms_unusable", "gauge",
+                                 "listed VMs with a field that cannot be "
+                                 "used"},
     [JOB_METRIC_CLIENT_CONNECTIONS] = {PREFIX "client_connections", "gauge",
                                        "open connections of clients"},
     [JOB_METRIC_CLIENT_BYTES] = {PREFIX "client_bytes", "gauge",
--- a/src/jobstate.h
+++ b/src/jobstate.h
@@ -229,7 +229,7 @@
 } JobNode;
 
 typedef struct JobWaveVm {
-    char vm[JOB_NAME_BYTES];
+    char vm[JOB_VM_NAME_BYTES];
     bool ordered;            /* its maintenance has begun */
     bool done;               /* it is back, or it has left the fleet */
     int64_t absent_since_ms; /* when the planner missed it; not replicated */
@@ -247,7 +247,7 @@
 
 /* The latest order for a VM, committed before it is sent. */
 typedef struct JobVmOrder {
-    char vm[JOB_NAME_BYTES];
+    char vm[JOB_VM_NAME_BYTES];
     uint64_t fence;  /* fencing token */
     int64_t wall_ms; /* wall time at which the leader gave the order */
     int64_t seen_ms; /* when this node applied it; not replicated */
--- a/src/jobstate_fleet.c
+++ b/src/jobstate_fleet.c
@@ -146,7 +146,7 @@
 JobStateImpl_ApplyWaveVm(JobState *state, MpRead *reader)
 {
     uint64_t number;
-    char vm[JOB_NAME_BYTES];
+    char vm[JOB_VM_NAME_BYTES];
     bool done;
     const JobWave *found;
     uint32_t i;
--- a/src/jobwire.h
+++ b/src/jobwire.h
@@ -116,14 +116,15 @@
 
 /* A VM as the VM service lists it. */
 typedef struct JobVm {
-    char name[JOB_NAME_BYTES];
+    char name[JOB_VM_NAME_BYTES];
     char pool[JOB_NAME_BYTES];
     char target[JOB_NAME_BYTES]; /* id of its target, or empty */
-    char data_centre[JOB_NAME_BYTES];
-    char rack[JOB_LABEL_BYTES];
-    uint32_t cpu; /* capacity in thousandths of a core */
+    uint32_t cpu;                /* capacity in thousandths of a core */
     bool up;
     bool busy; /* is moving or under maintenance */
+    /* Name of a field that cannot be used, or NULL. The VM exists, but gets no
+     * order. */
+    const char *unusable_field;
 } JobVm;
 
 typedef enum JobVmCallKind {
@@ -134,7 +135,7 @@
 
 typedef struct JobVmCall {
     JobVmCallKind kind;
-    char vm[JOB_NAME_BYTES];
+    char vm[JOB_VM_NAME_BYTES];
     char pool[JOB_NAME_BYTES];
     uint64_t wave;
     char holder[JOB_NAME_BYTES]; /* name of the node that gives the order */
@@ -156,7 +157,10 @@
     JobVmOutcome outcome;
     JobVm *vms;
     size_t vm_count;
-    char *next_page; /* token; NULL: this is the last page */
+    char *next_page;      /* token; NULL: this is the last page */
+    size_t unnamed_count; /* rows without a name that can be read */
+    const char
+        *why; /* why a page cannot be read, with JOB_VM_AGAIN; or NULL */
 } JobVmAnswer;
 
 typedef struct JobWire {
--- a/tests/test_jobfleet.c
+++ b/tests/test_jobfleet.c
@@ -98,7 +98,8 @@
     size_t other_count = 0;
 
     while (JobFleet_TakeCall(fleet, &call)) {
-        JobVmAnswer answer = {JOB_VM_OK, rows, count, NULL};
+        JobVmAnswer answer = {
+            .outcome = JOB_VM_OK, .vms = rows, .vm_count = count};
         if (call.kind == JOB_VM_LIST) {
             JobFleet_HandleAnswer(fleet, now, &call, &answer);
         }
@@ -180,7 +181,7 @@
 {
     JobVm rows[2];
     JobVmCall calls[8];
-    char vm[JOB_NAME_BYTES];
+    char vm[JOB_VM_NAME_BYTES];
     size_t count = make_idle_vms(rows, 2);
     size_t i;
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -38,6 +38,9 @@
     "\"state\":\"ready\",\"capacity\":{\"cpu\":16000,\"mem-mb\":32768},"      \
     "\"labels\":[\"a\",\"r1-3\"],\"clock-ms\":7,\"seq\":4"
 
+#define BYTES_50 "12345678901234567890123456789012345678901234567890"
+#define BYTES_200 BYTES_50 BYTES_50 BYTES_50 BYTES_50
+
 static const ControlCase control_cases[] = {
     {"a heartbeat", "PUT", "/api/instances/i-1", HEARTBEAT "}",
      JOB_REQUEST_ANNOUNCE, JOB_ERROR_NONE},
@@ -73,6 +76,28 @@
     {"a wave", "POST", "/api/wave-start",
      "{\"wave\":1,\"machines\":[\"m-1\"],\"duration-s\":20.5,\"cap\":1}",
      JOB_REQUEST_PUT_WAVE, JOB_ERROR_NONE},
+    {"a wave with a VM name of 250 bytes", "POST", "/api/wave-start",
+     "{\"wave\":1,\"machines\":[\"" BYTES_200 BYTES_50 "\"],"
+     "\"duration-s\":20}",
+     JOB_REQUEST_PUT_WAVE, JOB_ERROR_NONE},
+    {"a wave with a VM name of 260 bytes", "POST", "/api/wave-start",
+     "{\"wave\":1,\"machines\":[\"" BYTES_200 BYTES_50 "1234567890\"],"
+     "\"duration-s\":20}",
+     JOB_REQUEST_PUT_WAVE, JOB_ERROR_MALFORMED},
+    {"a wave with an empty VM name", "POST", "/api/wave-start",
+     "{\"wave\":1,\"machines\":[\"\"],\"duration-s\":20}",
+     JOB_REQUEST_PUT_WAVE, JOB_ERROR_MALFORMED},
+    {"a wave of a duration that no number of ms holds", "POST",
+     "/api/wave-start",
+     "{\"wave\":1,\"machines\":[\"m-1\"],\"duration-s\":1e300}",
+     JOB_REQUEST_PUT_WAVE, JOB_ERROR_MALFORMED},
+    {"a heartbeat with a VM name of 250 bytes", "PUT", "/api/instances/i-1",
+     HEARTBEAT ",\"machine\":\"" BYTES_200 BYTES_50 "\"}",
+     JOB_REQUEST_ANNOUNCE, JOB_ERROR_NONE},
+    {"a heartbeat with more labels than are kept", "PUT", "/api/instances/i-1",
+     HEARTBEAT ",\"labels\":[\"1\",\"2\",\"3\",\"4\",\"5\",\"6\",\"7\",\"8\","
+               "\"9\"]}",
+     JOB_REQUEST_ANNOUNCE, JOB_ERROR_MALFORMED},
     {"a wave without machines", "POST", "/api/wave-start", "{\"wave\":1}",
      JOB_REQUEST_PUT_WAVE, JOB_ERROR_MALFORMED},
     {"an unknown path", "GET", "/other", "", JOB_REQUEST_NONE, JOB_ERROR_NONE},
@@ -98,8 +123,6 @@
 #define NAMES                                                                 \
     "\"name\":\"q\",\"host\":\"a.example\",\"path-prefix\":\"/q/\","          \
     "\"service\":\"p\","
-#define BYTES_50 "12345678901234567890123456789012345678901234567890"
-#define BYTES_200 BYTES_50 BYTES_50 BYTES_50 BYTES_50
 
 typedef struct ConfigCase {
     const char *name;
@@ -470,6 +493,100 @@
 }
 END_TEST
 
+typedef struct RowCase {
+    const char *name;
+    const char *row;
+    bool named; /* the row says that a VM is there */
+    const char *unusable_field;
+} RowCase;
+
+#define ROW(name, members) "{\"machine\":\"" name "\"," members "}"
+#define UP "\"pool\":\"p\",\"state\":\"up\",\"id\":\"t1\""
+
+static const RowCase row_cases[] = {
+    {"a row", ROW("v1", UP), true, NULL},
+    {"a capacity with a fraction part",
+     ROW("v1", UP ",\"capacity\":{\"cpu\":16000.0}"), true, NULL},
+    {"a capacity of another type",
+     ROW("v1", UP ",\"capacity\":{\"cpu\":\"16000\"}"), true, "capacity.cpu"},
+    {"long fields that no order needs",
+     ROW("v1", UP ",\"zone\":\"" BYTES_200 "\",\"labels\":[\"a\",\"" BYTES_200
+                  "\"]"),
+     true, NULL},
+    {"a long pool", ROW("v1", "\"pool\":\"" BYTES_200 "\",\"state\":\"up\""),
+     true, "pool"},
+    {"a long target id",
+     ROW("v1", "\"pool\":\"p\",\"state\":\"up\","
+               "\"id\":\"" BYTES_200 "\""),
+     true, "id"},
+    {"an unknown state",
+     ROW("v1", "\"pool\":\"p\",\"state\":\"paused\",\"id\":\"t1\""), true,
+     "state"},
+    {"a long state", ROW("v1", "\"pool\":\"p\",\"state\":\"" BYTES_50 "\""),
+     true, "state"},
+    {"no state", ROW("v1", "\"pool\":\"p\",\"id\":\"t1\""), true, "state"},
+    {"a name of 250 bytes", ROW(BYTES_200 BYTES_50, UP), true, NULL},
+    {"a name of 260 bytes", ROW(BYTES_200 BYTES_50 "1234567890", UP), false,
+     NULL},
+    {"no name", "{" UP "}", false, NULL},
+    {"an empty name", ROW("", UP), false, NULL},
+    {"a name of another type", "{\"machine\":7," UP "}", false, NULL},
+    {"a row that is no object", "7", false, NULL},
+};
+
+/* Guards against a VM that counts as removed because a field of its row cannot
+ * be read. */
+START_TEST(row_that_names_a_vm_says_that_it_exists)
+{
+    const RowCase *row = &row_cases[_i];
+    JobVmCall call = {.kind = JOB_VM_LIST};
+    JobVmAnswer answer;
+    Buf body = BUF_INIT;
+
+    Buf_Printf(&body, "{\"machines\":[%s," ROW("v2", UP) "]}", row->row);
+    wire->decode_vm_answer(&call, 200, body.data, body.len, &answer);
+    ck_assert_int_eq(answer.outcome, JOB_VM_OK);
+    ck_assert_msg(answer.vm_count == (row->named ? 2 : 1), "%s", row->name);
+    ck_assert_uint_eq(answer.unnamed_count, row->named ? 0 : 1);
+    ck_assert_str_eq(answer.vms[answer.vm_count - 1].name, "v2");
+    ck_assert_ptr_null(answer.vms[answer.vm_count - 1].unusable_field);
+    if (row->named && row->unusable_field != NULL) {
+        ck_assert_str_eq(answer.vms[0].unusable_field, row->unusable_field);
+    }
+    else {
+        ck_assert_msg(answer.vms[0].unusable_field == NULL, "%s", row->name);
+    }
+    JobVmAnswer_Free(&answer);
+    Buf_Free(&body);
+}
+END_TEST
+
+/* Guards against a list that is shorter than the service sent it. */
+START_TEST(page_that_cannot_be_read_is_not_shorter)
+{
+    static const char *const bodies[] = {
+        "",
+        "{\"machines\":[" ROW("v1", UP),
+        "{\"machines\":[" ROW("v1", UP) "]} {}",
+        "{\"machines\":[" ROW("v1", UP) "],\"machines\":[]}",
+        "{\"machines\":{}}",
+        "{\"machines\":null}",
+        "[]",
+    };
+    JobVmCall call = {.kind = JOB_VM_LIST};
+    JobVmAnswer answer;
+    size_t i;
+
+    for (i = 0; i < sizeof(bodies) / sizeof(bodies[0]); i++) {
+        wire->decode_vm_answer(&call, 200, bodies[i], strlen(bodies[i]),
+                               &answer);
+        ck_assert_msg(answer.outcome == JOB_VM_AGAIN, "%s", bodies[i]);
+        ck_assert_ptr_nonnull(answer.why);
+        JobVmAnswer_Free(&answer);
+    }
+}
+END_TEST
+
 START_TEST(reply_statuses_show_whether_work_was_accepted)
 {
     static const struct {
@@ -517,6 +634,9 @@
     tcase_add_test(tcase, reply_statuses_show_whether_work_was_accepted);
     tcase_add_test(tcase, page_token_is_sent_back_whole);
     tcase_add_test(tcase, list_with_unreadable_token_is_not_complete);
+    tcase_add_loop_test(tcase, row_that_names_a_vm_says_that_it_exists, 0,
+                        sizeof(row_cases) / sizeof(row_cases[0]));
+    tcase_add_test(tcase, page_that_cannot_be_read_is_not_shorter);
     suite_add_tcase(suite, tcase);
     return suite;
 }
