Take no list of a target for whole if a row of it cannot be read

A row of `finished` that cannot be read was left out and acknowledged with the next one; an unknown `how` counted as stopped, also if the run was done. Ends of runs that are not this system's were never acknowledged: 500 of them would have hidden all others. Of two lists of one name the last one counted.

Change: a row without a name, an attempt or a number makes the answer count as none, as one that was lost. Names that no task of this system has are told from these: such runs are ignored, such ends acknowledged.

--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -325,6 +325,9 @@
     JobCallOutcome outcome;
 } AnswerCase;
 
+#define LISTS(running, finished)                                              \
+    "{\"clock-ms\":5,\"running\":[" running "],\"finished\":[" finished "]}"
+
 static const AnswerCase answer_cases[] = {
     {"accepted", JOB_ACTION_START, 200, "{\"clock-ms\":5}", JOB_CALL_OK},
     {"reason fence", JOB_ACTION_START, 409,
@@ -345,8 +348,30 @@
      JOB_CALL_NO_ANSWER},
     {"a hold that is cut short", JOB_ACTION_HOLD, 200, "{\"running\":[",
      JOB_CALL_NO_ANSWER},
+    {"a hold", JOB_ACTION_HOLD, 200,
+     LISTS("[\"" JOB_ID ".0.1.17\",2,\"\",41]", ""), JOB_CALL_OK},
+    {"a foreign run", JOB_ACTION_HOLD, 200, LISTS("[\"odd\",2,\"\",41]", ""),
+     JOB_CALL_OK},
+    {"a running row of another type", JOB_ACTION_HOLD, 200, LISTS("7", ""),
+     JOB_CALL_NO_ANSWER},
+    {"a running row without a name", JOB_ACTION_HOLD, 200,
+     LISTS("[7,2,\"\",41]", ""), JOB_CALL_NO_ANSWER},
+    {"an attempt of another type", JOB_ACTION_HOLD, 200,
+     LISTS("[\"" JOB_ID ".0.1.17\",\"2\",\"\",41]", ""), JOB_CALL_NO_ANSWER},
+    {"an end without a number", JOB_ACTION_HOLD, 200,
+     LISTS("", "[null,\"" JOB_ID ".0.1.9\",1,\"done\",\"\"]"),
+     JOB_CALL_NO_ANSWER},
+    {"an end of an unknown kind", JOB_ACTION_HOLD, 200,
+     LISTS("", "[58,\"" JOB_ID ".0.1.9\",1,\"dome\",\"\"]"),
+     JOB_CALL_NO_ANSWER},
+    {"a list that comes twice", JOB_ACTION_HOLD, 200,
+     "{\"running\":[[\"" JOB_ID ".0.1.17\",2,\"\",41]],\"finished\":[],"
+     "\"running\":[]}",
+     JOB_CALL_NO_ANSWER},
 };
 
+/* Guards against a run that counts as ended, or an end that is acknowledged
+ * unread, as a row of the target's lists cannot be read. */
 START_TEST(target_answers_are_decoded)
 {
     const AnswerCase *row = &answer_cases[_i];
@@ -379,7 +404,9 @@
     ck_assert_uint_eq(answer.running[0].task.index, 17);
     ck_assert_uint_eq(answer.running[0].percent, 41);
     ck_assert_uint_eq(answer.running[0].load, 30);
-    ck_assert_uint_eq(answer.answer.end_count, 2);
+    ck_assert_uint_eq(answer.answer.end_count, 3);
+    ck_assert_str_eq(answer.ends[2].task.job, ""); /* no run of this system */
+    ck_assert_uint_eq(answer.ends[2].number, 60);
     ck_assert_int_eq(answer.ends[0].kind, JOB_END_DONE);
     ck_assert_uint_eq(answer.ends[0].number, 58);
     ck_assert_uint_eq(answer.ends[1].task.occurrence, 3);
