Order no VM again that the service does not know until a list shows it

Cause: the service refuses the order for a VM that is gone, a new order follows at once, and its call is open whenever a list ends. A list removes no VM with an open call.

Change: a VM whose order is refused as unknown gets no order until a list shows it again.

--- a/src/jobfleet.c
+++ b/src/jobfleet.c
@@ -363,6 +363,9 @@
         }
         break;
     case JOB_VM_INVALID:
+        /* Without a new order until a list shows the VM again, which may be
+         * gone. */
+        vm->listed.up = false;
         fleet->list_due_ms = now;
         drop_refused_order(fleet, now, vm);
         break;
--- a/tests/test_jobfleet_sim.c
+++ b/tests/test_jobfleet_sim.c
@@ -15,6 +15,7 @@
 #define TROUBLE_MS 40000
 #define CALM_MS 60000
 #define SEEDS 120
+#define PAST_SEEDS 3
 #define LATE_CALLS 64
 
 /* A VM of the simulated service. */
@@ -46,6 +47,9 @@
     FAULT_COUNT
 } Fault;
 
+/* Seeds of lists that failed once, beyond the first ones. */
+static const uint64_t past_seeds[PAST_SEEDS] = {1140, 2124, 2390};
+
 static const JobWire *wire;
 static Rng rng;
 static JobState *state;
@@ -360,7 +364,7 @@
 {
     int64_t end;
 
-    setup((uint64_t)_i + 1);
+    setup(_i < SEEDS ? (uint64_t)_i + 1 : past_seeds[_i - SEEDS]);
     start_wave();
     for (end = now + TROUBLE_MS; now < end;) {
         disturb();
@@ -516,8 +520,9 @@
     Suite *suite = suite_create("jobfleet_sim");
     TCase *tcase = tcase_create("lists");
 
-    tcase_add_loop_test(
-        tcase, wave_is_done_only_with_vms_maintained_or_removed, 0, SEEDS);
+    tcase_add_loop_test(tcase,
+                        wave_is_done_only_with_vms_maintained_or_removed, 0,
+                        SEEDS + PAST_SEEDS);
     tcase_add_loop_test(tcase, late_call_keeps_cap_of_wave, 0, SEEDS);
     tcase_add_test(tcase, failed_requests_are_no_lists_without_a_vm);
     tcase_add_test(tcase, absence_in_an_earlier_term_is_forgotten);
