Remove the identity of a lost disk before its successor votes

Cause: the new identity was promoted before the old one was removed. Of the four voters three had to agree: the two sound ones and the one that had just returned. When that lost its disk again before the removal was committed, two of four voters were gone for good.

Change: the old identity, which can never answer, is removed first; that does not raise the quorum. The new identity is then one of three voters, of which two suffice.

--- a/src/replica_plan.c
+++ b/src/replica_plan.c
@@ -42,23 +42,17 @@
            !input->health[i].active;
 }
 
+/* The quorum without the old identity is no larger than with it, as it can
+ * never answer. A new identity that voted beside it would raise the quorum,
+ * and its own loss would then leave no quorum. */
 static bool
 plan_removal(const ReplicaPlanInput *input, RaftMember *changed)
 {
-    const RaftMembers *members = input->members;
     size_t i;
 
-    for (i = 0; i < members->count; i++) {
-        const RaftMember *member = &members->list[i];
-        const RaftMember *successor;
-
-        if (!is_replaced(input, i)) {
-            continue;
-        }
-        successor = RaftMembers_Find(
-            members, find_current_identity(input, member->name));
-        if (!member->voter || (successor != NULL && successor->voter)) {
-            *changed = *member;
+    for (i = 0; i < input->members->count; i++) {
+        if (is_replaced(input, i)) {
+            *changed = input->members->list[i];
             return true;
         }
     }
@@ -91,25 +85,6 @@
     return best_score > 0;
 }
 
-/* Returns whether the learner is the current identity of a node whose old
- * identity is an inactive voter. */
-static bool
-replaces_voter(const ReplicaPlanInput *input, const RaftMember *learner)
-{
-    size_t i;
-
-    for (i = 0; i < input->members->count; i++) {
-        const RaftMember *member = &input->members->list[i];
-
-        if (member->voter && strcmp(member->name, learner->name) == 0 &&
-            find_current_identity(input, learner->name) == learner->identity &&
-            is_replaced(input, i)) {
-            return true;
-        }
-    }
-    return false;
-}
-
 static bool
 has_voter_named(const RaftMembers *members, const char *name)
 {
@@ -167,10 +142,6 @@
             !input->health[i].caught_up) {
             continue;
         }
-        if (replaces_voter(input, member)) {
-            *changed = *member;
-            return true;
-        }
         if (has_voter_named(members, member->name)) {
             continue;
         }
--- a/src/replica_plan.h
+++ b/src/replica_plan.h
@@ -6,15 +6,14 @@
  *     Chooses one single-server change at a time, in this order:
  *
  *     1. Remove the old identity of a node that has returned with a new one,
- *        if the old identity is inactive, and either it is not a voter or the
- *        new identity is one.
+ *        if the old identity is inactive.
  *     2. Demote a voter when there are more voters than wanted: inactive
  *        voters first, then one in the data centre with the most voters, and
  *        never the leader.
- *     3. Promote an active, caught-up learner if it replaces an inactive voter
- *        of the same node, if there are fewer voters than wanted (lost voters
- *        are not counted), or if its data centre has at least two voters fewer
- *        than another one. Rule 2 then demotes the surplus voter.
+ *     3. Promote an active, caught-up learner if there are fewer voters than
+ *        wanted (lost voters are not counted), or if its data centre has at
+ *        least two voters fewer than another one. Rule 2 then demotes the
+ *        surplus voter.
  *     4. Add a known node as a learner.
  *
  *     An active identity is never replaced, so two nodes configured with the
--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -1271,6 +1271,42 @@
 }
 END_TEST
 
+/* Guards against a cluster that has no leader any more after one node has lost
+ * its disk again and again, while the others were sound. */
+START_TEST(series_of_losses_of_one_node_keeps_the_others)
+{
+    const int rounds = 25;
+    uint64_t seed = (uint64_t)_i + 1;
+    size_t voters = _i % 3 == 0 ? 5 : 3;
+    size_t spares = (size_t)_i % 2;
+    Cluster *cluster = create_cluster(
+        seed, voters + spares > MAX_NODES ? MAX_NODES : voters + spares,
+        voters, _i % 2 == 0, true);
+    Node *lost = &cluster->nodes[Rng_Below(&cluster->rng, (uint32_t)voters)];
+    int round;
+
+    cluster->faults_disabled = true;
+    heal_and_converge(cluster, seed);
+    cluster->proposals_disabled = false;
+    for (round = 0; round < rounds; round++) {
+        int64_t end = cluster->time_ms + 20 + Rng_Below(&cluster->rng, 1200);
+        while (cluster->time_ms < end) {
+            run_step(cluster);
+        }
+        if (lost->replica != NULL) {
+            crash_node(lost, Rng_Below(&cluster->rng, 800));
+            MemStorage_Wipe(lost->disk);
+            lost->max_applied = 0;
+            cluster->wipes++;
+        }
+    }
+    heal_and_converge(cluster, seed);
+    check_answers(cluster, seed);
+    check_history(cluster);
+    free_cluster(cluster);
+}
+END_TEST
+
 /* Guards against a snapshot of several chunks that never arrives, and against
  * a leader that stops serving while it sends one. */
 START_TEST(large_snapshot_reaches_a_new_node)
@@ -1438,6 +1474,8 @@
     suite_add_tcase(suite, tcase);
     tcase = tcase_create("disks");
     tcase_add_loop_test(tcase, serves_soon_after_faults_of_disks, 0, 400);
+    tcase_add_loop_test(tcase, series_of_losses_of_one_node_keeps_the_others,
+                        0, 100);
     suite_add_tcase(suite, tcase);
     return suite;
 }
