--- a/src/jobwire.h
+++ b/src/jobwire.h
@@ -159,8 +159,7 @@
     size_t vm_count;
     char *next_page;      /* token; NULL: this is the last page */
     size_t unnamed_count; /* rows without a name that can be read */
-    const char
-        *why; /* why a page cannot be read, with JOB_VM_AGAIN; or NULL */
+    const char *why; /* with JOB_VM_AGAIN: why it is unreadable, or NULL */
 } JobVmAnswer;
 
 typedef struct JobWire {
