Serve a new cluster only with the voters that bear the loss of a disk

Cause: the founder is the only voter at first and served as soon as it led. What it acknowledged was on one disk, and without its identity the others have no quorum and may not found.

Change: until a configuration, a job or a wave is stored, a leader serves only when there are 2 * disk_losses + 1 voters, or after 3 s, as one of them may be down.

--- a/src/jobctl_internal.h
+++ b/src/jobctl_internal.h
@@ -120,17 +120,19 @@
     JobReadRequest *queued_reads; /* reads for the next confirmation */
     JobReadRequest *sent_reads;   /* reads for the confirmation in progress */
     bool read_in_progress;        /* a confirmation is in progress */
-    bool taking_over;         /* the read that confirms the state is pending */
-    uint64_t serving_term;    /* term in which this node serves, or 0 */
-    int64_t next_confirm_ms;  /* time of the next leadership confirmation */
-    int64_t iteration_end_us; /* end of the last event loop iteration */
-    uint64_t requests;        /* requests received */
-    uint64_t denied_requests; /* refused because of their key */
-    JobSpace space;           /* for accepted jobs */
-    int64_t stop_begun_ms;    /* start of the planned stop, or 0 */
-    int64_t idle_since_ms;    /* during a planned stop, time since which
-                               * nothing is pending and another node may
-                               * lead, or 0 */
+    bool taking_over;      /* the read that confirms the state is pending */
+    uint64_t serving_term; /* term in which this node serves, or 0 */
+    int64_t founding_since_ms;  /* since when it could have served but for the
+                                 * voters of a new cluster, or 0 */
+    int64_t next_confirm_ms;    /* time of the next leadership confirmation */
+    int64_t iteration_end_us;   /* end of the last event loop iteration */
+    uint64_t requests;          /* requests received */
+    uint64_t denied_requests;   /* refused because of their key */
+    JobSpace space;             /* for accepted jobs */
+    int64_t stop_begun_ms;      /* start of the planned stop, or 0 */
+    int64_t idle_since_ms;      /* during a planned stop, time since which
+                                 * nothing is pending and another node may
+                                 * lead, or 0 */
     uint64_t refused_messages;  /* of the log, from peers */
     RaftMembers logged_members; /* whose voters were logged last */
     JobWatch watch;
--- a/src/jobctl_log.c
+++ b/src/jobctl_log.c
@@ -292,6 +292,25 @@
     }
 }
 
+/* Returns whether this leader, whose state is confirmed, may serve. */
+static bool
+may_serve(JobControl *control, int64_t now)
+{
+    JobFounding founding = {
+        .is_used = JobState_GetConfig(control->state)->version != 0 ||
+                   JobState_JobCount(control->state) > 0 ||
+                   JobState_WaveCount(control->state) > 0,
+        .voters =
+            RaftMembers_CountVoters(Replica_GetMembers(control->replica)),
+        .wanted_voters = JobControl_GetDesiredVoterCount(control)};
+
+    if (control->founding_since_ms == 0) {
+        control->founding_since_ms = now;
+    }
+    founding.waited_ms = now - control->founding_since_ms;
+    return JobFounder_MayServe(&founding);
+}
+
 static void
 on_takeover_read(void *arg, Status status, JobResult result)
 {
@@ -301,7 +320,8 @@
     (void)result;
     control->taking_over = false;
     if (status != ST_OK || Replica_GetRole(control->replica) != RAFT_LEADER ||
-        control->serving_term != 0 || control->stop_begun_ms != 0) {
+        control->serving_term != 0 || control->stop_begun_ms != 0 ||
+        !may_serve(control, now)) {
         return;
     }
     control->serving_term = Replica_GetTerm(control->replica);
--- a/src/jobfounder.c
+++ b/src/jobfounder.c
@@ -30,3 +30,10 @@
     }
     return entries == count ? JOB_FOUNDER_NOBODY : JOB_FOUNDER_OTHER;
 }
+
+bool
+JobFounder_MayServe(const JobFounding *founding)
+{
+    return founding->is_used || founding->voters >= founding->wanted_voters ||
+           founding->waited_ms >= JOBFOUNDER_MAX_WAIT_MS;
+}
--- a/src/jobfounder.h
+++ b/src/jobfounder.h
@@ -1,6 +1,7 @@
 /*
  * NAME
- *     jobfounder - which control node creates the cluster of the job service
+ *     jobfounder - which control node creates the cluster of the job service,
+ *     and when that may serve
  *
  * DESCRIPTION
  *     Core without I/O. Nodes that start for the first time know the same
@@ -14,6 +15,7 @@
 
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 
 #include "settings.h"
 
@@ -29,4 +31,22 @@
                              const bool *is_entry, size_t count,
                              const SettingsAddress *self);
 
+/* Longest wait of a founder for further voters. Below the time in which an
+ * operator expects the first configuration to be stored. */
+#define JOBFOUNDER_MAX_WAIT_MS 3000
+
+/* What a leader knows when it may begin to serve. */
+typedef struct JobFounding {
+    bool is_used;         /* a configuration, a job or a wave is stored */
+    size_t voters;        /* in the member list */
+    size_t wanted_voters; /* so many that disks may be lost */
+    int64_t waited_ms;    /* since the leader could have served */
+} JobFounding;
+
+/* Returns whether a leader may serve. The founder is the only voter at first:
+ * what it acknowledges then is lost with its disk, and so is the quorum. Until
+ * something was acknowledged, it waits for the voters that bear such a loss,
+ * up to JOBFOUNDER_MAX_WAIT_MS, as one of them may be down. */
+bool JobFounder_MayServe(const JobFounding *founding);
+
 #endif
--- a/tests/test_jobfounder.c
+++ b/tests/test_jobfounder.c
@@ -69,6 +69,31 @@
 }
 END_TEST
 
+static const struct {
+    const char *name;
+    JobFounding founding;
+    bool may_serve;
+} serving_cases[] = {
+    {"one voter of three, nothing stored", {false, 1, 3, 0}, false},
+    {"two voters of three, nothing stored", {false, 2, 3, 2900}, false},
+    {"all voters", {false, 3, 3, 0}, true},
+    {"a voter that does not come",
+     {false, 2, 3, JOBFOUNDER_MAX_WAIT_MS},
+     true},
+    {"a voter lost its disk later", {true, 2, 3, 0}, true},
+    {"no loss of a disk is borne", {false, 1, 1, 0}, true},
+};
+
+/* Guards against an acknowledgement that is lost with the founder's disk, and
+ * against a cluster that waits for a voter when it has served before. */
+START_TEST(founder_waits_for_voters)
+{
+    ck_assert_msg(JobFounder_MayServe(&serving_cases[_i].founding) ==
+                      serving_cases[_i].may_serve,
+                  "%s", serving_cases[_i].name);
+}
+END_TEST
+
 Suite *
 Test_Suite(void)
 {
@@ -77,6 +102,9 @@
 
     tcase_add_loop_test(tcase, one_control_node_among_the_seeds_founds, 0,
                         (int)(sizeof(cases) / sizeof(cases[0])));
+    tcase_add_loop_test(
+        tcase, founder_waits_for_voters, 0,
+        (int)(sizeof(serving_cases) / sizeof(serving_cases[0])));
     suite_add_tcase(suite, tcase);
     return suite;
 }
